Run a gateway on the users' platform through an adapter

A gateway forwards calls to endpoints that it drives directly: routes by longest prefix, admission by key, attempts bounded by kind, streams resumed from memory copies, silent engines found by probes. The adapter in platform/ decodes the platform's names. The clients of our stand-in platform move to backing/.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -9,11 +9,11 @@
 
 import attrs
 
+from basilroad.backing.weights import HttpWeightStore, WeightsPulled
 from basilroad.endpoints.messages import EngineOrder
 from basilroad.placement.plan import Action, Change, EngineReport, Situation
 from basilroad.placement.planner import make_plan
 from basilroad.placement.stagger import Stagger, StaggerSettings
-from basilroad.platform.weights import HttpWeightStore, WeightsPulled
 from basilroad.standin.loader import Loader
 from basilroad.standin.platform import PlatformStandin
 from basilroad.standin.settings import EngineStandinSettings, PlatformStandinSettings
--- a/bench/settings_watch.py
+++ b/bench/settings_watch.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
+from basilroad.backing.table import HttpTable
 from basilroad.coordination.table import TableError, Write
 from basilroad.http import HttpClient, HttpRequest
-from basilroad.platform.table import HttpTable
 from basilroad.settings.store import SettingsStore
 from basilroad.settings.watch import SettingsWatch, WatchSettings
 
--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -20,6 +20,7 @@
 from basilroad.agent.link import EntryLink
 from basilroad.agent.runs import RunStore
 from basilroad.agent.state import build_host_state
+from basilroad.backing.table import HttpTable
 from basilroad.coordination.poison import PoisonLedger, PoisonSettings
 from basilroad.coordination.timer import Timer
 from basilroad.logs import Decision, log_decision
@@ -30,7 +31,6 @@
 from basilroad.peers.traffic import LinkMeter
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.peers.wire.peer_grpc import PeerBase
-from basilroad.platform.table import HttpTable
 from basilroad.settings.report import ReportSettings, SettingsReporter
 from basilroad.settings.store import Applied, SettingsStore
 from basilroad.settings.watch import SettingsWatch, WatchSettings
--- a/src/basilroad/platform/table.py
+++ b/src/basilroad/backing/table.py
@@ -7,6 +7,15 @@
 
 import msgspec
 
+from basilroad.backing.messages import (
+    ChangesRequest,
+    CommitAnswer,
+    CommitRequest,
+    KeyRequest,
+    ReadAnswer,
+    RowsAnswer,
+    ScanRequest,
+)
 from basilroad.coordination.table import (
     Changes,
     Row,
@@ -16,15 +25,6 @@
     Written,
 )
 from basilroad.http import HttpAnswer, HttpClient, HttpError, HttpRequest, NotSentError
-from basilroad.platform.messages import (
-    ChangesRequest,
-    CommitAnswer,
-    CommitRequest,
-    KeyRequest,
-    ReadAnswer,
-    RowsAnswer,
-    ScanRequest,
-)
 
 OK = 200
 SERVER_ERROR = 500
--- a/src/basilroad/cli/app.py
+++ b/src/basilroad/cli/app.py
@@ -53,6 +53,23 @@
     run_agent(settings)
 
 
+@app.command()
+def gateway(
+    settings: Annotated[
+        Path | None,
+        typer.Option("--settings", help="Settings file of the machine.", dir_okay=False),
+    ] = None,
+) -> None:
+    """Run a gateway on the users' platform: drives servers directly.
+
+    Without a file the environment names it. Exits 0 after a planned stop (SIGTERM), 2 on bad
+    settings, 1 on a failure.
+    """
+    from basilroad.cli.gateway import run_gateway
+
+    run_gateway(settings)
+
+
 @app.command()
 def local(
     address: Annotated[str, typer.Option(help="IP number on which to serve.")] = "127.0.0.1",
--- /dev/null
+++ b/src/basilroad/cli/gateway.py
@@ -0,0 +1,52 @@
+"""Runs one gateway on the users' platform."""
+
+from __future__ import annotations
+
+import logging
+import os
+from pathlib import Path
+from typing import NoReturn
+
+from basilroad import VERSION
+from basilroad.cli.daemon import fail, run_services
+from basilroad.logs import configure_logs
+from basilroad.logwriter import LogWriter
+from basilroad.platform.machine import (
+    SETTINGS_VARIABLE,
+    MachineSettingsError,
+    read_machine_settings,
+)
+from basilroad.platform.run import PlatformService
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def run_gateway(path: Path | None) -> NoReturn:
+    """Run a gateway.
+
+    :param path: settings file of the machine; the environment names it if left out
+    """
+    if path is None:
+        name = os.environ.get(SETTINGS_VARIABLE, "")
+        if not name:
+            fail(f"{SETTINGS_VARIABLE}: is missing")
+        path = Path(name)
+    try:
+        machine = read_machine_settings(path)
+    except MachineSettingsError as error:
+        fail(str(error))
+    configure_logs(machine.host, logging.INFO, LogWriter())
+    _LOGGER.info(
+        "start",
+        extra={
+            "version": VERSION,
+            "role": machine.role,
+            "front": str(machine.front),
+            "data_centre": machine.place.data_centre,
+            "store": str(machine.store.address),
+        },
+    )
+    run_services(PlatformService(machine, path))
+
+
+__all__ = ["run_gateway"]
--- a/src/basilroad/cli/local.py
+++ b/src/basilroad/cli/local.py
@@ -10,10 +10,10 @@
 from mode import Service
 
 from basilroad.agent.service import AgentService
+from basilroad.backing.hosts import ListedHost
 from basilroad.cli.daemon import run_services
 from basilroad.entry.service import EntryService
 from basilroad.logs import configure_logs
-from basilroad.platform.hosts import ListedHost
 from basilroad.settings.daemon import (
     AgentSettings,
     DaemonSettings,
--- a/src/basilroad/cli/platform.py
+++ b/src/basilroad/cli/platform.py
@@ -27,7 +27,7 @@
 
 def open_table(url: str) -> ClosableTable:
     """:return: the table of the platform at a URL."""
-    from basilroad.platform.table import HttpTable
+    from basilroad.backing.table import HttpTable
 
     return HttpTable(url, TIMEOUT_S)
 
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -11,6 +11,8 @@
 
 from mode import Service
 
+from basilroad.backing.hosts import HostListError, HttpHostList
+from basilroad.backing.table import HttpTable
 from basilroad.coordination.poison import PoisonLedger, PoisonMark, PoisonSettings, Standing
 from basilroad.coordination.timer import Timer
 from basilroad.entry.calls import Caller
@@ -33,8 +35,6 @@
 from basilroad.peers.traffic import FRAME_OVERHEAD_BYTES, LinkMeter
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.placement.service import Planner
-from basilroad.platform.hosts import HostListError, HttpHostList
-from basilroad.platform.table import HttpTable
 from basilroad.settings.report import ReportSettings, SettingsReporter
 from basilroad.settings.status import HostState
 from basilroad.settings.store import Applied, SettingsStore
--- /dev/null
+++ b/src/basilroad/gateway/choice.py
@@ -0,0 +1,179 @@
+"""Choice of the endpoint for a call."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Collection, Iterable
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from basilroad.gateway.call import Call, PromptSize
+    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.route import EngineLimits
+
+READ_TOKENS_PER_S = 8000.0
+"""Prompt tokens that an engine reads in a second, as the fleets' sheets state."""
+
+GENERATION_SLOWDOWN_S = 0.05
+"""Seconds that each generation beside it adds to a call's wait: its share of the engine's steps
+while a prompt is read."""
+
+PLAIN_WORK_S = 0.03
+"""Seconds that a call of a plain service takes, about the mean of the fleets' sheets."""
+
+FAILURE_COST_S = 0.5
+"""Seconds that a certain failure counts as: the try that follows it."""
+
+DATA_CENTRE_COST_S = 0.002
+"""Seconds that another data centre of the region counts as: the way there and back."""
+
+REGION_COST_S = 0.08
+"""Seconds that another region counts as: the way there and back, twice, as its link is paid."""
+
+NOISE_S = 0.02
+"""Spread of chance between like endpoints, so that gateways with the same view part."""
+
+MEMORY_SHARE = 0.95
+"""Share of an engine's memory that reservations may take; estimates of output are rough."""
+
+
+@attrs.frozen
+class Place:
+    """Where a gateway stands.
+
+    :param data_centre: its data centre
+    :param region: its region
+    :param regions: region of each data centre
+    """
+
+    data_centre: str
+    region: str
+    regions: dict[str, str]
+
+    def distance_s(self, data_centre: str) -> float:
+        """:return: cost in seconds of an endpoint in a data centre."""
+        if data_centre == self.data_centre:
+            return 0.0
+        if self.regions.get(data_centre) == self.region:
+            return DATA_CENTRE_COST_S
+        return REGION_COST_S
+
+
+def has_room(endpoint: Endpoint, size: PromptSize, engine: EngineLimits | None) -> bool:
+    """Tell whether an endpoint can hold one more call, for all that is known.
+
+    :param endpoint: the endpoint
+    :param size: tokens of the call
+    :param engine: limits of its engine, ``None`` for a plain service
+    :return: whether slots and memory suffice
+    """
+    load, remote = endpoint.load, endpoint.remote
+    if engine is None:
+        # a plain service keeps a short queue of its own
+        return load.calls + remote.calls < 2 * endpoint.entry.slots
+    if load.calls + remote.calls >= min(engine.slots, endpoint.entry.slots):
+        return False
+    taken = load.memory_tokens + remote.memory_tokens
+    return taken + size.total <= MEMORY_SHARE * engine.memory_tokens or taken == 0
+
+
+def estimate_wait(endpoint: Endpoint, size: PromptSize) -> float:
+    """Estimate the seconds until a call's answer begins at an endpoint.
+
+    :param endpoint: the endpoint
+    :param size: tokens of the call
+    :return: seconds, without the way there
+    """
+    load, remote = endpoint.load, endpoint.remote
+    calls = load.calls + remote.calls
+    if not size.total:
+        beyond = max(0, calls + 1 - endpoint.entry.slots)
+        # each call slows the others a little even while slots are free
+        return PLAIN_WORK_S * (beyond + 0.2 * calls) / max(1, endpoint.entry.slots)
+    unread = load.unread_tokens + remote.unread_tokens
+    return unread / READ_TOKENS_PER_S + calls * GENERATION_SLOWDOWN_S
+
+
+@attrs.frozen
+class Chooser:
+    """Chooses endpoints for one gateway.
+
+    :param place: where the gateway stands
+    :param generator: source of chance
+    """
+
+    place: Place
+    generator: random.Random = attrs.field(factory=random.Random)
+
+    def choose(
+        self,
+        endpoints: Iterable[Endpoint],
+        call: Call,
+        engine: EngineLimits | None,
+        now: float,
+        avoid: Collection[str] = (),
+    ) -> Endpoint | None:
+        """Choose where a call runs.
+
+        :param endpoints: endpoints of its service
+        :param call: the call
+        :param engine: limits of the service's engines
+        :param now: monotonic seconds
+        :param avoid: endpoints that won't do
+        :return: the best one with room, if there is one
+        """
+        best, best_score = None, math.inf
+        for endpoint in endpoints:
+            if endpoint.id in avoid or not endpoint.takes_work(now):
+                continue
+            if not has_room(endpoint, call.size, engine):
+                continue
+            score = self.score(endpoint, call, now)
+            if score < best_score:
+                best, best_score = endpoint, score
+        return best
+
+    def score(self, endpoint: Endpoint, call: Call, now: float) -> float:
+        """:return: cost in seconds of running a call at an endpoint; lower is better."""
+        distance_s = self.place.distance_s(endpoint.entry.data_centre)
+        failure_s = FAILURE_COST_S * endpoint.failing(now)
+        noise_s = self.generator.uniform(0, NOISE_S) if call.size.total else 0.0
+        return estimate_wait(endpoint, call.size) + distance_s + failure_s + noise_s
+
+    def choose_copy_holder(
+        self,
+        endpoints: Iterable[Endpoint],
+        runs_at: Endpoint,
+        size: PromptSize,
+        engine: EngineLimits,
+        now: float,
+    ) -> Endpoint | None:
+        """Choose where a copy of a run's memory is kept.
+
+        :param endpoints: endpoints of the service
+        :param runs_at: where it runs; its data centre may be lost with it
+        :param size: tokens of the run
+        :param engine: limits of the service's engines
+        :param now: monotonic seconds
+        :return: the least loaded endpoint of another data centre with room, if there is one
+        """
+        elsewhere = [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.entry.data_centre != runs_at.entry.data_centre
+            and endpoint.takes_work(now)
+            and has_room(endpoint, size, engine)
+        ]
+        if not elsewhere:
+            return None
+        return min(elsewhere, key=lambda e: self._score_holder(e, size))
+
+    def _score_holder(self, endpoint: Endpoint, size: PromptSize) -> float:
+        noise_s = self.generator.uniform(0, NOISE_S)
+        return estimate_wait(endpoint, size) + noise_s
+
+
+__all__ = ["Chooser", "Place", "estimate_wait", "has_room"]
--- /dev/null
+++ b/src/basilroad/gateway/events.py
@@ -0,0 +1,76 @@
+"""Events of a stream, passed on whole, once and in order."""
+
+from __future__ import annotations
+
+import attrs
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id:"
+
+
+class EventOrderError(Exception):
+    """An event is missing, or one has no usable id."""
+
+
+@attrs.define
+class EventSequence:
+    """Takes the bytes of one or several runs and gives the events that are due.
+
+    :param last: id of the last event passed on; 0 before the first
+    """
+
+    last: int = 0
+    _partial: bytes = b""
+
+    def start_run(self) -> None:
+        """Begin to read another run; what an earlier one left incomplete falls away."""
+        self._partial = b""
+
+    @property
+    def is_whole(self) -> bool:
+        """:return: whether the run has not stopped within an event."""
+        return not self._partial.strip()
+
+    def take(self, data: bytes) -> bytes:
+        """Take bytes of the run.
+
+        :param data: as they came
+        :return: the whole events among them that were not passed on before
+        :raises EventOrderError: an event is missing before one of them
+        """
+        end = data.rfind(EVENT_END)
+        if end < 0 and not self._ends_across(data):
+            self._partial += data
+            return b""
+        data = self._partial + data
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        self._partial = data[end:]
+        events = data[:end].split(EVENT_END)[:-1]
+        return b"".join(event + EVENT_END for event in events if self._is_due(event))
+
+    def _ends_across(self, data: bytes) -> bool:
+        return self._partial.endswith(b"\n") and data.startswith(b"\n")
+
+    def _is_due(self, event: bytes) -> bool:
+        number = _read_id(event)
+        if number is None:
+            return True
+        if number <= self.last:
+            return False
+        if number != self.last + 1:
+            raise EventOrderError(f"event {number} came after event {self.last}")
+        self.last = number
+        return True
+
+
+def _read_id(event: bytes) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            text = line[len(ID_FIELD) :].strip()
+            if not text.isdigit():
+                raise EventOrderError(f"event with id {text!r}")
+            return int(text)
+    return None
+
+
+__all__ = ["EventOrderError", "EventSequence"]
--- /dev/null
+++ b/src/basilroad/gateway/gateway.py
@@ -0,0 +1,188 @@
+"""The gateway: what it believes and how it handles a call."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from basilroad.coordination.budget import RetryBudget, RetrySettings
+from basilroad.errors import ErrorKind, refuse
+from basilroad.gateway.choice import Chooser
+from basilroad.gateway.directory import Directory
+from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.freshness import Freshness
+from basilroad.gateway.liveness import Liveness
+from basilroad.gateway.relay import StreamCall
+from basilroad.gateway.whole import WholeCall
+
+if TYPE_CHECKING:
+    from basilroad.gateway.attempt import Dialect
+    from basilroad.gateway.call import Call, Reply, Responder
+    from basilroad.gateway.choice import Place
+    from basilroad.gateway.route import EngineLimits, Route, RoutingTable, WorkspaceSpec
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class GatewaySettings:
+    """Settings of a gateway.
+
+    :param host: name of this host
+    :param place: where it stands
+    :param key_age_limit_s: seconds for which keys count without a confirmation; ``None`` for ever
+    :param ready_age_limit_s: age of the configuration up to which it counts as ready
+    :param retries: budget of retries of each service
+    :param grace_s: seconds that a planned stop may take
+    """
+
+    host: str
+    place: Place
+    key_age_limit_s: float | None = None
+    ready_age_limit_s: float = 3.0
+    retries: RetrySettings = attrs.field(factory=RetrySettings)
+    grace_s: float = 8.0
+
+
+class Gateway:
+    """Beliefs and parts of one gateway; no sockets towards callers.
+
+    :param settings: its settings
+    :param dialect: how calls are written for endpoints
+    """
+
+    def __init__(self, settings: GatewaySettings, dialect: Dialect) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.random = random.Random()
+        self.directory = Directory()
+        self.freshness = Freshness()
+        self.table: RoutingTable | None = None
+        self.dispatcher = Dispatcher(
+            self.directory, Chooser(settings.place, self.random), self.find_engine
+        )
+        self.liveness = Liveness(self.dispatcher, dialect, settings.place)
+        self.stopping_since: float | None = None
+        self._budgets: dict[str, RetryBudget] = {}
+
+    # configuration
+
+    def apply_table(self, table: RoutingTable) -> bool:
+        """Take over a version of the configuration; never an older one.
+
+        :param table: the version
+        :return: whether it is in force now
+        """
+        known = self.table
+        if known is not None and table.version < known.version:
+            _LOGGER.warning(
+                "config version refused",
+                extra={"version": table.version, "in_force": known.version},
+            )
+            return False
+        if known is not None and table.version == known.version:
+            return True
+        self.table = table
+        _LOGGER.info(
+            "config in force",
+            extra={
+                "version": table.version,
+                "previous": known.version if known else None,
+                "routes": table.route_count,
+                "keys": table.key_count,
+            },
+        )
+        return True
+
+    def find_engine(self, service: str) -> EngineLimits | None:
+        """:return: limits of a service's engines; ``None`` for a plain or unknown service."""
+        spec = self.table.services.get(service) if self.table else None
+        return spec.engine if spec else None
+
+    def budget_of(self, service: str) -> RetryBudget:
+        """:return: the retries that calls of a service may make."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self.settings.retries)
+        return budget
+
+    # admission
+
+    @property
+    def is_ready(self) -> bool:
+        """:return: whether callers are to be sent here."""
+        if self.stopping_since is not None or self.table is None:
+            return False
+        return self.freshness.is_within(self.settings.ready_age_limit_s)
+
+    def admit_route(self, host: str, path: str) -> Route:
+        """Find the route of a call.
+
+        :param host: host that it names
+        :param path: path without query
+        :return: the route
+        :raises RefusedError: there is none, or no configuration is known
+        """
+        if self.table is None:
+            raise refuse(ErrorKind.STORE_UNAVAILABLE, "no configuration is known yet", 1)
+        route = self.table.find_route(host, path)
+        if route is None:
+            raise refuse(ErrorKind.UNKNOWN_SERVICE, "no route for this host and path")
+        return route
+
+    def admit_key(self, route: Route, key: str) -> WorkspaceSpec | None:
+        """Find who calls.
+
+        :param route: the call's route
+        :param key: as the caller sent it
+        :return: the workspace; ``None`` where none is needed
+        :raises RefusedError: the key is not known, or can't be trusted any more
+        """
+        assert self.table is not None
+        if route.public or not self.table.needs_keys:
+            return None
+        limit_s = self.settings.key_age_limit_s
+        if limit_s is not None and not self.freshness.is_within(limit_s):
+            raise refuse(ErrorKind.STORE_UNAVAILABLE, "keys were not confirmed lately", 1)
+        workspace = self.table.find_workspace(key)
+        if workspace is None:
+            raise refuse(ErrorKind.UNAUTHENTICATED, "unknown key")
+        return workspace
+
+    # calls
+
+    async def handle(self, call: Call, responder: Responder) -> Reply | None:
+        """Run a call.
+
+        :param call: the call
+        :param responder: takes a streamed answer
+        :return: a whole answer; ``None`` after a whole stream
+        :raises RefusedError: there is no answer
+        :raises StreamBrokenError: the stream broke off after its begin
+        """
+        self.budget_of(call.service).note_request()
+        if call.route.streams:
+            return await StreamCall(self, call, responder).run()
+        return await WholeCall(self, call).run()
+
+    def note_first_event(self, call: Call) -> None:
+        """Note that a stream begins.
+
+        :param call: the call
+        """
+        waited_s = time.monotonic() - call.arrived_at
+        _LOGGER.info("first event", extra={"request": call.id, "waited_ms": round(1000 * waited_s)})
+
+    # housekeeping
+
+    def sweep(self) -> None:
+        """Drop what is gone and place what waits."""
+        self.directory.expire()
+        self.dispatcher.serve_waiting()
+
+
+__all__ = ["Gateway", "GatewaySettings"]
--- /dev/null
+++ b/src/basilroad/gateway/liveness.py
@@ -0,0 +1,109 @@
+"""Detection of engines that have gone silent."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from basilroad.endpoints.channels import ChannelError
+
+if TYPE_CHECKING:
+    from basilroad.gateway.attempt import Dialect
+    from basilroad.gateway.choice import Place
+    from basilroad.gateway.directory import Directory
+    from basilroad.gateway.dispatch import Dispatcher
+    from basilroad.gateway.endpoint import Endpoint
+
+CHECK_S = 0.05
+"""Seconds between looks at silent endpoints."""
+
+SILENCE_S = 0.3
+"""Seconds of silence after which an engine is asked; one that reads a prompt sends an event of its
+other streams about every quarter of a second."""
+
+PROBE_S = 0.15
+"""Seconds for the answer to a probe beside the way there and back; together with the silence it
+leaves time to go on elsewhere within the pause that a stream may make."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Liveness:
+    """Asks engines that are silent while answers are awaited; those that don't answer are lost.
+
+    :param dispatcher: knows endpoints and engines
+    :param dialect: how a probe is written
+    :param place: where this gateway stands
+    """
+
+    def __init__(self, dispatcher: Dispatcher, dialect: Dialect, place: Place) -> None:
+        self._dispatcher = dispatcher
+        self._dialect = dialect
+        self._place = place
+        self._probes: dict[str, asyncio.Task[None]] = {}
+        self.probes_sent = 0
+
+    @property
+    def directory(self) -> Directory:
+        """:return: the endpoints."""
+        return self._dispatcher.directory
+
+    def check(self) -> None:
+        """Ask the engines that have been silent for too long."""
+        now = time.monotonic()
+        for endpoint in self.directory:
+            if endpoint.id in self._probes or endpoint.silence_s(now) < SILENCE_S:
+                continue
+            if self._dispatcher.find_engine(endpoint.entry.service) is None:
+                continue
+            task = asyncio.ensure_future(self._probe(endpoint))
+            self._probes[endpoint.id] = task
+
+    async def close(self) -> None:
+        """Stop the probes that run."""
+        for task in list(self._probes.values()):
+            task.cancel()
+
+    async def _probe(self, endpoint: Endpoint) -> None:
+        asked_at = time.monotonic()
+        silence_s = endpoint.silence_s(asked_at)
+        try:
+            alive = await self._ask(endpoint)
+        finally:
+            self._probes.pop(endpoint.id, None)
+        now = time.monotonic()
+        if alive or endpoint.heard_at > asked_at:
+            endpoint.note_heard(now)
+            return
+        _LOGGER.warning(
+            "endpoint silent",
+            extra={
+                "endpoint": endpoint.id,
+                "address": str(endpoint.entry.address),
+                "silence_ms": round(1000 * silence_s),
+                "probe_ms": round(1000 * (now - asked_at)),
+            },
+        )
+        endpoint.declare_lost(now)
+
+    async def _ask(self, endpoint: Endpoint) -> bool:
+        limit_s = PROBE_S + 2 * self._place.distance_s(endpoint.entry.data_centre)
+        self.probes_sent += 1
+        channel = None
+        try:
+            async with asyncio.timeout(limit_s):
+                channel = await endpoint.pool.open(0)
+                channel.send(self._dialect.encode_probe(endpoint.entry.address))
+                await channel.read_head()
+                await channel.read_body()
+        except (ChannelError, TimeoutError):
+            if channel is not None:
+                channel.close()
+            return False
+        endpoint.pool.keep(channel)
+        return True
+
+
+__all__ = ["CHECK_S", "PROBE_S", "SILENCE_S", "Liveness"]
--- a/src/basilroad/logs.py
+++ b/src/basilroad/logs.py
@@ -87,17 +87,18 @@
         return True
 
 
-def configure_logs(host: str, level: str | int) -> None:
-    """Send every log line of this process to stderr as one JSON object.
+def configure_logs(host: str, level: str | int, handler: logging.Handler | None = None) -> None:
+    """Send every log line of this process somewhere as one JSON object.
 
     :param host: name of this host, part of each line
     :param level: lowest level that is written
+    :param handler: writes the lines; to stderr if left out
     :raises ValueError: the level is unknown
     """
     formatter = MsgspecFormatter(
         _FIELDS, rename_fields=_RENAMED, static_fields={"host": host}, timestamp="time"
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(formatter)
     handler.addFilter(ForbiddenFieldFilter())
     root = logging.getLogger()
--- a/src/basilroad/platform/__init__.py
+++ b/src/basilroad/platform/__init__.py
@@ -1,3 +1,3 @@
-"""Adapters to what the platform gives."""
+"""Adapter to the users' platform: the only place that knows its names."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/basilroad/platform/config.py
@@ -0,0 +1,177 @@
+"""Decodes the operator's config and the servers' entries."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from basilroad.gateway.endpoint import EndpointEntry, EndpointState
+from basilroad.gateway.route import (
+    CallerLimits,
+    EngineLimits,
+    Repetition,
+    Route,
+    RoutingTable,
+    ServiceSpec,
+    WeightedService,
+    WorkspaceSpec,
+)
+from basilroad.peers.address import parse_address
+
+IDEMPOTENT = "idempotent"
+STREAMING = "streaming"
+SLOTS_UNKNOWN = 1
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ConfigError(Exception):
+    """A row does not hold what it should.
+
+    :param detail: what was found
+    """
+
+
+class _Split(msgspec.Struct, rename="camel"):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    slo_ms: float  # time to the whole answer, or to the first event of a stream
+    max_attempts: int = 1  # endpoints that may run one call, not tries
+    priority: int = 5
+    public: bool = False
+    resumable: bool = False
+    service: str | None = None
+    traffic_split: list[_Split] | None = None
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int
+    kv_capacity: int
+    backups: bool = False
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = msgspec.field(default_factory=list)
+
+
+class _Server(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    born: int = 0  # start of this life; the id may be that of an earlier one
+
+
+def decode_config(data: bytes) -> RoutingTable:
+    """Decode the operator's config.
+
+    :param data: value of its row
+    :return: the routing table
+    :raises ConfigError: it can't be read
+    """
+    try:
+        config = msgspec.json.decode(data, type=_Config)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigError(str(error)) from error
+    limits = config.limits
+    return RoutingTable(
+        config.version,
+        [_build_route(route) for route in config.routes],
+        [_build_service(service) for service in config.services],
+        [WorkspaceSpec(t.name, tuple(t.api_keys), t.priority) for t in config.tenants],
+        CallerLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000,
+            idle_timeout_s=limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def decode_server(server_id: str, data: bytes) -> EndpointEntry:
+    """Decode one server's entry.
+
+    :param server_id: key of its row
+    :param data: value of its row
+    :return: the entry
+    :raises ConfigError: it names no endpoint that can be used
+    """
+    try:
+        server = msgspec.json.decode(data, type=_Server)
+        return EndpointEntry(
+            server_id,
+            server.service,
+            parse_address(server.address),
+            server.zone,
+            max(SLOTS_UNKNOWN, server.slots),
+            EndpointState(server.state),
+            server.born,
+        )
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise ConfigError(str(error)) from error
+
+
+def _build_route(route: _Route) -> Route:
+    splits = route.traffic_split or [_Split(route.service or "", 1)]
+    streams = route.kind == STREAMING
+    repeatable = route.resumable if streams else route.kind == IDEMPOTENT
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        targets=tuple(WeightedService(s.service, s.weight) for s in splits if s.weight > 0),
+        repetition=Repetition.ALLOWED if repeatable else Repetition.FORBIDDEN,
+        streams=streams,
+        timeout_s=route.timeout_ms / 1000,
+        target_s=route.slo_ms / 1000,
+        attempts_limit=max(1, route.max_attempts),
+        rank=route.priority,
+        public=route.public,
+    )
+
+
+def _build_service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    return ServiceSpec(
+        service.name,
+        service.health_path,
+        service.max_connections,
+        EngineLimits(engine.slots, engine.kv_capacity, engine.backups) if engine else None,
+    )
+
+
+__all__ = ["ConfigError", "decode_config", "decode_server"]
--- /dev/null
+++ b/src/basilroad/platform/machine.py
@@ -0,0 +1,182 @@
+"""Settings that the platform gives to a process."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+
+from basilroad.gateway.choice import Place
+from basilroad.peers.address import Address, parse_address
+
+SETTINGS_VARIABLE = "BASILROAD_SETTINGS"
+"""Environment variable that holds the path of the settings file."""
+
+
+class MachineSettingsError(Exception):
+    """The settings can't be used.
+
+    :param message: names the field and the cause
+    """
+
+
+@attrs.frozen
+class Bounds:
+    """Times that the platform holds its processes to, in seconds.
+
+    :param drain_s: until no call reaches a leaving server
+    :param grace_s: from SIGTERM to SIGKILL
+    :param config_apply_s: until a version is in force
+    :param revoke_s: until a key that was taken away runs nothing; ``None`` if it is not strict
+    :param retry_ratio: arrivals beyond the first of each request, by request
+    :param retry_window_s: seconds over which they are counted
+    :param retry_slack: such arrivals that are allowed besides, over all machines
+    """
+
+    drain_s: float
+    grace_s: float
+    config_apply_s: float
+    revoke_s: float | None
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+
+
+@attrs.frozen
+class StoreAccess:
+    """How the platform's store is reached.
+
+    :param address: where it listens
+    """
+
+    address: Address
+
+
+@attrs.frozen
+class MachineSettings:
+    """One process on one machine.
+
+    :param host: name of the machine
+    :param role: name of the role that it runs
+    :param place: where it stands
+    :param front: address for callers
+    :param ready: address for the question whether it is ready
+    :param metrics: address for its metrics; ``None`` without one
+    :param bounds: times that it is held to
+    :param store: how the store is reached
+    """
+
+    host: str
+    role: str
+    place: Place
+    front: Address
+    ready: Address
+    metrics: Address | None
+    bounds: Bounds
+    store: StoreAccess
+
+
+def read_machine_settings(path: Path) -> MachineSettings:
+    """Read the settings file of a process.
+
+    :param path: the file
+    :return: the settings
+    :raises MachineSettingsError: the file can't be read or used
+    """
+    try:
+        document = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise MachineSettingsError(f"{path}: can't be read: {error}") from error
+    if not isinstance(document, dict):
+        raise MachineSettingsError(f"{path}: expected a table at the top")
+    try:
+        return _decode(_Fields(document))
+    except MachineSettingsError as error:
+        raise MachineSettingsError(f"{path}: {error}") from error
+
+
+class _Fields:
+    """Reads fields by their dotted names.
+
+    :param table: the document
+    """
+
+    def __init__(self, table: Mapping[str, Any]) -> None:
+        self._table = table
+
+    def find(self, name: str) -> Any:
+        value: Any = self._table
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, Mapping) else None
+        return value
+
+    def text(self, name: str) -> str:
+        value = self.find(name)
+        if not isinstance(value, str):
+            raise MachineSettingsError(f"{name}: expected text, found {value!r}")
+        return value
+
+    def number(self, name: str) -> float:
+        value = self.find(name)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise MachineSettingsError(f"{name}: expected a number, found {value!r}")
+        return float(value)
+
+    def seconds(self, name: str) -> float:
+        return self.number(name) / 1000
+
+    def address(self, name: str) -> Address:
+        try:
+            return parse_address(self.text(name))
+        except ValueError as error:
+            raise MachineSettingsError(f"{name}: {error}") from error
+
+
+def _decode(fields: _Fields) -> MachineSettings:
+    regions = fields.find("zones")
+    if not isinstance(regions, dict):
+        raise MachineSettingsError(f"zones: expected a table, found {regions!r}")
+    place = Place(fields.text("zone"), fields.text("region"), regions)
+    return MachineSettings(
+        host=fields.text("node"),
+        role=fields.text("role"),
+        place=place,
+        front=fields.address("listen.front"),
+        ready=fields.address("listen.ready"),
+        metrics=_find_metrics(fields),
+        bounds=_decode_bounds(fields),
+        store=StoreAccess(fields.address("platform.address")),
+    )
+
+
+def _decode_bounds(fields: _Fields) -> Bounds:
+    strict = fields.find("bounds.strictRevoke") is True
+    return Bounds(
+        drain_s=fields.seconds("bounds.drainMs"),
+        grace_s=fields.number("bounds.graceS"),
+        config_apply_s=fields.seconds("bounds.configApplyMs"),
+        revoke_s=fields.seconds("bounds.revokeMs") if strict else None,
+        retry_ratio=fields.number("bounds.retryBudgetRatio"),
+        retry_window_s=fields.number("bounds.budgetWindowS"),
+        retry_slack=fields.number("bounds.retrySlack"),
+    )
+
+
+def _find_metrics(fields: _Fields) -> Address | None:
+    ports = fields.find("internalPorts")
+    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+        return None
+    return Address(fields.text("ip"), ports[0])
+
+
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "Bounds",
+    "MachineSettings",
+    "MachineSettingsError",
+    "StoreAccess",
+    "read_machine_settings",
+]
--- /dev/null
+++ b/src/basilroad/platform/run.py
@@ -0,0 +1,119 @@
+"""Composition of a gateway on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+from typing import TYPE_CHECKING
+
+import attrs
+from mode import Service
+
+from basilroad.coordination.budget import RetrySettings
+from basilroad.coordination.timer import Timer
+from basilroad.gateway.dispatch import SWEEP_S
+from basilroad.gateway.gateway import Gateway, GatewaySettings
+from basilroad.gateway.liveness import CHECK_S
+from basilroad.platform.dialect import PlatformDialect
+from basilroad.platform.front import PlatformFront
+from basilroad.platform.machine import (
+    MachineSettings,
+    MachineSettingsError,
+    read_machine_settings,
+)
+from basilroad.platform.store import StoreClient
+from basilroad.platform.watch import ConfigWatch, ServersWatch
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from mode.types import ServiceT
+
+_LOGGER = logging.getLogger(__name__)
+
+REVOKE_RESERVE_S = 0.7
+"""Seconds of the time for a revocation that are left for a call on its way to a server."""
+
+BUDGET_RATIO_SHARE = 0.8
+"""Share of the allowed ratio of retries that is used, as windows differ from the platform's."""
+
+SLACK_SHARE = 0.1
+"""Share of the allowed slack that one host uses; few hosts retry at their limit at once."""
+
+
+class PlatformService(Service):
+    """One gateway process on the platform.
+
+    :param machine: settings of this process
+    :param path: file that they came from
+    """
+
+    def __init__(self, machine: MachineSettings, path: Path) -> None:
+        super().__init__()
+        self.machine = machine
+        self._path = path
+        self.timers = Timer()
+        self.gateway = Gateway(build_settings(machine), PlatformDialect())
+        self.store = StoreClient(f"http://{machine.store.address}")
+        self.front = PlatformFront(machine, self.gateway)
+
+    def on_init_dependencies(self) -> list[ServiceT]:
+        """:return: the services that run below this one."""
+        return [
+            self.timers,
+            ConfigWatch(self.store, self.gateway),
+            ServersWatch(self.store, self.gateway),
+            self.front,
+        ]
+
+    async def on_started(self) -> None:
+        """Subscribe to the timer and to the signal for changed settings."""
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
+        self.timers.subscribe(SWEEP_S, self.gateway.sweep)
+        self.timers.subscribe(CHECK_S, self.gateway.liveness.check)
+
+    def reload(self) -> None:
+        """Read the settings again; bad ones are refused whole."""
+        try:
+            machine = read_machine_settings(self._path)
+        except MachineSettingsError as error:
+            _LOGGER.error("reload refused", extra={"detail": str(error)})
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(MachineSettings)
+            if getattr(machine, field.name) != getattr(self.machine, field.name)
+        ]
+        self.machine = machine
+        self.gateway.settings = build_settings(machine)
+        _LOGGER.info("reload", extra={"changed": changed})
+
+    async def on_shutdown(self) -> None:
+        """Close what is left after all parts have stopped."""
+        await self.gateway.liveness.close()
+        await self.store.close()
+
+
+def build_settings(machine: MachineSettings) -> GatewaySettings:
+    """Derive a gateway's settings from those of its machine.
+
+    :param machine: settings of this process
+    :return: settings of its gateway
+    """
+    bounds = machine.bounds
+    key_age_s = None if bounds.revoke_s is None else bounds.revoke_s - REVOKE_RESERVE_S
+    return GatewaySettings(
+        host=machine.host,
+        place=machine.place,
+        key_age_limit_s=key_age_s,
+        retries=RetrySettings(
+            ratio=BUDGET_RATIO_SHARE * bounds.retry_ratio,
+            minimum_per_s=SLACK_SHARE * bounds.retry_slack / bounds.retry_window_s,
+            window_s=bounds.retry_window_s,
+        ),
+        grace_s=bounds.grace_s,
+    )
+
+
+__all__ = ["PlatformService", "build_settings"]
--- /dev/null
+++ b/src/basilroad/platform/watch.py
@@ -0,0 +1,188 @@
+"""Follows the operator's config and the servers' entries in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
+
+from mode import Service
+
+from basilroad.gateway.freshness import read_boot_clock
+from basilroad.platform.config import ConfigError, decode_config, decode_server
+from basilroad.platform.store import HistoryGoneError, StoreError
+
+if TYPE_CHECKING:
+    from basilroad.gateway.endpoint import EndpointEntry
+    from basilroad.gateway.gateway import Gateway
+    from basilroad.platform.store import Changes, StoreClient, StoreRow
+
+CONFIG_TABLE = "op"
+CONFIG_KEY = "config"
+SERVERS_TABLE = "servers"
+
+CONFIG_WAIT_S = 1.5
+"""Seconds of one call for changes of the config; its answers confirm the keys, which may go
+unconfirmed for less than three seconds while callers are served."""
+
+SERVERS_WAIT_S = 4.0
+"""Seconds of one call for changes of the entries; changes end it at once, and calls are paid."""
+
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.4
+"""Seconds between tries while the store is away; a version has to be in force in a few seconds."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class TableWatch(Service):
+    """Follows one table.
+
+    :param store: the platform's store
+    :param table: name of the table
+    :param wait_s: seconds of one call for changes
+    """
+
+    def __init__(self, store: StoreClient, table: str, wait_s: float) -> None:
+        super().__init__()
+        self._store = store
+        self._table = table
+        self._wait_s = wait_s
+        self._revision: int | None = None
+        self._lost = False
+
+    def take_all(self, rows: Sequence[StoreRow]) -> None:
+        """Take all rows of the table."""
+        raise NotImplementedError
+
+    def take_changes(self, rows: Sequence[StoreRow]) -> None:
+        """Take the rows that changed."""
+        raise NotImplementedError
+
+    def note_confirmed(self, at: float) -> None:
+        """Note that what is known was the store's state at a moment of the boot clock."""
+
+    def note_lost(self) -> None:
+        """Note that the store could not be read."""
+
+    @Service.task
+    async def _follow(self) -> None:
+        pause_s = RETRY_MIN_S
+        while not self.should_stop:
+            try:
+                await self._step()
+            except HistoryGoneError as error:
+                self._revision = None
+                _LOGGER.info("history gone", extra={"table": self._table, "detail": str(error)})
+            except StoreError as error:
+                self._tell_lost(str(error))
+                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+                pause_s = min(RETRY_MAX_S, 2 * pause_s)
+            else:
+                pause_s = RETRY_MIN_S
+
+    async def _step(self) -> None:
+        asked_at = read_boot_clock()
+        if self._revision is None or self._lost:
+            changes = await self._store.read_table(self._table)
+            self._accept(changes, self.take_all)
+            self.note_confirmed(asked_at)
+            self._tell_regained()
+            return
+        changes = await self._store.wait_changes(self._table, self._revision, self._wait_s)
+        self._accept(changes, self.take_changes)
+        waited_s = read_boot_clock() - asked_at
+        # an empty answer is made at the end of the wait
+        idle_s = self._wait_s if not changes.rows and waited_s >= self._wait_s else 0.0
+        self.note_confirmed(asked_at + idle_s)
+
+    def _accept(self, changes: Changes, take: Callable[[Sequence[StoreRow]], None]) -> None:
+        take(changes.rows)
+        self._revision = changes.revision
+
+    def _tell_lost(self, detail: str) -> None:
+        self.note_lost()
+        if not self._lost:
+            self._lost = True
+            _LOGGER.warning("store lost", extra={"table": self._table, "detail": detail})
+
+    def _tell_regained(self) -> None:
+        if self._lost:
+            self._lost = False
+            _LOGGER.info("store regained", extra={"table": self._table, "revision": self._revision})
+
+
+class ConfigWatch(TableWatch):
+    """Keeps the gateway's routing table at the operator's newest config.
+
+    :param store: the platform's store
+    :param gateway: takes the versions
+    """
+
+    def __init__(self, store: StoreClient, gateway: Gateway) -> None:
+        super().__init__(store, CONFIG_TABLE, CONFIG_WAIT_S)
+        self._gateway = gateway
+
+    def take_all(self, rows: Sequence[StoreRow]) -> None:
+        """Take the config among all rows."""
+        self.take_changes(rows)
+
+    def take_changes(self, rows: Sequence[StoreRow]) -> None:
+        """Take the config if it changed; one that can't be read leaves the last one in force."""
+        for row in rows:
+            if row.key != CONFIG_KEY or row.value is None:
+                continue
+            try:
+                self._gateway.apply_table(decode_config(row.value))
+            except ConfigError as error:
+                _LOGGER.error("config not understood", extra={"detail": str(error)})
+
+    def note_confirmed(self, at: float) -> None:
+        """Note until when keys are known to hold."""
+        if self._gateway.table is not None:
+            self._gateway.freshness.confirm(at)
+
+
+class ServersWatch(TableWatch):
+    """Keeps the gateway's endpoints at the servers' entries.
+
+    :param store: the platform's store
+    :param gateway: takes the entries
+    """
+
+    def __init__(self, store: StoreClient, gateway: Gateway) -> None:
+        super().__init__(store, SERVERS_TABLE, SERVERS_WAIT_S)
+        self._directory = gateway.directory
+
+    def take_all(self, rows: Sequence[StoreRow]) -> None:
+        """Replace all entries."""
+        entries = [_decode_entry(row) for row in rows]
+        self._directory.replace(entry for entry in entries if entry is not None)
+
+    def take_changes(self, rows: Sequence[StoreRow]) -> None:
+        """Take the entries that changed."""
+        for row in rows:
+            entry = _decode_entry(row)
+            if entry is None:
+                self._directory.remove(row.key)
+            else:
+                self._directory.put(entry)
+
+    def note_lost(self) -> None:
+        """Expect false absences."""
+        self._directory.note_list_lost()
+
+
+def _decode_entry(row: StoreRow) -> EndpointEntry | None:
+    if row.value is None:
+        return None
+    try:
+        return decode_server(row.key, row.value)
+    except ConfigError as error:
+        _LOGGER.warning("entry skipped", extra={"endpoint": row.key, "detail": str(error)})
+        return None
+
+
+__all__ = ["ConfigWatch", "ServersWatch", "TableWatch"]
--- a/src/basilroad/standin/hosts.py
+++ b/src/basilroad/standin/hosts.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from basilroad.platform.hosts import HostsAnswer, ListedHost
+from basilroad.backing.hosts import HostsAnswer, ListedHost
 from basilroad.standin.lag import LaggingValue
 
 
--- a/src/basilroad/standin/loader.py
+++ b/src/basilroad/standin/loader.py
@@ -8,13 +8,13 @@
 
 import attrs
 
-from basilroad.endpoints.messages import EngineHealth, EngineOrder, GenerateOrder
-from basilroad.platform.weights import (
+from basilroad.backing.weights import (
     HttpWeightStore,
     WeightsDeferred,
     WeightStore,
     WeightStoreError,
 )
+from basilroad.endpoints.messages import EngineHealth, EngineOrder, GenerateOrder
 from basilroad.standin.settings import EngineStandinSettings
 
 PULL_RETRY_S = 1.0
--- a/src/basilroad/standin/platform.py
+++ b/src/basilroad/standin/platform.py
@@ -7,8 +7,8 @@
 import attrs
 from aiohttp import web
 
-from basilroad.platform.hosts import ListedHost
-from basilroad.platform.messages import (
+from basilroad.backing.hosts import ListedHost
+from basilroad.backing.messages import (
     ChangesRequest,
     CommitAnswer,
     CommitRequest,
--- a/src/basilroad/standin/settings.py
+++ b/src/basilroad/standin/settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from basilroad.platform.hosts import ListedHost
+from basilroad.backing.hosts import ListedHost
 
 
 @attrs.frozen
--- a/tests/platform/test_http_platform.py
+++ b/tests/backing/test_http_platform.py
@@ -11,16 +11,16 @@
 import attrs
 import pytest
 
-from basilroad.coordination.table import Write
-from basilroad.platform.hosts import HostListError, HttpHostList, ListedHost
-from basilroad.platform.objects import HttpObjectStore, ObjectStoreError
-from basilroad.platform.table import HttpTable
-from basilroad.platform.weights import (
+from basilroad.backing.hosts import HostListError, HttpHostList, ListedHost
+from basilroad.backing.objects import HttpObjectStore, ObjectStoreError
+from basilroad.backing.table import HttpTable
+from basilroad.backing.weights import (
     HttpWeightStore,
     WeightsDeferred,
     WeightsPulled,
     WeightStoreError,
 )
+from basilroad.coordination.table import Write
 from basilroad.standin.engine import EngineStandin
 from basilroad.standin.platform import PlatformStandin
 from basilroad.standin.settings import EngineStandinSettings, PlatformStandinSettings
--- a/tests/platform/test_http_table.py
+++ b/tests/backing/test_http_table.py
@@ -9,6 +9,7 @@
 import aiohttp
 import pytest
 
+from basilroad.backing.table import HttpTable
 from basilroad.coordination.table import (
     ABSENT,
     Row,
@@ -17,7 +18,6 @@
     Write,
     Written,
 )
-from basilroad.platform.table import HttpTable
 from basilroad.standin.platform import PlatformStandin
 from basilroad.standin.settings import PlatformStandinSettings
 
--- a/tests/integration/test_settings.py
+++ b/tests/integration/test_settings.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from basilroad.platform.table import HttpTable
+from basilroad.backing.table import HttpTable
 from basilroad.settings.store import SettingsStore
 from basilroad.settings.watch import SettingsWatch, WatchSettings
 from support.background import Background
