--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -192,6 +192,7 @@
         try:
             head = await channel.read_head()
         except ChannelError as error:
+            self.endpoint.note_broken(time.monotonic())
             return MayHaveRun(str(error))
         return await self._judge(channel, head)
 
--- a/src/basilroad/gateway/choice.py
+++ b/src/basilroad/gateway/choice.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 import attrs
@@ -27,6 +27,14 @@
 FAILURE_COST_S = 0.5
 """Seconds that a certain failure counts as: the try that follows it."""
 
+DOUBT_S = 4.0
+"""Seconds for which a loss casts doubt on the endpoints beside it; entries of crashed endpoints
+stay listed for three heartbeats."""
+
+DOUBT_COST_S = 0.5
+"""Seconds that such a doubt counts as: more than the difference between loads, so that a sound
+data centre goes first."""
+
 DATA_CENTRE_COST_S = 0.002
 """Seconds that another data centre of the region counts as: the way there and back."""
 
@@ -97,6 +105,28 @@
     return unread / READ_TOKENS_PER_S + calls * GENERATION_SLOWDOWN_S
 
 
+def find_losses(endpoints: Iterable[Endpoint]) -> dict[str, float]:
+    """:return: when an endpoint was last lost, by data centre."""
+    losses: dict[str, float] = {}
+    for endpoint in endpoints:
+        data_centre = endpoint.entry.data_centre
+        losses[data_centre] = max(losses.get(data_centre, -math.inf), endpoint.lost_at)
+    return losses
+
+
+def weigh_doubt(endpoint: Endpoint, losses: Mapping[str, float], now: float) -> float:
+    """Weigh that an endpoint may be lost along with one beside it.
+
+    :param endpoint: the endpoint
+    :param losses: when an endpoint was last lost, by data centre
+    :param now: monotonic seconds
+    :return: cost in seconds; 0 for an endpoint heard or listed since
+    """
+    lost_at = losses[endpoint.entry.data_centre]
+    seen_at = max(endpoint.heard_at, endpoint.listed_at)
+    return DOUBT_COST_S if seen_at <= lost_at and now - lost_at < DOUBT_S else 0.0
+
+
 @attrs.frozen
 class Chooser:
     """Chooses endpoints for one gateway.
@@ -126,12 +156,14 @@
         :return: the best one with room, if there is one
         """
         best, best_score = None, math.inf
+        endpoints = list(endpoints)
+        losses = find_losses(endpoints)
         for endpoint in endpoints:
             if endpoint.id in avoid or not endpoint.takes_work(now):
                 continue
             if not has_room(endpoint, call.size, engine):
                 continue
-            score = self.score(endpoint, call, now)
+            score = self.score(endpoint, call, now) + weigh_doubt(endpoint, losses, now)
             if score < best_score:
                 best, best_score = endpoint, score
         return best
@@ -160,6 +192,8 @@
         :param now: monotonic seconds
         :return: the least loaded endpoint of another data centre with room, if there is one
         """
+        endpoints = list(endpoints)
+        losses = find_losses(endpoints)
         elsewhere = [
             endpoint
             for endpoint in endpoints
@@ -169,11 +203,13 @@
         ]
         if not elsewhere:
             return None
-        return min(elsewhere, key=lambda e: self._score_holder(e, size))
 
-    def _score_holder(self, endpoint: Endpoint, size: PromptSize) -> float:
-        noise_s = self.generator.uniform(0, NOISE_S)
-        return estimate_wait(endpoint, size) + noise_s
+        def score(endpoint: Endpoint) -> float:
+            noise_s = self.generator.uniform(0, NOISE_S)
+            doubt_s = weigh_doubt(endpoint, losses, now)
+            return estimate_wait(endpoint, size) + doubt_s + noise_s
+
+        return min(elsewhere, key=score)
 
 
 __all__ = ["Chooser", "Place", "estimate_wait", "has_room"]
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -112,18 +112,16 @@
             async with asyncio.timeout(left_s):
                 return await placed
         except TimeoutError:
-            return None
+            return _take_result(placed)
+        except asyncio.CancelledError:
+            # room may have been given in the same moment
+            given = _take_result(placed)
+            if given is not None:
+                given.release()
+            raise
         finally:
-            self._withdraw(ticket, queue)
-
-    def _withdraw(self, ticket: Ticket, queue: list[tuple[int, float, int, Ticket]]) -> None:
-        remaining = [item for item in queue if item[3] is not ticket]
-        if len(remaining) != len(queue):
-            queue[:] = remaining
+            queue[:] = [item for item in queue if item[3] is not ticket]
             heapq.heapify(queue)
-        elif ticket.placed.done() and not ticket.placed.cancelled():
-            return
-        if ticket.placed.cancelled():
             self.serve_waiting()
 
     def _serve(self, service: str) -> None:
@@ -150,4 +148,10 @@
         return self.chooser.choose(endpoints, call, engine, self._clock(), avoid)
 
 
+def _take_result(placed: asyncio.Future[Reservation]) -> Reservation | None:
+    if placed.done() and not placed.cancelled():
+        return placed.result()
+    return None
+
+
 __all__ = ["SWEEP_S", "Dispatcher", "Ticket"]
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -85,10 +86,12 @@
 
     def __init__(self, entry: EndpointEntry) -> None:
         self.entry = entry
+        self.listed_at = time.monotonic()
         self.load = Load()
         self.remote = Load()
         self.pool = ChannelPool(entry.address)
         self.heard_at = -math.inf
+        self.lost_at = -math.inf
         self.full_until = -math.inf
         self.suspect_until = -math.inf
         self.removed = False
@@ -149,12 +152,20 @@
 
         :param now: monotonic seconds
         """
+        self.lost_at = now
         if now < self.suspect_until:
             return
         self.suspect_until = now + self._suspect_s
         self._suspect_s = min(SUSPECT_MAX_S, 2 * self._suspect_s)
         self.pool.close()
 
+    def note_broken(self, now: float) -> None:
+        """Note that it broke off an answer: it may have crashed, and others beside it.
+
+        :param now: monotonic seconds
+        """
+        self.lost_at = now
+
     def note_full(self, now: float) -> None:
         """Note that it turned a call away.
 
@@ -194,6 +205,7 @@
         self.pool.close()
         self.pool = ChannelPool(entry.address)
         self.entry = entry
+        self.listed_at = time.monotonic()
         self.full_until = -math.inf
         self.suspect_until = -math.inf
         self._suspect_s = SUSPECT_S
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -170,7 +170,10 @@
             if not attempt.sent:
                 return NotRun("no connection in time")
             return MayHaveRun("no end in time", timed_out=True)
-        except (ChannelError, EventOrderError) as error:
+        except ChannelError as error:
+            attempt.endpoint.note_broken(time.monotonic())
+            return MayHaveRun(str(error))
+        except EventOrderError as error:
             return MayHaveRun(str(error))
 
     async def _relay(self, opened: OpenReply, reservation: Reservation) -> Outcome:
--- a/src/basilroad/platform/dialect.py
+++ b/src/basilroad/platform/dialect.py
@@ -87,7 +87,6 @@
         resume_after = options.resume_after or call.resume_after
         if options.memory_from is not None:
             added.append((MEMORY_FROM, f"{options.memory_from}/{call.id}"))
-            resume_after = resume_after or "0"
         if resume_after:
             added.append((LAST_EVENT, resume_after))
         if options.copy_at is not None:
--- /dev/null
+++ b/tests/gateway/builders.py
@@ -0,0 +1,122 @@
+"""Values that the tests of the gateway share."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from basilroad.gateway.call import Call, PromptSize
+from basilroad.gateway.choice import Place
+from basilroad.gateway.endpoint import EndpointEntry, EndpointState
+from basilroad.gateway.route import (
+    EngineLimits,
+    Repetition,
+    Route,
+    RoutingTable,
+    ServiceSpec,
+    WeightedService,
+    WorkspaceSpec,
+)
+from basilroad.peers.address import Address
+
+if TYPE_CHECKING:
+    from basilroad.gateway.call import Headers
+
+PLACE = Place("riga-a", "riga", {"riga-a": "riga", "riga-b": "riga", "kurzeme-a": "kurzeme"})
+ENGINE = EngineLimits(slots=48, memory_tokens=88_000, keeps_copies=True)
+
+
+def build_route(**changes: object) -> Route:
+    """:return: a route of a plain service, with changes."""
+    values: dict[str, object] = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/a/",
+        "targets": (WeightedService("app", 1),),
+        "repetition": Repetition.ALLOWED,
+        "timeout_s": 2.0,
+        "target_s": 0.5,
+        "attempts_limit": 2,
+        "rank": 1,
+    }
+    return Route(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def build_stream_route(**changes: object) -> Route:
+    """:return: a route of streams that may be resumed, with changes."""
+    values: dict[str, object] = {
+        "targets": (WeightedService("llm", 1),),
+        "streams": True,
+        "target_s": 4.0,
+        "timeout_s": 25.0,
+        "attempts_limit": 5,
+    }
+    return build_route(**{**values, **changes})
+
+
+def build_call(route: Route | None = None, **changes: object) -> Call:
+    """:return: a call that has just arrived, with changes."""
+    route = route or build_route()
+    now = time.monotonic()
+    values: dict[str, object] = {
+        "id": "c1",
+        "method": "POST",
+        "target": "/a/x?y=1",
+        "headers": (("Host", "h.example"), ("X-Attempt-Id", str(changes.get("id", "c1")))),
+        "body": b"body",
+        "route": route,
+        "service": route.targets[0].service,
+        "workspace": "w",
+        "rank": route.rank,
+        "arrived_at": now,
+        "expires_at": now + route.timeout_s,
+        "size": PromptSize(8000, 1000) if route.streams else PromptSize(),
+    }
+    return Call(**{**values, **changes})  # type: ignore[arg-type]
+
+
+def build_entry(
+    name: str = "e1",
+    *,
+    port: int = 1,
+    service: str = "app",
+    data_centre: str = "riga-a",
+    slots: int = 6,
+    state: EndpointState = EndpointState.READY,
+    started_ms: int = 1,
+) -> EndpointEntry:
+    """:return: an entry of an endpoint on loopback."""
+    address = Address("127.0.0.1", port)
+    return EndpointEntry(name, service, address, data_centre, slots, state, started_ms)
+
+
+def build_table(version: int = 1, *routes: Route) -> RoutingTable:
+    """:return: a configuration with one key."""
+    services = [ServiceSpec("app"), ServiceSpec("llm", engine=ENGINE)]
+    found = routes or (build_route(), build_stream_route(prefix="/s/"))
+    return RoutingTable(version, found, services, [WorkspaceSpec("w", ("key",))])
+
+
+class RecordingResponder:
+    """Keeps what a caller would get."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: Headers = ()
+        self.data = b""
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Keep the start of an answer."""
+        assert not self.status, "an answer begins once"
+        self.status, self.headers = status, headers
+
+    async def write(self, data: bytes) -> None:
+        """Keep a part of an answer."""
+        assert self.status, "an answer begins before its parts"
+        self.data += data
+
+    @property
+    def numbers(self) -> list[int]:
+        """:return: ids of the events, in order."""
+        lines = self.data.decode().splitlines()
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
--- /dev/null
+++ b/tests/gateway/test_choice.py
@@ -0,0 +1,108 @@
+"""Choice of endpoints under load and after losses; no network."""
+
+from __future__ import annotations
+
+import random
+
+from basilroad.gateway.call import PromptSize
+from basilroad.gateway.choice import Chooser, has_room
+from basilroad.gateway.endpoint import Endpoint, Reservation
+from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
+
+
+def build_chooser(seed: int = 1) -> Chooser:
+    return Chooser(PLACE, random.Random(seed))
+
+
+def build_engines(data_centres: list[str]) -> list[Endpoint]:
+    return [
+        Endpoint(build_entry(f"e{i}", service="llm", data_centre=dc, slots=48))
+        for i, dc in enumerate(data_centres)
+    ]
+
+
+def test_the_nearest_of_like_endpoints_is_chosen() -> None:
+    endpoints = [
+        Endpoint(build_entry("far", data_centre="kurzeme-a")),
+        Endpoint(build_entry("near", data_centre="riga-a")),
+        Endpoint(build_entry("beside", data_centre="riga-b")),
+    ]
+    chosen = build_chooser().choose(endpoints, build_call(), None, 0.0)
+    assert chosen is not None
+    assert chosen.id == "near"
+
+
+def test_prompts_spread_over_engines_instead_of_waiting_behind_each_other() -> None:
+    # pattern: several prompts at once, each a second of reading
+    engines = build_engines(["riga-a", "riga-a", "kurzeme-a"])
+    chooser, call = build_chooser(), build_call(build_stream_route())
+    chosen = []
+    for _ in range(3):
+        endpoint = chooser.choose(engines, call, ENGINE, 0.0)
+        assert endpoint is not None
+        Reservation(endpoint, call.size)
+        chosen.append(endpoint.id)
+    assert sorted(chosen) == ["e0", "e1", "e2"]
+
+
+def test_an_engine_is_full_when_its_memory_is_promised() -> None:
+    # pattern: long prompts fill an engine's memory while most of its slots are free
+    engine = build_engines(["riga-a"])[0]
+    size = PromptSize(8000, 1000)
+    taken = 0
+    while has_room(engine, size, ENGINE):
+        Reservation(engine, size)
+        taken += 1
+    assert taken == 9
+
+
+def test_a_prompt_as_large_as_the_memory_fits_an_empty_engine() -> None:
+    engine = build_engines(["riga-a"])[0]
+    large = PromptSize(ENGINE.memory_tokens, 0)
+    assert has_room(engine, large, ENGINE)
+    Reservation(engine, PromptSize(10, 10))
+    assert not has_room(engine, large, ENGINE)
+
+
+def test_after_one_loss_the_endpoints_beside_it_are_doubted() -> None:
+    # pattern: nearly all engines of a data centre crash in the same moment
+    engines = build_engines(["riga-a"] * 4 + ["riga-b"] * 2)
+    for engine in engines:
+        engine.listed_at = 0.0
+    chooser, call = build_chooser(), build_call(build_stream_route())
+    engines[0].note_unreachable(10.0)
+    chosen = {chooser.choose(engines, call, ENGINE, 10.1) for _ in range(20)}
+    assert {e.entry.data_centre for e in chosen if e} == {"riga-b"}
+    holder = chooser.choose_copy_holder(engines, engines[4], call.size, ENGINE, 10.1)
+    assert holder is not None
+    assert holder.entry.data_centre == "riga-a", "a doubtful holder is better than none"
+
+
+def test_an_endpoint_heard_since_the_loss_is_not_doubted() -> None:
+    engines = build_engines(["riga-a"] * 2 + ["kurzeme-a"])
+    for engine in engines:
+        engine.listed_at = 0.0
+    engines[0].note_unreachable(10.0)
+    engines[1].note_heard(10.05)
+    chosen = build_chooser().choose(
+        engines, build_call(build_stream_route()), ENGINE, 10.1, avoid={"e0"}
+    )
+    assert chosen is engines[1]
+
+
+def test_the_copy_is_kept_in_another_data_centre() -> None:
+    engines = build_engines(["riga-a", "riga-a", "riga-b"])
+    size = PromptSize(8000, 1000)
+    holder = build_chooser().choose_copy_holder(engines, engines[0], size, ENGINE, 0.0)
+    assert holder is engines[2]
+
+
+def test_a_failing_endpoint_is_passed_over_until_its_failures_fade() -> None:
+    # pattern: a server fails part of its calls while it says that it is well
+    endpoints = [Endpoint(build_entry("near")), Endpoint(build_entry("far", data_centre="riga-b"))]
+    for _ in range(3):
+        endpoints[0].note_outcome(0.0, failed=True)
+    chosen = build_chooser().choose(endpoints, build_call(), None, 0.1)
+    assert chosen is endpoints[1]
+    later = build_chooser().choose(endpoints, build_call(), None, 60.0)
+    assert later is endpoints[0]
--- /dev/null
+++ b/tests/gateway/test_freshness.py
@@ -0,0 +1,22 @@
+"""Age of beliefs."""
+
+from __future__ import annotations
+
+from basilroad.gateway.freshness import Freshness
+
+
+def test_what_was_never_confirmed_has_no_age() -> None:
+    freshness = Freshness(lambda: 5.0)
+    assert freshness.age_s() is None
+    assert not freshness.is_within(100)
+
+
+def test_an_older_confirmation_changes_nothing() -> None:
+    now = 10.0
+    freshness = Freshness(lambda: now)
+    freshness.confirm(9.0)
+    freshness.confirm(3.0)
+    assert freshness.age_s() == 1.0
+    assert freshness.is_within(1.0)
+    now = 12.0
+    assert not freshness.is_within(1.0)
--- /dev/null
+++ b/tests/gateway/test_whole.py
@@ -0,0 +1,151 @@
+"""Calls that are answered whole, against servers that fail on the wire."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from basilroad.errors import Effect, RefusedError
+from basilroad.gateway.call import Reply
+from basilroad.gateway.gateway import Gateway
+from basilroad.gateway.route import Repetition
+from basilroad.standin.appserver import WireFault
+from builders import RecordingResponder, build_call, build_route
+
+ONCE = build_route(repetition=Repetition.FORBIDDEN, attempts_limit=1, target_s=0.3, timeout_s=0.8)
+"""Calls that may run only once."""
+
+BROKEN = [
+    WireFault.RESET,
+    WireFault.CUT,
+    WireFault.GARBAGE,
+    WireFault.OTHER_ID,
+    WireFault.NO_SEAL,
+    WireFault.UNFRAMED_RESET,
+    WireFault.LOSE_ANSWER,
+]
+
+
+async def run(gateway: Gateway, route=None, **changes: object) -> Reply:
+    reply = await gateway.handle(build_call(route, **changes), RecordingResponder())
+    assert reply is not None
+    return reply
+
+
+async def test_the_servers_answer_comes_back_as_it_is(gateway, start_server) -> None:
+    server = await start_server("i-1")
+    reply = await run(gateway)
+    assert reply.status == 200
+    assert reply.body == b"answer of i-1 to c1"
+    assert ("X-Response-Seal", "seal-of-i-1") in reply.headers
+    seen = server.seen[0]
+    assert (seen.method, seen.target, seen.body) == ("POST", "/a/x?y=1", b"body")
+    assert seen.headers["x-expect-instance"] == "i-1"
+    assert seen.headers["x-tenant"] == "w"
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 2000
+
+
+@pytest.mark.parametrize("fault", [WireFault.TURN_AWAY, WireFault.MISDIRECT])
+async def test_a_call_that_was_turned_away_runs_elsewhere(gateway, start_server, fault) -> None:
+    first = await start_server("i-1")
+    second = await start_server("i-2", data_centre="riga-b")
+    first.plan([fault])
+    reply = await run(gateway, ONCE)
+    assert reply.body == b"answer of i-2 to c1"
+    assert (first.ran, second.ran) == ([], ["c1"])
+
+
+@pytest.mark.parametrize("fault", BROKEN)
+async def test_a_call_that_may_have_run_is_never_sent_again(gateway, start_server, fault) -> None:
+    servers = [await start_server(f"i-{i}") for i in range(3)]
+    for server in servers:
+        server.plan([fault])
+    with pytest.raises(RefusedError) as caught:
+        await run(gateway, ONCE)
+    assert caught.value.refusal.answer.effect is Effect.MAY_HAVE_RUN
+    assert sum(len(server.seen) for server in servers) == 1
+
+
+@pytest.mark.parametrize("fault", [*BROKEN, WireFault.FAIL])
+async def test_a_repeatable_call_runs_at_another_server(gateway, start_server, fault) -> None:
+    first = await start_server("i-1")
+    await start_server("i-2", data_centre="riga-b")
+    first.plan([fault])
+    reply = await run(gateway)
+    assert (reply.status, reply.body) == (200, b"answer of i-2 to c1")
+
+
+async def test_a_repeatable_call_keeps_to_its_attempts(gateway, start_server) -> None:
+    servers = [await start_server(f"i-{i}") for i in range(4)]
+    for server in servers:
+        server.plan([WireFault.RESET])
+    with pytest.raises(RefusedError):
+        await run(gateway)
+    assert sum(len(server.ran) for server in servers) == 2
+
+
+async def test_a_servers_own_failure_is_passed_on(gateway, start_server) -> None:
+    server = await start_server("i-1")
+    server.plan([WireFault.FAIL])
+    reply = await run(gateway, ONCE)
+    assert reply.status == 500
+    assert ("X-Response-Seal", "seal-of-i-1") in reply.headers
+
+
+async def test_an_answer_without_length_is_whole_when_it_ends(gateway, start_server) -> None:
+    server = await start_server("i-1")
+    server.plan([WireFault.UNFRAMED])
+    assert (await run(gateway, ONCE)).body == b"answer of i-1 to c1"
+
+
+async def test_a_second_answer_reaches_nobody(gateway, start_server) -> None:
+    server = await start_server("i-1")
+    server.plan([WireFault.EXTRA_ANSWER])
+    assert (await run(gateway, ONCE, id="c1")).body == b"answer of i-1 to c1"
+    await asyncio.sleep(0.01)
+    assert (await run(gateway, ONCE, id="c2")).body == b"answer of i-1 to c2"
+    assert server.connections == 2
+
+
+async def test_a_sound_connection_is_used_again(gateway, start_server) -> None:
+    server = await start_server("i-1")
+    for number in range(3):
+        await run(gateway, id=f"c{number}")
+    assert server.connections == 1
+
+
+async def test_without_endpoints_a_call_is_refused_as_not_run(gateway) -> None:
+    with pytest.raises(RefusedError) as caught:
+        await run(gateway, ONCE)
+    assert caught.value.refusal.answer.effect is Effect.NOT_RUN
+
+
+async def test_a_refused_connection_is_not_run_and_another_server_serves(
+    gateway, start_server
+) -> None:
+    first = await start_server("i-1")
+    await first.stop()
+    await start_server("i-2", data_centre="riga-b")
+    assert (await run(gateway, ONCE)).body == b"answer of i-2 to c1"
+
+
+async def test_a_call_ends_when_its_time_does(gateway, start_server) -> None:
+    server = await start_server("i-1")
+    server.plan([WireFault.LOSE_ANSWER])
+    call = build_call(ONCE)
+    with pytest.raises(RefusedError) as caught:
+        await asyncio.wait_for(gateway.handle(call, RecordingResponder()), 1.2)
+    assert caught.value.refusal.answer.http_status == 504
+
+
+async def test_a_caller_that_leaves_ends_the_work(gateway, start_server) -> None:
+    server = await start_server("i-1", first_s=5.0)
+    task = asyncio.ensure_future(gateway.handle(build_call(ONCE), RecordingResponder()))
+    while not server.ran:
+        await asyncio.sleep(0.005)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    endpoint = gateway.directory.get("i-1")
+    assert endpoint.load.calls == 0
+    assert endpoint.silence_s(1e9) == 0.0
