Tell other gateways load and losses by datagrams

Cause: streams were often resumed without their copy, as the copy had been placed at an engine that had crashed unseen by this gateway; prompts were then read again. Ruled out: the holder turning copies away (it did so only before the first event, where no copy is used now).

--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -225,7 +225,8 @@
         ledger.tried = {endpoint.id}
         failed = isinstance(outcome, MayHaveRun) or outcome.status >= SERVER_ERROR
         endpoint.note_outcome(now, failed=failed)
-        self._holder = copy.endpoint if copy is not None else None
+        # engines make a copy usable with the first event
+        self._holder = copy.endpoint if copy is not None and self._events.last else None
         if isinstance(outcome, MayHaveRun):
             ledger.last_detail = outcome.detail
             ledger.timed_out = outcome.timed_out
--- a/src/basilroad/platform/machine.py
+++ b/src/basilroad/platform/machine.py
@@ -64,7 +64,7 @@
     :param place: where it stands
     :param front: address for callers
     :param ready: address for the question whether it is ready
-    :param metrics: address for its metrics; ``None`` without one
+    :param peers: address for datagrams of other gateways; ``None`` without one
     :param bounds: times that it is held to
     :param store: how the store is reached
     """
@@ -74,7 +74,7 @@
     place: Place
     front: Address
     ready: Address
-    metrics: Address | None
+    peers: Address | None
     bounds: Bounds
     store: StoreAccess
 
@@ -146,7 +146,7 @@
         place=place,
         front=fields.address("listen.front"),
         ready=fields.address("listen.ready"),
-        metrics=_find_metrics(fields),
+        peers=_find_peers(fields),
         bounds=_decode_bounds(fields),
         store=StoreAccess(fields.address("platform.address")),
     )
@@ -165,7 +165,7 @@
     )
 
 
-def _find_metrics(fields: _Fields) -> Address | None:
+def _find_peers(fields: _Fields) -> Address | None:
     ports = fields.find("internalPorts")
     if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
         return None
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -14,6 +14,7 @@
 from basilroad.coordination.timer import Timer
 from basilroad.gateway.dispatch import SWEEP_S
 from basilroad.gateway.gateway import Gateway, GatewaySettings
+from basilroad.gateway.gossip import TICK_S, Gossip
 from basilroad.gateway.liveness import CHECK_S
 from basilroad.platform.dialect import PlatformDialect
 from basilroad.platform.front import PlatformFront
@@ -22,6 +23,7 @@
     MachineSettingsError,
     read_machine_settings,
 )
+from basilroad.platform.roster import Roster
 from basilroad.platform.store import StoreClient
 from basilroad.platform.watch import ConfigWatch, ServersWatch
 
@@ -57,19 +59,30 @@
         self.gateway = Gateway(build_settings(machine), PlatformDialect())
         self.store = StoreClient(f"http://{machine.store.address}")
         self.front = PlatformFront(machine, self.gateway)
+        self.gossip: Gossip | None = None
+        if machine.peers is not None:
+            self.gossip = Gossip(machine.host, machine.peers, self.gateway.directory)
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: the services that run below this one."""
-        return [
+        services: list[ServiceT] = [
             self.timers,
             ConfigWatch(self.store, self.gateway),
             ServersWatch(self.store, self.gateway),
-            self.front,
         ]
+        machine = self.machine
+        if self.gossip is not None and machine.peers is not None:
+            services.append(Roster(self.store, machine.host, machine.peers, self.gossip))
+        # stopped first, so that calls in flight still have all the others
+        services.append(self.front)
+        return services
 
     async def on_started(self) -> None:
         """Subscribe to the timer and to the signal for changed settings."""
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
+        if self.gossip is not None:
+            await self.gossip.start()
+            self.timers.subscribe(TICK_S, self.gossip.tick)
         self.timers.subscribe(SWEEP_S, self.gateway.sweep)
         self.timers.subscribe(CHECK_S, self.gateway.liveness.check)
 
@@ -91,6 +104,8 @@
 
     async def on_shutdown(self) -> None:
         """Close what is left after all parts have stopped."""
+        if self.gossip is not None:
+            self.gossip.close()
         await self.gateway.liveness.close()
         await self.store.close()
 
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -115,6 +115,24 @@
         page = await self._get("/rows-feed", query, wait_s + FEED_SLACK_S)
         return Changes(tuple(_decode_row(row) for row in page.rows), page.ver)
 
+    async def put(self, table: str, key: str, value: bytes) -> None:
+        """Write one row, whatever it held.
+
+        :param table: its table
+        :param key: its key
+        :param value: its bytes
+        :raises StoreError: it may not have been written
+        """
+        row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
+        body = msgspec.json.encode({"expected": [], "writes": [row], "remove": []})
+        headers = (("Content-Type", "application/json"),)
+        try:
+            answer = await self._client.send(HttpRequest("POST", "/rows-tx", headers, body), READ_S)
+        except HttpError as error:
+            raise StoreError(str(error)) from error
+        if answer.status != OK:
+            raise StoreError(f"answered {answer.status}")
+
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
--- /dev/null
+++ b/tests/gateway/test_gossip.py
@@ -0,0 +1,141 @@
+"""State that gateways tell each other; datagrams are handed over by hand."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from basilroad.gateway.call import PromptSize
+from basilroad.gateway.choice import find_losses, weigh_doubt
+from basilroad.gateway.directory import Directory
+from basilroad.gateway.endpoint import Reservation
+from basilroad.gateway.gossip import DATAGRAM_BYTES, FANOUT, VIEW_S, Gossip
+from basilroad.peers.address import Address
+from builders import build_entry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SIZE = PromptSize(8000, 1000)
+
+
+class Net:
+    """Gateways whose datagrams wait until they are delivered."""
+
+    def __init__(self, count: int = 2, endpoints: int = 3) -> None:
+        self.now = 100.0
+        self.sent: list[tuple[bytes, Address]] = []
+        self.gateways = [self._build(number, endpoints) for number in range(count)]
+        self.directories: list[Directory]
+
+    def _build(self, number: int, endpoints: int) -> Gossip:
+        directory = Directory(lambda: self.now)
+        for index in range(endpoints):
+            directory.put(build_entry(f"e{index}", service="llm"))
+        address = Address("127.0.0.1", 9000 + number)
+        gossip = Gossip(f"g{number}", address, directory, lambda: self.now)
+        gossip._directory = directory
+        gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
+        gossip.add_peers(Address("127.0.0.1", 9000 + n) for n in range(1000) if n < 2)
+        return gossip
+
+    def deliver(self, keep: Callable[[int], bool] = lambda _: True) -> None:
+        sent, self.sent = self.sent, []
+        for index, (data, peer) in enumerate(sent):
+            number = peer.port - 9000
+            if keep(index) and number < len(self.gateways):
+                self.gateways[number].datagram_received(data, ("127.0.0.1", 1))
+
+
+def get(gossip: Gossip, endpoint_id: str):
+    endpoint = gossip._directory.get(endpoint_id)
+    assert endpoint is not None
+    return endpoint
+
+
+def test_a_gateway_sees_the_load_that_another_one_puts_on_an_engine() -> None:
+    net = Net()
+    reservation = Reservation(get(net.gateways[0], "e1"), SIZE)
+    net.gateways[0].tick()
+    net.deliver()
+    remote = get(net.gateways[1], "e1").remote
+    assert (remote.calls, remote.memory_tokens, remote.unread_tokens) == (1, 9000, 8000)
+
+    reservation.release()
+    net.now += 0.1
+    net.gateways[0].tick()
+    net.deliver()
+    assert get(net.gateways[1], "e1").remote.calls == 0
+
+
+def test_an_older_datagram_that_comes_late_changes_nothing() -> None:
+    net = Net()
+    reservation = Reservation(get(net.gateways[0], "e1"), SIZE)
+    net.gateways[0].tick()
+    late, net.sent = net.sent, []
+    reservation.release()
+    net.gateways[0].tick()
+    net.sent += late
+    net.deliver()
+    assert get(net.gateways[1], "e1").remote.calls == 0
+
+
+def test_the_load_of_a_silent_gateway_counts_no_more() -> None:
+    net = Net()
+    Reservation(get(net.gateways[0], "e1"), SIZE)
+    net.gateways[0].tick()
+    net.deliver()
+    net.now += VIEW_S + 0.1
+    net.gateways[1].tick()
+    assert get(net.gateways[1], "e1").remote.calls == 0
+
+
+def test_a_loss_that_one_gateway_saw_is_doubted_by_all() -> None:
+    # pattern: a data centre's engines crash while only one gateway works with them
+    net = Net()
+    for gossip in net.gateways:
+        for number in range(3):
+            get(gossip, f"e{number}").listed_at = 0.0
+    get(net.gateways[0], "e0").note_unreachable(net.now)
+    net.gateways[0].tick()
+    net.deliver()
+    endpoints = [get(net.gateways[1], f"e{number}") for number in range(3)]
+    losses = find_losses(endpoints)
+    assert all(weigh_doubt(e, losses, net.now + 0.1) > 0 for e in endpoints)
+
+
+def test_a_loss_does_not_count_against_an_endpoint_heard_since() -> None:
+    net = Net()
+    get(net.gateways[0], "e0").note_unreachable(net.now)
+    net.gateways[0].tick()
+    net.now += 1.0
+    heard = get(net.gateways[1], "e0")
+    heard.note_heard(net.now)
+    net.deliver()
+    assert heard.lost_at < net.now - 1.0
+
+
+def test_bytes_that_are_no_message_are_skipped() -> None:
+    net = Net()
+    net.gateways[0].datagram_received(b"\xc1junk", ("127.0.0.1", 1))
+    net.gateways[0].datagram_received(b"", ("127.0.0.1", 1))
+    assert net.gateways[0].peers == {Address("127.0.0.1", 9001)}
+
+
+def test_a_round_costs_the_same_in_a_fleet_of_any_size() -> None:
+    net = Net(endpoints=600)
+    gossip = net.gateways[0]
+    gossip.add_peers(Address("127.0.0.1", 10_000 + n) for n in range(410))
+    for number in range(600):
+        Reservation(get(gossip, f"e{number}"), SIZE)
+        get(gossip, f"e{number}").lost_at = net.now
+    gossip.tick()
+    assert len(net.sent) == FANOUT
+    assert all(len(data) <= DATAGRAM_BYTES for data, _ in net.sent)
+
+
+def test_nothing_new_is_told_seldom() -> None:
+    net = Net()
+    for _ in range(30):
+        net.gateways[0].tick()
+        net.now += 0.1
+    assert len(net.sent) == 3
--- /dev/null
+++ b/tests/platform/test_config.py
@@ -0,0 +1,135 @@
+"""Decoding of the operator's config and the servers' entries."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+
+from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.route import Repetition
+from basilroad.platform.config import ConfigError, decode_config, decode_server
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "Ficu95.example",
+            "prefix": "/lohu930/",
+            "kind": "streaming",
+            "timeoutMs": 25000,
+            "sloMs": 4000,
+            "priority": 0,
+            "trafficSplit": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "maxAttempts": 5,
+            "public": False,
+            "sessionAffinity": True,
+            "resumable": True,
+            "gapTargetMs": 700,
+        },
+        {
+            "name": "r2",
+            "host": "ficu95.example",
+            "prefix": "/o/",
+            "kind": "non_idempotent",
+            "timeoutMs": 1000,
+            "sloMs": 225,
+            "priority": 2,
+            "service": "s2",
+            "maxAttempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "healthPath": "/health",
+            "maxConnections": 300,
+            "engine": {"slots": 48, "kvCapacity": 88000, "backups": True, "unknown": 1},
+        },
+        {"name": "s2", "healthPath": "/health", "maxConnections": 100},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+SERVER = {
+    "service": "s1",
+    "address": "10.128.0.9:8080",
+    "zone": "riga-a",
+    "version": "v1",
+    "slots": 48,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+
+
+def test_a_config_becomes_a_routing_table() -> None:
+    table = decode_config(msgspec.json.encode(CONFIG))
+    assert table.version == 7
+    stream = table.find_route("ficu95.example", "/lohu930/2f")
+    assert stream is not None
+    assert (stream.streams, stream.repetition) == (True, Repetition.ALLOWED)
+    assert (stream.timeout_s, stream.target_s, stream.attempts_limit) == (25.0, 4.0, 5)
+    order = table.find_route("ficu95.example", "/o/1")
+    assert order is not None
+    assert (order.streams, order.repetition) == (False, Repetition.FORBIDDEN)
+    engine = table.services["s1"].engine
+    assert engine is not None
+    assert (engine.slots, engine.memory_tokens, engine.keeps_copies) == (48, 88000, True)
+    workspace = table.find_workspace("k2")
+    assert workspace is not None
+    assert (workspace.name, workspace.rank) == ("t", 1)
+
+
+def test_a_stream_that_may_not_be_resumed_runs_once() -> None:
+    routes = [{**CONFIG["routes"][0], "resumable": False}]
+    table = decode_config(msgspec.json.encode({**CONFIG, "routes": routes}))
+    route = table.find_route("ficu95.example", "/lohu930/x")
+    assert route is not None
+    assert not route.repeatable
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"\xff\xfe", b"[1]", b'{"version": "7"}'])
+def test_a_config_that_can_not_be_read_is_an_error(data: bytes) -> None:
+    with pytest.raises(ConfigError):
+        decode_config(data)
+
+
+def test_an_entry_becomes_an_endpoint() -> None:
+    entry = decode_server("i-1", msgspec.json.encode(SERVER))
+    assert (entry.id, entry.service, str(entry.address)) == ("i-1", "s1", "10.128.0.9:8080")
+    assert (entry.data_centre, entry.slots, entry.state) == ("riga-a", 48, EndpointState.READY)
+    assert entry.started_ms == 1700000000000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:port"},
+        {"slots": "48"},
+        {"zone": None},
+        {"service": 3},
+        {"born": 1.5},
+    ],
+)
+def test_a_foreign_entry_names_no_endpoint(change: dict[str, object]) -> None:
+    with pytest.raises(ConfigError):
+        decode_server("i-1", msgspec.json.encode({**SERVER, **change}))
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_an_entry_or_an_error(data: bytes) -> None:
+    try:
+        decode_server("i-1", data)
+    except ConfigError:
+        pass
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,225 @@
+"""Requests of the platform's clients, from the socket to the server and back."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+from yarl import URL
+
+from basilroad.gateway.choice import Place
+from basilroad.peers.address import Address
+from basilroad.platform.machine import Bounds, MachineSettings, StoreAccess
+from basilroad.platform.run import PlatformService
+from basilroad.standin.appserver import AppServerStandin, WireFault
+from basilroad.standin.rowstore import RowStoreStandin
+
+HEADERS = {"Host": "h.example", "X-Attempt-Id": "c1", "X-Key": "key", "X-Deadline-Ms": "2000"}
+
+
+def find_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def build_config(version: int, *keys: str) -> dict[str, object]:
+    base = {"host": "h.example", "timeoutMs": 2000, "sloMs": 500, "priority": 1}
+    orders = {**base, "name": "o", "prefix": "/o/", "kind": "non_idempotent", "service": "app"}
+    streams = {
+        **base,
+        "name": "s",
+        "prefix": "/s/",
+        "kind": "streaming",
+        "service": "llm",
+        "maxAttempts": 5,
+        "resumable": True,
+    }
+    engine = {"slots": 48, "kvCapacity": 88000, "backups": True}
+    return {
+        "version": version,
+        "routes": [orders, streams],
+        "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
+        "limits": {"maxBodyBytes": 10000},
+        "tenants": [{"name": "tenant", "apiKeys": list(keys)}],
+    }
+
+
+class Rig:
+    """One gateway with its store and two servers, all on loopback."""
+
+    def __init__(self) -> None:
+        self.store = RowStoreStandin()
+        self.app = AppServerStandin("i-app")
+        self.llm = AppServerStandin("i-llm", events=10)
+
+    async def start(self) -> None:
+        await self.store.start()
+        for server, service in ((self.app, "app"), (self.llm, "llm")):
+            await server.start()
+            entry = {"service": service, "zone": "a", "slots": 4, "state": "ready"}
+            self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
+        self.service = PlatformService(self._build_machine(), Path("absent"))
+        await self.service.start()
+        self.url = f"http://{self.service.machine.front}"
+        self.session = aiohttp.ClientSession()
+
+    def _build_machine(self) -> MachineSettings:
+        return MachineSettings(
+            host="h",
+            role="gateway",
+            place=Place("a", "r", {"a": "r"}),
+            front=Address("127.0.0.1", find_port()),
+            ready=Address("127.0.0.1", find_port()),
+            peers=None,
+            bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150),
+            store=StoreAccess(Address("127.0.0.1", self.store.port)),
+        )
+
+    async def configure(self, version: int, *keys: str) -> None:
+        self.store.put("op", "config", build_config(version, *keys))
+        async with asyncio.timeout(3):
+            while self.version != version or not list(self.service.gateway.directory):
+                await asyncio.sleep(0.01)
+
+    @property
+    def version(self) -> int:
+        table = self.service.gateway.table
+        return table.version if table else 0
+
+    async def ask(self, path: str, body: bytes = b"x", **headers: str) -> aiohttp.ClientResponse:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        response = await self.session.post(
+            URL(self.url + path, encoded=True), data=body, headers={**HEADERS, **named}
+        )
+        await response.read()
+        return response
+
+    async def is_ready(self) -> bool:
+        url = f"http://{self.service.machine.ready}/readiness"
+        async with self.session.get(url) as response:
+            return response.status == 200
+
+    async def stop(self) -> None:
+        await self.session.close()
+        await self.service.stop()
+        for server in (self.app, self.llm):
+            await server.stop()
+        await self.store.stop()
+
+
+@pytest.fixture
+async def rig() -> AsyncIterator[Rig]:
+    rig = Rig()
+    await rig.start()
+    yield rig
+    await rig.stop()
+
+
+async def test_before_the_first_config_nothing_is_denied(rig: Rig) -> None:
+    assert not await rig.is_ready()
+    response = await rig.ask("/o/1")
+    assert response.status == 503
+    assert "Retry-After" in response.headers
+
+
+async def test_an_order_is_forwarded_unchanged_but_for_its_key(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    response = await rig.ask("/o/a%20b?q=%2F", b"body", X_Other="kept", X_Tenant="forged")
+    assert response.status == 200
+    assert response.headers["X-Response-Seal"] == "seal-of-i-app"
+    seen = rig.app.seen[0]
+    assert (seen.target, seen.body) == ("/o/a%20b?q=%2F", b"body")
+    assert seen.headers["x-other"] == "kept"
+    assert seen.headers["x-tenant"] == "tenant"
+    assert "x-key" not in seen.headers
+    assert await rig.is_ready()
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"), [("/none/", "key", 404), ("/o/1", "unknown", 401), ("/o/1", "", 401)]
+)
+async def test_what_no_config_allows_is_denied(rig: Rig, path: str, key: str, status: int) -> None:
+    await rig.configure(1, "key")
+    assert (await rig.ask(path, X_Key=key)).status == status
+    assert not rig.app.seen
+
+
+async def test_a_stream_reaches_its_client(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    response = await rig.ask("/s/1", X_Token_Usage="100,50", X_Hold="forged")
+    assert response.status == 200
+    assert (await response.read()).count(b"id: ") == 10
+    assert "x-hold" not in rig.llm.seen[0].headers
+
+
+async def test_a_stream_that_can_not_go_on_does_not_look_complete(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    rig.llm.break_after = 4
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await rig.ask("/s/1", X_Deadline_Ms="600")
+
+
+async def test_a_lost_answer_is_not_told_as_not_run(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    rig.app.plan([WireFault.RESET])
+    response = await rig.ask("/o/1")
+    assert response.status == 502
+    assert "X-Response-Seal" not in response.headers
+
+
+async def test_a_body_beyond_the_limit_is_denied(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    assert (await rig.ask("/o/1", b"x" * 10001)).status == 413
+
+
+async def test_keys_that_were_not_confirmed_run_nothing(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    assert (await rig.ask("/o/1")).status == 200
+    rig.store.silent = True
+    limit_s = rig.service.gateway.settings.key_age_limit_s
+    assert limit_s is not None
+    assert limit_s < 2.0
+    await asyncio.sleep(limit_s + 0.1 + 1.5)
+    response = await rig.ask("/o/1")
+    assert response.status == 503
+    assert len(rig.app.ran) == 1
+    rig.store.silent = False
+
+
+async def test_a_client_that_leaves_ends_the_servers_work(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    rig.app.first_s = 30.0
+    task = asyncio.ensure_future(rig.ask("/o/1"))
+    while not rig.app.ran:
+        await asyncio.sleep(0.01)
+    endpoint = rig.service.gateway.directory.get("i-app")
+    assert endpoint is not None
+    assert endpoint.load.calls == 1
+    task.cancel()
+    await rig.session.close()
+    async with asyncio.timeout(0.4):
+        while endpoint.load.calls:
+            await asyncio.sleep(0.01)
+
+
+async def test_a_planned_stop_cuts_no_stream(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    rig.llm.gap_s = 0.1
+    task = asyncio.ensure_future(rig.ask("/s/1"))
+    while not rig.llm.ran:
+        await asyncio.sleep(0.01)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    await asyncio.sleep(0.1)
+    assert not await rig.is_ready()
+    refused = await rig.ask("/s/2", X_Attempt_Id="c2")
+    assert (refused.status, refused.headers["Connection"]) == (503, "close")
+    served = await rig.ask("/o/1", X_Attempt_Id="c3")
+    assert served.status == 200
+    response = await task
+    assert (await response.read()).count(b"id: ") == 10
+    await stopping
--- /dev/null
+++ b/tests/platform/test_machine.py
@@ -0,0 +1,77 @@
+"""Settings that the platform gives to a process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import yaml
+
+from basilroad.platform.machine import MachineSettingsError, read_machine_settings
+
+MACHINE = {
+    "node": "edge-1",
+    "role": "gateway",
+    "ip": "10.1.0.40",
+    "zone": "riga-a",
+    "region": "riga",
+    "zones": {"riga-a": "riga", "kurzeme-a": "kurzeme"},
+    "listen": {"front": "10.1.0.40:8227", "ready": "10.1.0.40:8220"},
+    "internalPorts": [7340, 7355],
+    "bounds": {
+        "drainMs": 2500,
+        "graceS": 8,
+        "configApplyMs": 2500,
+        "strictRevoke": True,
+        "revokeMs": 5000,
+        "retryBudgetRatio": 0.8,
+        "budgetWindowS": 10,
+        "retrySlack": 150,
+    },
+    "platform": {"address": "10.200.1.7:8223", "form": "table"},
+    "anythingNew": [1, 2],
+}
+
+
+def write(path: Path, document: object) -> Path:
+    file = path / "local.yaml"
+    file.write_text(yaml.safe_dump(document), encoding="utf-8")
+    return file
+
+
+def test_fields_get_their_units_and_unknown_ones_are_ignored(tmp_path: Path) -> None:
+    machine = read_machine_settings(write(tmp_path, MACHINE))
+    assert (machine.host, str(machine.front)) == ("edge-1", "10.1.0.40:8227")
+    assert (machine.bounds.drain_s, machine.bounds.grace_s) == (2.5, 8.0)
+    assert machine.bounds.revoke_s == 5.0
+    assert str(machine.peers) == "10.1.0.40:7340"
+    assert machine.place.distance_s("kurzeme-a") > machine.place.distance_s("riga-a") == 0.0
+
+
+def test_revocation_that_is_not_strict_has_no_bound(tmp_path: Path) -> None:
+    bounds = {**MACHINE["bounds"], "strictRevoke": False}
+    machine = read_machine_settings(write(tmp_path, {**MACHINE, "bounds": bounds}))
+    assert machine.bounds.revoke_s is None
+
+
+@pytest.mark.parametrize(
+    ("change", "message"),
+    [
+        ({"node": 3}, "node: expected text, found 3"),
+        ({"listen": {"ready": "10.1.0.40:8220"}}, "listen.front: expected text, found None"),
+        ({"platform": {"address": "10.1.0.40"}}, "platform.address: '10.1.0.40' is not ip:port"),
+        ({"zones": []}, "zones: expected a table"),
+        ({"bounds": {}}, "bounds.drainMs: expected a number, found None"),
+    ],
+)
+def test_a_bad_field_is_named(tmp_path: Path, change: dict[str, object], message: str) -> None:
+    with pytest.raises(MachineSettingsError, match=r"local\.yaml: ") as caught:
+        read_machine_settings(write(tmp_path, {**MACHINE, **change}))
+    assert message in str(caught.value)
+
+
+def test_a_file_that_is_not_there_or_no_table_is_named(tmp_path: Path) -> None:
+    with pytest.raises(MachineSettingsError, match="can't be read"):
+        read_machine_settings(tmp_path / "absent.yaml")
+    with pytest.raises(MachineSettingsError, match="expected a table"):
+        read_machine_settings(write(tmp_path, [1]))
--- /dev/null
+++ b/tests/platform/test_watch.py
@@ -0,0 +1,139 @@
+"""Following of config and entries through outages of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+
+from basilroad.gateway.choice import Place
+from basilroad.gateway.gateway import Gateway, GatewaySettings
+from basilroad.platform import watch
+from basilroad.platform.dialect import PlatformDialect
+from basilroad.platform.store import StoreClient
+from basilroad.platform.watch import ConfigWatch, ServersWatch
+from basilroad.standin.rowstore import RowStoreStandin
+
+WAIT_S = 5.0
+SERVER = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": "ready"}
+
+
+def build_config(version: int, *keys: str) -> dict[str, object]:
+    tenants = [{"name": "t", "apiKeys": list(keys)}]
+    return {"version": version, "routes": [], "services": [], "tenants": tenants}
+
+
+async def until(check: Callable[[], bool]) -> None:
+    async with asyncio.timeout(WAIT_S):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+class Rig:
+    """A gateway that follows a stand-in store."""
+
+    def __init__(self) -> None:
+        self.store = RowStoreStandin()
+        place = Place("a", "r", {"a": "r"})
+        self.gateway = Gateway(GatewaySettings("h", place), PlatformDialect())
+
+    async def start(self) -> None:
+        await self.store.start()
+        self.client = StoreClient(f"http://127.0.0.1:{self.store.port}")
+        self.watches = [
+            ConfigWatch(self.client, self.gateway),
+            ServersWatch(self.client, self.gateway),
+        ]
+        for service in self.watches:
+            await service.start()
+
+    async def stop(self) -> None:
+        for service in self.watches:
+            await service.stop()
+        await self.client.close()
+        await self.store.stop()
+
+    @property
+    def version(self) -> int:
+        return self.gateway.table.version if self.gateway.table else 0
+
+
+@pytest.fixture
+async def rig(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Rig]:
+    monkeypatch.setattr(watch, "CONFIG_WAIT_S", 0.3)
+    monkeypatch.setattr(watch, "SERVERS_WAIT_S", 0.3)
+    rig = Rig()
+    await rig.start()
+    yield rig
+    await rig.stop()
+
+
+async def test_a_version_is_in_force_soon_after_it_was_written(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1, "k"))
+    await until(lambda: rig.version == 1)
+    rig.store.put("op", "config", build_config(5, "k", "l"))
+    await until(lambda: rig.version == 5)
+    assert rig.gateway.freshness.is_within(1.0)
+
+
+async def test_an_older_version_is_never_in_force_again(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(5))
+    await until(lambda: rig.version == 5)
+    rig.store.put("op", "config", build_config(3))
+    rig.store.put("op", "config", build_config(6))
+    await until(lambda: rig.version == 6)
+
+
+async def test_a_config_that_can_not_be_read_leaves_the_last_one_in_force(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1))
+    await until(lambda: rig.version == 1)
+    rig.store.put("op", "config", b"{torn")
+    rig.store.put("op", "config", build_config(2))
+    await until(lambda: rig.version == 2)
+
+
+@pytest.mark.parametrize("outage", ["refusing", "silent"])
+async def test_keys_age_while_the_store_is_away_and_are_confirmed_after(
+    rig: Rig, outage: str
+) -> None:
+    rig.store.put("op", "config", build_config(1, "k"))
+    await until(lambda: rig.gateway.freshness.is_within(0.5))
+    setattr(rig.store, outage, 503 if outage == "refusing" else True)
+    await until(lambda: not rig.gateway.freshness.is_within(0.6))
+    rig.store.put("op", "config", build_config(2))
+    setattr(rig.store, outage, 0 if outage == "refusing" else False)
+    await until(lambda: rig.version == 2 and rig.gateway.freshness.is_within(0.5))
+
+
+async def test_dropped_history_leads_to_a_whole_read(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1))
+    rig.store.put("servers", "i-1", SERVER)
+    await until(lambda: rig.version == 1 and rig.gateway.directory.get("i-1") is not None)
+    rig.store.refusing = 503
+    await asyncio.sleep(0.5)
+    rig.store.put("op", "config", build_config(2))
+    rig.store.history_from = rig.store.revision + 1
+    rig.store.refusing = 0
+    await until(lambda: rig.version == 2)
+
+
+async def test_entries_come_and_go_and_foreign_ones_are_skipped(rig: Rig) -> None:
+    rig.store.put("servers", "i-1", SERVER)
+    rig.store.put("servers", "i-2", b"\xff not an entry")
+    rig.store.put("servers", "i-3", {**SERVER, "state": "asleep"})
+    await until(lambda: rig.gateway.directory.get("i-1") is not None)
+    assert [endpoint.id for endpoint in rig.gateway.directory] == ["i-1"]
+    rig.store.put("servers", "i-1", {**SERVER, "state": "draining"})
+    endpoint = rig.gateway.directory.get("i-1")
+    assert endpoint is not None
+    await until(lambda: not endpoint.takes_work(0.0))
+    rig.store.put("servers", "i-1", None)
+    await until(lambda: rig.gateway.directory.get("i-1") is None)
+
+
+async def test_a_known_entry_that_turns_foreign_names_no_endpoint(rig: Rig) -> None:
+    rig.store.put("servers", "i-1", SERVER)
+    await until(lambda: rig.gateway.directory.get("i-1") is not None)
+    rig.store.put("servers", "i-1", b"spoiled")
+    await until(lambda: rig.gateway.directory.get("i-1") is None)
