--- a/src/basilroad/cli/explain.py
+++ b/src/basilroad/cli/explain.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Iterator
 from pathlib import Path
-from typing import Annotated, BinaryIO
+from typing import Annotated, Any, BinaryIO
 
 import attrs
 import msgspec
@@ -14,6 +14,8 @@
 
 _STDIN = "-"
 _MARK = b'"decision"'
+_HEAD_FIELDS = ("time", "host", "message")
+_COMMON_FIELDS = ("level", "logger", "request")
 
 
 @attrs.frozen
@@ -30,6 +32,45 @@
     decision: Decision
 
 
+@attrs.frozen
+class GatewayLine:
+    """A log line of a gateway that names a request.
+
+    :param time: when it was written, ISO 8601 in UTC
+    :param host: name of the host that wrote it
+    :param message: what was decided or seen
+    :param fields: its inputs and outcome
+    """
+
+    time: str
+    host: str
+    message: str
+    fields: dict[str, Any]
+
+
+def read_gateway_lines(lines: Iterable[bytes], request: str) -> Iterator[GatewayLine]:
+    """Pick the gateways' lines about one request; other lines are passed over.
+
+    :param lines: raw log lines
+    :param request: id of the request
+    :return: lines in the order in which they were read
+    """
+    mark = request.encode()
+    for line in lines:
+        if mark not in line or _MARK in line:
+            continue
+        try:
+            # a log collector may put words of its own before the object
+            fields = msgspec.json.decode(line[line.find(b"{") :])
+        except msgspec.DecodeError:
+            continue
+        if not isinstance(fields, dict) or fields.get("request") != request:
+            continue
+        time, host, message = (str(fields.pop(name, "")) for name in _HEAD_FIELDS)
+        kept = {k: v for k, v in fields.items() if k not in _COMMON_FIELDS}
+        yield GatewayLine(time, host, message, kept)
+
+
 def read_decisions(lines: Iterable[bytes]) -> Iterator[DecisionLine]:
     """Pick the decisions out of log lines; other lines are passed over.
 
@@ -71,12 +112,15 @@
     ] = None,
 ) -> None:
     """Tell why a request went where it went."""
-    decisions = select_decisions(read_decisions(_read_lines(files or [_STDIN])), request)
-    if not decisions:
+    lines = list(_read_lines(files or [_STDIN]))
+    decisions = select_decisions(read_decisions(lines), request)
+    found = [(line.time, _describe(line)) for line in decisions]
+    found += [(g.time, _describe_gateway(g)) for g in read_gateway_lines(lines, request)]
+    if not found:
         typer.echo(f"no decision about {request}", err=True)
         raise typer.Exit(1)
-    for decision in decisions:
-        typer.echo(_describe(decision))
+    for _, text in sorted(found, key=lambda item: item[0]):
+        typer.echo(text)
 
 
 def _read_lines(files: Iterable[str]) -> Iterator[bytes]:
@@ -103,6 +147,11 @@
     return "\n".join([first, *(_describe_candidate(c, decision) for c in decision.candidates)])
 
 
+def _describe_gateway(line: GatewayLine) -> str:
+    fields = ", ".join(f"{name} {value}" for name, value in line.fields.items())
+    return f"{line.time} {line.host}: {line.message}: {fields}"
+
+
 def _describe_candidate(candidate: Candidate, decision: Decision) -> str:
     mark = "*" if candidate.endpoint == decision.chosen else " "
     parts = ", ".join(f"{name} {_show(value)}" for name, value in candidate.parts.items())
@@ -113,4 +162,11 @@
     return "-" if value is None else f"{value:.3f}"
 
 
-__all__ = ["DecisionLine", "explain", "read_decisions", "select_decisions"]
+__all__ = [
+    "DecisionLine",
+    "GatewayLine",
+    "explain",
+    "read_decisions",
+    "read_gateway_lines",
+    "select_decisions",
+]
--- a/src/basilroad/errors.py
+++ b/src/basilroad/errors.py
@@ -106,7 +106,7 @@
 
     kind: ErrorKind
     message: str
-    retry_after: int | None = field(default=None)
+    retry_after: float | None = field(default=None)
 
     @property
     def answer(self) -> Answer:
@@ -125,7 +125,7 @@
         self.refusal = refusal
 
 
-def refuse(kind: ErrorKind, message: str, retry_after: int | None = None) -> RefusedError:
+def refuse(kind: ErrorKind, message: str, retry_after: float | None = None) -> RefusedError:
     """Build the exception for a refusal.
 
     :param kind: entry of the closed list
--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -45,6 +45,7 @@
     :param expires_at: monotonic seconds at which its final answer is due
     :param size: tokens of a generation; zero for other calls
     :param resume_after: last event that the caller has; empty for a call from the start
+    :param prompt_key: names the prompt of a generation; empty without one
     """
 
     id: str
@@ -60,6 +61,7 @@
     expires_at: float
     size: PromptSize = PromptSize()
     resume_after: str = ""
+    prompt_key: str = ""
 
     @property
     def on_time_until(self) -> float:
--- a/src/basilroad/gateway/choice.py
+++ b/src/basilroad/gateway/choice.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, PromptSize
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.recentruns import RecentRun
     from basilroad.gateway.route import EngineLimits
 
 READ_TOKENS_PER_S = 8000.0
@@ -127,6 +128,21 @@
     return DOUBT_COST_S if seen_at <= lost_at and now - lost_at < DOUBT_S else 0.0
 
 
+def weigh_memory(endpoint: Endpoint, size: PromptSize, read_at: RecentRun | None) -> float:
+    """Weigh that an endpoint still has a prompt in its memory.
+
+    :param endpoint: the endpoint
+    :param size: tokens of the call
+    :param read_at: where its prompt was read lately
+    :return: seconds of reading that are saved
+    """
+    if read_at is None or read_at.endpoint_id != endpoint.id:
+        return 0.0
+    if endpoint.listed_at > read_at.seen_at:
+        return 0.0
+    return size.prompt_tokens / READ_TOKENS_PER_S
+
+
 @attrs.frozen
 class Chooser:
     """Chooses endpoints for one gateway.
@@ -145,6 +161,7 @@
         engine: EngineLimits | None,
         now: float,
         avoid: Collection[str] = (),
+        read_at: RecentRun | None = None,
     ) -> Endpoint | None:
         """Choose where a call runs.
 
@@ -153,6 +170,7 @@
         :param engine: limits of the service's engines
         :param now: monotonic seconds
         :param avoid: endpoints that won't do
+        :param read_at: where its prompt was read lately
         :return: the best one with room, if there is one
         """
         best, best_score = None, math.inf
@@ -164,6 +182,7 @@
             if not has_room(endpoint, call.size, engine):
                 continue
             score = self.score(endpoint, call, now) + weigh_doubt(endpoint, losses, now)
+            score -= weigh_memory(endpoint, call.size, read_at)
             if score < best_score:
                 best, best_score = endpoint, score
         return best
--- a/src/basilroad/gateway/decisions.py
+++ b/src/basilroad/gateway/decisions.py
@@ -7,6 +7,8 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from basilroad.gateway.attempt import MayHaveRun, NotRun
 from basilroad.gateway.call import Reply
 
@@ -19,18 +21,31 @@
 _MS_PER_S = 1000
 
 
-def log_attempt(
-    call: Call, endpoint: Endpoint, outcome: object, took_s: float, events: int | None = None
-) -> None:
-    """Write what became of one attempt.
+@attrs.frozen
+class AttemptRecord:
+    """One attempt that has ended.
 
     :param call: the call
     :param endpoint: where it was sent
     :param outcome: what became of it
     :param took_s: seconds that it took
-    :param events: last event passed on, for a stream
+    :param last_event: last event passed on, for a stream
+    """
+
+    call: Call
+    endpoint: Endpoint
+    outcome: object
+    took_s: float
+    last_event: int | None = None
+
+
+def log_attempt(attempt: AttemptRecord) -> None:
+    """Write what became of one attempt.
+
+    :param attempt: the attempt
     """
     now = time.monotonic()
+    call, endpoint = attempt.call, attempt.endpoint
     fields: dict[str, Any] = {
         "request": call.id,
         "route": call.route.name,
@@ -39,11 +54,11 @@
         "data_centre": endpoint.entry.data_centre,
         "calls_there": endpoint.load.calls,
         "heard_ms_ago": _to_ms(now - endpoint.heard_at) if endpoint.heard_at > 0 else None,
-        "took_ms": _to_ms(took_s),
-        **describe_outcome(outcome),
+        "took_ms": _to_ms(attempt.took_s),
+        **describe_outcome(attempt.outcome),
     }
-    if events is not None:
-        fields["last_event"] = events
+    if attempt.last_event is not None:
+        fields["last_event"] = attempt.last_event
     _LOGGER.info("attempt", extra=fields)
 
 
@@ -110,4 +125,4 @@
     return round(seconds * _MS_PER_S)
 
 
-__all__ = ["describe_outcome", "log_attempt", "log_copy", "log_refusal"]
+__all__ = ["AttemptRecord", "describe_outcome", "log_attempt", "log_copy", "log_refusal"]
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -12,6 +12,7 @@
 import attrs
 
 from basilroad.gateway.endpoint import Reservation
+from basilroad.gateway.recentruns import RecentRuns
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
@@ -58,6 +59,7 @@
         self.directory = directory
         self.chooser = chooser
         self.find_engine = find_engine
+        self.recent_runs = RecentRuns(clock)
         self._clock = clock
         self._queues: dict[str, list[tuple[int, float, int, Ticket]]] = {}
         self._serial = itertools.count()
@@ -145,7 +147,8 @@
     def _choose(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
         endpoints = self.directory.of_service(call.service)
         engine = self.find_engine(call.service)
-        return self.chooser.choose(endpoints, call, engine, self._clock(), avoid)
+        read_at = self.recent_runs.find(call.prompt_key)
+        return self.chooser.choose(endpoints, call, engine, self._clock(), avoid, read_at)
 
 
 def _take_result(placed: asyncio.Future[Reservation]) -> Reservation | None:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -10,13 +10,16 @@
 import attrs
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.errors import ErrorKind, refuse
+from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.gateway.choice import Chooser
+from basilroad.gateway.decisions import AttemptRecord, log_attempt
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.freshness import Freshness
 from basilroad.gateway.liveness import Liveness
-from basilroad.gateway.relay import StreamCall
+from basilroad.gateway.measures import Measures, name_form, name_rank
+from basilroad.gateway.relay import StreamBrokenError, StreamCall
+from basilroad.gateway.streamtime import StreamTime
 from basilroad.gateway.whole import WholeCall
 
 if TYPE_CHECKING:
@@ -28,6 +31,16 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+NOTICED_S = 2.2
+"""Seconds after which the platform leads callers elsewhere: two questions, a second apart."""
+
+RETRY_MIN_S = 0.1
+"""Shortest pause that a refused caller is asked for."""
+
+GRACE_RESERVE_S = 0.5
+"""Seconds of the grace that are left to close what remains."""
+
+
 @attrs.frozen
 class GatewaySettings:
     """Settings of a gateway.
@@ -67,6 +80,8 @@
         )
         self.liveness = Liveness(self.dispatcher, dialect, settings.place)
         self.stopping_since: float | None = None
+        self.stream_time = StreamTime()
+        self.measures = Measures()
         self._budgets: dict[str, RetryBudget] = {}
 
     # configuration
@@ -153,6 +168,20 @@
             raise refuse(ErrorKind.UNAUTHENTICATED, "unknown key")
         return workspace
 
+    def admit_stopping(self, route: Route) -> None:
+        """Refuse a stream that would not end before this host stops.
+
+        :param route: the call's route
+        :raises RefusedError: it is to be sent to another host, once callers are led there
+        """
+        if self.stopping_since is None or not route.streams:
+            return
+        elapsed_s = time.monotonic() - self.stopping_since
+        if elapsed_s + self.stream_time.upper_s <= self.settings.grace_s - GRACE_RESERVE_S:
+            return
+        retry_s = max(RETRY_MIN_S, NOTICED_S - elapsed_s)
+        raise refuse(ErrorKind.DRAINING, "this host is leaving", round(retry_s, 2))
+
     # calls
 
     async def handle(self, call: Call, responder: Responder) -> Reply | None:
@@ -165,16 +194,56 @@
         :raises StreamBrokenError: the stream broke off after its begin
         """
         self.budget_of(call.service).note_request()
+        outcome = "cancelled"
+        try:
+            reply = await self._run(call, responder)
+            outcome = "whole_stream" if reply is None else f"status_{reply.status // 100}xx"
+            return reply
+        except RefusedError as error:
+            outcome = error.refusal.answer.effect.value
+            raise
+        except StreamBrokenError:
+            outcome = "broken_stream"
+            raise
+        finally:
+            self._count_call(call, outcome)
+
+    async def _run(self, call: Call, responder: Responder) -> Reply | None:
         if call.route.streams:
             return await StreamCall(self, call, responder).run()
         return await WholeCall(self, call).run()
 
+    def _count_call(self, call: Call, outcome: str) -> None:
+        took_s = time.monotonic() - call.arrived_at
+        form = name_form(call)
+        self.measures.calls.labels(form, outcome).inc()
+        self.measures.answer_s.labels(form).observe(took_s)
+        if outcome == "whole_stream":
+            self.stream_time.note(took_s)
+
+    def note_attempt(self, attempt: AttemptRecord) -> None:
+        """Log and count what became of one attempt.
+
+        :param attempt: the attempt
+        """
+        log_attempt(attempt)
+        self.measures.count_attempt(attempt.call, attempt.outcome)
+
+    def note_placed(self, call: Call, waited_s: float) -> None:
+        """Count the wait of a call that found an endpoint.
+
+        :param call: the call
+        :param waited_s: seconds since it began to wait
+        """
+        self.measures.wait_s.labels(name_rank(call.rank)).observe(waited_s)
+
     def note_first_event(self, call: Call) -> None:
         """Note that a stream begins.
 
         :param call: the call
         """
         waited_s = time.monotonic() - call.arrived_at
+        self.measures.first_event_s.labels(name_rank(call.rank)).observe(waited_s)
         _LOGGER.info("first event", extra={"request": call.id, "waited_ms": round(1000 * waited_s)})
 
     # housekeeping
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -12,11 +12,13 @@
 import attrs
 import msgspec
 
+from basilroad.gateway.recentruns import Told
 from basilroad.peers.address import Address, parse_address
 
 if TYPE_CHECKING:
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.recentruns import RecentRuns
 
 TICK_S = 0.1
 """Seconds between looks at what has changed; a prompt takes about ten times as long to read."""
@@ -40,7 +42,10 @@
 """Largest datagram that is sent, below the usual size of a packet."""
 
 LOSSES_LIMIT = 24
-"""Losses in one datagram: about half of its room."""
+"""Losses in one datagram: about a third of its room."""
+
+RUNS_LIMIT = 24
+"""Prompts in one datagram: about a third of its room."""
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -53,6 +58,7 @@
     loads: dict[str, tuple[int, int, int]]
     losses: dict[str, int]
     peers: list[str]
+    runs: list[Told] = []
 
 
 @attrs.define
@@ -69,6 +75,7 @@
     :param host: name of this host
     :param address: where it listens for datagrams
     :param directory: the endpoints
+    :param recent_runs: where prompts were read
     :param clock: monotonic seconds
     """
 
@@ -77,11 +84,13 @@
         host: str,
         address: Address,
         directory: Directory,
+        recent_runs: RecentRuns,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
         self._address = address
         self._directory = directory
+        self._recent_runs = recent_runs
         self._clock = clock
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -89,7 +98,7 @@
         self._views: dict[str, _View] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._random = random.Random()
-        self._told: tuple[object, object] | None = None
+        self._told: tuple[object, ...] | None = None
         self._told_at = 0.0
 
     @property
@@ -122,12 +131,13 @@
         now = self._clock()
         self._expire(now)
         loads, losses = self._read_loads(), self._read_losses(now)
-        state = (loads, frozenset(losses))
+        runs = self._recent_runs.list_own(RUNS_LIMIT)
+        state = (loads, frozenset(losses), runs)
         if state == self._told and now - self._told_at < REST_S:
             return
         self._told, self._told_at = state, now
         self._sequence += 1
-        data = self._encode(loads, losses)
+        data = self._encode(loads, losses, runs)
         peers = list(self._peers)
         for peer in self._random.sample(peers, min(FANOUT, len(peers))):
             self._send(data, peer)
@@ -171,6 +181,7 @@
             _LOGGER.info("peer heard", extra={"peer": message.host, "address": str(address)})
         self._views[message.host] = _View(message.started_ms, message.sequence, now, message.loads)
         self.add_peers([address, *others])
+        self._recent_runs.take_told(message.runs)
         self._sum_remote({*message.loads, *(known.loads if known else ())})
         for endpoint_id, age_ms in message.losses.items():
             self._take_loss(endpoint_id, now - age_ms / 1000)
@@ -213,7 +224,9 @@
         lost.sort(key=lambda e: -e.lost_at)
         return {e.id: round(1000 * (now - e.lost_at)) for e in lost[:LOSSES_LIMIT]}
 
-    def _encode(self, loads: dict[str, tuple[int, int, int]], losses: dict[str, int]) -> bytes:
+    def _encode(
+        self, loads: dict[str, tuple[int, int, int]], losses: dict[str, int], runs: list[Told]
+    ) -> bytes:
         known = [str(peer) for peer in self._peers]
         message = _Message(
             self._host,
@@ -223,10 +236,12 @@
             loads,
             losses,
             self._random.sample(known, min(FANOUT, len(known))),
+            runs,
         )
         data = msgspec.msgpack.encode(message)
-        while len(data) > DATAGRAM_BYTES and message.loads:
-            # the largest loads matter most
+        while len(data) > DATAGRAM_BYTES and (message.loads or message.runs):
+            # the largest loads and the newest runs matter most
+            message.runs = message.runs[: len(message.runs) // 2]
             kept = sorted(message.loads.items(), key=lambda item: -item[1][1])
             message.loads = dict(kept[: len(kept) // 2])
             data = msgspec.msgpack.encode(message)
--- /dev/null
+++ b/src/basilroad/gateway/measures.py
@@ -0,0 +1,145 @@
+"""Counters and histograms of a gateway, in the text form that scrapers read."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from basilroad.gateway.attempt import MayHaveRun, NotRun
+from basilroad.gateway.call import Reply
+
+if TYPE_CHECKING:
+    from basilroad.errors import Refusal
+    from basilroad.gateway.call import Call
+    from basilroad.gateway.gateway import Gateway
+
+RANK_MAX = 9
+"""Largest rank with a label of its own; bounds the label's values."""
+
+BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75, 1, 1.5, 2, 3, 4, 6, 10, 25)
+"""Bounds of the histograms in seconds: dense about the targets of the fleets' sheets."""
+
+
+class Measures:
+    """Measures of one gateway."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.attempts = Counter(
+            "basilroad_attempts",
+            "Attempts at endpoints by what became of them.",
+            ["form", "outcome"],
+            registry=self.registry,
+        )
+        self.calls = Counter(
+            "basilroad_calls",
+            "Calls of callers by what they got.",
+            ["form", "outcome"],
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "basilroad_refusals",
+            "Calls that ended without an endpoint's answer.",
+            ["kind"],
+            registry=self.registry,
+        )
+        self.resumes = Counter(
+            "basilroad_resumes",
+            "Streams that went on at another endpoint.",
+            ["memory"],
+            registry=self.registry,
+        )
+        self.answer_s = self._build_histogram(
+            "basilroad_answer_seconds", "From a call's arrival to the end of its answer.", "form"
+        )
+        self.first_event_s = self._build_histogram(
+            "basilroad_first_event_seconds", "From a stream's arrival to its first event.", "rank"
+        )
+        self.wait_s = self._build_histogram(
+            "basilroad_wait_seconds", "Wait of a call for an endpoint with room.", "rank"
+        )
+        self.gap_s = self._build_histogram(
+            "basilroad_event_gap_seconds", "Between two events passed on.", "rank"
+        )
+        self._gauges = {
+            name: Gauge(f"basilroad_{name}", text, registry=self.registry)
+            for name, text in (
+                ("config_version", "Version of the configuration in force."),
+                ("config_age_seconds", "Since the configuration was last confirmed."),
+                ("endpoints", "Endpoints that are listed."),
+                ("endpoints_usable", "Endpoints that take work."),
+                ("calls_waiting", "Calls that wait for an endpoint."),
+                ("probes", "Probes sent to silent engines."),
+            )
+        }
+
+    def count_attempt(self, call: Call, outcome: object) -> None:
+        """Count what became of one attempt.
+
+        :param call: the call
+        :param outcome: what became of it
+        """
+        self.attempts.labels(name_form(call), self._name_outcome(outcome)).inc()
+
+    def count_refusal(self, refusal: Refusal) -> None:
+        """Count a call that ended without an endpoint's answer.
+
+        :param refusal: how it ended
+        """
+        self.refusals.labels(refusal.kind.value).inc()
+
+    def render(self, gateway: Gateway, now: float) -> bytes:
+        """Write all measures.
+
+        :param gateway: whose beliefs are told
+        :param now: monotonic seconds
+        :return: text for scrapers
+        """
+        endpoints = list(gateway.directory)
+        values = {
+            "config_version": gateway.table.version if gateway.table else 0,
+            "config_age_seconds": gateway.freshness.age_s() or 0.0,
+            "endpoints": len(endpoints),
+            "endpoints_usable": sum(endpoint.takes_work(now) for endpoint in endpoints),
+            "calls_waiting": gateway.dispatcher.waiting,
+            "probes": gateway.liveness.probes_sent,
+        }
+        for name, value in values.items():
+            self._gauges[name].set(value)
+        return generate_latest(self.registry)
+
+    def _build_histogram(self, name: str, text: str, label: str) -> Histogram:
+        return Histogram(name, text, [label], buckets=BUCKETS_S, registry=self.registry)
+
+    @singledispatchmethod
+    def _name_outcome(self, outcome: object) -> str:
+        return type(outcome).__name__.lower()
+
+    @_name_outcome.register
+    def _(self, outcome: Reply) -> str:
+        return f"status_{outcome.status // 100}xx"
+
+    @_name_outcome.register
+    def _(self, outcome: NotRun) -> str:
+        return "turned_away" if outcome.full else "not_run"
+
+    @_name_outcome.register
+    def _(self, outcome: MayHaveRun) -> str:
+        return "timed_out" if outcome.timed_out else "may_have_run"
+
+
+def name_form(call: Call) -> str:
+    """:return: label that tells streams, repeatable calls and calls that run once apart."""
+    if call.route.streams:
+        return "stream"
+    return "repeatable" if call.route.repeatable else "once"
+
+
+def name_rank(rank: int) -> str:
+    """:return: label of a rank."""
+    return str(min(RANK_MAX, max(0, rank)))
+
+
+__all__ = ["Measures", "name_form", "name_rank"]
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -11,10 +11,11 @@
 from basilroad.errors import RefusedError
 from basilroad.gateway.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun, OpenReply
 from basilroad.gateway.call import Reply
-from basilroad.gateway.decisions import log_attempt, log_copy
+from basilroad.gateway.decisions import AttemptRecord, log_copy
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.events import EventOrderError, EventSequence
 from basilroad.gateway.ledger import SERVER_ERROR, CallLedger
+from basilroad.gateway.measures import name_rank
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, Responder
@@ -63,7 +64,8 @@
         self._events = EventSequence(first)
         self._begun = False
         self._holder: Endpoint | None = None
-        self._copy_used = False
+        self._passed_at = 0.0
+        self._gaps = gateway.measures.gap_s.labels(name_rank(call.rank))
 
     async def run(self) -> Reply | None:
         """Run the call.
@@ -93,9 +95,13 @@
         return reply.status < SERVER_ERROR or not self._call.route.repeatable
 
     async def _try_once(self) -> Outcome | None:
+        asked_at = time.monotonic()
         reservation, memory_from = await self._place()
         if reservation is None:
             return None
+        self._gateway.note_placed(self._call, time.monotonic() - asked_at)
+        if self._ledger.sent:
+            self._gateway.measures.resumes.labels("copy" if memory_from else "none").inc()
         endpoint = reservation.endpoint
         copy = self._reserve_copy(endpoint)
         started = time.monotonic()
@@ -111,6 +117,7 @@
                 memory_from=endpoint.entry.address if memory_from else None,
             ),
         )
+        self._gateway.dispatcher.recent_runs.note(self._call.prompt_key, endpoint.id)
         try:
             outcome = await self._exchange(attempt, reservation)
         finally:
@@ -119,7 +126,10 @@
             if copy is not None:
                 self._gateway.dispatcher.release(copy)
         self._note(outcome, endpoint, copy, used_copy=memory_from)
-        log_attempt(self._call, endpoint, outcome, time.monotonic() - started, self._events.last)
+        took_s = time.monotonic() - started
+        self._gateway.note_attempt(
+            AttemptRecord(self._call, endpoint, outcome, took_s, self._events.last)
+        )
         return outcome
 
     async def _place(self) -> tuple[Reservation | None, bool]:
@@ -205,6 +215,10 @@
             self._begun = True
             self._gateway.note_first_event(self._call)
             await self._responder.begin(opened.status, opened.headers)
+        now = time.monotonic()
+        if self._passed_at:
+            self._gaps.observe(now - self._passed_at)
+        self._passed_at = now
         if data:
             await self._responder.write(data)
 
--- a/src/basilroad/gateway/whole.py
+++ b/src/basilroad/gateway/whole.py
@@ -10,7 +10,7 @@
 from basilroad.errors import RefusedError
 from basilroad.gateway.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun
 from basilroad.gateway.call import Reply
-from basilroad.gateway.decisions import log_attempt
+from basilroad.gateway.decisions import AttemptRecord
 from basilroad.gateway.ledger import SERVER_ERROR, CallLedger
 
 if TYPE_CHECKING:
@@ -62,6 +62,7 @@
     async def _try_once(self) -> Outcome | None:
         call, ledger = self._call, self._ledger
         dispatcher = self._gateway.dispatcher
+        asked_at = time.monotonic()
         wait_until = min(call.expires_at, call.arrived_at + WAIT_SHARE * call.route.target_s)
         reservation = await dispatcher.place(call, wait_until, ledger.tried)
         if reservation is None and ledger.tried and not ledger.sent:
@@ -70,6 +71,7 @@
             return None
         endpoint = reservation.endpoint
         started = time.monotonic()
+        self._gateway.note_placed(call, started - asked_at)
         options = AttemptOptions(endpoint.id, call.expires_at - started)
         attempt = Attempt(call, endpoint, self._gateway.dialect, options)
         try:
@@ -78,7 +80,8 @@
             attempt.close()
             dispatcher.release(reservation)
         self._note(outcome, endpoint)
-        log_attempt(call, endpoint, outcome, time.monotonic() - started)
+        took_s = time.monotonic() - started
+        self._gateway.note_attempt(AttemptRecord(call, endpoint, outcome, took_s))
         return outcome
 
     async def _exchange(self, attempt: Attempt) -> Outcome:
--- a/src/basilroad/platform/dialect.py
+++ b/src/basilroad/platform/dialect.py
@@ -20,6 +20,7 @@
 WORKSPACE = "X-Tenant"
 LAST_EVENT = "Last-Event-Id"
 PROMPT_SIZE = "X-Token-Usage"  # an estimate before the run: tokens in, most tokens out
+PROMPT_PARTS = "X-Prompt-Prefix"  # all parts of the prompt in order, not just leading ones
 ENDPOINT = "X-Expect-Instance"
 URGENCY = "X-Request-Urgency"
 COPY_AT = "X-Kv-Backup"
@@ -145,6 +146,16 @@
     )
 
 
+def read_prompt_key(headers: Mapping[str, str]) -> str:
+    """Read which prompt a generation has.
+
+    :param headers: headers of a caller
+    :return: name of the prompt's last part, which is the request's own; empty for other calls
+    """
+    last = headers.get(PROMPT_PARTS, "").rpartition(",")[2]
+    return last.partition(":")[0].strip()
+
+
 def read_size(headers: Mapping[str, str]) -> PromptSize:
     """Read how large a generation is.
 
@@ -165,5 +176,6 @@
     "PlatformDialect",
     "keep_caller_headers",
     "keep_end_headers",
+    "read_prompt_key",
     "read_size",
 ]
--- a/src/basilroad/platform/front.py
+++ b/src/basilroad/platform/front.py
@@ -10,10 +10,12 @@
 import msgspec
 from aiohttp import web
 from mode import Service
+from prometheus_client import CONTENT_TYPE_LATEST
 
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
 from basilroad.gateway.call import Call
 from basilroad.gateway.decisions import log_refusal
+from basilroad.gateway.gateway import GRACE_RESERVE_S
 from basilroad.gateway.relay import StreamBrokenError
 from basilroad.platform.dialect import (
     KEY,
@@ -21,6 +23,7 @@
     REQUEST_ID,
     TIME_LEFT_MS,
     keep_caller_headers,
+    read_prompt_key,
     read_size,
 )
 
@@ -39,9 +42,6 @@
 ANSWER_MARGIN_S = 0.02
 """Seconds before a call's end at which its answer is sent, so that it arrives in time."""
 
-NOT_RUN_STATUS = 503
-"""Status that promises that a call has not run."""
-
 DRAIN_CHECK_S = 0.05
 """Seconds between looks at what is still in flight while stopping."""
 
@@ -49,9 +49,6 @@
 """Seconds after a stop for which new connections are taken; the platform notices a host that is
 not ready after two questions, a second apart."""
 
-GRACE_RESERVE_S = 0.5
-"""Seconds of the grace that are left to close what remains."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -73,6 +70,8 @@
         """Listen for clients and for the question whether this host is ready."""
         await self._listen(self._handle, self._machine.front.ip, self._machine.front.port)
         await self._listen(self._tell_ready, self._machine.ready.ip, self._machine.ready.port)
+        metrics = self._machine.metrics
+        await self._listen(self._show_measures, metrics.ip, metrics.port)
 
     async def on_stop(self) -> None:
         """Let calls in flight end, then close."""
@@ -107,6 +106,10 @@
     async def _tell_ready(self, _: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self._gateway.is_ready else 503)
 
+    async def _show_measures(self, _: web.BaseRequest) -> web.Response:
+        text = self._gateway.measures.render(self._gateway, time.monotonic())
+        return web.Response(body=text, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at = time.monotonic()
         self._in_flight += 1
@@ -143,8 +146,7 @@
         path = target.partition("?")[0]
         route = gateway.admit_route(_strip_port(request.headers.get("Host", "")), path)
         workspace = gateway.admit_key(route, request.headers.get(KEY, ""))
-        if gateway.stopping_since is not None and route.streams:
-            raise refuse(ErrorKind.DRAINING, "this host is leaving")
+        gateway.admit_stopping(route)
         body = await self._read_body(request)
         time_left_s = _read_time_left(request, route)
         workspace_rank = workspace.rank if workspace else None
@@ -162,6 +164,7 @@
             expires_at=arrived_at + max(0.0, time_left_s - ANSWER_MARGIN_S),
             size=read_size(request.headers) if route.streams else read_size({}),
             resume_after=request.headers.get(LAST_EVENT, ""),
+            prompt_key=read_prompt_key(request.headers) if route.streams else "",
         )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
@@ -192,6 +195,7 @@
         self, request: web.BaseRequest, refusal: Refusal, arrived_at: float
     ) -> web.Response:
         answer = refusal.answer
+        self._gateway.measures.count_refusal(refusal)
         request_id = request.headers.get(REQUEST_ID, "")
         age_s = self._gateway.freshness.age_s()
         log_refusal(
--- a/src/basilroad/platform/machine.py
+++ b/src/basilroad/platform/machine.py
@@ -16,6 +16,10 @@
 """Environment variable that holds the path of the settings file."""
 
 
+METRICS_PORT = 9464
+"""Port of the metrics, as the deploy file names it."""
+
+
 class MachineSettingsError(Exception):
     """The settings can't be used.
 
@@ -64,6 +68,7 @@
     :param place: where it stands
     :param front: address for callers
     :param ready: address for the question whether it is ready
+    :param metrics: address for its metrics
     :param peers: address for datagrams of other gateways; ``None`` without one
     :param bounds: times that it is held to
     :param store: how the store is reached
@@ -74,6 +79,7 @@
     place: Place
     front: Address
     ready: Address
+    metrics: Address
     peers: Address | None
     bounds: Bounds
     store: StoreAccess
@@ -146,6 +152,7 @@
         place=place,
         front=fields.address("listen.front"),
         ready=fields.address("listen.ready"),
+        metrics=Address(fields.text("ip"), METRICS_PORT),
         peers=_find_peers(fields),
         bounds=_decode_bounds(fields),
         store=StoreAccess(fields.address("platform.address")),
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -61,7 +61,12 @@
         self.front = PlatformFront(machine, self.gateway)
         self.gossip: Gossip | None = None
         if machine.peers is not None:
-            self.gossip = Gossip(machine.host, machine.peers, self.gateway.directory)
+            self.gossip = Gossip(
+                machine.host,
+                machine.peers,
+                self.gateway.directory,
+                self.gateway.dispatcher.recent_runs,
+            )
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: the services that run below this one."""
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -76,3 +76,21 @@
     result = CliRunner().invoke(app, ["k", "none"])
     assert result.exit_code == 2
     assert "none: No such file" in result.output
+
+
+def test_lines_of_several_gateways_tell_one_story(tmp_path: Path) -> None:
+    lines = [
+        '{"time": "T3", "host": "g2", "message": "refuse", "request": "r1", "kind": "draining"}',
+        '12.5 g1 {"time": "T1", "host": "g1", "message": "attempt", "level": "INFO", '
+        '"request": "r1", "endpoint": "i-1", "outcome": "not_run"}',
+        '{"time": "T2", "host": "g1", "message": "attempt", "request": "r2"}',
+        '{"time": "T2", "host": "g1", "message": "r1 torn',
+    ]
+    file = tmp_path / "log"
+    file.write_text("\n".join(lines))
+    app = typer.Typer()
+    app.command()(explain)
+    result = CliRunner().invoke(app, ["r1", str(file)])
+    assert result.output == (
+        "T1 g1: attempt: endpoint i-1, outcome not_run\nT3 g2: refuse: kind draining\n"
+    )
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.choice import find_losses, weigh_doubt
+from basilroad.gateway.choice import Chooser, find_losses, weigh_doubt, weigh_memory
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.gossip import DATAGRAM_BYTES, FANOUT, VIEW_S, Gossip
+from basilroad.gateway.recentruns import KEPT_S, RecentRuns
 from basilroad.peers.address import Address
-from builders import build_entry
+from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,7 +34,9 @@
         for index in range(endpoints):
             directory.put(build_entry(f"e{index}", service="llm"))
         address = Address("127.0.0.1", 9000 + number)
-        gossip = Gossip(f"g{number}", address, directory, lambda: self.now)
+        gossip = Gossip(
+            f"g{number}", address, directory, RecentRuns(lambda: self.now), lambda: self.now
+        )
         gossip._directory = directory
         gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
         gossip.add_peers(Address("127.0.0.1", 9000 + n) for n in range(1000) if n < 2)
@@ -139,3 +143,31 @@
         net.gateways[0].tick()
         net.now += 0.1
     assert len(net.sent) == 3
+
+
+def test_a_caller_whose_gateway_is_lost_goes_on_where_its_prompt_was_read() -> None:
+    # pattern: a gateway loses power, and its callers come to the others at once
+    net = Net()
+    net.gateways[0]._recent_runs.note("prompt", "e2")
+    net.gateways[0].tick()
+    net.deliver()
+    found = net.gateways[1]._recent_runs.find("prompt")
+    assert found is not None
+    assert found.endpoint_id == "e2"
+    endpoints = [get(net.gateways[1], f"e{number}") for number in range(3)]
+    for endpoint in endpoints:
+        endpoint.listed_at = 0.0
+    call = build_call(build_stream_route())
+    chooser = Chooser(PLACE, random.Random(1))
+    assert chooser.choose(endpoints, call, ENGINE, net.now, read_at=found) is endpoints[2]
+    net.now += KEPT_S + 0.1
+    assert net.gateways[1]._recent_runs.find("prompt") is None
+
+
+def test_a_prompt_is_not_sought_at_an_endpoint_that_restarted() -> None:
+    net = Net()
+    net.gateways[0]._recent_runs.note("prompt", "e2")
+    found = net.gateways[0]._recent_runs.find("prompt")
+    endpoint = get(net.gateways[0], "e2")
+    endpoint.listed_at = net.now + 1.0
+    assert weigh_memory(endpoint, SIZE, found) == 0.0
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -75,6 +75,7 @@
             place=Place("a", "r", {"a": "r"}),
             front=Address("127.0.0.1", find_port()),
             ready=Address("127.0.0.1", find_port()),
+            metrics=Address("127.0.0.1", find_port()),
             peers=None,
             bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150),
             store=StoreAccess(Address("127.0.0.1", self.store.port)),
@@ -157,6 +158,21 @@
     assert "x-hold" not in rig.llm.seen[0].headers
 
 
+async def test_measures_tell_what_was_served(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    await rig.ask("/o/1")
+    await rig.ask("/s/1", X_Attempt_Id="c2")
+    await rig.ask("/none/")
+    url = f"http://{rig.service.machine.metrics}/metrics"
+    async with rig.session.get(url) as response:
+        text = await response.text()
+    assert 'basilroad_calls_total{form="once",outcome="status_2xx"} 1.0' in text
+    assert 'basilroad_calls_total{form="stream",outcome="whole_stream"} 1.0' in text
+    assert 'basilroad_refusals_total{kind="unknown_service"} 1.0' in text
+    assert "basilroad_config_version 1.0" in text
+    assert 'basilroad_first_event_seconds_count{rank="1"} 1.0' in text
+
+
 async def test_a_stream_that_can_not_go_on_does_not_look_complete(rig: Rig) -> None:
     await rig.configure(1, "key")
     rig.llm.break_after = 4
@@ -218,6 +234,7 @@
     assert not await rig.is_ready()
     refused = await rig.ask("/s/2", X_Attempt_Id="c2")
     assert (refused.status, refused.headers["Connection"]) == (503, "close")
+    assert float(refused.headers["Retry-After"]) > 1.5, "callers are still led here"
     served = await rig.ask("/o/1", X_Attempt_Id="c3")
     assert served.status == 200
     response = await task
--- /dev/null
+++ b/tests/test_logwriter.py
@@ -0,0 +1,93 @@
+"""Writing of log lines without blocking."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import time
+
+import pytest
+
+from basilroad.logwriter import FLUSH_S, LogWriter
+
+
+class Pipe:
+    """A logger that writes into a pipe."""
+
+    def __init__(self, **options: int) -> None:
+        self.reader, self.fd = os.pipe()
+        self.writer = LogWriter(self.fd, **options)
+        self.writer.setFormatter(logging.Formatter('{"message": "%(message)s"}'))
+        self.logger = logging.getLogger(f"pipe-{self.fd}")
+        self.logger.propagate = False
+        self.logger.setLevel(logging.INFO)
+        self.logger.addHandler(self.writer)
+
+    def read(self) -> list[dict[str, object]]:
+        """Close the writer and read all lines."""
+        self.writer.close()
+        os.close(self.fd)
+        with os.fdopen(self.reader) as lines:
+            return [json.loads(line) for line in lines]
+
+
+@pytest.fixture
+def pipe() -> Pipe:
+    return Pipe()
+
+
+def test_lines_come_out_in_order(pipe: Pipe) -> None:
+    for number in range(50):
+        pipe.logger.info("line %d", number)
+    assert [line["message"] for line in pipe.read()] == [f"line {n}" for n in range(50)]
+
+
+def test_a_reader_that_stops_reading_blocks_nobody() -> None:
+    pipe = Pipe(lines_limit=500, rate_limit=10**9)
+    started = time.monotonic()
+    for _ in range(4):
+        for _ in range(1000):
+            pipe.logger.info("x" * 500)
+        time.sleep(FLUSH_S * 1.5)
+    assert time.monotonic() - started < 4 * FLUSH_S * 1.5 + 2.0
+    lines = 0
+    os.set_blocking(pipe.reader, False)
+    for _ in range(40):
+        try:
+            lines += os.read(pipe.reader, 1 << 20).count(b"\n")
+        except BlockingIOError:
+            time.sleep(FLUSH_S / 4)
+    assert 500 <= lines < 4000
+    pipe.writer.close()
+    os.close(pipe.fd)
+    os.close(pipe.reader)
+
+
+def test_a_flood_of_one_kind_is_cut_and_told() -> None:
+    pipe = Pipe(rate_limit=20)
+    for number in range(1000):
+        pipe.logger.info("flood %d", number)
+    pipe.logger.info("other")
+    lines = pipe.read()
+    assert sum(str(line["message"]).startswith("flood") for line in lines) == 20
+    assert {"message": "other"} in lines
+    dropped = [line for line in lines if line["message"] == "lines dropped"]
+    assert dropped == [{"message": "lines dropped", "kinds": {"flood %d": 980}}]
+
+
+def test_errors_pass_a_flood() -> None:
+    pipe = Pipe(rate_limit=5)
+    for _ in range(50):
+        pipe.logger.info("flood")
+    pipe.logger.error("flood")
+    assert len([line for line in pipe.read() if line["message"] == "flood"]) == 6
+
+
+def test_a_reader_that_went_away_harms_nobody(pipe: Pipe) -> None:
+    os.close(pipe.reader)
+    pipe.logger.info("nobody reads")
+    time.sleep(FLUSH_S * 1.5)
+    pipe.logger.info("still nobody")
+    pipe.writer.close()
+    os.close(pipe.fd)
