--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -68,6 +68,11 @@
         """:return: monotonic seconds until which an answer is on time."""
         return min(self.expires_at, self.arrived_at + self.route.target_s)
 
+    @property
+    def events_had(self) -> int:
+        """:return: events that the caller has, from their number."""
+        return int(self.resume_after) if self.resume_after.isdigit() else 0
+
 
 @attrs.frozen
 class Reply:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -21,7 +21,7 @@
 from basilroad.gateway.liveness import Liveness
 from basilroad.gateway.measures import Measures, name_form, name_rank
 from basilroad.gateway.relay import StreamBrokenError, StreamCall
-from basilroad.gateway.streamtime import StreamTime
+from basilroad.gateway.streampace import StreamPace
 from basilroad.gateway.whole import WholeCall
 
 if TYPE_CHECKING:
@@ -89,7 +89,7 @@
         )
         self.liveness = Liveness(self.dispatcher, dialect, settings.place)
         self.stopping_since: float | None = None
-        self.stream_time = StreamTime()
+        self.stream_pace = StreamPace()
         self.measures = Measures()
         self._budgets: dict[str, RetryBudget] = {}
 
@@ -193,7 +193,7 @@
         if self.stopping_since is None or not route.streams:
             return
         elapsed_s = time.monotonic() - self.stopping_since
-        if elapsed_s + self.stream_time.upper_s <= self.settings.grace_s - GRACE_RESERVE_S:
+        if elapsed_s + self.stream_pace.upper_s <= self.settings.grace_s - GRACE_RESERVE_S:
             return
         retry_s = max(RETRY_MIN_S, NOTICED_S - elapsed_s)
         raise refuse(ErrorKind.DRAINING, "this host is leaving", round(retry_s, 2))
@@ -226,16 +226,22 @@
 
     async def _run(self, call: Call, responder: Responder) -> Reply | None:
         if call.route.streams:
+            self._check_time_left(call)
             return await StreamCall(self, call, responder).run()
         return await WholeCall(self, call).run()
 
+    def _check_time_left(self, call: Call) -> None:
+        read = self.dispatcher.recent_runs.find(call.prompt_key) is not None
+        prompt_tokens = 0 if read else call.size.prompt_tokens
+        left_s = call.expires_at - time.monotonic()
+        if self.stream_pace.is_hopeless(left_s, prompt_tokens, call.events_had):
+            raise refuse(ErrorKind.TARGET_MISSED, "too little time is left for the stream")
+
     def _count_call(self, call: Call, outcome: str) -> None:
         took_s = time.monotonic() - call.arrived_at
         form = name_form(call)
         self.measures.calls.labels(form, outcome).inc()
         self.measures.answer_s.labels(form).observe(took_s)
-        if outcome == "whole_stream":
-            self.stream_time.note(took_s)
 
     def note_attempt(self, attempt: AttemptRecord) -> None:
         """Log and count what became of one attempt.
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -60,8 +60,9 @@
         self._call = call
         self._responder = responder
         self._ledger = CallLedger(call, gateway.budget_of(call.service))
-        first = int(call.resume_after) if call.resume_after.isdigit() else 0
-        self._events = EventSequence(first)
+        self._events = EventSequence(call.events_had)
+        self._first_at = 0.0
+        self._first_event = 0
         self._begun = False
         self._holder: Endpoint | None = None
         self._passed_at = 0.0
@@ -80,6 +81,7 @@
             if outcome is None:
                 break
             if isinstance(outcome, Ended):
+                self._note_pace()
                 return None
             if isinstance(outcome, Reply):
                 failed_reply = outcome
@@ -91,6 +93,12 @@
             return failed_reply
         raise RefusedError(self._ledger.describe_end())
 
+    def _note_pace(self) -> None:
+        now = time.monotonic()
+        later = self._events.last - self._first_event
+        event_s = (now - self._first_at) / later if later > 0 else None
+        self._gateway.stream_pace.note(now - self._call.arrived_at, self._events.last, event_s)
+
     def _is_final(self, reply: Reply) -> bool:
         return reply.status < SERVER_ERROR or not self._call.route.repeatable
 
@@ -213,6 +221,7 @@
     async def _pass_on(self, opened: OpenReply, data: bytes) -> None:
         if not self._begun:
             self._begun = True
+            self._first_at, self._first_event = time.monotonic(), self._events.last
             self._gateway.note_first_event(self._call)
             await self._responder.begin(opened.status, opened.headers)
         now = time.monotonic()
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from basilroad.gateway.choice import Place
+from basilroad.gateway.streampace import StreamPace
 from basilroad.peers.address import Address
 from basilroad.platform.machine import Bounds, MachineSettings, StoreAccess
 from basilroad.platform.run import PlatformService
@@ -64,6 +65,8 @@
             entry = {"service": service, "zone": "a", "slots": 4, "state": "ready"}
             self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
         self.service = PlatformService(self._build_machine(), Path("absent"))
+        # streams of the stand-in are short
+        self.service.gateway.stream_pace = StreamPace(mean_s=0.5, events=10, event_s=0.01)
         await self.service.start()
         self.url = f"http://{self.service.machine.front}"
         self.session = aiohttp.ClientSession()
@@ -237,6 +240,7 @@
     task = asyncio.ensure_future(rig.ask("/s/1"))
     while not rig.llm.ran:
         await asyncio.sleep(0.01)
+    rig.service.gateway.stream_pace.mean_s = 6.0
     stopping = asyncio.ensure_future(rig.service.stop())
     await asyncio.sleep(0.1)
     assert not await rig.is_ready()
