Refuse hopeless streams without a time to return; notice changed settings files

A stream for which too little time is left can't be served later either, so its refusal names no time to come back (kind time_too_short); before, callers came back after 2 s and were refused again. Calls wait for the store only at the start and within a second of an outage. The settings file is also read when it changed without a signal.

--- a/src/basilroad/errors.py
+++ b/src/basilroad/errors.py
@@ -39,6 +39,7 @@
     GENERATION_LOST = "generation_lost"
     ENDPOINT_FAILED = "endpoint_failed"
     DEADLINE_EXCEEDED = "deadline_exceeded"
+    TIME_TOO_SHORT = "time_too_short"
     STALE_ORDER = "stale_order"
     INTERNAL = "internal"
 
@@ -90,6 +91,7 @@
     ErrorKind.DEADLINE_EXCEEDED: Answer(
         504, Status.DEADLINE_EXCEEDED, Effect.MAY_HAVE_RUN, _SERVER
     ),
+    ErrorKind.TIME_TOO_SHORT: Answer(503, Status.DEADLINE_EXCEEDED, Effect.NOT_RUN, _SERVER),
     ErrorKind.STALE_ORDER: Answer(409, Status.FAILED_PRECONDITION, Effect.NOT_RUN, _SERVER),
     ErrorKind.INTERNAL: Answer(500, Status.INTERNAL, Effect.MAY_HAVE_RUN, _SERVER),
 }
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -37,6 +37,9 @@
 """Seconds for which a call waits for a configuration or its confirmation that is being read; many
 answers of the store, and less than an eighth of the time in which a stream is to begin."""
 
+OUTAGE_S = 1.0
+"""Seconds without the store beyond which calls are refused at once instead of waiting for it."""
+
 CONFIRM_POLL_S = 0.01
 """Seconds between looks while a call waits so."""
 
@@ -95,6 +98,7 @@
         )
         self.liveness = Liveness(self.dispatcher, dialect, settings.place)
         self.stopping_since: float | None = None
+        self._started_at = time.monotonic()
         self.stream_pace = StreamPace()
         self.measures = Measures()
         self._budgets: dict[str, RetryBudget] = {}
@@ -150,12 +154,19 @@
         return self.freshness.is_within(self.settings.ready_age_limit_s)
 
     async def wait_confirmed(self) -> None:
-        """Wait a moment for what is being read: after a start, a suspension or an outage."""
+        """Wait a moment for what is being read, at the start or in a short outage."""
         limit_s = self.settings.key_age_limit_s or math.inf
         until = time.monotonic() + CONFIRM_WAIT_S
-        while time.monotonic() < until and not self.freshness.is_within(limit_s):
+        while not self.freshness.is_within(limit_s) and time.monotonic() < until:
+            age_s = self.freshness.age_s()
+            missed_s = self._uptime_s() if age_s is None else age_s - limit_s
+            if missed_s > OUTAGE_S:
+                return
             await asyncio.sleep(CONFIRM_POLL_S)
 
+    def _uptime_s(self) -> float:
+        return time.monotonic() - self._started_at
+
     def admit_route(self, host: str, path: str) -> Route:
         """Find the route of a call.
 
@@ -241,7 +252,7 @@
         prompt_tokens = 0 if read else call.size.prompt_tokens
         left_s = call.expires_at - time.monotonic()
         if self.stream_pace.is_hopeless(left_s, prompt_tokens, call.events_had):
-            raise refuse(ErrorKind.TARGET_MISSED, "too little time is left for the stream")
+            raise refuse(ErrorKind.TIME_TOO_SHORT, "too little time is left for the stream")
 
     def _count_call(self, call: Call, outcome: str) -> None:
         took_s = time.monotonic() - call.arrived_at
--- a/src/basilroad/platform/front.py
+++ b/src/basilroad/platform/front.py
@@ -78,7 +78,7 @@
         stopped_at = time.monotonic()
         self._gateway.stopping_since = stopped_at
         _LOGGER.info("stopping", extra={"in_flight": self._in_flight})
-        limit = stopped_at + self._machine.bounds.grace_s - GRACE_RESERVE_S
+        limit = stopped_at + self._gateway.settings.grace_s - GRACE_RESERVE_S
         while time.monotonic() < limit:
             taking = time.monotonic() < stopped_at + LISTEN_AFTER_STOP_S
             if not taking and not self._in_flight:
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -34,6 +34,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+FILE_CHECK_S = 1.0
+"""Seconds between looks at the settings file, which may change without a signal."""
+
 REVOKE_RESERVE_S = 0.7
 """Seconds of the time for a revocation that are left for a call on its way to a server."""
 
@@ -55,6 +58,7 @@
         super().__init__()
         self.machine = machine
         self._path = path
+        self._mark = _mark_file(path)
         self.timers = Timer()
         self.gateway = Gateway(build_settings(machine), PlatformDialect())
         self.store = StoreClient(f"http://{machine.store.address}")
@@ -88,11 +92,19 @@
         if self.gossip is not None:
             await self.gossip.start()
             self.timers.subscribe(TICK_S, self.gossip.tick)
+        self.timers.subscribe(FILE_CHECK_S, self.check_file)
         self.timers.subscribe(SWEEP_S, self.gateway.sweep)
         self.timers.subscribe(CHECK_S, self.gateway.liveness.check)
 
+    def check_file(self) -> None:
+        """Read the settings again if their file changed without a signal."""
+        mark = _mark_file(self._path)
+        if mark != self._mark:
+            self.reload()
+
     def reload(self) -> None:
         """Read the settings again; bad ones are refused whole."""
+        self._mark = _mark_file(self._path)
         try:
             machine = read_machine_settings(self._path)
         except MachineSettingsError as error:
@@ -115,6 +127,15 @@
         await self.store.close()
 
 
+def _mark_file(path: Path) -> tuple[int, int] | None:
+    try:
+        status = path.stat()
+    except OSError:
+        # a file that is being replaced is found at the next look
+        return None
+    return status.st_mtime_ns, status.st_size
+
+
 def build_settings(machine: MachineSettings) -> GatewaySettings:
     """Derive a gateway's settings from those of its machine.
 
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -152,6 +152,14 @@
     assert await rig.is_ready()
 
 
+async def test_in_a_long_outage_nothing_waits_for_the_store(rig: Rig) -> None:
+    rig.service.gateway._started_at -= 10
+    asked_at = asyncio.get_running_loop().time()
+    response = await rig.ask("/o/1")
+    assert response.status == 503
+    assert asyncio.get_running_loop().time() - asked_at < 0.2
+
+
 @pytest.mark.parametrize(
     ("path", "key", "status"), [("/none/", "key", 404), ("/o/1", "unknown", 401), ("/o/1", "", 401)]
 )
--- a/tests/platform/test_machine.py
+++ b/tests/platform/test_machine.py
@@ -8,6 +8,7 @@
 import yaml
 
 from basilroad.platform.machine import MachineSettingsError, read_machine_settings
+from basilroad.platform.run import PlatformService
 
 MACHINE = {
     "node": "edge-1",
@@ -75,3 +76,16 @@
         read_machine_settings(tmp_path / "absent.yaml")
     with pytest.raises(MachineSettingsError, match="expected a table"):
         read_machine_settings(write(tmp_path, [1]))
+
+
+def test_a_changed_file_is_read_again_and_a_bad_one_refused(tmp_path: Path) -> None:
+    path = write(tmp_path, MACHINE)
+    service = PlatformService(read_machine_settings(path), path)
+    service.check_file()
+    assert service.gateway.settings.grace_s == 8.0
+    write(tmp_path, {**MACHINE, "bounds": {**MACHINE["bounds"], "graceS": 12.5}})
+    service.check_file()
+    assert service.gateway.settings.grace_s == 12.5
+    write(tmp_path, {**MACHINE, "node": 1})
+    service.check_file()
+    assert service.gateway.settings.grace_s == 12.5
