Send callers that one host alone refuses back at once

Cause: a host that the store turned away, or that was stopping, asked its callers to wait a second or more, and their orders came too late though the next try reaches another host. Also: one list of headers of a connection.

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -43,11 +43,16 @@
 CONFIRM_POLL_S = 0.01
 """Seconds between looks while a call waits so."""
 
-NOTICED_S = 2.2
-"""Seconds after which the platform leads callers elsewhere: two questions, a second apart."""
+ELSEWHERE_RETRY_S = 0.05
+"""Pause for callers that this host alone refuses: their next try reaches another host, and any
+longer pause would use up the target of a short call."""
 
-RETRY_MIN_S = 0.1
-"""Shortest pause that a refused caller is asked for."""
+OUTAGE_RETRY_S = 1.0
+"""Pause for callers in a long outage, which other hosts most likely see too."""
+
+LONG_OUTAGE_S = 10.0
+"""Age of the configuration beyond which an outage counts as long; the fleets' sheets show outages
+of single hosts up to nine seconds."""
 
 GRACE_RESERVE_S = 0.5
 """Seconds of the grace that are left to close what remains."""
@@ -176,7 +181,8 @@
         :raises RefusedError: there is none, or no configuration is known
         """
         if self.table is None:
-            raise refuse(ErrorKind.STORE_UNAVAILABLE, "no configuration is known yet", 1)
+            message = "no configuration is known yet"
+            raise refuse(ErrorKind.STORE_UNAVAILABLE, message, self._choose_retry())
         route = self.table.find_route(host, path)
         if route is None:
             raise refuse(ErrorKind.UNKNOWN_SERVICE, "no route for this host and path")
@@ -195,7 +201,8 @@
             return None
         limit_s = self.settings.key_age_limit_s
         if limit_s is not None and not self.freshness.is_within(limit_s):
-            raise refuse(ErrorKind.STORE_UNAVAILABLE, "keys were not confirmed lately", 1)
+            message = "keys were not confirmed lately"
+            raise refuse(ErrorKind.STORE_UNAVAILABLE, message, self._choose_retry())
         workspace = self.table.find_workspace(key)
         if workspace is None:
             raise refuse(ErrorKind.UNAUTHENTICATED, "unknown key")
@@ -205,15 +212,19 @@
         """Refuse a stream that would not end before this host stops.
 
         :param route: the call's route
-        :raises RefusedError: it is to be sent to another host, once callers are led there
+        :raises RefusedError: it is to be sent to another host
         """
         if self.stopping_since is None or not route.streams:
             return
         elapsed_s = time.monotonic() - self.stopping_since
         if elapsed_s + self.stream_pace.upper_s <= self.settings.grace_s - GRACE_RESERVE_S:
             return
-        retry_s = max(RETRY_MIN_S, NOTICED_S - elapsed_s)
-        raise refuse(ErrorKind.DRAINING, "this host is leaving", round(retry_s, 2))
+        raise refuse(ErrorKind.DRAINING, "this host is leaving", ELSEWHERE_RETRY_S)
+
+    def _choose_retry(self) -> float:
+        age_s = self.freshness.age_s()
+        missed_s = self._uptime_s() if age_s is None else age_s
+        return ELSEWHERE_RETRY_S if missed_s < LONG_OUTAGE_S else OUTAGE_RETRY_S
 
     # calls
 
--- a/src/basilroad/platform/dialect.py
+++ b/src/basilroad/platform/dialect.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from basilroad.endpoints.channels import OutgoingRequest
+from basilroad.endpoints.plain import HOP_HEADERS
 from basilroad.gateway.attempt import AttemptOptions, Ruling
 from basilroad.gateway.call import Headers, PromptSize
 
@@ -49,22 +50,8 @@
 )
 """Headers that only the system sets, in lower case."""
 
-ONE_CHANNEL = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers that belong to one connection, in lower case."""
+ONE_CHANNEL = HOP_HEADERS - {"host"}
+"""Headers that belong to one connection, in lower case; servers get the caller's host."""
 
 
 class PlatformDialect:
