Tell peers in turn and within the stated rate of control

Change: peers are told in turn, a view lasts as many rounds as turns take, and rounds rest so that they stay within 11 KB/s, the stated cost of control. Ruled out: lost datagrams (turns alone explain the gaps).

--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -29,8 +30,12 @@
 FANOUT = 6
 """Peers that one round reaches; bounds the cost of a gateway whatever the size of the fleet."""
 
+SENT_BYTES_PER_S = 11_000.0
+"""Bytes a second that rounds may take, the stated cost of control; larger rounds are rarer."""
+
 VIEW_S = 3.0
-"""Seconds after which a silent peer's load counts no more; some rounds may be lost."""
+"""Seconds after which a silent peer's load counts no more, where one round reaches all peers; some
+rounds may be lost."""
 
 LOSS_S = 4.0
 """Seconds for which losses are passed on; endpoints that are gone are unlisted by then."""
@@ -102,6 +107,8 @@
         self._views: dict[str, _View] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._random = random.Random()
+        self._turn: list[Address] = []
+        self._rest_until = -math.inf
         self._told: tuple[object, ...] | None = None
         self._told_at = 0.0
 
@@ -134,6 +141,8 @@
         """Tell the peers what has changed; forget what silent peers told."""
         now = self._clock()
         self._expire(now)
+        if now < self._rest_until:
+            return
         loads, losses = self._read_loads(), self._read_losses(now)
         runs = self._recent_runs.list_own(RUNS_LIMIT)
         state = (loads, frozenset(losses), runs)
@@ -142,10 +151,20 @@
         self._told, self._told_at = state, now
         self._sequence += 1
         data = self._encode(loads, losses, runs)
-        peers = list(self._peers)
-        for peer in self._random.sample(peers, min(FANOUT, len(peers))):
+        peers = self._choose_peers()
+        self._rest_until = now + len(data) * len(peers) / SENT_BYTES_PER_S
+        for peer in peers:
             self._send(data, peer)
 
+    def _choose_peers(self) -> list[Address]:
+        # in turn, so that none goes without for long by chance
+        if len(self._turn) < FANOUT:
+            fresh = list(self._peers.difference(self._turn))
+            self._random.shuffle(fresh)
+            self._turn += fresh
+        chosen, self._turn = self._turn[:FANOUT], self._turn[FANOUT:]
+        return chosen
+
     # asyncio.DatagramProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -207,7 +226,9 @@
         endpoint.lost_at = lost_at
 
     def _expire(self, now: float) -> None:
-        for host in [h for h, view in self._views.items() if now - view.heard_at > VIEW_S]:
+        # a peer's turn comes once in so many rounds
+        view_s = VIEW_S * max(1.0, len(self._peers) / FANOUT)
+        for host in [h for h, view in self._views.items() if now - view.heard_at > view_s]:
             view = self._views.pop(host)
             self._sum_remote(view.loads)
             _LOGGER.info("peer silent", extra={"peer": host})
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -9,7 +9,15 @@
 from basilroad.gateway.choice import Chooser, find_losses, weigh_doubt, weigh_memory
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Reservation
-from basilroad.gateway.gossip import DATAGRAM_BYTES, FANOUT, VIEW_S, Gossip
+from basilroad.gateway.gossip import (
+    DATAGRAM_BYTES,
+    FANOUT,
+    REST_S,
+    SENT_BYTES_PER_S,
+    TICK_S,
+    VIEW_S,
+    Gossip,
+)
 from basilroad.gateway.recentruns import KEPT_S, RecentRuns
 from basilroad.peers.address import Address
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
@@ -77,6 +85,7 @@
     net.gateways[0].tick()
     late, net.sent = net.sent, []
     reservation.release()
+    net.now += 0.1
     net.gateways[0].tick()
     net.sent += late
     net.deliver()
@@ -164,6 +173,44 @@
     assert all(len(data) <= DATAGRAM_BYTES for data, _ in net.sent)
 
 
+def test_each_peer_of_a_large_fleet_has_its_turn() -> None:
+    # pattern: 28 gateways whose state does not change
+    net = Net()
+    gossip = net.gateways[0]
+    gossip.add_peers(Address("127.0.0.1", 10_000 + n) for n in range(26))
+    for _ in range(5):
+        gossip.tick()
+        net.now += REST_S
+    assert {peer for _, peer in net.sent} == gossip.peers
+
+
+def test_peers_of_a_large_fleet_do_not_fall_silent_between_their_turns() -> None:
+    # pattern: 28 gateways; each is told something every fifth second
+    net = Net()
+    listener = net.gateways[1]
+    listener.add_peers(Address("127.0.0.1", 10_000 + n) for n in range(26))
+    Reservation(get(net.gateways[0], "e1"), SIZE)
+    net.gateways[0].tick()
+    net.deliver()
+    net.now += 5.0
+    listener.tick()
+    assert get(listener, "e1").remote.calls == 1
+
+
+def test_what_is_told_stays_within_its_rate_under_load() -> None:
+    # pattern: hundreds of endpoints whose load changes all the time
+    net = Net(endpoints=600)
+    gossip = net.gateways[0]
+    gossip.add_peers(Address("127.0.0.1", 10_000 + n) for n in range(27))
+    for number in range(200):
+        Reservation(get(gossip, f"e{number}"), SIZE)
+        gossip.tick()
+        net.now += TICK_S
+    seconds = 200 * TICK_S
+    rate = sum(len(data) for data, _ in net.sent) / seconds
+    assert rate <= SENT_BYTES_PER_S + FANOUT * DATAGRAM_BYTES / seconds
+
+
 def test_nothing_new_is_told_seldom() -> None:
     net = Net()
     for _ in range(30):
