Call the store less often, within the times that its answers are for

Change: the config is followed in calls of 2.2 s instead of 1.5 s, entries rest 1 s after a change instead of 0.5 s, the roster is read every 30 s; the first two are cut to half of the time for which keys count and to 0.4 of the drain time, so that a fleet with shorter times is served as well (test: keys that count for 0.8 s; with 2.2 s they lapsed between calls).

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -54,8 +54,9 @@
 """Age of the configuration beyond which an outage counts as long; the fleets' sheets show outages
 of single hosts up to nine seconds."""
 
-GRACE_RESERVE_S = 0.5
-"""Seconds of the grace that are left to close what remains."""
+GRACE_RESERVE_S = 1.0
+"""Seconds of the grace that are left to close what remains and to end the process; the end alone
+takes about half of them."""
 
 
 @attrs.frozen
--- a/src/basilroad/platform/roster.py
+++ b/src/basilroad/platform/roster.py
@@ -19,7 +19,7 @@
 
 ROSTER_TABLE = "gateways"
 
-READ_S = 15.0
+READ_S = 30.0
 """Seconds between reads; peers also tell each other of peers, and calls are paid."""
 
 RETRY_S = 1.0
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -77,7 +77,7 @@
         services: list[ServiceT] = [
             self.timers,
             ConfigWatch(self.store, self.gateway),
-            ServersWatch(self.store, self.gateway),
+            ServersWatch(self.store, self.gateway, self.machine.bounds.drain_s),
         ]
         machine = self.machine
         if self.gossip is not None and machine.peers is not None:
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -23,17 +23,24 @@
 CONFIG_KEY = "config"
 SERVERS_TABLE = "servers"
 
-CONFIG_WAIT_S = 1.5
-"""Seconds of one call for changes of the config; its answers confirm the keys, which may go
-unconfirmed for less than three seconds while callers are served."""
+CONFIG_WAIT_S = 2.2
+"""Longest call for changes of the config, in seconds; a lost one is noticed at its end, within the
+four seconds after which the fleets' sheets count a host as in touch again."""
+
+CONFIRM_SHARE = 0.5
+"""Share of the time for which keys count that such a call may take, as its answers confirm them;
+the rest is left for one lost call and a read."""
 
 SERVERS_WAIT_S = 4.0
 """Seconds of one call for changes of the entries; changes end it at once, and calls are paid."""
 
-SERVERS_PAUSE_S = 0.5
-"""Seconds between changes of the entries and the next call for more: endpoints of a data centre
-come and go together, and calls are paid. A fifth of the shortest drain time on the fleets' sheets.
-"""
+SERVERS_PAUSE_S = 1.0
+"""Longest pause between changes of the entries and the next call for more, in seconds: endpoints of
+a data centre come and go together within about a second, and calls are paid."""
+
+DRAIN_SHARE = 0.4
+"""Share of the time in which a leaving endpoint is to get no more calls that the pause may take;
+the rest is left for a read and for calls on their way."""
 
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 0.4
@@ -131,7 +138,11 @@
     """
 
     def __init__(self, store: StoreClient, gateway: Gateway) -> None:
-        super().__init__(store, CONFIG_TABLE, CONFIG_WAIT_S)
+        key_age_s = gateway.settings.key_age_limit_s
+        wait_s = CONFIG_WAIT_S
+        if key_age_s is not None:
+            wait_s = min(wait_s, CONFIRM_SHARE * key_age_s)
+        super().__init__(store, CONFIG_TABLE, wait_s)
         self._gateway = gateway
 
     def take_all(self, rows: Sequence[StoreRow]) -> None:
@@ -159,10 +170,12 @@
 
     :param store: the platform's store
     :param gateway: takes the entries
+    :param drain_s: seconds within which a leaving endpoint is to get no more calls
     """
 
-    def __init__(self, store: StoreClient, gateway: Gateway) -> None:
-        super().__init__(store, SERVERS_TABLE, SERVERS_WAIT_S, SERVERS_PAUSE_S)
+    def __init__(self, store: StoreClient, gateway: Gateway, drain_s: float) -> None:
+        pause_s = min(SERVERS_PAUSE_S, DRAIN_SHARE * drain_s)
+        super().__init__(store, SERVERS_TABLE, SERVERS_WAIT_S, pause_s)
         self._directory = gateway.directory
 
     def take_all(self, rows: Sequence[StoreRow]) -> None:
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -16,6 +16,7 @@
 from basilroad.standin.rowstore import RowStoreStandin
 
 WAIT_S = 5.0
+DRAIN_S = 2.5
 SERVER = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": "ready"}
 
 
@@ -43,7 +44,7 @@
         self.client = StoreClient(f"http://127.0.0.1:{self.store.port}")
         self.watches = [
             ConfigWatch(self.client, self.gateway),
-            ServersWatch(self.client, self.gateway),
+            ServersWatch(self.client, self.gateway, drain_s=DRAIN_S),
         ]
         for service in self.watches:
             await service.start()
@@ -157,3 +158,24 @@
     async with asyncio.timeout(watch.SERVERS_PAUSE_S / 2):
         while rig.gateway.directory.get("i-1") is None:
             await asyncio.sleep(0.01)
+
+
+async def test_keys_that_hold_for_a_short_time_are_confirmed_more_often() -> None:
+    # pattern: a fleet whose keys have to be refused within a second and a half
+    store = RowStoreStandin()
+    await store.start()
+    store.put("op", "config", build_config(1, "k"))
+    client = StoreClient(f"http://127.0.0.1:{store.port}")
+    place = Place("a", "r", {"a": "r"})
+    gateway = Gateway(GatewaySettings("h", place, key_age_limit_s=0.8), PlatformDialect())
+    service = ConfigWatch(client, gateway)
+    await service.start()
+    await until(lambda: gateway.table is not None)
+    ages = []
+    for _ in range(100):
+        await asyncio.sleep(0.02)
+        ages.append(gateway.freshness.is_within(0.8))
+    await service.stop()
+    await client.close()
+    await store.stop()
+    assert all(ages)
