Date the store's answers by its own clock

The config changes at 16.7 s, late in a call for changes begun at 14.9 s, and the store is away from 18 s: an answer with a change confirmed the keys only as of its question, so they lapsed at 19.2 s, less than 1.3 s into the outage, and longer calls made it worse. Ruled out: lost calls (none before 18 s), the pause between reads of entries (no refusal for want of endpoints). Change: answers show the store's steady clock; a call whose moment is known dates the others. Never later than the answer was made: bounded by the drift of two clocks, forgotten when the store is lost, and cut to the call.

--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -45,6 +45,7 @@
     rows: list[_WireRow]
     ver: int
     has_more: bool = False
+    now_ms: float | None = None  # the store's steady clock; no time of day
 
 
 @attrs.frozen
@@ -65,10 +66,12 @@
 
     :param rows: the rows
     :param revision: newest revision of the store at that moment
+    :param store_s: seconds of the store's steady clock at that moment; ``None`` if it tells none
     """
 
     rows: tuple[StoreRow, ...]
     revision: int
+    store_s: float | None = None
 
 
 class StoreClient:
@@ -88,17 +91,18 @@
         :raises StoreError: there was no answer that can be used
         """
         rows: list[StoreRow] = []
-        revision, start = None, ""
+        revision, store_s, start = None, None, ""
         while True:
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start:
                 query["from"] = start
             page = await self._get("/rows-get", query, READ_S)
             # later pages may show newer rows; the feed from the first revision repeats them
-            revision = page.ver if revision is None else revision
+            if revision is None:
+                revision, store_s = page.ver, _read_clock(page)
             rows.extend(_decode_row(row) for row in page.rows)
             if not page.has_more or not page.rows:
-                return Changes(tuple(rows), revision)
+                return Changes(tuple(rows), revision, store_s)
             start = page.rows[-1].key + "\0"
 
     async def wait_changes(self, table: str, revision: int, wait_s: float) -> Changes:
@@ -113,7 +117,8 @@
         """
         query = {"table": table, "sinceRevision": revision, "waitMs": round(1000 * wait_s)}
         page = await self._get("/rows-feed", query, wait_s + FEED_SLACK_S)
-        return Changes(tuple(_decode_row(row) for row in page.rows), page.ver)
+        rows = tuple(_decode_row(row) for row in page.rows)
+        return Changes(rows, page.ver, _read_clock(page))
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write one row, whatever it held.
@@ -153,6 +158,10 @@
             raise StoreError(f"answer not understood: {error}") from error
 
 
+def _read_clock(page: _WireRows) -> float | None:
+    return None if page.now_ms is None else page.now_ms / 1000
+
+
 def _decode_row(row: _WireRow) -> StoreRow:
     if row.deleted:
         return StoreRow(row.key, None)
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -13,6 +13,7 @@
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.platform.config import ConfigError, decode_config, decode_server
 from basilroad.platform.store import HistoryGoneError, StoreError
+from basilroad.platform.storeclock import StoreClock
 
 if TYPE_CHECKING:
     from basilroad.gateway.endpoint import EndpointEntry
@@ -64,6 +65,7 @@
         self._table = table
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._clock = StoreClock()
         self._revision: int | None = None
         self._lost = False
 
@@ -102,7 +104,7 @@
         if self._revision is None or self._lost:
             changes = await self._store.read_table(self._table)
             self._accept(changes, self.take_all)
-            self.note_confirmed(asked_at)
+            self._confirm(changes, asked_at)
             self._tell_regained()
             return
         changes = await self._store.wait_changes(self._table, self._revision, self._wait_s)
@@ -110,7 +112,7 @@
         waited_s = read_boot_clock() - asked_at
         # an empty answer is made at the end of the wait
         idle_s = self._wait_s if not changes.rows and waited_s >= self._wait_s else 0.0
-        self.note_confirmed(asked_at + idle_s)
+        self._confirm(changes, asked_at + idle_s)
         if changes.rows and self._pause_s:
             await self.sleep(self._pause_s)
 
@@ -118,8 +120,13 @@
         take(changes.rows)
         self._revision = changes.revision
 
+    def _confirm(self, changes: Changes, earliest: float) -> None:
+        received_at = read_boot_clock()
+        self.note_confirmed(self._clock.date(earliest, received_at, changes.store_s))
+
     def _tell_lost(self, detail: str) -> None:
         self.note_lost()
+        self._clock.forget()
         if not self._lost:
             self._lost = True
             _LOGGER.warning("store lost", extra={"table": self._table, "detail": detail})
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -6,6 +6,7 @@
 import enum
 import socket
 import struct
+import time
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -44,12 +45,19 @@
     :param target: path and query
     :param headers: headers by their names in lower case
     :param body: whole body
+    :param at: monotonic seconds at which it was read
     """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float = attrs.field(factory=time.monotonic)
+
+    @property
+    def id(self) -> str:
+        """:return: identifier that the client gave it."""
+        return self.headers.get("x-attempt-id", "")
 
 
 @attrs.define
@@ -73,12 +81,17 @@
     silent: bool = False
     faults: deque[WireFault] = attrs.field(factory=deque)
     seen: list[SeenRequest] = attrs.field(factory=list)
-    ran: list[str] = attrs.field(factory=list)
+    runs: list[SeenRequest] = attrs.field(factory=list)
     connections: int = 0
     port: int = 0
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
+    @property
+    def ran(self) -> list[str]:
+        """:return: identifiers of the requests that ran, in order."""
+        return [request.id for request in self.runs]
+
     async def start(self, port: int = 0) -> None:
         """Listen on loopback.
 
@@ -134,20 +147,19 @@
     async def _answer(self, request: SeenRequest, writer: asyncio.StreamWriter) -> bool:
         self.seen.append(request)
         fault = self.faults.popleft() if self.faults else WireFault.NONE
-        request_id = request.headers.get("x-attempt-id", "")
         refusal = self._refuse(request, fault)
         if refusal is not None:
             writer.write(refusal)
             return True
-        self.ran.append(request_id)
+        self.runs.append(request)
         if self.first_s:
             await asyncio.sleep(self.first_s)
         if self.events and fault is WireFault.NONE:
             return await self._stream(request, writer)
-        return await self._write_faulty(request_id, fault, writer)
+        return await self._write_faulty(request.id, fault, writer)
 
     def _refuse(self, request: SeenRequest, fault: WireFault) -> bytes | None:
-        echo = {"X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        echo = {"X-Attempt-Id": request.id}
         expected = request.headers.get("x-expect-instance", self.id)
         if fault is WireFault.MISDIRECT or expected != self.id:
             return _write_whole(421, {**echo, "X-Instance-Id": self.id}, b"")
@@ -186,9 +198,8 @@
 
     async def _stream(self, request: SeenRequest, writer: asyncio.StreamWriter) -> bool:
         first = int(request.headers.get("last-event-id") or 0) + 1
-        request_id = request.headers.get("x-attempt-id", "")
         headers = {
-            "X-Attempt-Id": request_id,
+            "X-Attempt-Id": request.id,
             "X-Response-Seal": f"seal-of-{self.id}",
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
--- a/src/basilroad/standin/rowstore.py
+++ b/src/basilroad/standin/rowstore.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import time
 from typing import Any
 
 import attrs
@@ -107,7 +108,8 @@
         return rows
 
     def _answer(self, rows: list[dict[str, Any]]) -> web.Response:
-        body = {"rows": rows, "hasMore": False, "ver": self.revision, "nowMs": 0}
+        body: dict[str, Any] = {"rows": rows, "hasMore": False, "ver": self.revision}
+        body["nowMs"] = round(1000 * time.monotonic())
         return web.Response(body=msgspec.json.encode(body), content_type="application/json")
 
 
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -179,3 +179,20 @@
     await client.close()
     await store.stop()
     assert all(ages)
+
+
+async def test_an_answer_with_a_change_confirms_the_keys_as_of_the_change(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # pattern: a config changes late in a call for changes, and the store goes away soon after
+    monkeypatch.setattr(watch, "CONFIG_WAIT_S", 1.0)
+    rig = Rig()
+    rig.store.put("op", "config", build_config(1, "k"))
+    await rig.start()
+    await until(lambda: rig.version == 1)
+    await asyncio.sleep(0.8)
+    rig.store.put("op", "config", build_config(2, "k"))
+    rig.store.refusing = 503
+    await until(lambda: rig.version == 2)
+    assert rig.gateway.freshness.is_within(0.2)
+    await rig.stop()
