Refuse no stream for want of time before streams have ended here

Ruled out: places (none taken) and keys. Change: five streams have to have ended, the last one not over ten seconds ago; the first ones replace what was expected. Tests without network.

--- a/tests/gateway/test_streampace.py
+++ b/tests/gateway/test_streampace.py
@@ -8,7 +8,7 @@
 
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.streampace import StreamPace
+from basilroad.gateway.streampace import KNOWN_S, StreamPace
 from basilroad.platform.dialect import PlatformDialect
 from builders import PLACE, RecordingResponder, build_call, build_stream_route, build_table
 
@@ -46,3 +46,24 @@
     pace = build_pace()
     assert pace.is_hopeless(4.5, 8000, 0)
     assert not pace.is_hopeless(4.5, 0, 0)
+
+
+def test_nothing_is_refused_before_streams_have_ended() -> None:
+    # pattern: a fleet whose streams are short, and whose callers give them little time
+    pace = StreamPace()
+    assert not pace.is_hopeless(3.0, 800, 0)
+    for _ in range(10):
+        pace.note(0.7, 30, 0.02)
+    assert not pace.is_hopeless(3.0, 800, 0)
+    assert pace.is_hopeless(0.4, 800, 0)
+
+
+def test_a_pace_that_nothing_confirms_refuses_no_more() -> None:
+    # pattern: streams were slow for a while, and since then every caller is refused
+    now = 100.0
+    pace = StreamPace(clock=lambda: now)
+    for _ in range(10):
+        pace.note(20.0, 130, 0.15)
+    assert pace.is_hopeless(10.0, 8000, 0)
+    now += KNOWN_S + 0.1
+    assert not pace.is_hopeless(10.0, 8000, 0)
