Add a soak of random faults against real gateway processes

Gateways run as processes of their own beside a stand-in store and endpoints behind loopback links; faults come from outside in series that overlap: SIGKILL, SIGSTOP, SIGTERM, SIGHUP, delayed, held (one way or both) and reset links, store refusing, silent or without history, endpoints that crash, leave or spoil answers, keys taken away, a route that moves. Thirteen promises are checked on what callers and endpoints saw.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real gateway processes, checked from outside."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,102 @@
+"""Callers that keep their connections until the process behind them is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import aiohttp
+
+from soak.records import Kind, Request
+from soak.settings import DEADLINE_S, HANG_UP_S
+from soak.world import HOST, World
+
+PATHS = {Kind.ORDER: "/o/x", Kind.LOOK: "/l/x?a=1", Kind.STREAM: "/s/x", Kind.MOVED: "/m/x"}
+LEAVE_SHARE = 0.05
+"""Share of the requests whose caller hangs up early."""
+
+OLD_KEY_SHARE = 0.15
+"""Share of the requests that carry a key that was taken away, once there are some."""
+
+PAUSE_S = 0.03
+"""Mean seconds between an answer and the next request."""
+
+
+class Caller:
+    """Asks one request after the other, of any gateway.
+
+    :param world: the deployment
+    :param generator: decides what is asked
+    """
+
+    def __init__(self, world: World, generator: random.Random) -> None:
+        self._world = world
+        self._random = generator
+        self._all_keys = dict(world.keys)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Ask until it is time to stop.
+
+        :param stop: is set then
+        """
+        timeout = aiohttp.ClientTimeout(total=DEADLINE_S + HANG_UP_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while not stop.is_set():
+                await self._ask(session, self._draw())
+                await asyncio.sleep(self._random.expovariate(1 / PAUSE_S))
+
+    def _draw(self) -> Request:
+        kind = self._random.choice((Kind.ORDER, Kind.ORDER, Kind.LOOK, Kind.MOVED, Kind.STREAM))
+        taken = sorted(self._world.record.key_taken)
+        if taken and self._random.random() < OLD_KEY_SHARE:
+            key = self._random.choice(taken)
+        else:
+            key = self._random.choice(sorted(self._world.keys))
+        name = f"{self._random.getrandbits(64):016x}"
+        request = Request(
+            id=name,
+            kind=kind,
+            gateway=self._random.randrange(len(self._world.gateways)),
+            target=PATHS[kind],
+            key=key,
+            workspace=self._all_keys[key],
+            body=f"body of {name}".encode(),
+            sent_at=time.monotonic(),
+        )
+        self._world.record.requests[name] = request
+        return request
+
+    async def _ask(self, session: aiohttp.ClientSession, request: Request) -> None:
+        leaves = self._random.random() < LEAVE_SHARE
+        patience_s = self._random.uniform(0.01, 0.4) if leaves else None
+        try:
+            async with asyncio.timeout(patience_s):
+                await self._exchange(session, request)
+        except TimeoutError:
+            request.left = leaves
+            request.detail = "no end in time"
+        except (aiohttp.ClientError, OSError) as error:
+            request.detail = type(error).__name__
+        finally:
+            request.ended_at = time.monotonic()
+
+    async def _exchange(self, session: aiohttp.ClientSession, request: Request) -> None:
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request.id,
+            "X-Key": request.key,
+            "X-Deadline-Ms": str(round(1000 * DEADLINE_S)),
+        }
+        if request.kind is Kind.STREAM:
+            headers |= {"X-Token-Usage": "800,200", "X-Prompt-Prefix": f"{request.id}:800"}
+        url = self._world.gateways[request.gateway].front + request.target
+        async with session.post(url, data=request.body, headers=headers) as response:
+            request.status = response.status
+            request.seal = response.headers.get("X-Response-Seal", "").removeprefix("seal-of-")
+            async for part in response.content.iter_any():
+                request.answer += part
+            request.whole = True
+
+
+__all__ = ["Caller"]
--- /dev/null
+++ b/soak/link.py
@@ -0,0 +1,95 @@
+"""Loopback proxy that delays, holds or resets what passes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+CHUNK_BYTES = 65536
+POLL_S = 0.01
+
+
+class Link:
+    """A way to one listener.
+
+    :param port: where the listener is, on loopback
+    """
+
+    def __init__(self, port: int) -> None:
+        self.port = 0
+        self.delay_s = 0.0
+        self.holds_requests = False
+        self.holds_answers = False
+        self._target = port
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def heal(self) -> None:
+        """Let everything through again; what was held arrives late."""
+        self.delay_s = 0.0
+        self.holds_requests = self.holds_answers = False
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            if sock is not None and not writer.transport.is_closing():
+                # closing without lingering sends a reset
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        own = {writer}
+        try:
+            upstream, to_upstream = await asyncio.open_connection("127.0.0.1", self._target)
+            own.add(to_upstream)
+            self._writers |= own
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, to_upstream, answers=False))
+                group.create_task(self._pump(upstream, writer, answers=True))
+        except (OSError, ExceptionGroup, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self._writers -= own
+            for one in own:
+                one.transport.abort()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answers: bool
+    ) -> None:
+        while True:
+            data = await reader.read(CHUNK_BYTES)
+            if self.delay_s:
+                await asyncio.sleep(self.delay_s)
+            while self.holds_answers if answers else self.holds_requests:
+                await asyncio.sleep(POLL_S)
+            if not data:
+                # either end closes both ways: none of the programs half-closes
+                await asyncio.sleep(POLL_S)
+                raise ConnectionResetError
+            writer.write(data)
+            await writer.drain()
+
+
+__all__ = ["Link"]
--- a/src/basilroad/cli/daemon.py
+++ b/src/basilroad/cli/daemon.py
@@ -23,6 +23,14 @@
 """Exit code for settings that can't be used."""
 
 
+class PromptWorker(Worker):
+    """Worker that ends as soon as its services have."""
+
+    async def _sentinel_task(self) -> None:
+        # the library waits a second here, which a planned stop has no time for
+        return
+
+
 def run_entry(path: Path) -> NoReturn:
     """Run an entry.
 
@@ -78,7 +86,7 @@
 
     :param services: run side by side
     """
-    worker = Worker(*services, redirect_stdouts=False, override_logging=False, quiet=True)
+    worker = PromptWorker(*services, redirect_stdouts=False, override_logging=False, quiet=True)
     worker.execute_from_commandline()
 
 
--- /dev/null
+++ b/tests/soak/test_process.py
@@ -0,0 +1,48 @@
+"""Start, reload and stop of a gateway process, from outside."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from soak.process import GatewayProcess
+from soak.settings import GRACE_S, SoakSettings
+from soak.world import World
+
+READY_S = 20.0
+LEAVING_S = 2.5
+"""Seconds for which a leaving gateway still takes connections."""
+
+END_S = 1.0
+"""Seconds for a process to end after its services have."""
+
+
+async def wait_ready(gateway: GatewayProcess) -> None:
+    async with asyncio.timeout(READY_S), aiohttp.ClientSession() as session:
+        while True:
+            try:
+                async with session.get(gateway.readiness) as response:
+                    if response.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def world(tmp_path: Path) -> AsyncIterator[World]:
+    world = World(SoakSettings(gateways=1, endpoints=1), tmp_path)
+    await world.start()
+    yield world
+    await world.close()
+
+
+async def test_a_stop_ends_soon_after_the_last_call(world: World) -> None:
+    gateway = world.gateways[0]
+    await wait_ready(gateway)
+    took_s = await gateway.stop()
+    assert took_s < LEAVING_S + END_S < GRACE_S
--- /dev/null
+++ b/tests/soak/test_short_run.py
@@ -0,0 +1,31 @@
+"""A short run of the soak, and each seed that ever failed."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+import yaml
+
+from soak.run import run_soak
+from soak.settings import SoakSettings
+
+SHORT_S = 4.0
+REGRESSIONS = Path(__file__).parents[2] / "soak" / "regressions.yaml"
+
+
+def read_regressions() -> list[dict[str, object]]:
+    return yaml.safe_load(REGRESSIONS.read_text())
+
+
+async def test_a_short_run_keeps_all_promises() -> None:
+    result = await run_soak(SoakSettings(seed=1, length_s=SHORT_S))
+    assert result.breaches == {}, f"see {result.folder}"
+    assert result.served
+
+
+@pytest.mark.parametrize("case", read_regressions(), ids=lambda case: f"seed-{case['seed']}")
+async def test_a_seed_that_failed_before(case: dict[str, object]) -> None:
+    settings = SoakSettings(seed=int(str(case["seed"])), length_s=float(str(case["length_s"])))
+    result = await run_soak(settings)
+    assert result.breaches == {}, f"{case['cause']}; see {result.folder}"
