--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -35,7 +35,7 @@
 SERVERS_WAIT_S = 4.0
 """Seconds of one call for changes of the entries; changes end it at once, and calls are paid."""
 
-SERVERS_PAUSE_S = 1.0
+SERVERS_PAUSE_S = 0.5
 """Longest pause between changes of the entries and the next call for more, in seconds: endpoints of
 a data centre come and go together within about a second, and calls are paid."""
 
