Separate running of calls from the gateway's beliefs

The gateway imported the parts that run calls, and these import it: a circle of four files. Running is now a class above both; the measures take values instead of the gateway.

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -1,4 +1,4 @@
-"""The gateway: what it believes and how it handles a call."""
+"""The gateway: what it believes and whom it admits."""
 
 from __future__ import annotations
 
@@ -12,21 +12,19 @@
 import attrs
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.errors import ErrorKind, RefusedError, refuse
+from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.choice import Chooser
 from basilroad.gateway.decisions import AttemptRecord, log_attempt
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.freshness import Freshness
 from basilroad.gateway.liveness import Liveness
-from basilroad.gateway.measures import Measures, name_form, name_rank
-from basilroad.gateway.relay import StreamBrokenError, StreamCall
+from basilroad.gateway.measures import Measures, name_rank
 from basilroad.gateway.streampace import StreamPace
-from basilroad.gateway.whole import WholeCall
 
 if TYPE_CHECKING:
     from basilroad.gateway.attempt import Dialect
-    from basilroad.gateway.call import Call, Reply, Responder
+    from basilroad.gateway.call import Call
     from basilroad.gateway.choice import Place
     from basilroad.gateway.route import EngineLimits, Route, RoutingTable, WorkspaceSpec
 
@@ -229,49 +227,6 @@
 
     # calls
 
-    async def handle(self, call: Call, responder: Responder) -> Reply | None:
-        """Run a call.
-
-        :param call: the call
-        :param responder: takes a streamed answer
-        :return: a whole answer; ``None`` after a whole stream
-        :raises RefusedError: there is no answer
-        :raises StreamBrokenError: the stream broke off after its begin
-        """
-        self.budget_of(call.service).note_request()
-        outcome = "cancelled"
-        try:
-            reply = await self._run(call, responder)
-            outcome = "whole_stream" if reply is None else f"status_{reply.status // 100}xx"
-            return reply
-        except RefusedError as error:
-            outcome = error.refusal.answer.effect.value
-            raise
-        except StreamBrokenError:
-            outcome = "broken_stream"
-            raise
-        finally:
-            self._count_call(call, outcome)
-
-    async def _run(self, call: Call, responder: Responder) -> Reply | None:
-        if call.route.streams:
-            self._check_time_left(call)
-            return await StreamCall(self, call, responder).run()
-        return await WholeCall(self, call).run()
-
-    def _check_time_left(self, call: Call) -> None:
-        read = self.dispatcher.recent_runs.find(call.prompt_key) is not None
-        prompt_tokens = 0 if read else call.size.prompt_tokens
-        left_s = call.expires_at - time.monotonic()
-        if self.stream_pace.is_hopeless(left_s, prompt_tokens, call.events_had):
-            raise refuse(ErrorKind.TIME_TOO_SHORT, "too little time is left for the stream")
-
-    def _count_call(self, call: Call, outcome: str) -> None:
-        took_s = time.monotonic() - call.arrived_at
-        form = name_form(call)
-        self.measures.calls.labels(form, outcome).inc()
-        self.measures.answer_s.labels(form).observe(took_s)
-
     def note_attempt(self, attempt: AttemptRecord) -> None:
         """Log and count what became of one attempt.
 
@@ -297,6 +252,19 @@
         self.measures.first_event_s.labels(name_rank(call.rank)).observe(waited_s)
         _LOGGER.info("first event", extra={"request": call.id, "waited_ms": round(1000 * waited_s)})
 
+    def render_measures(self) -> bytes:
+        """:return: all measures as text for scrapers."""
+        now, endpoints = time.monotonic(), list(self.directory)
+        beliefs = {
+            "config_version": self.table.version if self.table else 0,
+            "config_age_seconds": self.freshness.age_s() or 0.0,
+            "endpoints": len(endpoints),
+            "endpoints_usable": sum(endpoint.takes_work(now) for endpoint in endpoints),
+            "calls_waiting": self.dispatcher.waiting,
+            "probes": self.liveness.probes_sent,
+        }
+        return self.measures.render(beliefs)
+
     # housekeeping
 
     def sweep(self) -> None:
--- /dev/null
+++ b/src/basilroad/gateway/handler.py
@@ -0,0 +1,72 @@
+"""Runs admitted calls to their end."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from basilroad.errors import ErrorKind, RefusedError, refuse
+from basilroad.gateway.measures import name_form
+from basilroad.gateway.relay import StreamBrokenError, StreamCall
+from basilroad.gateway.whole import WholeCall
+
+if TYPE_CHECKING:
+    from basilroad.gateway.call import Call, Reply, Responder
+    from basilroad.gateway.gateway import Gateway
+
+
+class CallHandler:
+    """Runs calls with what a gateway believes.
+
+    :param gateway: its beliefs and parts
+    """
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    async def handle(self, call: Call, responder: Responder) -> Reply | None:
+        """Run a call.
+
+        :param call: the call
+        :param responder: takes a streamed answer
+        :return: a whole answer; ``None`` after a whole stream
+        :raises RefusedError: there is no answer
+        :raises StreamBrokenError: the stream broke off after its begin
+        """
+        self._gateway.budget_of(call.service).note_request()
+        outcome = "cancelled"
+        try:
+            reply = await self._run(call, responder)
+            outcome = "whole_stream" if reply is None else f"status_{reply.status // 100}xx"
+            return reply
+        except RefusedError as error:
+            outcome = error.refusal.answer.effect.value
+            raise
+        except StreamBrokenError:
+            outcome = "broken_stream"
+            raise
+        finally:
+            self._count(call, outcome)
+
+    async def _run(self, call: Call, responder: Responder) -> Reply | None:
+        if call.route.streams:
+            self._check_time_left(call)
+            return await StreamCall(self._gateway, call, responder).run()
+        return await WholeCall(self._gateway, call).run()
+
+    def _check_time_left(self, call: Call) -> None:
+        gateway = self._gateway
+        read = gateway.dispatcher.recent_runs.find(call.prompt_key) is not None
+        prompt_tokens = 0 if read else call.size.prompt_tokens
+        left_s = call.expires_at - time.monotonic()
+        if gateway.stream_pace.is_hopeless(left_s, prompt_tokens, call.events_had):
+            raise refuse(ErrorKind.TIME_TOO_SHORT, "too little time is left for the stream")
+
+    def _count(self, call: Call, outcome: str) -> None:
+        took_s = time.monotonic() - call.arrived_at
+        form, measures = name_form(call), self._gateway.measures
+        measures.calls.labels(form, outcome).inc()
+        measures.answer_s.labels(form).observe(took_s)
+
+
+__all__ = ["CallHandler"]
--- a/src/basilroad/gateway/measures.py
+++ b/src/basilroad/gateway/measures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
@@ -13,7 +14,6 @@
 if TYPE_CHECKING:
     from basilroad.errors import Refusal
     from basilroad.gateway.call import Call
-    from basilroad.gateway.gateway import Gateway
 
 RANK_MAX = 9
 """Largest rank with a label of its own; bounds the label's values."""
@@ -90,23 +90,13 @@
         """
         self.refusals.labels(refusal.kind.value).inc()
 
-    def render(self, gateway: Gateway, now: float) -> bytes:
+    def render(self, beliefs: Mapping[str, float]) -> bytes:
         """Write all measures.
 
-        :param gateway: whose beliefs are told
-        :param now: monotonic seconds
+        :param beliefs: present values, by name of the gauge
         :return: text for scrapers
         """
-        endpoints = list(gateway.directory)
-        values = {
-            "config_version": gateway.table.version if gateway.table else 0,
-            "config_age_seconds": gateway.freshness.age_s() or 0.0,
-            "endpoints": len(endpoints),
-            "endpoints_usable": sum(endpoint.takes_work(now) for endpoint in endpoints),
-            "calls_waiting": gateway.dispatcher.waiting,
-            "probes": gateway.liveness.probes_sent,
-        }
-        for name, value in values.items():
+        for name, value in beliefs.items():
             self._gauges[name].set(value)
         return generate_latest(self.registry)
 
--- a/src/basilroad/platform/front.py
+++ b/src/basilroad/platform/front.py
@@ -16,6 +16,7 @@
 from basilroad.gateway.call import Call
 from basilroad.gateway.decisions import log_refusal
 from basilroad.gateway.gateway import GRACE_RESERVE_S
+from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.relay import StreamBrokenError
 from basilroad.platform.dialect import (
     KEY,
@@ -63,6 +64,7 @@
         super().__init__()
         self._machine = machine
         self._gateway = gateway
+        self._handler = CallHandler(gateway)
         self._runners: list[web.ServerRunner] = []
         self._in_flight = 0
 
@@ -107,7 +109,7 @@
         return web.Response(status=200 if self._gateway.is_ready else 503)
 
     async def _show_measures(self, _: web.BaseRequest) -> web.Response:
-        text = self._gateway.measures.render(self._gateway, time.monotonic())
+        text = self._gateway.render_measures()
         return web.Response(body=text, headers={"Content-Type": CONTENT_TYPE_LATEST})
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -124,7 +126,7 @@
         call = await self._read_call(request, arrived_at)
         responder = _StreamResponder(request)
         try:
-            reply = await self._gateway.handle(call, responder)
+            reply = await self._handler.handle(call, responder)
         except StreamBrokenError as error:
             _LOGGER.warning(
                 "stream broken",
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -8,6 +8,7 @@
 
 from basilroad.errors import RefusedError
 from basilroad.gateway.gateway import Gateway
+from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.relay import StreamBrokenError
 from basilroad.gateway.route import Repetition
 from basilroad.standin.appserver import WireFault
@@ -20,7 +21,7 @@
 
 async def run(gateway: Gateway, route=ROUTE, **changes: object) -> RecordingResponder:
     responder = RecordingResponder()
-    await gateway.handle(build_call(route, **changes), responder)
+    await CallHandler(gateway).handle(build_call(route, **changes), responder)
     return responder
 
 
@@ -79,7 +80,7 @@
     first, second = await start_engines(start_server, break_after=8)
     responder = RecordingResponder()
     with pytest.raises(StreamBrokenError):
-        await gateway.handle(build_call(FRAGILE), responder)
+        await CallHandler(gateway).handle(build_call(FRAGILE), responder)
     assert responder.numbers == list(range(1, 8))
     assert len(first.ran) + len(second.ran) == 1
 
@@ -98,7 +99,7 @@
         )  # fmt: skip
     responder = RecordingResponder()
     with pytest.raises((StreamBrokenError, RefusedError)):
-        await gateway.handle(
+        await CallHandler(gateway).handle(
             build_call(build_stream_route(attempts_limit=1, timeout_s=9.0)), responder
         )
     assert responder.numbers == list(range(1, len(responder.numbers) + 1))
--- a/tests/gateway/test_streampace.py
+++ b/tests/gateway/test_streampace.py
@@ -8,6 +8,7 @@
 
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.gateway import Gateway, GatewaySettings
+from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.streampace import KNOWN_S, StreamPace
 from basilroad.platform.dialect import PlatformDialect
 from builders import PLACE, RecordingResponder, build_call, build_stream_route, build_table
@@ -34,7 +35,7 @@
     gateway.stream_pace = build_pace()
     call = build_call(build_stream_route(), expires_at=time.monotonic() + 3.0)
     with pytest.raises(RefusedError) as caught:
-        await gateway.handle(call, RecordingResponder())
+        await CallHandler(gateway).handle(call, RecordingResponder())
     assert caught.value.refusal.answer.effect is Effect.NOT_RUN
 
 
--- a/tests/gateway/test_whole.py
+++ b/tests/gateway/test_whole.py
@@ -9,6 +9,7 @@
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.call import Reply
 from basilroad.gateway.gateway import Gateway
+from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import Repetition
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_route
@@ -28,7 +29,7 @@
 
 
 async def run(gateway: Gateway, route=None, **changes: object) -> Reply:
-    reply = await gateway.handle(build_call(route, **changes), RecordingResponder())
+    reply = await CallHandler(gateway).handle(build_call(route, **changes), RecordingResponder())
     assert reply is not None
     return reply
 
@@ -135,13 +136,15 @@
     server.plan([WireFault.LOSE_ANSWER])
     call = build_call(ONCE)
     with pytest.raises(RefusedError) as caught:
-        await asyncio.wait_for(gateway.handle(call, RecordingResponder()), 1.2)
+        await asyncio.wait_for(CallHandler(gateway).handle(call, RecordingResponder()), 1.2)
     assert caught.value.refusal.answer.http_status == 504
 
 
 async def test_a_caller_that_leaves_ends_the_work(gateway, start_server) -> None:
     server = await start_server("i-1", first_s=5.0)
-    task = asyncio.ensure_future(gateway.handle(build_call(ONCE), RecordingResponder()))
+    task = asyncio.ensure_future(
+        CallHandler(gateway).handle(build_call(ONCE), RecordingResponder())
+    )
     while not server.ran:
         await asyncio.sleep(0.005)
     task.cancel()
