Cut all import circles

The 20 files of entry/ and the planner formed one circle through EntryService, three pairs and the gateway's four files another four. Parts now state what they need of their process as a protocol (entry/core.py: the state that decisions read; each part: what it asks of the others), an order is a class of its own, and the service alone knows all parts. A test reads all imports, those for type checks as well; before, it names the circle.

--- a/src/basilroad/agent/handlers.py
+++ b/src/basilroad/agent/handlers.py
@@ -4,7 +4,7 @@
 
 import logging
 from functools import singledispatch
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from basilroad.agent.calls import PlainDriver
 from basilroad.agent.engine import EngineDriver
@@ -14,14 +14,55 @@
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
+    from basilroad.agent.directory import Directory
     from basilroad.agent.link import EntryLink
-    from basilroad.agent.service import AgentService
+    from basilroad.agent.runs import RunStore
 
 _LOGGER = logging.getLogger(__name__)
 
 
+class AgentHost(Protocol):
+    """What an agent does with what entries tell.
+
+    :param drivers: its endpoints, by name
+    :param runs: what runs there
+    :param directory: where generations run, for those that ask
+    """
+
+    drivers: dict[str, EngineDriver | PlainDriver]
+    runs: RunStore
+    directory: Directory
+
+    def greet(self, link: EntryLink) -> None:
+        """Tell a new entry who this is."""
+
+    def find_engine(self, name: str) -> EngineDriver | None:
+        """:return: the engine of that name on this host."""
+
+    def cancel(self, run: Run, reason: FailReason) -> None:
+        """End a run early."""
+
+    def settle(self, order: wire.SettleCall) -> wire.CallSettled:
+        """:return: what became of a claimed call."""
+
+    def find_call(self, order: wire.FindCall) -> wire.CallSettled:
+        """:return: what the services of this host know of an order."""
+
+    def apply_drains(self) -> None:
+        """Drain what is to leave, and nothing else."""
+
+    def catch_up(self, link: EntryLink) -> None:
+        """Send an entry the settings that it lacks."""
+
+    def learn_settings(self, message: wire.SettingsChanges, link: EntryLink) -> None:
+        """Take over settings."""
+
+    def learn_poison(self, message: wire.PoisonMarks, link: EntryLink) -> None:
+        """Take over marks."""
+
+
 @singledispatch
-def handle_message(body: Any, agent: AgentService, link: EntryLink) -> None:
+def handle_message(body: Any, agent: AgentHost, link: EntryLink) -> None:
     """Act on one message.
 
     :param body: the message
@@ -33,13 +74,13 @@
 
 
 @handle_message.register(wire.EntryHello)
-def _(body: wire.EntryHello, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.EntryHello, agent: AgentHost, link: EntryLink) -> None:
     link.greet(body)
     agent.greet(link)
 
 
 @handle_message.register(wire.StartGeneration)
-def _(body: wire.StartGeneration, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.StartGeneration, agent: AgentHost, link: EntryLink) -> None:
     if not body.credit:
         link.seen[body.endpoint] += 1
     link.note_asked()
@@ -59,7 +100,7 @@
     log_decision(_LOGGER, decision)
 
 
-def _begin(start: wire.StartGeneration, agent: AgentService, link: EntryLink) -> FailReason | None:
+def _begin(start: wire.StartGeneration, agent: AgentHost, link: EntryLink) -> FailReason | None:
     driver = agent.find_engine(start.endpoint)
     if driver is None:
         return FailReason.UNKNOWN_ENDPOINT
@@ -79,7 +120,7 @@
 
 
 @handle_message.register(wire.CancelGeneration)
-def _(body: wire.CancelGeneration, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.CancelGeneration, agent: AgentHost, link: EntryLink) -> None:
     run = agent.runs.get(body.generation)
     if run is None or run.start.attempt != body.attempt:
         return
@@ -89,7 +130,7 @@
 
 
 @handle_message.register(wire.AttachGeneration)
-def _(body: wire.AttachGeneration, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.AttachGeneration, agent: AgentHost, link: EntryLink) -> None:
     link.note_asked()
     run = agent.runs.get(body.generation)
     start = run.start if run is not None else None
@@ -100,7 +141,7 @@
 
 
 @handle_message.register(wire.RunCall)
-def _(body: wire.RunCall, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.RunCall, agent: AgentHost, link: EntryLink) -> None:
     link.note_asked()
     link.seen[body.endpoint] += 1
     driver = agent.drivers.get(body.endpoint)
@@ -112,35 +153,35 @@
 
 
 @handle_message.register(wire.SettleCall)
-def _(body: wire.SettleCall, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.SettleCall, agent: AgentHost, link: EntryLink) -> None:
     link.send(wire.AgentMessage(settled=agent.settle(body)))
 
 
 @handle_message.register(wire.FindCall)
-def _(body: wire.FindCall, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.FindCall, agent: AgentHost, link: EntryLink) -> None:
     link.send(wire.AgentMessage(settled=agent.find_call(body)))
 
 
 @handle_message.register(wire.HostLeaving)
-def _(body: wire.HostLeaving, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.HostLeaving, agent: AgentHost, link: EntryLink) -> None:
     link.host_leaving = body.leaving
     agent.apply_drains()
 
 
 @handle_message.register(wire.Register)
-def _(body: wire.Register, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.Register, agent: AgentHost, link: EntryLink) -> None:
     found = agent.directory.register(body)
     if body.call:
         link.send(wire.AgentMessage(found=found))
 
 
 @handle_message.register(wire.Find)
-def _(body: wire.Find, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.Find, agent: AgentHost, link: EntryLink) -> None:
     link.send(wire.AgentMessage(found=agent.directory.find(body)))
 
 
 @handle_message.register(wire.Demand)
-def _(body: wire.Demand, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.Demand, agent: AgentHost, link: EntryLink) -> None:
     link.note_asked()
     for driver in agent.drivers.values():
         if isinstance(driver, EngineDriver):
@@ -148,7 +189,7 @@
 
 
 @handle_message.register(wire.ReturnCredit)
-def _(body: wire.ReturnCredit, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.ReturnCredit, agent: AgentHost, link: EntryLink) -> None:
     del link
     driver = agent.find_engine(body.endpoint)
     if driver is not None:
@@ -156,7 +197,7 @@
 
 
 @handle_message.register(wire.PlaceModel)
-def _(body: wire.PlaceModel, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.PlaceModel, agent: AgentHost, link: EntryLink) -> None:
     driver = agent.find_engine(body.endpoint)
     if driver is None:
         placed = wire.ModelPlaced(call=body.call, kind="no_endpoint", detail="no such engine here")
@@ -168,18 +209,18 @@
 
 
 @handle_message.register(wire.Heartbeat)
-def _(body: wire.Heartbeat, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.Heartbeat, agent: AgentHost, link: EntryLink) -> None:
     link.sync.hear(body.settings_revision, body.settings_digest)
     agent.catch_up(link)
 
 
 @handle_message.register(wire.SettingsChanges)
-def _(body: wire.SettingsChanges, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.SettingsChanges, agent: AgentHost, link: EntryLink) -> None:
     agent.learn_settings(body, link)
 
 
 @handle_message.register(wire.PoisonMarks)
-def _(body: wire.PoisonMarks, agent: AgentService, link: EntryLink) -> None:
+def _(body: wire.PoisonMarks, agent: AgentHost, link: EntryLink) -> None:
     agent.learn_poison(body, link)
 
 
--- a/src/basilroad/agent/run.py
+++ b/src/basilroad/agent/run.py
@@ -4,17 +4,29 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
-    from basilroad.agent.link import EntryLink
     from basilroad.peers.reason import FailReason
 
 
+class RunLink(Protocol):
+    """Stream to an entry that follows runs."""
+
+    def mark_tokens(self, reader: Reader, *, urgent: bool) -> None:
+        """Note that a run has tokens for the entry."""
+
+    def note_asked(self) -> None:
+        """Note that the entry has work here."""
+
+    def send_end(self, end: wire.Finished | wire.Failed) -> None:
+        """Tell the entry how a run ended."""
+
+
 @attrs.define(eq=False)
 class Reader:
     """An entry that follows a run.
@@ -24,7 +36,7 @@
     :param sent: offset of the first token not sent yet
     """
 
-    link: EntryLink
+    link: RunLink
     run: Run
     sent: int
 
@@ -43,7 +55,7 @@
 
     start: wire.StartGeneration
     tokens: list[str]
-    readers: dict[EntryLink, Reader] = attrs.field(factory=dict)
+    readers: dict[RunLink, Reader] = attrs.field(factory=dict)
     end: wire.Finished | wire.Failed | None = None
     task: asyncio.Task[None] | None = None
     started_s: float = attrs.field(factory=time.monotonic)
@@ -60,7 +72,7 @@
         """:return: tokens that this attempt made."""
         return len(self.tokens) - len(self.start.prior)
 
-    def follow(self, link: EntryLink, offset: int) -> None:
+    def follow(self, link: RunLink, offset: int) -> None:
         """Send tokens from an offset on to an entry, the end as well.
 
         :param link: stream to the entry
@@ -74,7 +86,7 @@
         if self.end is not None:
             link.send_end(self.end)
 
-    def unfollow(self, link: EntryLink) -> None:
+    def unfollow(self, link: RunLink) -> None:
         """Stop sending to an entry.
 
         :param link: stream to the entry
--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls.py
@@ -11,7 +11,8 @@
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.entry.idempotent import IdempotentRun
 from basilroad.entry.link import EndpointView, LinkLostError
-from basilroad.entry.orders import Order, Orders
+from basilroad.entry.order import Order
+from basilroad.entry.orders import Orders
 from basilroad.entry.servicecall import ServiceAnswer, ServiceCall, build_answer, read_call
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.logs import Candidate, Decision, log_decision
@@ -21,8 +22,8 @@
     from aiohttp import web
     from mode.types import ServiceT
 
+    from basilroad.entry.core import EntryCore
     from basilroad.entry.identity import Identity
-    from basilroad.entry.service import EntryService
 
 WAIT_S = 0.05
 """Seconds between looks for an endpoint."""
@@ -42,7 +43,7 @@
     :param entry: the process
     """
 
-    def __init__(self, entry: EntryService) -> None:
+    def __init__(self, entry: EntryCore) -> None:
         super().__init__()
         self.entry = entry
         self.orders = Orders(self)
--- a/src/basilroad/entry/dispatch.py
+++ b/src/basilroad/entry/dispatch.py
@@ -6,10 +6,11 @@
 import logging
 import math
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from basilroad.coordination.fairpolicy import Flow
 from basilroad.entry.admission import Admission
+from basilroad.entry.core import EntryCore
 from basilroad.entry.demand import DemandTeller
 from basilroad.entry.lane import Lane, Ticket
 from basilroad.entry.placement import Placement, VersionGoneError
@@ -25,9 +26,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from basilroad.entry.copies import Copies
     from basilroad.entry.flight import Flight
     from basilroad.entry.link import AgentLink, EndpointView
-    from basilroad.entry.service import EntryService
     from basilroad.logs import Candidate
     from basilroad.settings.view import SettingsView
 
@@ -55,13 +56,28 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class DispatchHost(EntryCore, Protocol):
+    """What the dispatcher needs of its entry.
+
+    :param copies: requests of equal content
+    """
+
+    copies: Copies
+
+    def check_poison(self, flight: Flight) -> None:
+        """Refuse what has taken too many endpoints down."""
+
+    def is_alone(self, flight: Flight) -> bool:
+        """:return: whether a request must run with no neighbour."""
+
+
 class Dispatcher:
     """Places attempts on endpoints.
 
     :param entry: the process
     """
 
-    def __init__(self, entry: EntryService) -> None:
+    def __init__(self, entry: DispatchHost) -> None:
         self.entry = entry
         self.lanes: dict[str, Lane] = {}
         self._tickets: dict[Flight, Ticket] = {}
--- a/src/basilroad/entry/earlier.py
+++ b/src/basilroad/entry/earlier.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
@@ -18,8 +18,12 @@
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from basilroad.coordination.claim import Claim
+    from basilroad.coordination.claims import Claims
     from basilroad.entry.link import AgentLink
-    from basilroad.entry.orders import Order, Orders
+    from basilroad.entry.order import Order
 
 ASK_S = 1.0
 """Seconds to wait for an agent's reply."""
@@ -33,13 +37,37 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class ClaimedOrders(Protocol):
+    """Reads claims and asks agents about them.
+
+    :param claims: the claims; ``None`` without a table
+    """
+
+    claims: Claims | None
+
+    def links(self) -> Sequence[AgentLink]:
+        """:return: streams to the agents that this entry knows."""
+
+    async def confirm(self, order: Order) -> Claim | None:
+        """:return: the claim of an order as it stands now, if it may be used."""
+
+    async def ask(self, claim: Claim) -> wire.CallSettled | None:
+        """:return: what became of a claimed order, from its agent; ``None`` if not told in time."""
+
+    def read_outcome(self, claim: Claim) -> ServiceAnswer:
+        """:return: the stored answer of an order that ran."""
+
+    def keep(self, claim: Claim, answer: wire.CallAnswer) -> ServiceAnswer:
+        """:return: the answer of an order that ran, which is stored."""
+
+
 class EarlierSending:
     """Checks a refusal that says an order was not run against earlier sendings of its key.
 
     :param orders: reads claims and asks agents about them
     """
 
-    def __init__(self, orders: Orders) -> None:
+    def __init__(self, orders: ClaimedOrders) -> None:
         self._orders = orders
 
     async def check(self, order: Order, error: RefusedError) -> ServiceAnswer:
--- a/src/basilroad/entry/flight.py
+++ b/src/basilroad/entry/flight.py
@@ -6,7 +6,7 @@
 import logging
 import time
 import uuid
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -14,6 +14,7 @@
 from basilroad.coordination.poison import PoisonMark
 from basilroad.coordination.sequence import Gap, TokenSequence
 from basilroad.entry.attempt import Attempt
+from basilroad.entry.core import EntryCore
 from basilroad.entry.identity import Identity
 from basilroad.entry.placement import Placement, VersionGoneError
 from basilroad.entry.request import CompletionRequest
@@ -23,8 +24,9 @@
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
+    from contextlib import AbstractAsyncContextManager
+
     from basilroad.entry.link import AgentLink, EndpointView
-    from basilroad.entry.service import EntryService
 
 REFUSALS_MAX = 3
 """Refusals by engines after which the caller is refused."""
@@ -66,6 +68,83 @@
     return f"{key.hex()}-{uuid.uuid4().hex[:NONCE_HEX]}"
 
 
+class Places(Protocol):
+    """Gives attempts their endpoints."""
+
+    async def place(self, flight: Flight) -> Placement:
+        """:return: an endpoint for the next attempt, or waits for one."""
+
+    def give_back(self, placement: Placement) -> None:
+        """Return an endpoint that is not used."""
+
+    def on_tokens(self, flight: Flight, count: int) -> None:
+        """Count tokens that came."""
+
+
+class Moves(Protocol):
+    """Records where generations run."""
+
+    async def move(
+        self, flight: Flight, start: wire.StartGeneration, view: EndpointView
+    ) -> wire.Location | None:
+        """:return: where another entry moved it; ``None`` if it is this entry's to run."""
+
+
+class Joins(Protocol):
+    """Attaches to generations that other entries drive."""
+
+    async def join(self, flight: Flight, location: wire.Location) -> bool:
+        """:return: whether the generation goes on there."""
+
+
+class Holds(Protocol):
+    """Lets one suspect of each content run at a time."""
+
+    def hold(self, flight: Flight) -> AbstractAsyncContextManager[None]:
+        """:return: the right to run."""
+
+
+class FlightHost(EntryCore, Protocol):
+    """What a generation needs of its entry."""
+
+    @property
+    def dispatcher(self) -> Places:
+        """:return: gives it endpoints."""
+
+    @property
+    def locations(self) -> Moves:
+        """:return: records where it runs."""
+
+    @property
+    def takeover(self) -> Joins:
+        """:return: attaches it to where another entry runs it."""
+
+    @property
+    def quarantine(self) -> Holds:
+        """:return: lets it run if it is a suspect."""
+
+    def is_alone(self, flight: Flight) -> bool:
+        """:return: whether it must run with no neighbour."""
+
+    def implicate(self, flight: Flight, mark: PoisonMark) -> None:
+        """Note that it ran on an endpoint that died."""
+
+    def clear_poison(self, flight: Flight) -> None:
+        """Note that it is no poison."""
+
+    def on_finished(self, flight: Flight) -> None:
+        """Count a whole answer."""
+
+    def on_first_token(self, flight: Flight, wait_s: float) -> None:
+        """Note how long its caller waited."""
+
+    def on_resumed(self, flight: Flight, gap_s: float) -> None:
+        """Note how long output stood still."""
+
+    def on_refused(self, flight: Flight, refusal: Refusal) -> None:
+        """Note a refusal."""
+
+
 class Flight:
     """Drives one generation to its end, over as many attempts as it takes.
 
@@ -76,7 +155,7 @@
     """
 
     def __init__(
-        self, entry: EntryService, request: CompletionRequest, identity: Identity, generation: str
+        self, entry: FlightHost, request: CompletionRequest, identity: Identity, generation: str
     ) -> None:
         self.entry = entry
         self.request = request
--- a/src/basilroad/entry/handlers.py
+++ b/src/basilroad/entry/handlers.py
@@ -4,19 +4,37 @@
 
 import logging
 from functools import singledispatch
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
+from basilroad.entry.core import EntryCore
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
+    from basilroad.entry.dispatch import Dispatcher
     from basilroad.entry.link import AgentLink
-    from basilroad.entry.service import EntryService
 
 _LOGGER = logging.getLogger(__name__)
 
 
+class MessageHost(EntryCore, Protocol):
+    """What an entry does with what agents tell."""
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """:return: learns of endpoints and credits."""
+
+    def catch_up(self, link: AgentLink) -> None:
+        """Tell an agent what it missed."""
+
+    def learn_settings(self, message: wire.SettingsChanges, link: AgentLink) -> None:
+        """Take over settings."""
+
+    def learn_poison(self, message: wire.PoisonMarks) -> None:
+        """Take over marks."""
+
+
 @singledispatch
-def handle_message(body: Any, entry: EntryService, link: AgentLink) -> None:
+def handle_message(body: Any, entry: MessageHost, link: AgentLink) -> None:
     """Act on one message.
 
     :param body: the message
@@ -28,13 +46,13 @@
 
 
 @handle_message.register(wire.AgentHello)
-def _(body: wire.AgentHello, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.AgentHello, entry: MessageHost, link: AgentLink) -> None:
     del entry
     _LOGGER.info("agent up", extra={"agent": body.host, "endpoints": len(link.endpoints)})
 
 
 @handle_message.register(wire.EndpointState)
-def _(body: wire.EndpointState, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.EndpointState, entry: MessageHost, link: AgentLink) -> None:
     view = link.update_endpoint(body)
     if link.region == entry.settings.region:
         entry.link_costs.note_entries(body.entries)
@@ -44,13 +62,13 @@
 
 
 @handle_message.register(wire.Finished)
-def _(body: wire.Finished, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.Finished, entry: MessageHost, link: AgentLink) -> None:
     del entry
     _end(body, link)
 
 
 @handle_message.register(wire.Failed)
-def _(body: wire.Failed, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.Failed, entry: MessageHost, link: AgentLink) -> None:
     del entry
     _end(body, link)
 
@@ -66,35 +84,35 @@
 @handle_message.register(wire.CallAnswer)
 @handle_message.register(wire.CallSettled)
 @handle_message.register(wire.ModelPlaced)
-def _(body: Any, entry: EntryService, link: AgentLink) -> None:
+def _(body: Any, entry: MessageHost, link: AgentLink) -> None:
     del entry
     link.resolve(body)
 
 
 @handle_message.register(wire.Credit)
-def _(body: wire.Credit, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.Credit, entry: MessageHost, link: AgentLink) -> None:
     entry.dispatcher.on_credit(link, body)
 
 
 @handle_message.register(wire.Heartbeat)
-def _(body: wire.Heartbeat, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.Heartbeat, entry: MessageHost, link: AgentLink) -> None:
     link.sync.hear(body.settings_revision, body.settings_digest)
     entry.catch_up(link)
 
 
 @handle_message.register(wire.SettingsChanges)
-def _(body: wire.SettingsChanges, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.SettingsChanges, entry: MessageHost, link: AgentLink) -> None:
     entry.learn_settings(body, link)
 
 
 @handle_message.register(wire.PoisonMarks)
-def _(body: wire.PoisonMarks, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.PoisonMarks, entry: MessageHost, link: AgentLink) -> None:
     del link
     entry.learn_poison(body)
 
 
 @handle_message.register(wire.CacheChange)
-def _(body: wire.CacheChange, entry: EntryService, link: AgentLink) -> None:
+def _(body: wire.CacheChange, entry: MessageHost, link: AgentLink) -> None:
     del link
     prefixes = entry.dispatcher.prefixes
     if body.reset:
--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -4,23 +4,28 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 from aiohttp import web
 from mode import Service
 
 from basilroad.entry import answers
+from basilroad.entry.core import EntryCore
 from basilroad.entry.identity import KEY_HEADER, read_identity
 from basilroad.entry.request import read_request
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
 from basilroad.peers.address import parse_address
 
 if TYPE_CHECKING:
+    from contextlib import AbstractContextManager
+
     from aiohttp.typedefs import Handler
 
+    from basilroad.entry.calls import Caller
     from basilroad.entry.flight import Flight
-    from basilroad.entry.service import EntryService
+    from basilroad.entry.identity import Identity
+    from basilroad.entry.request import CompletionRequest
 
 RESTART_HEADER = "X-Restart"
 """Set to ``allow`` by callers that understand the restart event."""
@@ -31,13 +36,33 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class FrontHost(EntryCore, Protocol):
+    """What a front needs of its entry.
+
+    :param caller: runs calls of plain services
+    """
+
+    caller: Caller
+
+    async def open_flight(
+        self, request: CompletionRequest, identity: Identity, *, may_restart: bool
+    ) -> Flight:
+        """:return: a generation on its way, new or the one that the same key began."""
+
+    async def reattach(self, generation: str, identity: Identity) -> Flight:
+        """:return: a generation that is known by its identifier."""
+
+    def reading(self, flight: Flight) -> AbstractContextManager[None]:
+        """:return: counts a reader while it reads."""
+
+
 class HttpFront(Service):
     """Serves callers over HTTP.
 
     :param entry: the process
     """
 
-    def __init__(self, entry: EntryService) -> None:
+    def __init__(self, entry: FrontHost) -> None:
         super().__init__()
         self.entry = entry
         self._runner: web.AppRunner | None = None
--- a/src/basilroad/entry/idempotent.py
+++ b/src/basilroad/entry/idempotent.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from basilroad.coordination.budget import RetryBudget
-    from basilroad.entry.calls import Caller
+    from basilroad.entry.core import CallSender
     from basilroad.entry.link import EndpointView
 
 Tries = set[asyncio.Task[ServiceAnswer]]
@@ -25,7 +25,7 @@
     :param budget: bounds the retries and hedges of the service
     """
 
-    def __init__(self, caller: Caller, call: ServiceCall, budget: RetryBudget) -> None:
+    def __init__(self, caller: CallSender, call: ServiceCall, budget: RetryBudget) -> None:
         self._caller = caller
         self._call = call
         self._budget = budget
--- a/src/basilroad/entry/link.py
+++ b/src/basilroad/entry/link.py
@@ -26,7 +26,6 @@
 
     from grpclib.client import Stream as ClientStream
 
-    from basilroad.entry.attempt import Attempt
     from basilroad.peers.address import Address
     from basilroad.settings.daemon import EntrySettings
 
@@ -126,6 +125,19 @@
         """Count a frame that came and the tokens in it."""
 
 
+class LinkedAttempt(Protocol):
+    """Receives what an agent sends for one generation."""
+
+    def take_tokens(self, tokens: wire.Tokens) -> None:
+        """Pass on tokens."""
+
+    def end(self, end: wire.Finished | wire.Failed) -> None:
+        """Note the end that the agent told."""
+
+    def end_locally(self, reason: FailReason) -> None:
+        """End without the agent."""
+
+
 class AgentLink(Service):
     """Keeps one stream to an agent; connects again when it is lost.
 
@@ -140,7 +152,7 @@
         self.settings = settings
         self.hello: wire.AgentHello | None = None
         self.endpoints: dict[str, EndpointView] = {}
-        self.attempts: dict[str, Attempt] = {}
+        self.attempts: dict[str, LinkedAttempt] = {}
         self.last_heard_s = 0.0
         self.sync = SettingsSync()
         self.leaving = False
--- a/src/basilroad/entry/locations.py
+++ b/src/basilroad/entry/locations.py
@@ -16,9 +16,9 @@
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
+    from basilroad.entry.core import EntryCore
     from basilroad.entry.flight import Flight
     from basilroad.entry.link import AgentLink, EndpointView
-    from basilroad.entry.service import EntryService
 
 COPIES = 2
 """Agents that keep the location of one key."""
@@ -56,7 +56,7 @@
     :param entry: the process
     """
 
-    def __init__(self, entry: EntryService) -> None:
+    def __init__(self, entry: EntryCore) -> None:
         self.entry = entry
         self._kept: OrderedDict[bytes, _Kept] = OrderedDict()
         self._up: dict[str, AgentLink] = {}
--- /dev/null
+++ b/src/basilroad/entry/order.py
@@ -0,0 +1,35 @@
+"""One call that must not run twice."""
+
+from __future__ import annotations
+
+import hashlib
+
+import attrs
+
+from basilroad.entry.identity import Identity
+from basilroad.entry.servicecall import ServiceCall
+
+
+@attrs.frozen
+class Order:
+    """One call that must not run twice, with who sent it.
+
+    :param call: the call
+    :param identity: its caller
+    """
+
+    call: ServiceCall
+    identity: Identity
+
+    @property
+    def fingerprint(self) -> str:
+        """:return: names the content."""
+        digest = hashlib.blake2b(digest_size=16)
+        for part in (self.call.service, self.call.method, self.call.path):
+            digest.update(len(part).to_bytes(4, "big"))
+            digest.update(part.encode())
+        digest.update(self.call.body)
+        return digest.hexdigest()
+
+
+__all__ = ["Order"]
--- a/src/basilroad/entry/orders.py
+++ b/src/basilroad/entry/orders.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import logging
 import time
 from typing import TYPE_CHECKING
 
-import attrs
-
 from basilroad.coordination.callledger import CallState
 from basilroad.coordination.claim import (
     AlreadyClaimed,
@@ -28,15 +25,15 @@
 from basilroad.coordination.table import TableError
 from basilroad.entry.earlier import EarlierSending, build_key
 from basilroad.entry.link import LinkLostError
-from basilroad.entry.servicecall import ServiceAnswer, ServiceCall, build_answer
+from basilroad.entry.order import Order
+from basilroad.entry.servicecall import ServiceAnswer, build_answer
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.logs import Decision, log_decision
 from basilroad.peers.address import parse_address
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
-    from basilroad.entry.calls import Caller
-    from basilroad.entry.identity import Identity
+    from basilroad.entry.core import CallSender
     from basilroad.entry.link import AgentLink, EndpointView
 
 GRACE_S = 0.3
@@ -62,35 +59,13 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class Order:
-    """One call that must not run twice, with who sent it.
-
-    :param call: the call
-    :param identity: its caller
-    """
-
-    call: ServiceCall
-    identity: Identity
-
-    @property
-    def fingerprint(self) -> str:
-        """:return: names the content."""
-        digest = hashlib.blake2b(digest_size=16)
-        for part in (self.call.service, self.call.method, self.call.path):
-            digest.update(len(part).to_bytes(4, "big"))
-            digest.update(part.encode())
-        digest.update(self.call.body)
-        return digest.hexdigest()
-
-
 class Orders:
     """Runs each keyed call once at the most, whichever entries it is sent to.
 
     :param caller: sends the calls
     """
 
-    def __init__(self, caller: Caller) -> None:
+    def __init__(self, caller: CallSender) -> None:
         self._caller = caller
         self._entry = caller.entry
         table = self._entry.table
--- a/src/basilroad/entry/quarantine.py
+++ b/src/basilroad/entry/quarantine.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import hashlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from basilroad.entry.identity import KEY_BYTES
 from basilroad.peers.wire import peer_pb2 as wire
@@ -14,7 +14,7 @@
     from collections.abc import AsyncIterator
 
     from basilroad.entry.flight import Flight
-    from basilroad.entry.service import EntryService
+    from basilroad.entry.locations import Locations
 
 STALE_S = 10.0
 """Age of a record at which its holder is taken for lost."""
@@ -26,6 +26,21 @@
 """Seconds between tries to become the holder."""
 
 
+class QuarantineHost(Protocol):
+    """What the quarantine needs of its entry.
+
+    :param locations: keeps the records
+    """
+
+    locations: Locations
+
+    def is_suspect(self, flight: Flight) -> bool:
+        """:return: whether only one request of this content may run at a time."""
+
+    def check_poison(self, flight: Flight) -> None:
+        """Refuse what has taken too many endpoints down."""
+
+
 class Quarantine:
     """Lets one suspect of each content run at a time.
 
@@ -34,7 +49,7 @@
     :param entry: the process
     """
 
-    def __init__(self, entry: EntryService) -> None:
+    def __init__(self, entry: QuarantineHost) -> None:
         self.entry = entry
 
     @contextlib.asynccontextmanager
--- a/src/basilroad/entry/takeover.py
+++ b/src/basilroad/entry/takeover.py
@@ -5,9 +5,9 @@
 import asyncio
 import logging
 import uuid
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
-from basilroad.entry.flight import Flight
+from basilroad.entry.flight import Flight, FlightHost
 from basilroad.entry.identity import Identity
 from basilroad.entry.link import LinkLostError
 from basilroad.entry.request import CompletionRequest
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from basilroad.entry.link import AgentLink
-    from basilroad.entry.service import EntryService
+    from basilroad.entry.locations import Locations
 
 ATTACH_S = 1.0
 """Seconds to wait for an agent that is to hand over a generation."""
@@ -32,13 +32,29 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class TakeoverHost(FlightHost, Protocol):
+    """What taking over needs of its entry.
+
+    :param flights: generations that it drives, by key
+    """
+
+    flights: dict[bytes, Flight]
+
+    @property
+    def locations(self) -> Locations:
+        """:return: where generations run."""
+
+    def launch(self, flight: Flight, *, location: wire.Location | None = None) -> None:
+        """Drive a generation, perhaps one that runs already."""
+
+
 class Takeover:
     """Opens generations by key, wherever they run.
 
     :param entry: the process
     """
 
-    def __init__(self, entry: EntryService) -> None:
+    def __init__(self, entry: TakeoverHost) -> None:
         self.entry = entry
 
     async def open_keyed(self, flight: Flight) -> Flight:
@@ -167,7 +183,7 @@
         log_decision(_LOGGER, decision)
 
 
-def _build_follower(entry: EntryService, location: wire.Location) -> Flight:
+def _build_follower(entry: TakeoverHost, location: wire.Location) -> Flight:
     request = CompletionRequest(
         model="",
         adapter="",
--- a/src/basilroad/placement/service.py
+++ b/src/basilroad/placement/service.py
@@ -24,8 +24,8 @@
     from mode.types import ServiceT
 
     from basilroad.coordination.table import Table
+    from basilroad.entry.core import EntryCore
     from basilroad.entry.link import EndpointView
-    from basilroad.entry.service import EntryService
     from basilroad.placement.plan import Change
     from basilroad.settings.view import SettingsView
     from basilroad.world.model import Model
@@ -74,7 +74,7 @@
     :param table: holds the lease
     """
 
-    def __init__(self, entry: EntryService, table: Table) -> None:
+    def __init__(self, entry: EntryCore, table: Table) -> None:
         super().__init__()
         self.entry = entry
         holder = f"{entry.settings.host}/{entry.incarnation}"
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,48 @@
+"""Imports inside the package: no circles, and the platform's names stay in their folder."""
+
+from __future__ import annotations
+
+import ast
+from graphlib import CycleError, TopologicalSorter
+from pathlib import Path
+
+import basilroad
+
+ROOT = Path(basilroad.__file__).parent
+MAY_KNOW_THE_PLATFORM = {"basilroad.cli.gateway"}
+"""Modules outside the adapter that import it: where the program is put together."""
+
+
+def read_imports() -> dict[str, set[str]]:
+    """Imports of each module, those for type checks as well."""
+    imports: dict[str, set[str]] = {}
+    for path in ROOT.rglob("*.py"):
+        parts = path.relative_to(ROOT.parent).with_suffix("").parts
+        found = imports.setdefault(".".join(parts), set())
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.module and node.level == 0:
+                found.update(_name_modules(node))
+    return imports
+
+
+def _name_modules(node: ast.ImportFrom) -> set[str]:
+    assert node.module is not None
+    if not node.module.startswith("basilroad"):
+        return set()
+    folder = ROOT.parent.joinpath(*node.module.split("."))
+    names = {alias.name for alias in node.names if (folder / f"{alias.name}.py").exists()}
+    return {f"{node.module}.{name}" for name in names} or {node.module}
+
+
+def test_no_imports_form_a_circle() -> None:
+    try:
+        TopologicalSorter(read_imports()).prepare()
+    except CycleError as error:
+        raise AssertionError(f"circle of imports: {error.args[1]}") from None
+
+
+def test_only_the_composition_imports_the_adapter() -> None:
+    for module, imports in read_imports().items():
+        if module.startswith("basilroad.platform.") or module in MAY_KNOW_THE_PLATFORM:
+            continue
+        assert not [name for name in imports if name.startswith("basilroad.platform")], module
