--- a/src/basilroad/coordination/budget.py
+++ b/src/basilroad/coordination/budget.py
@@ -29,12 +29,17 @@
 
     :param settings: settings of the budget
     :param clock: seconds that only grow
+    :param find_share: part of the minimum that is this process's own, where several share it
     """
 
     def __init__(
-        self, settings: RetrySettings, clock: Callable[[], float] = time.monotonic
+        self,
+        settings: RetrySettings,
+        clock: Callable[[], float] = time.monotonic,
+        find_share: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._settings = settings
+        self._find_share = find_share
         self._requests = DecayedSum(settings.window_s, clock)
         self._retries = DecayedSum(settings.window_s, clock)
 
@@ -44,7 +49,7 @@
 
     def available(self) -> float:
         """:return: retries that may be made now."""
-        minimum = self._settings.minimum_per_s * self._settings.window_s
+        minimum = self._settings.minimum_per_s * self._settings.window_s * self._find_share()
         allowed = self._settings.ratio * self._requests.value + minimum
         return allowed - self._retries.value
 
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -52,6 +52,10 @@
 """Age of the configuration beyond which an outage counts as long; the fleets' sheets show outages
 of single hosts up to nine seconds."""
 
+SHARING_HOSTS = 10
+"""Hosts that share the retries allowed to all at the least, while fewer are known: hosts that start
+together don't know each other yet."""
+
 GRACE_RESERVE_S = 1.0
 """Seconds of the grace that are left to close what remains and to end the process; the end alone
 takes about half of them."""
@@ -65,7 +69,7 @@
     :param place: where it stands
     :param key_age_limit_s: seconds for which keys count without a confirmation; ``None`` for ever
     :param ready_age_limit_s: age of the configuration up to which it counts as ready
-    :param retries: budget of retries of each service
+    :param retries: budget of retries of each service; its minimum is that of all hosts together
     :param grace_s: seconds that a planned stop may take
     """
 
@@ -102,6 +106,7 @@
         )
         self.liveness = Liveness(self.dispatcher, dialect, settings.place)
         self.stopping_since: float | None = None
+        self.known_hosts = 1
         self._started_at = time.monotonic()
         self.stream_pace = StreamPace()
         self.measures = Measures()
@@ -145,9 +150,13 @@
         """:return: the retries that calls of a service may make."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = RetryBudget(self.settings.retries)
+            budget = RetryBudget(self.settings.retries, find_share=self._share_minimum)
+            self._budgets[service] = budget
         return budget
 
+    def _share_minimum(self) -> float:
+        return 1 / max(SHARING_HOSTS, self.known_hosts)
+
     # admission
 
     @property
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -43,8 +43,8 @@
 BUDGET_RATIO_SHARE = 0.8
 """Share of the allowed ratio of retries that is used, as windows differ from the platform's."""
 
-SLACK_SHARE = 0.1
-"""Share of the allowed slack that one host uses; few hosts retry at their limit at once."""
+HOSTS_CHECK_S = 1.0
+"""Seconds between looks at how many gateways are known; a budget counts over ten."""
 
 
 class PlatformService(Service):
@@ -92,10 +92,15 @@
         if self.gossip is not None:
             await self.gossip.start()
             self.timers.subscribe(TICK_S, self.gossip.tick)
+            self.timers.subscribe(HOSTS_CHECK_S, self._count_hosts)
         self.timers.subscribe(FILE_CHECK_S, self.check_file)
         self.timers.subscribe(SWEEP_S, self.gateway.sweep)
         self.timers.subscribe(CHECK_S, self.gateway.liveness.check)
 
+    def _count_hosts(self) -> None:
+        if self.gossip is not None:
+            self.gateway.known_hosts = len(self.gossip.peers) + 1
+
     def check_file(self) -> None:
         """Read the settings again if their file changed without a signal."""
         mark = _mark_file(self._path)
@@ -150,7 +155,7 @@
         key_age_limit_s=key_age_s,
         retries=RetrySettings(
             ratio=BUDGET_RATIO_SHARE * bounds.retry_ratio,
-            minimum_per_s=SLACK_SHARE * bounds.retry_slack / bounds.retry_window_s,
+            minimum_per_s=bounds.retry_slack / bounds.retry_window_s,
             window_s=bounds.retry_window_s,
         ),
         grace_s=bounds.grace_s,
