--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -55,18 +55,18 @@
         known = self._endpoints.get(entry.id)
         if known is None:
             self._endpoints[entry.id] = Endpoint(entry)
-            _log("endpoint listed", entry)
+            _LOGGER.info("endpoint listed", extra=_describe(entry))
             return
         previous = known.entry
         if previous == entry:
             return
         if previous.started_ms != entry.started_ms or previous.address != entry.address:
             known.restart(entry)
-            _log("endpoint restarted", entry)
+            _LOGGER.info("endpoint restarted", extra=_describe(entry))
             return
         known.entry = entry
         if previous.state is not entry.state:
-            _log("endpoint changed state", entry)
+            _LOGGER.info("endpoint changed state", extra=_describe(entry))
             if entry.state is EndpointState.DRAINING:
                 known.pool.close()
 
@@ -79,7 +79,7 @@
             return
         if self._clock() < self._doubtful_until:
             self._absent[endpoint_id] = self._doubtful_until
-            _LOGGER.info("endpoint absent", extra={"endpoint": endpoint_id, "doubtful": True})
+            _LOGGER.info("endpoint absent", extra=_describe(self._endpoints[endpoint_id].entry))
             return
         self._drop(endpoint_id)
 
@@ -105,19 +105,16 @@
         endpoint = self._endpoints.pop(endpoint_id)
         endpoint.removed = True
         endpoint.pool.close()
-        _log("endpoint gone", endpoint.entry)
-
-
-def _log(what: str, entry: EndpointEntry) -> None:
-    _LOGGER.info(
-        what,
-        extra={
-            "endpoint": entry.id,
-            "service": entry.service,
-            "address": str(entry.address),
-            "state": entry.state.value,
-        },
-    )
+        _LOGGER.info("endpoint gone", extra=_describe(endpoint.entry))
+
+
+def _describe(entry: EndpointEntry) -> dict[str, str]:
+    return {
+        "endpoint": entry.id,
+        "service": entry.service,
+        "address": str(entry.address),
+        "state": entry.state.value,
+    }
 
 
 __all__ = ["ABSENCE_S", "Directory"]
