Widen the chance in the choice of engines with the number of gateways

Cause: in a fleet of 28 a gateway's view of the others' load is some seconds old, and all that share it choose the engine that looks idle. Change: the spread grows with the root of the gateways beyond six; fleets of up to six choose as before. Test of the pattern without network.

--- a/src/basilroad/gateway/choice.py
+++ b/src/basilroad/gateway/choice.py
@@ -4,7 +4,7 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 import attrs
@@ -47,6 +47,10 @@
 gateways that see a loss in the same moment part, and none prefers an engine that reads another
 prompt."""
 
+NOISE_HOSTS = 6
+"""Gateways up to which that spread is enough, as many as hear of a load in one round; the root of
+more of them widens it, since they choose from older views of the same engines."""
+
 MEMORY_SHARE = 0.95
 """Share of an engine's memory that reservations may take; estimates of output are rough."""
 
@@ -156,10 +160,12 @@
 
     :param place: where the gateway stands
     :param generator: source of chance
+    :param count_hosts: how many gateways choose among the same endpoints
     """
 
     place: Place
     generator: random.Random = attrs.field(factory=random.Random)
+    count_hosts: Callable[[], int] = lambda: 1
 
     def choose(
         self,
@@ -198,7 +204,8 @@
         """:return: cost in seconds of running a call at an endpoint; lower is better."""
         distance_s = self.place.distance_s(endpoint.entry.data_centre)
         failure_s = FAILURE_COST_S * endpoint.failing(now)
-        noise_s = self.generator.uniform(0, NOISE_S) if call.size.total else 0.0
+        spread_s = NOISE_S * math.sqrt(max(1.0, self.count_hosts() / NOISE_HOSTS))
+        noise_s = self.generator.uniform(0, spread_s) if call.size.total else 0.0
         return estimate_wait(endpoint, call.size) + distance_s + failure_s + noise_s
 
     def choose_copy_holder(
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -56,6 +56,10 @@
 """Hosts that share the retries allowed to all at the least, while fewer are known: hosts that start
 together don't know each other yet."""
 
+FLEET_RETRIES = 10.0
+"""Retries a second that all hosts together may make without any requests, where no settings say it:
+one for each of the hosts that share them at the least."""
+
 GRACE_RESERVE_S = 1.0
 """Seconds of the grace that are left to close what remains and to end the process; the end alone
 takes about half of them."""
@@ -77,7 +81,7 @@
     place: Place
     key_age_limit_s: float | None = None
     ready_age_limit_s: float = 3.0
-    retries: RetrySettings = attrs.field(factory=RetrySettings)
+    retries: RetrySettings = attrs.field(factory=lambda: RetrySettings(minimum_per_s=FLEET_RETRIES))
     grace_s: float = 8.0
 
 
@@ -101,12 +105,11 @@
         self.directory = Directory()
         self.freshness = Freshness()
         self.table: RoutingTable | None = None
-        self.dispatcher = Dispatcher(
-            self.directory, Chooser(settings.place, self.random), self.find_engine
-        )
+        self.known_hosts = 1
+        chooser = Chooser(settings.place, self.random, lambda: self.known_hosts)
+        self.dispatcher = Dispatcher(self.directory, chooser, self.find_engine)
         self.liveness = Liveness(self.dispatcher, dialect, settings.place)
         self.stopping_since: float | None = None
-        self.known_hosts = 1
         self._started_at = time.monotonic()
         self.stream_pace = StreamPace()
         self.measures = Measures()
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -139,3 +139,21 @@
         worst.append(max(picks.values()))
     # eight prompts at six engines by chance alone: three at one engine on the average
     assert sum(worst) / len(worst) < 3.3
+
+
+def count_idle(hosts: int) -> float:
+    """:return: share of the choices that go to the one engine that looks idle."""
+    engines = build_engines(["riga-a"] * 4)
+    call = build_call(build_stream_route())
+    for busy in engines[1:]:
+        for _ in range(6):
+            Reservation(busy, PromptSize(8000, 1000), reads_prompt=False)
+    chooser = Chooser(PLACE, random.Random(1), lambda: hosts)
+    chosen = [chooser.choose(engines, call, ENGINE, 0.0) for _ in range(400)]
+    return sum(endpoint is engines[0] for endpoint in chosen) / len(chosen)
+
+
+def test_many_gateways_with_one_old_view_do_not_all_choose_the_idle_engine() -> None:
+    # pattern: 28 gateways hear of each other every fifth round, and one engine looks idle to all
+    assert count_idle(hosts=4) == 1.0
+    assert 0.25 < count_idle(hosts=28) < 0.85
