--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -175,9 +175,9 @@
             lambda at: StopGateway(at, self._gateway(), 0.0),
             lambda at: StopGateway(at, self._gateway(), 0.0),
             lambda at: ReloadGateway(at, self._gateway(), 0.0),
-            lambda at: DelayLink(at, *self._link(), self._for(0.5, 3.0), self._kind),
-            lambda at: HoldLink(at, *self._link(), self._for(0.5, 4.0), self._kind, *self._ways()),
-            lambda at: ResetLink(at, *self._link(), 0.0, self._kind),
+            self._draw_delay,
+            self._draw_hold,
+            self._draw_reset,
             lambda at: StoreOutage(at, 0, self._for(0.3, 4.0), self._random.random() < 0.5),
             lambda at: ForgetHistory(at, 0, 0.0),
             lambda at: CrashEndpoint(at, self._endpoint(), self._for(0.2, 2.0)),
@@ -197,9 +197,23 @@
     def _endpoint(self) -> int:
         return self._random.randrange(3 * self._settings.endpoints)
 
-    def _link(self) -> tuple[int]:
-        self._kind = self._random.choice((STORE_LINK, ENDPOINT_LINK))
-        return (self._gateway() if self._kind == STORE_LINK else self._endpoint(),)
+    def _draw_delay(self, at_s: float) -> Fault:
+        link = self._link()
+        return DelayLink(at_s, self._end_of(link), self._for(0.5, 3.0), link)
+
+    def _draw_hold(self, at_s: float) -> Fault:
+        link = self._link()
+        return HoldLink(at_s, self._end_of(link), self._for(0.5, 4.0), link, *self._ways())
+
+    def _draw_reset(self, at_s: float) -> Fault:
+        link = self._link()
+        return ResetLink(at_s, self._end_of(link), 0.0, link)
+
+    def _link(self) -> str:
+        return self._random.choice((STORE_LINK, ENDPOINT_LINK))
+
+    def _end_of(self, link: str) -> int:
+        return self._gateway() if link == STORE_LINK else self._endpoint()
 
     def _ways(self) -> tuple[bool, bool]:
         return self._random.choice(((True, False), (False, True), (True, True)))
--- a/soak/world.py
+++ b/soak/world.py
@@ -18,6 +18,9 @@
 
 HOST = "soak.example"
 APP, OTHER_APP, ENGINE = "app", "app-2", "llm"
+SERVICES = (APP, OTHER_APP, ENGINE)
+DATA_CENTRES = ("a", "b")
+SLOTS = 16
 EVENTS = 30
 EVENT_GAP_S = 0.02
 LAPSE_S = 1.5
@@ -47,6 +50,11 @@
     lives: list[AppServerStandin] = attrs.field(factory=list)
     busy: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
+    @property
+    def data_centre(self) -> str:
+        """:return: one of two; each service has endpoints in both."""
+        return DATA_CENTRES[self.number // len(SERVICES) % len(DATA_CENTRES)]
+
 
 class World:
     """Builds the deployment and changes it.
@@ -70,8 +78,8 @@
     async def start(self) -> None:
         """Start everything; the store holds a config and all entries."""
         await self.store.start()
-        for number in range(3 * self.settings.endpoints):
-            await self._add_endpoint(number, (APP, OTHER_APP, ENGINE)[number % 3])
+        for number in range(len(SERVICES) * self.settings.endpoints):
+            await self._add_endpoint(number, SERVICES[number % len(SERVICES)])
         self.write_config()
         for number in range(self.settings.gateways):
             link = Link(self.store.port)
@@ -129,7 +137,7 @@
         endpoint = self.endpoints[number]
         async with endpoint.busy:
             leaving, link = endpoint.server, endpoint.link
-            self._list(leaving, endpoint.service, link, state="draining")
+            self._list(endpoint, state="draining")
             self.record.endpoint_left[leaving.id] = time.monotonic()
             endpoint.link = Link(0)
             await self._begin_life(endpoint, 0)
@@ -153,17 +161,17 @@
         if not endpoint.link.port:
             endpoint.link = Link(life.port)
             await endpoint.link.start()
-        self._list(life, endpoint.service, endpoint.link)
+        self._list(endpoint)
 
-    def _list(self, life: AppServerStandin, service: str, link: Link, state: str = "ready") -> None:
+    def _list(self, endpoint: Endpoint, state: str = "ready") -> None:
         entry = {
-            "service": service,
-            "address": f"127.0.0.1:{link.port}",
-            "zone": "ab"[int(life.id.split("-")[1]) // 3 % 2],
-            "slots": 16,
+            "service": endpoint.service,
+            "address": f"127.0.0.1:{endpoint.link.port}",
+            "zone": endpoint.data_centre,
+            "slots": SLOTS,
             "state": state,
         }
-        self.store.put("servers", life.id, entry)
+        self.store.put("servers", endpoint.server.id, entry)
 
     # config
 
@@ -199,7 +207,7 @@
             {**base, **look, "name": "m", "prefix": "/m/", "service": self._moved_to},
             {**base, **stream, "name": "s", "prefix": "/s/", "service": ENGINE},
         ]
-        engine = {"slots": 16, "kvCapacity": 88000, "backups": True}
+        engine = {"slots": SLOTS, "kvCapacity": 88000, "backups": True}
         config = {
             "version": self._version,
             "routes": routes,
