Wait for the planner itself before its table is cut off

A unit test plays that order of events: for 20 s neither gained nor lost is told, then gained. The test now waits for the holder's own line too, and asks for all that it did before.

--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -174,3 +174,24 @@
         holders += [holder for holder in held if holders[-1:] != [holder]]
     fences = [fence for fence, _ in holders]
     assert fences == sorted(set(fences))
+
+
+async def test_a_write_whose_answer_is_cut_off_makes_no_holder_that_could_lose(
+    table, clock
+) -> None:
+    # pattern: the link is cut between the lease's first write and its answer
+    told: list[str] = []
+    lease = _lease(table, clock, "a")
+    keeper = LeaseKeeper(lease, lambda: told.append("gained"), lambda: told.append("lost"))
+    table.faults = [Fault.LOST_DONE]
+    table.read_faults = [Fault.NONE, Fault.NONE, *[Fault.UNAVAILABLE] * 100]
+    await keeper.keep()
+    assert '"holder":"a"' in next(iter(table.rows.values())).value
+    for _ in range(20):
+        clock.advance(1)
+        await keeper.keep()
+        assert not lease.is_held()
+    assert told == []
+    table.read_faults = []
+    await keeper.keep()
+    assert told == ["gained"]
--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -208,6 +208,8 @@
     fleet.wait_ready()
     put_model(fleet, 1)
     find_planner(fleet)
+    # the row shows a holder before the holder has its answer, which the cut may take away
+    entry.wait_logged("this entry plans")
     assert platform.proxy is not None
     platform.proxy.cut()
     put_model(fleet, 1, 0, "2", "1")
