--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,9 +7,9 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from soak.records import Kind, Record, Request
+from soak.records import Kind, Record
 from soak.schedule import StopGateway
-from soak.settings import APPLY_S, CONTACT_S, DEADLINE_S, DRAIN_S, GRACE_S, HANG_UP_S, REVOKE_S
+from soak.settings import APPLY_S, CONTACT_S, DEADLINE_S, DRAIN_S, GRACE_S, REVOKE_S
 
 OK = 200
 NOT_RUN = frozenset({408, 421, 429, 503})
@@ -153,7 +153,7 @@
         """:return: requests that were cut."""
         stops = [one for one in record.happenings if isinstance(one.fault, StopGateway)]
         for request in record.requests.values():
-            if request.left or request.status or not _was_passed_on(record, request):
+            if request.left or request.status or not record.runs_of(request.id):
                 continue
             if not record.is_calm(request.sent_at - CONTACT_S, request.ended_at):
                 continue
@@ -218,10 +218,6 @@
             yield f"{len(served)} of {len(known)} served after the last fault: {dict(failed)}"
 
 
-def _was_passed_on(record: Record, request: Request) -> bool:
-    return bool(record.runs_of(request.id))
-
-
 PROMISES: tuple[Promise, ...] = (
     RunsOnce(),
     NotRunIsTrue(),
@@ -238,7 +234,4 @@
     CalmIsServed(),
 )
 
-LONGEST_S = DEADLINE_S + HANG_UP_S
-"""Seconds after which every caller has hung up."""
-
-__all__ = ["LONGEST_S", "PROMISES", "Promise"]
+__all__ = ["PROMISES", "Promise"]
