Count listed hosts that have not reported yet in settings status

Both agents had reported, neither entry had, so the wait ended early and a false 'everywhere' was told. Change: the command reads the platform's list of hosts; listed hosts that don't leave count from the start. Without the list it ends as unavailable, since it can't claim anything. Test: with the count of silent hosts taken out, the new test of the command fails (shown 1 of 1); with it, tests/cli and the settings scenarios pass (29 passed).

--- a/src/basilroad/cli/settings.py
+++ b/src/basilroad/cli/settings.py
@@ -10,7 +10,7 @@
 import typer
 
 from basilroad.cli.exits import Exit, end_with, fail
-from basilroad.cli.platform import Platform, ask_table
+from basilroad.cli.platform import Platform, ask_table, read_hosts
 from basilroad.cli.show import show_difference, show_progress, show_reports, show_row
 from basilroad.coordination.table import Row
 from basilroad.settings.doubts import list_doubts
@@ -115,9 +115,12 @@
 ) -> None:
     """Print on how many hosts each setting is in force, and what hosts refuse and why.
 
-    Exits 0 if all are in force wherever hosts report, 1 if not, 4 if the platform is unavailable.
+    Exits 0 if all are in force on all hosts that report or are listed, 1 if not, 4 if the platform
+    is unavailable.
     """
-    reports, progress = ask_table(platform, lambda table: watch_progress(table, prefix, wait))
+    reports, progress = ask_table(
+        platform, lambda table: watch_progress(platform, table, prefix, wait)
+    )
     typer.echo(show_reports(reports))
     for each in progress:
         typer.echo(show_progress(each))
@@ -194,10 +197,11 @@
 
 
 async def watch_progress(
-    table: ClosableTable, prefix: str, wait_s: float
+    platform: str, table: ClosableTable, prefix: str, wait_s: float
 ) -> tuple[Reports, list[Progress]]:
     """Look how far settings are in force, until all are or time is out.
 
+    :param platform: base URL of the platform
     :param table: the platform's table
     :param prefix: leading text of the paths
     :param wait_s: seconds to wait
@@ -206,7 +210,9 @@
     end_s = time.monotonic() + wait_s
     while True:
         rows: tuple[Row, ...] = await table.scan(prefix)
-        reports = read_reports(await table.scan(STATUS_ROOT), time.time())
+        # a host that leaves takes its report back, so none is expected of it
+        expected = [host.name for host in await read_hosts(platform) if not host.leaving]
+        reports = read_reports(await table.scan(STATUS_ROOT), expected, time.time())
         progress = [measure_progress(row, reports) for row in rows]
         if all(each.is_done for each in progress) or time.monotonic() >= end_s:
             return reports, progress
--- a/src/basilroad/cli/show.py
+++ b/src/basilroad/cli/show.py
@@ -64,6 +64,8 @@
         lines += [f"    falls short: {text}" for text in state.shortages]
     if reports.late:
         lines.append(f"  late: {_list_some(sorted(reports.late))}")
+    if reports.silent:
+        lines.append(f"  listed, but without a report: {_list_some(reports.silent)}")
     return "\n".join(lines)
 
 
--- a/src/basilroad/settings/progress.py
+++ b/src/basilroad/settings/progress.py
@@ -29,7 +29,7 @@
     :param path: path of the setting
     :param revision: revision of the setting
     :param in_force: hosts on which it is in force
-    :param hosts: hosts that report
+    :param hosts: hosts that report or are expected to
     :param refusals: hosts that refused it
     """
 
@@ -41,7 +41,7 @@
 
     @property
     def is_done(self) -> bool:
-        """:return: whether hosts report, and it is in force on all of them."""
+        """:return: whether there are hosts, and it is in force on all of them."""
         return 0 < self.hosts == self.in_force
 
 
@@ -51,16 +51,19 @@
 
     :param current: reports of hosts that report in time
     :param late: names of hosts whose report is old
+    :param silent: names of hosts that should report and don't, the late ones among them
     """
 
     current: tuple[HostStatus, ...]
     late: tuple[str, ...]
+    silent: tuple[str, ...] = ()
 
 
-def read_reports(rows: Iterable[Row], now_s: float) -> Reports:
+def read_reports(rows: Iterable[Row], expected: Iterable[str], now_s: float) -> Reports:
     """Read the reports of all hosts.
 
     :param rows: rows below ``status/``
+    :param expected: names of the hosts that should report
     :param now_s: seconds since 1970
     :return: the reports; a row that is none counts as late
     """
@@ -76,7 +79,8 @@
             current.append(status)
         else:
             late.append(status.host)
-    return Reports(tuple(current), tuple(late))
+    silent = set(expected) - {status.host for status in current}
+    return Reports(tuple(current), tuple(late), tuple(sorted(silent)))
 
 
 def measure_progress(row: Row, reports: Reports) -> Progress:
@@ -94,7 +98,9 @@
             refusals.append(HostRefusal(status.host, refusal.reason))
         elif status.revision >= row.revision and status.refused == len(status.refusals):
             in_force += 1
-    return Progress(row.key, row.revision, in_force, len(reports.current), tuple(refusals))
+    # a host that has just started serves before its first report, so it counts already
+    hosts = len(reports.current) + len(reports.silent)
+    return Progress(row.key, row.revision, in_force, hosts, tuple(refusals))
 
 
 __all__ = ["HostRefusal", "Progress", "Reports", "measure_progress", "read_reports"]
--- a/tests/cli/test_settings_commands.py
+++ b/tests/cli/test_settings_commands.py
@@ -10,7 +10,8 @@
 from fake_table import FakeTable
 from typer.testing import CliRunner
 
-from basilroad.cli import platform
+from basilroad.backing.hosts import HostListError, ListedHost
+from basilroad.cli import platform, settings
 from basilroad.cli.settings import app
 from basilroad.coordination.table import Write
 from basilroad.settings import publish
@@ -21,10 +22,32 @@
 GOOD = f"{RANK}:\n  order: 0\n"
 
 
+class FakeHosts:
+    """Lists the same hosts at each call.
+
+    :param hosts: the hosts
+    :param error: why the list can't be read
+    """
+
+    def __init__(self, hosts: tuple[ListedHost, ...], error: str = "") -> None:
+        self._hosts = hosts
+        self._error = error
+
+    async def __call__(self, _url: str) -> tuple[ListedHost, ...]:
+        if self._error:
+            raise HostListError(self._error)
+        return self._hosts
+
+
+def list_host(name: str, leaving: bool = False) -> ListedHost:
+    return ListedHost(name, "agent", "baltic", "riga-a", "127.0.0.1:1", leaving)
+
+
 @pytest.fixture
 def table(monkeypatch: pytest.MonkeyPatch) -> FakeTable:
     table = FakeTable()
     monkeypatch.setattr(platform, "open_table", lambda _url: table)
+    monkeypatch.setattr(settings, "read_hosts", FakeHosts(()))
     monkeypatch.setattr(publish, "SETTLE_WAIT_S", 0.0)
     monkeypatch.setenv("BASILROAD_PLATFORM", "http://127.0.0.1:1")
     monkeypatch.setenv("BASILROAD_AUTHOR", "ann")
@@ -131,6 +154,32 @@
     assert run("status", "--wait", 1).exit_code == 0
 
 
+def test_status_waits_for_listed_hosts_that_have_not_reported(
+    table: FakeTable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    listed = (list_host("a"), list_host("b"), list_host("c", leaving=True))
+    monkeypatch.setattr(settings, "read_hosts", FakeHosts(listed))
+    table.put(RANK, '{"order":0}')
+    put_status(table, "a", 9)
+    result = run("status")
+    assert result.exit_code == 1
+    assert f"{RANK}: revision 1 in force on 1 of 2" in result.stdout
+    assert "listed, but without a report: b\n" in result.stdout
+    put_status(table, "b", 9)
+    assert run("status").exit_code == 0
+
+
+def test_status_claims_nothing_without_the_list_of_hosts(
+    table: FakeTable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(settings, "read_hosts", FakeHosts((), "answered 500"))
+    put_status(table, "a", 9)
+    table.put(RANK, '{"order":0}')
+    result = run("status")
+    assert result.exit_code == 4
+    assert "answered 500" in result.output
+
+
 def test_status_without_hosts_claims_nothing(table: FakeTable) -> None:
     table.put(RANK, '{"order":0}')
     assert run("status").exit_code == 1
