--- a/bench/decision.py
+++ b/bench/decision.py
@@ -6,7 +6,8 @@
 import logging
 import time
 
-from basilroad.entry.flight import Flight, build_generation
+from basilroad.entry.flight import Flight
+from basilroad.entry.generation import build_generation
 from basilroad.entry.identity import Identity
 from basilroad.entry.link import AgentLink
 from basilroad.entry.request import CompletionRequest
--- a/src/basilroad/agent/handlers.py
+++ b/src/basilroad/agent/handlers.py
@@ -15,8 +15,10 @@
 
 if TYPE_CHECKING:
     from basilroad.agent.directory import Directory
+    from basilroad.agent.drains import Drains
     from basilroad.agent.link import EntryLink
     from basilroad.agent.runs import RunStore
+    from basilroad.peers.exchange import SettingsExchange
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -27,11 +29,15 @@
     :param drivers: its endpoints, by name
     :param runs: what runs there
     :param directory: where generations run, for those that ask
+    :param exchange: learns settings
+    :param drains: drain what is to leave
     """
 
     drivers: dict[str, EngineDriver | PlainDriver]
     runs: RunStore
     directory: Directory
+    exchange: SettingsExchange
+    drains: Drains
 
     def greet(self, link: EntryLink) -> None:
         """Tell a new entry who this is."""
@@ -48,15 +54,6 @@
     def find_call(self, order: wire.FindCall) -> wire.CallSettled:
         """:return: what the services of this host know of an order."""
 
-    def apply_drains(self) -> None:
-        """Drain what is to leave, and nothing else."""
-
-    def catch_up(self, link: EntryLink) -> None:
-        """Send an entry the settings that it lacks."""
-
-    def learn_settings(self, message: wire.SettingsChanges, link: EntryLink) -> None:
-        """Take over settings."""
-
     def learn_poison(self, message: wire.PoisonMarks, link: EntryLink) -> None:
         """Take over marks."""
 
@@ -165,7 +162,7 @@
 @handle_message.register(wire.HostLeaving)
 def _(body: wire.HostLeaving, agent: AgentHost, link: EntryLink) -> None:
     link.host_leaving = body.leaving
-    agent.apply_drains()
+    agent.drains.apply()
 
 
 @handle_message.register(wire.Register)
@@ -211,12 +208,13 @@
 @handle_message.register(wire.Heartbeat)
 def _(body: wire.Heartbeat, agent: AgentHost, link: EntryLink) -> None:
     link.sync.hear(body.settings_revision, body.settings_digest)
-    agent.catch_up(link)
+    agent.exchange.catch_up(link)
 
 
 @handle_message.register(wire.SettingsChanges)
 def _(body: wire.SettingsChanges, agent: AgentHost, link: EntryLink) -> None:
-    agent.learn_settings(body, link)
+    del link
+    agent.exchange.learn(body)
 
 
 @handle_message.register(wire.PoisonMarks)
--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -14,6 +14,7 @@
 from basilroad.agent.cache import CacheFollower
 from basilroad.agent.calls import PlainDriver
 from basilroad.agent.directory import Directory
+from basilroad.agent.drains import Drains
 from basilroad.agent.engine import EngineDriver
 from basilroad.agent.fences import LeaseFence
 from basilroad.agent.handlers import handle_message
@@ -23,16 +24,17 @@
 from basilroad.backing.table import HttpTable
 from basilroad.coordination.poison import PoisonLedger, PoisonSettings
 from basilroad.coordination.timer import Timer
-from basilroad.logs import Decision, log_decision
 from basilroad.metrics import Metrics
 from basilroad.peers.address import parse_address
+from basilroad.peers.exchange import SettingsExchange
+from basilroad.peers.heartbeat import Heartbeats
 from basilroad.peers.reason import FailReason
-from basilroad.peers.spread import pack_marks, pack_rows, unpack_marks, unpack_rows
+from basilroad.peers.spread import pack_marks, unpack_marks
 from basilroad.peers.traffic import LinkMeter
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.peers.wire.peer_grpc import PeerBase
 from basilroad.settings.report import ReportSettings, SettingsReporter
-from basilroad.settings.store import Applied, SettingsStore
+from basilroad.settings.store import SettingsStore
 from basilroad.settings.watch import SettingsWatch, WatchSettings
 
 if TYPE_CHECKING:
@@ -40,7 +42,6 @@
     from mode.types import ServiceT
 
     from basilroad.agent.run import Run
-    from basilroad.coordination.table import Row
     from basilroad.settings.daemon import DaemonSettings, EndpointSettings
     from basilroad.settings.view import SettingsView
 
@@ -59,12 +60,6 @@
 CACHE_S = 0.1
 """Seconds for which changes of a cache are gathered before the entries are told."""
 
-REMOTE_BEATS = 2
-"""Heartbeats of the own region for each one to an entry of another region with work here."""
-
-IDLE_BEATS = 8
-"""Heartbeats of the own region for each one to an entry of another region without."""
-
 PLATFORM_S = 2.0
 """Seconds to wait for one answer of the platform."""
 
@@ -101,14 +96,17 @@
         self.poison = PoisonLedger(PoisonSettings())
         self.links: dict[EntryLink, None] = {}
         self.store = SettingsStore()
+        self.exchange = SettingsExchange(
+            self.store, lambda: self.links, lambda changes: wire.AgentMessage(settings=changes)
+        )
         self.table = HttpTable(settings.platform, PLATFORM_S) if settings.platform else None
         self.fences = LeaseFence(self.table)
         self.drivers = {e.name: self._build_driver(e) for e in self.options.endpoints}
-        self.draining = False
+        self.drains = Drains(self)
         self._announced = False
         self._untold: set[EntryLink] = set()
         self._server: Server | None = None
-        self._heartbeat = 0
+        self._heartbeats = Heartbeats(self.store)
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: the services that run below this one."""
@@ -120,9 +118,9 @@
 
     async def on_started(self) -> None:
         """Listen for entries."""
-        self.store.subscribe(lambda _: self.apply_drains())
+        self.store.subscribe(lambda _: self.drains.apply())
         self.store.subscribe(self._configure)
-        self.apply_drains()
+        self.drains.apply()
         self.timers.subscribe(self.options.heartbeat_s, self._beat)
         self.timers.subscribe(SILENCE_CHECK_S, self._check_silence)
         for driver in self.drivers.values():
@@ -138,7 +136,7 @@
 
     async def on_stop(self) -> None:
         """Leave: take no new work, let the rest end or move it, then close."""
-        self._leave()
+        self.drains.leave()
         await self._wait_for_runs()
         for link in list(self.links):
             await self._flush(link)
@@ -234,26 +232,6 @@
                     return found
         return wire.CallSettled(call=order.call, state="never")
 
-    def catch_up(self, link: EntryLink) -> None:
-        """Send an entry the settings that it lacks.
-
-        :param link: stream to the entry
-        """
-        rows = link.sync.take_due(self.store)
-        if rows:
-            link.send(wire.AgentMessage(settings=pack_rows(rows)))
-
-    def learn_settings(self, message: wire.SettingsChanges, link: EntryLink) -> None:
-        """Apply settings that an entry knows and pass on what was new.
-
-        :param message: the settings
-        :param link: stream that it came from
-        """
-        del link
-        applied = self.store.apply(unpack_rows(message))
-        if applied.rows:
-            self._spread_rows(applied.rows)
-
     def learn_poison(self, message: wire.PoisonMarks, link: EntryLink) -> None:
         """Keep marks of poison requests and pass them on to the other entries.
 
@@ -304,7 +282,7 @@
             if isinstance(driver, EngineDriver):
                 driver.drop_link(link)
         if link.host_leaving:
-            self.apply_drains()
+            self.drains.apply()
 
     def _send_states(self) -> None:
         self._announced = False
@@ -346,7 +324,7 @@
 
     def _build_watch(self, table: HttpTable) -> SettingsWatch:
         return SettingsWatch(
-            WatchSettings(), table, self.store, self._count_nodes, self._on_applied
+            WatchSettings(), table, self.store, self._count_nodes, self.exchange.spread
         )
 
     def _build_reporter(self, table: HttpTable) -> SettingsReporter:
@@ -363,24 +341,11 @@
         # an agent sees no other agents; the entries tell how many there are
         return max([1, *(link.hello.nodes for link in self.links)])
 
-    def _on_applied(self, applied: Applied) -> None:
-        self._spread_rows(applied.rows)
-
-    def _spread_rows(self, rows: tuple[Row, ...]) -> None:
-        message = pack_rows(rows)
-        for link in self.links:
-            link.send(wire.AgentMessage(settings=message))
-
     def _beat(self) -> None:
-        self._heartbeat += 1
-        beat = wire.Heartbeat(
-            sequence=self._heartbeat,
-            settings_revision=self.store.revision,
-            settings_digest=self.store.digest,
-        )
+        beat = wire.AgentMessage(heartbeat=self._heartbeats.build_next())
         for link in self.links:
-            if self._heartbeat % _count_beats(link) == 0:
-                link.send(wire.AgentMessage(heartbeat=beat))
+            if self._heartbeats.is_due(remote=link.is_remote, busy=link.is_busy):
+                link.send(beat)
                 if link in self._untold:
                     self._tell_states(link)
 
@@ -402,45 +367,6 @@
         for run in self.runs.find_orphans(self.options.orphan_s):
             self.cancel(run, FailReason.CANCELLED)
 
-    def apply_drains(self) -> None:
-        """Drain what the settings or the platform's list of hosts tell, and nothing else."""
-        drains = self.store.view.drains
-        host_leaves = self.settings.host in drains or self.draining
-        host_leaves = host_leaves or any(link.host_leaving for link in self.links)
-        for name, driver in self.drivers.items():
-            leaving = host_leaves or name in drains
-            if leaving != driver.draining:
-                self._set_draining(name, leaving)
-
-    def _set_draining(self, name: str, leaving: bool) -> None:
-        driver = self.drivers[name]
-        driver.draining = leaving
-        decision = Decision(what="drain", chosen=name, reason="leaving" if leaving else "back")
-        log_decision(_LOGGER, decision)
-        self.announce()
-        if leaving and isinstance(driver, EngineDriver):
-            driver.add_future(self._move_after_limit(driver))
-        elif isinstance(driver, EngineDriver):
-            driver.grant()
-
-    async def _move_after_limit(self, driver: EngineDriver) -> None:
-        await asyncio.sleep(self._read_drain_limit(driver.settings.name))
-        if not driver.draining:
-            return
-        for run in list(driver.slots.running):
-            driver.cancel(run, FailReason.MOVED)
-
-    def _read_drain_limit(self, name: str) -> float:
-        drains = self.store.view.drains
-        drain = drains.get(name) or drains.get(self.settings.host)
-        return drain.limit_s if drain is not None else self.options.drain_limit_s
-
-    def _leave(self) -> None:
-        self.draining = True
-        for name, driver in self.drivers.items():
-            if not driver.draining:
-                self._set_draining(name, True)
-
     async def _wait_for_runs(self) -> None:
         limit = time.monotonic() + self.options.drain_limit_s
         while self._count_work() and time.monotonic() < limit:
@@ -461,10 +387,4 @@
         link.close()
 
 
-def _count_beats(link: EntryLink) -> int:
-    if not link.is_remote:
-        return 1
-    return REMOTE_BEATS if link.is_busy else IDLE_BEATS
-
-
 __all__ = ["AgentService"]
--- a/src/basilroad/entry/core.py
+++ b/src/basilroad/entry/core.py
@@ -8,7 +8,7 @@
     from collections.abc import Sequence
 
     from basilroad.backing.table import HttpTable
-    from basilroad.coordination.poison import PoisonLedger
+    from basilroad.entry.containment import Containment
     from basilroad.entry.link import AgentLink, EndpointView
     from basilroad.entry.linkcost import LinkCosts
     from basilroad.entry.servicecall import ServiceCall
@@ -29,7 +29,7 @@
     :param store: settings in force
     :param table: the platform's table, if there is one
     :param links: streams to agents
-    :param poison: requests that took endpoints down
+    :param containment: requests that took endpoints down
     :param link_costs: what work in other regions costs
     :param stopping: whether it leaves
     :param calls_running: calls of plain services in flight
@@ -42,7 +42,7 @@
     store: SettingsStore
     table: HttpTable | None
     links: dict[Address, AgentLink]
-    poison: PoisonLedger
+    containment: Containment
     link_costs: LinkCosts
     stopping: bool
     calls_running: int
--- a/src/basilroad/entry/dispatch.py
+++ b/src/basilroad/entry/dispatch.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from typing import TYPE_CHECKING, Protocol
 
@@ -13,9 +12,10 @@
 from basilroad.entry.core import EntryCore
 from basilroad.entry.demand import DemandTeller
 from basilroad.entry.lane import Lane, Ticket
-from basilroad.entry.placement import Placement, VersionGoneError
+from basilroad.entry.patience import RESUME_WAIT_S, Patience, fits
+from basilroad.entry.placement import Placement
 from basilroad.entry.prefixes import PrefixIndex
-from basilroad.entry.routing import Scorer
+from basilroad.entry.routing import Scorer, log_route
 from basilroad.entry.spill import Spill
 from basilroad.entry.views import EngineIndex
 from basilroad.errors import ErrorKind, refuse
@@ -29,21 +29,8 @@
     from basilroad.entry.copies import Copies
     from basilroad.entry.flight import Flight
     from basilroad.entry.link import AgentLink, EndpointView
-    from basilroad.logs import Candidate
     from basilroad.settings.view import SettingsView
 
-RESUME_WAIT_S = 600.0
-"""Seconds that a generation that has begun waits for an endpoint."""
-
-NO_ENDPOINT_S = 3.0
-"""Seconds that a new request waits while no endpoint of its model takes work."""
-
-VERSION_CHECK_S = 0.25
-"""Seconds between looks for an endpoint that can go on."""
-
-VERSION_GONE_S = 1.5
-"""Seconds without an endpoint of the version, while there are others, until it is given up."""
-
 ALONE_POLL_S = 0.1
 """Seconds between looks for an endpoint that a suspect can have to itself."""
 
@@ -64,12 +51,6 @@
 
     copies: Copies
 
-    def check_poison(self, flight: Flight) -> None:
-        """Refuse what has taken too many endpoints down."""
-
-    def is_alone(self, flight: Flight) -> bool:
-        """:return: whether a request must run with no neighbour."""
-
 
 class Dispatcher:
     """Places attempts on endpoints.
@@ -86,6 +67,7 @@
         settings = entry.settings
         self._scorer = Scorer(settings.data_centre, entry.link_costs, self.prefixes)
         self._spill = Spill(entry.link_costs, lambda: entry.store.view)
+        self._patience = Patience(lambda: entry.store.view, self.find_views)
         self._index = EngineIndex(settings.host, settings.region, entry.options.agents_limit)
         self._demand = DemandTeller(
             self.lanes, self._index, self._is_wanted, self._is_remote, entry.links.values
@@ -102,8 +84,8 @@
         :raises RefusedError: nothing ran and nothing will
         :raises VersionGoneError: no endpoint can go on with what was begun
         """
-        self.entry.check_poison(flight)
-        if self.entry.is_alone(flight):
+        self.entry.containment.check(flight.request.fingerprint)
+        if self.entry.containment.is_alone(flight.request.fingerprint):
             return await self._place_alone(flight)
         if not flight.has_run:
             self._check_model(flight)
@@ -142,7 +124,7 @@
             self._refuse_credit(link, lane, credit)
             return
         self._note_sent(ticket.flight, view)
-        self._log_route(ticket.flight, view.name, (), "credit")
+        log_route(ticket.flight, view.name, (), "credit")
         ticket.placed.set_result(Placement(view, credit.credit))
 
     def on_endpoint(self, view: EndpointView) -> None:
@@ -265,7 +247,7 @@
         scored = self._scorer.score(flight, free)
         view = next(view for view in free if view.name == scored[0].endpoint)
         self._note_sent(flight, view)
-        self._log_route(flight, view.name, tuple(scored[:5]), reason)
+        log_route(flight, view.name, tuple(scored[:5]), reason)
         return Placement(view)
 
     def _choose_larger(self, flight: Flight, lane: Lane) -> Placement | None:
@@ -279,7 +261,7 @@
             return None
         view = max(views, key=lambda view: view.told_s)
         self._note_sent(flight, view)
-        self._log_route(flight, view.name, (), "replaces a larger caller")
+        log_route(flight, view.name, (), "replaces a larger caller")
         return Placement(view)
 
     def _may_replace(self, view: EndpointView, flight: Flight) -> bool:
@@ -292,14 +274,14 @@
     async def _place_alone(self, flight: Flight) -> Placement:
         deadline_s = time.monotonic() + RESUME_WAIT_S
         while time.monotonic() < deadline_s:
-            self.entry.check_poison(flight)
+            self.entry.containment.check(flight.request.fingerprint)
             views = [view for view in self._find_candidates(flight) if not view.state.alone]
             if views:
                 view = min(views, key=self._rank_for_suspect)
-                self._log_route(flight, view.name, (), "suspect, alone")
+                log_route(flight, view.name, (), "suspect, alone")
                 return Placement(view)
             await asyncio.sleep(ALONE_POLL_S)
-        raise refuse(*self._explain_wait(flight))
+        raise refuse(*self._patience.explain(flight))
 
     def _rank_for_suspect(self, view: EndpointView) -> tuple[bool, int, str]:
         return self._spill.is_remote(view), view.state.running + view.sent_since, view.name
@@ -309,7 +291,7 @@
         return [view for view in views if view.name == shared] or views
 
     def _find_candidates(self, flight: Flight) -> list[EndpointView]:
-        views = [v for v in self.find_views(flight.request.model) if _fits(flight, v)]
+        views = [v for v in self.find_views(flight.request.model) if fits(flight, v)]
         fresh = [view for view in views if view.name not in flight.avoided]
         if not fresh:
             flight.avoided.clear()
@@ -339,17 +321,13 @@
         ticket = lane.queue.pop_rank(rank)
         if ticket is None or ticket.placed.done():
             return
-        if not _fits(ticket.flight, view):
+        if not fits(ticket.flight, view):
             lane.queue.push_front(ticket, ticket.flow, float(ticket.flight.remaining))
             return
         self._note_sent(ticket.flight, view)
-        self._log_route(ticket.flight, view.name, (), "preempts, waited")
+        log_route(ticket.flight, view.name, (), "preempts, waited")
         ticket.placed.set_result(Placement(view))
 
-    def _read_wait_limit(self, flight: Flight) -> float:
-        rank = self.entry.store.view.rank_by_order(flight.identity.rank)
-        return rank.max_wait_s or math.inf
-
     async def _wait(self, flight: Flight, lane: Lane) -> Placement:
         placed: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
         ticket = Ticket(flight, flight.flow, placed, flight.has_run)
@@ -358,45 +336,15 @@
         self.tell_demand()
         try:
             if ticket.begun:
-                return await self._await_resume(flight, placed)
-            return await self._await_first(flight, placed)
+                return await self._patience.await_resume(flight, placed)
+            return await self._patience.await_first(flight, placed)
         except TimeoutError as error:
-            raise refuse(*self._explain_wait(flight)) from error
+            raise refuse(*self._patience.explain(flight)) from error
         finally:
             self._tickets.pop(flight, None)
             lane.remove(ticket)
             self.tell_demand()
 
-    async def _await_first(self, flight: Flight, placed: asyncio.Future[Placement]) -> Placement:
-        limit_s = self._read_wait_limit(flight)
-        if not any(_fits(flight, view) for view in self.find_views(flight.request.model)):
-            limit_s = min(limit_s, NO_ENDPOINT_S)
-        async with asyncio.timeout(limit_s if limit_s < math.inf else None):
-            return await placed
-
-    async def _await_resume(self, flight: Flight, placed: asyncio.Future[Placement]) -> Placement:
-        deadline_s = time.monotonic() + RESUME_WAIT_S
-        gone_s = 0.0
-        while time.monotonic() < deadline_s:
-            done, _ = await asyncio.wait({placed}, timeout=VERSION_CHECK_S)
-            if done:
-                return placed.result()
-            gone_s = gone_s + VERSION_CHECK_S if self._is_version_gone(flight) else 0.0
-            if gone_s >= VERSION_GONE_S:
-                raise VersionGoneError
-        raise TimeoutError
-
-    def _is_version_gone(self, flight: Flight) -> bool:
-        usable = [v for v in self.find_views(flight.request.model) if v.usable]
-        return bool(usable) and not any(_fits(flight, view) for view in usable)
-
-    def _explain_wait(self, flight: Flight) -> tuple[ErrorKind, str]:
-        if flight.has_run:
-            return ErrorKind.GENERATION_LOST, "no endpoint could go on in time"
-        if any(view.usable for view in self.find_views(flight.request.model)):
-            return ErrorKind.TARGET_MISSED, "no slot came free in time"
-        return ErrorKind.NO_ENDPOINT, "no endpoint runs this model"
-
     def _pop(self, lane: Lane, credit: wire.Credit, view: EndpointView) -> Ticket | None:
         if not view.usable:
             return None
@@ -409,7 +357,7 @@
                 break
             if ticket.placed.done():
                 continue
-            if _fits(ticket.flight, view):
+            if fits(ticket.flight, view):
                 found = ticket
             else:
                 passed.append(ticket)
@@ -434,26 +382,6 @@
         views = self.find_views(view.state.service)
         return self._spill.is_wanted(ticket.flight, age_s, lane, views, view)
 
-    def _log_route(
-        self, flight: Flight, chosen: str, candidates: tuple[Candidate, ...], reason: str
-    ) -> None:
-        decision = Decision(
-            what="route",
-            request=flight.key.hex(),
-            generation=flight.generation,
-            attempt=flight.attempts + 1,
-            chosen=chosen,
-            candidates=candidates,
-            reason=reason,
-        )
-        log_decision(_LOGGER, decision)
-
-
-def _fits(flight: Flight, view: EndpointView) -> bool:
-    if not view.usable or view.state.adapter != flight.request.adapter:
-        return False
-    return not flight.tokens or view.state.version == flight.version
-
 
 def _return_credit(link: AgentLink, credit: str, endpoint: str) -> None:
     back = wire.ReturnCredit(credit=credit, endpoint=endpoint)
--- a/src/basilroad/entry/flight.py
+++ b/src/basilroad/entry/flight.py
@@ -5,69 +5,35 @@
 import asyncio
 import logging
 import time
-import uuid
 from typing import TYPE_CHECKING, Protocol
 
-import attrs
-
 from basilroad.coordination.fairpolicy import Flow
 from basilroad.coordination.poison import PoisonMark
 from basilroad.coordination.sequence import Gap, TokenSequence
+from basilroad.coordination.watched import Watched
 from basilroad.entry.attempt import Attempt
 from basilroad.entry.core import EntryCore
+from basilroad.entry.generation import Usage, build_generation
 from basilroad.entry.identity import Identity
 from basilroad.entry.placement import Placement, VersionGoneError
-from basilroad.entry.request import CompletionRequest
-from basilroad.errors import Effect, ErrorKind, Refusal, RefusedError
-from basilroad.logs import Decision, log_decision
-from basilroad.peers.reason import FailReason
+from basilroad.entry.startorder import read_request, write_order
+from basilroad.errors import Effect, ErrorKind, Refusal, RefusedError, refuse
+from basilroad.peers.reason import DEATHS, NOTHING_RAN, FailReason
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
 
     from basilroad.entry.link import AgentLink, EndpointView
+    from basilroad.entry.records import Records
+    from basilroad.entry.request import CompletionRequest
 
 REFUSALS_MAX = 3
 """Refusals by engines after which the caller is refused."""
 
-NONCE_HEX = 16
-"""Characters of a generation's nonce."""
-
-NOTHING_RAN = frozenset(
-    {FailReason.BUSY, FailReason.DRAINING, FailReason.UNKNOWN_ENDPOINT, FailReason.STALE}
-)
-"""Reasons that say that the attempt never began."""
-
-DEATHS = frozenset({FailReason.ENDPOINT_DIED, FailReason.ENDPOINT_SILENT, FailReason.LINK_LOST})
-"""Reasons that a caller must not notice beyond a short silence."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class Usage:
-    """Counts of a whole answer.
-
-    :param prompt_tokens: length of the prompt
-    :param completion_tokens: length of the answer
-    :param cached_tokens: prompt tokens that were not computed
-    """
-
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    cached_tokens: int = 0
-
-
-def build_generation(key: bytes) -> str:
-    """Build the identifier of a new generation.
-
-    :param key: of the request
-    :return: the key and a nonce, so that any entry can look it up and nobody can guess it
-    """
-    return f"{key.hex()}-{uuid.uuid4().hex[:NONCE_HEX]}"
-
-
 class Places(Protocol):
     """Gives attempts their endpoints."""
 
@@ -100,12 +66,21 @@
 class Holds(Protocol):
     """Lets one suspect of each content run at a time."""
 
-    def hold(self, flight: Flight) -> AbstractAsyncContextManager[None]:
+    def hold(self, fingerprint: str) -> AbstractAsyncContextManager[None]:
         """:return: the right to run."""
 
 
 class FlightHost(EntryCore, Protocol):
-    """What a generation needs of its entry."""
+    """What a generation needs of its entry.
+
+    :param records: counts and logs what becomes of it
+    """
+
+    records: Records
+
+    @property
+    def quarantine(self) -> Holds:
+        """:return: lets one suspect of each content run."""
 
     @property
     def dispatcher(self) -> Places:
@@ -119,33 +94,8 @@
     def takeover(self) -> Joins:
         """:return: attaches it to where another entry runs it."""
 
-    @property
-    def quarantine(self) -> Holds:
-        """:return: lets it run if it is a suspect."""
-
-    def is_alone(self, flight: Flight) -> bool:
-        """:return: whether it must run with no neighbour."""
 
-    def implicate(self, flight: Flight, mark: PoisonMark) -> None:
-        """Note that it ran on an endpoint that died."""
-
-    def clear_poison(self, flight: Flight) -> None:
-        """Note that it is no poison."""
-
-    def on_finished(self, flight: Flight) -> None:
-        """Count a whole answer."""
-
-    def on_first_token(self, flight: Flight, wait_s: float) -> None:
-        """Note how long its caller waited."""
-
-    def on_resumed(self, flight: Flight, gap_s: float) -> None:
-        """Note how long output stood still."""
-
-    def on_refused(self, flight: Flight, refusal: Refusal) -> None:
-        """Note a refusal."""
-
-
-class Flight:
+class Flight(Watched):
     """Drives one generation to its end, over as many attempts as it takes.
 
     :param entry: the process
@@ -157,6 +107,7 @@
     def __init__(
         self, entry: FlightHost, request: CompletionRequest, identity: Identity, generation: str
     ) -> None:
+        super().__init__()
         self.entry = entry
         self.request = request
         self.identity = identity
@@ -179,7 +130,6 @@
         self.busy = False
         self.former: set[str] = set()
         self._sequence = TokenSequence(generation)
-        self._watchers: set[asyncio.Event] = set()
         self._refusals = 0
         self._prior = 0
         self._clear_at: int | None = None
@@ -204,22 +154,6 @@
         """:return: number of the newest attempt."""
         return self._sequence.attempt
 
-    def watch(self) -> asyncio.Event:
-        """Follow the generation.
-
-        :return: set whenever something has changed; hand it to :meth:`unwatch` at the end
-        """
-        changed = asyncio.Event()
-        self._watchers.add(changed)
-        return changed
-
-    def unwatch(self, changed: asyncio.Event) -> None:
-        """Stop following.
-
-        :param changed: from :meth:`watch`
-        """
-        self._watchers.discard(changed)
-
     async def run(self) -> None:
         """Run attempts until one ends whole."""
         try:
@@ -231,7 +165,7 @@
             self._abandon()
             raise
         finally:
-            self._notify()
+            self.notify()
 
     async def follow(self, location: wire.Location) -> None:
         """Follow an attempt that another entry began, then go on as :meth:`run`.
@@ -242,9 +176,9 @@
             await self._await_followed(location)
         except RefusedError as error:
             self._refuse(error.refusal)
-            self._notify()
-            return
-        await self.run()
+            self.notify()
+        else:
+            await self.run()
 
     def prepare_follow(self, link: AgentLink, attempt: int) -> None:
         """Receive the tokens of an attempt that runs already.
@@ -263,20 +197,7 @@
         """
         self.version = start.version
         self.identity = Identity(start.workspace, start.caller, start.rank, "", False)
-        self.request = CompletionRequest(
-            model=start.model,
-            adapter=start.adapter,
-            prompt=start.prompt,
-            max_tokens=start.max_tokens,
-            temperature=start.temperature,
-            seed=start.seed if start.HasField("seed") else None,
-            stop=tuple(start.stop),
-            stream=True,
-            include_usage=False,
-            chat=start.chat,
-            body_hash=start.body_hash,
-            fingerprint=start.fingerprint,
-        )
+        self.request = read_request(start)
 
     def skip_attempts(self, number: int) -> None:
         """Number the next attempt after those of a lost generation.
@@ -293,52 +214,37 @@
         :param credit: promise of a slot; empty for none
         :return: the message
         """
-        request = self.request
-        start = wire.StartGeneration(
-            generation=self.generation,
-            attempt=self._sequence.begin_attempt(),
-            endpoint=view.name,
-            model=request.model,
-            adapter=request.adapter,
-            version=view.state.version,
-            prompt=request.prompt,
-            prior=self.tokens,
-            max_tokens=request.max_tokens,
-            temperature=request.temperature,
-            rank=self.identity.rank,
-            workspace=self.identity.workspace,
-            caller=self.identity.caller,
-            fingerprint=request.fingerprint,
-            credit=credit,
-            stop=request.stop,
-            chat=request.chat,
-            key=self.key,
-            body_hash=request.body_hash,
-            cost=self.remaining,
-            alone=self.entry.is_alone(self),
-        )
-        if request.seed is not None:
-            start.seed = request.seed
+        start = write_order(self.request, self.identity)
+        start.key = self.key
+        start.generation = self.generation
+        start.attempt = self._sequence.begin_attempt()
+        start.endpoint = view.name
+        start.version = view.state.version
+        start.prior.extend(self.tokens)
+        start.credit = credit
+        start.cost = self.remaining
+        start.alone = self._is_alone()
         return start
 
     async def _advance(self) -> None:
-        alone = self.entry.is_alone(self)
-        async with self.entry.quarantine.hold(self):
+        alone = self._is_alone()
+        async with self.entry.quarantine.hold(self.request.fingerprint):
             try:
                 placement = await self.entry.dispatcher.place(self)
             except VersionGoneError:
                 self._restart()
                 return
-            if self.entry.is_alone(self) is not alone:
+            if self._is_alone() is not alone:
                 self.entry.dispatcher.give_back(placement)
                 return
             await self._run_attempt(placement)
 
+    def _is_alone(self) -> bool:
+        return self.entry.containment.is_alone(self.request.fingerprint)
+
     def _restart(self) -> None:
         if not self.may_restart:
-            raise RefusedError(
-                Refusal(ErrorKind.GENERATION_LOST, "the version that began the answer is gone")
-            )
+            raise refuse(ErrorKind.GENERATION_LOST, "the version that began the answer is gone")
         self.former.add(self.generation)
         attempt = self._sequence.attempt
         self.generation = build_generation(self.key)
@@ -347,8 +253,10 @@
         self.tokens.clear()
         self.version = ""
         self.lost_s = None
-        self._log_resume(FailReason.STALE, "new generation")
-        self._notify()
+        self.entry.records.log_resume(
+            self.generation, self.attempts, "new generation", FailReason.STALE
+        )
+        self.notify()
 
     async def _run_attempt(self, placement: Placement) -> None:
         view = placement.view
@@ -362,7 +270,7 @@
         self.version = self.version or start.version
         self.endpoint = view.name
         self._prior = len(self.tokens)
-        passing = self.entry.poison.passing_tokens(self.request.fingerprint)
+        passing = self.entry.containment.passing_tokens(self.request.fingerprint)
         self._clear_at = None if passing is None else self._prior + passing
         self.attempt = Attempt(view.link, self.generation, start.attempt, self._take_tokens)
         if not placement.credit:
@@ -383,7 +291,7 @@
     async def _join(self, location: wire.Location) -> None:
         # another entry drives the same generation and was first to move it
         if location.generation != self.generation:
-            raise RefusedError(Refusal(ErrorKind.GENERATION_LOST, "a new generation was begun"))
+            raise refuse(ErrorKind.GENERATION_LOST, "a new generation was begun")
         if await self.entry.takeover.join(self, location):
             await self._await_followed(location)
 
@@ -408,7 +316,7 @@
             self._note_death(end, endpoint)
         elif reason is FailReason.ENDPOINT_REFUSED:
             self._count_refusal(end)
-        self._log_resume(reason, endpoint)
+        self.entry.records.log_resume(self.generation, self.attempts, endpoint, reason)
 
     def _finish(self, end: wire.Finished) -> None:
         if end.completion_tokens != len(self.tokens):
@@ -416,13 +324,14 @@
             return
         self.usage = Usage(end.prompt_tokens, end.completion_tokens, end.cached_tokens)
         self.finish_reason = end.reason
-        self.entry.on_finished(self)
+        self.entry.containment.clear(self.request.fingerprint)
+        self.entry.records.note_finished(self.identity, len(self.tokens))
 
     def _note_death(self, end: wire.Failed, endpoint: str) -> None:
         self.lost_s = time.monotonic()
         self.avoided.add(endpoint)
         if end.death:
-            self.entry.implicate(self, self._build_mark(end))
+            self.entry.containment.implicate(self.key.hex(), self._build_mark(end))
         if len(self.tokens) >= self.request.max_tokens:
             self.finish_reason = "length"
 
@@ -438,20 +347,7 @@
     def _count_refusal(self, end: wire.Failed) -> None:
         self._refusals += 1
         if self._refusals >= REFUSALS_MAX:
-            raise RefusedError(
-                Refusal(ErrorKind.ENDPOINT_FAILED, f"the endpoint refused: {end.detail}")
-            )
-
-    def _log_resume(self, reason: FailReason, endpoint: str) -> None:
-        decision = Decision(
-            what="resume",
-            request=self.key.hex(),
-            generation=self.generation,
-            attempt=self.attempts,
-            chosen=endpoint,
-            reason=reason.value,
-        )
-        log_decision(_LOGGER, decision)
+            raise refuse(ErrorKind.ENDPOINT_FAILED, f"the endpoint refused: {end.detail}")
 
     def _take_tokens(self, message: wire.Tokens) -> None:
         taken = self._sequence.accept(message.attempt, message.offset, list(message.tokens))
@@ -466,32 +362,30 @@
         now = time.monotonic()
         if self.first_token_s is None:
             self.first_token_s = now
-            self.entry.on_first_token(self, now - self.created_s)
+            self.entry.records.note_first_token(self.identity, now - self.created_s)
         if self.lost_s is not None:
-            self.entry.on_resumed(self, now - self.lost_s)
+            self.entry.records.note_resumed(self.identity, now - self.lost_s)
             self.lost_s = None
         self.tokens.extend(taken)
         self.has_run = True
         self.entry.dispatcher.on_tokens(self, len(taken))
         if self._clear_at is not None and len(self.tokens) >= self._clear_at:
             self._clear_at = None
-            self.entry.clear_poison(self)
-        self._notify()
+            self.entry.containment.clear(self.request.fingerprint)
+        self.notify()
 
     def _refuse(self, refusal: Refusal) -> None:
         if self.has_run and refusal.answer.effect is Effect.NOT_RUN:
             # why it does not go on; the part that came before did run
             refusal = Refusal(ErrorKind.GENERATION_LOST, refusal.message)
         self.refusal = refusal
-        self.entry.on_refused(self, refusal)
+        self.entry.records.note_refused(
+            self.identity, refusal, generation=self.generation, attempt=self.attempts
+        )
 
     def _abandon(self) -> None:
         if self.attempt is not None and not self.done:
             self.attempt.cancel()
 
-    def _notify(self) -> None:
-        for changed in self._watchers:
-            changed.set()
-
 
-__all__ = ["Flight", "Usage", "build_generation"]
+__all__ = ["Flight"]
--- a/src/basilroad/entry/handlers.py
+++ b/src/basilroad/entry/handlers.py
@@ -12,26 +12,23 @@
 if TYPE_CHECKING:
     from basilroad.entry.dispatch import Dispatcher
     from basilroad.entry.link import AgentLink
+    from basilroad.peers.exchange import SettingsExchange
 
 _LOGGER = logging.getLogger(__name__)
 
 
 class MessageHost(EntryCore, Protocol):
-    """What an entry does with what agents tell."""
+    """What an entry does with what agents tell.
+
+    :param exchange: learns settings
+    """
+
+    exchange: SettingsExchange
 
     @property
     def dispatcher(self) -> Dispatcher:
         """:return: learns of endpoints and credits."""
 
-    def catch_up(self, link: AgentLink) -> None:
-        """Tell an agent what it missed."""
-
-    def learn_settings(self, message: wire.SettingsChanges, link: AgentLink) -> None:
-        """Take over settings."""
-
-    def learn_poison(self, message: wire.PoisonMarks) -> None:
-        """Take over marks."""
-
 
 @singledispatch
 def handle_message(body: Any, entry: MessageHost, link: AgentLink) -> None:
@@ -97,18 +94,19 @@
 @handle_message.register(wire.Heartbeat)
 def _(body: wire.Heartbeat, entry: MessageHost, link: AgentLink) -> None:
     link.sync.hear(body.settings_revision, body.settings_digest)
-    entry.catch_up(link)
+    entry.exchange.catch_up(link)
 
 
 @handle_message.register(wire.SettingsChanges)
 def _(body: wire.SettingsChanges, entry: MessageHost, link: AgentLink) -> None:
-    entry.learn_settings(body, link)
+    del link
+    entry.exchange.learn(body)
 
 
 @handle_message.register(wire.PoisonMarks)
 def _(body: wire.PoisonMarks, entry: MessageHost, link: AgentLink) -> None:
     del link
-    entry.learn_poison(body)
+    entry.containment.learn(body)
 
 
 @handle_message.register(wire.CacheChange)
--- /dev/null
+++ b/src/basilroad/entry/hostwatch.py
@@ -0,0 +1,59 @@
+"""Which agents there are, as the platform lists them."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from basilroad.backing.hosts import HostListError
+from basilroad.peers.address import parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+    from basilroad.backing.hosts import HostList
+    from basilroad.entry.link import AgentLink
+    from basilroad.peers.address import Address
+
+HOSTS_S = 1.0
+"""Seconds between reads of the platform's host list."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class HostWatch:
+    """Connects to agents that come, and marks those that leave.
+
+    :param hosts: the platform's list
+    :param links: streams to agents
+    :param connect: keeps a stream to an agent
+    """
+
+    def __init__(
+        self,
+        hosts: HostList,
+        links: Mapping[Address, AgentLink],
+        connect: Callable[[Address], Awaitable[AgentLink]],
+    ) -> None:
+        self._hosts = hosts
+        self._links = links
+        self._connect = connect
+
+    async def read(self) -> None:
+        """Read the list once."""
+        try:
+            listed = await self._hosts.read()
+        except HostListError as error:
+            _LOGGER.info("host list: %s", error)
+            return
+        for host in listed:
+            if host.role != "agent":
+                continue
+            address = parse_address(host.address)
+            if address in self._links:
+                self._links[address].mark_leaving(host.leaving)
+            elif not host.leaving:
+                await self._connect(address)
+
+
+__all__ = ["HOSTS_S", "HostWatch"]
--- a/src/basilroad/entry/link.py
+++ b/src/basilroad/entry/link.py
@@ -26,6 +26,7 @@
 
     from grpclib.client import Stream as ClientStream
 
+    from basilroad.entry.linkedattempt import LinkedAttempt
     from basilroad.peers.address import Address
     from basilroad.settings.daemon import EntrySettings
 
@@ -125,19 +126,6 @@
         """Count a frame that came and the tokens in it."""
 
 
-class LinkedAttempt(Protocol):
-    """Receives what an agent sends for one generation."""
-
-    def take_tokens(self, tokens: wire.Tokens) -> None:
-        """Pass on tokens."""
-
-    def end(self, end: wire.Finished | wire.Failed) -> None:
-        """Note the end that the agent told."""
-
-    def end_locally(self, reason: FailReason) -> None:
-        """End without the agent."""
-
-
 class AgentLink(Service):
     """Keeps one stream to an agent; connects again when it is lost.
 
--- a/src/basilroad/entry/quarantine.py
+++ b/src/basilroad/entry/quarantine.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.containment import Containment
     from basilroad.entry.locations import Locations
 
 STALE_S = 10.0
@@ -30,15 +30,11 @@
     """What the quarantine needs of its entry.
 
     :param locations: keeps the records
+    :param containment: tells which contents are suspects
     """
 
     locations: Locations
-
-    def is_suspect(self, flight: Flight) -> bool:
-        """:return: whether only one request of this content may run at a time."""
-
-    def check_poison(self, flight: Flight) -> None:
-        """Refuse what has taken too many endpoints down."""
+    containment: Containment
 
 
 class Quarantine:
@@ -53,28 +49,28 @@
         self.entry = entry
 
     @contextlib.asynccontextmanager
-    async def hold(self, flight: Flight) -> AsyncIterator[None]:
+    async def hold(self, fingerprint: str) -> AsyncIterator[None]:
         """Hold the right to run a suspect; free for requests that are none.
 
-        :param flight: about to run
+        :param fingerprint: of the content that is about to run
         :raises RefusedError: it has turned out to be poison meanwhile
         """
-        if not self.entry.is_suspect(flight):
+        if not self.entry.containment.is_suspect(fingerprint):
             yield
             return
-        key = _build_key(flight.request.fingerprint)
-        number = await self._acquire(flight, key)
+        key = _build_key(fingerprint)
+        number = await self._acquire(fingerprint, key)
         refresher = asyncio.ensure_future(self._refresh(key, number))
         try:
-            self.entry.check_poison(flight)
+            self.entry.containment.check(fingerprint)
             yield
         finally:
             refresher.cancel()
             self.entry.locations.write(_build_record(key, number + 1))
 
-    async def _acquire(self, flight: Flight, key: bytes) -> int:
+    async def _acquire(self, fingerprint: str, key: bytes) -> int:
         while True:
-            self.entry.check_poison(flight)
+            self.entry.containment.check(fingerprint)
             found = await self.entry.locations.find(key)
             known = found.location.attempt if found is not None else 0
             free = found is None or known % 2 == 0
--- a/src/basilroad/entry/routing.py
+++ b/src/basilroad/entry/routing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import attrs
 
-from basilroad.logs import Candidate
+from basilroad.logs import Candidate, Decision, log_decision
 from basilroad.world.prefix import BLOCK_WORDS
 
 if TYPE_CHECKING:
@@ -26,6 +27,8 @@
 DATA_CENTRE_S = 0.002
 """Seconds that another data centre of the region is worse."""
 
+_LOGGER = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class Scorer:
@@ -70,4 +73,24 @@
         return DATA_CENTRE_S + cost.seconds
 
 
-__all__ = ["DATA_CENTRE_S", "LOAD_S", "PREFILL_S", "Scorer"]
+def log_route(flight: Flight, chosen: str, candidates: Sequence[Candidate], reason: str) -> None:
+    """Log where a request's next attempt goes.
+
+    :param flight: the request
+    :param chosen: name of the endpoint
+    :param candidates: what else was weighed, the best first
+    :param reason: why this one
+    """
+    decision = Decision(
+        what="route",
+        request=flight.key.hex(),
+        generation=flight.generation,
+        attempt=flight.attempts + 1,
+        chosen=chosen,
+        candidates=tuple(candidates),
+        reason=reason,
+    )
+    log_decision(_LOGGER, decision)
+
+
+__all__ = ["DATA_CENTRE_S", "LOAD_S", "PREFILL_S", "Scorer", "log_route"]
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -11,33 +11,35 @@
 
 from mode import Service
 
-from basilroad.backing.hosts import HostListError, HttpHostList
+from basilroad.backing.hosts import HttpHostList
 from basilroad.backing.table import HttpTable
-from basilroad.coordination.poison import PoisonLedger, PoisonMark, PoisonSettings, Standing
 from basilroad.coordination.timer import Timer
 from basilroad.entry.calls import Caller
+from basilroad.entry.containment import Containment
 from basilroad.entry.copies import Copies
 from basilroad.entry.dispatch import Dispatcher
-from basilroad.entry.flight import Flight, build_generation
+from basilroad.entry.flight import Flight
+from basilroad.entry.generation import build_generation, read_key
 from basilroad.entry.handlers import handle_message
+from basilroad.entry.hostwatch import HOSTS_S, HostWatch
 from basilroad.entry.http import HttpFront
-from basilroad.entry.identity import KEY_BYTES
 from basilroad.entry.link import AgentLink
 from basilroad.entry.linkcost import LinkCosts
 from basilroad.entry.locations import Locations
 from basilroad.entry.quarantine import Quarantine
+from basilroad.entry.records import Records
 from basilroad.entry.takeover import Takeover
-from basilroad.errors import ErrorKind, Refusal, refuse
-from basilroad.logs import Decision, log_decision
+from basilroad.errors import ErrorKind, refuse
 from basilroad.metrics import Metrics
 from basilroad.peers.address import Address, parse_address
-from basilroad.peers.spread import pack_marks, pack_rows, unpack_marks, unpack_rows
+from basilroad.peers.exchange import SettingsExchange
+from basilroad.peers.heartbeat import Heartbeats
 from basilroad.peers.traffic import FRAME_OVERHEAD_BYTES, LinkMeter
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.placement.service import Planner
 from basilroad.settings.report import ReportSettings, SettingsReporter
 from basilroad.settings.status import HostState
-from basilroad.settings.store import Applied, SettingsStore
+from basilroad.settings.store import SettingsStore
 from basilroad.settings.watch import SettingsWatch, WatchSettings
 
 if TYPE_CHECKING:
@@ -45,14 +47,10 @@
 
     from mode.types import ServiceT
 
-    from basilroad.coordination.table import Row
     from basilroad.entry.identity import Identity
     from basilroad.entry.request import CompletionRequest
     from basilroad.settings.daemon import DaemonSettings
 
-HOSTS_S = 1.0
-"""Seconds between reads of the platform's host list."""
-
 UNKNOWN_S = 10.0
 """Seconds for which an agent out of reach may run any model, for all this entry knows."""
 
@@ -68,12 +66,6 @@
 DRAIN_CHECK_S = 0.05
 """Seconds between looks at what is still in flight while stopping."""
 
-REMOTE_BEATS = 2
-"""Heartbeats of the own region for each one to an agent of another region with work there."""
-
-IDLE_BEATS = 8
-"""Heartbeats of the own region for each one to an agent of another region without."""
-
 PLATFORM_S = 2.0
 """Seconds to wait for one answer of the platform."""
 
@@ -100,8 +92,12 @@
         self.hosts = HttpHostList(settings.platform, PLATFORM_S) if settings.platform else None
         self.links: dict[Address, AgentLink] = {}
         self.flights: dict[bytes, Flight] = {}
-        self.poison = PoisonLedger(PoisonSettings())
+        self.exchange = SettingsExchange(
+            self.store, self.links.values, lambda changes: wire.EntryMessage(settings=changes)
+        )
+        self.records = Records(self.metrics)
         self.copies = Copies()
+        self.containment = Containment(self.copies.are_several, self._spread_marks)
         self.link_costs = LinkCosts(settings.region, lambda: self.store.view)
         self.dispatcher = Dispatcher(self)
         self.locations = Locations(self)
@@ -113,9 +109,8 @@
         self.models_seen: set[str] = set()
         self.calls_running = 0
         self._drives: dict[Flight, asyncio.Task[None]] = {}
-        self._heartbeat = 0
+        self._heartbeats = Heartbeats(self.store)
         self._met = False
-        self._marks_sent = 0
 
     @property
     def is_ready(self) -> bool:
@@ -141,10 +136,11 @@
         for seed in self.settings.seeds:
             await self.connect(parse_address(seed))
         self.timers.subscribe(self.options.heartbeat_s, self._beat)
-        self.timers.subscribe(EXPIRY_S, self.poison.expire)
+        self.timers.subscribe(EXPIRY_S, self.containment.expire)
         self.timers.subscribe(EXPIRY_S, self.locations.expire)
         if self.hosts is not None:
-            self.timers.subscribe(HOSTS_S, self._read_hosts)
+            watch = HostWatch(self.hosts, self.links, self.connect)
+            self.timers.subscribe(HOSTS_S, watch.read)
 
     async def on_stop(self) -> None:
         """Leave: let everything in flight end, then close."""
@@ -197,7 +193,7 @@
         :return: the generation, on its way
         :raises RefusedError: it is not known any more
         """
-        key = _read_key(generation)
+        key = read_key(generation)
         flight = self.flights.get(key)
         if flight is None:
             flight = await self.takeover.attach(key, generation)
@@ -236,94 +232,6 @@
                 delay_s = _read_patience(flight)
                 asyncio.get_running_loop().call_later(delay_s, self._abandon, flight)
 
-    def on_finished(self, flight: Flight) -> None:
-        """Count a generation that ended whole.
-
-        :param flight: the generation
-        """
-        self.clear_poison(flight)
-        self.metrics.count_rank_tokens(flight.identity.rank, len(flight.tokens))
-        self.metrics.count_workspace_tokens(flight.identity.workspace, len(flight.tokens))
-
-    def on_first_token(self, flight: Flight, wait_s: float) -> None:
-        """Note how long a caller waited.
-
-        :param flight: the generation
-        :param wait_s: seconds to its first token
-        """
-        self.metrics.record_first_token(flight.identity.rank, wait_s)
-
-    def on_resumed(self, flight: Flight, gap_s: float) -> None:
-        """Note how long output stood still.
-
-        :param flight: the generation
-        :param gap_s: seconds from the known loss to the next token
-        """
-        self.metrics.record_resume(flight.identity.rank, gap_s)
-
-    def on_refused(self, flight: Flight, refusal: Refusal) -> None:
-        """Note a refusal.
-
-        :param flight: the request
-        :param refusal: what the caller is told
-        """
-        self.metrics.count_refusal(flight.identity.rank, refusal.kind)
-        decision = Decision(
-            what="refuse",
-            request=flight.key.hex(),
-            generation=flight.generation,
-            attempt=flight.attempts,
-            reason=refusal.kind.value,
-        )
-        log_decision(_LOGGER, decision)
-
-    # poison
-
-    def implicate(self, flight: Flight, mark: PoisonMark) -> None:
-        """Note that a request ran on an endpoint when it died.
-
-        :param flight: the request
-        :param mark: the death and where it came
-        """
-        standing = self.poison.implicate(mark)
-        _LOGGER.warning(
-            "request implicated",
-            extra={"what": "poison", "request": flight.key.hex(), "standing": standing.value},
-        )
-        self._spread_marks()
-
-    def clear_poison(self, flight: Flight) -> None:
-        """Note that a request ended whole.
-
-        :param flight: the request
-        """
-        fingerprint = flight.request.fingerprint
-        if self.poison.standing(fingerprint) is Standing.CLEAN:
-            return
-        self.poison.clear(fingerprint)
-        self._spread_marks()
-
-    def check_poison(self, flight: Flight) -> None:
-        """Refuse what has taken too many endpoints down.
-
-        :param flight: the request
-        :raises RefusedError: it is poison
-        """
-        if self.poison.standing(flight.request.fingerprint) is Standing.REFUSED:
-            raise refuse(ErrorKind.POISONED, "endpoints died each time this request ran")
-
-    def is_suspect(self, flight: Flight) -> bool:
-        """:return: whether only one request of this content may run at a time."""
-        return self.poison.standing(flight.request.fingerprint) is not Standing.CLEAN
-
-    def is_alone(self, flight: Flight) -> bool:
-        """:return: whether a request must run with no neighbour."""
-        standing = self.poison.standing(flight.request.fingerprint)
-        if standing is Standing.SUSPECT:
-            # copies elsewhere may have cost endpoints of which this entry hasn't heard yet
-            return self.copies.are_several(flight.request.fingerprint)
-        return standing is Standing.ALONE
-
     # peers
 
     async def connect(self, address: Address) -> AgentLink:
@@ -363,14 +271,12 @@
         :param link: stream to it
         """
         # first of all, so that an agent knows of its drain before it gets any work
-        link.send(wire.EntryMessage(settings=pack_rows(self.store.rows())))
-        link.sync.mark_sent(self.store.revision)
+        self.exchange.greet(link)
         if link.leaving:
             link.send(wire.EntryMessage(leaving=wire.HostLeaving(leaving=True)))
         states = [view.state for view in link.endpoints.values()]
         self.models_seen.update(state.service for state in states if state.kind == "engine")
-        marks = self.poison.marks_since(0).marks
-        link.send(wire.EntryMessage(poison=pack_marks(marks)))
+        link.send(wire.EntryMessage(poison=self.containment.pack_all()))
         self.dispatcher.on_up(link)
         self.locations.announce()
 
@@ -407,33 +313,6 @@
             size = frame.ByteSize() + FRAME_OVERHEAD_BYTES
             self.link_costs.note_received(link.region, size, tokens)
 
-    def learn_settings(self, message: wire.SettingsChanges, link: AgentLink) -> None:
-        """Apply settings that an agent knows and pass on what was new.
-
-        :param message: the settings
-        :param link: stream that it came from
-        """
-        del link
-        applied = self.store.apply(unpack_rows(message))
-        if applied.rows:
-            self._spread_rows(applied.rows)
-
-    def catch_up(self, link: AgentLink) -> None:
-        """Send an agent the settings that it lacks.
-
-        :param link: stream to the agent
-        """
-        rows = link.sync.take_due(self.store)
-        if rows:
-            link.send(wire.EntryMessage(settings=pack_rows(rows)))
-
-    def learn_poison(self, message: wire.PoisonMarks) -> None:
-        """Take marks of poison requests from other entries.
-
-        :param message: the marks
-        """
-        self.poison.merge(unpack_marks(message))
-
     def may_know(self, model: str) -> bool:
         """Tell whether a model may run somewhere.
 
@@ -453,7 +332,7 @@
 
     def _build_watch(self, table: HttpTable) -> SettingsWatch:
         return SettingsWatch(
-            WatchSettings(), table, self.store, lambda: 1 + len(self.links), self._on_applied
+            WatchSettings(), table, self.store, lambda: 1 + len(self.links), self.exchange.spread
         )
 
     def _build_reporter(self, table: HttpTable, planner: Planner) -> SettingsReporter:
@@ -466,56 +345,20 @@
             lambda: HostState("entry", shortages=planner.describe_shortages()),
         )
 
-    def _on_applied(self, applied: Applied) -> None:
-        self._spread_rows(applied.rows)
-
-    def _spread_rows(self, rows: tuple[Row, ...]) -> None:
-        message = wire.EntryMessage(settings=pack_rows(rows))
-        for link in self.links.values():
-            link.send(message)
-
-    def _spread_marks(self) -> None:
-        batch = self.poison.marks_since(self._marks_sent)
-        self._marks_sent = batch.serial
-        message = wire.EntryMessage(poison=pack_marks(batch.marks))
+    def _spread_marks(self, marks: wire.PoisonMarks) -> None:
+        message = wire.EntryMessage(poison=marks)
         for link in self.links.values():
             link.send(message)
 
     def _beat(self) -> None:
-        self._heartbeat += 1
-        beat = wire.Heartbeat(
-            sequence=self._heartbeat,
-            settings_revision=self.store.revision,
-            settings_digest=self.store.digest,
-        )
+        beat = wire.EntryMessage(heartbeat=self._heartbeats.build_next())
         now = time.monotonic()
         for link in list(self.links.values()):
             link.check_heartbeat(now)
-            if self._heartbeat % self._count_beats(link) == 0:
-                link.send(wire.EntryMessage(heartbeat=beat))
+            if self._heartbeats.is_due(remote=self.meter.is_remote(link.region), busy=link.is_busy):
+                link.send(beat)
         self.dispatcher.resync()
 
-    def _count_beats(self, link: AgentLink) -> int:
-        if not self.meter.is_remote(link.region):
-            return 1
-        return REMOTE_BEATS if link.is_busy else IDLE_BEATS
-
-    async def _read_hosts(self) -> None:
-        assert self.hosts is not None
-        try:
-            listed = await self.hosts.read()
-        except HostListError as error:
-            _LOGGER.info("host list: %s", error)
-            return
-        for host in listed:
-            if host.role != "agent":
-                continue
-            address = parse_address(host.address)
-            if address in self.links:
-                self.links[address].mark_leaving(host.leaving)
-            elif not host.leaving:
-                await self.connect(address)
-
     def _abandon(self, flight: Flight) -> None:
         task = self._drives.get(flight)
         if task is not None and not flight.readers and not flight.done:
@@ -550,15 +393,4 @@
     return known and same == (identity.workspace, identity.caller)
 
 
-def _read_key(generation: str) -> bytes:
-    text = generation.partition("-")[0]
-    try:
-        key = bytes.fromhex(text)
-    except ValueError:
-        key = b""
-    if len(key) != KEY_BYTES:
-        raise refuse(ErrorKind.UNKNOWN_GENERATION, "no such generation")
-    return key
-
-
 __all__ = ["EntryService"]
--- a/src/basilroad/peers/reason.py
+++ b/src/basilroad/peers/reason.py
@@ -32,4 +32,13 @@
     """A later attempt is known."""
 
 
-__all__ = ["FailReason"]
+NOTHING_RAN = frozenset(
+    {FailReason.BUSY, FailReason.DRAINING, FailReason.UNKNOWN_ENDPOINT, FailReason.STALE}
+)
+"""Reasons that say that the attempt never began."""
+
+DEATHS = frozenset({FailReason.ENDPOINT_DIED, FailReason.ENDPOINT_SILENT, FailReason.LINK_LOST})
+"""Reasons that a caller must not notice beyond a short silence."""
+
+
+__all__ = ["DEATHS", "NOTHING_RAN", "FailReason"]
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import logging
 import random
@@ -69,13 +70,13 @@
         self._revision: int | None = None
         self._lost = False
 
+    @abc.abstractmethod
     def take_all(self, rows: Sequence[StoreRow]) -> None:
         """Take all rows of the table."""
-        raise NotImplementedError
 
+    @abc.abstractmethod
     def take_changes(self, rows: Sequence[StoreRow]) -> None:
         """Take the rows that changed."""
-        raise NotImplementedError
 
     def note_confirmed(self, at: float) -> None:
         """Note that what is known was the store's state at a moment of the boot clock."""
--- a/src/basilroad/standin/server.py
+++ b/src/basilroad/standin/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import asyncio
 import logging
 import os
@@ -67,9 +68,9 @@
         """:return: base URL that is served, once started."""
         return f"http://{self.address}"
 
+    @abc.abstractmethod
     def list_routes(self) -> list[web.RouteDef]:
         """:return: the routes to serve."""
-        raise NotImplementedError
 
     async def on_start(self) -> None:
         """Start to serve."""
--- /dev/null
+++ b/tests/entry/test_hostwatch.py
@@ -0,0 +1,49 @@
+"""Check which agents an entry connects to, from the platform's list."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from basilroad.backing.hosts import HostListError, ListedHost
+from basilroad.entry.hostwatch import HostWatch
+from basilroad.peers.address import Address, parse_address
+
+
+class Listing:
+    """A list of hosts that can be away."""
+
+    def __init__(self, *hosts: ListedHost) -> None:
+        self.hosts = hosts
+        self.away = False
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        if self.away:
+            raise HostListError("away")
+        return self.hosts
+
+
+def list_host(name: str, role: str, port: int, leaving: bool = False) -> ListedHost:
+    return ListedHost(name, role, "baltic", "riga-a", f"127.0.0.1:{port}", leaving)
+
+
+async def test_agents_that_come_are_connected_and_those_that_leave_marked() -> None:
+    marked: list[bool] = []
+    links = {parse_address("127.0.0.1:1"): SimpleNamespace(mark_leaving=marked.append)}
+    connected: list[Address] = []
+
+    async def connect(address: Address) -> None:
+        connected.append(address)
+
+    listing = Listing(
+        list_host("a", "agent", 1, leaving=True),
+        list_host("b", "agent", 2),
+        list_host("c", "agent", 3, leaving=True),
+        list_host("d", "entry", 4),
+    )
+    watch = HostWatch(listing, links, connect)
+    await watch.read()
+    assert connected == [parse_address("127.0.0.1:2")]
+    assert marked == [True]
+    listing.away = True
+    await watch.read()
+    assert marked == [True]
