Let a stream go on elsewhere that its engine never begins

Probes reset the silence of an engine, and the limit between events held after the first one only, so nothing bounded the wait for it. Ruled out: loss of the datagrams or of the entry (the engine was alive and listed all the time). Change: a first event may take the reading of all prompts there twice, a second, and 0.4 s for each call beside it; beyond that the stream moves, if it may be repeated, the budget has a try left and another engine has room at once. Shown: test_a_stream_that_is_never_begun_goes_on_elsewhere fails before, passes now.

--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -88,6 +88,10 @@
             return None
         return await self._wait(call, avoid, left_s)
 
+    def has_room(self, call: Call, avoid: Collection[str]) -> bool:
+        """:return: whether a call could be sent to one of the other endpoints at once."""
+        return not self._is_blocked(call) and self._choose(call, avoid) is not None
+
     def release(self, reservation: Reservation) -> None:
         """Give room back and pass it on.
 
--- a/src/basilroad/gateway/ledger.py
+++ b/src/basilroad/gateway/ledger.py
@@ -50,6 +50,13 @@
             return False
         return not (self.sent or self.refused) or self.budget.take()
 
+    def may_repeat(self) -> bool:
+        """:return: whether the attempt that runs could be followed by another."""
+        route = self.call.route
+        if not route.repeatable or self.sent + 1 >= route.attempts_limit:
+            return False
+        return self.budget.available() >= 1
+
     def describe_end(self) -> Refusal:
         """:return: how a call without an answer ends; not run only if that is known."""
         if not self.sent:
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -1,8 +1,9 @@
-"""Detection of engines that have gone silent."""
+"""Detection of engines that have gone silent, or begin nothing."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -10,11 +11,14 @@
 from basilroad.endpoints.channels import ChannelError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from basilroad.gateway.attempt import Dialect
     from basilroad.gateway.choice import Place
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.dispatch import Dispatcher
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.firstevent import FirstEventWait
 
 CHECK_S = 0.05
 """Seconds between looks at silent endpoints."""
@@ -43,6 +47,7 @@
         self._dialect = dialect
         self._place = place
         self._probes: dict[str, asyncio.Task[None]] = {}
+        self._first_waits: set[FirstEventWait] = set()
         self.probes_sent = 0
 
     @property
@@ -50,9 +55,29 @@
         """:return: the endpoints."""
         return self._dispatcher.directory
 
+    @contextlib.contextmanager
+    def expecting(self, wait: FirstEventWait) -> Iterator[None]:
+        """Look after a stream until it has begun.
+
+        :param wait: the stream and its endpoint
+        """
+        self._first_waits.add(wait)
+        try:
+            yield
+        finally:
+            self._first_waits.discard(wait)
+
+    def note_begun(self, wait: FirstEventWait) -> None:
+        """Note that a stream's first event came.
+
+        :param wait: from :meth:`expecting`
+        """
+        self._first_waits.discard(wait)
+
     def check(self) -> None:
-        """Ask the engines that have been silent for too long."""
+        """Ask the engines that have been silent for too long, and end what doesn't begin."""
         now = time.monotonic()
+        self._end_overdue(now)
         for endpoint in self.directory:
             if endpoint.id in self._probes or endpoint.silence_s(now) < SILENCE_S:
                 continue
@@ -66,6 +91,22 @@
         for task in list(self._probes.values()):
             task.cancel()
 
+    def _end_overdue(self, now: float) -> None:
+        for wait in list(self._first_waits):
+            if not wait.is_overdue(now) or not wait.may_move():
+                continue
+            _LOGGER.warning(
+                "stream overdue",
+                extra={
+                    "request": wait.call.id,
+                    "endpoint": wait.endpoint.id,
+                    "waited_ms": round(1000 * (now - wait.sent_at)),
+                    "limit_ms": round(1000 * wait.limit_s),
+                },
+            )
+            self._first_waits.discard(wait)
+            wait.give_up()
+
     async def _probe(self, endpoint: Endpoint) -> None:
         asked_at = time.monotonic()
         silence_s = endpoint.silence_s(asked_at)
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -14,6 +14,7 @@
 from basilroad.gateway.decisions import AttemptRecord, log_copy
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.events import EventOrderError, EventSequence
+from basilroad.gateway.firstevent import FirstEventWait
 from basilroad.gateway.ledger import SERVER_ERROR, CallLedger
 from basilroad.gateway.measures import name_rank
 
@@ -182,18 +183,29 @@
         return Reservation(holder, call.size, reads_prompt=False)
 
     async def _exchange(self, attempt: Attempt, reservation: Reservation) -> Outcome:
-        left_s = self._call.expires_at - time.monotonic()
+        now = time.monotonic()
+        first = asyncio.timeout(None)
+        wait = FirstEventWait(
+            self._call,
+            attempt.endpoint,
+            now,
+            lambda: self._may_move(attempt),
+            lambda: first.reschedule(asyncio.get_running_loop().time()),
+        )
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                opened = await attempt.open()
-                if isinstance(opened, NotRun | MayHaveRun):
-                    return opened
-                if opened.status != OK:
-                    return Reply(opened.status, opened.headers, await opened.read_all())
-                return await self._relay(opened, reservation)
+            async with asyncio.timeout(max(0.0, self._call.expires_at - now)), first:
+                with self._gateway.liveness.expecting(wait):
+                    opened = await attempt.open()
+                    if isinstance(opened, NotRun | MayHaveRun):
+                        return opened
+                    if opened.status != OK:
+                        return Reply(opened.status, opened.headers, await opened.read_all())
+                    return await self._relay(opened, reservation, wait)
         except TimeoutError:
             if not attempt.sent:
                 return NotRun("no connection in time")
+            if first.expired():
+                return MayHaveRun("no first event in time")
             return MayHaveRun("no end in time", timed_out=True)
         except ChannelError as error:
             attempt.endpoint.note_broken(time.monotonic())
@@ -201,7 +213,17 @@
         except EventOrderError as error:
             return MayHaveRun(str(error))
 
-    async def _relay(self, opened: OpenReply, reservation: Reservation) -> Outcome:
+    def _may_move(self, attempt: Attempt) -> bool:
+        avoid = self._ledger.tried | {attempt.endpoint.id}
+        return (
+            attempt.sent
+            and self._ledger.may_repeat()
+            and self._gateway.dispatcher.has_room(self._call, avoid)
+        )
+
+    async def _relay(
+        self, opened: OpenReply, reservation: Reservation, wait: FirstEventWait
+    ) -> Outcome:
         self._events.start_run()
         limit_s: float | None = None
         while True:
@@ -217,6 +239,7 @@
             due = self._events.take(data)
             if due:
                 reservation.note_read()
+                self._gateway.liveness.note_begun(wait)
                 limit_s = STALL_S
                 await self._pass_on(opened, due)
         if not self._events.is_whole:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -76,6 +76,24 @@
     assert gateway.liveness.probes_sent > 0
 
 
+async def test_a_stream_that_is_never_begun_goes_on_elsewhere(gateway, start_server) -> None:
+    first, second = await start_engines(start_server, first_s=60.0)
+    began = asyncio.get_running_loop().time()
+    responder = await run(gateway)
+    assert responder.numbers == list(range(1, 21))
+    assert first.seen
+    assert second.seen
+    assert asyncio.get_running_loop().time() - began < ROUTE.target_s
+
+
+async def test_a_stream_that_is_never_begun_stays_where_no_other_has_room(
+    gateway, start_server
+) -> None:
+    first = await start_server("i-1", service="llm", events=20, first_s=4.5)
+    assert (await run(gateway)).numbers == list(range(1, 21))
+    assert len(first.seen) == 1
+
+
 async def test_a_stream_that_may_not_be_resumed_breaks_off(gateway, start_server) -> None:
     first, second = await start_engines(start_server, break_after=8)
     responder = RecordingResponder()
