Give each gateway a territory among the engines of its region

Gateways choose from views that are some seconds old, and chance between engines can't keep them apart. Ruled out: load as such (engines read for a fifth of the time). Change: the engines of a region form a ring by their names; each gateway of the region begins at its own point of it, by the order of the names that gossip tells, and detours cost up to 0.25 s (more in large fleets, as the chance did before). Until others are heard, chance decides as before. The test of gateways that part is stricter now (no engine twice, was: three at one engine on the average); the old bound is kept for gateways that have not heard of each other; the test of the one idle engine keeps its bounds, over gateways in place of repeated chance.

--- a/src/basilroad/gateway/choice.py
+++ b/src/basilroad/gateway/choice.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from basilroad.gateway.territory import Territory
+
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, PromptSize
     from basilroad.gateway.endpoint import Endpoint
@@ -42,14 +44,21 @@
 REGION_COST_S = 0.08
 """Seconds that another region counts as: the way there and back, twice, as its link is paid."""
 
-NOISE_S = 0.25
-"""Spread of chance between engines, a quarter of the time that a prompt of mean size takes to read:
-gateways that see a loss in the same moment part, and none prefers an engine that reads another
-prompt."""
+DETOUR_S = 0.25
+"""Seconds that a whole ring away from a gateway's territory counts as, a quarter of the time that a
+prompt of mean size takes to read: a gateway leaves its territory for an engine that reads nothing,
+or runs some generations less."""
+
+DETOUR_HOSTS = 6
+"""Gateways up to which that is enough, as many as hear of a load in one round; the root of more of
+them widens it, since they choose from older views of the same engines."""
+
+CHANCE_S = 0.25
+"""Spread of chance between engines while no other gateway of the region is heard, in place of a
+territory."""
 
-NOISE_HOSTS = 6
-"""Gateways up to which that spread is enough, as many as hear of a load in one round; the root of
-more of them widens it, since they choose from older views of the same engines."""
+TIE_S = 0.02
+"""Spread of chance that decides between engines that are equal otherwise."""
 
 MEMORY_SHARE = 0.95
 """Share of an engine's memory that reservations may take; estimates of output are rough."""
@@ -161,11 +170,13 @@
     :param place: where the gateway stands
     :param generator: source of chance
     :param count_hosts: how many gateways choose among the same endpoints
+    :param find_territory: which engines this one prefers
     """
 
     place: Place
     generator: random.Random = attrs.field(factory=random.Random)
     count_hosts: Callable[[], int] = lambda: 1
+    find_territory: Callable[[], Territory] = Territory
 
     def choose(
         self,
@@ -189,12 +200,14 @@
         best, best_score = None, math.inf
         endpoints = list(endpoints)
         losses = find_losses(endpoints)
+        detours = self.find_detours(endpoints) if engine is not None else {}
         for endpoint in endpoints:
             if endpoint.id in avoid or not endpoint.takes_work(now):
                 continue
             if not has_room(endpoint, call.size, engine):
                 continue
             score = self.score(endpoint, call, now) + weigh_doubt(endpoint, losses, now)
+            score += detours.get(endpoint.id, 0.0)
             score -= weigh_memory(endpoint, call.size, read_at)
             if score < best_score:
                 best, best_score = endpoint, score
@@ -204,9 +217,23 @@
         """:return: cost in seconds of running a call at an endpoint; lower is better."""
         distance_s = self.place.distance_s(endpoint.entry.data_centre)
         failure_s = FAILURE_COST_S * endpoint.failing(now)
-        spread_s = NOISE_S * math.sqrt(max(1.0, self.count_hosts() / NOISE_HOSTS))
-        noise_s = self.generator.uniform(0, spread_s) if call.size.total else 0.0
-        return estimate_wait(endpoint, call.size) + distance_s + failure_s + noise_s
+        return estimate_wait(endpoint, call.size) + distance_s + failure_s
+
+    def find_detours(self, endpoints: Iterable[Endpoint]) -> dict[str, float]:
+        """Weigh which engines this gateway leaves to others.
+
+        :param endpoints: the engines
+        :return: seconds that each counts worse, by its id
+        """
+        territory = self.find_territory()
+        if not territory.is_shared:
+            return {endpoint.id: self.generator.uniform(0, CHANCE_S) for endpoint in endpoints}
+        ring_s = DETOUR_S * math.sqrt(max(1.0, self.count_hosts() / DETOUR_HOSTS))
+        shares = territory.measure(endpoints, self.place.regions)
+        return {
+            endpoint_id: ring_s * share + self.generator.uniform(0, TIE_S)
+            for endpoint_id, share in shares.items()
+        }
 
     def choose_copy_holder(
         self,
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -21,8 +21,11 @@
 from basilroad.gateway.liveness import Liveness
 from basilroad.gateway.measures import Measures, name_rank
 from basilroad.gateway.streampace import StreamPace
+from basilroad.gateway.territory import Territory
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from basilroad.gateway.attempt import Dialect
     from basilroad.gateway.call import Call
     from basilroad.gateway.choice import Place
@@ -106,7 +109,10 @@
         self.freshness = Freshness()
         self.table: RoutingTable | None = None
         self.known_hosts = 1
-        chooser = Chooser(settings.place, self.random, lambda: self.known_hosts)
+        self.territory = Territory()
+        chooser = Chooser(
+            settings.place, self.random, lambda: self.known_hosts, lambda: self.territory
+        )
         self.dispatcher = Dispatcher(self.directory, chooser, self.find_engine)
         self.liveness = Liveness(self.dispatcher, dialect, settings.place)
         self.stopping_since: float | None = None
@@ -115,6 +121,17 @@
         self.measures = Measures()
         self._budgets: dict[str, RetryBudget] = {}
 
+    def learn_hosts(self, count: int, heard: Mapping[str, str]) -> None:
+        """Take over which other gateways there are.
+
+        :param count: how many are known, this one among them
+        :param heard: data centre of each other one that tells of itself, by its host
+        """
+        place = self.settings.place
+        near = [host for host, at in heard.items() if place.regions.get(at) == place.region]
+        self.known_hosts = count
+        self.territory = Territory.find(self.settings.host, near)
+
     # configuration
 
     def apply_table(self, table: RoutingTable) -> bool:
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -68,6 +68,7 @@
     losses: dict[str, int]
     peers: list[str]
     runs: list[Told] = []
+    data_centre: str = ""
 
 
 @attrs.define
@@ -76,12 +77,14 @@
     sequence: int
     heard_at: float
     loads: dict[str, tuple[int, int, int]]
+    data_centre: str = ""
 
 
 class Gossip(asyncio.DatagramProtocol):
     """Exchanges state with the other gateways.
 
     :param host: name of this host
+    :param data_centre: where it stands
     :param address: where it listens for datagrams
     :param directory: the endpoints
     :param recent_runs: where prompts were read
@@ -91,12 +94,14 @@
     def __init__(
         self,
         host: str,
+        data_centre: str,
         address: Address,
         directory: Directory,
         recent_runs: RecentRuns,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
+        self._data_centre = data_centre
         self._address = address
         self._directory = directory
         self._recent_runs = recent_runs
@@ -117,6 +122,10 @@
         """:return: addresses of the other gateways, as far as they are known."""
         return frozenset(self._peers)
 
+    def list_heard(self) -> dict[str, str]:
+        """:return: data centre of each other gateway that tells of itself, by its host."""
+        return {host: view.data_centre for host, view in self._views.items()}
+
     async def start(self) -> None:
         """Listen for datagrams."""
         loop = asyncio.get_running_loop()
@@ -202,7 +211,7 @@
         now = self._clock()
         if known is None:
             _LOGGER.info("peer heard", extra={"peer": message.host, "address": str(address)})
-        self._views[message.host] = _View(message.started_ms, message.sequence, now, message.loads)
+        self._views[message.host] = _View(*order, now, message.loads, message.data_centre)
         self.add_peers([address, *others])
         self._recent_runs.take_told(message.runs)
         self._sum_remote({*message.loads, *(known.loads if known else ())})
@@ -264,6 +273,7 @@
             losses,
             self._random.sample(known, min(FANOUT, len(known))),
             runs,
+            self._data_centre,
         )
         data = msgspec.msgpack.encode(message)
         while len(data) > DATAGRAM_BYTES and (message.loads or message.runs):
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -67,6 +67,7 @@
         if machine.peers is not None:
             self.gossip = Gossip(
                 machine.host,
+                self.gateway.settings.place.data_centre,
                 machine.peers,
                 self.gateway.directory,
                 self.gateway.dispatcher.recent_runs,
@@ -92,14 +93,14 @@
         if self.gossip is not None:
             await self.gossip.start()
             self.timers.subscribe(TICK_S, self.gossip.tick)
-            self.timers.subscribe(HOSTS_CHECK_S, self._count_hosts)
+            self.timers.subscribe(HOSTS_CHECK_S, self._learn_hosts)
         self.timers.subscribe(FILE_CHECK_S, self.check_file)
         self.timers.subscribe(SWEEP_S, self.gateway.sweep)
         self.timers.subscribe(CHECK_S, self.gateway.liveness.check)
 
-    def _count_hosts(self) -> None:
+    def _learn_hosts(self) -> None:
         if self.gossip is not None:
-            self.gateway.known_hosts = len(self.gossip.peers) + 1
+            self.gateway.learn_hosts(len(self.gossip.peers) + 1, self.gossip.list_heard())
 
     def check_file(self) -> None:
         """Read the settings again if their file changed without a signal."""
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -4,10 +4,12 @@
 
 import random
 from collections import Counter
+from functools import partial
 
 from basilroad.gateway.call import PromptSize
 from basilroad.gateway.choice import Chooser, has_room
 from basilroad.gateway.endpoint import Endpoint, Reservation
+from basilroad.gateway.territory import Territory
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
 
@@ -122,8 +124,31 @@
     assert holder is engines[2]
 
 
+def build_choosers(hosts: int) -> list[Chooser]:
+    """:return: choosers of gateways of one region that have heard of each other."""
+    return [
+        Chooser(PLACE, random.Random(number), lambda: hosts, partial(Territory, number, hosts))
+        for number in range(hosts)
+    ]
+
+
 def test_gateways_that_see_a_loss_at_once_part() -> None:
     # pattern: streams of a lost data centre go on elsewhere, from four gateways at once
+    picks: Counter[str] = Counter()
+    for chooser in build_choosers(4):
+        engines = build_engines(["riga-a"] * 4 + ["riga-b"] * 4)
+        for _ in range(2):
+            call = build_call(build_stream_route())
+            endpoint = chooser.choose(engines, call, ENGINE, 0.0)
+            assert endpoint is not None
+            Reservation(endpoint, call.size)
+            picks[endpoint.id] += 1
+    # eight prompts at eight engines, though none hears of the others
+    assert set(picks.values()) == {1}
+
+
+def test_gateways_that_have_not_heard_of_each_other_part_by_chance() -> None:
+    # pattern: all gateways have just started, and callers come back to all of them at once
     worst = []
     for seed in range(40):
         picks: Counter[str] = Counter()
@@ -142,18 +167,31 @@
 
 
 def count_idle(hosts: int) -> float:
-    """:return: share of the choices that go to the one engine that looks idle."""
-    engines = build_engines(["riga-a"] * 4)
+    """:return: share of the gateways that choose the one engine that looks idle to all."""
     call = build_call(build_stream_route())
+    engines = build_engines(["riga-a"] * 4)
     for busy in engines[1:]:
         for _ in range(6):
             Reservation(busy, PromptSize(8000, 1000), reads_prompt=False)
-    chooser = Chooser(PLACE, random.Random(1), lambda: hosts)
-    chosen = [chooser.choose(engines, call, ENGINE, 0.0) for _ in range(400)]
-    return sum(endpoint is engines[0] for endpoint in chosen) / len(chosen)
+    chosen = [chooser.choose(engines, call, ENGINE, 0.0) for chooser in build_choosers(hosts)]
+    return sum(endpoint is engines[0] for endpoint in chosen) / hosts
 
 
 def test_many_gateways_with_one_old_view_do_not_all_choose_the_idle_engine() -> None:
     # pattern: 28 gateways hear of each other every fifth round, and one engine looks idle to all
     assert count_idle(hosts=4) == 1.0
     assert 0.25 < count_idle(hosts=28) < 0.85
+
+
+def test_a_gateway_leaves_its_territory_for_an_engine_that_reads_nothing() -> None:
+    # pattern: one host has most of the callers of its region
+    chooser = build_choosers(4)[1]
+    engines = build_engines(["riga-a"] * 8)
+    picks: Counter[str] = Counter()
+    for _ in range(8):
+        call = build_call(build_stream_route())
+        endpoint = chooser.choose(engines, call, ENGINE, 0.0)
+        assert endpoint is not None
+        Reservation(endpoint, call.size)
+        picks[endpoint.id] += 1
+    assert set(picks.values()) == {1}
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
 
 SIZE = PromptSize(8000, 1000)
+DATA_CENTRES = ("riga-a", "riga-b", "kurzeme-a")
 
 
 class Net:
@@ -42,9 +43,9 @@
         for index in range(endpoints):
             directory.put(build_entry(f"e{index}", service="llm"))
         address = Address("127.0.0.1", 9000 + number)
-        gossip = Gossip(
-            f"g{number}", address, directory, RecentRuns(lambda: self.now), lambda: self.now
-        )
+        runs = RecentRuns(lambda: self.now)
+        place = DATA_CENTRES[number % len(DATA_CENTRES)]
+        gossip = Gossip(f"g{number}", place, address, directory, runs, lambda: self.now)
         gossip._directory = directory
         gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
         gossip.add_peers(Address("127.0.0.1", 9000 + n) for n in range(1000) if n < 2)
