Share out what waits at a gateway between workspaces

Cause: the queue of a gateway went by rank and time of arrival, so that callers of all workspaces waited behind one that sends many times its usual. Ruled out: urgency (ranks go first as before), the queue of the engines (it knows no workspaces). Change: the queue is the product's FairQueue, with strict ranks; FairQueue can be peeked. Shown: test_callers_of_other_workspaces_do_not_wait_behind_a_flood fails before (the two others go after all six of the flood), passes now.

--- a/src/basilroad/coordination/fairqueue.py
+++ b/src/basilroad/coordination/fairqueue.py
@@ -116,6 +116,11 @@
             return None
         return self.pop_flow(flow)
 
+    def peek(self) -> Item | None:
+        """:return: the item that :meth:`pop` would take; ``None`` when nothing waits."""
+        flow = self.policy.head()
+        return next(iter(self._lines[flow].items)) if flow is not None else None
+
     def pop_flow(self, flow: Flow) -> Item | None:
         """Take the first item of one flow and charge the flow.
 
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -1,16 +1,16 @@
-"""Gives calls their endpoints; urgent calls first."""
+"""Gives calls their endpoints: urgent calls first, then by the shares of workspaces."""
 
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
 import time
 from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING
 
 import attrs
 
+from basilroad.coordination.fairpolicy import FairSettings, Flow
+from basilroad.coordination.fairqueue import FairQueue
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.recentruns import RecentRuns
 
@@ -25,6 +25,9 @@
 """Seconds between looks at what waits: endpoints also become free without a call of this gateway
 that ends."""
 
+STRICT_RANKS = FairSettings(floor=0.0)
+"""Ranks without a floor: less urgent calls wait as long as urgent ones do."""
+
 
 @attrs.define(order=False, eq=False)
 class Ticket:
@@ -39,9 +42,19 @@
     avoid: Collection[str]
     placed: asyncio.Future[Reservation]
 
+    @property
+    def flow(self) -> Flow:
+        """:return: whose share the call uses."""
+        return Flow(self.call.rank, self.call.workspace, "")
+
+    @property
+    def cost(self) -> float:
+        """:return: tokens of a generation; one for a call of a plain service."""
+        return float(self.call.size.total or 1)
+
 
 class Dispatcher:
-    """Holds the calls that wait, by service, rank and time of arrival.
+    """Holds the calls that wait, by service, rank and workspace, then by time of arrival.
 
     :param directory: the endpoints
     :param chooser: chooses among them
@@ -61,8 +74,7 @@
         self.find_engine = find_engine
         self.recent_runs = RecentRuns(clock)
         self._clock = clock
-        self._queues: dict[str, list[tuple[int, float, int, Ticket]]] = {}
-        self._serial = itertools.count()
+        self._queues: dict[str, FairQueue[Ticket]] = {}
 
     @property
     def waiting(self) -> int:
@@ -102,18 +114,20 @@
 
     def serve_waiting(self) -> None:
         """Place the calls that wait, as far as there is room."""
-        for service in [name for name, queue in self._queues.items() if queue]:
-            self._serve(service)
+        for queue in list(self._queues.values()):
+            self._serve(queue)
 
     def _is_blocked(self, call: Call) -> bool:
         queue = self._queues.get(call.service)
-        return queue is not None and len(queue) > 0 and queue[0][0] <= call.rank
+        return queue is not None and any(rank <= call.rank for rank in queue.ranks())
 
     async def _wait(self, call: Call, avoid: Collection[str], left_s: float) -> Reservation | None:
         placed: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
         ticket = Ticket(call, avoid, placed)
-        queue = self._queues.setdefault(call.service, [])
-        heapq.heappush(queue, (call.rank, call.arrived_at, next(self._serial), ticket))
+        queue = self._queues.get(call.service)
+        if queue is None:
+            queue = self._queues[call.service] = FairQueue(STRICT_RANKS)
+        queue.push(ticket, ticket.flow, ticket.cost)
         try:
             async with asyncio.timeout(left_s):
                 return await placed
@@ -126,27 +140,27 @@
                 given.release()
             raise
         finally:
-            queue[:] = [item for item in queue if item[3] is not ticket]
-            heapq.heapify(queue)
+            queue.remove(ticket)
             self.serve_waiting()
 
-    def _serve(self, service: str) -> None:
-        queue = self._queues[service]
-        held: list[tuple[int, float, int, Ticket]] = []
-        while queue:
-            item = heapq.heappop(queue)
-            ticket = item[3]
+    def _serve(self, queue: FairQueue[Ticket]) -> None:
+        held: list[Ticket] = []
+        while (ticket := queue.peek()) is not None:
             if ticket.placed.done():
+                queue.remove(ticket)
                 continue
             endpoint = self._choose(ticket.call, ticket.avoid)
-            if endpoint is not None:
-                ticket.placed.set_result(Reservation(endpoint, ticket.call.size))
-                continue
-            held.append(item)
-            if not ticket.avoid:
+            if endpoint is None and not ticket.avoid:
                 break
-        for item in held:
-            heapq.heappush(queue, item)
+            if endpoint is None:
+                # others may go where this one must not
+                held.append(ticket)
+                queue.remove(ticket)
+                continue
+            queue.pop()
+            ticket.placed.set_result(Reservation(endpoint, ticket.call.size))
+        for ticket in reversed(held):
+            queue.push_front(ticket, ticket.flow, ticket.cost)
 
     def _choose(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
         endpoints = self.directory.of_service(call.service)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -112,3 +112,46 @@
     call = build_call(build_stream_route())
     assert await dispatcher.place(call, started + 0.1) is None
     assert 0.08 < time.monotonic() - started < 0.5
+
+
+async def test_callers_of_other_workspaces_do_not_wait_behind_a_flood(
+    dispatcher: Dispatcher,
+) -> None:
+    # pattern: one workspace sends many times its usual while the engines are full
+    taken = await fill(dispatcher)
+    until = time.monotonic() + 5
+    placed: list[str] = []
+
+    async def wait(workspace: str) -> None:
+        call = build_call(build_stream_route(), workspace=workspace)
+        assert await dispatcher.place(call, until) is not None
+        placed.append(workspace)
+
+    tasks = [asyncio.ensure_future(wait("hot")) for _ in range(6)]
+    await asyncio.sleep(0)
+    tasks += [asyncio.ensure_future(wait(name)) for name in ("b", "c")]
+    await asyncio.sleep(0)
+    for reservation in taken[:8]:
+        dispatcher.release(reservation)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    await asyncio.gather(*tasks)
+    assert {"b", "c"} <= set(placed[:4])
+    assert len(placed) == 8
+
+
+async def test_a_call_that_must_not_go_where_there_is_room_holds_up_nobody(
+    dispatcher: Dispatcher,
+) -> None:
+    taken = await fill(dispatcher)
+    until = time.monotonic() + 5
+    picky = asyncio.ensure_future(dispatcher.place(build_call(build_stream_route()), until, {"e1"}))
+    await asyncio.sleep(0)
+    other = asyncio.ensure_future(dispatcher.place(build_call(build_stream_route()), until))
+    await asyncio.sleep(0)
+    dispatcher.release(taken[0])
+    await asyncio.wait_for(other, 1)
+    assert not picky.done()
+    picky.cancel()
+    await asyncio.gather(picky, return_exceptions=True)
+    assert dispatcher.waiting == 0
