Pause between reads of a table that lacks its history again

Cause: after a dropped history the watch read the whole table and asked for changes at once; if the answer was again that the history is gone, it did so without any pause. A store whose whole reads are some seconds behind after it dropped its history answers just so, and its calls are paid. Change: a history that is gone counts like any failure for the pause, which only a wait that was answered resets. Shown: test_a_store_that_never_has_the_history_is_not_asked_without_pause fails before, passes now.

--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -89,26 +89,33 @@
         pause_s = RETRY_MIN_S
         while not self.should_stop:
             try:
-                await self._step()
+                revision = self._revision
+                if revision is None or self._lost:
+                    revision = await self._read_whole()
+                await self._await_changes(revision)
             except HistoryGoneError as error:
                 self._revision = None
                 _LOGGER.info("history gone", extra={"table": self._table, "detail": str(error)})
             except StoreError as error:
                 self._tell_lost(str(error))
-                await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
-                pause_s = min(RETRY_MAX_S, 2 * pause_s)
             else:
                 pause_s = RETRY_MIN_S
+                continue
+            # a table that was just read can lack its history again, so that is a failure too
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
+            pause_s = min(RETRY_MAX_S, 2 * pause_s)
+
+    async def _read_whole(self) -> int:
+        asked_at = read_boot_clock()
+        changes = await self._store.read_table(self._table)
+        self._accept(changes, self.take_all)
+        self._confirm(changes, asked_at)
+        self._tell_regained()
+        return changes.revision
 
-    async def _step(self) -> None:
+    async def _await_changes(self, revision: int) -> None:
         asked_at = read_boot_clock()
-        if self._revision is None or self._lost:
-            changes = await self._store.read_table(self._table)
-            self._accept(changes, self.take_all)
-            self._confirm(changes, asked_at)
-            self._tell_regained()
-            return
-        changes = await self._store.wait_changes(self._table, self._revision, self._wait_s)
+        changes = await self._store.wait_changes(self._table, revision, self._wait_s)
         self._accept(changes, self.take_changes)
         waited_s = read_boot_clock() - asked_at
         # an empty answer is made at the end of the wait
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -119,6 +119,22 @@
     await until(lambda: rig.version == 2)
 
 
+async def test_a_store_that_never_has_the_history_is_not_asked_without_pause(rig: Rig) -> None:
+    # pattern: history dropped, and whole reads that are some seconds behind
+    rig.store.put("op", "config", build_config(1))
+    await until(lambda: rig.version == 1)
+    rig.store.history_from = 10**9
+    rig.store.put("op", "config", build_config(2))
+    await until(lambda: rig.version == 2)
+    calls = rig.store.calls
+    await asyncio.sleep(2.0)
+    # two tables, two calls each time, and a pause that grows to 0.2 s at the least
+    assert rig.store.calls - calls <= 2 * 2 * (2.0 / 0.2 + 4)
+    rig.store.history_from = 0
+    rig.store.put("op", "config", build_config(3))
+    await until(lambda: rig.version == 3)
+
+
 async def test_entries_come_and_go_and_foreign_ones_are_skipped(rig: Rig) -> None:
     rig.store.put("servers", "i-1", SERVER)
     rig.store.put("servers", "i-2", b"\xff not an entry")
