--- a/tests/harness/test_known_red.py
+++ b/tests/harness/test_known_red.py
@@ -75,6 +75,17 @@
     result.stdout.fnmatch_lines(["*remove its entry*"])
 
 
+def test_a_test_that_fails_at_times_may_pass_but_no_other(
+    pytester: pytest.Pytester, workers: str
+) -> None:
+    notes = f"{NOTES}  at times\n"
+    entries = "".join(f"test_it.py::{name}{notes}" for name in ("test_green", "test_red"))
+    (pytester.path / "KNOWN-RED.txt").write_text(entries)
+    result = pytester.runpytest_subprocess("-n", workers, "-k", "green or red or case")
+    result.assert_outcomes(failed=1, passed=2, xfailed=1)
+    result.stdout.fnmatch_lines(["*test_it.py::test_red*", "*at times*"])
+
+
 def test_other_failures_still_fail(pytester: pytest.Pytester, workers: str) -> None:
     result = run(pytester, workers, "test_red", select="red or case")
     result.assert_outcomes(xfailed=1, failed=1, passed=1)
