Bound responses without end, skip late copies and stall streams by their events

A body was buffered without limit until the deadline, interim responses and a partial event had no limit; a late second copy of a response failed the next call on the connection ("may have run") though its own response followed; any byte reset the stall time-out of a stream, and a stream steadily slower than it was cut at each engine until its attempts were used up; a silent engine also lost the streams that may not be resumed. Change: limits for bodies, interim responses and events, one for all buffered responses of an endpoint; a response with the id of the connection's previous request is read past; stalls count from the last event with data, only where another endpoint has room, and double; mark_lost keeps connections of calls that may not run again.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, cast
 
 import attrs
@@ -30,6 +31,13 @@
 HEAD_BYTES_MAX = 65536
 """Largest response head."""
 
+INTERIM_RESPONSES_MAX = 16
+"""Largest number of interim (1xx) responses before the head of a response."""
+
+SHORT_BODY_BYTES = 65536
+"""Largest body where only a short one is expected: of a rejection, a report or a superseded
+response."""
+
 
 class ChannelError(Exception):
     """The connection failed or the response is not valid HTTP.
@@ -66,12 +74,14 @@
     :param target: path and query, as the caller sent them
     :param headers: all headers except Content-Length
     :param body: whole body
+    :param id: id that the endpoint echoes in its response; empty without one
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes = b""
+    id: str = ""
 
 
 class Channel(asyncio.Protocol):
@@ -87,6 +97,9 @@
         self._buffered = 0
         self._paused = False
         self.requests = 0
+        self.previous_id = ""
+        self._request_id = ""
+        self._request_head: h11.Request | None = None
         self.idle_since = 0.0
         self.idle_limit_s = POOL_IDLE_LIMIT_S
 
@@ -141,10 +154,12 @@
         assert self._transport is not None
         self._busy = True
         self.requests += 1
+        self.previous_id, self._request_id = self._request_id, request.id
         headers = list(request.headers)
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append(("Content-Length", str(len(request.body))))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
+        self._request_head = head
         parts = [self._http.send(head)]
         if request.body:
             parts.append(self._http.send(h11.Data(data=request.body)))
@@ -157,7 +172,11 @@
         :raises ChannelError: the connection failed or the response is invalid
         """
         event = await self._next_event()
+        interim = 0
         while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > INTERIM_RESPONSES_MAX:
+                raise ChannelError(f"more than {INTERIM_RESPONSES_MAX} interim responses")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ChannelError(f"expected a response head, got {type(event).__name__}")
@@ -180,16 +199,45 @@
             return None
         raise ChannelError(f"expected body data, got {type(event).__name__}")
 
-    async def read_body(self) -> bytes:
-        """:return: the whole body.
+    async def read_body(self, limit: int, count: Callable[[int], bool] = lambda _: True) -> bytes:
+        """Read the whole body.
 
-        :raises ChannelError: the connection failed or the response is invalid
+        :param limit: largest size in bytes
+        :param count: called with the size of each part; false if there is no memory for it
+        :return: the body
+        :raises ChannelError: the connection failed, or the response is invalid or too large
         """
-        parts = []
+        parts, size = [], 0
         while (part := await self.read_data()) is not None:
+            size += len(part)
+            if size > limit or not count(len(part)):
+                self.close()
+                raise ChannelError(f"body is too large: {size} bytes were read, limit is {limit}")
             parts.append(part)
         return b"".join(parts)
 
+    async def skip_response(self) -> None:
+        """Read past the body of a response whose head was read; the next one is expected.
+
+        :raises ChannelError: the connection failed, or the response is invalid or too large
+        """
+        size = 0
+        while isinstance(event := await self._next_event(), h11.Data):
+            size += len(event.data)
+            if size > SHORT_BODY_BYTES:
+                self.close()
+                raise ChannelError(f"superseded response exceeds {SHORT_BODY_BYTES} bytes")
+        if not isinstance(event, h11.EndOfMessage) or self._http.their_state is not h11.DONE:
+            raise ChannelError(f"expected the end of a response, got {type(event).__name__}")
+        assert self._request_head is not None
+        self._http.start_next_cycle()
+        # the request is on its way already; only the parser has to expect its response
+        self._http.send(self._request_head)
+        length = int(dict(self._request_head.headers).get(b"content-length", b"0"))
+        if length:
+            self._http.send(h11.Data(data=bytes(length)))
+        self._http.send(h11.EndOfMessage())
+
     def close(self) -> None:
         """Abort the connection; the endpoint then cancels the request in progress."""
         self._ended = True
@@ -294,6 +342,7 @@
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
+    "SHORT_BODY_BYTES",
     "Channel",
     "ChannelError",
     "ChannelPool",
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import enum
+import logging
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -12,6 +13,7 @@
 
 from basilroad.endpoints.channels import (
     POOL_IDLE_LIMIT_S,
+    SHORT_BODY_BYTES,
     ChannelError,
     ConnectError,
     OutgoingRequest,
@@ -28,10 +30,16 @@
 """Idle time after which a connection is not used for a call that may run only once: the endpoint
 might close it while the request is in flight."""
 
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+"""Largest buffered response, as large as the largest request body of the default configuration."""
+
 REJECTION_BODY_TIMEOUT_S = 0.1
 """Time to read the body of a rejection; it only decides whether the connection is reused."""
 
 
+_LOGGER = logging.getLogger(__name__)
+
+
 class ResponseVerdict(enum.Enum):
     """Whether the call ran, according to the head of a response."""
 
@@ -39,6 +47,7 @@
     REJECTED = "turned away"
     WRONG_ENDPOINT = "other endpoint"
     MISMATCHED = "not ours"
+    SUPERSEDED = "of the previous call"
 
 
 @attrs.frozen
@@ -73,12 +82,15 @@
     def encode_probe(self, address: Address) -> OutgoingRequest:
         """:return: a request that a live endpoint answers at once."""
 
-    def classify_response(self, call: Call, head: ReplyHead, *, first_use: bool) -> ResponseVerdict:
+    def classify_response(
+        self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
+    ) -> ResponseVerdict:
         """Decide from the head of a response whether the call ran.
 
         :param call: the call
         :param head: head of the response
         :param first_use: whether this is the first request on the connection
+        :param previous_id: id of the previous request on the connection; empty without one
         :return: the verdict
         """
 
@@ -140,12 +152,15 @@
             self._keep()
         return data
 
-    async def read_all(self) -> bytes:
-        """:return: the complete body.
+    async def read_all(self, limit: int = MAX_RESPONSE_BYTES) -> bytes:
+        """Read the complete body.
 
-        :raises ChannelError: the response was cut off
+        :param limit: largest size in bytes
+        :return: the body
+        :raises ChannelError: the response was cut off or is too large
         """
-        body = await self._channel.read_body()
+        with self.endpoint.count_buffered() as count:
+            body = await self._channel.read_body(limit, count)
         self._keep()
         return body
 
@@ -187,7 +202,8 @@
             self.endpoint.record_unreachable(time.monotonic())
             return NotRun(f"no connection: {error}")
         self._channel = channel
-        self.endpoint.add_pending(channel, time.monotonic())
+        repeatable = self.call.route.repeatable
+        self.endpoint.add_pending(channel, time.monotonic(), repeatable=repeatable)
         request = self._protocol.encode(self.call, self._options)
         self.sent = True
         channel.send(request)
@@ -208,7 +224,14 @@
             channel.close()
 
     async def _classify(self, channel: Channel, head: ReplyHead) -> OpenReply | NotRun | MayHaveRun:
-        verdict = self._protocol.classify_response(self.call, head, first_use=channel.requests == 1)
+        verdict = self._protocol.classify_response(
+            self.call,
+            head,
+            first_use=channel.requests == 1,
+            previous_id=channel.previous_id,
+        )
+        if verdict is ResponseVerdict.SUPERSEDED:
+            return await self._skip_superseded(channel)
         now = time.monotonic()
         if verdict is ResponseVerdict.MISMATCHED:
             channel.close()
@@ -225,10 +248,29 @@
             self.endpoint.record_full(now)
         return NotRun(f"rejected with status {head.status}", full=True)
 
+    async def _skip_superseded(self, channel: Channel) -> OpenReply | NotRun | MayHaveRun:
+        _LOGGER.warning(
+            "second response skipped",
+            extra={
+                "request": self.call.id,
+                "endpoint": self.endpoint.id,
+                "previous": channel.previous_id,
+            },
+        )
+        # one copy is read past; the connection is given up at another
+        channel.previous_id = ""
+        try:
+            await channel.skip_response()
+            head = await channel.read_head()
+        except ChannelError as error:
+            self.endpoint.record_broken(time.monotonic())
+            return MayHaveRun(str(error))
+        return await self._classify(channel, head)
+
     async def _finish_rejected(self, reply: OpenReply) -> None:
         try:
             async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
-                await reply.read_all()
+                await reply.read_all(SHORT_BODY_BYTES)
         except (ChannelError, TimeoutError):
             self.close()
 
--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from basilroad.gateway.events import MAX_ID_DIGITS
 from basilroad.gateway.route import Route
 
 Headers = tuple[tuple[str, str], ...]
@@ -71,7 +72,10 @@
     @property
     def events_received(self) -> int:
         """:return: number of events that the caller has received, from the last event id."""
-        return int(self.resume_after) if self.resume_after.isdigit() else 0
+        text = self.resume_after
+        if not text.isascii() or not text.isdigit() or len(text) > MAX_ID_DIGITS:
+            return 0
+        return int(text)
 
 
 @attrs.frozen
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 import math
 import time
@@ -12,6 +13,8 @@
 from basilroad.endpoints.channels import ChannelPool
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import PromptSize
     from basilroad.peers.address import Address
@@ -27,6 +30,10 @@
 """Time for which an endpoint that rejected a call counts as full; its own load reports are as
 old."""
 
+MAX_BUFFERED_BYTES = 16 * 1024 * 1024
+"""Limit of all responses of one endpoint that are being buffered; an eighth of the memory of the
+smallest hosts."""
+
 FAILURE_HALF_LIFE_S = 2.0
 """Half-life of the failure rate; a few calls per endpoint arrive in that time."""
 
@@ -98,8 +105,9 @@
         self._backoff_s = UNREACHABLE_BACKOFF_S
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
-        self._channels: set[Channel] = set()
+        self._channels: dict[Channel, bool] = {}
         self._pending_since = 0.0
+        self._buffered_bytes = 0
 
     @property
     def id(self) -> str:
@@ -115,22 +123,42 @@
             and now >= self.full_until
         )
 
-    def add_pending(self, channel: Channel, now: float) -> None:
+    def add_pending(self, channel: Channel, now: float, *, repeatable: bool) -> None:
         """Add a connection with a pending response.
 
         :param channel: the connection
         :param now: monotonic seconds
+        :param repeatable: whether its call may go on at another endpoint
         """
         if not self._channels:
             self._pending_since = now
-        self._channels.add(channel)
+        self._channels[channel] = repeatable
 
     def remove_pending(self, channel: Channel) -> None:
         """Remove a connection with a pending response.
 
         :param channel: the connection
         """
-        self._channels.discard(channel)
+        self._channels.pop(channel, None)
+
+    @contextlib.contextmanager
+    def count_buffered(self) -> Iterator[Callable[[int], bool]]:
+        """Count the bytes of one response while it is being buffered.
+
+        :return: function that counts a part by its size; false if the limit is exceeded
+        """
+        counted = 0
+
+        def count(size: int) -> bool:
+            nonlocal counted
+            counted += size
+            self._buffered_bytes += size
+            return self._buffered_bytes <= MAX_BUFFERED_BYTES
+
+        try:
+            yield count
+        finally:
+            self._buffered_bytes -= counted
 
     def silence_s(self, now: float) -> float:
         """:return: seconds without data while responses are pending; 0 if none are."""
@@ -189,12 +217,16 @@
         return self._failure_rate * math.exp2(-age_s / FAILURE_HALF_LIFE_S)
 
     def mark_lost(self, now: float) -> None:
-        """Start a backoff and close all connections of an endpoint that does not respond.
+        """Start a backoff for an endpoint that does not respond, and close its connections.
+
+        Those of calls that may not run again stay open: the endpoint may only be late.
 
         :param now: monotonic seconds
         """
         self.record_unreachable(now)
-        self._drop_channels()
+        for channel, repeatable in list(self._channels.items()):
+            if repeatable:
+                channel.close()
 
     def restart(self, entry: EndpointEntry) -> None:
         """Reset the observed state after a restart.
--- a/src/basilroad/gateway/events.py
+++ b/src/basilroad/gateway/events.py
@@ -6,10 +6,17 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+DATA_FIELD = b"data"
+
+MAX_EVENT_BYTES = 262144
+"""Largest event; those of generations have some hundred bytes."""
+
+MAX_ID_DIGITS = 18
+"""Largest number of digits of an event id, which fits in 64 bits."""
 
 
 class EventOrderError(Exception):
-    """An event is missing, or the id of an event is not a number."""
+    """An event is missing or too large, or the id of an event is not a number."""
 
 
 @attrs.define
@@ -17,9 +24,11 @@
     """Extracts the events to be forwarded from the data of one or more runs of a stream.
 
     :param last: id of the last event forwarded; 0 before the first
+    :param received: number of complete events with data that were due; comments don't count
     """
 
     last: int = 0
+    received: int = 0
     _partial: bytes = b""
 
     def start_run(self) -> None:
@@ -41,25 +50,33 @@
         end = data.rfind(EVENT_END)
         if end < 0 and not self._ends_across(data):
             self._partial += data
+            self._check_size(self._partial)
             return b""
         data = self._partial + data
         end = data.rfind(EVENT_END) + len(EVENT_END)
         self._partial = data[end:]
+        self._check_size(self._partial)
         events = data[:end].split(EVENT_END)[:-1]
         return b"".join(event + EVENT_END for event in events if self._is_due(event))
 
+    def _check_size(self, partial: bytes) -> None:
+        if len(partial) > MAX_EVENT_BYTES:
+            raise EventOrderError(f"event {self.last + 1} exceeds {MAX_EVENT_BYTES} bytes")
+
     def _ends_across(self, data: bytes) -> bool:
         return self._partial.endswith(b"\n") and data.startswith(b"\n")
 
     def _is_due(self, event: bytes) -> bool:
         number = _read_id(event)
         if number is None:
+            self.received += any(line.startswith(DATA_FIELD) for line in event.split(b"\n"))
             return True
         if number <= self.last:
             return False
         if number != self.last + 1:
             raise EventOrderError(f"event {number} came after event {self.last}")
         self.last = number
+        self.received += 1
         return True
 
 
@@ -67,8 +84,8 @@
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            if not text.isdigit():
-                raise EventOrderError(f"event with id {text!r}")
+            if not text.isdigit() or len(text) > MAX_ID_DIGITS:
+                raise EventOrderError(f"event with id {text[:MAX_ID_DIGITS]!r}")
             return int(text)
     return None
 
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -8,7 +8,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.endpoints.channels import ChannelError
+from basilroad.endpoints.channels import SHORT_BODY_BYTES, ChannelError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -138,7 +138,7 @@
                 channel = await endpoint.pool.open(0)
                 channel.send(self._protocol.encode_probe(endpoint.entry.address))
                 await channel.read_head()
-                await channel.read_body()
+                await channel.read_body(SHORT_BODY_BYTES)
         except (ChannelError, TimeoutError):
             if channel is not None:
                 channel.close()
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -27,7 +27,8 @@
 
 STALL_TIMEOUT_S = 1.5
 """Time without an event after which a started stream is resumed elsewhere though its endpoint is
-alive; twice the gap specified for the fleets."""
+alive; twice the gap specified for the fleets. It doubles with each stall of a stream, so that one
+that is slow everywhere runs on to its end."""
 
 PREFILL_RESERVE_S = 1.5
 """Part of the target reserved for prefill: 1.5 times that of a mean prompt."""
@@ -67,6 +68,7 @@
         self._started = False
         self._backup_endpoint: Endpoint | None = None
         self._last_forwarded_at = 0.0
+        self._stall_timeout_s = STALL_TIMEOUT_S
         self._gaps = gateway.metrics.gap_s.labels(name_rank(call.rank))
 
     async def run(self) -> Reply | None:
@@ -202,7 +204,7 @@
                         return opened
                     if opened.status != OK:
                         return Reply(opened.status, opened.headers, await opened.read_all())
-                    return await self._relay(opened, reservation, wait)
+                    return await self._relay(opened, attempt, reservation, wait)
         except TimeoutError:
             if not attempt.sent:
                 return NotRun("no connection in time")
@@ -224,26 +226,32 @@
         )
 
     async def _relay(
-        self, opened: OpenReply, reservation: Reservation, wait: FirstEventWait
+        self, opened: OpenReply, attempt: Attempt, reservation: Reservation, wait: FirstEventWait
     ) -> Outcome:
         self._events.start_run()
-        limit_s: float | None = None
+        stalls_at: float | None = None
         while True:
             try:
-                async with asyncio.timeout(limit_s):
+                async with asyncio.timeout_at(stalls_at):
                     data = await opened.read()
             except TimeoutError:
-                if limit_s is None or time.monotonic() >= self._call.expires_at:
+                if stalls_at is None or time.monotonic() >= self._call.expires_at:
                     raise
+                if not self._can_move(attempt):
+                    stalls_at += self._stall_timeout_s
+                    continue
+                self._stall_timeout_s *= 2
                 return MayHaveRun("the stream stalled")
             if data is None:
                 break
+            received = self._events.received
             due = self._events.take(data)
             if due:
+                await self._forward(opened, due)
+            if self._events.received > received:
                 reservation.record_prefill_done()
                 self._gateway.liveness.mark_started(wait)
-                limit_s = STALL_TIMEOUT_S
-                await self._forward(opened, due)
+                stalls_at = asyncio.get_running_loop().time() + self._stall_timeout_s
         if not self._events.is_whole:
             return MayHaveRun("the stream stopped within an event")
         if not self._started:
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -272,9 +273,10 @@
 def _read_time_left(request: web.BaseRequest, route: Route) -> float:
     text = request.headers.get(HEADER_TIME_LEFT_MS, "")
     try:
-        return min(float(text) / 1000, route.timeout_s)
+        time_left_s = float(text) / 1000
     except ValueError:
         return route.timeout_s
+    return route.timeout_s if math.isnan(time_left_s) else min(time_left_s, route.timeout_s)
 
 
 __all__ = ["PlatformFrontend"]
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -30,6 +30,7 @@
 HEADER_NOT_EXECUTED = "x-not-executed"
 STATUS_MISDIRECTED = 421
 MAX_URGENCY = 9
+MAX_COUNT_DIGITS = 9  # far beyond the memory of an engine
 
 RESERVED_HEADERS = frozenset(
     name.lower()
@@ -79,21 +80,27 @@
             added.append((HEADER_LAST_EVENT_ID, resume_after))
         if options.copy_at is not None:
             added.append((HEADER_KV_BACKUP, str(options.copy_at)))
-        return OutgoingRequest(call.method, call.target, (*call.headers, *added), call.body)
+        headers = (*call.headers, *added)
+        return OutgoingRequest(call.method, call.target, headers, call.body, call.id)
 
     def encode_probe(self, address: Address) -> OutgoingRequest:
         """:return: a request for a server's status report."""
         return OutgoingRequest("GET", "/report", (("Host", str(address)),))
 
-    def classify_response(self, call: Call, head: ReplyHead, *, first_use: bool) -> ResponseVerdict:
+    def classify_response(
+        self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
+    ) -> ResponseVerdict:
         """Classify a response head by whether the server executed the call.
 
         :param call: the call
         :param head: status and headers of the response
         :param first_use: whether this is the first request on the connection
+        :param previous_id: id of the previous request on the connection; empty without one
         :return: the classification
         """
         echoed_id = head.get(HEADER_REQUEST_ID.lower())
+        if echoed_id and echoed_id != call.id and echoed_id == previous_id:
+            return ResponseVerdict.SUPERSEDED
         if echoed_id != call.id and (echoed_id or not first_use):
             return ResponseVerdict.MISMATCHED
         if head.status == STATUS_MISDIRECTED:
@@ -152,9 +159,17 @@
     :return: the estimate; zero if the header is absent or malformed
     """
     prompt, _, output = headers.get(HEADER_TOKEN_USAGE, "").partition(",")
-    if not prompt.strip().isdigit() or not output.strip().isdigit():
+    counts = [_read_count(text.strip()) for text in (prompt, output)]
+    if None in counts:
         return PromptSize()
-    return PromptSize(int(prompt), int(output))
+    return PromptSize(*(count or 0 for count in counts))
+
+
+def _read_count(text: str) -> int | None:
+    # int() accepts other scripts' digits and fails beyond some thousand digits
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_COUNT_DIGITS:
+        return None
+    return int(text)
 
 
 __all__ = [
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -18,6 +18,9 @@
 
 READ_BYTES = 65536
 
+TRICKLE_INTERVAL_S = 0.05
+"""Interval of the bytes that a stalled stream sends."""
+
 
 class WireFault(enum.Enum):
     """Fault injected into one response.
@@ -25,7 +28,8 @@
     ``TURN_AWAY`` rejects a request without running it; ``MISDIRECT`` responds as if the request
     were meant for another instance. All others run it: ``LOSE_ANSWER`` never responds,
     ``OTHER_ID`` and ``NO_SEAL`` alter the headers, ``CUT`` omits the last bytes, and ``UNFRAMED``
-    sends no length.
+    sends no length. ``LATE_COPY`` sends the response again before that of the connection's next
+    request. The endless ones go on until the client closes the connection.
     """
 
     NONE = "none"
@@ -41,6 +45,30 @@
     UNFRAMED_RESET = "unframed, reset"
     CUT = "cut"
     GARBAGE = "garbage"
+    LATE_COPY = "late copy"
+    ENDLESS_HEADER = "endless header"
+    ENDLESS_HEADERS = "endless headers"
+    ENDLESS_INTERIM = "endless interim responses"
+    ENDLESS_BODY = "endless body"
+    ENDLESS_CHUNKS = "endless chunks"
+    ENDLESS_UNFRAMED = "endless body without length"
+    ENDLESS_EVENT = "endless event"
+
+
+_ENDLESS: dict[WireFault, tuple[bytes, bytes]] = {
+    WireFault.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x" * 4096),
+    WireFault.ENDLESS_HEADERS: (b"HTTP/1.1 200 OK\r\n", b"X-More: yes\r\n" * 256),
+    WireFault.ENDLESS_INTERIM: (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64),
+    WireFault.ENDLESS_BODY: (b"Content-Length: 99999999999\r\n\r\n", b"x" * READ_BYTES),
+    WireFault.ENDLESS_CHUNKS: (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"x" * READ_BYTES + b"\r\n",
+    ),
+    WireFault.ENDLESS_UNFRAMED: (b"\r\n", b"x" * READ_BYTES),
+    WireFault.ENDLESS_EVENT: (b"\r\n", b"data: x" * 4096),
+}
+"""Start and repeated part of the endless responses; a start without a status line follows a
+response head."""
 
 
 @attrs.frozen
@@ -75,6 +103,8 @@
     :param event_interval_s: seconds between events
     :param response_delay_s: seconds before a response begins
     :param reset_at_event: number of the event in which streams are reset; 0 for never
+    :param trickle_at_event: number of the event before which streams stall; 0 for never
+    :param trickle: bytes that a stalled stream sends now and then
     :param silent: whether all responses are withheld
     :param faults: faults of the next responses, in order
     """
@@ -84,12 +114,16 @@
     event_interval_s: float = 0.005
     response_delay_s: float = 0.0
     reset_at_event: int = 0
+    trickle_at_event: int = 0
+    trickle: bytes = b""
     silent: bool = False
     faults: deque[WireFault] = attrs.field(factory=deque)
     seen: list[ReceivedRequest] = attrs.field(factory=list)
     runs: list[ReceivedRequest] = attrs.field(factory=list)
     connections: int = 0
+    endless_bytes: int = 0
     port: int = 0
+    _late_copies: dict[asyncio.StreamWriter, bytes] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -132,6 +166,7 @@
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
+            self._late_copies.pop(writer, None)
             writer.close()
 
     async def _serve_requests(
@@ -158,6 +193,7 @@
             writer.write(rejection)
             return True
         self.runs.append(request)
+        writer.write(self._late_copies.pop(writer, b""))
         if self.response_delay_s:
             await asyncio.sleep(self.response_delay_s)
         if self.events and fault is WireFault.NONE:
@@ -178,6 +214,8 @@
     ) -> bool:
         if fault is WireFault.LOSE_ANSWER:
             await asyncio.Event().wait()
+        if fault in _ENDLESS:
+            return await self._write_endless(request_id, fault, writer)
         if fault is WireFault.RESET:
             _reset(writer)
             return False
@@ -200,8 +238,25 @@
         writer.write(whole)
         if fault is WireFault.EXTRA_ANSWER:
             writer.write(whole)
+        if fault is WireFault.LATE_COPY:
+            self._late_copies[writer] = whole
         return True
 
+    async def _write_endless(
+        self, request_id: str, fault: WireFault, writer: asyncio.StreamWriter
+    ) -> bool:
+        start, repeated = _ENDLESS[fault]
+        headers = {"X-Attempt-Id": request_id, "X-Response-Seal": f"seal-of-{self.id}"}
+        if start and not start.startswith(b"HTTP"):
+            # without the blank line, which ends the start
+            writer.write(_encode_head(200, headers)[:-2])
+        writer.write(start)
+        while not writer.is_closing():
+            writer.write(repeated)
+            self.endless_bytes += len(repeated)
+            await writer.drain()
+        return False
+
     async def _stream(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         first = int(request.headers.get("last-event-id") or 0) + 1
         headers = {
@@ -220,6 +275,10 @@
                 await writer.drain()
                 _reset(writer)
                 return False
+            while number == self.trickle_at_event:
+                writer.write(_encode_chunk(self.trickle))
+                await writer.drain()
+                await asyncio.sleep(TRICKLE_INTERVAL_S)
             writer.write(_encode_chunk(event))
             await writer.drain()
             await asyncio.sleep(self.event_interval_s)
