Relay the listing within a data centre, so that store calls follow zones instead of hosts

Cause: each gateway kept two long calls open and read each change of the entries by itself. Change: the first gateway of a data centre (by name, at most 16 to a group) reads; it sends changes and the store's date of the last confirmation by datagram, at once and every 0.25 s. The others apply them, convert the date by the offset of the store's clock that they measured themselves, read a newer configuration or a gap themselves, and take over one after the other after 0.8 s of silence. A watch also outlives an unexpected error.

--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -14,12 +14,14 @@
 import msgspec
 
 from basilroad.gateway.promptlocations import PromptReport
+from basilroad.gateway.relay import Update
 from basilroad.peers.address import Address, parse_address
 
 if TYPE_CHECKING:
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.promptlocations import PromptLocations
+    from basilroad.gateway.relay import Relay
 
 GOSSIP_INTERVAL_S = 0.05
 """Interval of checks for changed state; prefill of a prompt takes about twenty times as long."""
@@ -59,7 +61,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class _Message(msgspec.Struct, array_like=True):
+class _Message(msgspec.Struct, array_like=True, tag="state"):
     host: str
     started_ms: int
     sequence: int
@@ -77,9 +79,13 @@
     sequence: int
     last_received_at: float
     loads: dict[str, tuple[int, int, int]]
+    address: Address
     data_centre: str = ""
 
 
+_DECODER = msgspec.msgpack.Decoder(_Message | Update)
+
+
 class Gossip(asyncio.DatagramProtocol):
     """Sends state to and receives state from the other gateways.
 
@@ -88,6 +94,7 @@
     :param address: listening address for datagrams
     :param directory: known endpoints
     :param prompt_locations: endpoints that processed recent prompts
+    :param relay: relay of the platform's listing, whose updates are sent too
     :param clock: monotonic seconds
     """
 
@@ -98,6 +105,7 @@
         address: Address,
         directory: Directory,
         prompt_locations: PromptLocations,
+        relay: Relay,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
@@ -105,6 +113,7 @@
         self._address = address
         self._directory = directory
         self._prompt_locations = prompt_locations
+        self._relay = relay
         self._clock = clock
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -126,6 +135,14 @@
         """:return: data centre by host of each other gateway that sends gossip."""
         return {host: view.data_centre for host, view in self._peer_states.items()}
 
+    def list_near_peers(self) -> list[tuple[str, Address]]:
+        """:return: name and address of each other gateway of this data centre that sends gossip."""
+        return [
+            (host, view.address)
+            for host, view in self._peer_states.items()
+            if view.data_centre == self._data_centre
+        ]
+
     async def start(self) -> None:
         """Listen for datagrams."""
         loop = asyncio.get_running_loop()
@@ -149,6 +166,7 @@
     def tick(self) -> None:
         """Send changed state to peers and drop the state of silent peers."""
         now = self._clock()
+        self._send_updates(now)
         self._expire(now)
         if now < self._next_send_at:
             return
@@ -165,6 +183,16 @@
         for peer in peers:
             self._send(data, peer)
 
+    def _send_updates(self, now: float) -> None:
+        updates, peers = self._relay.list_due()
+        for update in updates:
+            data = msgspec.msgpack.encode(update)
+            for peer in peers:
+                self._send(data, peer)
+            # updates come first, gossip gets what they leave of the limit
+            sent_s = len(data) * len(peers) / MAX_SENT_BYTES_PER_S
+            self._next_send_at = max(now, self._next_send_at) + sent_s
+
     def _choose_peers(self) -> list[Address]:
         # round robin in random order, so that no peer is skipped for long
         if len(self._peer_rotation) < FANOUT:
@@ -183,7 +211,10 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode and apply a datagram from a peer."""
         try:
-            message = msgspec.msgpack.decode(data, type=_Message)
+            message = _DECODER.decode(data)
+            if isinstance(message, Update):
+                self._relay.take(message)
+                return
             address = parse_address(message.address)
             others = [parse_address(text) for text in message.peers]
         except (msgspec.MsgspecError, ValueError) as error:
@@ -212,7 +243,7 @@
         if known is None:
             _LOGGER.info("peer heard", extra={"peer": message.host, "address": str(address)})
         self._peer_states[message.host] = _PeerState(
-            *order, now, message.loads, message.data_centre
+            *order, now, message.loads, address, message.data_centre
         )
         self.add_peers([address, *others])
         self._prompt_locations.merge_reported(message.runs)
--- /dev/null
+++ b/src/basilroad/gateway/relay.py
@@ -0,0 +1,337 @@
+"""Relay of the platform's listing between the gateways of a data centre.
+
+One gateway of a group reads the store; the others apply its updates and read the store themselves
+only while they hear from no reader, or when an update doesn't follow on from what they know.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+import time
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from basilroad.gateway.endpoint import EndpointEntry, EndpointState
+from basilroad.peers.address import parse_address
+
+if TYPE_CHECKING:
+    from basilroad.peers.address import Address
+
+UPDATE_INTERVAL_S = 0.25
+"""Interval of updates without changes; changes are sent at once."""
+
+UPDATE_TIMEOUT_S = 0.8
+"""Time without an update after which a gateway reads the store itself; allows for two lost ones."""
+
+TAKEOVER_STEP_S = 0.15
+"""Further time for each gateway that precedes this one, so that one takes over before the others
+try."""
+
+MAX_TAKEOVER_S = 0.6
+"""Upper limit of that further time; drained endpoints must be known to all within seconds."""
+
+MAX_CONFIRMATION_AGE_S = 2.8
+"""Age of a reader's own confirmation beyond which it sends no updates: a long poll and a retry."""
+
+REPEAT_S = 1.0
+"""Time for which a change is repeated, as datagrams get lost."""
+
+GROUP_HOSTS = 16
+"""Largest number of gateways that follow one reader; bounds what a reader sends."""
+
+MAX_CHANGES_SENT = 10
+"""Changes per update; entries take about 100 of the 1400 bytes of a datagram."""
+
+LOG_LENGTH = 256
+"""Changes that a reader keeps for repetition, more than the endpoints that change in that time."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class EntryRecord(msgspec.Struct, array_like=True):
+    """A change of one entry, as sent between gateways.
+
+    :param revision: store revision of the change
+    :param id: id of the endpoint
+    :param service: its service; empty if the entry was removed
+    """
+
+    revision: int
+    id: str
+    service: str = ""
+    address: str = ""
+    data_centre: str = ""
+    slots: int = 1
+    state: str = EndpointState.READY.value
+    started_ms: int = 0
+
+
+class Update(msgspec.Struct, array_like=True, tag="update"):
+    """What a reader knows of the store.
+
+    :param host: name of the reader
+    :param config_version: version of the configuration in force at the reader
+    :param store_s: store clock in seconds at which that version was the latest
+    :param age_ms: age of that confirmation by the reader's own clock
+    :param base: revision after which all changes are included
+    :param revision: revision up to which they are complete
+    :param changes: changed entries in order
+    """
+
+    host: str
+    config_version: int
+    store_s: float
+    age_ms: int
+    base: int
+    revision: int
+    changes: list[EntryRecord] = []
+
+
+@attrs.frozen
+class ListedChange:
+    """A change of one entry.
+
+    :param revision: store revision of the change
+    :param endpoint_id: id of the endpoint
+    :param entry: the entry; ``None`` if it was removed
+    """
+
+    revision: int
+    endpoint_id: str
+    entry: EndpointEntry | None
+
+
+@attrs.frozen
+class Confirmation:
+    """The configuration's version at a moment of the store's clock.
+
+    :param version: the version
+    :param store_s: store clock in seconds
+    :param at: the same moment by the clock of this gateway, in seconds
+    """
+
+    version: int
+    store_s: float
+    at: float
+
+
+def pack_change(change: ListedChange) -> EntryRecord:
+    """:return: the change as sent between gateways."""
+    entry = change.entry
+    if entry is None:
+        return EntryRecord(change.revision, change.endpoint_id)
+    return EntryRecord(
+        change.revision,
+        change.endpoint_id,
+        entry.service,
+        str(entry.address),
+        entry.data_centre,
+        entry.slots,
+        entry.state.value,
+        entry.started_ms,
+    )
+
+
+def unpack_change(record: EntryRecord) -> ListedChange:
+    """Read a change sent by another gateway.
+
+    :param record: the change
+    :return: the change
+    :raises ValueError: its address or state is malformed
+    """
+    if not record.service:
+        return ListedChange(record.revision, record.id, None)
+    entry = EndpointEntry(
+        record.id,
+        record.service,
+        parse_address(record.address),
+        record.data_centre,
+        record.slots,
+        EndpointState(record.state),
+        record.started_ms,
+    )
+    return ListedChange(record.revision, record.id, entry)
+
+
+class Relay:
+    """Role of this gateway in its data centre, and what it sends as a reader.
+
+    Gateways of one data centre are ordered by name. Each follows any reader that precedes it, so
+    that the first one that can read the store is the only reader of its group.
+
+    :param host: name of this gateway
+    :param boot_clock: monotonic seconds that include suspend time
+    :param clock: monotonic seconds
+    """
+
+    def __init__(
+        self,
+        host: str,
+        boot_clock: Callable[[], float],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._host = host
+        self._clock = clock
+        self._boot_clock = boot_clock
+        self._updated_at = -math.inf
+        self._position = 0
+        self._recipients: list[Address] = []
+        self._confirmation: Confirmation | None = None
+        self._listing_read = False
+        self._log: deque[tuple[float, ListedChange]] = deque(maxlen=LOG_LENGTH)
+        self._log_base = 0
+        self._revision = 0
+        self._sent_at = -math.inf
+        self._changed = False
+        self._subscribers: list[Callable[[Update], None]] = []
+
+    # followers
+
+    @property
+    def follows(self) -> bool:
+        """:return: whether a reader that precedes this gateway is heard."""
+        return self._clock() < self._updated_at + self._timeout_s
+
+    @property
+    def _timeout_s(self) -> float:
+        return UPDATE_TIMEOUT_S + min(MAX_TAKEOVER_S, TAKEOVER_STEP_S * max(0, self._position - 1))
+
+    def subscribe(self, callback: Callable[[Update], None]) -> None:
+        """Call a function with each update of a reader that is followed.
+
+        :param callback: the function
+        """
+        self._subscribers.append(callback)
+
+    def take(self, update: Update) -> None:
+        """Apply an update from another gateway of this data centre.
+
+        :param update: the update
+        """
+        if update.host >= self._host:
+            return
+        if not self.follows:
+            _LOGGER.info("reader followed", extra={"reader": update.host})
+        self._updated_at = self._clock()
+        for callback in self._subscribers:
+            callback(update)
+
+    def update_peers(self, peers: Iterable[tuple[str, Address]]) -> None:
+        """Update the set of gateways in this data centre that are heard.
+
+        :param peers: name and address of each other one
+        """
+        others = sorted(peers)
+        names = [host for host, _ in others]
+        self._position = sum(host < self._host for host in names)
+        group = self._position // GROUP_HOSTS
+        self._recipients = [
+            address
+            for index, (host, address) in enumerate(others)
+            # this gateway itself is missing from the others
+            if host > self._host and (index + 1) // GROUP_HOSTS == group
+        ]
+
+    # readers
+
+    @property
+    def has_followers(self) -> bool:
+        """:return: whether updates of this gateway would be followed."""
+        return bool(self._recipients)
+
+    def record_confirmation(self, confirmation: Confirmation | None) -> None:
+        """Record a confirmation of the configuration by the store, or its loss.
+
+        :param confirmation: the confirmation; ``None`` if the store can't be read
+        """
+        self._confirmation = confirmation
+
+    def record_listing(self, revision: int) -> None:
+        """Record a complete listing, which earlier changes don't lead up to.
+
+        :param revision: revision of the listing
+        """
+        self._log.clear()
+        self._log_base = self._revision = revision
+        self._listing_read = True
+
+    def record_changes(self, changes: Sequence[ListedChange], revision: int) -> None:
+        """Record changes of the listing.
+
+        :param changes: the changes in order
+        :param revision: revision up to which they are complete
+        """
+        now = self._clock()
+        for change in changes:
+            if len(self._log) == LOG_LENGTH:
+                self._log_base = self._log[0][1].revision
+            self._log.append((now, change))
+        self._revision = max(self._revision, revision)
+        self._listing_read = True
+        self._changed = self._changed or bool(changes)
+
+    def record_listing_lost(self) -> None:
+        """Record that the listing can't be read."""
+        self._listing_read = False
+
+    def list_due(self) -> tuple[list[Update], list[Address]]:
+        """:return: updates that have to be sent now, and their recipients; empty if none are."""
+        now = self._clock()
+        if not self._changed and now < self._sent_at + UPDATE_INTERVAL_S:
+            return [], []
+        confirmation = self._confirmation
+        if not self._recipients or self.follows or not self._listing_read or confirmation is None:
+            return [], []
+        age_s = max(0.0, self._boot_clock() - confirmation.at)
+        if age_s > MAX_CONFIRMATION_AGE_S:
+            return [], []
+        self._sent_at, self._changed = now, False
+        return self._build_updates(confirmation, age_s, now), self._recipients
+
+    def _build_updates(self, confirmation: Confirmation, age_s: float, now: float) -> list[Update]:
+        while self._log and now - self._log[0][0] > REPEAT_S:
+            self._log_base = self._log.popleft()[1].revision
+        updates: list[Update] = []
+        changes = [change for _, change in self._log]
+        base = self._log_base
+        while True:
+            part, changes = _split_part(changes)
+            revision = part[-1].revision if changes else self._revision
+            updates.append(
+                Update(
+                    self._host,
+                    confirmation.version,
+                    confirmation.store_s,
+                    round(1000 * age_s),
+                    base,
+                    revision,
+                    [pack_change(change) for change in part],
+                )
+            )
+            if not changes:
+                return updates
+            base = revision
+
+
+def _split_part(changes: list[ListedChange]) -> tuple[list[ListedChange], list[ListedChange]]:
+    end = MAX_CHANGES_SENT
+    # changes of one revision stay together
+    while 0 < end < len(changes) and changes[end].revision == changes[end - 1].revision:
+        end += 1
+    return changes[:end], changes[end:]
+
+
+__all__ = [
+    "Confirmation",
+    "EntryRecord",
+    "ListedChange",
+    "Relay",
+    "Update",
+    "pack_change",
+    "unpack_change",
+]
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -13,9 +13,11 @@
 from basilroad.coordination.budget import RetrySettings
 from basilroad.coordination.timer import Timer
 from basilroad.gateway.dispatch import SWEEP_INTERVAL_S
+from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.gossip import GOSSIP_INTERVAL_S, Gossip
 from basilroad.gateway.liveness import LIVENESS_CHECK_INTERVAL_S
+from basilroad.gateway.relay import Relay
 from basilroad.platform.frontend import PlatformFrontend
 from basilroad.platform.peerdiscovery import PeerDiscovery
 from basilroad.platform.protocol import PlatformProtocol
@@ -63,6 +65,7 @@
         self.gateway = Gateway(build_gateway_settings(settings), PlatformProtocol())
         self.store = StoreClient(f"http://{settings.store.address}")
         self.front = PlatformFrontend(settings, self.gateway)
+        self.relay = Relay(settings.host, read_boot_clock)
         self.gossip: Gossip | None = None
         if settings.peers is not None:
             self.gossip = Gossip(
@@ -71,14 +74,15 @@
                 settings.peers,
                 self.gateway.directory,
                 self.gateway.dispatcher.prompt_locations,
+                self.relay,
             )
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: the child services, in their start order."""
         services: list[ServiceT] = [
             self.timers,
-            ConfigWatch(self.store, self.gateway),
-            ServersWatch(self.store, self.gateway, self.settings.bounds.drain_s),
+            ConfigWatch(self.store, self.gateway, self.relay),
+            ServersWatch(self.store, self.gateway, self.relay, self.settings.bounds.drain_s),
         ]
         settings = self.settings
         if self.gossip is not None and settings.peers is not None:
@@ -103,6 +107,7 @@
             self.gateway.update_known_hosts(
                 len(self.gossip.peers) + 1, self.gossip.list_live_peers()
             )
+            self.relay.update_peers(self.gossip.list_near_peers())
 
     def reload_if_changed(self) -> None:
         """Reload the settings if their file has changed without a SIGHUP."""
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -54,10 +54,12 @@
 
     :param key: its key
     :param value: its decoded value; ``None`` if it was removed
+    :param revision: revision of its last change
     """
 
     key: str
     value: bytes | None
+    revision: int = 0
 
 
 @attrs.frozen
@@ -166,12 +168,12 @@
 
 def _decode_row(row: _WireRow) -> StoreRow:
     if row.deleted:
-        return StoreRow(row.key, None)
+        return StoreRow(row.key, None, row.ver)
     try:
-        return StoreRow(row.key, base64.b64decode(row.value, validate=True))
+        return StoreRow(row.key, base64.b64decode(row.value, validate=True), row.ver)
     except binascii.Error:
         # the decoders of the value reject empty bytes like any other malformed value
-        return StoreRow(row.key, b"")
+        return StoreRow(row.key, b"", row.ver)
 
 
 __all__ = ["Changes", "HistoryGoneError", "StoreClient", "StoreError", "StoreRow"]
--- a/src/basilroad/platform/storeclock.py
+++ b/src/basilroad/platform/storeclock.py
@@ -22,6 +22,20 @@
         """Discard the offset; after an outage another store may respond, with another clock."""
         self._offset_s = math.inf
 
+    def convert(self, store_s: float, now: float) -> float | None:
+        """Convert a reading of the store clock to the boot clock.
+
+        :param store_s: store clock in seconds, as told by another host
+        :param now: boot clock in seconds
+        :return: lower bound of the same moment by the boot clock; ``None`` if no offset is known
+        """
+        if self._offset_s == math.inf:
+            return None
+        return min(now, store_s - self._bound_offset(now))
+
+    def _bound_offset(self, now: float) -> float:
+        return self._offset_s + MAX_CLOCK_DRIFT * max(0.0, now - self._updated_at)
+
     def estimate_time(self, earliest: float, received_at: float, store_s: float | None) -> float:
         """Estimate when a response was made; never later than the true time.
 
@@ -32,8 +46,7 @@
         """
         if store_s is None:
             return earliest
-        max_offset_s = self._offset_s + MAX_CLOCK_DRIFT * max(0.0, received_at - self._updated_at)
-        self._offset_s = min(max_offset_s, store_s - earliest)
+        self._offset_s = min(self._bound_offset(received_at), store_s - earliest)
         self._updated_at = received_at
         return min(received_at, max(earliest, store_s - self._offset_s))
 
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -4,14 +4,16 @@
 
 import abc
 import asyncio
+import contextlib
 import logging
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 from mode import Service
 
 from basilroad.gateway.freshness import read_boot_clock
+from basilroad.gateway.relay import Confirmation, ListedChange, unpack_change
 from basilroad.platform.config import ConfigError, decode_config, decode_server
 from basilroad.platform.store import HistoryGoneError, StoreError
 from basilroad.platform.storeclock import StoreClock
@@ -19,6 +21,7 @@
 if TYPE_CHECKING:
     from basilroad.gateway.endpoint import EndpointEntry
     from basilroad.gateway.gateway import Gateway
+    from basilroad.gateway.relay import Relay, Update
     from basilroad.platform.store import Changes, StoreClient, StoreRow
 
 CONFIG_TABLE = "op"
@@ -50,24 +53,37 @@
 """Limits of the backoff while the store is unavailable; a version has to be in force within a few
 seconds."""
 
+FOLLOW_CHECK_INTERVAL_S = 0.1
+"""Interval of checks whether a reader is still heard; a fraction of the time after which this host
+takes over."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
 class TableWatch(Service):
     """Watches a table: reads a snapshot, then polls for changes.
 
+    While the relay hears a reader, its updates take the place of the polls.
+
     :param store: the platform's store
     :param table: name of the table
     :param wait_s: duration of a long poll in seconds
+    :param relay: role of this host among those that share a reader
     :param pause_s: pause between changes and the next poll in seconds
     """
 
-    def __init__(self, store: StoreClient, table: str, wait_s: float, pause_s: float = 0.0) -> None:
+    def __init__(
+        self, store: StoreClient, table: str, wait_s: float, relay: Relay, pause_s: float = 0.0
+    ) -> None:
         super().__init__()
         self._store = store
         self._table = table
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._relay = relay
+        self._needs_read = False
+        self._wake = asyncio.Event()
+        relay.subscribe(self.apply_update)
         self._clock = StoreClock()
         self._revision: int | None = None
         self._lost = False
@@ -78,12 +94,21 @@
 
     @abc.abstractmethod
     def apply_changes(self, rows: Sequence[StoreRow]) -> None:
-        """Apply the changed rows to the local state."""
+        """Apply rows that changed since the revision of the local state, in order."""
+
+    @abc.abstractmethod
+    def apply_update(self, update: Update) -> None:
+        """Apply an update from a reader; sets ``_needs_read`` if it isn't enough."""
 
-    def on_confirmed(self, at: float) -> None:
+    @abc.abstractmethod
+    async def read_missing(self) -> None:
+        """Read from the store what the updates of a reader don't contain."""
+
+    def on_confirmed(self, at: float, store_s: float | None) -> None:
         """Handle a confirmation of the local state.
 
         :param at: boot clock reading in seconds at which the state was current
+        :param store_s: store clock in seconds at the same moment; ``None`` if not known
         """
 
     def on_lost(self) -> None:
@@ -94,15 +119,19 @@
         pause_s = RETRY_MIN_S
         while not self.should_stop:
             try:
-                revision = self._revision
-                if revision is None or self._lost:
-                    revision = await self._read_snapshot()
-                await self._poll_changes(revision)
+                if self._relay.follows and self._revision is not None:
+                    await self._follow_reader()
+                else:
+                    await self._read_store()
             except HistoryGoneError as error:
                 self._revision = None
                 _LOGGER.info("history gone", extra={"table": self._table, "detail": str(error)})
             except StoreError as error:
                 self._report_lost(str(error))
+            except Exception:
+                # one row that can't be applied must not end the watch; all rows are read again
+                self._revision = None
+                _LOGGER.exception("watch failed", extra={"table": self._table})
             else:
                 pause_s = RETRY_MIN_S
                 continue
@@ -110,36 +139,70 @@
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.5))
             pause_s = min(RETRY_MAX_S, 2 * pause_s)
 
+    async def _read_store(self) -> None:
+        revision = self._revision
+        if revision is None or self._lost:
+            revision = await self._read_snapshot()
+        await self._poll_changes(revision, self._wait_s)
+
+    async def _follow_reader(self) -> None:
+        while self._relay.follows and not self.should_stop:
+            if self._needs_read:
+                await self.read_missing()
+                self._needs_read = False
+                self._report_recovered()
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), FOLLOW_CHECK_INTERVAL_S)
+        self._needs_read = False
+        _LOGGER.info("no reader followed", extra={"table": self._table})
+
+    def _request_read(self) -> None:
+        self._needs_read = True
+        self._wake.set()
+
     async def _read_snapshot(self) -> int:
         requested_at = read_boot_clock()
         changes = await self._store.read_table(self._table)
-        self._apply(changes, self.apply_snapshot)
+        self._apply_snapshot(changes)
         self._confirm(changes, requested_at)
         self._report_recovered()
         return changes.revision
 
-    async def _poll_changes(self, revision: int) -> None:
+    async def _poll_changes(self, revision: int, wait_s: float) -> None:
         requested_at = read_boot_clock()
-        changes = await self._store.wait_changes(self._table, revision, self._wait_s)
-        self._apply(changes, self.apply_changes)
+        changes = await self._store.wait_changes(self._table, revision, wait_s)
+        self._apply_changes(changes)
         waited_s = read_boot_clock() - requested_at
         # the store sends an empty response only at the end of the wait
-        idle_s = self._wait_s if not changes.rows and waited_s >= self._wait_s else 0.0
+        idle_s = wait_s if not changes.rows and waited_s >= wait_s else 0.0
         self._confirm(changes, requested_at + idle_s)
         if changes.rows and self._pause_s:
             await self.sleep(self._pause_s)
 
-    def _apply(self, changes: Changes, apply: Callable[[Sequence[StoreRow]], None]) -> None:
-        apply(changes.rows)
-        self._revision = changes.revision
+    def _apply_snapshot(self, changes: Changes) -> None:
+        if self._is_current(changes):
+            self._revision = changes.revision
+            self.apply_snapshot(changes.rows)
+
+    def _apply_changes(self, changes: Changes) -> None:
+        if self._is_current(changes):
+            known, self._revision = self._revision or 0, changes.revision
+            self.apply_changes([row for row in changes.rows if row.revision > known])
+
+    def _is_current(self, changes: Changes) -> bool:
+        # updates of a reader may have come while the response was on its way
+        return self._revision is None or changes.revision >= self._revision
 
     def _confirm(self, changes: Changes, earliest: float) -> None:
         received_at = read_boot_clock()
-        self.on_confirmed(self._clock.estimate_time(earliest, received_at, changes.store_s))
+        at = self._clock.estimate_time(earliest, received_at, changes.store_s)
+        self.on_confirmed(at, changes.store_s)
 
     def _report_lost(self, detail: str) -> None:
         self.on_lost()
-        self._clock.reset()
+        if not self._relay.follows:
+            self._clock.reset()
         if not self._lost:
             self._lost = True
             _LOGGER.warning("store lost", extra={"table": self._table, "detail": detail})
@@ -155,14 +218,15 @@
 
     :param store: the platform's store
     :param gateway: gateway to which new versions are applied
+    :param relay: role of this host among those that share a reader
     """
 
-    def __init__(self, store: StoreClient, gateway: Gateway) -> None:
+    def __init__(self, store: StoreClient, gateway: Gateway, relay: Relay) -> None:
         key_age_s = gateway.settings.key_age_limit_s
         wait_s = CONFIG_LONG_POLL_S
         if key_age_s is not None:
             wait_s = min(wait_s, KEY_AGE_POLL_SHARE * key_age_s)
-        super().__init__(store, CONFIG_TABLE, wait_s)
+        super().__init__(store, CONFIG_TABLE, wait_s, relay)
         self._gateway = gateway
 
     def apply_snapshot(self, rows: Sequence[StoreRow]) -> None:
@@ -179,10 +243,38 @@
             except ConfigError as error:
                 _LOGGER.error("config not understood", extra={"detail": str(error)})
 
-    def on_confirmed(self, at: float) -> None:
+    def apply_update(self, update: Update) -> None:
+        """Confirm the routing table, or request a read if the reader has a newer one."""
+        table = self._gateway.table
+        if table is None or update.config_version > table.version:
+            self._request_read()
+            return
+        now = read_boot_clock()
+        at = self._clock.convert(update.store_s, now)
+        if at is not None and update.config_version == table.version:
+            self._gateway.freshness.confirm(min(at, now - update.age_ms / 1000))
+
+    async def read_missing(self) -> None:
+        """Read the config itself, which updates don't contain."""
+        await self._read_snapshot()
+
+    async def _follow_reader(self) -> None:
+        await super()._follow_reader()
+        # a poll would confirm the keys only at its end
+        self._revision = None
+
+    def on_confirmed(self, at: float, store_s: float | None) -> None:
         """Confirm the routing table, and with it the keys, as of that time."""
-        if self._gateway.table is not None:
-            self._gateway.freshness.confirm(at)
+        table = self._gateway.table
+        if table is None:
+            return
+        self._gateway.freshness.confirm(at)
+        if store_s is not None:
+            self._relay.record_confirmation(Confirmation(table.version, store_s, at))
+
+    def on_lost(self) -> None:
+        """Send no more updates to other hosts."""
+        self._relay.record_confirmation(None)
 
 
 class ServersWatch(TableWatch):
@@ -190,31 +282,56 @@
 
     :param store: the platform's store
     :param gateway: gateway whose directory is updated
+    :param relay: role of this host among those that share a reader
     :param drain_s: seconds within which a draining endpoint must stop receiving calls
     """
 
-    def __init__(self, store: StoreClient, gateway: Gateway, drain_s: float) -> None:
+    def __init__(self, store: StoreClient, gateway: Gateway, relay: Relay, drain_s: float) -> None:
         pause_s = min(SERVERS_PAUSE_S, DRAIN_PAUSE_SHARE * drain_s)
-        super().__init__(store, SERVERS_TABLE, SERVERS_LONG_POLL_S, pause_s)
+        super().__init__(store, SERVERS_TABLE, SERVERS_LONG_POLL_S, relay, pause_s)
         self._directory = gateway.directory
 
     def apply_snapshot(self, rows: Sequence[StoreRow]) -> None:
         """Replace all entries of the directory."""
         entries = [_decode_entry(row) for row in rows]
         self._directory.replace(entry for entry in entries if entry is not None)
+        self._relay.record_listing(self._revision or 0)
 
     def apply_changes(self, rows: Sequence[StoreRow]) -> None:
         """Update or remove the changed entries; a malformed one is removed."""
-        for row in rows:
-            entry = _decode_entry(row)
-            if entry is None:
-                self._directory.remove(row.key)
+        self._apply_listed(
+            [ListedChange(row.revision, row.key, _decode_entry(row)) for row in rows]
+        )
+
+    def apply_update(self, update: Update) -> None:
+        """Apply the changes of a reader, or request a read if some are missing before them."""
+        if self._revision is None:
+            return
+        if update.base > self._revision:
+            self._request_read()
+            return
+        known = self._revision
+        changes = [unpack_change(r) for r in update.changes if r.revision > known]
+        self._revision = max(known, update.revision)
+        self._apply_listed(changes)
+
+    async def read_missing(self) -> None:
+        """Read the changes since the last update."""
+        if self._revision is not None:
+            await self._poll_changes(self._revision, 0.0)
+
+    def _apply_listed(self, changes: list[ListedChange]) -> None:
+        for change in changes:
+            if change.entry is None:
+                self._directory.remove(change.endpoint_id)
             else:
-                self._directory.put(entry)
+                self._directory.put(change.entry)
+        self._relay.record_changes(changes, self._revision or 0)
 
     def on_lost(self) -> None:
         """Mark the listing unreliable: entries of running servers may be missing."""
         self._directory.mark_listing_unreliable()
+        self._relay.record_listing_lost()
 
 
 def _decode_entry(row: StoreRow) -> EndpointEntry | None:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -18,6 +18,7 @@
     Gossip,
 )
 from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
+from basilroad.gateway.relay import Relay
 from basilroad.gateway.selection import (
     Chooser,
     estimate_prefill_savings,
@@ -50,7 +51,8 @@
         address = Address("127.0.0.1", 9000 + number)
         runs = PromptLocations(lambda: self.now)
         place = DATA_CENTRES[number % len(DATA_CENTRES)]
-        gossip = Gossip(f"g{number}", place, address, directory, runs, lambda: self.now)
+        relay = Relay(f"g{number}", lambda: self.now, lambda: self.now)
+        gossip = Gossip(f"g{number}", place, address, directory, runs, relay, lambda: self.now)
         gossip._directory = directory
         gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
         gossip.add_peers(Address("127.0.0.1", 9000 + n) for n in range(1000) if n < 2)
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 
 import pytest
 
+from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
+from basilroad.gateway.relay import Relay, Update
 from basilroad.gateway.selection import Locality
 from basilroad.platform import watch
 from basilroad.platform.protocol import PlatformProtocol
@@ -41,10 +44,11 @@
 
     async def start(self) -> None:
         await self.store.start()
+        self.relay = Relay("h", read_boot_clock)
         self.client = StoreClient(f"http://127.0.0.1:{self.store.port}")
         self.watches = [
-            ConfigWatch(self.client, self.gateway),
-            ServersWatch(self.client, self.gateway, drain_s=DRAIN_S),
+            ConfigWatch(self.client, self.gateway, self.relay),
+            ServersWatch(self.client, self.gateway, self.relay, drain_s=DRAIN_S),
         ]
         for service in self.watches:
             await service.start()
@@ -184,7 +188,7 @@
     client = StoreClient(f"http://127.0.0.1:{store.port}")
     place = Locality("a", "r", {"a": "r"})
     gateway = Gateway(GatewaySettings("h", place, key_age_limit_s=0.8), PlatformProtocol())
-    service = ConfigWatch(client, gateway)
+    service = ConfigWatch(client, gateway, Relay("h", read_boot_clock))
     await service.start()
     await wait_until(lambda: gateway.table is not None)
     ages = []
@@ -212,3 +216,83 @@
     await wait_until(lambda: rig.version == 2)
     assert rig.gateway.freshness.is_within(0.2)
     await rig.stop()
+
+
+async def test_an_unexpected_error_does_not_end_a_watch(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig.store.put("op", "config", build_config(1))
+    await wait_until(lambda: rig.version == 1)
+    apply, failures = rig.gateway.apply_table, 2
+
+    def fail_twice(table: object) -> bool:
+        nonlocal failures
+        if failures:
+            failures -= 1
+            raise RuntimeError("unexpected")
+        return apply(table)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(rig.gateway, "apply_table", fail_twice)
+    rig.store.put("op", "config", build_config(2))
+    await wait_until(lambda: rig.version == 2)
+    assert all(not service.should_stop for service in rig.watches)
+
+
+def build_update(rig: Rig, version: int, age_s: float = 0.0, base: int = 0) -> Update:
+    """:return: an update of a reader that read the store just now."""
+    store_s = round(time.monotonic(), 3) - age_s
+    return Update("a-reader", version, store_s, round(1000 * age_s), base, rig.store.revision)
+
+
+async def follow(rig: Rig, version: int, seconds: float, base: int = 0) -> None:
+    """Send the updates of a reader for a while."""
+    until = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < until:
+        rig.relay.take(build_update(rig, version, base=base))
+        await asyncio.sleep(0.1)
+
+
+async def test_a_follower_makes_no_calls_and_keeps_its_keys_fresh(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1, "k"))
+    await wait_until(lambda: rig.version == 1)
+    await follow(rig, 1, 0.6)
+    calls = rig.store.calls
+    rig.store.refusing = 503
+    await follow(rig, 1, 1.2)
+    assert rig.store.calls == calls
+    assert rig.gateway.freshness.is_within(0.4)
+
+
+async def test_a_follower_reads_a_newer_config_itself(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1, "k"))
+    await wait_until(lambda: rig.version == 1)
+    await follow(rig, 1, 0.6)
+    rig.store.put("op", "config", build_config(2))
+    await follow(rig, 2, 0.4)
+    assert rig.version == 2
+
+
+async def test_an_update_of_another_version_confirms_no_key(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(5, "k"))
+    await wait_until(lambda: rig.version == 5)
+    await follow(rig, 5, 0.6)
+    await follow(rig, 4, 1.0)
+    assert not rig.gateway.freshness.is_within(0.8)
+
+
+async def test_a_follower_reads_the_changes_that_updates_lack(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1, "k"))
+    await wait_until(lambda: rig.version == 1)
+    await follow(rig, 1, 0.6)
+    rig.store.put("servers", "i-1", SERVER)
+    await follow(rig, 1, 0.4, base=rig.store.revision)
+    assert rig.gateway.directory.get("i-1") is not None
+
+
+async def test_a_host_without_updates_reads_the_store_again(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1, "k"))
+    await wait_until(lambda: rig.version == 1)
+    await follow(rig, 1, 0.6)
+    rig.store.put("op", "config", build_config(2))
+    rig.store.put("servers", "i-1", SERVER)
+    await wait_until(lambda: rig.version == 2 and rig.gateway.directory.get("i-1") is not None)
