--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -8,7 +8,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Annotated, cast
 
 import attrs
 import msgspec
@@ -61,13 +61,20 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+"""A number that a peer reports; others are rejected with their datagram."""
+
+LoadReport = tuple[Count, Count, Count]
+"""Calls, memory tokens and pending prefill tokens of a gateway at one endpoint."""
+
+
 class _Message(msgspec.Struct, array_like=True, tag="state"):
     host: str
     started_ms: int
     sequence: int
     address: str
-    loads: dict[str, tuple[int, int, int]]
-    failures: dict[str, int]
+    loads: dict[str, LoadReport]
+    failures: dict[str, Count]
     peers: list[str]
     runs: list[PromptReport] = []
     data_centre: str = ""
@@ -78,7 +85,7 @@
     started_ms: int
     sequence: int
     last_received_at: float
-    loads: dict[str, tuple[int, int, int]]
+    loads: dict[str, LoadReport]
     address: Address
     data_centre: str = ""
 
@@ -289,7 +296,7 @@
             endpoint.remote.memory_tokens = sum(load[1] for load in found)
             endpoint.remote.pending_prefill_tokens = sum(load[2] for load in found)
 
-    def _list_loads(self) -> dict[str, tuple[int, int, int]]:
+    def _list_loads(self) -> dict[str, LoadReport]:
         return {e.id: _pack_load(e) for e in self._directory if e.load.calls}
 
     def _list_failures(self, now: float) -> dict[str, int]:
@@ -303,7 +310,7 @@
 
     def _encode(
         self,
-        loads: dict[str, tuple[int, int, int]],
+        loads: dict[str, LoadReport],
         failures: dict[str, int],
         runs: list[PromptReport],
     ) -> bytes:
@@ -333,7 +340,7 @@
             self._transport.sendto(data, (peer.ip, peer.port))
 
 
-def _pack_load(endpoint: Endpoint) -> tuple[int, int, int]:
+def _pack_load(endpoint: Endpoint) -> LoadReport:
     load = endpoint.load
     return load.calls, load.memory_tokens, load.pending_prefill_tokens
 
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -29,6 +29,7 @@
 HEADER_RESPONSE_SEAL = "x-response-seal"
 HEADER_NOT_EXECUTED = "x-not-executed"
 STATUS_MISDIRECTED = 421
+MAX_STATUS = 599
 MAX_URGENCY = 9
 MAX_COUNT_DIGITS = 9  # far beyond the memory of an engine
 
@@ -103,6 +104,8 @@
             return ResponseVerdict.SUPERSEDED
         if echoed_id != call.id and (echoed_id or not first_use):
             return ResponseVerdict.MISMATCHED
+        if head.status > MAX_STATUS:
+            return ResponseVerdict.MISMATCHED
         if head.status == STATUS_MISDIRECTED:
             return ResponseVerdict.WRONG_ENDPOINT
         if head.get(HEADER_NOT_EXECUTED):
