Let gateways that the store refuses follow any reader

Cause: a refused gateway that precedes the served ones of its data centre got no updates and refused its callers after 4.3 s, though a neighbour knew the store's state. Change: a gateway that can't read follows any reader; the offset of the store's clock is dropped at the first response after a loss instead of at the loss. Result: test_relay.py with each of six gateways as the only one that is served.

--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -161,8 +161,9 @@
 class Relay:
     """Role of this gateway in its data centre, and what it sends as a reader.
 
-    Gateways of one data centre are ordered by name. Each follows any reader that precedes it, so
-    that the first one that can read the store is the only reader of its group.
+    Gateways of one data centre are ordered by name. Each follows any reader that precedes it, and
+    one that can't read the store follows any reader, so that the first one that can read it is the
+    only reader of its group.
 
     :param host: name of this gateway
     :param boot_clock: monotonic seconds that include suspend time
@@ -201,6 +202,10 @@
     def _timeout_s(self) -> float:
         return UPDATE_TIMEOUT_S + min(MAX_TAKEOVER_S, TAKEOVER_STEP_S * max(0, self._position - 1))
 
+    @property
+    def _reads(self) -> bool:
+        return self._listing_read and self._confirmation is not None
+
     def subscribe(self, callback: Callable[[Update], None]) -> None:
         """Call a function with each update of a reader that is followed.
 
@@ -213,7 +218,7 @@
 
         :param update: the update
         """
-        if update.host >= self._host:
+        if update.host == self._host or (update.host > self._host and self._reads):
             return
         if not self.follows:
             _LOGGER.info("reader followed", extra={"reader": update.host})
@@ -232,9 +237,9 @@
         group = self._position // GROUP_HOSTS
         self._recipients = [
             address
-            for index, (host, address) in enumerate(others)
+            for index, (_, address) in enumerate(others)
             # this gateway itself is missing from the others
-            if host > self._host and (index + 1) // GROUP_HOSTS == group
+            if (index + (index >= self._position)) // GROUP_HOSTS == group
         ]
 
     # readers
@@ -285,7 +290,7 @@
         if not self._changed and now < self._sent_at + UPDATE_INTERVAL_S:
             return [], []
         confirmation = self._confirmation
-        if not self._recipients or self.follows or not self._listing_read or confirmation is None:
+        if confirmation is None or not self._listing_read or self.follows or not self._recipients:
             return [], []
         age_s = max(0.0, self._boot_clock() - confirmation.at)
         if age_s > MAX_CONFIRMATION_AGE_S:
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -164,6 +164,9 @@
     async def _read_snapshot(self) -> int:
         requested_at = read_boot_clock()
         changes = await self._store.read_table(self._table)
+        if self._lost:
+            # after an outage another store may respond, with another clock
+            self._clock.reset()
         self._apply_snapshot(changes)
         self._confirm(changes, requested_at)
         self._report_recovered()
@@ -201,8 +204,6 @@
 
     def _report_lost(self, detail: str) -> None:
         self.on_lost()
-        if not self._relay.follows:
-            self._clock.reset()
         if not self._lost:
             self._lost = True
             _LOGGER.warning("store lost", extra={"table": self._table, "detail": detail})
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -198,11 +198,13 @@
     assert [member.reads for member in rest[1:]] == reads
 
 
-def test_a_gateway_that_the_store_refuses_learns_from_one_that_it_serves() -> None:
+@pytest.mark.parametrize("served", range(6))
+def test_gateways_that_the_store_refuses_learn_from_one_that_it_serves(served: int) -> None:
     fleet = DataCentre(6)
     fleet.pass_time(3.0)
-    for member in fleet.members[2:]:
-        member.reachable = False
+    for member in fleet.members:
+        member.reachable = member is fleet.members[served]
+    fleet.pass_time(MAX_CONFIRMATION_AGE_S + UPDATE_TIMEOUT_S)
     fleet.change("e1")
     fleet.pass_time(4.0)
     assert fleet.all_know()
