Probe on kept connections, less often during prefill, and know near gateways at the start

After a start all 68 gateways read each registering endpoint by themselves until gossip had introduced them to their reader. Change: a probe reuses an idle connection and asks once more on a new one if that was closed; 0.75 s of silence where no stream has begun; the roster names data centres, so that a reader knows its followers a second after the start.

--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -78,11 +78,13 @@
     :param calls: running and queued calls
     :param memory_tokens: tokens of engine memory that they take when complete
     :param pending_prefill_tokens: prompt tokens of generations without a first event
+    :param started: generations with a first event; only known for this gateway
     """
 
     calls: int = 0
     memory_tokens: int = 0
     pending_prefill_tokens: int = 0
+    started: int = 0
 
 
 class Endpoint:
@@ -261,6 +263,7 @@
         self._memory_tokens = size.total
         self._pending_prefill_tokens = size.prompt_tokens if needs_prefill else 0
         self._active = True
+        self._started = False
         endpoint.load.calls += 1
         endpoint.load.memory_tokens += self._memory_tokens
         endpoint.load.pending_prefill_tokens += self._pending_prefill_tokens
@@ -270,12 +273,20 @@
         self.endpoint.load.pending_prefill_tokens -= self._pending_prefill_tokens
         self._pending_prefill_tokens = 0
 
+    def record_started(self) -> None:
+        """Record that events arrive."""
+        self.record_prefill_done()
+        if not self._started:
+            self._started = True
+            self.endpoint.load.started += 1
+
     def release(self) -> None:
         """Release the capacity; idempotent."""
         if not self._active:
             return
         self._active = False
         self.record_prefill_done()
+        self.endpoint.load.started -= self._started
         self.endpoint.load.calls -= 1
         self.endpoint.load.memory_tokens -= self._memory_tokens
 
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -42,6 +42,10 @@
 FAILURE_REPORT_S = 4.0
 """Time for which a failure is reported; failed endpoints are unlisted by then."""
 
+REGISTERED_S = 15.0
+"""Time for which a registered gateway counts as near without having been heard; all are heard by
+then, also in fleets of hundreds."""
+
 MAX_PEERS = 1024
 """Maximum number of known peers; planned fleets have hundreds of hosts."""
 
@@ -126,6 +130,8 @@
         self._sequence = 0
         self._peers: set[Address] = set()
         self._peer_states: dict[str, _PeerState] = {}
+        self._registered: dict[str, Address] = {}
+        self._registered_at = -math.inf
         self._transport: asyncio.DatagramTransport | None = None
         self._random = random.Random()
         self._peer_rotation: list[Address] = []
@@ -143,12 +149,23 @@
         return {host: view.data_centre for host, view in self._peer_states.items()}
 
     def list_near_peers(self) -> list[tuple[str, Address]]:
-        """:return: name and address of each other gateway of this data centre that sends gossip."""
-        return [
-            (host, view.address)
-            for host, view in self._peer_states.items()
-            if view.data_centre == self._data_centre
-        ]
+        """:return: name and address of each other gateway of this data centre: those that send
+        gossip, and shortly after this one has started those that are registered."""
+        recent = self._clock() - self._registered_at < REGISTERED_S
+        near = dict(self._registered) if recent else {}
+        for host, view in self._peer_states.items():
+            if view.data_centre == self._data_centre:
+                near[host] = view.address
+        near.pop(self._host, None)
+        return list(near.items())
+
+    def record_registered(self, near: dict[str, Address]) -> None:
+        """Record the registered gateways of this data centre at the start of this one.
+
+        :param near: their addresses by host
+        """
+        if self._registered_at == -math.inf:
+            self._registered, self._registered_at = near, self._clock()
 
     async def start(self) -> None:
         """Listen for datagrams."""
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.attempt import EndpointProtocol
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.dispatch import Dispatcher
@@ -27,6 +28,10 @@
 """Silence after which an engine is probed; during prefill, an engine sends an event of its other
 streams about every 0.25 s."""
 
+PREFILL_SILENCE_LIMIT_S = 0.75
+"""Silence after which an engine is probed that only processes prompts of this gateway: it sends
+nothing before the first event, for which the target is some seconds."""
+
 PROBE_TIMEOUT_S = 0.15
 """Time limit of a probe beyond the round trip; after the silence and the probe, a stream can still
 resume elsewhere within the allowed gap between events."""
@@ -79,7 +84,8 @@
         now = time.monotonic()
         self._cancel_overdue(now)
         for endpoint in self.directory:
-            if endpoint.id in self._probes or endpoint.silence_s(now) < SILENCE_LIMIT_S:
+            limit_s = SILENCE_LIMIT_S if endpoint.load.started else PREFILL_SILENCE_LIMIT_S
+            if endpoint.id in self._probes or endpoint.silence_s(now) < limit_s:
                 continue
             if self._dispatcher.find_engine(endpoint.entry.service) is None:
                 continue
@@ -132,19 +138,30 @@
     async def _send_probe(self, endpoint: Endpoint) -> bool:
         limit_s = PROBE_TIMEOUT_S + 2 * self._place.distance_s(endpoint.entry.data_centre)
         self.probes_sent += 1
-        channel = None
         try:
             async with asyncio.timeout(limit_s):
-                channel = await endpoint.pool.open(0)
-                channel.send(self._protocol.encode_probe(endpoint.entry.address))
-                await channel.read_head()
-                await channel.read_body(SHORT_BODY_BYTES)
+                channel = await endpoint.pool.open()
+                reused = channel.requests > 0
+                try:
+                    await self._exchange_probe(endpoint, channel)
+                except ChannelError:
+                    # an idle connection may have been closed by a live endpoint
+                    if not reused:
+                        raise
+                    await self._exchange_probe(endpoint, await endpoint.pool.open(0))
         except (ChannelError, TimeoutError):
-            if channel is not None:
-                channel.close()
             return False
-        endpoint.pool.keep(channel)
         return True
 
+    async def _exchange_probe(self, endpoint: Endpoint, channel: Channel) -> None:
+        try:
+            channel.send(self._protocol.encode_probe(endpoint.entry.address))
+            await channel.read_head()
+            await channel.read_body(SHORT_BODY_BYTES)
+        except BaseException:
+            channel.close()
+            raise
+        endpoint.pool.keep(channel)
+
 
 __all__ = ["LIVENESS_CHECK_INTERVAL_S", "PROBE_TIMEOUT_S", "SILENCE_LIMIT_S", "Liveness"]
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -249,7 +249,7 @@
             if due:
                 await self._forward(opened, due)
             if self._events.received > received:
-                reservation.record_prefill_done()
+                reservation.record_started()
                 self._gateway.liveness.mark_started(wait)
                 stalls_at = asyncio.get_running_loop().time() + self._stall_timeout_s
         if not self._events.is_whole:
--- a/src/basilroad/platform/peerdiscovery.py
+++ b/src/basilroad/platform/peerdiscovery.py
@@ -26,9 +26,12 @@
 RETRY_INTERVAL_S = 1.0
 """Interval between attempts while the store is unavailable."""
 
-FIRST_READ_DELAY_S = 2.0
+FIRST_READ_DELAY_S = 1.0
 """Delay of the first read after a gateway has registered; gateways that start at the same time have
-registered by then."""
+registered by then, also on the slowest hosts."""
+
+SEPARATOR = " "
+"""Between address and data centre in a row."""
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,14 +41,18 @@
 
     :param store: the platform's store
     :param host: name of this host
+    :param data_centre: data centre of this host
     :param address: address on which it receives datagrams
     :param gossip: receives the addresses of the peers
     """
 
-    def __init__(self, store: StoreClient, host: str, address: Address, gossip: Gossip) -> None:
+    def __init__(
+        self, store: StoreClient, host: str, data_centre: str, address: Address, gossip: Gossip
+    ) -> None:
         super().__init__()
         self._store = store
         self._host = host
+        self._data_centre = data_centre
         self._address = address
         self._gossip = gossip
 
@@ -55,7 +62,8 @@
         while not self.should_stop:
             try:
                 if not registered:
-                    await self._store.put(GATEWAYS_TABLE, self._host, str(self._address).encode())
+                    row = f"{self._address}{SEPARATOR}{self._data_centre}".encode()
+                    await self._store.put(GATEWAYS_TABLE, self._host, row)
                     registered = True
                     await asyncio.sleep(FIRST_READ_DELAY_S)
                 await self._read()
@@ -67,13 +75,16 @@
 
     async def _read(self) -> None:
         rows = (await self._store.read_table(GATEWAYS_TABLE)).rows
-        found = []
+        found: dict[str, tuple[Address, str]] = {}
         for row in rows:
             try:
-                found.append(parse_address((row.value or b"").decode()))
+                address, _, data_centre = (row.value or b"").decode().partition(SEPARATOR)
+                found[row.key] = parse_address(address), data_centre
             except ValueError as error:
                 _LOGGER.warning("peer skipped", extra={"peer": row.key, "detail": str(error)})
-        self._gossip.add_peers(found)
+        self._gossip.add_peers(address for address, _ in found.values())
+        near = {host: at for host, (at, place) in found.items() if place == self._data_centre}
+        self._gossip.record_registered(near)
 
 
 __all__ = ["PeerDiscovery"]
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -86,7 +86,15 @@
         ]
         settings = self.settings
         if self.gossip is not None and settings.peers is not None:
-            services.append(PeerDiscovery(self.store, settings.host, settings.peers, self.gossip))
+            services.append(
+                PeerDiscovery(
+                    self.store,
+                    settings.host,
+                    settings.place.data_centre,
+                    settings.peers,
+                    self.gossip,
+                )
+            )
         # last to start and first to stop, so that calls in flight still have the other services
         services.append(self.front)
         return services
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -15,6 +15,7 @@
     MAX_SENT_BYTES_PER_S,
     PEER_TIMEOUT_S,
     REFRESH_INTERVAL_S,
+    REGISTERED_S,
     Gossip,
 )
 from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
@@ -253,3 +254,13 @@
     endpoint = get(net.gateways[0], "e2")
     endpoint.listed_at = net.now + 1.0
     assert estimate_prefill_savings(endpoint, SIZE, found) == 0.0
+
+
+def test_registered_gateways_are_near_until_they_are_heard() -> None:
+    net = Net(3)
+    first = net.gateways[0]
+    other = Address("127.0.0.1", 9100)
+    first.record_registered({"g0": Address("127.0.0.1", 9000), "g9": other})
+    assert first.list_near_peers() == [("g9", other)]
+    net.now += REGISTERED_S
+    assert first.list_near_peers() == []
--- /dev/null
+++ b/tests/gateway/test_liveness.py
@@ -0,0 +1,67 @@
+"""Probes of silent engines: few connections, few probes while prompts are processed.
+
+Pattern: 68 gateways each ask an engine several times per prompt, on a new connection each time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from basilroad.gateway.handler import CallHandler
+from basilroad.standin.appserver import AppServerStandin
+from builders import RecordingResponder, build_call, build_entry, build_stream_route
+
+ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
+
+
+async def run(gateway) -> RecordingResponder:
+    responder = RecordingResponder()
+    await CallHandler(gateway).handle(build_call(ROUTE), responder)
+    return responder
+
+
+async def test_probes_of_one_engine_share_a_connection(gateway, start_server) -> None:
+    server = await start_server("i-1", service="llm", events=3, response_delay_s=2.6)
+    assert (await run(gateway)).numbers == [1, 2, 3]
+    assert gateway.liveness.probes_sent >= 2
+    assert server.connections == 2
+
+
+async def test_an_engine_that_only_processes_prompts_is_asked_less_often(
+    gateway, start_server
+) -> None:
+    await start_server("i-1", service="llm", events=3, response_delay_s=2.0)
+    await run(gateway)
+    assert gateway.liveness.probes_sent <= 2
+
+
+async def test_an_idle_connection_that_was_closed_does_not_make_an_engine_lost(gateway) -> None:
+    server = AppServerStandin("i-1", events=3, response_delay_s=2.6)
+    await server.start()
+    gateway.directory.put(build_entry("i-1", port=server.port, service="llm", slots=48))
+    endpoint = gateway.directory.get("i-1")
+    task = asyncio.ensure_future(run(gateway))
+    while not gateway.liveness.probes_sent:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    for channel in endpoint.pool._idle:
+        # closed by the server without the gateway having noticed
+        channel._transport.get_extra_info("socket").shutdown(1)
+    assert (await task).numbers == [1, 2, 3]
+    assert server.ran == ["c1"]
+    await server.stop()
+
+
+async def test_an_engine_that_dies_while_it_processes_a_prompt_is_lost(
+    gateway, start_server
+) -> None:
+    first = await start_server("i-1", service="llm", events=3, response_delay_s=60.0)
+    second = await start_server("i-2", service="llm", events=3, data_centre="kurzeme-a")
+    task = asyncio.ensure_future(run(gateway))
+    while not first.ran:
+        await asyncio.sleep(0.01)
+    first.silent = True
+    began = asyncio.get_running_loop().time()
+    assert (await task).numbers == [1, 2, 3]
+    assert second.ran == ["c1"]
+    assert asyncio.get_running_loop().time() - began < 2.0
