Ask engines for their load before a placement in fleets of more than 40 gateways

Change: a generation reads the reports of its three best candidates, at most twice, and takes the best of those that answer within 60 ms and the round trip; a report counts for 0.5 s, with the gateway's own calls since added. Probes keep reports too.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Headers
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.endpoint import Endpoint, EngineReport
     from basilroad.peers.address import Address
 
 NON_REPEATABLE_IDLE_LIMIT_S = 0.5
@@ -82,6 +82,13 @@
     def encode_probe(self, address: Address) -> OutgoingRequest:
         """:return: a request that a live endpoint answers at once."""
 
+    def decode_report(self, body: bytes) -> EngineReport | None:
+        """Decode the body of the response to a probe.
+
+        :param body: the body
+        :return: the engine's report; ``None`` if the body contains none
+        """
+
     def classify_response(
         self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
     ) -> ResponseVerdict:
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Collection
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -13,11 +14,13 @@
 from basilroad.coordination.fairqueue import FairQueue
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.promptlocations import PromptLocations
+from basilroad.gateway.selection import estimate_wait
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.reports import ReportReader
     from basilroad.gateway.route import EngineLimits
     from basilroad.gateway.selection import Chooser
 
@@ -25,6 +28,17 @@
 """Interval of dispatching queued calls: capacity can also become free without a call of this
 gateway ending, for example when a backoff ends or a peer reports less load."""
 
+REPORT_CANDIDATES = 3
+"""Engines whose reports are read before a placement: with the best of two or three random ones,
+crowded engines are rare, and each request costs."""
+
+CROWDED_WAIT_S = 0.6
+"""Wait at the best candidate beyond which further ones are asked: half the prefill of a mean
+prompt."""
+
+MAX_REPORT_ROUNDS = 2
+"""Groups of candidates that are asked for one call."""
+
 STRICT_PRIORITY = FairSettings(floor=0.0)
 """No minimum share for low ranks: they wait as long as more urgent calls are queued."""
 
@@ -59,6 +73,7 @@
     :param directory: known endpoints
     :param chooser: selects among them
     :param find_engine: returns the engine limits of a service by its name
+    :param reports: reads the load reports of engines
     :param clock: monotonic seconds
     """
 
@@ -67,11 +82,14 @@
         directory: Directory,
         chooser: Chooser,
         find_engine: Callable[[str], EngineLimits | None],
+        reports: ReportReader | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.directory = directory
         self.chooser = chooser
         self.find_engine = find_engine
+        self.asks_engines = False
+        self._reports = reports
         self.prompt_locations = PromptLocations(clock)
         self._clock = clock
         self._queues: dict[str, FairQueue[Ticket]] = {}
@@ -92,7 +110,9 @@
         :return: reserved capacity; ``None`` if there was none in time
         """
         if not self._is_blocked(call):
-            endpoint = self._choose(call, avoid)
+            endpoint = await self._choose_by_reports(call, avoid)
+            if endpoint is None:
+                endpoint = self._choose(call, avoid)
             if endpoint is not None:
                 return Reservation(endpoint, call.size)
         left_s = wait_until - self._clock()
@@ -162,6 +182,30 @@
         for ticket in reversed(held):
             queue.push_front(ticket, ticket.flow, ticket.cost)
 
+    async def _choose_by_reports(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
+        """Choose an engine by the reports of a few candidates.
+
+        :param call: the call
+        :param avoid: excluded endpoints
+        :return: an engine that reported; ``None`` if engines are not asked or none has room
+        """
+        engine = self.find_engine(call.service)
+        cached = self.prompt_locations.find(call.prompt_key)
+        if self._reports is None or engine is None or not self.asks_engines or cached is not None:
+            return None
+        excluded, known = set(avoid), []
+        for _ in range(MAX_REPORT_ROUNDS):
+            endpoints = self.directory.list_by_service(call.service)
+            scored = self.chooser.list_scored(endpoints, call, engine, self._clock(), excluded)
+            scored.sort(key=itemgetter(0))
+            candidates = [endpoint for _, endpoint in scored[:REPORT_CANDIDATES]]
+            excluded.update(endpoint.id for endpoint in candidates)
+            known += await self._reports.refresh(candidates)
+            best = self.chooser.choose(known, call, engine, self._clock(), avoid)
+            if best is not None and estimate_wait(best, call.size, self._clock()) < CROWDED_WAIT_S:
+                break
+        return best
+
     def _choose(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
         endpoints = self.directory.list_by_service(call.service)
         engine = self.find_engine(call.service)
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -34,6 +34,10 @@
 """Limit of all responses of one endpoint that are being buffered; an eighth of the memory of the
 smallest hosts."""
 
+REPORT_VALIDITY_S = 0.5
+"""Time for which the load that an engine reports is used; prefill of a mean prompt takes twice as
+long."""
+
 FAILURE_HALF_LIFE_S = 2.0
 """Half-life of the failure rate; a few calls per endpoint arrive in that time."""
 
@@ -87,6 +91,20 @@
     started: int = 0
 
 
+@attrs.frozen
+class EngineReport:
+    """Load of an engine by its own account, some hundred milliseconds old.
+
+    :param calls: running and queued calls of all gateways
+    :param memory_tokens: memory in use, in tokens
+    :param pending_prefill_tokens: tokens of prompts that are not processed completely; at most
+    """
+
+    calls: int
+    memory_tokens: int
+    pending_prefill_tokens: int
+
+
 class Endpoint:
     """One endpoint: its entry, observed health and load.
 
@@ -98,6 +116,9 @@
         self.listed_at = time.monotonic()
         self.load = Load()
         self.remote = Load()
+        self.report: EngineReport | None = None
+        self._reported_at = -math.inf
+        self._added = Load()
         self.pool = ChannelPool(entry.address)
         self.last_received_at = -math.inf
         self.last_failed_at = -math.inf
@@ -125,6 +146,53 @@
             and now >= self.full_until
         )
 
+    def record_report(self, report: EngineReport, now: float) -> None:
+        """Record the engine's own account of its load.
+
+        :param report: the report
+        :param now: monotonic seconds
+        """
+        self.report, self._reported_at, self._added = report, now, Load()
+
+    def is_reported(self, now: float) -> bool:
+        """:return: whether a recent report is known."""
+        return now - self._reported_at < REPORT_VALIDITY_S
+
+    def estimate_load(self, now: float) -> Load:
+        """Estimate the work of all gateways here.
+
+        :param now: monotonic seconds
+        :return: by a recent report and what this gateway has added since; without one, by local
+            data and the reports of other gateways
+        """
+        load, report = self.load, self.report
+        if report is None or not self.is_reported(now):
+            remote = self.remote
+            return Load(
+                load.calls + remote.calls,
+                load.memory_tokens + remote.memory_tokens,
+                load.pending_prefill_tokens + remote.pending_prefill_tokens,
+            )
+        added = self._added
+        return Load(
+            max(load.calls, report.calls + added.calls),
+            max(load.memory_tokens, report.memory_tokens + added.memory_tokens),
+            max(
+                load.pending_prefill_tokens,
+                report.pending_prefill_tokens + added.pending_prefill_tokens,
+            ),
+        )
+
+    def add_reserved(self, memory_tokens: int, pending_prefill_tokens: int) -> None:
+        """Count a call that was assigned since the last report.
+
+        :param memory_tokens: tokens that it takes when complete
+        :param pending_prefill_tokens: tokens of its prompt that have to be processed
+        """
+        self._added.calls += 1
+        self._added.memory_tokens += memory_tokens
+        self._added.pending_prefill_tokens += pending_prefill_tokens
+
     def add_pending(self, channel: Channel, now: float, *, repeatable: bool) -> None:
         """Add a connection with a pending response.
 
@@ -244,6 +312,7 @@
         self.backoff_until = -math.inf
         self._backoff_s = UNREACHABLE_BACKOFF_S
         self._failure_rate = 0.0
+        self.report = None
 
     def _drop_channels(self) -> None:
         for channel in list(self._channels):
@@ -267,6 +336,7 @@
         endpoint.load.calls += 1
         endpoint.load.memory_tokens += self._memory_tokens
         endpoint.load.pending_prefill_tokens += self._pending_prefill_tokens
+        endpoint.add_reserved(self._memory_tokens, self._pending_prefill_tokens)
 
     def record_prefill_done(self) -> None:
         """Record that the first event arrived, so the prompt has been processed."""
@@ -291,4 +361,11 @@
         self.endpoint.load.memory_tokens -= self._memory_tokens
 
 
-__all__ = ["Endpoint", "EndpointEntry", "EndpointState", "Load", "Reservation"]
+__all__ = [
+    "Endpoint",
+    "EndpointEntry",
+    "EndpointState",
+    "EngineReport",
+    "Load",
+    "Reservation",
+]
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -20,6 +20,7 @@
 from basilroad.gateway.liveness import Liveness
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
 from basilroad.gateway.preference import EnginePreference
+from basilroad.gateway.reports import ReportReader
 from basilroad.gateway.selection import Chooser
 from basilroad.gateway.streamdurations import StreamDurations
 
@@ -55,6 +56,10 @@
 """Age of the configuration beyond which an outage counts as long; outages of single hosts up to
 9 s are specified for the fleets."""
 
+MAX_GOSSIPING_HOSTS = 40
+"""Number of gateways beyond which engines are asked for their load before a placement: reports of
+other gateways are then older than a stream lives, about 6 s."""
+
 MIN_SHARING_HOSTS = 10
 """Minimum number of hosts among which the fleet's retries are divided: hosts that start together
 don't know each other yet."""
@@ -115,8 +120,9 @@
         chooser = Chooser(
             settings.place, self.random, lambda: self.known_hosts, lambda: self.preference
         )
-        self.dispatcher = Dispatcher(self.directory, chooser, self.find_engine)
-        self.liveness = Liveness(self.dispatcher, protocol, settings.place)
+        reports = ReportReader(protocol, settings.place)
+        self.dispatcher = Dispatcher(self.directory, chooser, self.find_engine, reports)
+        self.liveness = Liveness(self.dispatcher, reports)
         self.stopping_since: float | None = None
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
@@ -132,6 +138,7 @@
         place = self.settings.place
         near = [host for host, at in heard.items() if place.regions.get(at) == place.region]
         self.known_hosts = count
+        self.dispatcher.asks_engines = count > MAX_GOSSIPING_HOSTS
         self.preference = EnginePreference.find(self.settings.host, near)
 
     # configuration
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -8,18 +8,14 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.endpoints.channels import SHORT_BODY_BYTES, ChannelError
-
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from basilroad.endpoints.channels import Channel
-    from basilroad.gateway.attempt import EndpointProtocol
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.dispatch import Dispatcher
     from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.firstevent import FirstEventWait
-    from basilroad.gateway.selection import Locality
+    from basilroad.gateway.reports import ReportReader
 
 LIVENESS_CHECK_INTERVAL_S = 0.05
 """Interval of checks for silent endpoints."""
@@ -43,17 +39,19 @@
     """Probes engines that are silent while responses are pending; marks those that fail as lost.
 
     :param dispatcher: gives the endpoints and engine limits
-    :param protocol: encoding of a probe
-    :param place: location of this gateway
+    :param reports: sends the probes
     """
 
-    def __init__(self, dispatcher: Dispatcher, protocol: EndpointProtocol, place: Locality) -> None:
+    def __init__(self, dispatcher: Dispatcher, reports: ReportReader) -> None:
         self._dispatcher = dispatcher
-        self._protocol = protocol
-        self._place = place
+        self._reports = reports
         self._probes: dict[str, asyncio.Task[None]] = {}
         self._first_waits: set[FirstEventWait] = set()
-        self.probes_sent = 0
+
+    @property
+    def probes_sent(self) -> int:
+        """:return: number of probes and other requests for reports."""
+        return self._reports.requests
 
     @property
     def directory(self) -> Directory:
@@ -117,7 +115,7 @@
         asked_at = time.monotonic()
         silence_s = endpoint.silence_s(asked_at)
         try:
-            alive = await self._send_probe(endpoint)
+            alive = await self._reports.read(endpoint, PROBE_TIMEOUT_S)
         finally:
             self._probes.pop(endpoint.id, None)
         now = time.monotonic()
@@ -135,33 +133,5 @@
         )
         endpoint.mark_lost(now)
 
-    async def _send_probe(self, endpoint: Endpoint) -> bool:
-        limit_s = PROBE_TIMEOUT_S + 2 * self._place.distance_s(endpoint.entry.data_centre)
-        self.probes_sent += 1
-        try:
-            async with asyncio.timeout(limit_s):
-                channel = await endpoint.pool.open()
-                reused = channel.requests > 0
-                try:
-                    await self._exchange_probe(endpoint, channel)
-                except ChannelError:
-                    # an idle connection may have been closed by a live endpoint
-                    if not reused:
-                        raise
-                    await self._exchange_probe(endpoint, await endpoint.pool.open(0))
-        except (ChannelError, TimeoutError):
-            return False
-        return True
-
-    async def _exchange_probe(self, endpoint: Endpoint, channel: Channel) -> None:
-        try:
-            channel.send(self._protocol.encode_probe(endpoint.entry.address))
-            await channel.read_head()
-            await channel.read_body(SHORT_BODY_BYTES)
-        except BaseException:
-            channel.close()
-            raise
-        endpoint.pool.keep(channel)
-
 
 __all__ = ["LIVENESS_CHECK_INTERVAL_S", "PROBE_TIMEOUT_S", "SILENCE_LIMIT_S", "Liveness"]
--- /dev/null
+++ b/src/basilroad/gateway/reports.py
@@ -0,0 +1,97 @@
+"""Load reports that engines give on request."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from basilroad.endpoints.channels import SHORT_BODY_BYTES, ChannelError
+from basilroad.gateway.endpoint import EngineReport
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from basilroad.endpoints.channels import Channel
+    from basilroad.gateway.attempt import EndpointProtocol
+    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.selection import Locality
+
+REPORT_TIMEOUT_S = 0.06
+"""Time limit of a report before a placement, beyond the round trip; a sound engine answers within a
+few milliseconds, and the call waits meanwhile."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define
+class ReportReader:
+    """Asks engines for their reports, on kept connections.
+
+    :param protocol: encoding of requests and reports
+    :param place: location of this gateway
+    :param requests: number of requests sent
+    """
+
+    protocol: EndpointProtocol
+    place: Locality
+    requests: int = 0
+
+    async def refresh(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Read the reports of several engines at once.
+
+        :param endpoints: the engines
+        :return: those that reported in time
+        """
+        asked = list(endpoints)
+        answered = await asyncio.gather(*(self.read(e, REPORT_TIMEOUT_S) for e in asked))
+        return [endpoint for endpoint, ok in zip(asked, answered, strict=True) if ok]
+
+    async def read(self, endpoint: Endpoint, timeout_s: float) -> bool:
+        """Read the report of one engine.
+
+        :param endpoint: the engine, which keeps the report
+        :param timeout_s: time limit beyond the round trip, in seconds
+        :return: whether it answered in time
+        """
+        limit_s = timeout_s + 2 * self.place.distance_s(endpoint.entry.data_centre)
+        self.requests += 1
+        try:
+            async with asyncio.timeout(limit_s):
+                body = await self._ask(endpoint)
+        except (ChannelError, TimeoutError):
+            return False
+        report = self.protocol.decode_report(body)
+        if report is None:
+            _LOGGER.debug("report not understood", extra={"endpoint": endpoint.id})
+        else:
+            endpoint.record_report(report, time.monotonic())
+        return True
+
+    async def _ask(self, endpoint: Endpoint) -> bytes:
+        channel = await endpoint.pool.open()
+        reused = channel.requests > 0
+        try:
+            return await self._exchange(endpoint, channel)
+        except ChannelError:
+            # an idle connection may have been closed by a live endpoint
+            if not reused:
+                raise
+        return await self._exchange(endpoint, await endpoint.pool.open(0))
+
+    async def _exchange(self, endpoint: Endpoint, channel: Channel) -> bytes:
+        try:
+            channel.send(self.protocol.encode_probe(endpoint.entry.address))
+            await channel.read_head()
+            body = await channel.read_body(SHORT_BODY_BYTES)
+        except BaseException:
+            channel.close()
+            raise
+        endpoint.pool.keep(channel)
+        return body
+
+
+__all__ = ["REPORT_TIMEOUT_S", "EngineReport", "ReportReader"]
--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/selection.py
@@ -5,6 +5,7 @@
 import math
 import random
 from collections.abc import Callable, Collection, Iterable, Mapping
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -86,44 +87,40 @@
         return REGION_COST_S
 
 
-def has_room(endpoint: Endpoint, size: PromptSize, engine: EngineLimits | None) -> bool:
-    """Check whether an endpoint has capacity for one more call, by local data and peer reports.
+def has_room(endpoint: Endpoint, size: PromptSize, engine: EngineLimits | None, now: float) -> bool:
+    """Check whether an endpoint has capacity for one more call, as far as its load is known.
 
     :param endpoint: the endpoint
     :param size: tokens of the call
     :param engine: limits of its engine, ``None`` for a plain service
+    :param now: monotonic seconds
     :return: whether enough slots and memory are free
     """
-    load, remote = endpoint.load, endpoint.remote
+    load = endpoint.estimate_load(now)
     if engine is None:
         # a plain service has a short queue of its own
-        return load.calls + remote.calls < 2 * endpoint.entry.slots
-    if load.calls + remote.calls >= min(engine.slots, endpoint.entry.slots):
+        return load.calls < 2 * endpoint.entry.slots
+    if load.calls >= min(engine.slots, endpoint.entry.slots):
         return False
-    taken = count_reserved_tokens(endpoint)
+    taken = load.memory_tokens
     return taken + size.total <= MAX_MEMORY_SHARE * engine.memory_tokens or taken == 0
 
 
-def count_reserved_tokens(endpoint: Endpoint) -> int:
-    """:return: tokens of an engine's memory that are reserved by all known gateways."""
-    return endpoint.load.memory_tokens + endpoint.remote.memory_tokens
-
-
-def estimate_wait(endpoint: Endpoint, size: PromptSize) -> float:
+def estimate_wait(endpoint: Endpoint, size: PromptSize, now: float) -> float:
     """Estimate the time until an endpoint starts to answer a call.
 
     :param endpoint: the endpoint
     :param size: tokens of the call
+    :param now: monotonic seconds
     :return: seconds, without network latency
     """
-    load, remote = endpoint.load, endpoint.remote
-    calls = load.calls + remote.calls
+    load = endpoint.estimate_load(now)
     if not size.total:
-        beyond = max(0, calls + 1 - endpoint.entry.slots)
+        beyond = max(0, load.calls + 1 - endpoint.entry.slots)
         # each call slows the others slightly even while slots are free
-        return PLAIN_CALL_DURATION_S * (beyond + 0.2 * calls) / max(1, endpoint.entry.slots)
-    pending_tokens = load.pending_prefill_tokens + remote.pending_prefill_tokens
-    return pending_tokens / PREFILL_TOKENS_PER_S + calls * GENERATION_SLOWDOWN_S
+        return PLAIN_CALL_DURATION_S * (beyond + 0.2 * load.calls) / max(1, endpoint.entry.slots)
+    prefill_s = load.pending_prefill_tokens / PREFILL_TOKENS_PER_S
+    return prefill_s + load.calls * GENERATION_SLOWDOWN_S
 
 
 def find_last_failures(endpoints: Iterable[Endpoint]) -> dict[str, float]:
@@ -203,29 +200,50 @@
         :param cached_prompt: where its prompt was processed recently
         :return: the endpoint of least cost that has capacity, if any
         """
-        best, best_score = None, math.inf
+        scored = self.list_scored(endpoints, call, engine, now, avoid, cached_prompt)
+        return min(scored, key=itemgetter(0), default=(0.0, None))[1]
+
+    def list_scored(
+        self,
+        endpoints: Iterable[Endpoint],
+        call: Call,
+        engine: EngineLimits | None,
+        now: float,
+        avoid: Collection[str] = (),
+        cached_prompt: PromptLocation | None = None,
+    ) -> list[tuple[float, Endpoint]]:
+        """List the endpoints that have capacity for a call.
+
+        :param endpoints: endpoints of its service
+        :param call: the call
+        :param engine: limits of the service's engines
+        :param now: monotonic seconds
+        :param avoid: excluded endpoints
+        :param cached_prompt: where its prompt was processed recently
+        :return: cost in seconds and endpoint, in no order
+        """
+        scored = []
         endpoints = list(endpoints)
         failures = find_last_failures(endpoints)
         ring_costs = self.compute_ring_costs(endpoints) if engine is not None else {}
         for endpoint in endpoints:
             if endpoint.id in avoid or not endpoint.is_available(now):
                 continue
-            if not has_room(endpoint, call.size, engine):
+            if not has_room(endpoint, call.size, engine, now):
                 continue
             score = self.score(endpoint, call, now) + estimate_suspicion_cost(
                 endpoint, failures, now
             )
             score += ring_costs.get(endpoint.id, 0.0)
             score -= estimate_prefill_savings(endpoint, call.size, cached_prompt)
-            if score < best_score:
-                best, best_score = endpoint, score
-        return best
+            scored.append((score, endpoint))
+        return scored
 
     def score(self, endpoint: Endpoint, call: Call, now: float) -> float:
         """:return: cost in seconds of running a call at an endpoint; lower is better."""
         distance_s = self.place.distance_s(endpoint.entry.data_centre)
         failure_s = FAILURE_COST_S * endpoint.failure_rate(now)
-        return estimate_wait(endpoint, call.size) + distance_s + failure_s
+        return estimate_wait(endpoint, call.size, now) + distance_s + failure_s
 
     def compute_ring_costs(self, endpoints: Iterable[Endpoint]) -> dict[str, float]:
         """Compute the cost of each engine by its ring distance from this gateway.
@@ -272,7 +290,7 @@
             for endpoint in endpoints
             if endpoint.entry.data_centre != runs_at.entry.data_centre
             and endpoint.is_available(now)
-            and has_room(endpoint, size, engine)
+            and has_room(endpoint, size, engine, now)
         ]
         if not elsewhere:
             return None
@@ -280,7 +298,7 @@
             elsewhere,
             key=lambda e: (
                 estimate_suspicion_cost(e, failures, now),
-                count_reserved_tokens(e),
+                e.estimate_load(now).memory_tokens,
                 self.generator.random(),
             ),
         )
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
 
 from basilroad.endpoints.channels import OutgoingRequest
 from basilroad.endpoints.plainservice import HOP_BY_HOP_HEADERS
 from basilroad.gateway.attempt import AttemptOptions, ResponseVerdict
 from basilroad.gateway.call import Headers, PromptSize
+from basilroad.gateway.endpoint import EngineReport
 
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import ReplyHead
@@ -56,6 +59,18 @@
 """Hop-by-hop headers, in lower case; the caller's ``Host`` is passed on to servers."""
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
+
+
+class _Report(msgspec.Struct, rename="camel"):
+    queued: Count
+    active: Count
+    kv_used: Count  # tokens that can't be evicted
+    held: Count = 0  # tokens of copies and reservations
+    next: Count = 0  # prompt tokens of the first queued run
+    runs: list[tuple[str, Count, Count, int]] = []  # with events: id, tokens, events, priority
+
+
 class PlatformProtocol:
     """Encodes calls for the platform's servers and classifies their responses."""
 
@@ -88,6 +103,25 @@
         """:return: a request for a server's status report."""
         return OutgoingRequest("GET", "/report", (("Host", str(address)),))
 
+    def decode_report(self, body: bytes) -> EngineReport | None:
+        """Decode a server's status report.
+
+        :param body: body of the response
+        :return: the report; ``None`` if it is malformed
+        """
+        try:
+            report = msgspec.json.decode(body, type=_Report)
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return None
+        generating = sum(run[1] for run in report.runs)
+        # memory of runs that have no event yet; backups of other servers' runs are no work
+        prefilling = max(0, report.kv_used - report.held - generating)
+        return EngineReport(
+            report.active + report.queued,
+            report.kv_used,
+            prefilling + report.queued * report.next,
+        )
+
     def classify_response(
         self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
     ) -> ResponseVerdict:
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -58,8 +58,8 @@
     call = build_call(build_stream_route())
     Chooser(PLACE).choose(directory, call, ENGINE, time.monotonic())
     for endpoint in directory:
-        assert estimate_wait(endpoint, PromptSize(8000, 1000)) >= 0
-        has_room(endpoint, PromptSize(8000, 1000), ENGINE)
+        assert estimate_wait(endpoint, PromptSize(8000, 1000), time.monotonic()) >= 0
+        has_room(endpoint, PromptSize(8000, 1000), ENGINE, time.monotonic())
         assert endpoint.remote.calls >= 0
         assert endpoint.last_failed_at <= time.monotonic()
 
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -59,7 +59,7 @@
     engine = build_engines(["riga-a"])[0]
     size = PromptSize(8000, 1000)
     taken = 0
-    while has_room(engine, size, ENGINE):
+    while has_room(engine, size, ENGINE, 0.0):
         Reservation(engine, size)
         taken += 1
     assert taken == 9
@@ -68,9 +68,9 @@
 def test_a_prompt_as_large_as_the_memory_fits_an_empty_engine() -> None:
     engine = build_engines(["riga-a"])[0]
     large = PromptSize(ENGINE.memory_tokens, 0)
-    assert has_room(engine, large, ENGINE)
+    assert has_room(engine, large, ENGINE, 0.0)
     Reservation(engine, PromptSize(10, 10))
-    assert not has_room(engine, large, ENGINE)
+    assert not has_room(engine, large, ENGINE, 0.0)
 
 
 def test_after_a_failure_the_endpoints_of_its_data_centre_are_suspect() -> None:
