Fetch new configurations from the reader, and relay a new listing as a difference

After the store had dropped its history each follower read feed and table again, as the reader's full listing did not follow on from what they knew. Change: each gateway serves its last configuration document to the others over its internal port, a follower asks its reader first; a full listing is recorded as the rows that are newer and those gone.

--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -237,7 +237,7 @@
         try:
             message = _DECODER.decode(data)
             if isinstance(message, Update):
-                self._relay.take(message)
+                self._relay.take(message, Address(*addr))
                 return
             address = parse_address(message.address)
             others = [parse_address(text) for text in message.peers]
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -189,6 +189,7 @@
         self._revision = 0
         self._sent_at = -math.inf
         self._changed = False
+        self.reader: Address | None = None
         self._subscribers: list[Callable[[Update], None]] = []
 
     # followers
@@ -213,16 +214,17 @@
         """
         self._subscribers.append(callback)
 
-    def take(self, update: Update) -> None:
+    def take(self, update: Update, address: Address) -> None:
         """Apply an update from another gateway of this data centre.
 
         :param update: the update
+        :param address: address of the gateway
         """
         if update.host == self._host or (update.host > self._host and self._reads):
             return
         if not self.follows:
             _LOGGER.info("reader followed", extra={"reader": update.host})
-        self._updated_at = self._clock()
+        self._updated_at, self.reader = self._clock(), address
         for callback in self._subscribers:
             callback(update)
 
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -12,6 +12,7 @@
 
 from basilroad.coordination.budget import RetrySettings
 from basilroad.coordination.timer import Timer
+from basilroad.gateway.configexchange import ConfigExchange
 from basilroad.gateway.dispatch import SWEEP_INTERVAL_S
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
@@ -66,6 +67,7 @@
         self.store = StoreClient(f"http://{settings.store.address}")
         self.front = PlatformFrontend(settings, self.gateway)
         self.relay = Relay(settings.host, read_boot_clock)
+        self.exchange = ConfigExchange(settings.peers)
         self.gossip: Gossip | None = None
         if settings.peers is not None:
             self.gossip = Gossip(
@@ -81,7 +83,8 @@
         """:return: the child services, in their start order."""
         services: list[ServiceT] = [
             self.timers,
-            ConfigWatch(self.store, self.gateway, self.relay),
+            self.exchange,
+            ConfigWatch(self.store, self.gateway, self.relay, self.exchange),
             ServersWatch(self.store, self.gateway, self.relay, self.settings.bounds.drain_s),
         ]
         settings = self.settings
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -19,6 +19,7 @@
 from basilroad.platform.storeclock import StoreClock
 
 if TYPE_CHECKING:
+    from basilroad.gateway.configexchange import ConfigExchange
     from basilroad.gateway.endpoint import EndpointEntry
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.relay import Relay, Update
@@ -86,11 +87,17 @@
         relay.subscribe(self.apply_update)
         self._clock = StoreClock()
         self._revision: int | None = None
+        self._snapshot_due = True
+        self._confirmation_due = False
         self._lost = False
 
     @abc.abstractmethod
-    def apply_snapshot(self, rows: Sequence[StoreRow]) -> None:
-        """Replace the local state by all rows of the table."""
+    def apply_snapshot(self, rows: Sequence[StoreRow], known: int | None) -> None:
+        """Replace the local state by all rows of the table.
+
+        :param rows: the rows
+        :param known: revision of the local state; ``None`` without any
+        """
 
     @abc.abstractmethod
     def apply_changes(self, rows: Sequence[StoreRow]) -> None:
@@ -119,18 +126,18 @@
         pause_s = RETRY_MIN_S
         while not self.should_stop:
             try:
-                if self._relay.follows and self._revision is not None:
+                if self._relay.follows and not self._snapshot_due:
                     await self._follow_reader()
                 else:
                     await self._read_store()
             except HistoryGoneError as error:
-                self._revision = None
+                self._snapshot_due = True
                 _LOGGER.info("history gone", extra={"table": self._table, "detail": str(error)})
             except StoreError as error:
                 self._report_lost(str(error))
             except Exception:
                 # one row that can't be applied must not end the watch; all rows are read again
-                self._revision = None
+                self._revision, self._snapshot_due = None, True
                 _LOGGER.exception("watch failed", extra={"table": self._table})
             else:
                 pause_s = RETRY_MIN_S
@@ -140,10 +147,10 @@
             pause_s = min(RETRY_MAX_S, 2 * pause_s)
 
     async def _read_store(self) -> None:
-        revision = self._revision
-        if revision is None or self._lost:
-            revision = await self._read_snapshot()
-        await self._poll_changes(revision, self._wait_s)
+        if self._snapshot_due or self._confirmation_due or self._lost:
+            await self._read_snapshot()
+        if not self._relay.follows:
+            await self._poll_changes(self._wait_s)
 
     async def _follow_reader(self) -> None:
         while self._relay.follows and not self.should_stop:
@@ -161,7 +168,7 @@
         self._needs_read = True
         self._wake.set()
 
-    async def _read_snapshot(self) -> int:
+    async def _read_snapshot(self) -> None:
         requested_at = read_boot_clock()
         changes = await self._store.read_table(self._table)
         if self._lost:
@@ -169,12 +176,12 @@
             self._clock.reset()
         self._apply_snapshot(changes)
         self._confirm(changes, requested_at)
+        self._snapshot_due = self._confirmation_due = False
         self._report_recovered()
-        return changes.revision
 
-    async def _poll_changes(self, revision: int, wait_s: float) -> None:
+    async def _poll_changes(self, wait_s: float) -> None:
         requested_at = read_boot_clock()
-        changes = await self._store.wait_changes(self._table, revision, wait_s)
+        changes = await self._store.wait_changes(self._table, self._revision or 0, wait_s)
         self._apply_changes(changes)
         waited_s = read_boot_clock() - requested_at
         # the store sends an empty response only at the end of the wait
@@ -185,8 +192,8 @@
 
     def _apply_snapshot(self, changes: Changes) -> None:
         if self._is_current(changes):
-            self._revision = changes.revision
-            self.apply_snapshot(changes.rows)
+            known, self._revision = self._revision, changes.revision
+            self.apply_snapshot(changes.rows, known)
 
     def _apply_changes(self, changes: Changes) -> None:
         if self._is_current(changes):
@@ -220,34 +227,45 @@
     :param store: the platform's store
     :param gateway: gateway to which new versions are applied
     :param relay: role of this host among those that share a reader
+    :param exchange: exchange of the config with the others
     """
 
-    def __init__(self, store: StoreClient, gateway: Gateway, relay: Relay) -> None:
+    def __init__(
+        self, store: StoreClient, gateway: Gateway, relay: Relay, exchange: ConfigExchange
+    ) -> None:
         key_age_s = gateway.settings.key_age_limit_s
         wait_s = CONFIG_LONG_POLL_S
         if key_age_s is not None:
             wait_s = min(wait_s, KEY_AGE_POLL_SHARE * key_age_s)
         super().__init__(store, CONFIG_TABLE, wait_s, relay)
         self._gateway = gateway
+        self._exchange = exchange
+        self._wanted_version = 0
 
-    def apply_snapshot(self, rows: Sequence[StoreRow]) -> None:
+    def apply_snapshot(self, rows: Sequence[StoreRow], _: int | None) -> None:
         """Apply the config, if it is among the rows."""
         self.apply_changes(rows)
 
     def apply_changes(self, rows: Sequence[StoreRow]) -> None:
         """Apply the config if it changed; a malformed one leaves the last one in force."""
         for row in rows:
-            if row.key != CONFIG_KEY or row.value is None:
-                continue
-            try:
-                self._gateway.apply_table(decode_config(row.value))
-            except ConfigError as error:
-                _LOGGER.error("config not understood", extra={"detail": str(error)})
+            if row.key == CONFIG_KEY and row.value is not None:
+                self._apply_document(row.value)
+
+    def _apply_document(self, document: bytes) -> None:
+        try:
+            accepted = self._gateway.apply_table(decode_config(document))
+        except ConfigError as error:
+            _LOGGER.error("config not understood", extra={"detail": str(error)})
+            return
+        if accepted:
+            self._exchange.document = document
 
     def apply_update(self, update: Update) -> None:
         """Confirm the routing table, or request a read if the reader has a newer one."""
         table = self._gateway.table
         if table is None or update.config_version > table.version:
+            self._wanted_version = update.config_version
             self._request_read()
             return
         now = read_boot_clock()
@@ -256,13 +274,20 @@
             self._gateway.freshness.confirm(min(at, now - update.age_ms / 1000))
 
     async def read_missing(self) -> None:
-        """Read the config itself, which updates don't contain."""
-        await self._read_snapshot()
+        """Read the config itself from the reader, or else from the store."""
+        reader = self._relay.reader
+        if reader is not None:
+            document = await self._exchange.fetch(reader)
+            if document is not None:
+                self._apply_document(document)
+        table = self._gateway.table
+        if table is None or table.version < self._wanted_version:
+            await self._read_snapshot()
 
     async def _follow_reader(self) -> None:
         await super()._follow_reader()
         # a poll would confirm the keys only at its end
-        self._revision = None
+        self._confirmation_due = True
 
     def on_confirmed(self, at: float, store_s: float | None) -> None:
         """Confirm the routing table, and with it the keys, as of that time."""
@@ -292,11 +317,19 @@
         super().__init__(store, SERVERS_TABLE, SERVERS_LONG_POLL_S, relay, pause_s)
         self._directory = gateway.directory
 
-    def apply_snapshot(self, rows: Sequence[StoreRow]) -> None:
+    def apply_snapshot(self, rows: Sequence[StoreRow], known: int | None) -> None:
         """Replace all entries of the directory."""
-        entries = [_decode_entry(row) for row in rows]
-        self._directory.replace(entry for entry in entries if entry is not None)
-        self._relay.record_listing(self._revision or 0)
+        revision = self._revision or 0
+        entries = {row.key: _decode_entry(row) for row in rows}
+        removed = [e.id for e in self._directory if entries.get(e.id) is None]
+        self._directory.replace(entry for entry in entries.values() if entry is not None)
+        if known is None:
+            self._relay.record_listing(revision)
+            return
+        newer = sorted((row for row in rows if row.revision > known), key=lambda r: r.revision)
+        changes = [ListedChange(row.revision, row.key, entries[row.key]) for row in newer]
+        changes += [ListedChange(revision, endpoint_id, None) for endpoint_id in removed]
+        self._relay.record_changes(changes, revision)
 
     def apply_changes(self, rows: Sequence[StoreRow]) -> None:
         """Update or remove the changed entries; a malformed one is removed."""
@@ -306,7 +339,7 @@
 
     def apply_update(self, update: Update) -> None:
         """Apply the changes of a reader, or request a read if some are missing before them."""
-        if self._revision is None:
+        if self._revision is None or self._snapshot_due:
             return
         if update.base > self._revision:
             self._request_read()
@@ -318,8 +351,7 @@
 
     async def read_missing(self) -> None:
         """Read the changes since the last update."""
-        if self._revision is not None:
-            await self._poll_changes(self._revision, 0.0)
+        await self._poll_changes(0.0)
 
     def _apply_listed(self, changes: list[ListedChange]) -> None:
         for change in changes:
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -99,7 +99,7 @@
                 self.bytes_sent += 100 * (1 + len(update.changes))
                 peer = self.members[address.port - 9000]
                 if peer.running and self.random.random() >= self.loss:
-                    peer.relay.take(update)
+                    peer.relay.take(update, member.address)
 
     def _read(self, member: Member) -> None:
         changes = [c for c in self.history if c.revision > member.revision]
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -3,21 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator, Callable
 
+import msgspec
 import pytest
 
+from basilroad.gateway.configexchange import ConfigExchange
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.relay import Relay, Update
 from basilroad.gateway.selection import Locality
+from basilroad.peers.address import Address
 from basilroad.platform import watch
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.platform.store import StoreClient
 from basilroad.platform.watch import ConfigWatch, ServersWatch
 from basilroad.standin.rowstore import RowStoreStandin
 
+NOBODY = Address("127.0.0.1", 1)
+"""Address at which no gateway listens."""
+
 TIMEOUT_S = 5.0
 DRAIN_S = 2.5
 SERVER = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": "ready"}
@@ -45,9 +52,10 @@
     async def start(self) -> None:
         await self.store.start()
         self.relay = Relay("h", read_boot_clock)
+        self.exchange = ConfigExchange(None)
         self.client = StoreClient(f"http://127.0.0.1:{self.store.port}")
         self.watches = [
-            ConfigWatch(self.client, self.gateway, self.relay),
+            ConfigWatch(self.client, self.gateway, self.relay, self.exchange),
             ServersWatch(self.client, self.gateway, self.relay, drain_s=DRAIN_S),
         ]
         for service in self.watches:
@@ -188,7 +196,7 @@
     client = StoreClient(f"http://127.0.0.1:{store.port}")
     place = Locality("a", "r", {"a": "r"})
     gateway = Gateway(GatewaySettings("h", place, key_age_limit_s=0.8), PlatformProtocol())
-    service = ConfigWatch(client, gateway, Relay("h", read_boot_clock))
+    service = ConfigWatch(client, gateway, Relay("h", read_boot_clock), ConfigExchange(None))
     await service.start()
     await wait_until(lambda: gateway.table is not None)
     ages = []
@@ -244,11 +252,13 @@
     return Update("a-reader", version, store_s, round(1000 * age_s), base, rig.store.revision)
 
 
-async def follow(rig: Rig, version: int, seconds: float, base: int = 0) -> None:
+async def follow(
+    rig: Rig, version: int, seconds: float, base: int = 0, address: Address = NOBODY
+) -> None:
     """Send the updates of a reader for a while."""
     until = asyncio.get_running_loop().time() + seconds
     while asyncio.get_running_loop().time() < until:
-        rig.relay.take(build_update(rig, version, base=base))
+        rig.relay.take(build_update(rig, version, base=base), address)
         await asyncio.sleep(0.1)
 
 
@@ -296,3 +306,53 @@
     rig.store.put("op", "config", build_config(2))
     rig.store.put("servers", "i-1", SERVER)
     await wait_until(lambda: rig.version == 2 and rig.gateway.directory.get("i-1") is not None)
+
+
+def find_free_address() -> Address:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", int(sock.getsockname()[1]))
+
+
+async def test_a_host_that_the_store_refuses_gets_the_config_from_its_reader(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1, "k"))
+    await wait_until(lambda: rig.version == 1)
+    reader = ConfigExchange(find_free_address())
+    await reader.start()
+    await follow(rig, 1, 0.6, address=reader._address)
+    rig.store.refusing = 429
+    reader.document = msgspec.json.encode(build_config(2))
+    await follow(rig, 2, 1.2, address=reader._address)
+    assert rig.version == 2
+    assert rig.gateway.freshness.is_within(0.4)
+    assert rig.exchange.document == reader.document, "it can pass the config on itself"
+    await reader.stop()
+
+
+async def test_dropped_history_is_relayed_as_a_difference(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1))
+    rig.store.put("servers", "i-1", SERVER)
+    rig.store.put("servers", "i-2", SERVER)
+    await wait_until(lambda: rig.version == 1 and len(list(rig.gateway.directory)) == 2)
+    rig.relay.update_peers([("i", NOBODY)])
+    updates, _ = rig.relay.list_due()
+    known = updates[-1].revision
+    rig.store.put("servers", "i-1", None)
+    rig.store.put("servers", "i-3", SERVER)
+    rig.store.history_from = rig.store.revision + 1
+    await wait_until(lambda: rig.gateway.directory.get("i-3") is not None)
+    updates, _ = rig.relay.list_due()
+    assert updates[0].base <= known
+    changes = [(c.id, bool(c.service)) for u in updates for c in u.changes if c.revision > known]
+    assert sorted(changes) == [("i-1", False), ("i-3", True)]
+
+
+async def test_a_follower_that_misses_changes_and_their_history_reads_all_rows(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1))
+    rig.store.put("servers", "i-1", SERVER)
+    await wait_until(lambda: rig.version == 1 and rig.gateway.directory.get("i-1") is not None)
+    await follow(rig, 1, 0.6)
+    rig.store.put("servers", "i-2", SERVER)
+    rig.store.history_from = rig.store.revision + 1
+    await follow(rig, 1, 0.8, base=rig.store.revision)
+    assert rig.gateway.directory.get("i-2") is not None
