Lend retries between gateways, so that a stream lost twice still goes on

A stream without budget waits up to 0.25 s for a loan. An attempt that sent nothing gives its retry back.

--- a/src/basilroad/coordination/budget.py
+++ b/src/basilroad/coordination/budget.py
@@ -42,6 +42,7 @@
         self._get_share = get_share
         self._requests = DecayedSum(settings.window_s, clock)
         self._retries = DecayedSum(settings.window_s, clock)
+        self._borrowed = DecayedSum(settings.window_s, clock)
 
     def record_request(self) -> None:
         """Count a first attempt."""
@@ -51,7 +52,7 @@
         """:return: number of retries available now."""
         minimum = self._settings.minimum_per_s * self._settings.window_s * self._get_share()
         allowed = self._settings.ratio * self._requests.value + minimum
-        return allowed - self._retries.value
+        return allowed + self._borrowed.value - self._retries.value
 
     def take(self) -> bool:
         """Try to consume one retry or hedge.
@@ -63,6 +64,24 @@
         self._retries.add(1)
         return True
 
+    def refund(self) -> None:
+        """Give back a retry that never reached the service."""
+        self._retries.add(-1)
+
+    def lend(self, retries: int) -> None:
+        """Give allowed retries to another process that shares the same limit.
+
+        :param retries: number of retries
+        """
+        self._retries.add(retries)
+
+    def borrow(self, retries: int) -> None:
+        """Add retries that another process has lent; they lapse as the lender's come back.
+
+        :param retries: number of retries
+        """
+        self._borrowed.add(retries)
+
 
 class TokenBucket:
     """Rate limit that allows bursts.
--- a/src/basilroad/gateway/attempttracker.py
+++ b/src/basilroad/gateway/attempttracker.py
@@ -30,6 +30,7 @@
     :param tried: endpoints where it failed
     :param last_detail: why the last attempt failed
     :param timed_out: whether the last attempt without a complete response timed out
+    :param lacks_budget: whether only the retry budget forbids a further attempt
     """
 
     call: Call
@@ -39,17 +40,30 @@
     tried: set[str] = attrs.field(factory=set)
     last_detail: str = ""
     timed_out: bool = False
+    lacks_budget: bool = False
+    _charged: bool = False
 
     def try_start_attempt(self) -> bool:
         """:return: whether one more attempt is allowed; if so, a retry is taken from the budget."""
         call = self.call
+        self.lacks_budget = False
         if time.monotonic() >= call.expires_at or self.refused >= MAX_REJECTIONS:
             return False
         if self.sent and not call.route.repeatable:
             return False
         if self.sent >= call.route.attempts_limit:
             return False
-        return not (self.sent or self.refused) or self.budget.take()
+        if not self.sent and not self.refused:
+            return True
+        self._charged = self.budget.take()
+        self.lacks_budget = not self._charged
+        return self._charged
+
+    def record_unsent(self) -> None:
+        """Record that the attempt sent nothing, which takes no retry from the budget."""
+        if self._charged:
+            self._charged = False
+            self.budget.refund()
 
     def can_retry(self) -> bool:
         """:return: whether the running attempt may be followed by another."""
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -81,6 +81,8 @@
         finally:
             attempt.close()
             dispatcher.release(reservation)
+        if not attempt.sent:
+            tracker.record_unsent()
         self._record_outcome(outcome, endpoint)
         took_s = time.monotonic() - started
         self._gateway.record_attempt(AttemptRecord(call, endpoint, outcome, took_s))
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -18,6 +18,7 @@
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.freshness import Freshness
 from basilroad.gateway.liveness import Liveness
+from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
 from basilroad.gateway.preference import EnginePreference
 from basilroad.gateway.reports import ReportReader
@@ -128,6 +129,7 @@
         self.stream_durations = StreamDurations()
         self.metrics = GatewayMetrics()
         self._budgets: dict[str, RetryBudget] = {}
+        self.loans = RetryLoans(settings.host, self.budget_of, generator=self.random)
 
     def update_known_hosts(self, count: int, heard: Mapping[str, str]) -> None:
         """Update the set of known gateways.
@@ -183,6 +185,10 @@
             self._budgets[service] = budget
         return budget
 
+    def request_retries(self, service: str) -> None:
+        """Ask other gateways for retries if few are left here."""
+        self.loans.request_if_low(service)
+
     def _share_minimum(self) -> float:
         return 1 / max(MIN_SHARING_HOSTS, self.known_hosts)
 
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -8,11 +8,13 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Annotated, cast
 
 import attrs
 import msgspec
 
+from basilroad.gateway.loans import Loan, LoanRequest
 from basilroad.gateway.promptlocations import PromptReport
 from basilroad.gateway.relay import Update
 from basilroad.peers.address import Address, parse_address
@@ -20,6 +22,7 @@
 if TYPE_CHECKING:
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.loans import RetryLoans
     from basilroad.gateway.promptlocations import PromptLocations
     from basilroad.gateway.relay import Relay
 
@@ -94,7 +97,7 @@
     data_centre: str = ""
 
 
-_DECODER = msgspec.msgpack.Decoder(_Message | Update)
+_DECODER = msgspec.msgpack.Decoder(_Message | Update | LoanRequest | Loan)
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -106,6 +109,7 @@
     :param directory: known endpoints
     :param prompt_locations: endpoints that processed recent prompts
     :param relay: relay of the platform's listing, whose updates are sent too
+    :param loans: loans of retries, which are sent too
     :param clock: monotonic seconds
     """
 
@@ -117,6 +121,7 @@
         directory: Directory,
         prompt_locations: PromptLocations,
         relay: Relay,
+        loans: RetryLoans,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._host = host
@@ -125,6 +130,9 @@
         self._directory = directory
         self._prompt_locations = prompt_locations
         self._relay = relay
+        self._loans = loans
+        loans.list_peers = lambda: tuple(self._peers)
+        loans.send = lambda message, peer: self._send(msgspec.msgpack.encode(message), peer)
         self._clock = clock
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -235,16 +243,30 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode and apply a datagram from a peer."""
         try:
-            message = _DECODER.decode(data)
-            if isinstance(message, Update):
-                self._relay.take(message, Address(*addr))
-                return
-            address = parse_address(message.address)
-            others = [parse_address(text) for text in message.peers]
+            self._handle(_DECODER.decode(data), Address(*addr))
         except (msgspec.MsgspecError, ValueError) as error:
             _LOGGER.warning("datagram skipped", extra={"peer": addr[0], "detail": str(error)})
-            return
-        self.take(message, address, others)
+
+    @singledispatchmethod
+    def _handle(self, message: object, address: Address) -> None:
+        raise TypeError(f"no handler for {message!r} from {address}")
+
+    @_handle.register
+    def _(self, message: _Message, _: Address) -> None:
+        others = [parse_address(text) for text in message.peers]
+        self.take(message, parse_address(message.address), others)
+
+    @_handle.register
+    def _(self, message: Update, address: Address) -> None:
+        self._relay.take(message, address)
+
+    @_handle.register
+    def _(self, message: LoanRequest, address: Address) -> None:
+        self._loans.take_request(message, address)
+
+    @_handle.register
+    def _(self, message: Loan, _: Address) -> None:
+        self._loans.take_loan(message)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore the error; later rounds reach the peer if it recovers."""
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -30,6 +30,13 @@
 alive; twice the gap specified for the fleets. It doubles with each stall of a stream, so that one
 that is slow everywhere runs on to its end."""
 
+LOAN_WAIT_S = 0.25
+"""Time for which a stream waits for retries that other gateways lend; it still resumes within the
+allowed gap between events."""
+
+LOAN_POLL_INTERVAL_S = 0.01
+"""Interval of checks for them."""
+
 PREFILL_RESERVE_S = 1.5
 """Part of the target reserved for prefill: 1.5 times that of a mean prompt."""
 
@@ -79,7 +86,7 @@
         :raises StreamBrokenError: the stream was cut off after it started
         """
         failed_reply: Reply | None = None
-        while self._tracker.try_start_attempt():
+        while await self._start_attempt():
             outcome = await self._try_once()
             if outcome is None:
                 break
@@ -96,6 +103,20 @@
             return failed_reply
         raise RefusedError(self._tracker.build_refusal())
 
+    async def _start_attempt(self) -> bool:
+        tracker, service = self._tracker, self._call.service
+        allowed = tracker.try_start_attempt()
+        if allowed or not tracker.lacks_budget:
+            if tracker.sent:
+                self._gateway.request_retries(service)
+            return allowed
+        until = time.monotonic() + LOAN_WAIT_S
+        while not allowed and time.monotonic() < until:
+            self._gateway.request_retries(service)
+            await asyncio.sleep(LOAN_POLL_INTERVAL_S)
+            allowed = tracker.try_start_attempt()
+        return allowed
+
     def _record_duration(self) -> None:
         now = time.monotonic()
         later = self._events.last - self._first_event
@@ -138,6 +159,8 @@
             self._gateway.dispatcher.release(reservation)
             if backup is not None:
                 self._gateway.dispatcher.release(backup)
+        if not attempt.sent:
+            self._tracker.record_unsent()
         self._record_outcome(outcome, endpoint, backup, used_backup=kv_cache_source)
         took_s = time.monotonic() - started
         self._gateway.record_attempt(
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -77,6 +77,7 @@
                 self.gateway.directory,
                 self.gateway.dispatcher.prompt_locations,
                 self.relay,
+                self.gateway.loans,
             )
 
     def on_init_dependencies(self) -> list[ServiceT]:
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -5,6 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.call import PromptSize
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Reservation
@@ -18,6 +19,7 @@
     REGISTERED_S,
     Gossip,
 )
+from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
 from basilroad.gateway.relay import Relay
 from basilroad.gateway.selection import (
@@ -53,7 +55,10 @@
         runs = PromptLocations(lambda: self.now)
         place = DATA_CENTRES[number % len(DATA_CENTRES)]
         relay = Relay(f"g{number}", lambda: self.now, lambda: self.now)
-        gossip = Gossip(f"g{number}", place, address, directory, runs, relay, lambda: self.now)
+        loans = RetryLoans(f"g{number}", lambda _: RetryBudget(RetrySettings()))
+        gossip = Gossip(
+            f"g{number}", place, address, directory, runs, relay, loans, lambda: self.now
+        )
         gossip._directory = directory
         gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
         gossip.add_peers(Address("127.0.0.1", 9000 + n) for n in range(1000) if n < 2)
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -9,12 +9,14 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.errors import RefusedError
 from basilroad.gateway.call import PromptSize
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.events import EventOrderError, EventSequence
 from basilroad.gateway.gossip import Gossip
 from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.promptlocations import PromptLocations
 from basilroad.gateway.relay import Relay, Update
 from basilroad.gateway.selection import Chooser, estimate_wait, has_room
@@ -49,7 +51,9 @@
     taken: list[Update] = []
     relay.subscribe(taken.append)
     address = Address("127.0.0.1", 9000)
-    return Gossip("z", "riga-a", address, directory, PromptLocations(), relay), directory, taken
+    loans = RetryLoans("z", lambda _: RetryBudget(RetrySettings()))
+    gossip = Gossip("z", "riga-a", address, directory, PromptLocations(), relay, loans)
+    return gossip, directory, taken
 
 
 def use(gossip: Gossip, directory: Directory) -> None:
