--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -24,7 +24,7 @@
 """Silence after which an engine is probed; during prefill, an engine sends an event of its other
 streams about every 0.25 s."""
 
-PREFILL_SILENCE_LIMIT_S = 0.75
+PREFILL_SILENCE_LIMIT_S = 0.5
 """Silence after which an engine is probed that only processes prompts of this gateway: it sends
 nothing before the first event, for which the target is some seconds."""
 
