--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -246,11 +246,6 @@
 
     # readers
 
-    @property
-    def has_followers(self) -> bool:
-        """:return: whether updates of this gateway would be followed."""
-        return bool(self._recipients)
-
     def record_confirmation(self, confirmation: Confirmation | None) -> None:
         """Record a confirmation of the configuration by the store, or its loss.
 
