--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -138,7 +138,7 @@
             except Exception:
                 # one row that can't be applied must not end the watch; all rows are read again
                 self._revision, self._snapshot_due = None, True
-                _LOGGER.exception("watch failed", extra={"table": self._table})
+                _LOGGER.error("watch failed", extra={"table": self._table}, exc_info=True)
             else:
                 pause_s = RETRY_MIN_S
                 continue
