--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import aiohttp
+import attrs
 import pytest
 from yarl import URL
 
+from basilroad.gateway.gateway import SHUTDOWN_RESERVE_S
 from basilroad.gateway.selection import Locality
 from basilroad.gateway.streamdurations import StreamDurations
 from basilroad.peers.address import Address
@@ -302,3 +305,101 @@
     for outcome in outcomes[accepted:]:
         assert isinstance(outcome, ConnectionRefusedError), outcome
     assert len(rig.app.ran) == accepted
+
+
+async def test_a_call_taken_late_in_a_planned_stop_is_not_given_up_without_an_answer(
+    rig: Rig,
+) -> None:
+    # fault: calls were read from kept connections until the process ended, and cancelled there
+    await rig.configure(1, "key")
+    kept = [await open_kept_connection(rig, number) for number in range(40)]
+    limit_s = shorten_grace(rig)
+    rig.app.response_delay_s = 0.6
+    ran_before = len(rig.app.ran)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    calls = []
+    for number, (reader, writer) in enumerate(kept):
+        calls.append(asyncio.ensure_future(send_on_kept(reader, writer, f"late-{number}")))
+        await asyncio.sleep(limit_s / len(kept))
+    responses = await asyncio.gather(*calls)
+    await stopping
+    ran = {request.id for request in rig.app.runs[ran_before:]}
+    for number, response in enumerate(responses):
+        if f"late-{number}" in ran:
+            assert response.startswith(b"HTTP/1.1 "), f"call {number} got no answer: {response!r}"
+            assert b" 503 " not in response.split(b"\r\n")[0], "it may have run"
+
+
+async def test_a_planned_stop_answers_each_call_that_its_limit_cuts_off(rig: Rig) -> None:
+    # fault: calls in flight at the limit of a planned stop ended with a closed connection
+    await rig.configure(1, "key")
+    shorten_grace(rig)
+    rig.app.response_delay_s = 30.0
+    sent = asyncio.ensure_future(exchange_raw(rig, 0.0, "sent"))
+    front = rig.service.settings.front
+    reader, writer = await asyncio.open_connection(front.ip, front.port)
+    writer.write(build_order("half-read")[:-2])
+    while not rig.app.ran:
+        await asyncio.sleep(0.01)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    assert (await sent).startswith(b"HTTP/1.1 502 "), "it may have run"
+    assert (await reader.read()).startswith(b"HTTP/1.1 503 "), "it has not run"
+    writer.close()
+    await stopping
+    assert rig.app.ran == ["sent"]
+
+
+def shorten_grace(rig: Rig) -> float:
+    """Set a short grace period.
+
+    :param rig: the gateway
+    :return: time limit of its calls during a stop, in seconds
+    """
+    gateway = rig.service.gateway
+    gateway.settings = attrs.evolve(gateway.settings, grace_s=SHUTDOWN_RESERVE_S + 1.5)
+    return 1.5
+
+
+async def open_kept_connection(
+    rig: Rig, number: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection and complete one order on it.
+
+    :param rig: the gateway
+    :param number: distinguishes the order
+    :return: the connection, which the gateway keeps open
+    """
+    front = rig.service.settings.front
+    reader, writer = await asyncio.open_connection(front.ip, front.port)
+    writer.write(build_order(f"first-{number}"))
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = re.search(rb"content-length: (\d+)", head.lower())
+    assert length is not None
+    await reader.readexactly(int(length[1]))
+    return reader, writer
+
+
+async def send_on_kept(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: str
+) -> bytes:
+    """Send an order on a kept connection.
+
+    :param reader: the connection
+    :param writer: the same
+    :param request_id: id of the order
+    :return: what came back until the connection was closed; empty without a response
+    """
+    try:
+        writer.write(build_order(request_id))
+        return await reader.read()
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+def build_order(request_id: str) -> bytes:
+    """:return: an order as bytes."""
+    headers = {**HEADERS, "X-Attempt-Id": request_id, "Content-Length": "4"}
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    return f"POST /o/1 HTTP/1.1\r\n{head}\r\nbody".encode()
