Close kept connections early in a planned stop, and answer each call that it ends

Callers saw: an order sent on a kept connection some seconds after SIGTERM ran, and its connection closed without an answer (LOST). Cause: only streams were refused during a stop, and kept connections were read until the process ended. At the limit handlers were cancelled, which closes the connection whatever has become of the call. The class of fault: work is admitted for longer than it can be completed. Change: 0.2 s after the listener has closed, connections without a call are closed and nothing is admitted any more; a response is complete before its connection counts as idle. At the limit each call in flight gets an answer: 503 if nothing was sent, the last response of an endpoint if there is one, else 502; streams end as truncated. With a short grace the listener closes 0.3 s earlier, so that the last calls have time. Why it works: every call is either admitted at most 2.5 s after SIGTERM with the rest of the grace before it, or meets a closed connection that has read nothing, or is told that it has not run.

--- a/src/basilroad/gateway/attempttracker.py
+++ b/src/basilroad/gateway/attempttracker.py
@@ -7,10 +7,12 @@
 
 import attrs
 
-from basilroad.errors import ErrorKind, Refusal
+from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
+from basilroad.gateway.shutdown import refuse_at_shutdown
 
 if TYPE_CHECKING:
     from basilroad.coordination.budget import RetryBudget
+    from basilroad.gateway.attempt import Attempt
     from basilroad.gateway.call import Call
 
 MAX_REJECTIONS = 6
@@ -31,6 +33,7 @@
     :param last_detail: why the last attempt failed
     :param timed_out: whether the last attempt without a complete response timed out
     :param lacks_budget: whether only the retry budget forbids a further attempt
+    :param running: the attempt in progress
     """
 
     call: Call
@@ -41,6 +44,7 @@
     last_detail: str = ""
     timed_out: bool = False
     lacks_budget: bool = False
+    running: Attempt | None = None
     _charged: bool = False
 
     def try_start_attempt(self) -> bool:
@@ -81,5 +85,11 @@
             return Refusal(ErrorKind.DEADLINE_EXCEEDED, "no answer in time")
         return Refusal(ErrorKind.ENDPOINT_FAILED, self.last_detail)
 
+    def build_shutdown_error(self) -> RefusedError:
+        """:return: the error for a call that the shutdown of this host ends."""
+        if not self.sent and (self.running is None or not self.running.sent):
+            return refuse_at_shutdown()
+        return refuse(ErrorKind.MAY_HAVE_RUN, "this host shut down before an endpoint answered")
+
 
 __all__ = ["MAX_REJECTIONS", "SERVER_ERROR", "AttemptTracker"]
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -59,6 +59,16 @@
             return self._failed_reply
         raise RefusedError(tracker.build_refusal())
 
+    def end_at_shutdown(self) -> Reply:
+        """End a cancelled run because this host shuts down.
+
+        :return: the last response of an endpoint
+        :raises RefusedError: there is none
+        """
+        if self._failed_reply is not None:
+            return self._failed_reply
+        raise self._tracker.build_shutdown_error()
+
     async def _try_once(self) -> Outcome | None:
         call, tracker = self._call, self._tracker
         dispatcher = self._gateway.dispatcher
@@ -75,12 +85,13 @@
         started = time.monotonic()
         self._gateway.record_placed(call, started - queued_at)
         options = AttemptOptions(endpoint.id, call.expires_at - started)
-        attempt = Attempt(call, endpoint, self._gateway.protocol, options)
+        attempt = tracker.running = Attempt(call, endpoint, self._gateway.protocol, options)
         try:
             outcome = await self._exchange(attempt)
         finally:
             attempt.close()
             dispatcher.release(reservation)
+        tracker.running = None
         if not attempt.sent:
             tracker.record_unsent()
         self._record_outcome(outcome, endpoint)
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -23,6 +23,12 @@
 from basilroad.gateway.preference import EnginePreference
 from basilroad.gateway.reports import ReportReader
 from basilroad.gateway.selection import Chooser
+from basilroad.gateway.shutdown import (
+    OTHER_HOST_RETRY_S,
+    SHUTDOWN_RESERVE_S,
+    Shutdown,
+    refuse_at_shutdown,
+)
 from basilroad.gateway.streamdurations import StreamDurations
 
 if TYPE_CHECKING:
@@ -46,10 +52,6 @@
 CONFIG_POLL_INTERVAL_S = 0.01
 """Poll interval while a call waits for the configuration."""
 
-OTHER_HOST_RETRY_S = 0.05
-"""Retry delay for callers that only this host refuses: the retry reaches another host, and a
-longer delay would use up the target of a short call."""
-
 LONG_OUTAGE_RETRY_S = 1.0
 """Retry delay in a long outage, which most likely affects other hosts too."""
 
@@ -69,10 +71,6 @@
 """Default for the retries per second that all hosts together may make without any requests: one
 for each of the minimum number of sharing hosts."""
 
-SHUTDOWN_RESERVE_S = 1.0
-"""Part of the shutdown grace period reserved for closing connections and process exit; the exit
-alone takes about half of it."""
-
 
 @attrs.frozen
 class GatewaySettings:
@@ -124,7 +122,7 @@
         reports = ReportReader(protocol, settings.place)
         self.dispatcher = Dispatcher(self.directory, chooser, self.find_engine, reports)
         self.liveness = Liveness(self.dispatcher, reports)
-        self.stopping_since: float | None = None
+        self.shutdown = Shutdown()
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
         self.metrics = GatewayMetrics()
@@ -197,7 +195,7 @@
     @property
     def is_ready(self) -> bool:
         """:return: whether the gateway is ready to take calls."""
-        if self.stopping_since is not None or self.table is None:
+        if self.shutdown.started_at is not None or self.table is None:
             return False
         return self.freshness.is_within(self.settings.ready_age_limit_s)
 
@@ -252,20 +250,20 @@
         return workspace
 
     def check_draining(self, route: Route) -> None:
-        """Refuse a stream that is unlikely to end before this host shuts down.
+        """Refuse a call that is unlikely to end before this host shuts down.
 
         :param route: the call's route
         :raises RefusedError: it has to be sent to another host
         """
-        if self.stopping_since is None or not route.streams:
+        if self.shutdown.started_at is None:
             return
-        elapsed_s = time.monotonic() - self.stopping_since
-        if (
-            elapsed_s + self.stream_durations.typical_max_s
-            <= self.settings.grace_s - SHUTDOWN_RESERVE_S
-        ):
+        if self.shutdown.is_closing:
+            raise refuse_at_shutdown()
+        if not route.streams:
             return
-        raise refuse(ErrorKind.DRAINING, "this host is shutting down", OTHER_HOST_RETRY_S)
+        left_s = self.settings.grace_s - SHUTDOWN_RESERVE_S - self.shutdown.elapsed_s
+        if self.stream_durations.typical_max_s > left_s:
+            raise refuse_at_shutdown()
 
     def _choose_retry_after(self) -> float:
         age_s = self.freshness.age_s()
--- a/src/basilroad/gateway/handler.py
+++ b/src/basilroad/gateway/handler.py
@@ -8,6 +8,7 @@
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.gateway.buffered import BufferedCall
 from basilroad.gateway.metrics import name_form
+from basilroad.gateway.shutdown import ShutdownError
 from basilroad.gateway.streaming import StreamBrokenError, StreamCall
 
 if TYPE_CHECKING:
@@ -36,6 +37,8 @@
         self._gateway.budget_of(call.service).record_request()
         outcome = "cancelled"
         try:
+            if call.route.streams:
+                self._check_time_left(call)
             reply = await self._run(call, responder)
             outcome = "whole_stream" if reply is None else f"status_{reply.status // 100}xx"
             return reply
@@ -49,10 +52,16 @@
             self._count(call, outcome)
 
     async def _run(self, call: Call, responder: Responder) -> Reply | None:
+        running: StreamCall | BufferedCall
         if call.route.streams:
-            self._check_time_left(call)
-            return await StreamCall(self._gateway, call, responder).run()
-        return await BufferedCall(self._gateway, call).run()
+            running = StreamCall(self._gateway, call, responder)
+        else:
+            running = BufferedCall(self._gateway, call)
+        try:
+            async with self._gateway.shutdown.limit_call():
+                return await running.run()
+        except ShutdownError:
+            return running.end_at_shutdown()
 
     def _check_time_left(self, call: Call) -> None:
         gateway = self._gateway
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -74,6 +74,7 @@
         self._first_event = 0
         self._started = False
         self._backup_endpoint: Endpoint | None = None
+        self._failed_reply: Reply | None = None
         self._last_forwarded_at = 0.0
         self._stall_timeout_s = STALL_TIMEOUT_S
         self._gaps = gateway.metrics.gap_s.labels(name_rank(call.rank))
@@ -85,7 +86,6 @@
         :raises RefusedError: there is no response
         :raises StreamBrokenError: the stream was cut off after it started
         """
-        failed_reply: Reply | None = None
         while await self._start_attempt():
             outcome = await self._try_once()
             if outcome is None:
@@ -94,15 +94,28 @@
                 self._record_duration()
                 return None
             if isinstance(outcome, Reply):
-                failed_reply = outcome
+                self._failed_reply = outcome
                 if self._started or self._is_final(outcome):
                     break
         if self._started:
             raise StreamBrokenError(self._tracker.last_detail or "no endpoint to resume the stream")
-        if failed_reply is not None:
-            return failed_reply
+        if self._failed_reply is not None:
+            return self._failed_reply
         raise RefusedError(self._tracker.build_refusal())
 
+    def end_at_shutdown(self) -> Reply:
+        """End a cancelled run because this host shuts down.
+
+        :return: the last response of an endpoint
+        :raises RefusedError: there is none
+        :raises StreamBrokenError: a part of the stream was sent to the caller
+        """
+        if self._started:
+            raise StreamBrokenError("this host shut down")
+        if self._failed_reply is not None:
+            return self._failed_reply
+        raise self._tracker.build_shutdown_error()
+
     async def _start_attempt(self) -> bool:
         tracker, service = self._tracker, self._call.service
         allowed = tracker.try_start_attempt()
@@ -139,7 +152,7 @@
         endpoint = reservation.endpoint
         backup = self._reserve_backup(endpoint)
         started = time.monotonic()
-        attempt = Attempt(
+        attempt = self._tracker.running = Attempt(
             self._call,
             endpoint,
             self._gateway.protocol,
@@ -159,6 +172,7 @@
             self._gateway.dispatcher.release(reservation)
             if backup is not None:
                 self._gateway.dispatcher.release(backup)
+        self._tracker.running = None
         if not attempt.sent:
             self._tracker.record_unsent()
         self._record_outcome(outcome, endpoint, backup, used_backup=kv_cache_source)
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -16,8 +16,8 @@
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
 from basilroad.gateway.call import Call
 from basilroad.gateway.calllog import log_refusal
-from basilroad.gateway.gateway import SHUTDOWN_RESERVE_S
 from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.shutdown import SHUTDOWN_RESERVE_S, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
@@ -55,6 +55,13 @@
 """Time after the last new connection for which the requests on accepted ones are awaited; a client
 sends its request right after it has connected."""
 
+SHORT_CALL_S = 0.3
+"""Time left for the calls on the last accepted connections, several times that of a short call;
+longer ones may be ended at the time limit of the shutdown."""
+
+LAST_RESPONSES_S = 0.1
+"""Time to send the responses of calls that are still in flight at the end of a shutdown."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -72,12 +79,15 @@
         self._handler = CallHandler(gateway)
         self._runners: list[web.ServerRunner] = []
         self._front_sites: list[web.TCPSite] = []
-        self._in_flight = 0
+        self._front_server: web.Server | None = None
+        self._busy_connections: set[web.RequestHandler] = set()
 
     async def on_start(self) -> None:
         """Listen for calls, readiness checks and metrics scrapes."""
         front = self._settings.front
-        self._front_sites.append(await self._listen(self._handle, front.ip, front.port))
+        site = await self._listen(self._handle, front.ip, front.port)
+        self._front_sites.append(site)
+        self._front_server = self._runners[-1].server
         await self._listen(
             self._serve_readiness, self._settings.ready.ip, self._settings.ready.port
         )
@@ -85,23 +95,39 @@
         await self._listen(self._serve_metrics, metrics.ip, metrics.port)
 
     async def on_stop(self) -> None:
-        """Wait for calls in flight up to the grace period, then close all listeners."""
-        stopped_at = time.monotonic()
-        self._gateway.stopping_since = stopped_at
-        _LOGGER.info("stopping", extra={"in_flight": self._in_flight})
-        limit = stopped_at + self._gateway.settings.grace_s - SHUTDOWN_RESERVE_S
-        listens_s = min(LISTEN_AFTER_STOP_S, limit - stopped_at - ACCEPTED_LINGER_S)
-        await asyncio.sleep(max(0.0, listens_s))
+        """Wait for calls in flight up to the grace period, answer the rest and close everything."""
+        shutdown = self._gateway.shutdown
+        shutdown.started_at = time.monotonic()
+        _LOGGER.info("stopping", extra={"in_flight": len(self._busy_connections)})
+        limit = shutdown.started_at + self._gateway.settings.grace_s - SHUTDOWN_RESERVE_S
+        last_accept_s = limit - time.monotonic() - ACCEPTED_LINGER_S - SHORT_CALL_S
+        await asyncio.sleep(max(0.0, min(LISTEN_AFTER_STOP_S, last_accept_s)))
         # connections that are accepted already still get their responses
         for site in self._front_sites:
             await site.stop()
         await asyncio.sleep(min(ACCEPTED_LINGER_S, max(0.0, limit - time.monotonic())))
-        while self._in_flight and time.monotonic() < limit:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        _LOGGER.info("stopped", extra={"in_flight": self._in_flight})
+        shutdown.is_closing = True
+        await self._close_connections(limit)
+        ended = shutdown.end_calls()
+        await self._close_connections(time.monotonic() + LAST_RESPONSES_S)
+        _LOGGER.info("stopped", extra={"in_flight": len(self._busy_connections), "ended": ended})
         for runner in self._runners:
             await runner.cleanup()
 
+    async def _close_connections(self, limit: float) -> None:
+        """Close connections without a call, until there are none with a call.
+
+        :param limit: monotonic seconds after which calls are not awaited
+        """
+        assert self._front_server is not None
+        while True:
+            for connection in self._front_server.connections:
+                if connection not in self._busy_connections and connection.transport is not None:
+                    connection.transport.close()
+            if not self._busy_connections or time.monotonic() >= limit:
+                return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
     async def _listen(self, handler: object, ip: str, port: int) -> web.TCPSite:
         server = web.Server(
             handler,  # type: ignore[arg-type]
@@ -128,13 +154,20 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at = time.monotonic()
-        self._in_flight += 1
+        connection = request.protocol
+        self._busy_connections.add(connection)
+        try:
+            response = await self._respond(request, arrived_at)
+            await _complete_response(request, response)
+            return response
+        finally:
+            self._busy_connections.discard(connection)
+
+    async def _respond(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         try:
             return await self._serve_call(request, arrived_at)
         except RefusedError as error:
             return self._refuse(request, error.refusal, arrived_at)
-        finally:
-            self._in_flight -= 1
 
     async def _serve_call(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         call = await self._read_call(request, arrived_at)
@@ -164,7 +197,11 @@
         route = gateway.resolve_route(_strip_port(request.headers.get("Host", "")), path)
         workspace = gateway.authenticate(route, request.headers.get(HEADER_API_KEY, ""))
         gateway.check_draining(route)
-        body = await self._read_body(request)
+        try:
+            async with gateway.shutdown.limit_call():
+                body = await self._read_body(request)
+        except ShutdownError:
+            raise refuse_at_shutdown() from None
         time_left_s = _read_time_left(request, route)
         workspace_rank = workspace.rank if workspace else None
         return Call(
@@ -204,7 +241,7 @@
         return response
 
     def _close_if_stopping(self, response: web.StreamResponse) -> None:
-        if self._gateway.stopping_since is not None:
+        if self._gateway.shutdown.started_at is not None:
             response.force_close()
             response.headers["Connection"] = "close"
 
@@ -277,6 +314,17 @@
         return self.response
 
 
+async def _complete_response(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    # aiohttp sends it after the handler has returned, when the connection would count as idle
+    if request.transport is None or request.transport.is_closing():
+        return
+    try:
+        await response.prepare(request)
+        await response.write_eof()
+    except ConnectionError as error:
+        _LOGGER.debug("response not sent", extra={"detail": repr(error)})
+
+
 def _strip_port(host: str) -> str:
     return host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
 
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -10,17 +10,18 @@
 from basilroad.gateway.gateway import (
     LONG_OUTAGE_RETRY_S,
     LONG_OUTAGE_S,
-    OTHER_HOST_RETRY_S,
     Gateway,
     GatewaySettings,
 )
+from basilroad.gateway.route import Route
+from basilroad.gateway.shutdown import OTHER_HOST_RETRY_S
 from basilroad.platform.protocol import PlatformProtocol
 from builders import PLACE, build_route, build_stream_route, build_table
 
 
 def build_gateway(stopping_for_s: float) -> Gateway:
     gateway = Gateway(GatewaySettings("h", PLACE, grace_s=8.0), PlatformProtocol())
-    gateway.stopping_since = time.monotonic() - stopping_for_s
+    gateway.shutdown.started_at = time.monotonic() - stopping_for_s
     return gateway
 
 
@@ -38,10 +39,20 @@
     assert refusal.retry_after == OTHER_HOST_RETRY_S
 
 
-def test_short_calls_are_admitted_until_the_end() -> None:
+def test_short_calls_are_admitted_until_connections_are_closed() -> None:
     build_gateway(7.0).check_draining(build_route())
 
 
+@pytest.mark.parametrize("route", [build_route(), build_stream_route()])
+def test_no_call_is_admitted_once_connections_are_being_closed(route: Route) -> None:
+    # fault: calls on kept connections were admitted until the process ended
+    gateway = build_gateway(2.5)
+    gateway.shutdown.is_closing = True
+    with pytest.raises(RefusedError) as caught:
+        gateway.check_draining(route)
+    assert caught.value.refusal.answer.effect is Effect.NOT_RUN
+
+
 def test_admission_follows_the_duration_of_streams() -> None:
     gateway = build_gateway(3.0)
     for _ in range(100):
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -13,8 +13,8 @@
 import pytest
 from yarl import URL
 
-from basilroad.gateway.gateway import SHUTDOWN_RESERVE_S
 from basilroad.gateway.selection import Locality
+from basilroad.gateway.shutdown import SHUTDOWN_RESERVE_S
 from basilroad.gateway.streamdurations import StreamDurations
 from basilroad.peers.address import Address
 from basilroad.platform.run import PlatformService
