--- a/tests/gateway/test_streaming.py
+++ b/tests/gateway/test_streaming.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
-from basilroad.errors import RefusedError
+from basilroad.errors import ErrorKind, RefusedError
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
@@ -128,3 +129,19 @@
         assert endpoint.load.calls == 0
         assert endpoint.load.memory_tokens == 0
         assert endpoint.load.pending_prefill_tokens == 0
+
+
+async def test_a_stream_queued_when_its_host_shuts_down_is_not_sent_too_late(
+    gateway, start_server
+) -> None:
+    # fault: the check was made on arrival only, and a queued stream was sent and then cut off
+    pending = asyncio.ensure_future(run(gateway))
+    await asyncio.sleep(0.05)
+    assert gateway.dispatcher.waiting == 1
+    gateway.shutdown.started_at = time.monotonic() - gateway.settings.grace_s + 2.0
+    engine = await start_server("i-1", service="llm", events=20)
+    with pytest.raises(RefusedError) as caught:
+        await pending
+    assert caught.value.refusal.kind is ErrorKind.DRAINING
+    assert not engine.seen
+    assert not any(endpoint.load.calls for endpoint in gateway.directory)
