Answer requests that were just read before idle connections are closed

Cause: a connection counts as idle until the handler of its request has started, three turns of the event loop after the request was read; under load many requests are read in one turn. Change: reading is paused, a few turns pass, and only the connections that are still idle are closed. Result: the new test, a request read in the same turn, fails on the code before (no response) and passes.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -59,6 +59,9 @@
 """Time left for the calls on the last accepted connections, several times that of a short call;
 longer ones may be ended at the time limit of the shutdown."""
 
+HANDLER_START_TURNS = 4
+"""Turns of the event loop until the handler of a request read before has started, and one more."""
+
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -119,15 +122,30 @@
 
         :param limit: monotonic seconds after which calls are not awaited
         """
-        assert self._front_server is not None
         while True:
-            for connection in self._front_server.connections:
-                if connection not in self._busy_connections and connection.transport is not None:
-                    connection.transport.close()
+            await self._close_idle_connections()
             if not self._busy_connections or time.monotonic() >= limit:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
+    async def _close_idle_connections(self) -> None:
+        assert self._front_server is not None
+        paused = [
+            (connection, connection.transport)
+            for connection in self._front_server.connections
+            if connection not in self._busy_connections and connection.transport is not None
+        ]
+        for _, transport in paused:
+            transport.pause_reading()
+        # a request that was read but not handled yet gets its response
+        for _ in range(HANDLER_START_TURNS):
+            await asyncio.sleep(0)
+        for connection, transport in paused:
+            if connection in self._busy_connections:
+                transport.resume_reading()
+            else:
+                transport.close()
+
     async def _listen(self, handler: object, ip: str, port: int) -> web.TCPSite:
         server = web.Server(
             handler,  # type: ignore[arg-type]
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 import socket
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -349,6 +350,23 @@
     assert rig.app.ran == ["sent"]
 
 
+async def test_a_request_that_was_just_read_is_answered_before_its_connection_closes(
+    rig: Rig,
+) -> None:
+    # fault: a connection counted as idle until the handler of its request had started
+    await rig.configure(1, "key")
+    reader, writer = await open_kept_connection(rig, 1)
+    front = rig.service.front
+    assert front._front_server is not None
+    (connection,) = front._front_server.connections
+    shutdown = rig.service.gateway.shutdown
+    shutdown.started_at, shutdown.is_closing = time.monotonic(), True
+    connection.data_received(build_order("just-read"))
+    await front._close_connections(time.monotonic() + 1)
+    assert (await reader.read()).startswith(b"HTTP/1.1 503 "), "it has not run"
+    writer.close()
+
+
 def shorten_grace(rig: Rig) -> float:
     """Set a short grace period.
 
