Compare the time left by a planned stop again once a body is complete

Cause: the time left was compared when the head arrived, and for plain calls not at all. A connection counted as idle once its response was sent, and closing it with bytes on the way resets it. Change: calls need 0.3 s, streams their usual duration, when the body is complete and when a stream leaves the queue; an admitted stream is no longer refused only because connections are being closed. A connection whose body is still arriving is left open up to the limit.

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -25,6 +25,7 @@
 from basilroad.gateway.selection import Chooser
 from basilroad.gateway.shutdown import (
     OTHER_HOST_RETRY_S,
+    SHORT_CALL_S,
     SHUTDOWN_RESERVE_S,
     Shutdown,
     refuse_at_shutdown,
@@ -255,14 +256,21 @@
         :param route: the call's route
         :raises RefusedError: it has to be sent to another host
         """
-        if self.shutdown.started_at is None:
-            return
         if self.shutdown.is_closing:
             raise refuse_at_shutdown()
-        if not route.streams:
+        self.check_time_before_shutdown(route)
+
+    def check_time_before_shutdown(self, route: Route) -> None:
+        """Refuse an admitted call that has waited until too little time is left to send it.
+
+        :param route: the call's route
+        :raises RefusedError: it has to be sent to another host
+        """
+        if self.shutdown.started_at is None:
             return
         left_s = self.settings.grace_s - SHUTDOWN_RESERVE_S - self.shutdown.elapsed_s
-        if self.stream_durations.typical_max_s > left_s:
+        needed_s = self.stream_durations.typical_max_s if route.streams else SHORT_CALL_S
+        if needed_s > left_s:
             raise refuse_at_shutdown()
 
     def _choose_retry_after(self) -> float:
--- a/src/basilroad/gateway/shutdown.py
+++ b/src/basilroad/gateway/shutdown.py
@@ -15,6 +15,9 @@
 """Part of the shutdown grace period reserved for closing connections and process exit; the exit
 alone takes about half of it."""
 
+SHORT_CALL_S = 0.3
+"""Time that a call of a plain service needs at least, several times that of a short one."""
+
 OTHER_HOST_RETRY_S = 0.05
 """Retry delay for callers that only this host refuses: the retry reaches another host, and a
 longer delay would use up the target of a short call."""
@@ -30,7 +33,6 @@
 
     started_at: float | None = None
     is_closing: bool = False
-    _has_ended_calls: bool = False
     _limits: set[asyncio.Timeout] = attrs.field(factory=set)
 
     @property
@@ -44,15 +46,16 @@
 
         :raises ShutdownError: the shutdown has ended the calls in flight
         """
+        limit = asyncio.timeout(None)
         try:
-            async with asyncio.timeout(None) as limit:
+            async with limit:
                 self._limits.add(limit)
                 try:
                     yield
                 finally:
                     self._limits.discard(limit)
         except TimeoutError:
-            if not self._has_ended_calls:
+            if not limit.expired():
                 raise
             raise ShutdownError from None
 
@@ -61,7 +64,6 @@
 
         :return: their number
         """
-        self._has_ended_calls = True
         now = asyncio.get_running_loop().time()
         for limit in self._limits:
             limit.reschedule(now)
@@ -79,6 +81,7 @@
 
 __all__ = [
     "OTHER_HOST_RETRY_S",
+    "SHORT_CALL_S",
     "SHUTDOWN_RESERVE_S",
     "Shutdown",
     "ShutdownError",
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -147,7 +147,7 @@
         if reservation is None:
             return None
         self._gateway.record_placed(self._call, time.monotonic() - queued_at)
-        self._check_draining(reservation)
+        self._check_time_before_shutdown(reservation)
         if self._tracker.sent:
             self._gateway.metrics.resumes.labels("copy" if kv_cache_source else "none").inc()
         endpoint = reservation.endpoint
@@ -190,12 +190,12 @@
         )
         return outcome
 
-    def _check_draining(self, reservation: Reservation) -> None:
+    def _check_time_before_shutdown(self, reservation: Reservation) -> None:
         # a shutdown may have begun while the stream was queued
         if self._tracker.sent:
             return
         try:
-            self._gateway.check_draining(self._call.route)
+            self._gateway.check_time_before_shutdown(self._call.route)
         except RefusedError:
             self._gateway.dispatcher.release(reservation)
             raise
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from aiohttp import web
+from aiohttp import StreamReader, web
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
 
@@ -17,7 +17,12 @@
 from basilroad.gateway.call import Call
 from basilroad.gateway.calllog import log_refusal
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.shutdown import SHUTDOWN_RESERVE_S, ShutdownError, refuse_at_shutdown
+from basilroad.gateway.shutdown import (
+    SHORT_CALL_S,
+    SHUTDOWN_RESERVE_S,
+    ShutdownError,
+    refuse_at_shutdown,
+)
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
@@ -55,10 +60,6 @@
 """Time after the last new connection for which the requests on accepted ones are awaited; a client
 sends its request right after it has connected."""
 
-SHORT_CALL_S = 0.3
-"""Time left for the calls on the last accepted connections, several times that of a short call;
-longer ones may be ended at the time limit of the shutdown."""
-
 HANDLER_START_TURNS = 4
 """Turns of the event loop until the handler of a request read before has started, and one more."""
 
@@ -84,6 +85,7 @@
         self._front_sites: list[web.TCPSite] = []
         self._front_server: web.Server | None = None
         self._busy_connections: set[web.RequestHandler] = set()
+        self._unread_bodies: dict[web.RequestHandler, StreamReader] = {}
 
     async def on_start(self) -> None:
         """Listen for calls, readiness checks and metrics scrapes."""
@@ -122,18 +124,25 @@
 
         :param limit: monotonic seconds after which calls are not awaited
         """
+        assert self._front_server is not None
         while True:
             await self._close_idle_connections()
-            if not self._busy_connections or time.monotonic() >= limit:
+            is_idle = not any(map(self._is_busy, self._front_server.connections))
+            if is_idle or time.monotonic() >= limit:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
+    def _is_busy(self, connection: web.RequestHandler) -> bool:
+        # a close before the whole body was received resets the connection and loses the response
+        body = self._unread_bodies.get(connection)
+        return connection in self._busy_connections or (body is not None and not body.is_eof())
+
     async def _close_idle_connections(self) -> None:
         assert self._front_server is not None
         paused = [
             (connection, connection.transport)
             for connection in self._front_server.connections
-            if connection not in self._busy_connections and connection.transport is not None
+            if not self._is_busy(connection) and connection.transport is not None
         ]
         for _, transport in paused:
             transport.pause_reading()
@@ -141,7 +150,7 @@
         for _ in range(HANDLER_START_TURNS):
             await asyncio.sleep(0)
         for connection, transport in paused:
-            if connection in self._busy_connections:
+            if self._is_busy(connection):
                 transport.resume_reading()
             else:
                 transport.close()
@@ -180,6 +189,8 @@
             return response
         finally:
             self._busy_connections.discard(connection)
+            if self._gateway.shutdown.started_at is not None and not request.content.is_eof():
+                self._unread_bodies[connection] = request.content
 
     async def _respond(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         try:
@@ -220,6 +231,7 @@
                 body = await self._read_body(request)
         except ShutdownError:
             raise refuse_at_shutdown() from None
+        gateway.check_time_before_shutdown(route)
         time_left_s = _read_time_left(request, route)
         workspace_rank = workspace.rank if workspace else None
         return Call(
