Answer the generations that an entry's planned stop ends

Cause: the same as in gateways, work is cancelled at the limit without an outcome: the run task of a generation was cancelled, which notifies its readers but leaves them nothing to send. Change: each generation without an outcome is refused first, as not run if nothing was sent, as lost if an attempt was; then its task is cancelled. Result: the new test, buffered and streamed, fails on the code before (no answer) and passes; tests/entry pass.

--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -145,13 +145,14 @@
             self.timers.subscribe(HOSTS_READ_INTERVAL_S, watch.read)
 
     async def on_stop(self) -> None:
-        """Drain: wait for work in flight up to the limit, then cancel it."""
+        """Drain: wait for work in flight up to the limit, then refuse and cancel it."""
         self.stopping = True
         _LOGGER.info("entry draining", extra={"flights": len(self.flights)})
         deadline_s = time.monotonic() + self.options.drain_limit_s
         while (self._run_tasks or self.calls_running) and time.monotonic() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
-        for task in list(self._run_tasks.values()):
+        for flight, task in list(self._run_tasks.items()):
+            flight.end_at_shutdown()
             task.cancel()
 
     async def on_shutdown(self) -> None:
--- /dev/null
+++ b/tests/entry/test_stop.py
@@ -0,0 +1,63 @@
+"""A planned stop of an entry with generations in flight."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from basilroad.entry.service import EntryService
+from basilroad.settings.daemon import DaemonSettings, EntrySettings
+
+
+def find_free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+async def complete(port: int, *, stream: bool) -> bytes:
+    """Request a completion.
+
+    :param port: port of the entry
+    :param stream: whether the response is streamed
+    :return: all that came back until the connection was closed
+    """
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    completion = {"model": "m", "prompt": "a", "max_tokens": 5, "stream": stream}
+    body = json.dumps(completion).encode()
+    head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
+    async with asyncio.timeout(10):
+        response = await reader.read()
+    writer.close()
+    return response
+
+
+@pytest.mark.holds_stop
+@pytest.mark.parametrize("stream", [False, True])
+async def test_a_generation_queued_at_the_limit_of_a_planned_stop_is_answered(
+    stream: bool,
+) -> None:
+    # fault: the run was cancelled without an outcome, and its connection closed without an answer
+    port = find_free_port()
+    entry = EntryService(
+        DaemonSettings(
+            host="h",
+            address="127.0.0.1",
+            region="r",
+            data_centre="d",
+            entry=EntrySettings(listen=f"127.0.0.1:{port}", drain_limit_s=0.3),
+        )
+    )
+    await entry.start()
+    entry.models_seen.add("m")
+    pending = asyncio.ensure_future(complete(port, stream=stream))
+    while not entry.flights:
+        await asyncio.sleep(0.01)
+    await entry.stop()
+    response = await pending
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"not_run" in response
