Show that a prompt part ends engines one after the other

The stand-in server crashes at the beginning of an answer on a given prompt part and is back later. Six requests with such a part at two gateways end all 8 servers (tests/platform/ test_crashing_parts.py, fails), as each is retried up to its attempts limit.

--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -21,6 +21,9 @@
 TRICKLE_INTERVAL_S = 0.05
 """Interval of the bytes that a stalled stream sends."""
 
+PREFILL_S = 0.05
+"""Time between the response head of a stream that crashes the server and the crash."""
+
 
 class WireFault(enum.Enum):
     """Fault injected into one response.
@@ -106,6 +109,8 @@
     :param trickle_at_event: number of the event before which streams stall; 0 for never
     :param trickle: bytes that a stalled stream sends now and then
     :param silent: whether all responses are withheld
+    :param crash_on: prompt part on which the server crashes before the first event; empty for none
+    :param down_s: seconds for which it is down after a crash
     :param faults: faults of the next responses, in order
     """
 
@@ -117,6 +122,9 @@
     trickle_at_event: int = 0
     trickle: bytes = b""
     silent: bool = False
+    crash_on: str = ""
+    down_s: float = 2.0
+    crashes: int = 0
     faults: deque[WireFault] = attrs.field(factory=deque)
     seen: list[ReceivedRequest] = attrs.field(factory=list)
     runs: list[ReceivedRequest] = attrs.field(factory=list)
@@ -126,6 +134,7 @@
     _late_copies: dict[asyncio.StreamWriter, bytes] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _outage: asyncio.Task[None] | None = None
 
     @property
     def ran(self) -> list[str]:
@@ -142,12 +151,23 @@
 
     async def stop(self) -> None:
         """Close the listener and abort all connections, as in a crash."""
+        if self._outage is not None:
+            self._outage.cancel()
+        await self._go_down()
+
+    async def _go_down(self) -> None:
         if self._server is not None:
             self._server.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _crash(self) -> None:
+        self.crashes += 1
+        await self._go_down()
+        await asyncio.sleep(self.down_s)
+        await self.start(self.port)
+
     def schedule_faults(self, faults: Iterable[WireFault]) -> None:
         """Queue faults for the next responses.
 
@@ -266,6 +286,10 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(_encode_head(200, headers))
+        if self.crash_on and self.crash_on in _list_shared_parts(request):
+            await asyncio.sleep(PREFILL_S)
+            self._outage = asyncio.ensure_future(self._crash())
+            await asyncio.Event().wait()
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             while self.silent:
@@ -309,6 +333,12 @@
             return None
 
 
+def _list_shared_parts(request: ReceivedRequest) -> list[str]:
+    """:return: ids of the prompt parts but the last."""
+    parts = request.headers.get("x-prompt-prefix", "").split(",")
+    return [part.partition(":")[0].strip() for part in parts[:-1]]
+
+
 async def _write_unframed(
     writer: asyncio.StreamWriter, headers: dict[str, str], body: bytes, fault: WireFault
 ) -> bool:
--- /dev/null
+++ b/tests/platform/test_crashing_parts.py
@@ -0,0 +1,174 @@
+"""Requests with a prompt part that crashes servers, from the socket to the servers and back."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from basilroad.gateway.selection import Locality
+from basilroad.gateway.streamdurations import StreamDurations
+from basilroad.peers.address import Address
+from basilroad.platform.run import PlatformService
+from basilroad.platform.settings import Bounds, ProcessSettings, StoreAccess
+from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.rowstore import RowStoreStandin
+
+HEADERS = {"Host": "h.example", "X-Key": "key", "X-Deadline-Ms": "4000"}
+ROUTE = {
+    "name": "s",
+    "host": "h.example",
+    "prefix": "/s/",
+    "timeoutMs": 4000,
+    "sloMs": 2000,
+    "priority": 1,
+    "kind": "streaming",
+    "service": "llm",
+    "maxAttempts": 6,
+    "resumable": True,
+}
+CONFIG = {
+    "version": 1,
+    "routes": [ROUTE],
+    "services": [{"name": "llm", "engine": {"slots": 48, "kvCapacity": 88000, "backups": True}}],
+    "limits": {"maxBodyBytes": 10000},
+    "tenants": [{"name": "tenant", "apiKeys": ["key"]}],
+}
+DEADLY = "1bad1bad1bad"
+SHARED = "303f382f7be8"
+SERVERS = 8
+CRASHES_ALLOWED = 5
+"""Crashes of one part after which the platform expects it to be contained."""
+
+
+def find_free_port(kind: int = socket.SOCK_STREAM) -> int:
+    with socket.socket(type=kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class Fleet:
+    """Two gateways that exchange gossip before servers that crash on one prompt part."""
+
+    def __init__(self) -> None:
+        self.store = RowStoreStandin()
+        self.servers = [
+            AppServerStandin(f"i-{n}", events=40, event_interval_s=0.02, crash_on=DEADLY)
+            for n in range(SERVERS)
+        ]
+        self.gateways: list[PlatformService] = []
+        self._numbers = itertools.count(1)
+
+    async def start(self, peers: int = 2) -> None:
+        await self.store.start()
+        self.store.put("op", "config", CONFIG)
+        for server in self.servers:
+            await server.start()
+            entry = {"service": "llm", "zone": "a", "slots": 4, "state": "ready"}
+            self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
+        for number in range(peers):
+            await self.add_gateway(f"h{number}")
+        self.session = aiohttp.ClientSession()
+
+    async def add_gateway(self, host: str) -> None:
+        service = PlatformService(self._build_settings(host), Path("absent"))
+        service.gateway.stream_durations = StreamDurations(mean_s=0.5, events=10, event_s=0.01)
+        await service.start()
+        self.gateways.append(service)
+        async with asyncio.timeout(5):
+            while len(list(service.gateway.directory)) < SERVERS or not self._know_each_other():
+                self._introduce()
+                await asyncio.sleep(0.02)
+
+    def _know_each_other(self) -> bool:
+        heard = [service.gossip.list_live_peers() for service in self.gateways if service.gossip]
+        return all(len(peers) == len(self.gateways) - 1 for peers in heard)
+
+    def _introduce(self) -> None:
+        addresses = [s.settings.peers for s in self.gateways if s.settings.peers is not None]
+        for service in self.gateways:
+            assert service.gossip is not None
+            service.gossip.add_peers(addresses)
+
+    def _build_settings(self, host: str) -> ProcessSettings:
+        return ProcessSettings(
+            host=host,
+            role="gateway",
+            place=Locality("a", "r", {"a": "r"}),
+            front=Address("127.0.0.1", find_free_port()),
+            ready=Address("127.0.0.1", find_free_port()),
+            metrics=Address("127.0.0.1", find_free_port()),
+            peers=Address("127.0.0.1", find_free_port(socket.SOCK_DGRAM)),
+            bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150),
+            store=StoreAccess(Address("127.0.0.1", self.store.port)),
+        )
+
+    async def generate(self, parts: list[str], gateway: int, **headers: str) -> tuple[int, int]:
+        """Send a generation that is unlike all others.
+
+        :param parts: parts of its prompt but the last
+        :param gateway: number of the gateway
+        :return: status and number of events
+        """
+        number = next(self._numbers)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        text = ",".join(f"{part}:100" for part in [*parts, f"last{number:08x}"])
+        front = self.gateways[gateway].settings.front
+        async with self.session.post(
+            f"http://{front}/s/1",
+            data=f"body {number}".encode(),
+            headers={
+                **HEADERS,
+                "X-Attempt-Id": f"c{number}",
+                "X-Token-Usage": "300,50",
+                "X-Prompt-Prefix": text,
+                **named,
+            },
+        ) as response:
+            return response.status, (await response.read()).count(b"id: ")
+
+    @property
+    def crashes(self) -> int:
+        return sum(server.crashes for server in self.servers)
+
+    @property
+    def deadly_requests(self) -> int:
+        """:return: requests with the deadly part that reached servers."""
+        seen = [request for server in self.servers for request in server.seen]
+        return sum(DEADLY in request.headers["x-prompt-prefix"] for request in seen)
+
+    async def stop(self) -> None:
+        await self.session.close()
+        for service in self.gateways:
+            await service.stop()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    fleet = Fleet()
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
+
+
+# pattern: each request with the part ends as many servers as its route allows attempts
+async def test_a_part_that_crashes_servers_does_not_end_one_after_the_other(fleet: Fleet) -> None:
+    await fleet.generate([SHARED], 0)
+    statuses = []
+    for number in range(6):
+        status, _ = await fleet.generate([SHARED, DEADLY], number % 2)
+        statuses.append(status)
+    assert fleet.crashes <= CRASHES_ALLOWED
+    assert fleet.deadly_requests <= CRASHES_ALLOWED
+    assert statuses[0] == 502, "it may have run"
+    assert statuses[-1] == 503, "it is refused before it is sent"
+    for number in range(4):
+        assert await fleet.generate([SHARED], number % 2) == (200, 40)
