Refuse prompt parts and contents that crash endpoints

Cause: a gateway retried a generation whose prompt part crashes engines up to its attempts limit, and knew nothing of such requests at other gateways; one part ended engines one after the other.

Change: a ledger finds what the requests have in common that engines crashed on, and refuses it after three crashes; gateways tell each other crashes and parts that passed. A call in the queue or without an event is stopped when it is refused.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -94,6 +94,7 @@
         self._busy = False
         self._failure: Exception | None = None
         self._ended = False
+        self._closed_here = False
         self._buffered = 0
         self._paused = False
         self.requests = 0
@@ -146,6 +147,11 @@
         """:return: whether another request may be sent."""
         return not self._busy and not self._ended and self._transport is not None
 
+    @property
+    def is_cut_off(self) -> bool:
+        """:return: whether the endpoint or the network ended the connection, not this side."""
+        return self._ended and not self._closed_here
+
     def send(self, request: OutgoingRequest) -> None:
         """Send a request; its response is read separately.
 
@@ -240,6 +246,7 @@
 
     def close(self) -> None:
         """Abort the connection; the endpoint then cancels the request in progress."""
+        self._closed_here = self._closed_here or not self._ended
         self._ended = True
         if self._transport is not None:
             self._transport.abort()
--- a/src/basilroad/errors.py
+++ b/src/basilroad/errors.py
@@ -40,6 +40,7 @@
     ENDPOINT_FAILED = "endpoint_failed"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     TIME_TOO_SHORT = "time_too_short"
+    CRASHES_ENDPOINTS = "crashes_endpoints"
     STALE_ORDER = "stale_order"
     INTERNAL = "internal"
 
@@ -100,6 +101,9 @@
         504, Status.DEADLINE_EXCEEDED, Effect.MAY_HAVE_RUN, _SERVER
     ),
     ErrorKind.TIME_TOO_SHORT: ErrorResponse(503, Status.DEADLINE_EXCEEDED, Effect.NOT_RUN, _SERVER),
+    ErrorKind.CRASHES_ENDPOINTS: ErrorResponse(
+        503, Status.FAILED_PRECONDITION, Effect.NOT_RUN, _SERVER, 3600
+    ),
     ErrorKind.STALE_ORDER: ErrorResponse(409, Status.FAILED_PRECONDITION, Effect.NOT_RUN, _SERVER),
     ErrorKind.INTERNAL: ErrorResponse(500, Status.INTERNAL, Effect.MAY_HAVE_RUN, _SERVER),
 }
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -195,6 +195,11 @@
         self._options = options
         self._channel: Channel | None = None
 
+    @property
+    def is_cut_off(self) -> bool:
+        """:return: whether its connection was ended by the endpoint or the network."""
+        return self._channel is not None and self._channel.is_cut_off
+
     async def open(self) -> OpenReply | NotRun | MayHaveRun:
         """Send the call and wait for the head of the response.
 
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -12,6 +12,7 @@
 from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.call import Reply
 from basilroad.gateway.calllog import AttemptRecord
+from basilroad.gateway.containment import Run
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
@@ -49,7 +50,7 @@
         tracker = self._tracker
         while tracker.try_start_attempt():
             outcome = await self._try_once()
-            if outcome is None:
+            if outcome is None or self._gateway.containment.find_refusal(self._call) is not None:
                 break
             if isinstance(outcome, Reply) and not self._should_retry(outcome):
                 return outcome
@@ -76,8 +77,10 @@
         self._gateway.record_placed(call, started - queued_at)
         options = AttemptOptions(endpoint.id, call.expires_at - started)
         attempt = Attempt(call, endpoint, self._gateway.protocol, options)
+        run = Run(call, endpoint)
         try:
             outcome = await self._exchange(attempt)
+            await self._record_end(run, attempt, outcome)
         finally:
             attempt.close()
             dispatcher.release(reservation)
@@ -102,6 +105,12 @@
         except ChannelError as error:
             return MayHaveRun(str(error))
 
+    async def _record_end(self, run: Run, attempt: Attempt, outcome: Outcome) -> None:
+        if isinstance(outcome, Reply):
+            self._gateway.containment.record_passed(run)
+        elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
+            await self._gateway.containment.record_break(run)
+
     def _attempt_limit_s(self) -> float:
         call, tracker = self._call, self._tracker
         left_s = call.expires_at - time.monotonic()
--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import hashlib
 from typing import Protocol
 
 import attrs
@@ -9,6 +11,12 @@
 from basilroad.gateway.events import MAX_ID_DIGITS
 from basilroad.gateway.route import Route
 
+CONTENT_KEY_BYTES = 8
+"""Size of the hash of a call's content; calls of one hour differ in it."""
+
+CONTENT_KEY_MARK = "="
+"""First character of the keys of contents, which no key of a prompt part has."""
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -47,6 +55,7 @@
     :param size: tokens of a generation; zero for other calls
     :param resume_after: id of the last event that the caller received; empty for a new stream
     :param prompt_key: key of the prompt of a generation; empty without one
+    :param prompt_parts: keys of the parts of its prompt that other calls may share
     """
 
     id: str
@@ -63,6 +72,21 @@
     size: PromptSize = PromptSize()
     resume_after: str = ""
     prompt_key: str = ""
+    prompt_parts: tuple[str, ...] = ()
+
+    @functools.cached_property
+    def content_key(self) -> str:
+        """:return: key of all that makes another call the same."""
+        digest = hashlib.blake2b(digest_size=CONTENT_KEY_BYTES)
+        for field in (self.workspace.encode(), self.target.encode(), self.body):
+            digest.update(len(field).to_bytes(8, "big"))
+            digest.update(field)
+        return CONTENT_KEY_MARK + digest.hexdigest()
+
+    @functools.cached_property
+    def crash_keys(self) -> frozenset[str]:
+        """:return: keys of all that could make endpoints crash."""
+        return frozenset((*self.prompt_parts, self.content_key))
 
     @property
     def on_time_until(self) -> float:
@@ -109,4 +133,4 @@
         """
 
 
-__all__ = ["Call", "Headers", "PromptSize", "Reply", "Responder"]
+__all__ = ["CONTENT_KEY_MARK", "Call", "Headers", "PromptSize", "Reply", "Responder"]
--- /dev/null
+++ b/src/basilroad/gateway/containment.py
@@ -0,0 +1,254 @@
+"""Containment of calls that crash the endpoints they run at."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import math
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import attrs
+
+from basilroad.coordination.crashledger import CrashLedger, CrashRecord, CrashSettings
+from basilroad.endpoints.channels import ConnectError
+from basilroad.errors import ErrorKind, refuse
+from basilroad.gateway.crashreports import CrashExchange
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Iterator, Sequence
+
+    from basilroad.coordination.crashledger import RefusedKeys
+    from basilroad.gateway.call import Call
+    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.metrics import GatewayMetrics
+
+BEGINNING_S = 0.3
+"""Time after the first event of a stream up to which its endpoint may crash on it; several steps of
+an engine of these fleets."""
+
+RECONNECT_DELAY_S = 0.05
+"""Time after which a new connection to an endpoint that broke others shows whether it is up: a
+process that ends may close its listener last."""
+
+RECONNECT_ATTEMPTS = 2
+"""Connections that are opened to find out; the second one if the first one breaks at once."""
+
+SAME_CRASH_S = 1.0
+"""Time within which an endpoint crashes once; endpoints of these fleets are down for longer."""
+
+REFUSED_MESSAGE = "endpoints crashed on requests with the same content or prompt part"
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Run:
+    """A call at one endpoint, or in the queue.
+
+    :param call: the call
+    :param endpoint: the endpoint; ``None`` in the queue
+    :param cancel: cancels it
+    :param began: whether the response head has arrived
+    :param first_event_at: monotonic seconds of the first event; ``None`` before
+    :param passed: whether it is past its beginning
+    :param started_at: monotonic seconds
+    :param crash: identifier of a crash of the endpoint from now on
+    """
+
+    call: Call
+    endpoint: Endpoint | None = None
+    cancel: Callable[[], None] = lambda: None
+    began: bool = False
+    first_event_at: float | None = None
+    passed: bool = False
+    started_at: float = attrs.field(factory=time.monotonic)
+    crash: str = ""
+
+    def __attrs_post_init__(self) -> None:
+        """Name the process of the endpoint, which may have restarted when the run ends."""
+        if self.endpoint is not None:
+            self.crash = f"{self.endpoint.id}/{self.endpoint.entry.started_ms}"
+
+    def is_at_beginning(self, now: float) -> bool:
+        """:return: whether a crash of the endpoint counts against the call."""
+        return self.first_event_at is None or now - self.first_event_at < BEGINNING_S
+
+
+class Containment:
+    """Finds out which contents and prompt parts crash endpoints, and refuses them.
+
+    :param host: name of this gateway
+    :param metrics: metrics of this gateway
+    """
+
+    def __init__(self, host: str, metrics: GatewayMetrics) -> None:
+        self.ledger = CrashLedger(CrashSettings())
+        self.exchange = CrashExchange(host, self.ledger, self._apply_heard)
+        self._metrics = metrics
+        self._runs: set[Run] = set()
+        self._checks: dict[str, asyncio.Task[bool]] = {}
+        self._known: tuple[RefusedKeys, ...] = ()
+
+    def find_refusal(self, call: Call) -> RefusedKeys | None:
+        """:return: why a call is refused; ``None`` if it may run."""
+        if not self.ledger.refused:
+            return None
+        return self.ledger.find_refusal(call.crash_keys)
+
+    def check(self, call: Call) -> None:
+        """Refuse a call whose content or parts crash endpoints.
+
+        :param call: the call, which was not sent
+        :raises RefusedError: it is refused
+        """
+        refused = self.find_refusal(call)
+        if refused is not None:
+            left_s = max(1.0, refused.refused_until - time.monotonic())
+            raise refuse(ErrorKind.CRASHES_ENDPOINTS, REFUSED_MESSAGE, math.ceil(left_s))
+
+    @contextlib.contextmanager
+    def watch(self, run: Run) -> Iterator[None]:
+        """Cancel a run without an event when its call is refused.
+
+        :param run: the run
+        """
+        self._runs.add(run)
+        try:
+            yield
+        finally:
+            self._runs.discard(run)
+
+    @contextlib.asynccontextmanager
+    async def watch_queued(self, call: Call) -> AsyncIterator[None]:
+        """End the wait for an endpoint when a call is refused.
+
+        :param call: the call
+        :raises TimeoutError: it is refused
+        """
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(None) as stop:
+            with self.watch(Run(call, cancel=lambda: stop.reschedule(loop.time()))):
+                yield
+
+    def record_event(self, run: Run) -> None:
+        """Record an event of a stream; past its beginning, its content and parts are sound.
+
+        :param run: the run
+        """
+        if run.passed:
+            return
+        now = time.monotonic()
+        if run.first_event_at is None:
+            run.first_event_at = now
+            self._runs.discard(run)
+        elif not run.is_at_beginning(now):
+            self.record_passed(run)
+
+    def record_passed(self, run: Run) -> None:
+        """Record that a run is whole or past its beginning.
+
+        :param run: the run
+        """
+        if run.passed:
+            return
+        run.passed = True
+        # contents are different from each other as a rule, so they are not kept without need
+        keys = run.call.crash_keys if len(self.ledger) else run.call.prompt_parts
+        cleared = [key for key in keys if self.ledger.record_passed(key)]
+        if cleared:
+            self.exchange.announce(passed=self.ledger.list_passed(cleared))
+            self._apply_refusals()
+
+    async def record_break(self, run: Run) -> None:
+        """Record a connection that its endpoint broke, if the endpoint crashed.
+
+        :param run: the run
+        """
+        endpoint = run.endpoint
+        broken_at = time.monotonic()
+        if endpoint is None or not run.is_at_beginning(broken_at):
+            return
+        if not await self._is_down(endpoint):
+            return
+        crash, number = run.crash, 1
+        while self.ledger.has_crash(crash, time.monotonic() - broken_at + SAME_CRASH_S):
+            # its listing does not tell its starts apart
+            number += 1
+            crash = f"{run.crash}#{number}"
+        call = run.call
+        parts = frozenset(p for p in call.prompt_parts if self.ledger.find_passed(p) is None)
+        ran_s, age_s = broken_at - run.started_at, time.monotonic() - broken_at
+        record = CrashRecord(crash, call.content_key, parts, run.began, ran_s, age_s)
+        if self.ledger.merge([record]):
+            _log_crash(record, call.id)
+            self._metrics.crashes.labels("own").inc()
+            self.exchange.announce([record])
+            self._apply_refusals()
+
+    async def _is_down(self, endpoint: Endpoint) -> bool:
+        check = self._checks.get(endpoint.id)
+        if check is None:
+            check = asyncio.ensure_future(_is_refusing_connections(endpoint))
+            self._checks[endpoint.id] = check
+            check.add_done_callback(lambda _: self._checks.pop(endpoint.id, None))
+        return await asyncio.shield(check)
+
+    def _apply_heard(self, records: Sequence[CrashRecord]) -> None:
+        for record in records:
+            _log_crash(record)
+            self._metrics.crashes.labels("heard").inc()
+        self._apply_refusals()
+
+    def _apply_refusals(self) -> None:
+        known, self._known = self._known, self.ledger.refused
+        before, after = {r.keys for r in known}, {r.keys for r in self._known}
+        for keys in before - after:
+            _LOGGER.info("part cleared", extra={"keys": sorted(keys)})
+        for refused in self._known:
+            if refused.keys not in before:
+                _LOGGER.warning(
+                    "part refused",
+                    extra={"keys": sorted(refused.keys), "crashes": refused.crashes},
+                )
+                self._metrics.refused_parts.inc()
+        if after - before:
+            for run in [run for run in self._runs if self.find_refusal(run.call) is not None]:
+                run.cancel()
+
+
+async def _is_refusing_connections(endpoint: Endpoint) -> bool:
+    for _ in range(RECONNECT_ATTEMPTS):
+        try:
+            channel = await endpoint.pool.open(0)
+        except ConnectError as error:
+            # an endpoint that can't be reached may be up behind a lost link
+            if not isinstance(error.__cause__, ConnectionRefusedError):
+                return False
+            endpoint.record_unreachable(time.monotonic())
+            return True
+        await asyncio.sleep(RECONNECT_DELAY_S)
+        if channel.usable:
+            channel.idle_since = time.monotonic()
+            endpoint.pool.keep(channel)
+            return False
+        channel.close()
+    return False
+
+
+def _log_crash(record: CrashRecord, request_id: str | None = None) -> None:
+    _LOGGER.warning(
+        "endpoint crashed",
+        extra={
+            "request": request_id,
+            "crash": record.crash,
+            "keys": sorted(record.keys),
+            "began": record.began,
+            "age_ms": round(1000 * record.age_s),
+        },
+    )
+
+
+__all__ = ["BEGINNING_S", "REFUSED_MESSAGE", "Containment", "Run"]
--- /dev/null
+++ b/src/basilroad/gateway/crashreports.py
@@ -0,0 +1,206 @@
+"""Exchange of crashes, and of parts that passed, between gateways."""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+import time
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import TYPE_CHECKING, Annotated
+
+import attrs
+import msgspec
+
+from basilroad.coordination.crashledger import CrashLedger, CrashRecord, CrashSettings
+
+if TYPE_CHECKING:
+    from basilroad.peers.address import Address
+
+MAX_KEY_CHARS = 64
+"""Longest key of a content or part; those of these fleets have 16 characters at most."""
+
+MAX_CRASH_CHARS = 256
+"""Longest identifier of a crash, which has the id of an endpoint in it."""
+
+MAX_PARTS = 32
+"""Maximum parts of a request that are considered; prompts of these fleets have three or four."""
+
+MAX_REPORTS = 8
+"""Reports per datagram; with three parts each they take two thirds of its size."""
+
+MAX_PASSED = 32
+"""Keys per datagram of which a peer is told that they passed."""
+
+REPEAT_INTERVAL_S = 1.0
+"""Interval at which known crashes are repeated: datagrams get lost, and gateways restart."""
+
+REPEAT_FANOUT = 2
+"""Peers per repetition: a gateway that has restarted hears what is refused about twice a second."""
+
+RECENT_S = 10.0
+"""Time for which each crash is repeated, many times that of a lost datagram's repetition."""
+
+MAX_REFUSED_REPEATED = 8
+"""Sets of refused keys that are repeated for as long as they are refused, the newest ones."""
+
+RECORDS_PER_REFUSAL = 6
+"""Newest records of each of these, twice the number that it takes to refuse something."""
+
+_LOGGER = logging.getLogger(__name__)
+
+Key = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_KEY_CHARS)]
+"""Key of a content or a part."""
+
+AgeMs = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+"""Age in milliseconds."""
+
+
+class CrashReport(msgspec.Struct, array_like=True):
+    """A request that an endpoint ran when it crashed.
+
+    :param crash: identifier of the crash
+    :param age_ms: milliseconds since then
+    :param content: key of the request's content
+    :param parts: keys of its parts
+    :param began: whether the endpoint had begun to answer it
+    :param ran_ms: milliseconds for which it had run there
+    """
+
+    crash: Annotated[str, msgspec.Meta(max_length=MAX_CRASH_CHARS)]
+    age_ms: AgeMs
+    content: Key
+    parts: Annotated[list[Key], msgspec.Meta(max_length=MAX_PARTS)]
+    began: bool
+    ran_ms: AgeMs
+
+
+class Crashes(msgspec.Struct, array_like=True, tag="crashes"):
+    """Crashes and keys that passed.
+
+    :param host: name of the sender
+    :param reports: the crashes
+    :param passed: milliseconds since a request with a key passed
+    :param reply: whether only one gateway is told, which tells the others
+    """
+
+    host: str
+    reports: Annotated[list[CrashReport], msgspec.Meta(max_length=MAX_REPORTS)]
+    passed: Annotated[dict[Key, AgeMs], msgspec.Meta(max_length=MAX_PASSED)]
+    reply: bool = False
+
+
+@attrs.define(eq=False)
+class CrashExchange:
+    """Sends crashes to all other gateways when they are recorded, and repeats them.
+
+    :param host: name of this gateway
+    :param ledger: crashes of all gateways
+    :param on_change: called after messages that changed the ledger, with new records
+    :param list_peers: returns the addresses of the other gateways
+    :param send: sends a message to gateways
+    :param generator: random number generator
+    :param clock: monotonic seconds
+    """
+
+    host: str
+    ledger: CrashLedger = attrs.field(factory=lambda: CrashLedger(CrashSettings()))
+    on_change: Callable[[Sequence[CrashRecord]], None] = lambda _records: None
+    list_peers: Callable[[], Sequence[Address]] = tuple
+    send: Callable[[Crashes, Sequence[Address]], None] = lambda _message, _peers: None
+    generator: random.Random = attrs.field(factory=random.Random)
+    clock: Callable[[], float] = time.monotonic
+    _repeated_at: float = -math.inf
+    _rounds: int = 0
+
+    def announce(
+        self, records: Sequence[CrashRecord] = (), passed: Mapping[str, float] | None = None
+    ) -> None:
+        """Tell all other gateways.
+
+        :param records: new crashes
+        :param passed: seconds since a request with a key passed
+        """
+        ages = _pack_ages(passed or {})
+        for start in range(0, len(records) or 1, MAX_REPORTS):
+            reports = [_pack(record) for record in records[start : start + MAX_REPORTS]]
+            self.send(Crashes(self.host, reports, ages), self.list_peers())
+
+    def tick(self, now: float) -> None:
+        """Repeat recent crashes, and those that show what is refused.
+
+        :param now: monotonic seconds
+        """
+        if not len(self.ledger) or now - self._repeated_at < REPEAT_INTERVAL_S:
+            return
+        self._repeated_at = now
+        self.ledger.expire()
+        records = self._list_repeated()
+        peers = self.list_peers()
+        if not records or not peers:
+            return
+        # in turn, if there are more than fit in a datagram
+        parts = math.ceil(len(records) / MAX_REPORTS)
+        start = self._rounds % parts * MAX_REPORTS
+        self._rounds += 1
+        chosen = records[start : start + MAX_REPORTS]
+        passed = self.ledger.list_passed({key for record in chosen for key in record.keys})
+        message = Crashes(self.host, [_pack(record) for record in chosen], _pack_ages(passed))
+        self.send(message, self.generator.sample(peers, min(REPEAT_FANOUT, len(peers))))
+
+    def take(self, message: Crashes, address: Address) -> None:
+        """Apply a message of another gateway, and tell it which of the parts passed here.
+
+        :param message: the message
+        :param address: address of the gateway
+        """
+        if message.host == self.host:
+            return
+        ages = message.passed.items()
+        cleared = [key for key, age in ages if self.ledger.record_passed(key, age / 1000)]
+        new = self.ledger.merge(_unpack(report) for report in message.reports)
+        if message.reply and cleared:
+            self.announce(passed=self.ledger.list_passed(cleared))
+        parts = {key for record in new for key in record.parts}
+        known = self.ledger.list_passed(parts.difference(message.passed))
+        if known:
+            reply = Crashes(self.host, [], _pack_ages(known), reply=True)
+            self.send(reply, [address])
+        if new or cleared:
+            self.on_change(new)
+
+    def _list_repeated(self) -> list[CrashRecord]:
+        recent = self.ledger.list_newest(MAX_REPORTS, RECENT_S)
+        refused = self.ledger.list_refused(MAX_REFUSED_REPEATED, RECORDS_PER_REFUSAL)
+        chosen = {(r.crash, r.content): r for r in (*recent, *refused)}
+        return list(chosen.values())
+
+
+def _pack(record: CrashRecord) -> CrashReport:
+    return CrashReport(
+        record.crash,
+        round(1000 * record.age_s),
+        record.content,
+        sorted(record.parts)[:MAX_PARTS],
+        record.began,
+        round(1000 * record.ran_s),
+    )
+
+
+def _unpack(report: CrashReport) -> CrashRecord:
+    return CrashRecord(
+        report.crash,
+        report.content,
+        frozenset(report.parts),
+        report.began,
+        report.ran_ms / 1000,
+        report.age_ms / 1000,
+    )
+
+
+def _pack_ages(passed: Mapping[str, float]) -> dict[str, int]:
+    newest: Iterable[tuple[str, float]] = sorted(passed.items(), key=lambda item: item[1])
+    return {key: round(1000 * age_s) for key, age_s in [*newest][:MAX_PASSED]}
+
+
+__all__ = ["MAX_KEY_CHARS", "MAX_PARTS", "CrashExchange", "CrashReport", "Crashes"]
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -14,6 +14,7 @@
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.calllog import AttemptRecord, log_attempt
+from basilroad.gateway.containment import Containment
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.freshness import Freshness
@@ -128,6 +129,7 @@
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
         self.metrics = GatewayMetrics()
+        self.containment = Containment(settings.host, self.metrics)
         self._budgets: dict[str, RetryBudget] = {}
         self.loans = RetryLoans(settings.host, self.budget_of, generator=self.random)
 
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -7,13 +7,14 @@
 import math
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Annotated, cast
 
 import attrs
 import msgspec
 
+from basilroad.gateway.crashreports import Crashes, CrashExchange
 from basilroad.gateway.loans import Loan, LoanRequest
 from basilroad.gateway.promptlocations import PromptReport
 from basilroad.gateway.relay import Update
@@ -97,7 +98,7 @@
     data_centre: str = ""
 
 
-_DECODER = msgspec.msgpack.Decoder(_Message | Update | LoanRequest | Loan)
+_DECODER = msgspec.msgpack.Decoder(_Message | Update | LoanRequest | Loan | Crashes)
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -111,6 +112,7 @@
     :param relay: relay of the platform's listing, whose updates are sent too
     :param loans: loans of retries, which are sent too
     :param clock: monotonic seconds
+    :param crashes: exchange of crashes, which are sent too
     """
 
     def __init__(
@@ -123,6 +125,7 @@
         relay: Relay,
         loans: RetryLoans,
         clock: Callable[[], float] = time.monotonic,
+        crashes: CrashExchange | None = None,
     ) -> None:
         self._host = host
         self._data_centre = data_centre
@@ -133,6 +136,9 @@
         self._loans = loans
         loans.list_peers = lambda: tuple(self._peers)
         loans.send = lambda message, peer: self._send(msgspec.msgpack.encode(message), peer)
+        self._crashes = crashes or CrashExchange(host)
+        self._crashes.list_peers = loans.list_peers
+        self._crashes.send = self._send_counted
         self._clock = clock
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -198,7 +204,10 @@
     def tick(self) -> None:
         """Send changed state to peers and drop the state of silent peers."""
         now = self._clock()
-        self._send_updates(now)
+        updates, near = self._relay.list_due()
+        for update in updates:
+            self._send_counted(update, near)
+        self._crashes.tick(now)
         self._expire(now)
         if now < self._next_send_at:
             return
@@ -215,15 +224,13 @@
         for peer in peers:
             self._send(data, peer)
 
-    def _send_updates(self, now: float) -> None:
-        updates, peers = self._relay.list_due()
-        for update in updates:
-            data = msgspec.msgpack.encode(update)
-            for peer in peers:
-                self._send(data, peer)
-            # updates come first, gossip gets what they leave of the limit
-            sent_s = len(data) * len(peers) / MAX_SENT_BYTES_PER_S
-            self._next_send_at = max(now, self._next_send_at) + sent_s
+    def _send_counted(self, message: Update | Crashes, peers: Sequence[Address]) -> None:
+        data = msgspec.msgpack.encode(message)
+        for peer in peers:
+            self._send(data, peer)
+        # these come first, gossip gets what they leave of the limit
+        sent_s = len(data) * len(peers) / MAX_SENT_BYTES_PER_S
+        self._next_send_at = max(self._clock(), self._next_send_at) + sent_s
 
     def _choose_peers(self) -> list[Address]:
         # round robin in random order, so that no peer is skipped for long
@@ -268,6 +275,10 @@
     def _(self, message: Loan, _: Address) -> None:
         self._loans.take_loan(message)
 
+    @_handle.register
+    def _(self, message: Crashes, address: Address) -> None:
+        self._crashes.take(message, address)
+
     def error_received(self, exc: Exception) -> None:
         """Ignore the error; later rounds reach the peer if it recovers."""
         _LOGGER.debug("datagram not delivered", extra={"detail": repr(exc)})
--- a/src/basilroad/gateway/handler.py
+++ b/src/basilroad/gateway/handler.py
@@ -49,6 +49,7 @@
             self._count(call, outcome)
 
     async def _run(self, call: Call, responder: Responder) -> Reply | None:
+        self._gateway.containment.check(call)
         if call.route.streams:
             self._check_time_left(call)
             return await StreamCall(self._gateway, call, responder).run()
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -51,6 +51,17 @@
             ["memory"],
             registry=self.registry,
         )
+        self.crashes = Counter(
+            "basilroad_crashes",
+            "Calls that endpoints ran when they crashed.",
+            ["source"],
+            registry=self.registry,
+        )
+        self.refused_parts = Counter(
+            "basilroad_refused_parts",
+            "Contents and prompt parts that are refused since endpoints crashed on them.",
+            registry=self.registry,
+        )
         self.answer_s = self._build_histogram(
             "basilroad_answer_seconds", "From a call's arrival to the end of its answer.", "form"
         )
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -13,6 +13,7 @@
 from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.call import Reply
 from basilroad.gateway.calllog import AttemptRecord, log_resume_from_backup
+from basilroad.gateway.containment import REFUSED_MESSAGE, Run
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.events import EventOrderError, EventSequence
 from basilroad.gateway.firstevent import FirstEventWait
@@ -73,6 +74,7 @@
         self._first_at = 0.0
         self._first_event = 0
         self._started = False
+        self._passed = False
         self._backup_endpoint: Endpoint | None = None
         self._last_forwarded_at = 0.0
         self._stall_timeout_s = STALL_TIMEOUT_S
@@ -101,10 +103,15 @@
             raise StreamBrokenError(self._tracker.last_detail or "no endpoint to resume the stream")
         if failed_reply is not None:
             return failed_reply
+        if not self._tracker.sent:
+            self._gateway.containment.check(self._call)
         raise RefusedError(self._tracker.build_refusal())
 
     async def _start_attempt(self) -> bool:
         tracker, service = self._tracker, self._call.service
+        if not self._passed and self._gateway.containment.find_refusal(self._call) is not None:
+            tracker.last_detail = REFUSED_MESSAGE
+            return False
         allowed = tracker.try_start_attempt()
         if allowed or not tracker.lacks_budget:
             if tracker.sent:
@@ -153,7 +160,7 @@
         )
         self._gateway.dispatcher.prompt_locations.record(self._call.prompt_key, endpoint.id)
         try:
-            outcome = await self._exchange(attempt, reservation)
+            outcome = await self._run_watched(attempt, reservation)
         finally:
             attempt.close()
             self._gateway.dispatcher.release(reservation)
@@ -176,8 +183,7 @@
         return outcome
 
     async def _place(self) -> tuple[Reservation | None, bool]:
-        call, tracker = self._call, self._tracker
-        now = time.monotonic()
+        call, now = self._call, time.monotonic()
         holder, self._backup_endpoint = self._backup_endpoint, None
         if holder is not None and holder.is_available(now):
             log_resume_from_backup(call, holder, self._events.last)
@@ -187,11 +193,21 @@
         else:
             reserve_s = min(PREFILL_RESERVE_S, call.route.latency_target_s / 2)
             wait_until = max(now, call.on_time_until - reserve_s)
-        reservation = await self._gateway.dispatcher.place(call, wait_until, tracker.tried)
+        try:
+            async with self._gateway.containment.watch_queued(call):
+                return await self._wait_for_endpoint(wait_until), False
+        except TimeoutError:
+            # refused while it waited
+            return None, False
+
+    async def _wait_for_endpoint(self, wait_until: float) -> Reservation | None:
+        tracker, now = self._tracker, time.monotonic()
+        dispatcher = self._gateway.dispatcher
+        reservation = await dispatcher.place(self._call, wait_until, tracker.tried)
         if reservation is None:
             tracker.tried.clear()
-            reservation = await self._gateway.dispatcher.place(call, now)
-        return reservation, False
+            reservation = await dispatcher.place(self._call, now)
+        return reservation
 
     def _reserve_backup(self, endpoint: Endpoint) -> Reservation | None:
         call, dispatcher = self._call, self._gateway.dispatcher
@@ -209,7 +225,19 @@
             return None
         return Reservation(holder, call.size, needs_prefill=False)
 
-    async def _exchange(self, attempt: Attempt, reservation: Reservation) -> Outcome:
+    async def _run_watched(self, attempt: Attempt, reservation: Reservation) -> Outcome:
+        containment = self._gateway.containment
+        run = Run(self._call, attempt.endpoint)
+        with containment.watch(run):
+            outcome = await self._exchange(attempt, reservation, run)
+        if isinstance(outcome, Ended) and run.first_event_at is not None:
+            containment.record_passed(run)
+        elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
+            await containment.record_break(run)
+        self._passed = self._passed or run.passed
+        return outcome
+
+    async def _exchange(self, attempt: Attempt, reservation: Reservation, run: Run) -> Outcome:
         now = time.monotonic()
         first = asyncio.timeout(None)
         wait = FirstEventWait(
@@ -219,6 +247,7 @@
             lambda: self._can_move(attempt),
             lambda: first.reschedule(asyncio.get_running_loop().time()),
         )
+        run.cancel = wait.cancel_attempt
         try:
             async with asyncio.timeout(max(0.0, self._call.expires_at - now)), first:
                 with self._gateway.liveness.watch_first_event(wait):
@@ -227,12 +256,14 @@
                         return opened
                     if opened.status != OK:
                         return Reply(opened.status, opened.headers, await opened.read_all())
-                    return await self._relay(opened, attempt, reservation, wait)
+                    run.began = True
+                    return await self._relay(opened, attempt, reservation, wait, run)
         except TimeoutError:
             if not attempt.sent:
                 return NotRun("no connection in time")
             if first.expired():
-                return MayHaveRun("no first event in time")
+                refused = self._gateway.containment.find_refusal(self._call) is not None
+                return MayHaveRun(REFUSED_MESSAGE if refused else "no first event in time")
             return MayHaveRun("no end in time", timed_out=True)
         except ChannelError as error:
             attempt.endpoint.record_broken(time.monotonic())
@@ -249,7 +280,12 @@
         )
 
     async def _relay(
-        self, opened: OpenReply, attempt: Attempt, reservation: Reservation, wait: FirstEventWait
+        self,
+        opened: OpenReply,
+        attempt: Attempt,
+        reservation: Reservation,
+        wait: FirstEventWait,
+        run: Run,
     ) -> Outcome:
         self._events.start_run()
         stalls_at: float | None = None
@@ -274,6 +310,7 @@
             if self._events.received > received:
                 reservation.record_started()
                 self._gateway.liveness.mark_started(wait)
+                self._gateway.containment.record_event(run)
                 stalls_at = asyncio.get_running_loop().time() + self._stall_timeout_s
         if not self._events.is_whole:
             return MayHaveRun("the stream stopped within an event")
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -26,6 +26,7 @@
     HEADER_TIME_LEFT_MS,
     filter_caller_headers,
     read_prompt_key,
+    read_prompt_parts,
     read_prompt_size,
 )
 
@@ -182,6 +183,7 @@
             size=read_prompt_size(request.headers) if route.streams else read_prompt_size({}),
             resume_after=request.headers.get(HEADER_LAST_EVENT_ID, ""),
             prompt_key=read_prompt_key(request.headers) if route.streams else "",
+            prompt_parts=read_prompt_parts(request.headers) if route.streams else (),
         )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -10,7 +10,8 @@
 from basilroad.endpoints.channels import OutgoingRequest
 from basilroad.endpoints.plainservice import HOP_BY_HOP_HEADERS
 from basilroad.gateway.attempt import AttemptOptions, ResponseVerdict
-from basilroad.gateway.call import Headers, PromptSize
+from basilroad.gateway.call import CONTENT_KEY_MARK, Headers, PromptSize
+from basilroad.gateway.crashreports import MAX_KEY_CHARS, MAX_PARTS
 from basilroad.gateway.endpoint import EngineReport
 
 if TYPE_CHECKING:
@@ -189,6 +190,21 @@
     return last_part.partition(":")[0].strip()
 
 
+def read_prompt_parts(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Read the keys of the parts of a prompt that other requests may share.
+
+    :param headers: headers of a caller
+    :return: names of all parts but the last; names that are too long are left out
+    """
+    parts = headers.get(HEADER_PROMPT_PARTS, "").split(",", MAX_PARTS)[:-1]
+    names = (part.partition(":")[0].strip() for part in parts)
+    return tuple(name for name in names if _is_part_key(name))
+
+
+def _is_part_key(name: str) -> bool:
+    return 0 < len(name) <= MAX_KEY_CHARS and not name.startswith(CONTENT_KEY_MARK)
+
+
 def read_prompt_size(headers: Mapping[str, str]) -> PromptSize:
     """Read the estimated token counts of a generation.
 
@@ -218,5 +234,6 @@
     "filter_caller_headers",
     "filter_end_to_end_headers",
     "read_prompt_key",
+    "read_prompt_parts",
     "read_prompt_size",
 ]
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -78,6 +78,7 @@
                 self.gateway.dispatcher.prompt_locations,
                 self.relay,
                 self.gateway.loans,
+                crashes=self.gateway.containment.exchange,
             )
 
     def on_init_dependencies(self) -> list[ServiceT]:
