--- a/src/basilroad/coordination/crashledger.py
+++ b/src/basilroad/coordination/crashledger.py
@@ -78,6 +78,11 @@
     crashes: int
     refused_until: float
 
+    @property
+    def sort_key(self) -> tuple[int, int, list[str]]:
+        """:return: puts those first that explain the most crashes with the fewest keys."""
+        return -self.crashes, len(self.keys), sorted(self.keys)
+
 
 @attrs.define
 class _Record:
@@ -107,7 +112,8 @@
     of it still run; they show which part is sound, or narrow down what is refused. If all crashes
     were of one content, only this content is refused.
 
-    Crashes are explained by the keys that are in most of them. An explained crash counts against
+    Crashes are explained by the keys that are in most of them, and by those that passed some time
+    ago only if no others explain them. An explained crash counts against
     no other key, neither of the same request nor of others that ran beside it. Of the requests
     at an endpoint that crashed, those that it had begun to answer count, the others only if there
     are none.
@@ -162,14 +168,15 @@
         :return: whether crashes no longer count against the key
         """
         passed_at = self._clock() - age_s
-        if passed_at <= self._passed_at.get(key, -math.inf):
+        known_at = self._passed_at.get(key)
+        if known_at is not None and passed_at <= known_at:
             return False
         counted = self.is_suspect(key)
         self._passed_at[key] = passed_at
         self._passed_at.move_to_end(key)
         if len(self._passed_at) > self._settings.sound_limit:
             self._passed_at.popitem(last=False)
-        if counted:
+        if counted or (known_at is None and key in self._newest):
             self._refused = None
         return counted
 
@@ -282,15 +289,22 @@
     def _find_refused(self) -> Iterator[RefusedKeys]:
         suspects = self._list_suspects()
         while True:
-            found = [self._intersect(key, suspects) for key in _list_frequent(suspects)]
-            found = [refused for refused in found if refused.crashes >= CRASHES_TO_REFUSE]
-            if not found:
+            frequent = _list_frequent(suspects)
+            # two deadly parts with one sound part beside them look like one deadly part with two
+            # sound ones; so what never passed comes first
+            new = [key for key in frequent if key not in self._passed_at]
+            best = self._choose(new, suspects) or self._choose(frequent, suspects)
+            if best is None:
                 return
-            best = min(found, key=lambda r: (-r.crashes, len(r.keys), sorted(r.keys)))
             yield best
             explained = {suspect.crash for suspect in suspects if best.keys <= suspect.keys}
             suspects = [suspect for suspect in suspects if suspect.crash not in explained]
 
+    def _choose(self, keys: list[str], suspects: list[_Suspect]) -> RefusedKeys | None:
+        found = [self._intersect(key, suspects) for key in keys]
+        found = [refused for refused in found if refused.crashes >= CRASHES_TO_REFUSE]
+        return min(found, key=lambda refused: refused.sort_key, default=None)
+
     def _intersect(self, key: str, suspects: list[_Suspect]) -> RefusedKeys:
         having = [suspect for suspect in suspects if key in suspect.keys]
         common = frozenset.intersection(*(suspect.keys for suspect in having))
