Stop no resumed stream whose part is refused, and count no leaving endpoint as crashed

Cause: a stream past its beginning was cancelled at its next endpoint; a leaving endpoint that closes looks like a crash; one that still accepts connections while it crashes did not.

Change: such streams run on; draining endpoints are left out; an endpoint that ends two new connections at once is down. The stand-ins of the test take loopback addresses of their own.

--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -16,6 +16,7 @@
 from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.crashreports import CrashExchange
+from basilroad.gateway.endpoint import EndpointState
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator, Sequence
@@ -171,6 +172,9 @@
         broken_at = time.monotonic()
         if endpoint is None or not run.is_at_beginning(broken_at):
             return
+        if endpoint.entry.state is EndpointState.DRAINING:
+            # it has left
+            return
         if not await self._is_down(endpoint):
             return
         crash, number = run.crash, 1
@@ -235,7 +239,8 @@
             endpoint.pool.keep(channel)
             return False
         channel.close()
-    return False
+    endpoint.record_unreachable(time.monotonic())
+    return True
 
 
 def _log_crash(record: CrashRecord, request_id: str | None = None) -> None:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -193,6 +193,8 @@
         else:
             reserve_s = min(PREFILL_RESERVE_S, call.route.latency_target_s / 2)
             wait_until = max(now, call.on_time_until - reserve_s)
+        if self._passed:
+            return await self._wait_for_endpoint(wait_until), False
         try:
             async with self._gateway.containment.watch_queued(call):
                 return await self._wait_for_endpoint(wait_until), False
@@ -247,7 +249,8 @@
             lambda: self._can_move(attempt),
             lambda: first.reschedule(asyncio.get_running_loop().time()),
         )
-        run.cancel = wait.cancel_attempt
+        if not self._passed:
+            run.cancel = wait.cancel_attempt
         try:
             async with asyncio.timeout(max(0.0, self._call.expires_at - now)), first:
                 with self._gateway.liveness.watch_first_event(wait):
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -108,6 +108,7 @@
     :param reset_at_event: number of the event in which streams are reset; 0 for never
     :param trickle_at_event: number of the event before which streams stall; 0 for never
     :param trickle: bytes that a stalled stream sends now and then
+    :param ip: its loopback address
     :param silent: whether all responses are withheld
     :param crash_on: prompt part on which the server crashes before the first event; empty for none
     :param down_s: seconds for which it is down after a crash
@@ -121,6 +122,7 @@
     reset_at_event: int = 0
     trickle_at_event: int = 0
     trickle: bytes = b""
+    ip: str = "127.0.0.1"
     silent: bool = False
     crash_on: str = ""
     down_s: float = 2.0
@@ -146,7 +148,7 @@
 
         :param port: port; 0 takes a free one
         """
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await asyncio.start_server(self._serve, self.ip, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
--- a/tests/gateway/test_containment.py
+++ b/tests/gateway/test_containment.py
@@ -9,13 +9,15 @@
 import pytest
 
 from basilroad.coordination.crashledger import CRASHES_TO_REFUSE, CrashRecord
+from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import Effect, ErrorKind, RefusedError
 from basilroad.gateway.call import Call
 from basilroad.gateway.containment import BEGINNING_S, Run
+from basilroad.gateway.endpoint import EndpointState
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.standin.appserver import AppServerStandin, WireFault
-from builders import RecordingResponder, build_call, build_route, build_stream_route
+from builders import RecordingResponder, build_call, build_entry, build_route, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
 DEADLY = "1bad1bad1bad"
@@ -102,6 +104,67 @@
     assert gateway.containment.ledger.find_passed("shared") is not None
 
 
+# fault: an endpoint that has left is taken for crashed, with the calls that it no longer runs
+async def test_an_endpoint_that_was_leaving_did_not_crash(gateway, start_server) -> None:
+    server = await start_server("i-1", service="llm")
+    await server.stop()
+    [endpoint] = gateway.directory
+    run = Run(build_generation("shared"), endpoint)
+    endpoint.entry = attrs.evolve(endpoint.entry, state=EndpointState.DRAINING)
+    await gateway.containment.record_break(run)
+    assert not len(gateway.containment.ledger)
+    endpoint.entry = attrs.evolve(endpoint.entry, state=EndpointState.READY)
+    await gateway.containment.record_break(run)
+    assert len(gateway.containment.ledger) == 1
+
+
+# fault: an endpoint that crashes while it still accepts connections is taken for one that is up
+async def test_an_endpoint_that_closes_each_connection_at_once_crashed(gateway) -> None:
+    async def serve(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    gateway.directory.put(build_entry("i-1", port=port, service="llm"))
+    [endpoint] = gateway.directory
+    await gateway.containment.record_break(Run(build_generation("shared"), endpoint))
+    assert len(gateway.containment.ledger) == 1
+    server.close()
+
+
+# fault: a lost link, on which connecting times out, is taken for a crash
+async def test_an_endpoint_that_can_not_be_reached_is_not_known_to_have_crashed(
+    gateway, monkeypatch
+) -> None:
+    gateway.directory.put(build_entry("i-1", service="llm"))
+    [endpoint] = gateway.directory
+
+    async def time_out(_: float) -> None:
+        raise ConnectError("timed out") from TimeoutError()
+
+    monkeypatch.setattr(endpoint.pool, "open", time_out)
+    await gateway.containment.record_break(Run(build_generation("shared"), endpoint))
+    assert not len(gateway.containment.ledger)
+
+
+async def test_a_resumed_stream_is_not_stopped_by_the_refusal_of_its_part(
+    gateway, start_server
+) -> None:
+    first = await start_server("i-1", service="llm", events=30, event_interval_s=0.03)
+    second = await start_server(
+        "i-2", service="llm", events=30, data_centre="kurzeme-a", response_delay_s=0.3
+    )
+    running = asyncio.ensure_future(generate(gateway, "late"))
+    await asyncio.sleep(BEGINNING_S + 0.2)
+    await first.stop()
+    while not second.ran:
+        await asyncio.sleep(0.01)
+    gateway.containment.ledger._passed_at.clear()
+    record_crashes(gateway, "late")
+    assert gateway.containment.ledger.refused
+    assert (await running).numbers == list(range(1, 31))
+
+
 # fault: an engine that falls silent, whose connections this side closes, is taken for crashed
 async def test_a_silent_endpoint_is_no_crash(gateway, start_server) -> None:
     server = await start_server("i-1", service="llm", events=5)
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-import socket
+import os
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -46,10 +46,13 @@
 """Crashes of one part after which the platform expects it to be contained."""
 
 
-def find_free_port(kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(type=kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+def name_ip(number: int) -> str:
+    """Name a loopback address of this process, on which no other connection takes a port.
+
+    :param number: number of the server or gateway
+    """
+    pid = os.getpid()
+    return f"127.{64 + (pid >> 8) % 128}.{pid % 256}.{1 + number}"
 
 
 class Fleet:
@@ -58,7 +61,9 @@
     def __init__(self) -> None:
         self.store = RowStoreStandin()
         self.servers = [
-            AppServerStandin(f"i-{n}", events=40, event_interval_s=0.02, crash_on=DEADLY)
+            AppServerStandin(
+                f"i-{n}", events=40, event_interval_s=0.02, ip=name_ip(n), crash_on=DEADLY
+            )
             for n in range(SERVERS)
         ]
         self.gateways: list[PlatformService] = []
@@ -70,7 +75,7 @@
         for server in self.servers:
             await server.start()
             entry = {"service": "llm", "zone": "a", "slots": 4, "state": "ready"}
-            self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
+            self.store.put("servers", server.id, {**entry, "address": f"{server.ip}:{server.port}"})
         for number in range(peers):
             await self.add_gateway(f"h{number}")
         self.session = aiohttp.ClientSession()
@@ -96,14 +101,15 @@
             service.gossip.add_peers(addresses)
 
     def _build_settings(self, host: str) -> ProcessSettings:
+        ip = name_ip(100 + len(self.gateways))
         return ProcessSettings(
             host=host,
             role="gateway",
             place=Locality("a", "r", {"a": "r"}),
-            front=Address("127.0.0.1", find_free_port()),
-            ready=Address("127.0.0.1", find_free_port()),
-            metrics=Address("127.0.0.1", find_free_port()),
-            peers=Address("127.0.0.1", find_free_port(socket.SOCK_DGRAM)),
+            front=Address(ip, 8001),
+            ready=Address(ip, 8002),
+            metrics=Address(ip, 8003),
+            peers=Address(ip, 8004),
             bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150),
             store=StoreAccess(Address("127.0.0.1", self.store.port)),
         )
@@ -144,8 +150,7 @@
 
     async def stop(self) -> None:
         await self.session.close()
-        for service in self.gateways:
-            await service.stop()
+        await asyncio.gather(*(service.stop() for service in self.gateways))
         for server in self.servers:
             await server.stop()
         await self.store.stop()
@@ -172,3 +177,33 @@
     assert statuses[-1] == 503, "it is refused before it is sent"
     for number in range(4):
         assert await fleet.generate([SHARED], number % 2) == (200, 40)
+
+
+# pattern: requests with the part come at all gateways at once, beside sound ones of their caller
+async def test_sound_requests_are_served_while_a_deadly_part_keeps_coming(fleet: Fleet) -> None:
+    deadly, sound = [], []
+    await fleet.generate([SHARED], 0)
+    for number in range(24):
+        gateway = number % 2
+        deadly.append(asyncio.ensure_future(fleet.generate([SHARED, DEADLY], gateway)))
+        sound.append(asyncio.ensure_future(fleet.generate([SHARED, f"own{number}"], gateway)))
+        await asyncio.sleep(0.25)
+    assert await asyncio.gather(*sound) == [(200, 40)] * len(sound)
+    statuses = [status for status, _ in await asyncio.gather(*deadly)]
+    assert set(statuses) == {502, 503}
+    assert fleet.crashes <= CRASHES_ALLOWED
+
+
+# pattern: a gateway that has restarted sends what all others refuse
+async def test_a_gateway_that_starts_later_hears_what_is_refused(fleet: Fleet) -> None:
+    await fleet.generate([SHARED], 0)
+    for number in range(3):
+        await fleet.generate([SHARED, DEADLY], number % 2)
+    crashes = fleet.crashes
+    await asyncio.sleep(2.5)
+    await fleet.add_gateway("h2")
+    await asyncio.sleep(4.0)
+    status, _ = await fleet.generate([SHARED, DEADLY], 2)
+    assert status == 503
+    assert fleet.crashes == crashes
+    assert await fleet.generate([SHARED], 2) == (200, 40)
