Tell crashes of a data centre only by repetition, and keep the records of what is refused

Cause: when a data centre fails, each gateway told each request of it to all others, which holds up the reports of load; and their records pushed out those that show what is refused.

Change: of more than two crashes within 0.1 s only those are told at once that show what is refused; records that show nothing are evicted first. Groups are built once per step.

Measured: test_records_of_a_refusal_are_kept_while_there_are_others failed before, 53 tests of tests/platform/test_crashing_parts.py, tests/gateway/test_{containment,crashreports}.py and tests/coordination/test_crashledger.py pass.

--- a/src/basilroad/coordination/crashledger.py
+++ b/src/basilroad/coordination/crashledger.py
@@ -4,7 +4,7 @@
 
 import math
 import time
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Iterator
 
 import attrs
@@ -30,13 +30,14 @@
     """Settings of the ledger.
 
     :param retain_s: seconds for which a crash counts
-    :param records_limit: maximum records kept; the oldest one is evicted first
+    :param records_limit: maximum records kept; the oldest one that shows no refusal is evicted
+        first
     :param sound_limit: maximum keys known to be sound; the one that passed longest ago is evicted
         first
     """
 
     retain_s: float = 3600.0
-    records_limit: int = 256
+    records_limit: int = 512
     sound_limit: int = 16_384
 
 
@@ -153,11 +154,10 @@
         :return: those that changed the ledger
         """
         changed = [record for record in records if self._merge_record(record)]
-        while len(self._records) > self._settings.records_limit:
-            oldest = min(self._records, key=lambda name: (self._records[name].occurred_at, name))
-            del self._records[oldest]
         if changed:
             self._index()
+        if len(self._records) > self._settings.records_limit:
+            self._evict()
         return changed
 
     def record_passed(self, key: str, age_s: float = 0.0) -> bool:
@@ -264,6 +264,19 @@
         known.parts, known.began = parts, began
         return True
 
+    def _evict(self) -> None:
+        shown = [refused.keys for refused in self.refused]
+
+        def sort_key(record: _Record) -> tuple[bool, float, str, str]:
+            keys = record.parts | {record.content}
+            is_shown = any(refused <= keys for refused in shown)
+            return is_shown, record.occurred_at, record.crash, record.content
+
+        surplus = len(self._records) - self._settings.records_limit
+        for record in sorted(self._records.values(), key=sort_key)[:surplus]:
+            del self._records[record.crash, record.content]
+        self._index()
+
     def _index(self) -> None:
         self._newest = {}
         for record in self._records.values():
@@ -292,23 +305,22 @@
             frequent = _list_frequent(suspects)
             # two deadly parts with one sound part beside them look like one deadly part with two
             # sound ones; so what never passed comes first
-            new = [key for key in frequent if key not in self._passed_at]
-            best = self._choose(new, suspects) or self._choose(frequent, suspects)
+            new = [found for key, found in frequent.items() if key not in self._passed_at]
+            best = self._choose(new) or self._choose(frequent.values())
             if best is None:
                 return
             yield best
             explained = {suspect.crash for suspect in suspects if best.keys <= suspect.keys}
             suspects = [suspect for suspect in suspects if suspect.crash not in explained]
 
-    def _choose(self, keys: list[str], suspects: list[_Suspect]) -> RefusedKeys | None:
-        found = [self._intersect(key, suspects) for key in keys]
+    def _choose(self, groups: Iterable[list[_Suspect]]) -> RefusedKeys | None:
+        found = [self._intersect(suspects) for suspects in groups]
         found = [refused for refused in found if refused.crashes >= CRASHES_TO_REFUSE]
         return min(found, key=lambda refused: refused.sort_key, default=None)
 
-    def _intersect(self, key: str, suspects: list[_Suspect]) -> RefusedKeys:
-        having = [suspect for suspect in suspects if key in suspect.keys]
-        common = frozenset.intersection(*(suspect.keys for suspect in having))
-        outages = _list_outages(having)
+    def _intersect(self, suspects: list[_Suspect]) -> RefusedKeys:
+        common = frozenset.intersection(*(suspect.keys for suspect in suspects))
+        outages = _list_outages(suspects)
         counted_from = outages[-CRASHES_TO_REFUSE:][0]
         return RefusedKeys(common, len(outages), counted_from + self._settings.retain_s)
 
@@ -318,9 +330,12 @@
         return CrashRecord(record.crash, record.content, record.parts, record.began, ran_s, age_s)
 
 
-def _list_frequent(suspects: list[_Suspect]) -> list[str]:
-    counts = Counter(key for suspect in suspects for key in suspect.keys)
-    return [key for key, count in counts.items() if count >= CRASHES_TO_REFUSE]
+def _list_frequent(suspects: Iterable[_Suspect]) -> dict[str, list[_Suspect]]:
+    by_key: dict[str, list[_Suspect]] = {}
+    for suspect in suspects:
+        for key in suspect.keys:
+            by_key.setdefault(key, []).append(suspect)
+    return {key: found for key, found in by_key.items() if len(found) >= CRASHES_TO_REFUSE}
 
 
 def _list_outages(suspects: Iterable[_Suspect]) -> list[float]:
--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -160,7 +160,7 @@
         keys = run.call.crash_keys if len(self.ledger) else run.call.prompt_parts
         cleared = [key for key in keys if self.ledger.record_passed(key)]
         if cleared:
-            self.exchange.announce(passed=self.ledger.list_passed(cleared))
+            self.exchange.announce_passed(self.ledger.list_passed(cleared))
             self._apply_refusals()
 
     async def record_break(self, run: Run) -> None:
@@ -189,7 +189,7 @@
         if self.ledger.merge([record]):
             _log_crash(record, call.id)
             self._metrics.crashes.labels("own").inc()
-            self.exchange.announce([record])
+            self.exchange.announce_crash(record)
             self._apply_refusals()
 
     async def _is_down(self, endpoint: Endpoint) -> bool:
--- a/src/basilroad/gateway/crashreports.py
+++ b/src/basilroad/gateway/crashreports.py
@@ -38,6 +38,15 @@
 REPEAT_FANOUT = 2
 """Peers per repetition: a gateway that has restarted hears what is refused about twice a second."""
 
+COLLECT_S = 0.1
+"""Time after a crash for which further ones are collected before they are told; a broken connection
+is checked for as long."""
+
+MAX_CRASHES_ANNOUNCED = 2
+"""Crashes within that time of which all gateways are told at once. More of them are the failure of
+a data centre, unless they show what is refused: each gateway has many, and they would hold up the
+reports of load."""
+
 RECENT_S = 10.0
 """Time for which each crash is repeated, many times that of a lost datagram's repetition."""
 
@@ -110,27 +119,35 @@
     send: Callable[[Crashes, Sequence[Address]], None] = lambda _message, _peers: None
     generator: random.Random = attrs.field(factory=random.Random)
     clock: Callable[[], float] = time.monotonic
+    _collected: list[tuple[CrashRecord, float]] = attrs.field(factory=list)
+    _told_at: float = -math.inf
     _repeated_at: float = -math.inf
     _rounds: int = 0
 
-    def announce(
-        self, records: Sequence[CrashRecord] = (), passed: Mapping[str, float] | None = None
-    ) -> None:
-        """Tell all other gateways.
+    def announce_crash(self, record: CrashRecord) -> None:
+        """Tell all other gateways of a crash, at once unless it follows others.
+
+        :param record: the crash
+        """
+        self._collected.append((record, self.clock()))
+        is_refused = self.ledger.find_refusal(record.keys) is not None
+        if is_refused or self.clock() - self._told_at >= COLLECT_S:
+            self._send_collected()
+
+    def announce_passed(self, passed: Mapping[str, float]) -> None:
+        """Tell all other gateways what passed.
 
-        :param records: new crashes
         :param passed: seconds since a request with a key passed
         """
-        ages = _pack_ages(passed or {})
-        for start in range(0, len(records) or 1, MAX_REPORTS):
-            reports = [_pack(record) for record in records[start : start + MAX_REPORTS]]
-            self.send(Crashes(self.host, reports, ages), self.list_peers())
+        self.send(Crashes(self.host, [], _pack_ages(passed)), self.list_peers())
 
     def tick(self, now: float) -> None:
-        """Repeat recent crashes, and those that show what is refused.
+        """Tell new crashes; repeat recent ones, and those that show what is refused.
 
         :param now: monotonic seconds
         """
+        if self._collected and now - self._told_at >= COLLECT_S:
+            self._send_collected()
         if not len(self.ledger) or now - self._repeated_at < REPEAT_INTERVAL_S:
             return
         self._repeated_at = now
@@ -160,7 +177,7 @@
         cleared = [key for key, age in ages if self.ledger.record_passed(key, age / 1000)]
         new = self.ledger.merge(_unpack(report) for report in message.reports)
         if message.reply and cleared:
-            self.announce(passed=self.ledger.list_passed(cleared))
+            self.announce_passed(self.ledger.list_passed(cleared))
         parts = {key for record in new for key in record.parts}
         known = self.ledger.list_passed(parts.difference(message.passed))
         if known:
@@ -169,6 +186,22 @@
         if new or cleared:
             self.on_change(new)
 
+    def _send_collected(self) -> None:
+        self._told_at = self.clock()
+        records = [
+            attrs.evolve(record, age_s=record.age_s + self._told_at - at)
+            for record, at in self._collected
+        ]
+        self._collected = []
+        if len({record.crash for record in records}) > MAX_CRASHES_ANNOUNCED:
+            # the others are repeated as all are
+            records = [r for r in records if self.ledger.find_refusal(r.keys) is not None]
+        if not records:
+            return
+        records.sort(key=lambda record: not record.began)
+        reports = [_pack(record) for record in records[:MAX_REPORTS]]
+        self.send(Crashes(self.host, reports, {}), self.list_peers())
+
     def _list_repeated(self) -> list[CrashRecord]:
         recent = self.ledger.list_newest(MAX_REPORTS, RECENT_S)
         refused = self.ledger.list_refused(MAX_REFUSED_REPEATED, RECORDS_PER_REFUSAL)
--- a/tests/coordination/test_crashledger.py
+++ b/tests/coordination/test_crashledger.py
@@ -246,3 +246,14 @@
         peer.crash(f"e{number}", *parts, "deadly", content=f"={number}", after_s=2.0)
         crashes += 1
     assert crashes <= CRASHES_TO_REFUSE + 3
+
+
+# fault: the crashes of a data centre that fails push out those that show what is refused
+def test_records_of_a_refusal_are_kept_while_there_are_others() -> None:
+    peer = Peer(CrashSettings(records_limit=8))
+    for number in range(CRASHES_TO_REFUSE):
+        peer.crash(f"e{number}", f"own{number}", "deadly")
+    for number in range(100):
+        peer.crash(f"f{number}", f"other{number}", after_s=0.0)
+        assert peer.is_refused("deadly")
+    assert len(peer.ledger) == 8
--- a/tests/gateway/test_crashreports.py
+++ b/tests/gateway/test_crashreports.py
@@ -14,6 +14,7 @@
     CrashSettings,
 )
 from basilroad.gateway.crashreports import (
+    COLLECT_S,
     MAX_PARTS,
     MAX_REPORTS,
     REPEAT_INTERVAL_S,
@@ -31,7 +32,7 @@
 
     def __init__(self, count: int) -> None:
         self.now = 100.0
-        self.sent = 0
+        self.sent = [0] * count
         self.largest = 0
         self.cut_off: set[int] = set()
         self.addresses = [Address("127.0.0.1", 9000 + number) for number in range(count)]
@@ -53,7 +54,7 @@
         data = msgspec.msgpack.encode(message)
         self.largest = max(self.largest, len(data))
         for peer in peers:
-            self.sent += 1
+            self.sent[sender] += 1
             number = peer.port - 9000
             if not {sender, number} & self.cut_off:
                 received = _DECODER.decode(data)
@@ -63,7 +64,8 @@
         self.now += 5.0
         record = CrashRecord(name, f"={name}", frozenset(parts), began=True, ran_s=1.5)
         self.gateways[number].ledger.merge([record])
-        self.gateways[number].announce([record])
+        self.gateways[number].announce_crash(record)
+        self.run(2 * COLLECT_S)
 
     def refused(self, number: int) -> list[list[str]]:
         return [sorted(r.keys) for r in self.gateways[number].ledger.refused]
@@ -118,14 +120,38 @@
         assert net.refused(number) == [[DEADLY]]
 
 
+# fault: the crashes of a whole data centre hold up the reports of load of all gateways
+def test_the_failure_of_a_data_centre_is_not_told_to_all_at_once() -> None:
+    net = Net(10)
+    for number in range(40):
+        record = CrashRecord(f"e{number // 4}/1", f"={number}", frozenset([f"own{number}"]))
+        net.gateways[0].ledger.merge([record])
+        net.gateways[0].announce_crash(record)
+    net.run(REPEAT_INTERVAL_S / 2)
+    assert net.sent[0] <= 9 + 2, "the first one, and those that are repeated"
+    net.run(10.0)
+    assert all(len(gateway.ledger) for gateway in net.gateways)
+
+
+# fault: one request with a short prompt ends several endpoints before another gateway hears of it
+def test_crashes_that_show_what_is_refused_are_told_at_once() -> None:
+    net = Net(10)
+    for number in range(CRASHES_TO_REFUSE):
+        net.now += 0.02
+        record = CrashRecord(f"e{number}/1", "=one", frozenset([DEADLY]), began=True, ran_s=0.01)
+        net.gateways[0].ledger.merge([record])
+        net.gateways[0].announce_crash(record)
+    assert [net.refused(number) for number in range(10)] == [[[DEADLY, "=one"]]] * 10
+
+
 def test_messages_are_few_and_fit_in_datagrams() -> None:
     net = Net(10)
     for number in range(12):
         net.crash(0, f"i-{number:010}/1764000000000", "303f382f7be8", "33186cc311a2", DEADLY)
-    net.sent = 0
+    net.sent = [0] * 10
     net.run(60.0)
     assert net.largest <= MAX_DATAGRAM_BYTES
-    assert net.sent <= 10 * 2 * 60.0 / REPEAT_INTERVAL_S
+    assert max(net.sent) <= 2 * 60.0 / REPEAT_INTERVAL_S
 
 
 @pytest.mark.parametrize(
