--- a/src/basilroad/gateway/handler.py
+++ b/src/basilroad/gateway/handler.py
@@ -52,6 +52,7 @@
             self._count(call, outcome)
 
     async def _run(self, call: Call, responder: Responder) -> Reply | None:
+        self._gateway.containment.check(call)
         running: StreamCall | BufferedCall
         if call.route.streams:
             running = StreamCall(self._gateway, call, responder)
