Send nothing to endpoints that leave or want no requests

Cause: a server states in its answers that it leaves, and in rejections for how long it wants nothing; neither header was read, so a leaving endpoint got calls until its entry changed, and one that wanted nothing was asked after 0.2 s.

Change: every response head (answer, rejection, late second copy, report, probe) is read for a notice, which is kept with the lifetime of the endpoint and outlasts its listing. One check, EndpointNotices.permits, is asked by all that send. A call that no endpoint takes within its waiting limit is refused at once with the shortest time left. Leaving is passed on by gossip with its age.

--- a/src/basilroad/coordination/fairqueue.py
+++ b/src/basilroad/coordination/fairqueue.py
@@ -165,6 +165,10 @@
         """
         self.policy.adjust(flow, actual - estimated)
 
+    def items(self) -> list[Item]:
+        """:return: all queued items, in order of their arrival."""
+        return list(self._flows)
+
     def backlogs(self) -> list[Backlog]:
         """:return: backlog of each flow that has one."""
         return [self._build_backlog(flow) for flow in self._flow_queues]
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -19,11 +19,13 @@
     OutgoingRequest,
     ReplyHead,
 )
+from basilroad.gateway.notices import Purpose, Source
 
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Headers
     from basilroad.gateway.endpoint import Endpoint, EngineReport
+    from basilroad.gateway.notices import Notice
     from basilroad.peers.address import Address
 
 NON_REPEATABLE_IDLE_LIMIT_S = 0.5
@@ -89,6 +91,14 @@
         :return: the engine's report; ``None`` if the body contains none
         """
 
+    def read_notice(self, head: ReplyHead, endpoint_id: str) -> Notice:
+        """Read what a response says of its endpoint.
+
+        :param head: head of the response
+        :param endpoint_id: id of the endpoint that was asked
+        :return: the notice; an empty one for the response of another endpoint at the address
+        """
+
     def classify_response(
         self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
     ) -> ResponseVerdict:
@@ -193,6 +203,8 @@
         self.sent = False
         self._protocol = protocol
         self._options = options
+        # a response may arrive after a restart; it speaks for the lifetime that was asked
+        self._notices = endpoint.notices
         self._channel: Channel | None = None
 
     async def open(self) -> OpenReply | NotRun | MayHaveRun:
@@ -208,6 +220,9 @@
         except ConnectError as error:
             self.endpoint.record_unreachable(time.monotonic())
             return NotRun(f"no connection: {error}")
+        if not self._notices.permits(Purpose.CALL, time.monotonic()):
+            channel.close()
+            return NotRun("the endpoint leaves or wants no requests")
         self._channel = channel
         repeatable = self.call.route.repeatable
         self.endpoint.add_pending(channel, time.monotonic(), repeatable=repeatable)
@@ -237,9 +252,12 @@
             first_use=channel.requests == 1,
             previous_id=channel.previous_id,
         )
+        now = time.monotonic()
+        if verdict is not ResponseVerdict.MISMATCHED:
+            notice = self._protocol.read_notice(head, self._options.endpoint_id)
+            self._notices.record(notice, Source.ANSWER, now)
         if verdict is ResponseVerdict.SUPERSEDED:
             return await self._skip_superseded(channel)
-        now = time.monotonic()
         if verdict is ResponseVerdict.MISMATCHED:
             channel.close()
             return MayHaveRun("the response belongs to another call")
--- a/src/basilroad/gateway/attempttracker.py
+++ b/src/basilroad/gateway/attempttracker.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from basilroad.coordination.budget import RetryBudget
+    from basilroad.gateway.availability import ServicePause
     from basilroad.gateway.call import Call
 
 MAX_REJECTIONS = 6
@@ -18,6 +19,9 @@
 
 SERVER_ERROR = 500
 
+MIN_RETRY_AFTER_S = 0.01
+"""Shortest retry delay that callers are told, as 0 stands for the default of the error kind."""
+
 
 @attrs.define
 class AttemptTracker:
@@ -72,8 +76,15 @@
             return False
         return self.budget.available() >= 1
 
-    def build_refusal(self) -> Refusal:
-        """:return: the error for a call without a response; "not run" only if that is certain."""
+    def build_refusal(self, pause: ServicePause | None = None) -> Refusal:
+        """Build the error for a call without a response; "not run" only if that is certain.
+
+        :param pause: pause of the service, if all its endpoints want no requests
+        :return: the error
+        """
+        if not self.sent and pause is not None:
+            left_s = max(MIN_RETRY_AFTER_S, pause.until - time.monotonic())
+            return Refusal(ErrorKind.NO_ENDPOINT, pause.describe(), round(left_s, 3))
         if not self.sent:
             message = self.last_detail or "no endpoint has room"
             return Refusal(ErrorKind.NO_ENDPOINT, message)
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -57,7 +57,7 @@
                 self._failed_reply = outcome
         if self._failed_reply is not None:
             return self._failed_reply
-        raise RefusedError(tracker.build_refusal())
+        raise RefusedError(self._gateway.build_refusal(tracker))
 
     async def _try_once(self) -> Outcome | None:
         call, tracker = self._call, self._tracker
--- a/src/basilroad/gateway/calllog.py
+++ b/src/basilroad/gateway/calllog.py
@@ -13,6 +13,8 @@
 from basilroad.gateway.call import Reply
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
     from basilroad.errors import Refusal
     from basilroad.gateway.call import Call
     from basilroad.gateway.endpoint import Endpoint
@@ -41,10 +43,11 @@
     copy_at: str | None = None
 
 
-def log_attempt(attempt: AttemptRecord) -> None:
+def log_attempt(attempt: AttemptRecord, passed_over: Sequence[Mapping[str, object]] = ()) -> None:
     """Log the outcome of one attempt.
 
     :param attempt: the attempt
+    :param passed_over: endpoints of the service that get no calls by their own notice, and why
     """
     now = time.monotonic()
     call, endpoint = attempt.call, attempt.endpoint
@@ -64,9 +67,23 @@
     if attempt.last_event is not None:
         fields["last_event"] = attempt.last_event
         fields["copy_at"] = attempt.copy_at
+    if passed_over:
+        fields["passed_over"] = passed_over
     _LOGGER.info("attempt", extra=fields)
 
 
+def log_service_pause(call: Call, passed_over: Sequence[Mapping[str, object]]) -> None:
+    """Log that a call is refused since no endpoint of its service takes calls in time.
+
+    :param call: the call
+    :param passed_over: endpoints of the service, and why they get no calls
+    """
+    _LOGGER.info(
+        "no endpoint takes calls",
+        extra={"request": call.id, "service": call.service, "passed_over": passed_over},
+    )
+
+
 def log_resume_from_backup(call: Call, holder: Endpoint, events: int) -> None:
     """Log that a stream resumes from a backup of its KV cache.
 
@@ -136,4 +153,5 @@
     "log_attempt",
     "log_refusal",
     "log_resume_from_backup",
+    "log_service_pause",
 ]
--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -4,10 +4,11 @@
 
 import logging
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 from basilroad.gateway.endpoint import Endpoint, EndpointEntry, EndpointState
+from basilroad.gateway.notices import NoticeRegister, Source
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,10 +24,14 @@
     """Endpoints by service.
 
     :param clock: monotonic seconds
+    :param notices: notices of endpoints about themselves
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, clock: Callable[[], float] = time.monotonic, notices: NoticeRegister | None = None
+    ) -> None:
         self._clock = clock
+        self.notices = notices or NoticeRegister(clock=clock)
         self._endpoints: dict[str, Endpoint] = {}
         self._absent: dict[str, float] = {}
         self._unreliable_until = 0.0
@@ -42,6 +47,14 @@
         """:return: the listed endpoints of a service."""
         return [e for e in self._endpoints.values() if e.entry.service == service]
 
+    def list_passed_over(self, service: str) -> list[dict[str, object]]:
+        """:return: why endpoints of a service get no calls by their own notice, for the log."""
+        if not self.notices.has_any:
+            return []
+        now = self._clock()
+        described = (e.notices.describe(now) for e in self.list_by_service(service))
+        return [fields for fields in described if fields is not None]
+
     def mark_listing_unreliable(self) -> None:
         """Record that the listing could not be read: entries may be missing from the next ones."""
         self._unreliable_until = self._clock() + ABSENCE_LIMIT_S
@@ -54,7 +67,7 @@
         self._absent.pop(entry.id, None)
         known = self._endpoints.get(entry.id)
         if known is None:
-            self._endpoints[entry.id] = Endpoint(entry)
+            self._endpoints[entry.id] = Endpoint(entry, self.notices)
             _LOGGER.info("endpoint listed", extra=_describe(entry))
             return
         previous = known.entry
@@ -94,6 +107,17 @@
         for entry in listed.values():
             self.put(entry)
 
+    def apply_reported_leaving(self, reports: Mapping[str, tuple[int, int]], now: float) -> None:
+        """Apply what another gateway reports of leaving endpoints.
+
+        :param reports: start time and age of the notice, both in milliseconds, by endpoint id
+        :param now: monotonic seconds
+        """
+        for endpoint_id, (started_ms, age_ms) in reports.items():
+            endpoint = self._endpoints.get(endpoint_id)
+            if endpoint is not None and endpoint.entry.started_ms == started_ms != 0:
+                endpoint.notices.record_leaving(Source.GOSSIP, now - age_ms / 1000)
+
     def expire(self) -> None:
         """Remove endpoints whose entries did not reappear in time."""
         now = self._clock()
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -12,11 +12,13 @@
 
 from basilroad.coordination.fairpolicy import FairSettings, Flow
 from basilroad.coordination.fairqueue import FairQueue
+from basilroad.gateway.availability import find_service_pause
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.promptlocations import PromptLocations
 from basilroad.gateway.selection import estimate_wait
 
 if TYPE_CHECKING:
+    from basilroad.gateway.availability import ServicePause
     from basilroad.gateway.call import Call
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
@@ -49,12 +51,14 @@
 
     :param call: the call
     :param avoid: excluded endpoints
-    :param placed: future of the reservation
+    :param wait_until: monotonic seconds until which it may wait
+    :param placed: future of the reservation; ``None`` if waiting is of no use
     """
 
     call: Call
     avoid: Collection[str]
-    placed: asyncio.Future[Reservation]
+    wait_until: float
+    placed: asyncio.Future[Reservation | None]
 
     @property
     def flow(self) -> Flow:
@@ -102,7 +106,7 @@
     async def place(
         self, call: Call, wait_until: float, avoid: Collection[str] = ()
     ) -> Reservation | None:
-        """Wait for an endpoint with capacity.
+        """Wait for an endpoint with capacity, unless none takes calls in time.
 
         :param call: the call
         :param wait_until: monotonic seconds until which it may wait
@@ -118,7 +122,15 @@
         left_s = wait_until - self._clock()
         if left_s <= 0:
             return None
-        return await self._wait(call, avoid, left_s)
+        pause = self.find_pause(call, avoid)
+        if pause is not None and pause.outlasts(wait_until):
+            return None
+        return await self._wait(Ticket(call, avoid, wait_until, _create_future()), left_s)
+
+    def find_pause(self, call: Call, avoid: Collection[str] = ()) -> ServicePause | None:
+        """:return: the pause of a call's service, if all its endpoints want no requests."""
+        endpoints = self.directory.list_by_service(call.service)
+        return find_service_pause(endpoints, self._clock(), avoid)
 
     def has_room(self, call: Call, avoid: Collection[str]) -> bool:
         """:return: whether another endpoint could take the call at once."""
@@ -141,12 +153,11 @@
         queue = self._queues.get(call.service)
         return queue is not None and any(rank <= call.rank for rank in queue.ranks())
 
-    async def _wait(self, call: Call, avoid: Collection[str], left_s: float) -> Reservation | None:
-        placed: asyncio.Future[Reservation] = asyncio.get_running_loop().create_future()
-        ticket = Ticket(call, avoid, placed)
-        queue = self._queues.get(call.service)
+    async def _wait(self, ticket: Ticket, left_s: float) -> Reservation | None:
+        placed, service = ticket.placed, ticket.call.service
+        queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[call.service] = FairQueue(STRICT_PRIORITY)
+            queue = self._queues[service] = FairQueue(STRICT_PRIORITY)
         queue.push(ticket, ticket.flow, ticket.cost)
         try:
             async with asyncio.timeout(left_s):
@@ -164,6 +175,7 @@
             self.dispatch_waiting()
 
     def _dispatch_queue(self, queue: FairQueue[Ticket]) -> None:
+        self._end_useless_waits(queue)
         held: list[Ticket] = []
         while (ticket := queue.peek()) is not None:
             if ticket.placed.done():
@@ -174,14 +186,28 @@
                 break
             if endpoint is None:
                 # later calls may use the endpoints that this one excludes
-                held.append(ticket)
                 queue.remove(ticket)
+                pause = self.find_pause(ticket.call, ticket.avoid)
+                if pause is not None and pause.outlasts(ticket.wait_until):
+                    ticket.placed.set_result(None)
+                else:
+                    held.append(ticket)
                 continue
             queue.pop()
             ticket.placed.set_result(Reservation(endpoint, ticket.call.size))
         for ticket in reversed(held):
             queue.push_front(ticket, ticket.flow, ticket.cost)
 
+    def _end_useless_waits(self, queue: FairQueue[Ticket]) -> None:
+        head = queue.peek()
+        pause = self.find_pause(head.call) if head is not None else None
+        if pause is None:
+            return
+        for ticket in queue.items():
+            if pause.outlasts(ticket.wait_until) and not ticket.placed.done():
+                queue.remove(ticket)
+                ticket.placed.set_result(None)
+
     async def _choose_by_reports(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
         """Choose an engine by the reports of a few candidates.
 
@@ -213,7 +239,11 @@
         return self.chooser.choose(endpoints, call, engine, self._clock(), avoid, cached_prompt)
 
 
-def _take_result(placed: asyncio.Future[Reservation]) -> Reservation | None:
+def _create_future() -> asyncio.Future[Reservation | None]:
+    return asyncio.get_running_loop().create_future()
+
+
+def _take_result(placed: asyncio.Future[Reservation | None]) -> Reservation | None:
     if placed.done() and not placed.cancelled():
         return placed.result()
     return None
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -11,6 +11,7 @@
 import attrs
 
 from basilroad.endpoints.channels import ChannelPool
+from basilroad.gateway.notices import Lifetime, NoticeRegister, Purpose
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -74,6 +75,11 @@
     state: EndpointState = EndpointState.READY
     started_ms: int = 0
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """:return: the lifetime that the entry describes."""
+        return Lifetime(self.id, self.started_ms, self.address)
+
 
 @attrs.define(eq=False)
 class Load:
@@ -109,10 +115,13 @@
     """One endpoint: its entry, observed health and load.
 
     :param entry: its entry in the listing
+    :param register: notices of all endpoints about themselves
     """
 
-    def __init__(self, entry: EndpointEntry) -> None:
+    def __init__(self, entry: EndpointEntry, register: NoticeRegister | None = None) -> None:
         self.entry = entry
+        self._register = register or NoticeRegister()
+        self.notices = self._register.find(entry.lifetime)
         self.listed_at = time.monotonic()
         self.load = Load()
         self.remote = Load()
@@ -144,6 +153,7 @@
             and self.entry.state is EndpointState.READY
             and now >= self.backoff_until
             and now >= self.full_until
+            and self.notices.permits(Purpose.CALL, now)
         )
 
     def record_report(self, report: EngineReport, now: float) -> None:
@@ -307,6 +317,7 @@
         self.pool.close()
         self.pool = ChannelPool(entry.address)
         self.entry = entry
+        self.notices = self._register.find(entry.lifetime)
         self.listed_at = time.monotonic()
         self.full_until = -math.inf
         self.backoff_until = -math.inf
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -13,13 +13,14 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.calllog import AttemptRecord, log_attempt
+from basilroad.gateway.calllog import AttemptRecord, log_attempt, log_service_pause
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.freshness import Freshness
 from basilroad.gateway.liveness import Liveness
 from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
+from basilroad.gateway.notices import NoticeRegister
 from basilroad.gateway.preference import EnginePreference
 from basilroad.gateway.reports import ReportReader
 from basilroad.gateway.selection import Chooser
@@ -28,7 +29,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from basilroad.errors import Refusal
     from basilroad.gateway.attempt import EndpointProtocol
+    from basilroad.gateway.attempttracker import AttemptTracker
     from basilroad.gateway.call import Call
     from basilroad.gateway.route import EngineLimits, Route, RoutingTable, WorkspaceSpec
     from basilroad.gateway.selection import Locality
@@ -113,7 +116,8 @@
         self.settings = settings
         self.protocol = protocol
         self.random = generator or random.Random()
-        self.directory = Directory()
+        self.metrics = GatewayMetrics()
+        self.directory = Directory(notices=NoticeRegister(self.random, self.metrics.count_notice))
         self.freshness = Freshness()
         self.table: RoutingTable | None = None
         self.known_hosts = 1
@@ -127,7 +131,6 @@
         self.stopping_since: float | None = None
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
-        self.metrics = GatewayMetrics()
         self._budgets: dict[str, RetryBudget] = {}
         self.loans = RetryLoans(settings.host, self.budget_of, generator=self.random)
 
@@ -279,9 +282,21 @@
 
         :param attempt: the attempt
         """
-        log_attempt(attempt)
+        log_attempt(attempt, self.directory.list_passed_over(attempt.call.service))
         self.metrics.count_attempt(attempt.call, attempt.outcome)
 
+    def build_refusal(self, tracker: AttemptTracker) -> Refusal:
+        """Build the error for a call without a response.
+
+        :param tracker: its attempts
+        :return: the error
+        """
+        call = tracker.call
+        pause = None if tracker.sent else self.dispatcher.find_pause(call)
+        if pause is not None:
+            log_service_pause(call, self.directory.list_passed_over(call.service))
+        return tracker.build_refusal(pause)
+
     def record_placed(self, call: Call, waited_s: float) -> None:
         """Record the queueing time of a call that was assigned to an endpoint.
 
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -74,6 +74,9 @@
 LoadReport = tuple[Count, Count, Count]
 """Calls, memory tokens and pending prefill tokens of a gateway at one endpoint."""
 
+StartTime = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""Unix milliseconds."""
+
 
 class _Message(msgspec.Struct, array_like=True, tag="state"):
     host: str
@@ -85,6 +88,7 @@
     peers: list[str]
     runs: list[PromptReport] = []
     data_centre: str = ""
+    leaving: dict[str, tuple[StartTime, Count]] = {}
 
 
 @attrs.define
@@ -204,12 +208,13 @@
             return
         loads, failures = self._list_loads(), self._list_failures(now)
         runs = self._prompt_locations.list_local(MAX_PROMPTS_SENT)
-        state = (loads, frozenset(failures), runs)
+        leaving = self._directory.notices.list_leaving(now)
+        state = (loads, frozenset(failures), runs, frozenset(leaving))
         if state == self._last_sent and now - self._last_sent_at < REFRESH_INTERVAL_S:
             return
         self._last_sent, self._last_sent_at = state, now
         self._sequence += 1
-        data = self._encode(loads, failures, runs)
+        data = self._encode(loads, failures, runs, leaving)
         peers = self._choose_peers()
         self._next_send_at = now + len(data) * len(peers) / MAX_SENT_BYTES_PER_S
         for peer in peers:
@@ -296,6 +301,7 @@
         self._update_remote_load({*message.loads, *(known.loads if known else ())})
         for endpoint_id, age_ms in message.failures.items():
             self._apply_failure(endpoint_id, now - age_ms / 1000)
+        self._directory.apply_reported_leaving(message.leaving, now)
 
     def _apply_failure(self, endpoint_id: str, last_failed_at: float) -> None:
         endpoint = self._directory.get(endpoint_id)
@@ -352,6 +358,7 @@
         loads: dict[str, LoadReport],
         failures: dict[str, int],
         runs: list[PromptReport],
+        leaving: dict[str, tuple[int, int]],
     ) -> bytes:
         known = [str(peer) for peer in self._peers]
         message = _Message(
@@ -364,6 +371,7 @@
             self._random.sample(known, min(FANOUT, len(known))),
             runs,
             self._data_centre,
+            leaving,
         )
         data = msgspec.msgpack.encode(message)
         while len(data) > MAX_DATAGRAM_BYTES and (message.loads or message.runs):
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -8,6 +8,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from basilroad.gateway.notices import Purpose
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -87,6 +89,9 @@
                 continue
             if self._dispatcher.find_engine(endpoint.entry.service) is None:
                 continue
+            if not endpoint.notices.permits(Purpose.PROBE, now):
+                continue
+            endpoint.notices.record_probe()
             task = asyncio.ensure_future(self._probe(endpoint))
             self._probes[endpoint.id] = task
 
@@ -115,7 +120,7 @@
         asked_at = time.monotonic()
         silence_s = endpoint.silence_s(asked_at)
         try:
-            alive = await self._reports.read(endpoint, PROBE_TIMEOUT_S)
+            alive = await self._reports.read(endpoint, PROBE_TIMEOUT_S, Purpose.PROBE)
         finally:
             self._probes.pop(endpoint.id, None)
         now = time.monotonic()
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from basilroad.errors import Refusal
     from basilroad.gateway.call import Call
+    from basilroad.gateway.notices import Source
 
 RANK_MAX = 9
 """Highest rank with its own label value; bounds the number of label values."""
@@ -51,6 +52,12 @@
             ["memory"],
             registry=self.registry,
         )
+        self.notices = Counter(
+            "basilroad_endpoint_notices",
+            "Notices of endpoints that leave or want no requests for a while.",
+            ["kind", "source"],
+            registry=self.registry,
+        )
         self.answer_s = self._build_histogram(
             "basilroad_answer_seconds", "From a call's arrival to the end of its answer.", "form"
         )
@@ -90,6 +97,14 @@
         """
         self.refusals.labels(refusal.kind.value).inc()
 
+    def count_notice(self, kind: str, source: Source) -> None:
+        """Count a new notice of an endpoint.
+
+        :param kind: what it says
+        :param source: how it was learnt
+        """
+        self.notices.labels(kind, source.value).inc()
+
     def render(self, gauge_values: Mapping[str, float]) -> bytes:
         """Render all metrics.
 
--- /dev/null
+++ b/src/basilroad/gateway/notices.py
@@ -0,0 +1,299 @@
+"""Notices of endpoints about themselves: that they leave, or want no requests for a while."""
+
+from __future__ import annotations
+
+import enum
+import logging
+import math
+import random
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from weakref import WeakValueDictionary
+
+import attrs
+
+if TYPE_CHECKING:
+    from basilroad.peers.address import Address
+
+MAX_PAUSE_S = 60.0
+"""Longest pause that an endpoint may ask for; a mistaken value does not cost a sound endpoint for
+longer."""
+
+RETURN_SPREAD_SHARE = 0.1
+"""Largest part of a pause that is added to it at random, so that gateways return at different
+times."""
+
+RETURN_SPREAD_MAX_S = 0.4
+"""Upper limit of that addition: several round trips, and less than the target of a short call."""
+
+MAX_REMEMBERED = 1024
+"""Endpoints whose notices are kept while they are not listed; fleets have hundreds of servers."""
+
+UNKNOWN_START_MEMORY_S = 120.0
+"""Time for which an unlisted endpoint without a known start is remembered as leaving: a restart at
+the same address can't be told from it."""
+
+LEAVING_REPORT_S = 30.0
+"""Time for which other gateways are told that an endpoint leaves; by then most have exited."""
+
+MAX_LEAVING_SENT = 16
+"""Leaving endpoints per datagram, about a third of its size."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Purpose(enum.Enum):
+    """What a request to an endpoint is for."""
+
+    CALL = "answer"
+    REPORT = "report"
+    PROBE = "probe"
+
+
+class Source(enum.Enum):
+    """How a notice was learnt: from a response to a request of this gateway, or by gossip."""
+
+    ANSWER = Purpose.CALL.value
+    REPORT = Purpose.REPORT.value
+    PROBE = Purpose.PROBE.value
+    GOSSIP = "gossip"
+
+
+@attrs.frozen
+class Notice:
+    """What one response says of its endpoint.
+
+    :param leaving: whether it will exit and wants no further calls
+    :param pause_s: seconds for which it wants no requests of this gateway; ``None`` without a limit
+    """
+
+    leaving: bool = False
+    pause_s: float | None = None
+
+
+@attrs.frozen
+class Lifetime:
+    """One lifetime of an endpoint, from its start to its exit.
+
+    :param id: id of the endpoint
+    :param started_ms: start time in Unix milliseconds, 0 if unknown
+    :param address: its listening address
+    """
+
+    id: str
+    started_ms: int
+    address: Address
+
+
+@attrs.define(eq=False)
+class EndpointNotices:
+    """Notices of one lifetime of an endpoint, which decide whether it may be sent a request.
+
+    :param lifetime: the lifetime
+    :param register: register that keeps them while the endpoint is not listed
+    :param leaving_since: monotonic seconds at which it was first known to leave; ``None`` if not
+    :param leaving_source: how that was learnt
+    :param paused_until: monotonic seconds until which it wants no requests
+    :param paused_since: monotonic seconds at which the current pause was last asked for
+    :param pause_source: how that was learnt
+    :param probed: whether a probe was sent during the current pause
+    """
+
+    lifetime: Lifetime
+    register: NoticeRegister
+    leaving_since: float | None = None
+    leaving_source: Source = Source.ANSWER
+    paused_until: float = -math.inf
+    paused_since: float = -math.inf
+    pause_source: Source = Source.ANSWER
+    probed: bool = False
+
+    def permits(self, purpose: Purpose, now: float) -> bool:
+        """Check whether a request may be sent; all senders ask this.
+
+        A leaving endpoint that still runs streams may be probed. During a pause one probe is
+        allowed, so that the streams of an endpoint that died meanwhile go on elsewhere.
+
+        :param purpose: what the request is for
+        :param now: monotonic seconds
+        :return: whether it may be sent
+        """
+        if now < self.paused_until:
+            return purpose is Purpose.PROBE and not self.probed
+        return self.leaving_since is None or purpose is Purpose.PROBE
+
+    def record_probe(self) -> None:
+        """Record that a probe is sent."""
+        self.probed = True
+
+    def record(self, notice: Notice, source: Source, now: float) -> None:
+        """Record what a response says; a response without a notice takes nothing back.
+
+        :param notice: the notice
+        :param source: which response it was
+        :param now: monotonic seconds
+        """
+        if notice.leaving:
+            self.record_leaving(source, now)
+        if notice.pause_s is not None:
+            self._record_pause(notice.pause_s, source, now)
+
+    def record_leaving(self, source: Source, since: float) -> None:
+        """Record that the endpoint leaves; this holds to the end of its lifetime.
+
+        :param source: how it was learnt
+        :param since: monotonic seconds at which it was known first
+        """
+        if self.leaving_since is not None:
+            return
+        self.leaving_since, self.leaving_source = since, source
+        self.register.keep(self, "leaving", source)
+        _LOGGER.info(
+            "endpoint leaving",
+            extra={
+                "endpoint": self.lifetime.id,
+                "address": str(self.lifetime.address),
+                "source": source.value,
+                "age_ms": round(1000 * (self.register.clock() - since)),
+            },
+        )
+
+    def _record_pause(self, pause_s: float, source: Source, now: float) -> None:
+        until = now + self.register.extend_pause(pause_s)
+        if now >= self.paused_until:
+            self.probed = False
+        if until <= self.paused_until:
+            return
+        self.paused_until, self.paused_since, self.pause_source = until, now, source
+        self.register.keep(self, "pause", source)
+        _LOGGER.info(
+            "endpoint paused",
+            extra={
+                "endpoint": self.lifetime.id,
+                "address": str(self.lifetime.address),
+                "source": source.value,
+                "asked_ms": round(1000 * pause_s),
+                "left_ms": round(1000 * (until - now)),
+            },
+        )
+
+    def describe(self, now: float) -> dict[str, object] | None:
+        """:return: why it gets no calls, how that was learnt and how old it is; ``None`` if it may
+        get them."""
+        if self.leaving_since is not None:
+            reason, source, since = "leaving", self.leaving_source, self.leaving_since
+        elif now < self.paused_until:
+            reason, source, since = "paused", self.pause_source, self.paused_since
+        else:
+            return None
+        fields: dict[str, object] = {
+            "endpoint": self.lifetime.id,
+            "reason": reason,
+            "source": source.value,
+            "age_ms": round(1000 * (now - since)),
+        }
+        if reason == "paused":
+            fields["left_ms"] = round(1000 * (self.paused_until - now))
+        return fields
+
+
+class NoticeRegister:
+    """Notices by lifetime, which outlast the listing of an endpoint.
+
+    :param generator: random number generator
+    :param count: called with the kind of each new notice and how it was learnt
+    :param clock: monotonic seconds
+    """
+
+    def __init__(
+        self,
+        generator: random.Random | None = None,
+        count: Callable[[str, Source], None] = lambda _kind, _source: None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.clock = clock
+        self._random = generator or random.Random()
+        self._count = count
+        self._known: WeakValueDictionary[Lifetime, EndpointNotices] = WeakValueDictionary()
+        self._kept: OrderedDict[Lifetime, EndpointNotices] = OrderedDict()
+
+    @property
+    def has_any(self) -> bool:
+        """:return: whether any notice is kept, also one that is over."""
+        return bool(self._kept)
+
+    def find(self, lifetime: Lifetime) -> EndpointNotices:
+        """Find the notices of a lifetime.
+
+        :param lifetime: lifetime of an endpoint that is newly listed or has restarted
+        :return: its notices, the same ones as before if it was known
+        """
+        found = self._known.get(lifetime)
+        if found is not None and self._is_outdated(found):
+            del self._kept[lifetime]
+            found = None
+        if found is None:
+            found = self._known[lifetime] = EndpointNotices(lifetime, self)
+        return found
+
+    def _is_outdated(self, notices: EndpointNotices) -> bool:
+        if notices.lifetime.started_ms or notices.lifetime not in self._kept:
+            return False
+        since = notices.leaving_since
+        return since is not None and self.clock() - since > UNKNOWN_START_MEMORY_S
+
+    def keep(self, notices: EndpointNotices, kind: str, source: Source) -> None:
+        """Keep notices and count the new one.
+
+        :param notices: notices of one lifetime
+        :param kind: kind of the new one
+        :param source: how it was learnt
+        """
+        self._count(kind, source)
+        self._kept[notices.lifetime] = notices
+        self._kept.move_to_end(notices.lifetime)
+        while len(self._kept) > MAX_REMEMBERED:
+            # those of listed endpoints are held by the endpoints too
+            self._kept.popitem(last=False)
+
+    def extend_pause(self, pause_s: float) -> float:
+        """:return: length of a pause with a random addition, in seconds."""
+        pause_s = min(MAX_PAUSE_S, pause_s)
+        spread_s = min(RETURN_SPREAD_MAX_S, RETURN_SPREAD_SHARE * pause_s)
+        return pause_s + self._random.uniform(0, spread_s)
+
+    def list_leaving(self, now: float) -> dict[str, tuple[int, int]]:
+        """List what other gateways are told.
+
+        :param now: monotonic seconds
+        :return: start time and age of the notice, both in milliseconds, by id of the endpoints that
+            leave; those learnt last, if there are many
+        """
+        found: dict[str, tuple[int, int]] = {}
+        for lifetime, notices in reversed(self._kept.items()):
+            since = notices.leaving_since
+            if since is None or not lifetime.started_ms or now - since > LEAVING_REPORT_S:
+                continue
+            found[lifetime.id] = lifetime.started_ms, max(0, round(1000 * (now - since)))
+            if len(found) == MAX_LEAVING_SENT:
+                break
+        return found
+
+
+__all__ = [
+    "LEAVING_REPORT_S",
+    "MAX_LEAVING_SENT",
+    "MAX_PAUSE_S",
+    "MAX_REMEMBERED",
+    "RETURN_SPREAD_MAX_S",
+    "RETURN_SPREAD_SHARE",
+    "UNKNOWN_START_MEMORY_S",
+    "EndpointNotices",
+    "Lifetime",
+    "Notice",
+    "NoticeRegister",
+    "Purpose",
+    "Source",
+]
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -11,6 +11,7 @@
 
 from basilroad.endpoints.channels import SHORT_BODY_BYTES, ChannelError
 from basilroad.gateway.endpoint import EngineReport
+from basilroad.gateway.notices import Purpose, Source
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,6 +19,7 @@
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.attempt import EndpointProtocol
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.notices import EndpointNotices
     from basilroad.gateway.selection import Locality
 
 REPORT_TIMEOUT_S = 0.06
@@ -50,18 +52,21 @@
         answered = await asyncio.gather(*(self.read(e, REPORT_TIMEOUT_S) for e in asked))
         return [endpoint for endpoint, ok in zip(asked, answered, strict=True) if ok]
 
-    async def read(self, endpoint: Endpoint, timeout_s: float) -> bool:
+    async def read(
+        self, endpoint: Endpoint, timeout_s: float, purpose: Purpose = Purpose.REPORT
+    ) -> bool:
         """Read the report of one engine.
 
         :param endpoint: the engine, which keeps the report
         :param timeout_s: time limit beyond the round trip, in seconds
+        :param purpose: whether the report is read before a placement or to probe the engine
         :return: whether it answered in time
         """
         limit_s = timeout_s + 2 * self.place.distance_s(endpoint.entry.data_centre)
         self.requests += 1
         try:
             async with asyncio.timeout(limit_s):
-                body = await self._ask(endpoint)
+                body = await self._ask(endpoint, purpose)
         except (ChannelError, TimeoutError):
             return False
         report = self.protocol.decode_report(body)
@@ -71,21 +76,29 @@
             endpoint.record_report(report, time.monotonic())
         return True
 
-    async def _ask(self, endpoint: Endpoint) -> bytes:
+    async def _ask(self, endpoint: Endpoint, purpose: Purpose) -> bytes:
+        notices = endpoint.notices
         channel = await endpoint.pool.open()
         reused = channel.requests > 0
         try:
-            return await self._exchange(endpoint, channel)
+            return await self._exchange(endpoint, channel, notices, purpose)
         except ChannelError:
             # an idle connection may have been closed by a live endpoint
             if not reused:
                 raise
-        return await self._exchange(endpoint, await endpoint.pool.open(0))
+        return await self._exchange(endpoint, await endpoint.pool.open(0), notices, purpose)
 
-    async def _exchange(self, endpoint: Endpoint, channel: Channel) -> bytes:
+    async def _exchange(
+        self, endpoint: Endpoint, channel: Channel, notices: EndpointNotices, purpose: Purpose
+    ) -> bytes:
         try:
+            # Liveness checks the permission of probes itself, and counts them
+            if purpose is Purpose.REPORT and not notices.permits(purpose, time.monotonic()):
+                raise ChannelError("the engine leaves or wants no requests")
             channel.send(self.protocol.encode_probe(endpoint.entry.address))
-            await channel.read_head()
+            head = await channel.read_head()
+            notice = self.protocol.read_notice(head, endpoint.id)
+            notices.record(notice, Source(purpose.value), time.monotonic())
             body = await channel.read_body(SHORT_BODY_BYTES)
         except BaseException:
             channel.close()
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -101,7 +101,7 @@
             raise StreamBrokenError(self._tracker.last_detail or "no endpoint to resume the stream")
         if failed_reply is not None:
             return failed_reply
-        raise RefusedError(self._tracker.build_refusal())
+        raise RefusedError(self._gateway.build_refusal(self._tracker))
 
     async def _start_attempt(self) -> bool:
         tracker, service = self._tracker, self._call.service
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -12,10 +12,12 @@
 from basilroad.gateway.attempt import AttemptOptions, ResponseVerdict
 from basilroad.gateway.call import Headers, PromptSize
 from basilroad.gateway.endpoint import EngineReport
+from basilroad.platform.notices import STATUS_MISDIRECTED, read_notice
 
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import ReplyHead
     from basilroad.gateway.call import Call
+    from basilroad.gateway.notices import Notice
     from basilroad.peers.address import Address
 
 HEADER_REQUEST_ID = "X-Attempt-Id"  # set by the caller; all attempts of a call carry the same id
@@ -31,7 +33,6 @@
 HEADER_KV_SOURCE = "Kv-From"
 HEADER_RESPONSE_SEAL = "x-response-seal"
 HEADER_NOT_EXECUTED = "x-not-executed"
-STATUS_MISDIRECTED = 421
 MAX_STATUS = 599
 MAX_URGENCY = 9
 MAX_COUNT_DIGITS = 9  # far beyond the memory of an engine
@@ -122,6 +123,15 @@
             prefilling + report.queued * report.next,
         )
 
+    def read_notice(self, head: ReplyHead, endpoint_id: str) -> Notice:
+        """Read what a response says of its server.
+
+        :param head: status and headers of the response
+        :param endpoint_id: id of the server that was asked
+        :return: the notice
+        """
+        return read_notice(head, endpoint_id)
+
     def classify_response(
         self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
     ) -> ResponseVerdict:
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -25,7 +25,8 @@
 class WireFault(enum.Enum):
     """Fault injected into one response.
 
-    ``TURN_AWAY`` rejects a request without running it; ``MISDIRECT`` responds as if the request
+    ``TURN_AWAY`` rejects a request without running it, ``PAUSE`` names a time for which no more
+    are wanted too; ``MISDIRECT`` responds as if the request
     were meant for another instance. All others run it: ``LOSE_ANSWER`` never responds,
     ``OTHER_ID`` and ``NO_SEAL`` alter the headers, ``CUT`` omits the last bytes, and ``UNFRAMED``
     sends no length. ``LATE_COPY`` sends the response again before that of the connection's next
@@ -34,6 +35,7 @@
 
     NONE = "none"
     TURN_AWAY = "turn away"
+    PAUSE = "turn away for a time"
     MISDIRECT = "misdirect"
     FAIL = "fail"
     LOSE_ANSWER = "lose answer"
@@ -55,6 +57,16 @@
     ENDLESS_EVENT = "endless event"
 
 
+class ResponseKind(enum.Enum):
+    """Kind of response, which decides whether it says that the server leaves."""
+
+    REPORT = "report"
+    REJECTION = "rejection"
+    ANSWER = "answer"
+
+
+ALL_RESPONSES = frozenset(ResponseKind)
+
 _ENDLESS: dict[WireFault, tuple[bytes, bytes]] = {
     WireFault.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x" * 4096),
     WireFault.ENDLESS_HEADERS: (b"HTTP/1.1 200 OK\r\n", b"X-More: yes\r\n" * 256),
@@ -106,7 +118,12 @@
     :param trickle_at_event: number of the event before which streams stall; 0 for never
     :param trickle: bytes that a stalled stream sends now and then
     :param silent: whether all responses are withheld
+    :param leaving_in: responses that say that the server leaves
+    :param retry_after: value of ``Retry-After`` in the responses of ``WireFault.PAUSE``
     :param faults: faults of the next responses, in order
+    :param seen: received requests except those for reports
+    :param paused: requests that were answered with ``Retry-After``
+    :param reports: number of received requests for reports
     """
 
     id: str = "i-standin"
@@ -117,9 +134,13 @@
     trickle_at_event: int = 0
     trickle: bytes = b""
     silent: bool = False
+    leaving_in: frozenset[ResponseKind] = frozenset()
+    retry_after: str = ""
     faults: deque[WireFault] = attrs.field(factory=deque)
     seen: list[ReceivedRequest] = attrs.field(factory=list)
     runs: list[ReceivedRequest] = attrs.field(factory=list)
+    paused: list[ReceivedRequest] = attrs.field(factory=list)
+    reports: int = 0
     connections: int = 0
     endless_bytes: int = 0
     port: int = 0
@@ -180,7 +201,9 @@
             while self.silent:
                 await asyncio.sleep(0.01)
             if request.target == "/report":
-                writer.write(_encode_response(200, {}, b"{}"))
+                self.reports += 1
+                headers = self._build_notice(ResponseKind.REPORT)
+                writer.write(_encode_response(200, headers, b"{}"))
             elif not await self._answer(request, writer):
                 return
             http.start_next_cycle()
@@ -200,13 +223,20 @@
             return await self._stream(request, writer)
         return await self._write_faulty(request.id, fault, writer)
 
+    def _build_notice(self, kind: ResponseKind) -> dict[str, str]:
+        return {"Server-Leaving": "1"} if kind in self.leaving_in else {}
+
     def _reject(self, request: ReceivedRequest, fault: WireFault) -> bytes | None:
-        echo = {"X-Attempt-Id": request.id}
+        echo = {"X-Attempt-Id": request.id, **self._build_notice(ResponseKind.REJECTION)}
         expected = request.headers.get("x-expect-instance", self.id)
         if fault is WireFault.MISDIRECT or expected != self.id:
             return _encode_response(421, {**echo, "X-Instance-Id": self.id}, b"")
         if fault is WireFault.TURN_AWAY:
             return _encode_response(503, {**echo, "X-Not-Executed": "1"}, b"")
+        if fault is WireFault.PAUSE:
+            self.paused.append(request)
+            echo |= {"X-Not-Executed": "1", "Retry-After": self.retry_after}
+            return _encode_response(503, echo, b"")
         return None
 
     async def _write_faulty(
@@ -224,7 +254,11 @@
             return False
         status = 500 if fault is WireFault.FAIL else 200
         echoed = "another" if fault is WireFault.OTHER_ID else request_id
-        headers = {"X-Attempt-Id": echoed, "X-Response-Seal": f"seal-of-{self.id}"}
+        headers = {
+            "X-Attempt-Id": echoed,
+            "X-Response-Seal": f"seal-of-{self.id}",
+            **self._build_notice(ResponseKind.ANSWER),
+        }
         if fault is WireFault.NO_SEAL:
             del headers["X-Response-Seal"]
         body = f"answer of {self.id} to {request_id}".encode()
@@ -262,6 +296,7 @@
         headers = {
             "X-Attempt-Id": request.id,
             "X-Response-Seal": f"seal-of-{self.id}",
+            **self._build_notice(ResponseKind.ANSWER),
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
@@ -339,4 +374,10 @@
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
 
-__all__ = ["AppServerStandin", "ReceivedRequest", "WireFault"]
+__all__ = [
+    "ALL_RESPONSES",
+    "AppServerStandin",
+    "ReceivedRequest",
+    "ResponseKind",
+    "WireFault",
+]
