--- a/tests/coordination/test_fairqueue.py
+++ b/tests/coordination/test_fairqueue.py
@@ -241,3 +241,11 @@
     picker.charge(pick.flow, -pick.cost)
     assert picker.pick().flow != pick.flow
     assert Counter(picker.pick().flow for _ in range(3))[pick.flow] == 2
+
+
+def test_all_queued_items_are_listed_in_order_of_arrival() -> None:
+    queue: FairQueue = FairQueue(SETTINGS)
+    for number, item in enumerate("abcd"):
+        queue.push(item, FLOWS[number % 2], 1)
+    queue.remove("b")
+    assert queue.items() == ["a", "c", "d"]
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -11,6 +11,7 @@
 from basilroad.gateway.call import PromptSize
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.notices import Notice, Source
 from basilroad.gateway.selection import Chooser
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
@@ -159,3 +160,37 @@
     restricted.cancel()
     await asyncio.gather(restricted, return_exceptions=True)
     assert dispatcher.waiting == 0
+
+
+async def test_a_call_that_no_endpoint_takes_in_time_is_not_queued(dispatcher: Dispatcher) -> None:
+    # fault: calls wait to their limit for endpoints that want nothing for longer
+    endpoint = dispatcher.directory.get("e1")
+    assert endpoint is not None
+    now = time.monotonic()
+    endpoint.notices.record(Notice(pause_s=2.0), Source.ANSWER, now)
+    call = build_call(build_stream_route())
+    async with asyncio.timeout(0.2):
+        assert await dispatcher.place(call, now + 1.5) is None
+        assert await dispatcher.place(call, now + 1.5, {"e1"}) is None
+    waiting = asyncio.ensure_future(dispatcher.place(call, now + 5))
+    await asyncio.sleep(0)
+    assert dispatcher.waiting == 1
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+
+
+async def test_a_queued_call_that_excludes_the_usable_endpoints_does_not_wait_for_paused_ones(
+    dispatcher: Dispatcher,
+) -> None:
+    # fault: a retry waits to its limit for endpoints that want nothing for longer
+    await fill(dispatcher)
+    dispatcher.directory.put(build_entry("e2", service="llm", slots=0))
+    until = time.monotonic() + 5
+    retry = asyncio.ensure_future(dispatcher.place(build_call(build_stream_route()), until, {"e1"}))
+    await asyncio.sleep(0)
+    endpoint = dispatcher.directory.get("e2")
+    assert endpoint is not None
+    endpoint.notices.record(Notice(pause_s=30.0), Source.ANSWER, time.monotonic())
+    dispatcher.dispatch_waiting()
+    assert await asyncio.wait_for(retry, 0.2) is None
+    assert dispatcher.waiting == 0
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -5,6 +5,8 @@
 import random
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.call import PromptSize
 from basilroad.gateway.directory import Directory
@@ -20,6 +22,7 @@
     Gossip,
 )
 from basilroad.gateway.loans import RetryLoans
+from basilroad.gateway.notices import Notice, Source
 from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
 from basilroad.gateway.relay import Relay
 from basilroad.gateway.selection import (
@@ -269,3 +272,29 @@
     assert first.list_near_peers() == [("g9", other)]
     net.now += REGISTERED_S
     assert first.list_near_peers() == []
+
+
+def test_a_leaving_endpoint_is_told_to_others_with_its_age() -> None:
+    # fault: each gateway sends a leaving server requests until that tells it so itself
+    net = Net()
+    first, second = (get(gossip, "e1") for gossip in net.gateways)
+    first.notices.record(Notice(leaving=True), Source.ANSWER, net.now)
+    net.now += 0.5
+    net.gateways[0].tick()
+    net.deliver()
+    assert not second.is_available(net.now)
+    assert second.notices.leaving_source is Source.GOSSIP
+    assert second.notices.leaving_since == net.now - 0.5
+    assert get(net.gateways[1], "e0").is_available(net.now)
+
+
+def test_the_state_of_a_gateway_that_knows_no_notices_is_understood() -> None:
+    # fault: gateways of two versions do not understand each other during a roll-out
+    net = Net()
+    Reservation(get(net.gateways[0], "e1"), SIZE)
+    net.gateways[0].tick()
+    [(data, peer)] = net.sent
+    fields = msgspec.msgpack.decode(data)
+    net.sent = [(msgspec.msgpack.encode(fields[:-1]), peer)]
+    net.deliver()
+    assert get(net.gateways[1], "e1").remote.calls == 1
