Let servers of the soak leave by their answers alone and want nothing for a while

Cause: no fault of the soak made servers say either, so neither rule was checked from outside.

Change: two faults, drawn by a generator of their own so that a seed keeps its other faults, and a promise for each rule, checked on what callers and stand-ins saw. Entries of the soak carry the start of their server.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -93,6 +93,8 @@
         url = self._world.gateways[request.gateway].front + request.target
         async with session.post(url, data=request.body, headers=headers) as response:
             request.status = response.status
+            request.answered_at = time.monotonic()
+            request.leaving = response.headers.get("Server-Leaving") == "1"
             request.seal = response.headers.get("X-Response-Seal", "").removeprefix("seal-of-")
             async for part in response.content.iter_any():
                 request.answer += part
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,10 +6,12 @@
 import time
 from functools import singledispatch
 
+from basilroad.standin.appserver import WireFault
 from soak.link import Link
 from soak.records import InjectedFault
 from soak.schedule import (
     STORE_LINK,
+    AskForPause,
     CorruptResponses,
     CrashEndpoint,
     DelayLink,
@@ -18,6 +20,7 @@
     Fault,
     HoldLink,
     KillGateway,
+    LeaveUnlisted,
     MoveRoute,
     PauseGateway,
     ReloadGateway,
@@ -125,6 +128,19 @@
     world.endpoints[fault.target].server.schedule_faults(fault.faults)
 
 
+@inject.register
+async def _(fault: LeaveUnlisted, world: World) -> None:
+    await world.leave(fault.target)
+
+
+@inject.register
+async def _(fault: AskForPause, world: World) -> None:
+    server = world.endpoints[fault.target].server
+    server.retry_after = f"{fault.duration_s:g}"
+    server.schedule_faults([WireFault.PAUSE] * fault.count)
+    await asyncio.sleep(fault.duration_s)
+
+
 @inject.register
 async def _(fault: RevokeKey, world: World) -> None:
     world.revoke_key(fault.target)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -133,6 +133,52 @@
                 yield f"{request.id} reached {run.endpoint}, which had left"
 
 
+class AnnouncedLeavingCounts(Promise):
+    """A gateway sends an endpoint nothing ``DRAIN_S`` after it passed on that this one leaves."""
+
+    def find_breaches(self, record: Record) -> Iterator[str]:
+        """:return: requests that reached an endpoint too late; a restart or pause excuses."""
+        passed_on: dict[tuple[int, str], float] = {}
+        for request in record.requests.values():
+            if request.leaving and request.seal:
+                key = request.gateway, request.seal
+                passed_on[key] = min(passed_on.get(key, request.answered_at), request.answered_at)
+        for run in record.reached:
+            late = record.requests.get(run.request.id)
+            told_at = passed_on.get((late.gateway, run.endpoint)) if late else None
+            if late is None or told_at is None or late.sent_at <= told_at + DRAIN_S:
+                continue
+            if not record.is_interrupted(late.gateway, told_at, run.request.at):
+                yield f"{late.id} reached {run.endpoint}, which had said that it leaves"
+
+
+class PausesAreKept(Promise):
+    """At most ``MAX_REACHED`` calls of a gateway reach an endpoint that wants nothing of it."""
+
+    MAX_REACHED = 2
+    MARGIN_S = 0.5
+
+    def find_breaches(self, record: Record) -> Iterator[str]:
+        """:return: pauses with too many calls; a restart, pause or cut excuses."""
+        gateways = {request.id: request.gateway for request in record.requests.values()}
+        for pause in record.pauses:
+            request = record.requests.get(pause.request.id)
+            begin, end = pause.request.at, pause.request.at + pause.length_s
+            if request is None or request.aborted:
+                continue
+            reached = [
+                run.request.id
+                for run in record.reached
+                if run.endpoint == pause.endpoint
+                and begin + self.MARGIN_S < run.request.at < end
+                and gateways.get(run.request.id) == request.gateway
+            ]
+            if len(reached) <= self.MAX_REACHED or record.is_cut(pause.number, begin, end):
+                continue
+            if not record.is_interrupted(request.gateway, begin, end):
+                yield f"{pause.endpoint} wanted nothing for {pause.length_s} s, got {reached}"
+
+
 class ConfigIsInForce(Promise):
     """In fault-free periods a moved route is served by its new service after the apply time."""
 
@@ -234,6 +280,8 @@
     NothingIsInvented(),
     TakenKeysRunNothing(),
     LeavingEndpointsRest(),
+    AnnouncedLeavingCounts(),
+    PausesAreKept(),
     ConfigIsInForce(),
     PlannedStopsCutNothing(),
     StopsEndInTime(),
--- a/soak/records.py
+++ b/soak/records.py
@@ -8,7 +8,16 @@
 import attrs
 
 from basilroad.standin.appserver import ReceivedRequest
-from soak.schedule import PLANNED, Fault
+from soak.schedule import (
+    ENDPOINT_LINK,
+    PLANNED,
+    Fault,
+    HoldLink,
+    KillGateway,
+    PauseGateway,
+    ResetLink,
+    StopGateway,
+)
 
 
 class Kind(enum.Enum):
@@ -37,6 +46,8 @@
     :param body: request body
     :param sent_at: monotonic seconds
     :param ended_at: monotonic seconds at which the exchange ended
+    :param answered_at: monotonic seconds at which the head of the response arrived
+    :param leaving: whether the response says that its endpoint leaves
     :param status: status of the response; 0 without one
     :param seal: name of the endpoint in the seal of the response; empty without one
     :param answer: body of the response, as far as it was received
@@ -54,6 +65,8 @@
     body: bytes
     sent_at: float
     ended_at: float = 0.0
+    answered_at: float = 0.0
+    leaving: bool = False
     status: int = 0
     seal: str = ""
     answer: bytes = b""
@@ -76,6 +89,22 @@
     request: ReceivedRequest
 
 
+@attrs.frozen
+class Pause:
+    """A request that an endpoint turned away for a time.
+
+    :param endpoint: name of the endpoint
+    :param number: number of the endpoint
+    :param request: the request as received
+    :param length_s: seconds for which it wants nothing
+    """
+
+    endpoint: str
+    number: int
+    request: ReceivedRequest
+    length_s: float
+
+
 @attrs.frozen
 class InjectedFault:
     """A fault and the time during which it was in effect.
@@ -101,6 +130,8 @@
 
     :param requests: requests of the callers, by identifier
     :param runs: requests that endpoints ran
+    :param reached: requests that reached the endpoint that they were meant for, run or not
+    :param pauses: requests that endpoints turned away for a time
     :param injected_faults: faults with their times
     :param key_revoked_at: when the config without the key had been written to the store, by key
     :param draining_since: when each draining endpoint was stored as draining, by instance name
@@ -112,6 +143,8 @@
 
     requests: dict[str, Request] = attrs.field(factory=dict)
     runs: list[Run] = attrs.field(factory=list)
+    reached: list[Run] = attrs.field(factory=list)
+    pauses: list[Pause] = attrs.field(factory=list)
     injected_faults: list[InjectedFault] = attrs.field(factory=list)
     key_revoked_at: dict[str, float] = attrs.field(factory=dict)
     draining_since: dict[str, float] = attrs.field(factory=dict)
@@ -129,10 +162,31 @@
         unplanned = (one for one in self.injected_faults if not one.is_planned)
         return not any(one.began <= end and one.ended >= begin for one in unplanned)
 
+    def is_interrupted(self, gateway: int, begin: float, end: float) -> bool:
+        """:return: whether a gateway was restarted or suspended in a time span."""
+        faults = (
+            one
+            for one in self.injected_faults
+            if isinstance(one.fault, KillGateway | PauseGateway | StopGateway)
+            and one.fault.target == gateway
+        )
+        return any(one.began <= end and one.ended >= begin for one in faults)
+
+    def is_cut(self, endpoint: int, begin: float, end: float) -> bool:
+        """:return: whether the link of an endpoint was held or reset in a time span."""
+        faults = (
+            one
+            for one in self.injected_faults
+            if isinstance(one.fault, HoldLink | ResetLink)
+            and one.fault.link == ENDPOINT_LINK
+            and one.fault.target == endpoint
+        )
+        return any(one.began <= end and one.ended >= begin for one in faults)
+
     def service_at(self, moment: float) -> str:
         """:return: service of the moved route in the config at a point in time."""
         past = itertools.takewhile(lambda move: move[0] <= moment, self.route_moves)
         return list(past)[-1][1]
 
 
-__all__ = ["InjectedFault", "Kind", "Record", "Request", "Run"]
+__all__ = ["InjectedFault", "Kind", "Pause", "Record", "Request", "Run"]
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -23,6 +23,12 @@
     WireFault.GARBAGE,
 )
 
+BUSY_SERVICES = (0, 2)
+"""Positions of the services that always have traffic; the other one has some at times."""
+
+NOTICE_GAP_S = 1.0
+"""Mean seconds between what endpoints say of themselves."""
+
 STORE_LINK = "store"
 ENDPOINT_LINK = "endpoint"
 
@@ -130,6 +136,21 @@
     faults: tuple[WireFault, ...]
 
 
+@attrs.frozen
+class LeaveUnlisted(Fault):
+    """An endpoint says in its responses that it leaves; its entry says ready. Planned work."""
+
+
+@attrs.frozen
+class AskForPause(Fault):
+    """An endpoint turns requests away and wants no more for the duration.
+
+    :param count: number of requests that it turns away
+    """
+
+    count: int
+
+
 @attrs.frozen
 class RevokeKey(Fault):
     """An API key is revoked by a config change. Planned work."""
@@ -140,7 +161,7 @@
     """A route is moved to another service by a config change. Planned work."""
 
 
-PLANNED = (StopGateway, ReloadGateway, DrainEndpoint, RevokeKey, MoveRoute)
+PLANNED = (StopGateway, ReloadGateway, DrainEndpoint, LeaveUnlisted, RevokeKey, MoveRoute)
 """Planned work, which callers must not notice."""
 
 
@@ -153,6 +174,8 @@
     def __init__(self, settings: SoakSettings) -> None:
         self._settings = settings
         self._random = random.Random(settings.seed)
+        # of their own, so that a seed keeps its other faults
+        self._notice_random = random.Random(f"notices {settings.seed}")
 
     def draw(self) -> list[Fault]:
         """:return: faults in order of time; a series repeats one kind, and faults may overlap."""
@@ -161,7 +184,22 @@
         while at_s < self._settings.length_s:
             faults += self._draw_series(at_s)
             at_s += self._random.expovariate(1 / self._settings.fault_gap_s)
-        return sorted(faults, key=lambda fault: fault.at_s)
+        return sorted([*faults, *self._draw_notices()], key=lambda fault: fault.at_s)
+
+    def _draw_notices(self) -> list[Fault]:
+        """:return: what endpoints say of themselves, a kind in turn, at least one of each."""
+        generator, endpoints = self._notice_random, self._settings.endpoints
+        faults: list[Fault] = []
+        at_s = generator.uniform(0.2, 1.0)
+        while len(faults) < 2 or at_s < self._settings.length_s:
+            target = 3 * generator.randrange(endpoints) + generator.choice(BUSY_SERVICES)
+            if len(faults) % 2:
+                length_s = round(generator.uniform(0.8, 3.0), 2)
+                faults.append(AskForPause(at_s, target, length_s, generator.randint(1, 3)))
+            else:
+                faults.append(LeaveUnlisted(at_s, target, 0.0))
+            at_s += generator.expovariate(1 / NOTICE_GAP_S)
+        return faults
 
     def _draw_series(self, at_s: float) -> list[Fault]:
         draw = self._random.choice(self._list_factories())
@@ -234,6 +272,7 @@
     "ENDPOINT_LINK",
     "PLANNED",
     "STORE_LINK",
+    "AskForPause",
     "CorruptResponses",
     "CrashEndpoint",
     "DelayLink",
@@ -242,6 +281,7 @@
     "Fault",
     "HoldLink",
     "KillGateway",
+    "LeaveUnlisted",
     "MoveRoute",
     "PauseGateway",
     "ReloadGateway",
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,11 +9,11 @@
 
 import attrs
 
-from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.appserver import ALL_RESPONSES, AppServerStandin
 from basilroad.standin.rowstore import RowStoreStandin
 from soak.link import Link
 from soak.process import GatewayProcess
-from soak.records import Record, Run
+from soak.records import Pause, Record, Run
 from soak.settings import DRAIN_S, SoakSettings
 
 HOST = "soak.example"
@@ -29,6 +29,9 @@
 DRAIN_MARGIN_S = 0.5
 """Seconds after the drain time at which an endpoint stops."""
 
+UNLISTED_LEAVING_S = 2.0
+"""Seconds for which an endpoint that leaves without changing its entry goes on after that."""
+
 KEY_COUNT = 6
 """Number of API keys at the start; two are never revoked."""
 
@@ -99,13 +102,23 @@
             await endpoint.link.close()
             await endpoint.server.stop()
             for instance in endpoint.instances:
-                self.record.runs += [
-                    Run(instance.id, endpoint.service, run) for run in instance.runs
-                ]
+                self._record_instance(endpoint, instance)
         for link in self.store_links:
             await link.close()
         await self.store.stop()
 
+    def _record_instance(self, endpoint: Endpoint, instance: AppServerStandin) -> None:
+        record, name, service = self.record, instance.id, endpoint.service
+        record.runs += [Run(name, service, run) for run in instance.runs]
+        record.reached += [
+            Run(name, service, seen)
+            for seen in instance.seen
+            if seen.headers.get("x-expect-instance") == name
+        ]
+        record.pauses += [
+            Pause(name, endpoint.number, request, float(text)) for request, text in instance.paused
+        ]
+
     def heal(self) -> None:
         """End all faults that are still in effect."""
         self.store.refusing = 0
@@ -150,6 +163,22 @@
             await leaving.stop()
             await link.close()
 
+    async def leave(self, number: int) -> None:
+        """Let an endpoint leave that says so in its responses only; a new instance starts.
+
+        :param number: number of the endpoint
+        """
+        endpoint = self.endpoints[number]
+        async with endpoint.busy:
+            leaving, link = endpoint.server, endpoint.link
+            leaving.leaving_in = ALL_RESPONSES
+            endpoint.link = Link(0)
+            await self._start_instance(endpoint, 0)
+            await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S + UNLISTED_LEAVING_S)
+            self.store.put("servers", leaving.id, None)
+            await leaving.stop()
+            await link.close()
+
     async def _add_endpoint(self, number: int, service: str) -> None:
         endpoint = Endpoint(number, service, AppServerStandin(), Link(0))
         self.endpoints.append(endpoint)
@@ -174,6 +203,7 @@
             "zone": endpoint.data_centre,
             "slots": SLOTS,
             "state": state,
+            "born": 1000 + len(endpoint.instances),
         }
         self.store.put("servers", endpoint.server.id, entry)
 
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -122,7 +122,7 @@
     :param retry_after: value of ``Retry-After`` in the responses of ``WireFault.PAUSE``
     :param faults: faults of the next responses, in order
     :param seen: received requests except those for reports
-    :param paused: requests that were answered with ``Retry-After``
+    :param paused: requests that were answered with ``Retry-After``, and its value
     :param reports: number of received requests for reports
     """
 
@@ -139,7 +139,7 @@
     faults: deque[WireFault] = attrs.field(factory=deque)
     seen: list[ReceivedRequest] = attrs.field(factory=list)
     runs: list[ReceivedRequest] = attrs.field(factory=list)
-    paused: list[ReceivedRequest] = attrs.field(factory=list)
+    paused: list[tuple[ReceivedRequest, str]] = attrs.field(factory=list)
     reports: int = 0
     connections: int = 0
     endless_bytes: int = 0
@@ -234,7 +234,7 @@
         if fault is WireFault.TURN_AWAY:
             return _encode_response(503, {**echo, "X-Not-Executed": "1"}, b"")
         if fault is WireFault.PAUSE:
-            self.paused.append(request)
+            self.paused.append((request, self.retry_after))
             echo |= {"X-Not-Executed": "1", "Retry-After": self.retry_after}
             return _encode_response(503, echo, b"")
         return None
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from basilroad.standin.appserver import ReceivedRequest
 from soak.promises import PROMISES, Promise
-from soak.records import InjectedFault, Kind, Record, Request, Run
-from soak.schedule import KillGateway, Schedule, StopGateway
+from soak.records import InjectedFault, Kind, Pause, Record, Request, Run
+from soak.schedule import (
+    ENDPOINT_LINK,
+    AskForPause,
+    HoldLink,
+    KillGateway,
+    LeaveUnlisted,
+    PauseGateway,
+    ResetLink,
+    Schedule,
+    StopGateway,
+)
 from soak.settings import DEADLINE_S, DRAIN_S, GRACE_S, RECOVERY_S, REVOKE_S, SoakSettings
 
 FAULT = InjectedFault(KillGateway(0.0, 1, 0.5), 100.0, 101.0)
@@ -110,6 +121,70 @@
     assert find(record) == {"LeavingEndpointsRest"}
 
 
+def build_told_record(gap_s: float) -> Record:
+    """:return: a record in which an endpoint gets a call some time after it said that it leaves."""
+    told, late = build_request(Kind.LOOK), build_request(Kind.LOOK, FAULT_FREE_AT + gap_s)
+    told.id, told.leaving, told.answered_at = "r0", True, FAULT_FREE_AT
+    told.answer = b"answer of i-1 to r0"
+    record = build_record(late, build_run(late.sent_at))
+    record.requests["r0"] = told
+    record.reached = record.runs
+    return record
+
+
+def test_a_call_at_an_endpoint_that_said_that_it_leaves() -> None:
+    assert find(build_told_record(DRAIN_S + 0.1)) == {"AnnouncedLeavingCounts"}
+    assert find(build_told_record(DRAIN_S - 0.1)) == set()
+    other_gateway = build_told_record(DRAIN_S + 0.1)
+    other_gateway.requests["r0"].gateway = 1
+    assert find(other_gateway) == set()
+
+
+@pytest.mark.parametrize("kind", [KillGateway, PauseGateway])
+def test_a_restart_or_pause_of_the_gateway_excuses_a_call_at_a_leaving_endpoint(kind) -> None:
+    record = build_told_record(DRAIN_S + 0.5)
+    at = FAULT_FREE_AT + 0.5
+    for number, excused in ((1, False), (0, True)):
+        record.injected_faults.append(InjectedFault(kind(0.0, number, 0.1), at, at + 0.1))
+        assert ("AnnouncedLeavingCounts" not in find(record)) is excused
+
+
+def build_paused_record(calls: int, first_s: float = 0.6) -> Record:
+    """:return: a record in which calls reach an endpoint that wanted nothing for 2 s."""
+    record = build_record(build_request(), build_run())
+    record.pauses = [Pause("i-1", 1, build_run().request, 2.0)]
+    record.reached = [build_run(FAULT_FREE_AT + first_s + 0.1 * n) for n in range(calls)]
+    return record
+
+
+def test_calls_at_an_endpoint_that_wants_nothing() -> None:
+    assert find(build_paused_record(3)) == {"PausesAreKept"}
+    assert find(build_paused_record(2)) == set()
+    assert find(build_paused_record(9, first_s=-0.5)) == set()
+    assert find(build_paused_record(9, first_s=2.0)) == set()
+    aborted = build_paused_record(3)
+    aborted.requests["r1"].aborted = True
+    assert "PausesAreKept" not in find(aborted)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        KillGateway(0.0, 0, 0.1),
+        PauseGateway(0.0, 0, 0.1),
+        HoldLink(0.0, 1, 0.1, ENDPOINT_LINK, True, False),
+        ResetLink(0.0, 1, 0.0, ENDPOINT_LINK),
+    ],
+)
+def test_a_restart_pause_or_cut_excuses_calls_at_an_endpoint_that_wants_nothing(fault) -> None:
+    record = build_paused_record(3)
+    elsewhere = attrs.evolve(fault, target=fault.target + 1)
+    at = FAULT_FREE_AT + 0.3
+    for injected, excused in ((elsewhere, False), (fault, True)):
+        record.injected_faults.append(InjectedFault(injected, at, at + 0.1))
+        assert ("PausesAreKept" not in find(record)) is excused
+
+
 def test_a_call_at_the_previous_service_of_a_moved_route() -> None:
     at = FAULT_FREE_AT + 20.0
     record = build_record(build_request(Kind.MOVED, at), build_run(at))
@@ -157,3 +232,9 @@
     faults = Schedule(SoakSettings(seed=7)).draw()
     assert faults == Schedule(SoakSettings(seed=7)).draw()
     assert faults != Schedule(SoakSettings(seed=8)).draw()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_each_run_has_endpoints_that_leave_and_endpoints_that_want_nothing(seed: int) -> None:
+    kinds = {type(fault) for fault in Schedule(SoakSettings(seed, length_s=4.0)).draw()}
+    assert {LeaveUnlisted, AskForPause} <= kinds
