Read one field per endpoint when choosing among them

Cause: the check of notices cost 0.3 us for each endpoint of a choice.

Change: the time until which an endpoint wants no calls, for either reason, is one field.

--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -11,7 +11,7 @@
 import attrs
 
 from basilroad.endpoints.channels import ChannelPool
-from basilroad.gateway.notices import Lifetime, NoticeRegister, Purpose
+from basilroad.gateway.notices import Lifetime, NoticeRegister
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -153,7 +153,7 @@
             and self.entry.state is EndpointState.READY
             and now >= self.backoff_until
             and now >= self.full_until
-            and self.notices.permits(Purpose.CALL, now)
+            and now >= self.notices.no_calls_until
         )
 
     def record_report(self, report: EngineReport, now: float) -> None:
--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/notices.py
@@ -98,6 +98,7 @@
     :param paused_until: monotonic seconds until which it wants no requests
     :param paused_since: monotonic seconds at which the current pause was last asked for
     :param pause_source: how that was learnt
+    :param no_calls_until: monotonic seconds until which it wants no calls for either reason
     :param probed: whether a probe was sent during the current pause
     """
 
@@ -108,6 +109,7 @@
     paused_until: float = -math.inf
     paused_since: float = -math.inf
     pause_source: Source = Source.ANSWER
+    no_calls_until: float = -math.inf
     probed: bool = False
 
     def permits(self, purpose: Purpose, now: float) -> bool:
@@ -120,9 +122,9 @@
         :param now: monotonic seconds
         :return: whether it may be sent
         """
-        if now < self.paused_until:
-            return purpose is Purpose.PROBE and not self.probed
-        return self.leaving_since is None or purpose is Purpose.PROBE
+        if now >= self.no_calls_until:
+            return True
+        return purpose is Purpose.PROBE and (now >= self.paused_until or not self.probed)
 
     def record_probe(self) -> None:
         """Record that a probe is sent."""
@@ -149,6 +151,7 @@
         if self.leaving_since is not None:
             return
         self.leaving_since, self.leaving_source = since, source
+        self.no_calls_until = math.inf
         self.register.keep(self, "leaving", source)
         _LOGGER.info(
             "endpoint leaving",
@@ -167,6 +170,7 @@
         if until <= self.paused_until:
             return
         self.paused_until, self.paused_since, self.pause_source = until, now, source
+        self.no_calls_until = max(self.no_calls_until, until)
         self.register.keep(self, "pause", source)
         _LOGGER.info(
             "endpoint paused",
