Bound what is told of leaving endpoints, and log why endpoints are passed over cheaply

Cause: each gossip round read all kept notices, up to 1024, and each attempt described all endpoints of its service.

Change: the newest sixteen leaving lifetimes are kept apart for the gossip; only endpoints that get no calls are described. Tests: the attempt line names them, and a caller gets the time at which the only server takes calls again.

--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -52,8 +52,11 @@
         if not self.notices.has_any:
             return []
         now = self._clock()
-        described = (e.notices.describe(now) for e in self.list_by_service(service))
-        return [fields for fields in described if fields is not None]
+        return [
+            endpoint.notices.describe(now)
+            for endpoint in self.list_by_service(service)
+            if now < endpoint.notices.no_calls_until
+        ]
 
     def mark_listing_unreliable(self) -> None:
         """Record that the listing could not be read: entries may be missing from the next ones."""
--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/notices.py
@@ -7,7 +7,7 @@
 import math
 import random
 import time
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 from weakref import WeakValueDictionary
@@ -153,6 +153,7 @@
         self.leaving_since, self.leaving_source = since, source
         self.no_calls_until = math.inf
         self.register.keep(self, "leaving", source)
+        self.register.add_reported(self, since)
         _LOGGER.info(
             "endpoint leaving",
             extra={
@@ -183,24 +184,22 @@
             },
         )
 
-    def describe(self, now: float) -> dict[str, object] | None:
-        """:return: why it gets no calls, how that was learnt and how old it is; ``None`` if it may
-        get them."""
+    def describe(self, now: float) -> dict[str, object]:
+        """:return: why it gets no calls, how that was learnt and how old it is, for the log."""
         if self.leaving_since is not None:
-            reason, source, since = "leaving", self.leaving_source, self.leaving_since
-        elif now < self.paused_until:
-            reason, source, since = "paused", self.pause_source, self.paused_since
-        else:
-            return None
-        fields: dict[str, object] = {
+            return {
+                "endpoint": self.lifetime.id,
+                "reason": "leaving",
+                "source": self.leaving_source.value,
+                "age_ms": round(1000 * (now - self.leaving_since)),
+            }
+        return {
             "endpoint": self.lifetime.id,
-            "reason": reason,
-            "source": source.value,
-            "age_ms": round(1000 * (now - since)),
+            "reason": "paused",
+            "source": self.pause_source.value,
+            "age_ms": round(1000 * (now - self.paused_since)),
+            "left_ms": round(1000 * (self.paused_until - now)),
         }
-        if reason == "paused":
-            fields["left_ms"] = round(1000 * (self.paused_until - now))
-        return fields
 
 
 class NoticeRegister:
@@ -222,6 +221,7 @@
         self._count = count
         self._known: WeakValueDictionary[Lifetime, EndpointNotices] = WeakValueDictionary()
         self._kept: OrderedDict[Lifetime, EndpointNotices] = OrderedDict()
+        self._recent: deque[tuple[Lifetime, float]] = deque(maxlen=MAX_LEAVING_SENT)
 
     @property
     def has_any(self) -> bool:
@@ -262,6 +262,15 @@
             # those of listed endpoints are held by the endpoints too
             self._kept.popitem(last=False)
 
+    def add_reported(self, notices: EndpointNotices, since: float) -> None:
+        """Report to other gateways that an endpoint leaves, if its lifetime can be named.
+
+        :param notices: its notices
+        :param since: monotonic seconds at which it was known first
+        """
+        if notices.lifetime.started_ms:
+            self._recent.append((notices.lifetime, since))
+
     def extend_pause(self, pause_s: float) -> float:
         """:return: length of a pause with a random addition, in seconds."""
         pause_s = min(MAX_PAUSE_S, pause_s)
@@ -275,15 +284,11 @@
         :return: start time and age of the notice, both in milliseconds, by id of the endpoints that
             leave; those learnt last, if there are many
         """
-        found: dict[str, tuple[int, int]] = {}
-        for lifetime, notices in reversed(self._kept.items()):
-            since = notices.leaving_since
-            if since is None or not lifetime.started_ms or now - since > LEAVING_REPORT_S:
-                continue
-            found[lifetime.id] = lifetime.started_ms, max(0, round(1000 * (now - since)))
-            if len(found) == MAX_LEAVING_SENT:
-                break
-        return found
+        return {
+            lifetime.id: (lifetime.started_ms, max(0, round(1000 * (now - since))))
+            for lifetime, since in self._recent
+            if now - since <= LEAVING_REPORT_S
+        }
 
 
 __all__ = [
--- a/tests/gateway/test_leaving_endpoints.py
+++ b/tests/gateway/test_leaving_endpoints.py
@@ -328,3 +328,19 @@
     text = gateway.render_metrics().decode()
     assert 'basilroad_endpoint_notices_total{kind="leaving",source="answer"} 1.0' in text
     assert 'basilroad_endpoint_notices_total{kind="pause",source="answer"} 1.0' in text
+
+
+async def test_an_attempt_names_the_servers_that_were_passed_over(
+    gateway, start_server, caplog
+) -> None:
+    # fault: the log does not say why a server that is listed as ready got no call
+    await start_server("i-1", leaving_in=ALL_RESPONSES)
+    await start_server("i-2", data_centre="riga-b")
+    with caplog.at_level(logging.INFO):
+        await run(gateway, id="c0")
+        await run(gateway, id="c1")
+    last = [record for record in caplog.records if record.message == "attempt"][-1]
+    [passed_over] = last.passed_over
+    assert last.endpoint == "i-2"
+    assert passed_over.pop("age_ms") < 1000
+    assert passed_over == {"endpoint": "i-1", "reason": "leaving", "source": "answer"}
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -203,6 +203,17 @@
         await rig.send_request("/s/1", X_Deadline_Ms="600")
 
 
+async def test_a_caller_is_told_when_the_only_server_takes_calls_again(rig: Rig) -> None:
+    # fault: callers come back after a fixed second to a server that still wants nothing
+    await rig.configure(1, "key")
+    rig.app.retry_after = "7.5"
+    rig.app.schedule_faults([WireFault.PAUSE])
+    response = await rig.send_request("/o/1")
+    assert response.status == 503
+    assert 7.0 < float(response.headers["Retry-After"]) <= 7.9
+    assert b"no endpoint takes calls now: 1 paused, 0 leaving" in await response.read()
+
+
 async def test_a_lost_response_is_not_reported_as_not_executed(rig: Rig) -> None:
     await rig.configure(1, "key")
     rig.app.schedule_faults([WireFault.RESET])
