--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/notices.py
@@ -45,7 +45,7 @@
 
 
 class Purpose(enum.Enum):
-    """What a request to an endpoint is for."""
+    """What a request to an endpoint is for; the value names the response to it."""
 
     CALL = "answer"
     REPORT = "report"
@@ -66,7 +66,7 @@
     """What one response says of its endpoint.
 
     :param leaving: whether it will exit and wants no further calls
-    :param pause_s: seconds for which it wants no requests of this gateway; ``None`` without a limit
+    :param pause_s: seconds for which it wants no requests of this gateway; ``None`` without a pause
     """
 
     leaving: bool = False
@@ -113,8 +113,9 @@
     probed: bool = False
 
     def permits(self, purpose: Purpose, now: float) -> bool:
-        """Check whether a request may be sent; all senders ask this.
+        """Check whether a request may be sent; all senders ask this, just before they send.
 
+        ``Endpoint.is_available``, which choosers ask for each endpoint, reads ``no_calls_until``.
         A leaving endpoint that still runs streams may be probed. During a pause one probe is
         allowed, so that the streams of an endpoint that died meanwhile go on elsewhere.
 
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -5,6 +5,7 @@
 import random
 
 from basilroad.gateway.availability import find_service_pause
+from basilroad.gateway.call import PromptSize
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Endpoint, EndpointState
 from basilroad.gateway.notices import (
@@ -20,7 +21,8 @@
     Purpose,
     Source,
 )
-from builders import build_entry
+from basilroad.gateway.selection import Chooser
+from builders import ENGINE, PLACE, build_entry
 
 LEAVING = Notice(leaving=True)
 NOW = 100.0
@@ -298,3 +300,22 @@
     fleet.tell(endpoint, LEAVING)
     assert find_service_pause([endpoint], NOW) is None
     assert find_service_pause([], NOW) is None
+
+
+def test_no_backup_is_kept_by_an_endpoint_that_leaves_or_wants_nothing() -> None:
+    # fault: a stream keeps its copy where it can't go on
+    fleet = Fleet()
+    runs_at = fleet.add("e0", service="llm", slots=48)
+    names = ("e1", "e2", "e3")
+    first, second, third = (
+        fleet.add(name, service="llm", slots=48, data_centre="riga-b") for name in names
+    )
+    fleet.tell(first, LEAVING)
+    fleet.tell(second, Notice(pause_s=5.0))
+    chooser = Chooser(PLACE, random.Random(1))
+    endpoints = list(fleet.directory)
+    chosen = {
+        chooser.choose_backup_endpoint(endpoints, runs_at, PromptSize(8000, 1000), ENGINE, NOW)
+        for _ in range(20)
+    }
+    assert chosen == {third}
