--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -58,7 +58,7 @@
                 break
         if self._failed_reply is not None:
             return self._failed_reply
-        raise RefusedError(tracker.build_refusal())
+        raise RefusedError(self._gateway.build_refusal(tracker))
 
     def end_at_shutdown(self) -> Reply:
         """End a cancelled run because this host shuts down.
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -105,7 +105,7 @@
             return self._failed_reply
         if not self._tracker.sent:
             self._gateway.containment.check(self._call)
-        raise RefusedError(self._tracker.build_refusal())
+        raise RefusedError(self._gateway.build_refusal(self._tracker))
 
     def end_at_shutdown(self) -> Reply:
         """End a cancelled run because this host shuts down.
