Let a pause of the process decide no outcome where shared commits are counted

Cause: test_many_claims_share_few_commits gave its 200 claims 0.3 s and each write 0.2 s of real time, although it counts commits. A pause of the process beside a load ended all of them at once, as unavailable. Change: the claims of this test wait 30 s; the counts of outcomes, writes and commits stay. A second case pauses the process for 0.6 s within the first commit, so the fault shows in each run.

--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 
+import attrs
 import pytest
 from hypothesis import given, settings, strategies as st
 
@@ -32,6 +33,10 @@
     batch_s=0, retry_s=0.001, write_s=0.2, body_limit=100, outcome_retry_s=0.01, clean_s=0.01
 )
 CLAIM_TIMEOUT_S = 0.3
+
+CLAIMS_PATIENCE_S = 30.0
+"""Deadline of claims in seconds where the number of commits is checked, not their duration."""
+
 OUTCOME = StoredOutcome(200, (StoredHeader("x", "y"),), b"\x00done")
 
 
@@ -152,10 +157,16 @@
         await _until(lambda: clock.advance(0.1) or not table.rows)
 
 
-async def test_many_claims_share_few_commits(claims, table) -> None:
-    requests = [_request(f"k{number % 100}") for number in range(200)]
+# fault: each claim has a commit of its own; a pause of the process must not decide the outcome
+@pytest.mark.parametrize("pause_s", [0, 2 * CLAIM_TIMEOUT_S])
+async def test_many_claims_share_few_commits(table, pause_s) -> None:
+    patient = attrs.evolve(SETTINGS, write_s=CLAIMS_PATIENCE_S)
+    requests = [_request(f"k{number % 100}", CLAIMS_PATIENCE_S) for number in range(200)]
     table.delay_s = 0.001
-    outcomes = await asyncio.gather(*map(claims.claim, requests))
+    pauses = iter([pause_s])
+    table.on_commit = lambda: time.sleep(next(pauses, 0))
+    async with Claims(table, patient) as claims:
+        outcomes = await asyncio.gather(*map(claims.claim, requests))
     assert Counter(type(outcome) for outcome in outcomes) == {Claimed: 100, AlreadyClaimed: 100}
     assert sum(table.commits) == 200
     assert len(table.commits) <= 6
