Wait for the revision of the contract that was written, or a newer one

Cause: the step of the stock lookups waited for the log text "revision=2". A host writes its status 1 to 1.5 s after its start, so a fleet that starts slowly gives revisions 2 and on to status rows; a read of several revisions logs the last one only. Change: put_setting returns the revision of its row, and wait_setting waits for a log line that names this setting at that revision or a newer one. The name of the setting is checked now too, which the former step did not.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -363,16 +363,19 @@
         self.entries.append(entry)
         return entry
 
-    def put_setting(self, path: str, document: dict[str, Any]) -> None:
+    def put_setting(self, path: str, document: dict[str, Any]) -> int:
         """Write a setting unconditionally, without checking for a conflict.
 
         :param path: below ``settings/``
         :param document: content
+        :return: revision of the row
         """
         assert self.platform is not None
         write = {"key": f"settings/{path}", "value": msgspec.json.encode(document).decode()}
         answer = self.platform.ask("POST", "/table/commit", {"writes": [write]})
-        assert answer["results"][0]["done"], answer
+        (result,) = answer["results"]
+        assert result["done"], answer
+        return int(result["row"]["revision"])
 
     def wait_ready(self) -> None:
         """Wait until every running process is ready."""
--- a/tests/support/steps/order_faults.py
+++ b/tests/support/steps/order_faults.py
@@ -10,6 +10,7 @@
 from support.callers import OrderAnswer, place_order
 from support.fleet import Process
 from support.proxy import FaultProxy
+from support.settingslog import wait_setting
 from support.steps.context import SERVICE, ScenarioContext
 from support.steps.fleets import get_proxy
 
@@ -23,9 +24,9 @@
 @given("stock lookups are idempotent and hedged")
 def set_contract(context: ScenarioContext) -> None:
     contract = {"patience_s": WAIT_LIMIT_S, "calls": IDEMPOTENT_CALLS, "hedge_after_s": 0.3}
-    context.fleet.put_setting(f"services/{SERVICE}", contract)
+    revision = context.fleet.put_setting(f"services/{SERVICE}", contract)
     for process in (*context.fleet.entries, *(e.agent for e in context.fleet.endpoints)):
-        process.wait_logged("settings in force: revision=2")
+        wait_setting(process, f"services/{SERVICE}", revision)
 
 
 @when(parsers.parse("order {order} is sent at entry {entry:d}"))
