Slow the engines down until one of them is lost in the scenario of fifty callers

Cause: an engine generates 600 tokens in 6 s, whatever its callers have read. Beside a load the fifty callers had their first 20 tokens only after that, and no engine ran anything at the moment of the kill. Change: the stand-in takes another token interval while it runs. The scenario begins with 100 ms, for which an answer runs for 60 s, the limit of the wait for its tokens, and goes on with 10 ms after the kill. The check that the killed engine runs answers stays, as do the counts.

--- a/src/basilroad/standin/batch.py
+++ b/src/basilroad/standin/batch.py
@@ -63,7 +63,7 @@
 class Batch:
     """Runs at most as many generations at once as there are slots.
 
-    :param settings: settings of the engine
+    :param settings: settings of the engine; the token interval can be changed later
     :param faults: fault hooks of the engine
     """
 
@@ -76,6 +76,7 @@
         self._prefilled_tokens = 0
         self._cached_tokens = 0
         self.cache = PrefixCache(settings)
+        self.token_interval_s = settings.token_interval_s
 
     def measure(self) -> EngineLoad:
         """:return: current load and token counters since the start."""
@@ -121,7 +122,7 @@
         chain = self._start_chain(order)
         due = monotonic()
         while len(answer) < order.max_tokens:
-            due = max(due, monotonic() - MAX_CATCH_UP_S) + self._settings.token_interval_s
+            due = max(due, monotonic() - MAX_CATCH_UP_S) + self.token_interval_s
             await asyncio.sleep(due - monotonic())
             await self._faults.wait_thawed()
             token = chain.next_token()
--- a/src/basilroad/standin/engine.py
+++ b/src/basilroad/standin/engine.py
@@ -38,12 +38,14 @@
     :param freeze_s: suspend all work for this many seconds
     :param crash_on: crash after the prefill of a prompt that contains this text; empty for never
     :param deaf: whether to keep connections open without sending tokens
+    :param token_interval_s: seconds between the tokens of one generation, also of a running one
     """
 
     die: bool = False
     freeze_s: float = 0.0
     crash_on: str | None = None
     deaf: bool | None = None
+    token_interval_s: float | None = None
 
 
 @attrs.frozen
@@ -179,6 +181,8 @@
             self._crash_on = control.crash_on
         if control.deaf is not None:
             self._set_deaf(control.deaf)
+        if control.token_interval_s is not None:
+            self._batch.token_interval_s = control.token_interval_s
         if control.freeze_s > 0:
             self.freeze(control.freeze_s)
         if control.die:
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -36,9 +36,11 @@
 
   Scenario: Fifty callers at once, and an engine is lost
     Given a fleet of 4 engines and 2 entries
+    And each engine generates a token in 100 ms
     When 50 callers ask for 600 tokens each
     And each of them has 20 tokens
     And the busiest engine is killed
+    And each engine generates a token in 10 ms
     Then each caller has all 600 tokens of its own answer once
 
   Scenario: A caller does not read another one's answer
--- a/tests/standin/test_engine_standin.py
+++ b/tests/standin/test_engine_standin.py
@@ -272,3 +272,21 @@
         client.post(f"{engine.url}/generate", json={"prompt": 1}) as response,
     ):
         assert response.status == 400
+
+
+# fault: a changed interval reaches only later generations, so a scenario cannot let slow ones go on
+async def test_a_changed_token_interval_applies_to_a_running_generation(
+    client: aiohttp.ClientSession,
+) -> None:
+    async with make_engine(token_interval_s=0.001) as engine, asyncio.timeout(10):
+        await control(client, engine, token_interval_s=0.2)
+        async with client.post(
+            f"{engine.url}/generate", json=build_request(max_tokens=200)
+        ) as response:
+            frames = read_frames(response)
+            started = asyncio.get_running_loop().time()
+            for _ in range(2):
+                await anext(frames)
+            assert asyncio.get_running_loop().time() - started > 0.2
+            await control(client, engine, token_interval_s=0.001)
+            assert len([frame async for frame in frames]) == 199
--- a/tests/support/steps/fleets.py
+++ b/tests/support/steps/fleets.py
@@ -49,6 +49,15 @@
         entry.wait_logged("settings/ranks/standard")
 
 
+# slow engines still run all answers when callers beside a load have their first tokens late
+@given(parsers.parse("each engine generates a token in {milliseconds:d} ms"))
+@when(parsers.parse("each engine generates a token in {milliseconds:d} ms"))
+def set_token_interval(context: ScenarioContext, milliseconds: int) -> None:
+    for endpoint in context.fleet.endpoints:
+        if endpoint.backend.running:
+            endpoint.backend.ask("POST", "/control", {"token_interval_s": milliseconds / 1000})
+
+
 @given("only one agent is reachable")
 def cut_others(context: ScenarioContext) -> None:
     for endpoint in context.fleet.endpoints[1:]:
