Count a crash once that gateways notice at different times

Cause: a gateway that was suspended reports a crash seconds late, and the ledger counted it again.

Change: each crash counts once, at the earliest report.

Measured: test_a_crash_that_peers_notice_at_different_times_counts_once failed before, passes now.

--- a/src/basilroad/coordination/crashledger.py
+++ b/src/basilroad/coordination/crashledger.py
@@ -340,7 +340,12 @@
 
 def _list_outages(suspects: Iterable[_Suspect]) -> list[float]:
     outages: list[float] = []
+    seen: set[str] = set()
     for suspect in sorted(suspects, key=lambda s: (s.occurred_at, s.started_at)):
+        if suspect.crash in seen:
+            # a peer noticed it later
+            continue
+        seen.add(suspect.crash)
         at, last_at = suspect.occurred_at, outages[-1] if outages else -math.inf
         sent_later = suspect.started_at > last_at - TRANSIT_VARIATION_S
         if at - last_at >= SAME_OUTAGE_S or sent_later:
--- a/tests/coordination/test_crashledger.py
+++ b/tests/coordination/test_crashledger.py
@@ -257,3 +257,10 @@
         peer.crash(f"f{number}", f"other{number}", after_s=0.0)
         assert peer.is_refused("deadly")
     assert len(peer.ledger) == 8
+
+
+# fault: a gateway that was suspended notices a crash late, and it counts once more
+def test_a_crash_that_peers_notice_at_different_times_counts_once(peer: Peer) -> None:
+    for number in range(CRASHES_TO_REFUSE):
+        peer.crash("e1", f"own{number}", "popular", content=f"={number}")
+    assert not peer.is_refused("popular")
