Send long keys of crashes in more datagrams, and bound the parts that are read

Cause: reports with long keys exceeded the size of a datagram.

Change: a message that is too large is sent in two; at most 16 parts of a prompt are considered.

--- a/src/basilroad/gateway/crashreports.py
+++ b/src/basilroad/gateway/crashreports.py
@@ -23,12 +23,15 @@
 MAX_CRASH_CHARS = 256
 """Longest identifier of a crash, which has the id of an endpoint in it."""
 
-MAX_PARTS = 32
+MAX_PARTS = 16
 """Maximum parts of a request that are considered; prompts of these fleets have three or four."""
 
 MAX_REPORTS = 8
 """Reports per datagram; with three parts each they take two thirds of its size."""
 
+MAX_MESSAGE_BYTES = 1400
+"""Size beyond which a message is sent in two, below the usual MTU."""
+
 MAX_PASSED = 32
 """Keys per datagram of which a peer is told that they passed."""
 
@@ -139,7 +142,7 @@
 
         :param passed: seconds since a request with a key passed
         """
-        self.send(Crashes(self.host, [], _pack_ages(passed)), self.list_peers())
+        self._send([], passed, self.list_peers())
 
     def tick(self, now: float) -> None:
         """Tell new crashes; repeat recent ones, and those that show what is refused.
@@ -162,8 +165,7 @@
         self._rounds += 1
         chosen = records[start : start + MAX_REPORTS]
         passed = self.ledger.list_passed({key for record in chosen for key in record.keys})
-        message = Crashes(self.host, [_pack(record) for record in chosen], _pack_ages(passed))
-        self.send(message, self.generator.sample(peers, min(REPEAT_FANOUT, len(peers))))
+        self._send(chosen, passed, self.generator.sample(peers, min(REPEAT_FANOUT, len(peers))))
 
     def take(self, message: Crashes, address: Address) -> None:
         """Apply a message of another gateway, and tell it which of the parts passed here.
@@ -199,8 +201,18 @@
         if not records:
             return
         records.sort(key=lambda record: not record.began)
-        reports = [_pack(record) for record in records[:MAX_REPORTS]]
-        self.send(Crashes(self.host, reports, {}), self.list_peers())
+        self._send(records[:MAX_REPORTS], {}, self.list_peers())
+
+    def _send(
+        self, records: Sequence[CrashRecord], passed: Mapping[str, float], peers: Sequence[Address]
+    ) -> None:
+        message = Crashes(self.host, [_pack(record) for record in records], _pack_ages(passed))
+        half = len(records) // 2
+        if half and len(msgspec.msgpack.encode(message)) > MAX_MESSAGE_BYTES:
+            self._send(records[:half], {}, peers)
+            self._send(records[half:], passed, peers)
+            return
+        self.send(message, peers)
 
     def _list_repeated(self) -> list[CrashRecord]:
         recent = self.ledger.list_newest(MAX_REPORTS, RECENT_S)
--- a/tests/gateway/test_crashreports.py
+++ b/tests/gateway/test_crashreports.py
@@ -144,6 +144,17 @@
     assert [net.refused(number) for number in range(10)] == [[[DEADLY, "=one"]]] * 10
 
 
+# fault: reports with long keys exceed a datagram
+def test_long_keys_are_sent_in_more_messages() -> None:
+    net = Net(2)
+    parts = [f"{number:064}" for number in range(8)]
+    for number in range(6):
+        net.crash(0, f"e{number}/1", *parts)
+    net.run(20.0)
+    assert net.refused(1) == [parts]
+    assert net.largest <= MAX_DATAGRAM_BYTES
+
+
 def test_messages_are_few_and_fit_in_datagrams() -> None:
     net = Net(10)
     for number in range(12):
