--- a/src/basilroad/coordination/__init__.py
+++ b/src/basilroad/coordination/__init__.py
@@ -27,6 +27,12 @@
     from basilroad.coordination.claims import Claims
     from basilroad.coordination.claimsettings import ClaimsSettings
     from basilroad.coordination.copylimiter import ENDPOINTS_ALLOWED, CopyLimiter
+    from basilroad.coordination.crashledger import (
+        CrashLedger,
+        CrashRecord,
+        CrashSettings,
+        RefusedKeys,
+    )
     from basilroad.coordination.failuredetector import (
         FailureDetector,
         FailureDetectorSettings,
@@ -87,6 +93,9 @@
     "Claims": "claims",
     "ClaimsSettings": "claimsettings",
     "CopyLimiter": "copylimiter",
+    "CrashLedger": "crashledger",
+    "CrashRecord": "crashledger",
+    "CrashSettings": "crashledger",
     "FailureDetector": "failuredetector",
     "FailureDetectorSettings": "failuredetector",
     "FairPicker": "fairpicker",
@@ -112,6 +121,7 @@
     "PoisonMark": "poison",
     "PoisonSettings": "poison",
     "PoisonStatus": "poison",
+    "RefusedKeys": "crashledger",
     "RetryBudget": "budget",
     "RetrySettings": "budget",
     "Row": "table",
@@ -171,6 +181,9 @@
     "Claims",
     "ClaimsSettings",
     "CopyLimiter",
+    "CrashLedger",
+    "CrashRecord",
+    "CrashSettings",
     "FailureDetector",
     "FailureDetectorSettings",
     "FairPicker",
@@ -196,6 +209,7 @@
     "PoisonMark",
     "PoisonSettings",
     "PoisonStatus",
+    "RefusedKeys",
     "RetryBudget",
     "RetrySettings",
     "Row",
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -206,4 +206,8 @@
     status, _ = await fleet.generate([SHARED, DEADLY], 2)
     assert status == 503
     assert fleet.crashes == crashes
+    metrics = fleet.gateways[2].gateway.render_metrics().decode()
+    assert 'basilroad_refusals_total{kind="crashes_endpoints"} 1.0' in metrics
+    assert 'basilroad_crashes_total{source="heard"}' in metrics
+    assert "basilroad_refused_parts_total 1.0" in metrics
     assert await fleet.generate([SHARED], 2) == (200, 40)
