Resume a stream without length that ends before its first event

Callers saw, in a test: an empty stream that looked complete, where an engine crashed at the beginning of a stream with neither a length nor chunks. Cause: such a stream ends with its connection, and one that ended outside an event counted as complete. Change: it is taken for broken if no event has arrived in this run; the endpoint is then checked for a crash.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -158,6 +158,11 @@
         self._channel = channel
         self._pool = endpoint.pool
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """:return: whether only the end of the connection tells the end of the body."""
+        return not (self._head.get("content-length") or self._head.get("transfer-encoding"))
+
     async def read(self) -> bytes | None:
         """:return: next chunk of the body; ``None`` at its end.
 
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -340,12 +340,20 @@
                 self._gateway.liveness.mark_started(wait)
                 self._gateway.containment.record_event(run)
                 stalls_at = asyncio.get_running_loop().time() + self._stall_timeout_s
-        if not self._events.is_whole:
-            return MayHaveRun("the stream stopped within an event")
+        truncation = self._find_truncation(opened, run)
+        if truncation:
+            return MayHaveRun(truncation)
         if not self._started:
             await self._forward(opened, b"")
         return Ended()
 
+    def _find_truncation(self, opened: OpenReply, run: Run) -> str:
+        if not self._events.is_whole:
+            return "the stream stopped within an event"
+        if opened.ends_with_connection and run.first_event_at is None:
+            return "the connection was closed before the first event"
+        return ""
+
     async def _forward(self, opened: OpenReply, data: bytes) -> None:
         if not self._started:
             self._started = True
--- a/tests/gateway/test_streaming.py
+++ b/tests/gateway/test_streaming.py
@@ -13,7 +13,7 @@
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.standin.appserver import WireFault
-from builders import RecordingResponder, build_call, build_stream_route
+from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
 NON_RESUMABLE = build_stream_route(prefix="/s/", timeout_s=9.0, retry_safety=RetrySafety.FORBIDDEN)
@@ -145,3 +145,21 @@
     assert caught.value.refusal.kind is ErrorKind.DRAINING
     assert not engine.seen
     assert not any(endpoint.load.calls for endpoint in gateway.directory)
+
+
+async def test_a_stream_without_length_that_ends_before_its_first_event_is_not_complete(
+    gateway, start_server
+) -> None:
+    # fault: an engine that crashed before the first event gave an empty, complete stream
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: c1\r\nX-Response-Seal: seal\r\n\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    gateway.directory.put(build_entry("i-0", port=port, service="llm", slots=48))
+    await start_server("i-1", service="llm", events=20, data_centre="kurzeme-a")
+    responder = await run(gateway)
+    assert responder.numbers == list(range(1, 21))
+    server.close()
