Move the state message of gateways to a module of its own

Change: a move, with doc fields; the message on the wire is the same. Result: tests/gateway/test_gossip.py, test_crashreports.py and test_malformed_messages.py pass.

--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -9,12 +9,13 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, Annotated, cast
+from typing import TYPE_CHECKING, cast
 
 import attrs
 import msgspec
 
 from basilroad.gateway.crashreports import Crashes, CrashExchange
+from basilroad.gateway.gossipstate import LoadReport, StateMessage
 from basilroad.gateway.loans import Loan, LoanRequest
 from basilroad.gateway.promptlocations import PromptReport
 from basilroad.gateway.relay import Update
@@ -69,29 +70,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
-"""A number that a peer reports; others are rejected with their datagram."""
-
-LoadReport = tuple[Count, Count, Count]
-"""Calls, memory tokens and pending prefill tokens of a gateway at one endpoint."""
-
-StartTime = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
-"""Unix milliseconds."""
-
-
-class _Message(msgspec.Struct, array_like=True, tag="state"):
-    host: str
-    started_ms: int
-    sequence: int
-    address: str
-    loads: dict[str, LoadReport]
-    failures: dict[str, Count]
-    peers: list[str]
-    runs: list[PromptReport] = []
-    data_centre: str = ""
-    leaving: dict[str, tuple[StartTime, Count]] = {}
-
-
 @attrs.define
 class _PeerState:
     started_ms: int
@@ -102,7 +80,7 @@
     data_centre: str = ""
 
 
-_DECODER = msgspec.msgpack.Decoder(_Message | Update | LoanRequest | Loan | Crashes)
+_DECODER = msgspec.msgpack.Decoder(StateMessage | Update | LoanRequest | Loan | Crashes)
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -264,7 +242,7 @@
         raise TypeError(f"no handler for {message!r} from {address}")
 
     @_handle.register
-    def _(self, message: _Message, _: Address) -> None:
+    def _(self, message: StateMessage, _: Address) -> None:
         others = [parse_address(text) for text in message.peers]
         self.take(message, parse_address(message.address), others)
 
@@ -288,7 +266,7 @@
         """Ignore the error; later rounds reach the peer if it recovers."""
         _LOGGER.debug("datagram not delivered", extra={"detail": repr(exc)})
 
-    def take(self, message: _Message, address: Address, others: list[Address]) -> None:
+    def take(self, message: StateMessage, address: Address, others: list[Address]) -> None:
         """Apply the state of a peer unless it is older than the known state.
 
         :param message: state of the peer
@@ -372,7 +350,7 @@
         leaving: dict[str, tuple[int, int]],
     ) -> bytes:
         known = [str(peer) for peer in self._peers]
-        message = _Message(
+        message = StateMessage(
             self._host,
             self._started_ms,
             self._sequence,
--- /dev/null
+++ b/src/basilroad/gateway/gossipstate.py
@@ -0,0 +1,48 @@
+"""State that gateways send each other."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from basilroad.gateway.promptlocations import PromptReport
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
+"""A number that a peer reports; others are rejected with their datagram."""
+
+LoadReport = tuple[Count, Count, Count]
+"""Calls, memory tokens and pending prefill tokens of a gateway at one endpoint."""
+
+StartTime = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+"""Unix milliseconds."""
+
+
+class StateMessage(msgspec.Struct, array_like=True, tag="state"):
+    """State of one gateway.
+
+    :param host: its name
+    :param started_ms: start of its process in Unix milliseconds
+    :param sequence: number of the message in that process
+    :param address: its listening address for datagrams
+    :param loads: its load at each endpoint
+    :param failures: milliseconds since the failure of each failed endpoint
+    :param peers: addresses of some gateways that it knows
+    :param runs: prompts that it sent and the endpoints that have them
+    :param data_centre: its data centre
+    :param leaving: start time of each leaving endpoint and milliseconds since it said so
+    """
+
+    host: str
+    started_ms: int
+    sequence: int
+    address: str
+    loads: dict[str, LoadReport]
+    failures: dict[str, Count]
+    peers: list[str]
+    runs: list[PromptReport] = []
+    data_centre: str = ""
+    leaving: dict[str, tuple[StartTime, Count]] = {}
+
+
+__all__ = ["Count", "LoadReport", "StartTime", "StateMessage"]
