Refuse a common part when its contents crash side by side

Callers saw engines end, and streams on them break, after gateways had refused something already: the part together with one content.

Cause: crashes less than 0.5 s apart count once, so five crashes of two contents with one part weighed three, as many as the three crashes of one of them. On equal counts the set with more keys won, which is the one with the content, and requests with other contents passed on.

Change: on equal counts the set that explains more crashes wins, counted one by one; the number is in the log line 'part refused'.

It works as the part is in all crashes of each content, so it never explains fewer; what crashes a single content still is refused as such, as no other key is in more crashes.

--- a/src/basilroad/coordination/crashledger.py
+++ b/src/basilroad/coordination/crashledger.py
@@ -72,17 +72,19 @@
 
     :param keys: the keys
     :param crashes: number of crashes that count
+    :param explained: number of crashes, also those close to others that don't count
     :param refused_until: monotonic seconds
     """
 
     keys: frozenset[str]
     crashes: int
+    explained: int
     refused_until: float
 
     @property
-    def sort_key(self) -> tuple[int, int, list[str]]:
-        """:return: puts those first that explain the most crashes with the fewest keys."""
-        return -self.crashes, -len(self.keys), sorted(self.keys)
+    def sort_key(self) -> tuple[int, int, int, list[str]]:
+        """:return: puts those first that explain the most crashes; the most specific of them."""
+        return -self.crashes, -self.explained, -len(self.keys), sorted(self.keys)
 
 
 @attrs.define
@@ -340,7 +342,9 @@
         common = frozenset.intersection(*(suspect.keys for suspect in suspects))
         outages = _list_outages(suspects)
         counted_from = outages[-CRASHES_TO_REFUSE:][0]
-        return RefusedKeys(common, len(outages), counted_from + self._settings.retain_s)
+        explained = len({suspect.crash for suspect in suspects})
+        refused_until = counted_from + self._settings.retain_s
+        return RefusedKeys(common, len(outages), explained, refused_until)
 
     def _pack(self, record: _Record) -> CrashRecord:
         age_s = self._clock() - record.occurred_at
--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -224,7 +224,11 @@
             if refused.keys not in before:
                 _LOGGER.warning(
                     "part refused",
-                    extra={"keys": sorted(refused.keys), "crashes": refused.crashes},
+                    extra={
+                        "keys": sorted(refused.keys),
+                        "crashes": refused.crashes,
+                        "explained": refused.explained,
+                    },
                 )
                 self._metrics.refused_parts.inc()
         if after - before:
--- a/tests/coordination/test_crashledger.py
+++ b/tests/coordination/test_crashledger.py
@@ -287,3 +287,14 @@
         peer.ledger.record_passed(f"other{number}")
     peer.crash("e9", "unrelated")
     assert not peer.is_refused("rare", "=new")
+
+
+# fault: crashes of two contents side by side counted like those of one, which was refused alone
+def test_a_part_is_refused_alone_when_two_contents_crash_side_by_side(peer: Peer) -> None:
+    crashes = [("a", 0.0, 1.4), ("a", 1.38, 1.35), ("b", 0.46, 1.4), ("b", 0.96, 0.9)]
+    for number, (content, after_s, ran_s) in enumerate([*crashes, ("a", 0.06, 1.4)]):
+        peer.crash(
+            f"e{number}", "own", "deadly", content=f"={content}", after_s=after_s, ran_s=ran_s
+        )
+    assert peer.is_refused("own", "deadly", "=a")
+    assert peer.is_refused("own", "deadly", "=new")
