Refuse a content whose response head is lost at each crash

Callers of such a request got 502 after it had ended as many endpoints as its route allows attempts, and again with each repetition.

Cause: at a crash, requests that were not begun count only if no other one was. A deadly request whose head is lost with its connection is never begun, so it counted at no engine that also read other prompts.

Change: of crashes that nothing begun explains, the contents of requests that were not begun count, though none of their parts. Parts stay out, as queued requests of many callers share them.

Evidence: the test failed before. It works as such a content is at each crash that it causes; a request that only moved along with a deadly part stays innocent, since the part explains these crashes first. Tests: test_a_content_whose_head_is_lost_at_each_crash_is_refused (failed before), test_a_content_that_moved_along_with_a_deadly_part_is_innocent.

--- a/src/basilroad/coordination/crashledger.py
+++ b/src/basilroad/coordination/crashledger.py
@@ -308,30 +308,41 @@
             else:
                 del self._passed_at[oldest]
 
-    def _list_suspects(self) -> list[_Suspect]:
+    def _list_suspects(self, *, begun: bool) -> list[_Suspect]:
+        """List suspects.
+
+        :param begun: whether to list those that count in the first place, or the contents of the
+            others: the response head of a deadly request may be lost with its connection
+        :return: the suspects
+        """
         began = {record.crash for record in self._records.values() if record.began}
         suspects = []
         for record in self._records.values():
-            if record.crash in began and not record.began:
+            if begun is (record.crash in began and not record.began):
                 continue
-            keys = record.parts | {record.content}
+            keys = record.parts | {record.content} if begun else {record.content}
             keys = frozenset(k for k in keys if record.occurred_at > self._excused_until(k))
             suspects.append(_Suspect(record.crash, keys, record.started_at, record.occurred_at))
         return suspects
 
     def _find_refused(self) -> Iterator[RefusedKeys]:
-        suspects = self._list_suspects()
-        while True:
-            frequent = _list_frequent(suspects)
-            # two deadly parts with one sound part beside them look like one deadly part with two
-            # sound ones; so what never passed comes first
-            new = [found for key, found in frequent.items() if key not in self._passed_at]
-            best = self._choose(new) or self._choose(frequent.values())
-            if best is None:
-                return
-            yield best
-            explained = {suspect.crash for suspect in suspects if best.keys <= suspect.keys}
-            suspects = [suspect for suspect in suspects if suspect.crash not in explained]
+        explained: set[str] = set()
+        for begun in (True, False):
+            suspects = self._list_suspects(begun=begun)
+            while True:
+                suspects = [s for s in suspects if s.crash not in explained]
+                best = self._find_best(suspects)
+                if best is None:
+                    break
+                yield best
+                explained |= {s.crash for s in suspects if best.keys <= s.keys}
+
+    def _find_best(self, suspects: list[_Suspect]) -> RefusedKeys | None:
+        frequent = _list_frequent(suspects)
+        # two deadly parts with one sound part beside them look like one deadly part with two
+        # sound ones; so what never passed comes first
+        new = [found for key, found in frequent.items() if key not in self._passed_at]
+        return self._choose(new) or self._choose(frequent.values())
 
     def _choose(self, groups: Iterable[list[_Suspect]]) -> RefusedKeys | None:
         found = [self._intersect(suspects) for suspects in groups]
--- a/tests/coordination/test_crashledger.py
+++ b/tests/coordination/test_crashledger.py
@@ -298,3 +298,20 @@
         )
     assert peer.is_refused("own", "deadly", "=a")
     assert peer.is_refused("own", "deadly", "=new")
+
+
+# fault: heads of others had arrived where that of the deadly request was lost, so it never counted
+def test_a_content_whose_head_is_lost_at_each_crash_is_refused(peer: Peer) -> None:
+    for number in range(CRASHES_TO_REFUSE):
+        peer.crash(f"e{number}", "popular", content="=lost", began=False)
+        peer.crash(f"e{number}", f"own{number}", after_s=0.0)
+    assert peer.is_refused("popular", "=lost")
+    assert not peer.is_refused("popular")
+
+
+def test_a_content_that_moved_along_with_a_deadly_part_is_innocent(peer: Peer) -> None:
+    for number in range(CRASHES_TO_REFUSE):
+        peer.crash(f"e{number}", content="=moved", began=False)
+        peer.crash(f"e{number}", f"own{number}", "deadly", after_s=0.0)
+    assert peer.is_refused("deadly")
+    assert not peer.is_refused("=moved")
