Refuse a stream that crashes its endpoints past its beginning

Callers of a stream that crashes each engine at the same event got a broken stream after five engines had ended, and their repetitions ended as many.

Cause: a stream counts as passed 0.3 s after its first event, with its content, and what happened to it later was not recorded at all.

Change: breaks past the beginning are kept per stream with the events of the run and of the stream. Three at similar positions, the last two of which are crashes by a new connection, count against the content, never against parts. Contents are cleared by whole responses only. A crash counts 0.15 s later, when what caused it elsewhere is known, so that streams that moved along with a deadly part are not refused for its crashes.

--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -129,7 +129,7 @@
 
     async def _record_end(self, run: Run, attempt: Attempt, outcome: Outcome) -> None:
         if isinstance(outcome, Reply):
-            self._gateway.containment.record_passed(run)
+            self._gateway.containment.record_whole(run)
         elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
             await self._gateway.containment.record_break(run)
 
--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -12,7 +12,12 @@
 
 import attrs
 
-from basilroad.coordination.crashledger import CrashLedger, CrashRecord, CrashSettings
+from basilroad.coordination.crashledger import (
+    CRASHES_TO_REFUSE,
+    CrashLedger,
+    CrashRecord,
+    CrashSettings,
+)
 from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.crashreports import CrashExchange
@@ -24,6 +29,7 @@
     from basilroad.coordination.crashledger import RefusedKeys
     from basilroad.gateway.call import Call
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.latecrashes import LateBreak, LateBreaks
     from basilroad.gateway.metrics import GatewayMetrics
     from basilroad.gateway.notices import EndpointNotices
 
@@ -41,6 +47,10 @@
 SAME_CRASH_S = 1.0
 """Time within which an endpoint crashes once; endpoints of these fleets are down for longer."""
 
+LATE_CRASH_DELAY_S = 0.15
+"""Time before a crash counts against a stream past its beginning: by then what caused it elsewhere
+is known here, if it is refused."""
+
 REFUSED_MESSAGE = "endpoints crashed on requests with the same content or prompt part"
 
 _LOGGER = logging.getLogger(__name__)
@@ -53,6 +63,7 @@
     :param call: the call
     :param endpoint: the endpoint; ``None`` in the queue
     :param cancel: cancels it
+    :param resumed_after: last event of the stream before this run
     :param began: whether the response head has arrived
     :param first_event_at: monotonic seconds of the first event; ``None`` before
     :param passed: whether it is past its beginning
@@ -63,6 +74,7 @@
     call: Call
     endpoint: Endpoint | None = None
     cancel: Callable[[], None] = lambda: None
+    resumed_after: int = 0
     began: bool = False
     first_event_at: float | None = None
     passed: bool = False
@@ -107,6 +119,11 @@
             return None
         return self.ledger.find_refusal(call.crash_keys)
 
+    def refuses_content(self, call: Call) -> bool:
+        """:return: whether the content of a call is refused, not only one of its parts."""
+        refused = self.find_refusal(call)
+        return refused is not None and call.content_key in refused.keys
+
     def check(self, call: Call) -> None:
         """Refuse a call whose content or parts crash endpoints.
 
@@ -143,7 +160,7 @@
                 yield
 
     def record_event(self, run: Run) -> None:
-        """Record an event of a stream; past its beginning, its content and parts are sound.
+        """Record an event of a stream; past its beginning, its parts are sound.
 
         :param run: the run
         """
@@ -154,20 +171,20 @@
             run.first_event_at = now
             self._runs.discard(run)
         elif not run.is_at_beginning(now):
-            self.record_passed(run)
+            run.passed = True
+            self._record_passed(run.call.prompt_parts)
 
-    def record_passed(self, run: Run) -> None:
-        """Record that a run is whole or past its beginning.
+    def record_whole(self, run: Run) -> None:
+        """Record a complete response; its content and parts are sound.
 
         :param run: the run
         """
-        if run.passed:
-            return
         run.passed = True
         # contents are different from each other as a rule, so they are not kept without need
-        keys: Collection[str] = run.call.prompt_parts
-        if len(self.ledger) and self.ledger.is_named(run.call.content_key):
-            keys = run.call.crash_keys
+        is_named = len(self.ledger) and self.ledger.is_named(run.call.content_key)
+        self._record_passed(run.call.crash_keys if is_named else run.call.prompt_parts)
+
+    def _record_passed(self, keys: Collection[str]) -> None:
         cleared = [key for key in keys if self.ledger.record_passed(key)]
         if cleared:
             self.exchange.announce_passed(self.ledger.list_passed(cleared))
@@ -178,13 +195,8 @@
 
         :param run: the run
         """
-        endpoint = run.endpoint
         broken_at = time.monotonic()
-        if endpoint is None or not run.is_at_beginning(broken_at):
-            return
-        if endpoint.entry.state is EndpointState.DRAINING or run.has_left:
-            return
-        if not await self._is_down(endpoint):
+        if not run.is_at_beginning(broken_at) or not await self._has_crashed(run):
             return
         crash, number = run.crash, 1
         while self.ledger.has_crash(crash, time.monotonic() - broken_at + SAME_CRASH_S):
@@ -195,12 +207,47 @@
         parts = frozenset(p for p in call.prompt_parts if self.ledger.find_passed(p) is None)
         ran_s, age_s = broken_at - run.started_at, time.monotonic() - broken_at
         record = CrashRecord(crash, call.content_key, parts, run.began, ran_s, age_s)
+        self._record_own(record, call)
+
+    async def record_late_break(self, found: LateBreak, breaks: LateBreaks) -> None:
+        """Record a connection that its endpoint broke after the beginning of a stream.
+
+        Endpoints crash for other reasons too, more often in a long stream, so crashes count against
+        its content only if there are enough of them at similar positions.
+
+        :param found: the break
+        :param breaks: breaks of the same stream
+        """
+        similar = breaks.add(found)
+        if len(similar) < CRASHES_TO_REFUSE - 1:
+            return
+        if not await self._has_crashed(found.run):
+            breaks.discard(found)
+            return
+        if len(similar) < CRASHES_TO_REFUSE:
+            return
+        await asyncio.sleep(LATE_CRASH_DELAY_S)
+        for known in similar:
+            run = known.run
+            ran_s, age_s = known.broken_at - run.started_at, time.monotonic() - known.broken_at
+            record = CrashRecord(
+                run.crash, run.call.content_key, frozenset(), ran_s=ran_s, age_s=age_s
+            )
+            self._record_own(record, run.call)
+
+    def _record_own(self, record: CrashRecord, call: Call) -> None:
         if self.ledger.merge([record]):
             _log_crash(record, call.id)
             self._metrics.crashes.labels("own").inc()
             self.exchange.announce_crash(record)
             self._apply_refusals()
 
+    async def _has_crashed(self, run: Run) -> bool:
+        endpoint = run.endpoint
+        if endpoint is None or endpoint.entry.state is EndpointState.DRAINING or run.has_left:
+            return False
+        return await self._is_down(endpoint)
+
     async def _is_down(self, endpoint: Endpoint) -> bool:
         check = self._checks.get(endpoint.id)
         if check is None:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -17,6 +17,7 @@
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.events import EventOrderError, EventSequence
 from basilroad.gateway.firstevent import FirstEventWait
+from basilroad.gateway.latecrashes import LateBreak, LateBreaks
 from basilroad.gateway.metrics import name_rank
 
 if TYPE_CHECKING:
@@ -75,6 +76,7 @@
         self._first_event = 0
         self._started = False
         self._passed = False
+        self._late_breaks = LateBreaks()
         self._backup_endpoint: Endpoint | None = None
         self._failed_reply: Reply | None = None
         self._last_forwarded_at = 0.0
@@ -122,7 +124,7 @@
 
     async def _start_attempt(self) -> bool:
         tracker, service = self._tracker, self._call.service
-        if not self._passed and self._gateway.containment.find_refusal(self._call) is not None:
+        if self._is_refused():
             tracker.last_detail = REFUSED_MESSAGE
             return False
         allowed = tracker.try_start_attempt()
@@ -137,6 +139,12 @@
             allowed = tracker.try_start_attempt()
         return allowed
 
+    def _is_refused(self) -> bool:
+        containment = self._gateway.containment
+        if self._passed:
+            return containment.refuses_content(self._call)
+        return containment.find_refusal(self._call) is not None
+
     def _record_duration(self) -> None:
         now = time.monotonic()
         later = self._events.last - self._first_event
@@ -254,16 +262,25 @@
 
     async def _run_watched(self, attempt: Attempt, reservation: Reservation) -> Outcome:
         containment = self._gateway.containment
-        run = Run(self._call, attempt.endpoint)
+        run = Run(self._call, attempt.endpoint, resumed_after=self._events.last)
         with containment.watch(run):
             outcome = await self._exchange(attempt, reservation, run)
         if isinstance(outcome, Ended) and run.first_event_at is not None:
-            containment.record_passed(run)
-        elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off and not self._passed:
-            await containment.record_break(run)
+            containment.record_whole(run)
+        elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
+            await self._record_break(run)
         self._passed = self._passed or run.passed
         return outcome
 
+    async def _record_break(self, run: Run) -> None:
+        containment = self._gateway.containment
+        if not self._passed and run.is_at_beginning(time.monotonic()):
+            await containment.record_break(run)
+            return
+        progress = self._events.last - run.resumed_after
+        found = LateBreak(run, progress, self._events.last)
+        await containment.record_late_break(found, self._late_breaks)
+
     async def _exchange(self, attempt: Attempt, reservation: Reservation, run: Run) -> Outcome:
         now = time.monotonic()
         first = asyncio.timeout(None)
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -70,6 +70,19 @@
 
 ALL_RESPONSES = frozenset(ResponseKind)
 
+
+class CrashPoint(enum.Enum):
+    """Where in its run a request with ``AppServerStandin.crash_body`` crashes the server.
+
+    ``SILENT`` ends nothing on the wire: the server answers no more until it is up again.
+    """
+
+    HEAD = "after the response head"
+    NO_HEAD = "before the response head"
+    EVENT = "before an event"
+    SILENT = "silently"
+
+
 _ENDLESS: dict[WireFault, tuple[bytes, bytes]] = {
     WireFault.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x" * 4096),
     WireFault.ENDLESS_HEADERS: (b"HTTP/1.1 200 OK\r\n", b"X-More: yes\r\n" * 256),
@@ -123,7 +136,11 @@
     :param ip: its loopback address
     :param silent: whether all responses are withheld
     :param crash_on: prompt part on which the server crashes before the first event; empty for none
+    :param crash_body: body of the requests that crash it at ``crash_point``; empty for none
+    :param crash_point: where in their run
+    :param crash_at_event: number of that event for ``CrashPoint.EVENT``
     :param down_s: seconds for which it is down after a crash
+    :param crashes: number of crashes
     :param leaving_in: responses that say that the server leaves
     :param retry_after: value of ``Retry-After`` in the responses of ``WireFault.PAUSE``
     :param faults: faults of the next responses, in order
@@ -142,6 +159,9 @@
     ip: str = "127.0.0.1"
     silent: bool = False
     crash_on: str = ""
+    crash_body: bytes = b""
+    crash_point: CrashPoint = CrashPoint.HEAD
+    crash_at_event: int = 1
     down_s: float = 2.0
     crashes: int = 0
     leaving_in: frozenset[ResponseKind] = frozenset()
@@ -187,10 +207,23 @@
 
     async def _crash(self) -> None:
         self.crashes += 1
-        await self._go_down()
+        self.silent = self.crash_point is CrashPoint.SILENT
+        if not self.silent:
+            await self._go_down()
         await asyncio.sleep(self.down_s)
+        await self._go_down()
+        self.silent = False
         await self.start(self.port)
 
+    async def _end_by_request(self) -> None:
+        self._outage = asyncio.ensure_future(self._crash())
+        await asyncio.Event().wait()
+
+    def _crashes_on(self, request: ReceivedRequest, point: CrashPoint) -> bool:
+        return (
+            bool(self.crash_body) and self.crash_body == request.body and point is self.crash_point
+        )
+
     def schedule_faults(self, faults: Iterable[WireFault]) -> None:
         """Queue faults for the next responses.
 
@@ -241,6 +274,8 @@
         writer.write(self._late_copies.pop(writer, b""))
         if self.response_delay_s:
             await asyncio.sleep(self.response_delay_s)
+        if any(self._crashes_on(request, p) for p in (CrashPoint.NO_HEAD, CrashPoint.SILENT)):
+            await self._end_by_request()
         if self.events and fault is WireFault.NONE:
             return await self._stream(request, writer)
         return await self._write_faulty(request.id, fault, writer)
@@ -323,11 +358,13 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(_encode_head(200, headers))
-        if self.crash_on and self.crash_on in _list_shared_parts(request):
+        is_deadly = self.crash_on and self.crash_on in _list_shared_parts(request)
+        if is_deadly or self._crashes_on(request, CrashPoint.HEAD):
             await asyncio.sleep(PREFILL_S)
-            self._outage = asyncio.ensure_future(self._crash())
-            await asyncio.Event().wait()
+            await self._end_by_request()
         for number in range(first, self.events + 1):
+            if number == self.crash_at_event and self._crashes_on(request, CrashPoint.EVENT):
+                await self._end_by_request()
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             while self.silent:
                 await asyncio.sleep(0.01)
@@ -409,6 +446,7 @@
 __all__ = [
     "ALL_RESPONSES",
     "AppServerStandin",
+    "CrashPoint",
     "ReceivedRequest",
     "ResponseKind",
     "WireFault",
