Count silent engines that the listing shows to have ended as crashed

Callers of a request on which engines fall silent, in place of a broken connection, were answered late and after each engine of the route's attempts had ended; each repetition ended as many.

Cause: silence was no crash at all, as a lost link looks the same.

Change: runs without events at engines that fail a probe are kept for 10 s. When the listing drops the engine or shows another start within that time, and the engine did not announce its exit, the crash is recorded with the moment of the silence. So a cut of links, whose endpoints stay listed, refuses nothing.

--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -51,6 +52,14 @@
 """Time before a crash counts against a stream past its beginning: by then what caused it elsewhere
 is known here, if it is refused."""
 
+SILENCE_CONFIRMATION_S = 10.0
+"""Time within which the listing shows that a silent endpoint ended or restarted; it takes three
+heartbeats, and longer while the store is slow."""
+
+MAX_SILENT_RUNS = 256
+"""Runs at silent endpoints that wait for the listing; more of them are the failure of a data
+centre or of this host's links."""
+
 REFUSED_MESSAGE = "endpoints crashed on requests with the same content or prompt part"
 
 _LOGGER = logging.getLogger(__name__)
@@ -93,6 +102,14 @@
         """:return: whether the endpoint announced that it leaves."""
         return self._notices is not None and self._notices.leaving_since is not None
 
+    @property
+    def has_ended(self) -> bool:
+        """:return: whether the listing shows that this lifetime of the endpoint is over."""
+        endpoint = self.endpoint
+        if endpoint is None or endpoint.entry.state is EndpointState.DRAINING:
+            return False
+        return endpoint.removed or endpoint.notices is not self._notices
+
     def is_at_beginning(self, now: float) -> bool:
         """:return: whether a crash of the endpoint counts against the call."""
         return self.first_event_at is None or now - self.first_event_at < BEGINNING_S
@@ -110,6 +127,7 @@
         self.exchange = CrashExchange(host, self.ledger, self._apply_heard)
         self._metrics = metrics
         self._runs: set[Run] = set()
+        self._silent: deque[tuple[Run, float]] = deque(maxlen=MAX_SILENT_RUNS)
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._known: tuple[RefusedKeys, ...] = ()
 
@@ -203,11 +221,7 @@
             # its listing does not tell its starts apart
             number += 1
             crash = f"{run.crash}#{number}"
-        call = run.call
-        parts = frozenset(p for p in call.prompt_parts if self.ledger.find_passed(p) is None)
-        ran_s, age_s = broken_at - run.started_at, time.monotonic() - broken_at
-        record = CrashRecord(crash, call.content_key, parts, run.began, ran_s, age_s)
-        self._record_own(record, call)
+        self._record_own(self._build_record(run, crash, broken_at), run.call)
 
     async def record_late_break(self, found: LateBreak, breaks: LateBreaks) -> None:
         """Record a connection that its endpoint broke after the beginning of a stream.
@@ -235,6 +249,38 @@
             )
             self._record_own(record, run.call)
 
+    def record_silence(self, run: Run) -> None:
+        """Record a run at an endpoint that sends nothing more.
+
+        Lost links look the same, so it counts as a crash once the listing shows that the endpoint
+        has ended.
+
+        :param run: the run
+        """
+        now = time.monotonic()
+        if run.endpoint is not None and run.is_at_beginning(now):
+            self._silent.append((run, now))
+
+    def check_silent(self, now: float) -> None:
+        """Record the crashes of silent endpoints that the listing shows; to be called periodically.
+
+        :param now: monotonic seconds
+        """
+        for _ in range(len(self._silent)):
+            run, silent_at = self._silent.popleft()
+            if run.has_left or now - silent_at > SILENCE_CONFIRMATION_S:
+                continue
+            if not run.has_ended:
+                self._silent.append((run, silent_at))
+                continue
+            self._record_own(self._build_record(run, run.crash, silent_at), run.call)
+
+    def _build_record(self, run: Run, crash: str, crashed_at: float) -> CrashRecord:
+        call = run.call
+        parts = frozenset(p for p in call.prompt_parts if self.ledger.find_passed(p) is None)
+        ran_s, age_s = crashed_at - run.started_at, time.monotonic() - crashed_at
+        return CrashRecord(crash, call.content_key, parts, run.began, ran_s, age_s)
+
     def _record_own(self, record: CrashRecord, call: Call) -> None:
         if self.ledger.merge([record]):
             _log_crash(record, call.id)
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -131,6 +131,7 @@
         self.pool = ChannelPool(entry.address)
         self.last_received_at = -math.inf
         self.last_failed_at = -math.inf
+        self.lost_at = -math.inf
         self.full_until = -math.inf
         self.backoff_until = -math.inf
         self.removed = False
@@ -303,6 +304,7 @@
 
         :param now: monotonic seconds
         """
+        self.lost_at = now
         self.record_unreachable(now)
         for channel, repeatable in list(self._channels.items()):
             if repeatable:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -338,8 +338,9 @@
     # housekeeping
 
     def sweep(self) -> None:
-        """Remove expired endpoints and dispatch queued calls."""
+        """Remove expired endpoints, dispatch queued calls and find crashes of silent endpoints."""
         self.directory.expire()
+        self.containment.check_silent(time.monotonic())
         self.dispatcher.dispatch_waiting()
 
 
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -269,6 +269,8 @@
             containment.record_whole(run)
         elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
             await self._record_break(run)
+        elif isinstance(outcome, MayHaveRun) and attempt.endpoint.lost_at >= run.started_at:
+            containment.record_silence(run)
         self._passed = self._passed or run.passed
         return outcome
 
