Move the runs of calls out of the containment

Cause: latecrashes.py names a run, and the containment names late breaks, so the two modules imported each other (tests/test_imports.py failed).

--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -13,12 +13,13 @@
 from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.call import Reply
 from basilroad.gateway.calllog import AttemptRecord, log_resume_from_backup
-from basilroad.gateway.containment import REFUSED_MESSAGE, Run
+from basilroad.gateway.containment import REFUSED_MESSAGE
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.events import EventOrderError, EventSequence
 from basilroad.gateway.firstevent import FirstEventWait
 from basilroad.gateway.latecrashes import LateBreak, LateBreaks
 from basilroad.gateway.metrics import name_rank
+from basilroad.gateway.runs import Run
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, Responder
