Share the loopback addresses of tests with several gateways

Cause: the test of limited servers needs the addresses that the test of crashing parts names, so that no connection of its own takes a port.

Change: name_ip stands in tests/support/; no check changes.

--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import os
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -18,6 +17,7 @@
 from basilroad.platform.settings import Bounds, ProcessSettings, StoreAccess
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.rowstore import RowStoreStandin
+from support.addresses import name_ip
 
 HEADERS = {"Host": "h.example", "X-Key": "key", "X-Deadline-Ms": "4000"}
 ROUTE = {
@@ -46,15 +46,6 @@
 """Crashes of one part after which the platform expects it to be contained."""
 
 
-def name_ip(number: int) -> str:
-    """Name a loopback address of this process, on which no other connection takes a port.
-
-    :param number: number of the server or gateway
-    """
-    pid = os.getpid()
-    return f"127.{64 + (pid >> 8) % 128}.{pid % 256}.{1 + number}"
-
-
 class Fleet:
     """Two gateways that exchange gossip before servers that crash on one prompt part."""
 
