Keep the limit that an endpoint names for all gateways together

Cause: nothing read Server-Limit. Read by each gateway alone it would still be exceeded: a bucket of one request for each of 28 hosts is over a limit of one a second, and an equal share leaves it unused.

Change: the limit is part of what endpoints say of themselves, for one lifetime, newest request first, told by gossip. Calls go to endpoints with room first; beyond all limits they are refused at once with the time of the next permit. Probes need permits and reports are not read there. After the end gateways return one by one.

--- a/src/basilroad/coordination/budget.py
+++ b/src/basilroad/coordination/budget.py
@@ -104,6 +104,23 @@
         self._level = burst
         self._updated_at = clock()
 
+    @property
+    def burst(self) -> float:
+        """:return: capacity in units."""
+        return self._burst
+
+    def resize(self, rate: float, burst: float) -> None:
+        """Change the rate from now on; the level is kept as far as it fits.
+
+        :param rate: units per second
+        :param burst: capacity in units
+        """
+        if rate <= 0 or burst <= 0:
+            raise ValueError(f"rate and burst must be positive: got {rate} and {burst}")
+        self._refill()
+        self._rate, self._burst = rate, burst
+        self._level = min(self._level, burst)
+
     def take(self, amount: float) -> bool:
         """Try to consume an amount.
 
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import logging
+import math
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
@@ -19,6 +20,7 @@
     OutgoingRequest,
     ReplyHead,
 )
+from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Purpose, Source
 
 if TYPE_CHECKING:
@@ -99,6 +101,15 @@
         :return: the notice; an empty one for the response of another endpoint at the address
         """
 
+    def read_limit(self, head: ReplyHead, endpoint_id: str) -> float | None:
+        """Read the limit that a response names for the requests of all gateways together.
+
+        :param head: head of the response
+        :param endpoint_id: id of the endpoint that was asked
+        :return: requests a second, infinite if it names none; ``None`` for the response of another
+            endpoint at the address
+        """
+
     def classify_response(
         self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
     ) -> ResponseVerdict:
@@ -206,6 +217,7 @@
         self.call = call
         self.endpoint = endpoint
         self.sent = False
+        self._sent_at = -math.inf
         self._protocol = protocol
         self._options = options
         # a response may arrive after a restart; it speaks for the lifetime that was asked
@@ -237,7 +249,7 @@
         repeatable = self.call.route.repeatable
         self.endpoint.add_pending(channel, time.monotonic(), repeatable=repeatable)
         request = self._protocol.encode(self.call, self._options)
-        self.sent = True
+        self.sent, self._sent_at = True, time.monotonic()
         channel.send(request)
         try:
             head = await channel.read_head()
@@ -266,6 +278,10 @@
         if verdict is not ResponseVerdict.MISMATCHED:
             notice = self._protocol.read_notice(head, self._options.endpoint_id)
             self._notices.record(notice, Source.ANSWER, now)
+        if verdict not in (ResponseVerdict.MISMATCHED, ResponseVerdict.SUPERSEDED):
+            per_s = self._protocol.read_limit(head, self._options.endpoint_id)
+            if per_s is not None:
+                self._notices.record_limit(NamedLimit(per_s, self._sent_at), Source.ANSWER, now)
         if verdict is ResponseVerdict.SUPERSEDED:
             return await self._skip_superseded(channel)
         if verdict is ResponseVerdict.MISMATCHED:
--- a/src/basilroad/gateway/availability.py
+++ b/src/basilroad/gateway/availability.py
@@ -20,19 +20,29 @@
     :param until: monotonic seconds at which the first pause ends
     :param paused: number of endpoints that want no requests
     :param leaving: number of endpoints that leave
+    :param limited: number of endpoints of which no permit is to be had
+    :param interval_s: seconds between permits of this gateway, 0 if calls need none
     """
 
     until: float
     paused: int
     leaving: int
+    limited: int = 0
+    interval_s: float = 0.0
 
-    def outlasts(self, wait_until: float) -> bool:
-        """:return: whether no endpoint takes calls within a waiting limit in monotonic seconds."""
-        return self.until >= wait_until
+    def outlasts(self, wait_until: float, ahead: int = 0) -> bool:
+        """Check whether no endpoint takes a call within its waiting limit.
+
+        :param wait_until: the limit in monotonic seconds
+        :param ahead: calls that are served before
+        :return: whether waiting is of no use
+        """
+        return self.until + ahead * self.interval_s >= wait_until
 
     def describe(self) -> str:
         """:return: text for the caller and the log."""
-        return f"no endpoint takes calls now: {self.paused} paused, {self.leaving} leaving"
+        text = f"no endpoint takes calls now: {self.paused} paused, {self.leaving} leaving"
+        return f"{text}, {self.limited} limited" if self.limited else text
 
 
 def find_service_pause(
@@ -47,7 +57,9 @@
     :return: the pause; ``None`` if no endpoint wants that, or if another one is usable, full or
         unreachable
     """
-    until: list[float] = []
+    paused_until: list[float] = []
+    refused_until: list[float] = []
+    permits_per_s = 0.0
     leaving = 0
     for endpoint in endpoints:
         if endpoint.removed:
@@ -56,10 +68,21 @@
         if endpoint.entry.state is not EndpointState.READY or notices.leaving_since is not None:
             leaving += 1
         elif now < notices.paused_until:
-            until.append(notices.paused_until)
+            paused_until.append(notices.paused_until)
+        elif notices.limit.is_refused(now):
+            refused_until.append(notices.limit.refused_until)
+            permits_per_s += 1 / notices.limit.interval_s
         elif endpoint.id not in avoid:
             return None
-    return ServicePause(min(until), len(until), leaving) if until else None
+    if not paused_until and not refused_until:
+        return None
+    return ServicePause(
+        min(paused_until + refused_until),
+        len(paused_until),
+        leaving,
+        len(refused_until),
+        1 / permits_per_s if permits_per_s else 0.0,
+    )
 
 
 __all__ = ["ServicePause", "find_service_pause"]
--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from basilroad.gateway.limits import NamedLimit
+
 ABSENCE_LIMIT_S = 2.0
 """Time after a failure to read the listing for which missing entries are kept; live endpoints write
 their entries again within it."""
@@ -55,7 +57,7 @@
         return [
             endpoint.notices.describe(now)
             for endpoint in self.list_by_service(service)
-            if now < endpoint.notices.no_calls_until
+            if now < endpoint.notices.no_calls_until or endpoint.notices.limit.is_refused(now)
         ]
 
     def mark_listing_unreliable(self) -> None:
@@ -121,6 +123,19 @@
             if endpoint is not None and endpoint.entry.started_ms == started_ms != 0:
                 endpoint.notices.record_leaving(Source.GOSSIP, now - age_ms / 1000)
 
+    def apply_reported_limits(
+        self, reports: Mapping[str, tuple[int, NamedLimit]], now: float
+    ) -> None:
+        """Apply what another gateway reports of limits.
+
+        :param reports: start time in milliseconds and what was named, by endpoint id
+        :param now: monotonic seconds
+        """
+        for endpoint_id, (started_ms, named) in reports.items():
+            endpoint = self._endpoints.get(endpoint_id)
+            if endpoint is not None and endpoint.entry.started_ms == started_ms != 0:
+                endpoint.notices.record_limit(named, Source.GOSSIP, now)
+
     def expire(self) -> None:
         """Remove endpoints whose entries did not reappear in time."""
         now = self._clock()
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -19,9 +19,10 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.availability import ServicePause
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.call import Call, PromptSize
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.permits import PermitExchange
     from basilroad.gateway.reports import ReportReader
     from basilroad.gateway.route import EngineLimits
     from basilroad.gateway.selection import Chooser
@@ -38,6 +39,9 @@
 """Wait at the best candidate beyond which further ones are asked: half the prefill of a mean
 prompt."""
 
+MAX_PERMIT_ROUNDS = 3
+"""Endpoints with a limit that are asked for one call before it takes what is left, or waits."""
+
 MAX_REPORT_ROUNDS = 2
 """Groups of candidates that are asked for one call."""
 
@@ -78,6 +82,7 @@
     :param chooser: selects among them
     :param find_engine: returns the engine limits of a service by its name
     :param reports: reads the load reports of engines
+    :param permits: asks for permits of endpoints that named a limit; without it none are had
     :param clock: monotonic seconds
     """
 
@@ -87,6 +92,7 @@
         chooser: Chooser,
         find_engine: Callable[[str], EngineLimits | None],
         reports: ReportReader | None = None,
+        permits: PermitExchange | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.directory = directory
@@ -94,6 +100,8 @@
         self.find_engine = find_engine
         self.asks_engines = False
         self._reports = reports
+        self._permits = permits
+        self._permit_requests: dict[str, asyncio.Task[None]] = {}
         self.prompt_locations = PromptLocations(clock)
         self._clock = clock
         self._queues: dict[str, FairQueue[Ticket]] = {}
@@ -116,17 +124,58 @@
         if not self._is_blocked(call):
             endpoint = await self._choose_by_reports(call, avoid)
             if endpoint is None:
-                endpoint = self._choose(call, avoid)
+                endpoint = await self._choose_permitted(call, avoid)
             if endpoint is not None:
-                return Reservation(endpoint, call.size)
+                return self.reserve(endpoint, call.size)
         left_s = wait_until - self._clock()
         if left_s <= 0:
             return None
         pause = self.find_pause(call, avoid)
-        if pause is not None and pause.outlasts(wait_until):
+        if pause is not None and pause.outlasts(wait_until, self._count_ahead(call)):
             return None
         return await self._wait(Ticket(call, avoid, wait_until, _create_future()), left_s)
 
+    async def acquire_permit(self, endpoint: Endpoint) -> bool:
+        """Get a permit for a request to an endpoint, unless there is one in hand or none is needed.
+
+        :param endpoint: the endpoint
+        :return: whether a request may be sent to it
+        """
+        if endpoint.notices.limit.has_permit(self._clock()):
+            return True
+        return self._permits is not None and await self._permits.acquire(endpoint)
+
+    def request_permit(self, endpoint: Endpoint) -> None:
+        """Ask for a permit in the background, unless none is needed or to be had.
+
+        :param endpoint: the endpoint
+        """
+        limit, now = endpoint.notices.limit, self._clock()
+        if endpoint.id in self._permit_requests or limit.has_permit(now) or limit.is_refused(now):
+            return
+        task = asyncio.ensure_future(self._request_permit(endpoint))
+        self._permit_requests[endpoint.id] = task
+
+    async def _request_permit(self, endpoint: Endpoint) -> None:
+        try:
+            await self.acquire_permit(endpoint)
+        finally:
+            del self._permit_requests[endpoint.id]
+        self.dispatch_waiting()
+
+    def reserve(
+        self, endpoint: Endpoint, size: PromptSize, *, needs_prefill: bool = True
+    ) -> Reservation:
+        """Reserve capacity of an endpoint for one request, and use a permit if it needs one.
+
+        :param endpoint: the endpoint
+        :param size: tokens of the call
+        :param needs_prefill: whether the endpoint has to process the prompt first
+        :return: the reservation
+        """
+        endpoint.notices.limit.take_permit(self._clock())
+        return Reservation(endpoint, size, needs_prefill=needs_prefill)
+
     def find_pause(self, call: Call, avoid: Collection[str] = ()) -> ServicePause | None:
         """:return: the pause of a call's service, if all its endpoints want no requests."""
         endpoints = self.directory.list_by_service(call.service)
@@ -181,7 +230,9 @@
             if ticket.placed.done():
                 queue.remove(ticket)
                 continue
-            endpoint = self._choose(ticket.call, ticket.avoid)
+            endpoint = self._choose_at_once(ticket.call, ticket.avoid)
+            if endpoint is None:
+                endpoint = self._choose(ticket.call, ticket.avoid)
             if endpoint is None and not ticket.avoid:
                 break
             if endpoint is None:
@@ -193,8 +244,11 @@
                 else:
                     held.append(ticket)
                 continue
+            if not endpoint.notices.limit.has_permit(self._clock()):
+                self.request_permit(endpoint)
+                break
             queue.pop()
-            ticket.placed.set_result(Reservation(endpoint, ticket.call.size))
+            ticket.placed.set_result(self.reserve(endpoint, ticket.call.size))
         for ticket in reversed(held):
             queue.push_front(ticket, ticket.flow, ticket.cost)
 
@@ -221,7 +275,12 @@
             return None
         excluded, known = set(avoid), []
         for _ in range(MAX_REPORT_ROUNDS):
-            endpoints = self.directory.list_by_service(call.service)
+            # requests for reports would use up the permits of limited engines
+            endpoints = [
+                endpoint
+                for endpoint in self.directory.list_by_service(call.service)
+                if not endpoint.notices.limit.is_in_force(self._clock())
+            ]
             scored = self.chooser.list_scored(endpoints, call, engine, self._clock(), excluded)
             scored.sort(key=itemgetter(0))
             candidates = [endpoint for _, endpoint in scored[:REPORT_CANDIDATES]]
@@ -232,8 +291,31 @@
                 break
         return best
 
-    def _choose(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
+    async def _choose_permitted(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
+        endpoint = self._choose(call, avoid)
+        for _ in range(MAX_PERMIT_ROUNDS):
+            if endpoint is None or await self.acquire_permit(endpoint):
+                return endpoint
+            # one round trip is enough while others need no permit
+            endpoint = self._choose_at_once(call, avoid) or self._choose(call, avoid)
+        return self._choose_at_once(call, avoid)
+
+    def _choose_at_once(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
+        return self._choose(call, avoid, at_once=True)
+
+    def _count_ahead(self, call: Call) -> int:
+        queue = self._queues.get(call.service)
+        if queue is None:
+            return 0
+        return sum(queue.count(rank) for rank in queue.ranks() if rank <= call.rank)
+
+    def _choose(
+        self, call: Call, avoid: Collection[str], *, at_once: bool = False
+    ) -> Endpoint | None:
         endpoints = self.directory.list_by_service(call.service)
+        if at_once:
+            now = self._clock()
+            endpoints = [e for e in endpoints if e.notices.limit.has_permit(now)]
         engine = self.find_engine(call.service)
         cached_prompt = self.prompt_locations.find(call.prompt_key)
         return self.chooser.choose(endpoints, call, engine, self._clock(), avoid, cached_prompt)
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -148,13 +148,18 @@
         return self.entry.id
 
     def is_available(self, now: float) -> bool:
-        """:return: whether a call may be sent to it."""
+        """Check whether a call may be sent to it, with a permit if it named a limit.
+
+        :param now: monotonic seconds
+        :return: whether it may
+        """
         return (
             not self.removed
             and self.entry.state is EndpointState.READY
             and now >= self.backoff_until
             and now >= self.full_until
             and now >= self.notices.no_calls_until
+            and not self.notices.limit.is_refused(now)
         )
 
     def record_report(self, report: EngineReport, now: float) -> None:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -22,6 +22,7 @@
 from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
 from basilroad.gateway.notices import NoticeRegister
+from basilroad.gateway.permits import PermitExchange
 from basilroad.gateway.preference import EnginePreference
 from basilroad.gateway.reports import ReportReader
 from basilroad.gateway.selection import Chooser
@@ -126,7 +127,12 @@
             settings.place, self.random, lambda: self.known_hosts, lambda: self.preference
         )
         reports = ReportReader(protocol, settings.place)
-        self.dispatcher = Dispatcher(self.directory, chooser, self.find_engine, reports)
+        self.permits = PermitExchange(
+            settings.host, settings.place, self.directory, generator=self.random
+        )
+        self.dispatcher = Dispatcher(
+            self.directory, chooser, self.find_engine, reports, self.permits
+        )
         self.liveness = Liveness(self.dispatcher, reports)
         self.shutdown = Shutdown()
         self._started_at = time.monotonic()
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -17,6 +17,15 @@
 from basilroad.gateway.crashreports import Crashes, CrashExchange
 from basilroad.gateway.gossipstate import LoadReport, StateMessage
 from basilroad.gateway.loans import Loan, LoanRequest
+from basilroad.gateway.permits import (
+    LimitReport,
+    Peer,
+    PermitExchange,
+    PermitReply,
+    PermitRequest,
+    build_limit_report,
+    read_limit_report,
+)
 from basilroad.gateway.promptlocations import PromptReport
 from basilroad.gateway.relay import Update
 from basilroad.peers.address import Address, parse_address
@@ -80,7 +89,9 @@
     data_centre: str = ""
 
 
-_DECODER = msgspec.msgpack.Decoder(StateMessage | Update | LoanRequest | Loan | Crashes)
+_DECODER = msgspec.msgpack.Decoder(
+    StateMessage | Update | LoanRequest | Loan | Crashes | PermitRequest | PermitReply
+)
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -95,6 +106,7 @@
     :param loans: loans of retries, which are sent too
     :param clock: monotonic seconds
     :param crashes: exchange of crashes, which are sent too
+    :param permits: exchange of permits, which are sent too
     """
 
     def __init__(
@@ -108,6 +120,7 @@
         loans: RetryLoans,
         clock: Callable[[], float] = time.monotonic,
         crashes: CrashExchange | None = None,
+        permits: PermitExchange | None = None,
     ) -> None:
         self._host = host
         self._data_centre = data_centre
@@ -121,6 +134,12 @@
         self._crashes = crashes or CrashExchange(host)
         self._crashes.list_peers = loans.list_peers
         self._crashes.send = self._send_counted
+        self._permits = permits
+        if permits is not None:
+            permits.list_peers = self._list_addressed_peers
+            permits.address = address
+            permits.list_known = lambda: self._peers
+            permits.send = lambda message, peer: self._send_counted(message, [peer])
         self._clock = clock
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -144,6 +163,11 @@
         """:return: data centre by host of each other gateway that sends gossip."""
         return {host: view.data_centre for host, view in self._peer_states.items()}
 
+    def _list_addressed_peers(self) -> dict[str, Peer]:
+        return {
+            host: Peer(view.address, view.data_centre) for host, view in self._peer_states.items()
+        }
+
     def list_near_peers(self) -> list[tuple[str, Address]]:
         """:return: name and address of each other gateway of this data centre: those that send
         gossip, and shortly after this one has started those that are registered."""
@@ -196,18 +220,22 @@
         loads, failures = self._list_loads(), self._list_failures(now)
         runs = self._prompt_locations.list_local(MAX_PROMPTS_SENT)
         leaving = self._directory.notices.list_leaving(now)
-        state = (loads, frozenset(failures), runs, frozenset(leaving))
+        limits = self._list_limits(now)
+        named = frozenset((name, limit[1]) for name, limit in limits.items())
+        state = (loads, frozenset(failures), runs, frozenset(leaving), named)
         if state == self._last_sent and now - self._last_sent_at < REFRESH_INTERVAL_S:
             return
         self._last_sent, self._last_sent_at = state, now
         self._sequence += 1
-        data = self._encode(loads, failures, runs, leaving)
+        data = self._encode(loads, failures, runs, leaving, limits)
         peers = self._choose_peers()
         self._next_send_at = now + len(data) * len(peers) / MAX_SENT_BYTES_PER_S
         for peer in peers:
             self._send(data, peer)
 
-    def _send_counted(self, message: Update | Crashes, peers: Sequence[Address]) -> None:
+    def _send_counted(
+        self, message: Update | Crashes | PermitRequest | PermitReply, peers: Sequence[Address]
+    ) -> None:
         data = msgspec.msgpack.encode(message)
         for peer in peers:
             self._send(data, peer)
@@ -262,6 +290,16 @@
     def _(self, message: Crashes, address: Address) -> None:
         self._crashes.take(message, address)
 
+    @_handle.register
+    def _(self, message: PermitRequest, address: Address) -> None:
+        if self._permits is not None:
+            self._permits.take_request(message, address)
+
+    @_handle.register
+    def _(self, message: PermitReply, _: Address) -> None:
+        if self._permits is not None:
+            self._permits.take_reply(message)
+
     def error_received(self, exc: Exception) -> None:
         """Ignore the error; later rounds reach the peer if it recovers."""
         _LOGGER.debug("datagram not delivered", extra={"detail": repr(exc)})
@@ -291,6 +329,11 @@
         for endpoint_id, age_ms in message.failures.items():
             self._apply_failure(endpoint_id, now - age_ms / 1000)
         self._directory.apply_reported_leaving(message.leaving, now)
+        reported = {
+            endpoint_id: (started_ms, read_limit_report(LimitReport(milli_per_s, age_ms), now))
+            for endpoint_id, (started_ms, milli_per_s, age_ms) in message.limits.items()
+        }
+        self._directory.apply_reported_limits(reported, now)
 
     def _apply_failure(self, endpoint_id: str, last_failed_at: float) -> None:
         endpoint = self._directory.get(endpoint_id)
@@ -342,12 +385,26 @@
         lost.sort(key=lambda e: -e.last_failed_at)
         return {e.id: round(1000 * (now - e.last_failed_at)) for e in lost[:MAX_FAILURES_SENT]}
 
+    def _list_limits(self, now: float) -> dict[str, tuple[int, int, int]]:
+        reports = {
+            notices.lifetime.id: (
+                notices.lifetime.started_ms,
+                build_limit_report(notices.limit.named, now),
+            )
+            for notices in self._directory.notices.list_limited(now)
+        }
+        return {
+            endpoint_id: (started_ms, report.milli_per_s, report.age_ms)
+            for endpoint_id, (started_ms, report) in reports.items()
+        }
+
     def _encode(
         self,
         loads: dict[str, LoadReport],
         failures: dict[str, int],
         runs: list[PromptReport],
         leaving: dict[str, tuple[int, int]],
+        limits: dict[str, tuple[int, int, int]],
     ) -> bytes:
         known = [str(peer) for peer in self._peers]
         message = StateMessage(
@@ -361,6 +418,7 @@
             runs,
             self._data_centre,
             leaving,
+            limits,
         )
         data = msgspec.msgpack.encode(message)
         while len(data) > MAX_DATAGRAM_BYTES and (message.loads or message.runs):
--- a/src/basilroad/gateway/gossipstate.py
+++ b/src/basilroad/gateway/gossipstate.py
@@ -31,6 +31,8 @@
     :param runs: prompts that it sent and the endpoints that have them
     :param data_centre: its data centre
     :param leaving: start time of each leaving endpoint and milliseconds since it said so
+    :param limits: start time of endpoints that named a limit, requests per 1000 seconds (0 if it
+        has ended), and milliseconds since that was known
     """
 
     host: str
@@ -43,6 +45,7 @@
     runs: list[PromptReport] = []
     data_centre: str = ""
     leaving: dict[str, tuple[StartTime, Count]] = {}
+    limits: dict[str, tuple[StartTime, Count, Count]] = {}
 
 
 __all__ = ["Count", "LoadReport", "StartTime", "StateMessage"]
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -90,6 +90,7 @@
             if self._dispatcher.find_engine(endpoint.entry.service) is None:
                 continue
             if not endpoint.notices.permits(Purpose.PROBE, now):
+                self._dispatcher.request_permit(endpoint)
                 continue
             endpoint.notices.record_probe()
             task = asyncio.ensure_future(self._probe(endpoint))
--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/notices.py
@@ -1,4 +1,4 @@
-"""Notices of endpoints about themselves: that they leave, or want no requests for a while."""
+"""Notices of endpoints about themselves: that they leave, want no requests for a while, or few."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 
 import attrs
 
+from basilroad.gateway.limits import EndpointLimit, NamedLimit
+
 if TYPE_CHECKING:
     from basilroad.peers.address import Address
 
@@ -41,6 +43,12 @@
 MAX_LEAVING_SENT = 16
 """Leaving endpoints per datagram, about a third of its size."""
 
+LIMIT_REPORT_S = 30.0
+"""Time after a response for which other gateways are told what it said of a limit."""
+
+MAX_LIMITS_SENT = 8
+"""Limits per datagram, about a sixth of its size."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -100,6 +108,7 @@
     :param pause_source: how that was learnt
     :param no_calls_until: monotonic seconds until which it wants no calls for either reason
     :param probed: whether a probe was sent during the current pause
+    :param limit: limit that it named for all gateways together
     """
 
     lifetime: Lifetime
@@ -111,25 +120,50 @@
     pause_source: Source = Source.ANSWER
     no_calls_until: float = -math.inf
     probed: bool = False
+    limit: EndpointLimit = attrs.field(factory=EndpointLimit)
 
     def permits(self, purpose: Purpose, now: float) -> bool:
         """Check whether a request may be sent; all senders ask this, just before they send.
 
         ``Endpoint.is_available``, which choosers ask for each endpoint, reads ``no_calls_until``.
         A leaving endpoint that still runs streams may be probed. During a pause one probe is
-        allowed, so that the streams of an endpoint that died meanwhile go on elsewhere.
+        allowed, so that the streams of an endpoint that died meanwhile go on elsewhere. Calls to
+        an endpoint that named a limit have their permit when they are placed; a probe needs one,
+        and reports leave them to calls.
 
         :param purpose: what the request is for
         :param now: monotonic seconds
         :return: whether it may be sent
         """
+        if purpose is Purpose.REPORT and self.limit.is_in_force(now):
+            return False
+        if purpose is Purpose.PROBE and not self.limit.has_permit(now):
+            return False
         if now >= self.no_calls_until:
             return True
         return purpose is Purpose.PROBE and (now >= self.paused_until or not self.probed)
 
     def record_probe(self) -> None:
-        """Record that a probe is sent."""
+        """Record that a probe is sent, and use a permit if it needs one."""
         self.probed = True
+        self.limit.take_permit(self.register.clock())
+
+    def record_limit(self, named: NamedLimit, source: Source, now: float) -> None:
+        """Record what a response said of the limit of the endpoint.
+
+        :param named: what it said
+        :param source: how it was learnt
+        :param now: monotonic seconds
+        """
+        if not self.limit.record(named, now, self.register.generator):
+            return
+        self.register.add_limited(self)
+        if math.isfinite(named.per_s):
+            self.register.keep(self, "limit", source)
+            _LOGGER.info("endpoint limited", extra=_describe_limit(self, source, now))
+        else:
+            self.register.keep(self, "limit end", source)
+            _LOGGER.info("limit ended", extra=_describe_limit(self, source, now))
 
     def record(self, notice: Notice, source: Source, now: float) -> None:
         """Record what a response says; a response without a notice takes nothing back.
@@ -194,6 +228,14 @@
                 "source": self.leaving_source.value,
                 "age_ms": round(1000 * (now - self.leaving_since)),
             }
+        if now >= self.paused_until:
+            return {
+                "endpoint": self.lifetime.id,
+                "reason": "limited",
+                "per_s": round(self.limit.per_s, 3),
+                "age_ms": round(1000 * self.limit.named.age_s(now)),
+                "left_ms": round(1000 * (self.limit.refused_until - now)),
+            }
         return {
             "endpoint": self.lifetime.id,
             "reason": "paused",
@@ -203,6 +245,16 @@
         }
 
 
+def _describe_limit(notices: EndpointNotices, source: Source, now: float) -> dict[str, object]:
+    return {
+        "endpoint": notices.lifetime.id,
+        "address": str(notices.lifetime.address),
+        "source": source.value,
+        "per_s": round(notices.limit.per_s, 3),
+        "age_ms": round(1000 * notices.limit.named.age_s(now)),
+    }
+
+
 class NoticeRegister:
     """Notices by lifetime, which outlast the listing of an endpoint.
 
@@ -218,11 +270,12 @@
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.clock = clock
-        self._random = generator or random.Random()
+        self.generator = generator or random.Random()
         self._count = count
         self._known: WeakValueDictionary[Lifetime, EndpointNotices] = WeakValueDictionary()
         self._kept: OrderedDict[Lifetime, EndpointNotices] = OrderedDict()
         self._recent: deque[tuple[Lifetime, float]] = deque(maxlen=MAX_LEAVING_SENT)
+        self._limited: OrderedDict[Lifetime, EndpointNotices] = OrderedDict()
 
     @property
     def has_any(self) -> bool:
@@ -272,11 +325,30 @@
         if notices.lifetime.started_ms:
             self._recent.append((notices.lifetime, since))
 
+    def add_limited(self, notices: EndpointNotices) -> None:
+        """Report the limit of an endpoint to other gateways, if its lifetime can be named.
+
+        :param notices: its notices
+        """
+        if notices.lifetime.started_ms:
+            self._limited[notices.lifetime] = notices
+            self._limited.move_to_end(notices.lifetime)
+        while len(self._limited) > MAX_LIMITS_SENT:
+            self._limited.popitem(last=False)
+
+    def list_limited(self, now: float) -> list[EndpointNotices]:
+        """List the notices whose limit other gateways are told.
+
+        :param now: monotonic seconds
+        :return: those of endpoints whose limit began, changed or ended last
+        """
+        return [n for n in self._limited.values() if n.limit.named.age_s(now) <= LIMIT_REPORT_S]
+
     def extend_pause(self, pause_s: float) -> float:
         """:return: length of a pause with a random addition, in seconds."""
         pause_s = min(MAX_PAUSE_S, pause_s)
         spread_s = min(RETURN_SPREAD_MAX_S, RETURN_SPREAD_SHARE * pause_s)
-        return pause_s + self._random.uniform(0, spread_s)
+        return pause_s + self.generator.uniform(0, spread_s)
 
     def list_leaving(self, now: float) -> dict[str, tuple[int, int]]:
         """List what other gateways are told.
@@ -294,7 +366,9 @@
 
 __all__ = [
     "LEAVING_REPORT_S",
+    "LIMIT_REPORT_S",
     "MAX_LEAVING_SENT",
+    "MAX_LIMITS_SENT",
     "MAX_PAUSE_S",
     "MAX_REMEMBERED",
     "RETURN_SPREAD_MAX_S",
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -11,6 +11,7 @@
 
 from basilroad.endpoints.channels import SHORT_BODY_BYTES, ChannelError
 from basilroad.gateway.endpoint import EngineReport
+from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Purpose, Source
 
 if TYPE_CHECKING:
@@ -95,10 +96,14 @@
             # Liveness checks the permission of probes itself, and counts them
             if purpose is Purpose.REPORT and not notices.permits(purpose, time.monotonic()):
                 raise ChannelError("the engine leaves or wants no requests")
+            asked_at = time.monotonic()
             channel.send(self.protocol.encode_probe(endpoint.entry.address))
             head = await channel.read_head()
-            notice = self.protocol.read_notice(head, endpoint.id)
-            notices.record(notice, Source(purpose.value), time.monotonic())
+            now, source = time.monotonic(), Source(purpose.value)
+            notices.record(self.protocol.read_notice(head, endpoint.id), source, now)
+            per_s = self.protocol.read_limit(head, endpoint.id)
+            if per_s is not None:
+                notices.record_limit(NamedLimit(per_s, asked_at), source, now)
             body = await channel.read_body(SHORT_BODY_BYTES)
         except BaseException:
             channel.close()
--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/selection.py
@@ -54,6 +54,17 @@
 """Number of gateways up to which that cost is enough, as many as one gossip round reaches; beyond
 it the cost grows with the square root, since gateways then select from older load reports."""
 
+PERMIT_COST_S = 0.005
+"""Cost of asking for the permit of an endpoint that named a limit, beyond the round trip to the
+grantor, which is in the region of the endpoint."""
+
+LIMIT_REFRESH_S = 1.0
+"""Time after the last response of an endpoint that named a limit after which it is preferred: else
+the end of the limit would never show while others have room."""
+
+LIMIT_REFRESH_BONUS_S = 0.05
+"""Cost that such an endpoint is allowed beyond that of others, less than that of another region."""
+
 RANDOM_SPREAD_S = 0.25
 """Random cost spread between engines while no other gateway of the region is known, in place of
 ring distances."""
@@ -242,6 +253,11 @@
     def score(self, endpoint: Endpoint, call: Call, now: float) -> float:
         """:return: cost in seconds of running a call at an endpoint; lower is better."""
         distance_s = self.place.distance_s(endpoint.entry.data_centre)
+        limit = endpoint.notices.limit
+        if limit.is_in_force(now) and limit.named.age_s(now) > LIMIT_REFRESH_S:
+            distance_s -= LIMIT_REFRESH_BONUS_S
+        elif not limit.has_permit(now):
+            distance_s += PERMIT_COST_S + distance_s
         failure_s = FAILURE_COST_S * endpoint.failure_rate(now)
         return estimate_wait(endpoint, call.size, now) + distance_s + failure_s
 
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -219,9 +219,11 @@
     async def _place(self) -> tuple[Reservation | None, bool]:
         call, now = self._call, time.monotonic()
         holder, self._backup_endpoint = self._backup_endpoint, None
-        if holder is not None and holder.is_available(now):
+        dispatcher = self._gateway.dispatcher
+        usable = holder is not None and holder.is_available(now)
+        if holder is not None and usable and await dispatcher.acquire_permit(holder):
             log_resume_from_backup(call, holder, self._events.last)
-            return Reservation(holder, call.size, needs_prefill=False), True
+            return dispatcher.reserve(holder, call.size, needs_prefill=False), True
         if self._started:
             wait_until = call.expires_at
         else:
--- a/src/basilroad/platform/notices.py
+++ b/src/basilroad/platform/notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import re
 from typing import TYPE_CHECKING
 
@@ -15,18 +16,25 @@
 
 HEADER_LEAVING = "server-leaving"
 HEADER_RETRY_AFTER = "retry-after"
+HEADER_LIMIT = "server-limit"  # requests a second of all gateways together
 HEADER_SERVER_ID = "x-instance-id"
 LEAVING = "1"
 STATUS_UNAVAILABLE = 503
 STATUS_MISDIRECTED = 421
 
-MAX_SECONDS_CHARACTERS = 32
-"""Longest text that is read as a number of seconds; any longer one is no sensible time."""
+MAX_NUMBER_CHARACTERS = 32
+"""Longest text that is read as a number; any longer one is no sensible value."""
+
+MIN_LIMIT_PER_S = 0.1
+"""Smallest limit; below it no response would show its end in time."""
+
+MAX_LIMIT_PER_S = 1e6
+"""Limit beyond which there is none: more than all hosts send."""
 
 MAX_LOGGED_CHARACTERS = 40
 """Length at which a malformed value is cut in the log."""
 
-_SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,7 +46,7 @@
     :param endpoint_id: id of the server that was asked
     :return: the notice; an empty one for the response of another server at the address
     """
-    if head.status == STATUS_MISDIRECTED or head.get(HEADER_SERVER_ID) not in ("", endpoint_id):
+    if _is_from_other(head, endpoint_id):
         return Notice()
     leaving = any(_read_leaving(text, endpoint_id) for text in _list(head, HEADER_LEAVING))
     if head.status != STATUS_UNAVAILABLE:
@@ -47,6 +55,37 @@
     return Notice(leaving, max((value for value in read if value is not None), default=None))
 
 
+def read_limit(head: ReplyHead, endpoint_id: str) -> float | None:
+    """Read the limit that a response names.
+
+    :param head: status and headers of the response
+    :param endpoint_id: id of the server that was asked
+    :return: requests a second, the lowest of several values; infinite if it names none; ``None``
+        for the response of another server at the address
+    """
+    if _is_from_other(head, endpoint_id):
+        return None
+    limits = [_read_limit(text, endpoint_id) for text in _list(head, HEADER_LIMIT)]
+    return min(limits, default=math.inf)
+
+
+def _is_from_other(head: ReplyHead, endpoint_id: str) -> bool:
+    return head.status == STATUS_MISDIRECTED or head.get(HEADER_SERVER_ID) not in ("", endpoint_id)
+
+
+def _read_limit(text: str, endpoint_id: str) -> float:
+    if len(text) > MAX_NUMBER_CHARACTERS or not _DECIMAL.fullmatch(text):
+        _log_ignored(HEADER_LIMIT, text, endpoint_id)
+        return math.inf
+    per_s = float(text)
+    if per_s < MIN_LIMIT_PER_S:
+        _LOGGER.warning(
+            "limit raised",
+            extra={"endpoint": endpoint_id, "named_per_s": per_s, "used_per_s": MIN_LIMIT_PER_S},
+        )
+    return max(MIN_LIMIT_PER_S, per_s) if per_s <= MAX_LIMIT_PER_S else math.inf
+
+
 def _list(head: ReplyHead, name: str) -> Iterator[str]:
     return (value.strip() for key, value in head.headers if key.lower() == name)
 
@@ -60,7 +99,7 @@
 
 def _read_seconds(text: str, endpoint_id: str) -> float | None:
     # float() also accepts signs, exponents, infinity and other scripts' digits
-    if len(text) > MAX_SECONDS_CHARACTERS or not _SECONDS.fullmatch(text) or float(text) <= 0:
+    if len(text) > MAX_NUMBER_CHARACTERS or not _DECIMAL.fullmatch(text) or float(text) <= 0:
         _log_ignored(HEADER_RETRY_AFTER, text, endpoint_id)
         return None
     seconds = float(text)
@@ -81,8 +120,12 @@
 
 __all__ = [
     "HEADER_LEAVING",
+    "HEADER_LIMIT",
     "HEADER_RETRY_AFTER",
-    "MAX_SECONDS_CHARACTERS",
+    "MAX_LIMIT_PER_S",
+    "MAX_NUMBER_CHARACTERS",
+    "MIN_LIMIT_PER_S",
     "STATUS_MISDIRECTED",
+    "read_limit",
     "read_notice",
 ]
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -13,7 +13,7 @@
 from basilroad.gateway.call import CONTENT_KEY_MARK, Headers, PromptSize
 from basilroad.gateway.crashreports import MAX_KEY_CHARS, MAX_PARTS
 from basilroad.gateway.endpoint import EngineReport
-from basilroad.platform.notices import STATUS_MISDIRECTED, read_notice
+from basilroad.platform.notices import STATUS_MISDIRECTED, read_limit, read_notice
 
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import ReplyHead
@@ -133,6 +133,15 @@
         """
         return read_notice(head, endpoint_id)
 
+    def read_limit(self, head: ReplyHead, endpoint_id: str) -> float | None:
+        """Read the limit that a response names for the requests of all gateways together.
+
+        :param head: status and headers of the response
+        :param endpoint_id: id of the server that was asked
+        :return: requests a second, infinite if it names none; ``None`` for another server
+        """
+        return read_limit(head, endpoint_id)
+
     def classify_response(
         self, call: Call, head: ReplyHead, *, first_use: bool, previous_id: str = ""
     ) -> ResponseVerdict:
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -79,6 +79,7 @@
                 self.relay,
                 self.gateway.loans,
                 crashes=self.gateway.containment.exchange,
+                permits=self.gateway.permits,
             )
 
     def on_init_dependencies(self) -> list[ServiceT]:
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -141,12 +141,13 @@
     :param crash_at_event: number of that event for ``CrashPoint.EVENT``
     :param down_s: seconds for which it is down after a crash
     :param crashes: number of crashes
+    :param limit: value of ``Server-Limit`` in all responses; empty for none
     :param leaving_in: responses that say that the server leaves
     :param retry_after: value of ``Retry-After`` in the responses of ``WireFault.PAUSE``
     :param faults: faults of the next responses, in order
     :param seen: received requests except those for reports
     :param paused: requests that were answered with ``Retry-After``, and its value
-    :param reports: number of received requests for reports
+    :param reported_at: times of the received requests for reports, in monotonic seconds
     """
 
     id: str = "i-standin"
@@ -164,13 +165,14 @@
     crash_at_event: int = 1
     down_s: float = 2.0
     crashes: int = 0
+    limit: str = ""
     leaving_in: frozenset[ResponseKind] = frozenset()
     retry_after: str = ""
     faults: deque[WireFault] = attrs.field(factory=deque)
     seen: list[ReceivedRequest] = attrs.field(factory=list)
     runs: list[ReceivedRequest] = attrs.field(factory=list)
     paused: list[tuple[ReceivedRequest, str]] = attrs.field(factory=list)
-    reports: int = 0
+    reported_at: list[float] = attrs.field(factory=list)
     connections: int = 0
     endless_bytes: int = 0
     port: int = 0
@@ -184,6 +186,11 @@
         """:return: attempt ids of the executed requests, in order."""
         return [request.id for request in self.runs]
 
+    @property
+    def reports(self) -> int:
+        """:return: number of received requests for reports."""
+        return len(self.reported_at)
+
     async def start(self, port: int = 0) -> None:
         """Listen on loopback.
 
@@ -256,7 +263,7 @@
             while self.silent:
                 await asyncio.sleep(0.01)
             if request.target == "/report":
-                self.reports += 1
+                self.reported_at.append(time.monotonic())
                 headers = self._build_notice(ResponseKind.REPORT)
                 writer.write(_encode_response(200, headers, b"{}"))
             elif not await self._answer(request, writer):
@@ -281,7 +288,8 @@
         return await self._write_faulty(request.id, fault, writer)
 
     def _build_notice(self, kind: ResponseKind) -> dict[str, str]:
-        return {"Server-Leaving": "1"} if kind in self.leaving_in else {}
+        named = {"Server-Limit": self.limit} if self.limit else {}
+        return {**named, "Server-Leaving": "1"} if kind in self.leaving_in else named
 
     def _reject(self, request: ReceivedRequest, fault: WireFault) -> bytes | None:
         echo = {"X-Attempt-Id": request.id, **self._build_notice(ResponseKind.REJECTION)}
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,7 @@
     REGISTERED_S,
     Gossip,
 )
+from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.notices import Notice, Source
 from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
@@ -295,6 +297,21 @@
     net.gateways[0].tick()
     [(data, peer)] = net.sent
     fields = msgspec.msgpack.decode(data)
-    net.sent = [(msgspec.msgpack.encode(fields[:-1]), peer)]
+    net.sent = [(msgspec.msgpack.encode(fields[:-2]), peer)]
     net.deliver()
     assert get(net.gateways[1], "e1").remote.calls == 1
+
+
+def test_a_limit_and_its_end_are_told_to_others_with_their_age() -> None:
+    # fault: each gateway sends as before until a response of the endpoint tells it of its limit
+    net = Net()
+    first, second = (get(gossip, "e1") for gossip in net.gateways)
+    for per_s, is_named in ((2.5, True), (math.inf, False)):
+        first.notices.record_limit(NamedLimit(per_s, net.now), Source.ANSWER, net.now)
+        net.now += 0.5
+        net.gateways[0].tick()
+        net.deliver()
+        assert second.notices.limit.named == NamedLimit(per_s, net.now - 0.5)
+        assert second.notices.limit.is_in_force(net.now + 60.0) is is_named
+        net.now += 1.0
+    assert get(net.gateways[1], "e0").is_available(net.now)
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -10,6 +10,7 @@
 
 from basilroad.endpoints.channels import ReplyHead
 from basilroad.gateway.notices import MAX_PAUSE_S, Notice
+from basilroad.platform.notices import MAX_LIMIT_PER_S, MIN_LIMIT_PER_S
 from basilroad.platform.protocol import PlatformProtocol
 
 PROTOCOL = PlatformProtocol()
@@ -111,3 +112,48 @@
 @given(st.decimals(min_value="0.001", max_value=60, places=3))
 def test_any_sensible_time_is_read_as_it_is(seconds) -> None:
     assert read(503, ("Retry-After", str(seconds))).pause_s == float(seconds)
+
+
+def read_limit(status: int, *headers: tuple[str, str]) -> float | None:
+    return PROTOCOL.read_limit(ReplyHead(status, headers), "i-1")
+
+
+@pytest.mark.parametrize("status", [200, 404, 429, 500, 503])
+def test_a_limit_is_read_from_any_status(status) -> None:
+    assert read_limit(status, ("server-LIMIT", " 2.5 ")) == 2.5
+    assert read_limit(status) == math.inf
+
+
+def test_the_lowest_of_several_limits_counts() -> None:
+    assert read_limit(200, *(("Server-Limit", text) for text in ("3", "none", "1.5"))) == 1.5
+
+
+@pytest.mark.parametrize(
+    "text", ["", "-1", "+1", "1e3", "nan", "inf", "few", "1,5", "٣", "9" * 5000]
+)
+def test_a_limit_that_is_no_decimal_number_is_ignored_and_logged(text, caplog) -> None:
+    with caplog.at_level(logging.WARNING):
+        assert read_limit(200, ("Server-Limit", text)) == math.inf
+    assert caplog.records[0].message == "notice ignored"
+
+
+@pytest.mark.parametrize("text", ["0", "0.0", "0.001"])
+def test_a_limit_of_nothing_leaves_requests_that_show_its_end(text) -> None:
+    assert read_limit(200, ("Server-Limit", text)) == MIN_LIMIT_PER_S
+
+
+def test_the_response_of_another_server_says_nothing_of_a_limit() -> None:
+    assert read_limit(421, ("Server-Limit", "1")) is None
+    assert read_limit(200, ("Server-Limit", "1"), ("X-Instance-Id", "i-2")) is None
+
+
+@given(st.lists(st.text(max_size=40), max_size=3))
+def test_any_headers_give_a_limit_within_its_bounds(values) -> None:
+    per_s = read_limit(200, *(("Server-Limit", value) for value in values))
+    assert per_s is not None
+    assert per_s == math.inf or MIN_LIMIT_PER_S <= per_s <= MAX_LIMIT_PER_S
+
+
+@given(st.decimals(min_value="0.1", max_value=10**6, places=3))
+def test_any_sensible_limit_is_read_as_it_is(per_s) -> None:
+    assert read_limit(200, ("Server-Limit", str(per_s))) == float(per_s)
