Read two fields per endpoint without a limit when choosing among them

Cause: each choice asked for the limit of each endpoint by calls.

Change: endpoints that named no limit are passed by two comparisons.

--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -153,13 +153,14 @@
         :param now: monotonic seconds
         :return: whether it may
         """
+        limit = self.notices.limit
         return (
             not self.removed
             and self.entry.state is EndpointState.READY
             and now >= self.backoff_until
             and now >= self.full_until
             and now >= self.notices.no_calls_until
-            and not self.notices.limit.is_refused(now)
+            and (now >= limit.refused_until or limit.has_permit(now))
         )
 
     def record_report(self, report: EngineReport, now: float) -> None:
--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/selection.py
@@ -254,10 +254,11 @@
         """:return: cost in seconds of running a call at an endpoint; lower is better."""
         distance_s = self.place.distance_s(endpoint.entry.data_centre)
         limit = endpoint.notices.limit
-        if limit.is_in_force(now) and limit.named.age_s(now) > LIMIT_REFRESH_S:
-            distance_s -= LIMIT_REFRESH_BONUS_S
-        elif not limit.has_permit(now):
-            distance_s += PERMIT_COST_S + distance_s
+        if now < limit.ends_at:
+            if limit.named.age_s(now) > LIMIT_REFRESH_S:
+                distance_s -= LIMIT_REFRESH_BONUS_S
+            elif not limit.has_permit(now):
+                distance_s += PERMIT_COST_S + distance_s
         failure_s = FAILURE_COST_S * endpoint.failure_rate(now)
         return estimate_wait(endpoint, call.size, now) + distance_s + failure_s
 
