Let endpoints of the soak name limits, and promise that they are kept

Cause: the soak had no endpoint that names a limit for all gateways.

Change: a fault by which endpoints name 0.3 to 5 requests a second for 5 to 10 s, drawn by a generator of its own so that seeds keep their other faults, and the promise LimitsAreKept on what endpoints got from gateways that had passed on such a response.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -95,6 +95,7 @@
             request.status = response.status
             request.answered_at = time.monotonic()
             request.leaving = response.headers.get("Server-Leaving") == "1"
+            request.limited = "Server-Limit" in response.headers
             request.seal = response.headers.get("X-Response-Seal", "").removeprefix("seal-of-")
             async for part in response.content.iter_any():
                 request.answer += part
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,7 @@
     KillGateway,
     LeaveUnlisted,
     MoveRoute,
+    NameLimit,
     PauseGateway,
     ReloadGateway,
     ResetLink,
@@ -141,6 +142,11 @@
     await asyncio.sleep(fault.duration_s)
 
 
+@inject.register
+async def _(fault: NameLimit, world: World) -> None:
+    await world.name_limit(fault.target, fault.per_s, fault.duration_s)
+
+
 @inject.register
 async def _(fault: RevokeKey, world: World) -> None:
     world.revoke_key(fault.target)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from soak.records import Kind, Record
+from soak.records import Kind, Limit, Record
 from soak.schedule import StopGateway
 from soak.settings import APPLY_S, DEADLINE_S, DRAIN_S, GRACE_S, RECOVERY_S, REVOKE_S
 
@@ -179,6 +179,44 @@
                 yield f"{pause.endpoint} wanted nothing for {pause.length_s} s, got {reached}"
 
 
+class LimitsAreKept(Promise):
+    """Gateways that passed on a limit keep it together, but for half of it and ``SLACK`` more."""
+
+    WINDOW_S = 4.0
+    SLACK = 5
+    MARGIN_S = 0.5
+
+    def find_breaches(self, record: Record) -> Iterator[str]:
+        """:return: limits with too many requests; a restart, pause or cut excuses."""
+        for limit in record.limits:
+            times = sorted(self._list_counted(record, limit))
+            allowed = 1.5 * limit.per_s * self.WINDOW_S + self.SLACK
+            for number, at in enumerate(times):
+                got = sum(at <= later < at + self.WINDOW_S for later in times[number:])
+                if got > allowed and not record.is_cut(limit.number, at, at + self.WINDOW_S):
+                    yield f"{limit.endpoint} named {limit.per_s} a second, got {got} in 4 s"
+                    break
+
+    def _list_counted(self, record: Record, limit: Limit) -> Iterator[float]:
+        """:return: times of the requests of gateways that knew of the limit."""
+        told_at: dict[int, float] = {}
+        for request in record.requests.values():
+            if not request.limited or request.seal != limit.endpoint:
+                continue
+            if limit.began <= request.answered_at <= limit.ended:
+                known = told_at.get(request.gateway, request.answered_at)
+                told_at[request.gateway] = min(known, request.answered_at)
+        for run in record.reached:
+            sent = record.requests.get(run.request.id)
+            known_at = told_at.get(sent.gateway) if sent is not None else None
+            if run.endpoint != limit.endpoint or sent is None or known_at is None:
+                continue
+            if not known_at + self.MARGIN_S < run.request.at < limit.ended:
+                continue
+            if not record.is_interrupted(sent.gateway, known_at, run.request.at):
+                yield run.request.at
+
+
 class ConfigIsInForce(Promise):
     """In fault-free periods a moved route is served by its new service after the apply time."""
 
@@ -282,6 +320,7 @@
     LeavingEndpointsRest(),
     AnnouncedLeavingCounts(),
     PausesAreKept(),
+    LimitsAreKept(),
     ConfigIsInForce(),
     PlannedStopsCutNothing(),
     StopsEndInTime(),
--- a/soak/records.py
+++ b/soak/records.py
@@ -48,6 +48,7 @@
     :param ended_at: monotonic seconds at which the exchange ended
     :param answered_at: monotonic seconds at which the head of the response arrived
     :param leaving: whether the response says that its endpoint leaves
+    :param limited: whether the response names a limit of its endpoint
     :param status: status of the response; 0 without one
     :param seal: name of the endpoint in the seal of the response; empty without one
     :param answer: body of the response, as far as it was received
@@ -67,6 +68,7 @@
     ended_at: float = 0.0
     answered_at: float = 0.0
     leaving: bool = False
+    limited: bool = False
     status: int = 0
     seal: str = ""
     answer: bytes = b""
@@ -105,6 +107,24 @@
     length_s: float
 
 
+@attrs.frozen
+class Limit:
+    """A limit that an endpoint named for all gateways together.
+
+    :param endpoint: name of the endpoint
+    :param number: number of the endpoint
+    :param per_s: requests a second
+    :param began: monotonic seconds
+    :param ended: monotonic seconds
+    """
+
+    endpoint: str
+    number: int
+    per_s: float
+    began: float
+    ended: float
+
+
 @attrs.frozen
 class InjectedFault:
     """A fault and the time during which it was in effect.
@@ -132,6 +152,7 @@
     :param runs: requests that endpoints ran
     :param reached: requests that reached the endpoint that they were meant for, run or not
     :param pauses: requests that endpoints turned away for a time
+    :param limits: limits that endpoints named
     :param injected_faults: faults with their times
     :param key_revoked_at: when the config without the key had been written to the store, by key
     :param draining_since: when each draining endpoint was stored as draining, by instance name
@@ -145,6 +166,7 @@
     runs: list[Run] = attrs.field(factory=list)
     reached: list[Run] = attrs.field(factory=list)
     pauses: list[Pause] = attrs.field(factory=list)
+    limits: list[Limit] = attrs.field(factory=list)
     injected_faults: list[InjectedFault] = attrs.field(factory=list)
     key_revoked_at: dict[str, float] = attrs.field(factory=dict)
     draining_since: dict[str, float] = attrs.field(factory=dict)
@@ -189,4 +211,4 @@
         return list(past)[-1][1]
 
 
-__all__ = ["InjectedFault", "Kind", "Pause", "Record", "Request", "Run"]
+__all__ = ["InjectedFault", "Kind", "Limit", "Pause", "Record", "Request", "Run"]
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -29,6 +29,18 @@
 NOTICE_GAP_S = 1.0
 """Mean seconds between what endpoints say of themselves."""
 
+LIMIT_GAP_S = 2.5
+"""Mean seconds between limits that endpoints name."""
+
+MIN_LIMIT_S = 5.0
+"""Shortest time for which an endpoint names a limit, longer than the window in which it counts."""
+
+MIN_LENGTH_WITH_LIMITS_S = 2.0
+"""Shortest run in which endpoints name limits, which last longer."""
+
+LIMITS_PER_S = (0.3, 1.0, 2.0, 5.0)
+"""Limits in requests a second; endpoints of the soak get some tens."""
+
 STORE_LINK = "store"
 ENDPOINT_LINK = "endpoint"
 
@@ -151,6 +163,16 @@
     count: int
 
 
+@attrs.frozen
+class NameLimit(Fault):
+    """An endpoint names in its responses how many requests it takes of all gateways together.
+
+    :param per_s: requests a second
+    """
+
+    per_s: float
+
+
 @attrs.frozen
 class RevokeKey(Fault):
     """An API key is revoked by a config change. Planned work."""
@@ -176,6 +198,7 @@
         self._random = random.Random(settings.seed)
         # of their own, so that a seed keeps its other faults
         self._notice_random = random.Random(f"notices {settings.seed}")
+        self._limit_random = random.Random(f"limits {settings.seed}")
 
     def draw(self) -> list[Fault]:
         """:return: faults in order of time; a series repeats one kind, and faults may overlap."""
@@ -184,7 +207,8 @@
         while at_s < self._settings.length_s:
             faults += self._draw_series(at_s)
             at_s += self._random.expovariate(1 / self._settings.fault_gap_s)
-        return sorted([*faults, *self._draw_notices()], key=lambda fault: fault.at_s)
+        said = [*self._draw_notices(), *self._draw_limits()]
+        return sorted([*faults, *said], key=lambda fault: fault.at_s)
 
     def _draw_notices(self) -> list[Fault]:
         """:return: what endpoints say of themselves, a kind in turn, at least one of each."""
@@ -201,6 +225,20 @@
             at_s += generator.expovariate(1 / NOTICE_GAP_S)
         return faults
 
+    def _draw_limits(self) -> list[Fault]:
+        """:return: limits of endpoints; they overlap, and change at one endpoint."""
+        generator, endpoints = self._limit_random, self._settings.endpoints
+        faults: list[Fault] = []
+        if self._settings.length_s < MIN_LENGTH_WITH_LIMITS_S:
+            return faults
+        at_s = generator.uniform(0.0, 1.0)
+        while not faults or at_s < self._settings.length_s - MIN_LIMIT_S:
+            target = 3 * generator.randrange(endpoints) + generator.choice(BUSY_SERVICES)
+            length_s = round(generator.uniform(MIN_LIMIT_S, 2 * MIN_LIMIT_S), 2)
+            faults.append(NameLimit(at_s, target, length_s, generator.choice(LIMITS_PER_S)))
+            at_s += generator.expovariate(1 / LIMIT_GAP_S)
+        return faults
+
     def _draw_series(self, at_s: float) -> list[Fault]:
         draw = self._random.choice(self._list_factories())
         count = self._random.choice((1, 1, 1, 2, 3))
@@ -283,6 +321,7 @@
     "KillGateway",
     "LeaveUnlisted",
     "MoveRoute",
+    "NameLimit",
     "PauseGateway",
     "ReloadGateway",
     "ResetLink",
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,7 +13,7 @@
 from basilroad.standin.rowstore import RowStoreStandin
 from soak.link import Link
 from soak.process import GatewayProcess
-from soak.records import Pause, Record, Run
+from soak.records import Limit, Pause, Record, Run
 from soak.settings import DRAIN_S, SoakSettings
 
 HOST = "soak.example"
@@ -179,6 +179,21 @@
             await leaving.stop()
             await link.close()
 
+    async def name_limit(self, number: int, per_s: float, length_s: float) -> None:
+        """Let an endpoint name a limit for a time, unless it names one.
+
+        :param number: number of the endpoint
+        :param per_s: requests a second
+        :param length_s: seconds
+        """
+        server, began = self.endpoints[number].server, time.monotonic()
+        if server.limit:
+            return
+        server.limit = f"{per_s:g}"
+        await asyncio.sleep(length_s)
+        server.limit = ""
+        self.record.limits.append(Limit(server.id, number, per_s, began, time.monotonic()))
+
     async def _add_endpoint(self, number: int, service: str) -> None:
         endpoint = Endpoint(number, service, AppServerStandin(), Link(0))
         self.endpoints.append(endpoint)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,13 +7,14 @@
 
 from basilroad.standin.appserver import ReceivedRequest
 from soak.promises import PROMISES, Promise
-from soak.records import InjectedFault, Kind, Pause, Record, Request, Run
+from soak.records import InjectedFault, Kind, Limit, Pause, Record, Request, Run
 from soak.schedule import (
     ENDPOINT_LINK,
     AskForPause,
     HoldLink,
     KillGateway,
     LeaveUnlisted,
+    NameLimit,
     PauseGateway,
     ResetLink,
     Schedule,
@@ -185,6 +186,50 @@
         assert ("PausesAreKept" not in find(record)) is excused
 
 
+def build_limited_record(calls: int, apart_s: float = 0.1, per_s: float = 1.0) -> Record:
+    """:return: a record in which calls reach an endpoint that named a limit for 8 s."""
+    request = attrs.evolve(build_request(), limited=True, answered_at=FAULT_FREE_AT)
+    record = build_record(request, build_run())
+    began, ended = FAULT_FREE_AT - 0.1, FAULT_FREE_AT + 8.0
+    record.limits = [Limit("i-1", 1, per_s, began, ended)]
+    record.reached = [build_run(FAULT_FREE_AT + 0.6 + apart_s * n) for n in range(calls)]
+    return record
+
+
+def test_calls_at_an_endpoint_beyond_its_limit() -> None:
+    assert find(build_limited_record(12)) == {"LimitsAreKept"}
+    assert find(build_limited_record(11)) == set()
+    assert find(build_limited_record(12, apart_s=0.37)) == set()
+    assert find(build_limited_record(30, per_s=5.0)) == set()
+    untold = build_limited_record(12)
+    untold.requests["r1"].limited = False
+    assert find(untold) == set()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        KillGateway(0.0, 0, 0.1),
+        PauseGateway(0.0, 0, 0.1),
+        HoldLink(0.0, 1, 0.1, ENDPOINT_LINK, True, False),
+        ResetLink(0.0, 1, 0.0, ENDPOINT_LINK),
+    ],
+)
+def test_a_restart_pause_or_cut_excuses_calls_beyond_a_limit(fault) -> None:
+    record = build_limited_record(12)
+    elsewhere = attrs.evolve(fault, target=fault.target + 1)
+    at = FAULT_FREE_AT + 0.61
+    for injected, excused in ((elsewhere, False), (fault, True)):
+        record.injected_faults.append(InjectedFault(injected, at, at + 0.1))
+        assert ("LimitsAreKept" not in find(record)) is excused
+
+
+def test_a_run_of_some_length_has_endpoints_that_name_limits() -> None:
+    for seed in range(20):
+        faults = Schedule(SoakSettings(seed=seed, length_s=4.0)).draw()
+        assert any(isinstance(fault, NameLimit) for fault in faults)
+
+
 def test_a_call_at_the_previous_service_of_a_moved_route() -> None:
     at = FAULT_FREE_AT + 20.0
     record = build_record(build_request(Kind.MOVED, at), build_run(at))
