--- a/src/basilroad/gateway/availability.py
+++ b/src/basilroad/gateway/availability.py
@@ -30,14 +30,13 @@
     limited: int = 0
     interval_s: float = 0.0
 
-    def outlasts(self, wait_until: float, ahead: int = 0) -> bool:
-        """Check whether no endpoint takes a call within its waiting limit.
-
-        :param wait_until: the limit in monotonic seconds
-        :param ahead: calls that are served before
-        :return: whether waiting is of no use
-        """
-        return self.until + ahead * self.interval_s >= wait_until
+    def outlasts(self, wait_until: float) -> bool:
+        """:return: whether no endpoint takes calls within a waiting limit in monotonic seconds."""
+        return self.until >= wait_until
+
+    def after(self, ahead: int) -> ServicePause:
+        """:return: the pause for a call that is served after some others."""
+        return attrs.evolve(self, until=self.until + ahead * self.interval_s)
 
     def describe(self) -> str:
         """:return: text for the caller and the log."""
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -130,8 +130,8 @@
         left_s = wait_until - self._clock()
         if left_s <= 0:
             return None
-        pause = self.find_pause(call, avoid)
-        if pause is not None and pause.outlasts(wait_until, self._count_ahead(call)):
+        pause = self.find_turn(call, avoid)
+        if pause is not None and pause.outlasts(wait_until):
             return None
         return await self._wait(Ticket(call, avoid, wait_until, _create_future()), left_s)
 
@@ -181,9 +181,14 @@
         endpoints = self.directory.list_by_service(call.service)
         return find_service_pause(endpoints, self._clock(), avoid)
 
+    def find_turn(self, call: Call, avoid: Collection[str] = ()) -> ServicePause | None:
+        """:return: the same, until the turn of a call that comes after those that wait."""
+        pause = self.find_pause(call, avoid)
+        return None if pause is None else pause.after(self._count_ahead(call))
+
     def has_room(self, call: Call, avoid: Collection[str]) -> bool:
         """:return: whether another endpoint could take the call at once."""
-        return not self._is_blocked(call) and self._choose(call, avoid) is not None
+        return not self._is_blocked(call) and self._choose_at_once(call, avoid) is not None
 
     def release(self, reservation: Reservation) -> None:
         """Release a reservation and dispatch queued calls.
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -306,7 +306,7 @@
         :return: the error
         """
         call = tracker.call
-        pause = None if tracker.sent else self.dispatcher.find_pause(call)
+        pause = None if tracker.sent else self.dispatcher.find_turn(call)
         if pause is not None:
             log_service_pause(call, self.directory.list_passed_over(call.service))
         return tracker.build_refusal(pause)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -10,6 +10,7 @@
 
 from basilroad.errors import ErrorKind, RefusedError
 from basilroad.gateway.availability import find_service_pause
+from basilroad.gateway.call import PromptSize
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.handler import CallHandler
@@ -22,7 +23,15 @@
     Source,
 )
 from basilroad.gateway.selection import Chooser
-from builders import PLACE, RecordingResponder, build_call, build_entry, build_route
+from builders import (
+    ENGINE,
+    PLACE,
+    RecordingResponder,
+    build_call,
+    build_entry,
+    build_route,
+    build_stream_route,
+)
 
 NOW = 100.0
 
@@ -141,6 +150,32 @@
     assert Chooser(PLACE).choose(fleet.directory, build_call(), None, NOW + 1.0) is limited
 
 
+def test_an_endpoint_with_a_limit_keeps_no_backups() -> None:
+    fleet = Fleet()
+    engines = [
+        fleet.add(f"e{number}", service="llm", data_centre=at)
+        for number, at in enumerate(("riga-a", "riga-b", "kurzeme-a"))
+    ]
+    fleet.tell(engines[1], 2.0, NOW)
+    chooser = Chooser(PLACE)
+    size = PromptSize(8000, 1000)
+    assert chooser.choose_backup_endpoint(engines, engines[0], size, ENGINE, NOW) is engines[2]
+    fleet.tell(engines[2], 2.0, NOW)
+    assert chooser.choose_backup_endpoint(engines, engines[0], size, ENGINE, NOW) is None
+
+
+# fault: a stream is moved from its slow engine, and no other one has a permit for it
+async def test_an_endpoint_without_a_permit_in_hand_is_no_room_to_move_to(gateway) -> None:
+    gateway.directory.put(build_entry("i-1", service="llm", slots=48))
+    [endpoint] = gateway.directory
+    call = build_call(build_stream_route())
+    now = time.monotonic()
+    endpoint.notices.record_limit(NamedLimit(2.0, now), Source.ANSWER, now)
+    assert not gateway.dispatcher.has_room(call, ())
+    endpoint.notices.limit.add_permit(now)
+    assert gateway.dispatcher.has_room(call, ())
+
+
 def test_a_service_without_permits_is_paused_until_the_first_one() -> None:
     fleet = Fleet()
     endpoints = [fleet.add(f"e{number}") for number in range(3)]
@@ -152,7 +187,8 @@
     assert pause is not None
     assert (pause.until, pause.limited, pause.paused) == (NOW + 1.0, 3, 0)
     assert not pause.outlasts(NOW + 1.5)
-    assert pause.outlasts(NOW + 1.5, ahead=1)
+    assert pause.after(1).outlasts(NOW + 1.5)
+    assert not pause.after(1).outlasts(NOW + 1.6)
 
 
 def test_limits_are_reported_to_other_gateways_with_their_age() -> None:
