Give store, endpoints and links of a soak an address of their own

Cause: two soak runs beside each other shared 127.0.0.1.

Change: all listeners of a run but those of gateways are on one loopback address that is named after its process.

--- a/soak/link.py
+++ b/soak/link.py
@@ -13,11 +13,13 @@
 class Link:
     """A proxied path to one listener.
 
-    :param port: loopback port of the listener
+    :param port: port of the listener
+    :param ip: loopback address of the listener and of the proxy
     """
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, ip: str) -> None:
         self.port = 0
+        self.ip = ip
         self.delay_s = 0.0
         self.holds_requests = False
         self.holds_answers = False
@@ -28,7 +30,7 @@
 
     async def start(self) -> None:
         """Listen on loopback."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, self.ip, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
@@ -61,7 +63,7 @@
         self._tasks.add(task)
         connection_writers = {writer}
         try:
-            upstream, to_upstream = await asyncio.open_connection("127.0.0.1", self._target)
+            upstream, to_upstream = await asyncio.open_connection(self.ip, self._target)
             connection_writers.add(to_upstream)
             self._writers |= connection_writers
             async with asyncio.TaskGroup() as group:
--- a/soak/process.py
+++ b/soak/process.py
@@ -13,6 +13,7 @@
 import attrs
 import yaml
 
+from soak.link import Link
 from soak.settings import APPLY_S, DRAIN_S, GRACE_S, REVOKE_S
 
 FRONT_PORT, READY_PORT, PEER_PORT = 8227, 8220, 7340
@@ -27,13 +28,13 @@
     :param number: number of the gateway
     :param ip: loopback address, used by this gateway alone
     :param folder: directory of its settings and log
-    :param store_port: loopback port at which it reaches the store
+    :param store: link over which it reaches the store
     """
 
     number: int
     ip: str
     folder: Path
-    store_port: int
+    store: Link
     starts: list[float] = attrs.field(factory=list)
     paused: bool = False
     _process: subprocess.Popen[bytes] | None = None
@@ -152,7 +153,7 @@
                 "ready": f"{self.ip}:{READY_PORT}",
             },
             "internalPorts": [PEER_PORT],
-            "platform": {"address": f"127.0.0.1:{self.store_port}"},
+            "platform": {"address": f"{self.store.ip}:{self.store.port}"},
             "bounds": {
                 "drainMs": 1000 * DRAIN_S,
                 "graceS": GRACE_S,
--- a/soak/world.py
+++ b/soak/world.py
@@ -32,6 +32,10 @@
 UNLISTED_LEAVING_S = 2.0
 """Seconds for which an endpoint that leaves without changing its entry goes on after that."""
 
+BACKENDS = 200
+"""Number of the address of store, endpoints and links, beyond those of gateways. With an address of
+its own, no other process takes the port of an endpoint that is down."""
+
 KEY_COUNT = 6
 """Number of API keys at the start; two are never revoked."""
 
@@ -71,7 +75,8 @@
     def __init__(self, settings: SoakSettings, folder: Path) -> None:
         self.settings = settings
         self.record = Record(events=STREAM_EVENTS)
-        self.store = RowStoreStandin()
+        self._ip = _choose_ip(BACKENDS)
+        self.store = RowStoreStandin(self._ip)
         self.store_links: list[Link] = []
         self.gateways: list[GatewayProcess] = []
         self.endpoints: list[Endpoint] = []
@@ -87,10 +92,10 @@
             await self._add_endpoint(number, SERVICES[number % len(SERVICES)])
         self.write_config()
         for number in range(self.settings.gateways):
-            link = Link(self.store.port)
+            link = Link(self.store.port, self._ip)
             await link.start()
             self.store_links.append(link)
-            gateway = GatewayProcess(number, _choose_ip(number), self._folder, link.port)
+            gateway = GatewayProcess(number, _choose_ip(number), self._folder, link)
             gateway.start()
             self.gateways.append(gateway)
 
@@ -156,7 +161,7 @@
             leaving, link = endpoint.server, endpoint.link
             self._register(endpoint, state="draining")
             self.record.draining_since[leaving.id] = time.monotonic()
-            endpoint.link = Link(0)
+            endpoint.link = Link(0, self._ip)
             await self._start_instance(endpoint, 0)
             await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S)
             self.store.put("servers", leaving.id, None)
@@ -172,7 +177,7 @@
         async with endpoint.busy:
             leaving, link = endpoint.server, endpoint.link
             leaving.leaving_in = ALL_RESPONSES
-            endpoint.link = Link(0)
+            endpoint.link = Link(0, self._ip)
             await self._start_instance(endpoint, 0)
             await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S + UNLISTED_LEAVING_S)
             self.store.put("servers", leaving.id, None)
@@ -195,26 +200,26 @@
         self.record.limits.append(Limit(server.id, number, per_s, began, time.monotonic()))
 
     async def _add_endpoint(self, number: int, service: str) -> None:
-        endpoint = Endpoint(number, service, AppServerStandin(), Link(0))
+        endpoint = Endpoint(number, service, AppServerStandin(), Link(0, self._ip))
         self.endpoints.append(endpoint)
         await self._start_instance(endpoint, 0)
 
     async def _start_instance(self, endpoint: Endpoint, port: int) -> None:
-        instance = AppServerStandin(f"i-{endpoint.number}-{len(endpoint.instances)}")
+        instance = AppServerStandin(f"i-{endpoint.number}-{len(endpoint.instances)}", ip=self._ip)
         if endpoint.service == ENGINE:
             instance.events, instance.event_interval_s = STREAM_EVENTS, EVENT_INTERVAL_S
         await instance.start(port)
         endpoint.server = instance
         endpoint.instances.append(instance)
         if not endpoint.link.port:
-            endpoint.link = Link(instance.port)
+            endpoint.link = Link(instance.port, self._ip)
             await endpoint.link.start()
         self._register(endpoint)
 
     def _register(self, endpoint: Endpoint, state: str = "ready") -> None:
         entry = {
             "service": endpoint.service,
-            "address": f"127.0.0.1:{endpoint.link.port}",
+            "address": f"{endpoint.link.ip}:{endpoint.link.port}",
             "zone": endpoint.data_centre,
             "slots": SLOTS,
             "state": state,
--- a/src/basilroad/standin/rowstore.py
+++ b/src/basilroad/standin/rowstore.py
@@ -18,11 +18,13 @@
 class RowStoreStandin:
     """Stores rows by table and key, with one global revision counter.
 
+    :param ip: its loopback address
     :param refusing: error status returned to every call; 0 to serve normally
     :param silent: whether all responses are withheld
     :param history_from: oldest revision from which changes can be read; earlier ones return 410
     """
 
+    ip: str = "127.0.0.1"
     refusing: int = 0
     silent: bool = False
     history_from: int = 0
@@ -41,7 +43,7 @@
         server = web.Server(self._handle)
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        site = web.TCPSite(self._runner, self.ip, port)
         await site.start()
         self.port = self._runner.addresses[0][1]
 
