Read the transactions of a stand-in store before it falls silent

Cause: while the stand-in is silent, callers leave before it reads the body of their transaction, and each prints a traceback into the soak's output.

Change: the body is read first.

Measured: tests/platform passes.

--- a/src/basilroad/standin/rowstore.py
+++ b/src/basilroad/standin/rowstore.py
@@ -69,6 +69,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         self.calls += 1
+        # before any wait, in which the caller may leave
+        body = await request.read()
         while self.silent:
             await asyncio.sleep(0.01)
         if self.refusing:
@@ -80,7 +82,7 @@
             since = int(query["sinceRevision"])
             return await self._feed(query["table"], since, int(query["waitMs"]) / 1000)
         if request.path == "/rows-tx":
-            return self._write(msgspec.json.decode(await request.read()))
+            return self._write(msgspec.json.decode(body))
         return web.Response(status=404)
 
     def _write(self, transaction: dict[str, Any]) -> web.Response:
