Offer permits among the embeddable parts, and bound the wait of a reply

Cause: the source of permits is a part of its own, but coordination/ did not name it. A reply with an absurd wait, as of a damaged datagram, took an endpoint from a host for years.

--- a/src/basilroad/coordination/__init__.py
+++ b/src/basilroad/coordination/__init__.py
@@ -47,6 +47,7 @@
     from basilroad.coordination.lease import Lease, LeaseSettings
     from basilroad.coordination.leasekeeper import LeaseKeeper
     from basilroad.coordination.pause import PauseDetector, RunClock
+    from basilroad.coordination.permits import PermitSource
     from basilroad.coordination.poison import (
         MarkBatch,
         PoisonLedger,
@@ -117,6 +118,7 @@
     "MarkBatch": "poison",
     "PauseDetector": "pause",
     "Pick": "fairpicker",
+    "PermitSource": "permits",
     "PoisonLedger": "poison",
     "PoisonMark": "poison",
     "PoisonSettings": "poison",
@@ -204,6 +206,7 @@
     "LeaseSettings",
     "MarkBatch",
     "PauseDetector",
+    "PermitSource",
     "Pick",
     "PoisonLedger",
     "PoisonMark",
--- a/src/basilroad/gateway/permits.py
+++ b/src/basilroad/gateway/permits.py
@@ -22,7 +22,7 @@
 import attrs
 import msgspec
 
-from basilroad.coordination.permits import PermitSource
+from basilroad.coordination.permits import MAX_WAIT_S, PermitSource
 from basilroad.coordination.rendezvous import choose_hosts
 from basilroad.gateway.gossipstate import Count, StartTime
 from basilroad.gateway.limits import NamedLimit
@@ -234,7 +234,7 @@
             reply = await self._exchange(endpoint, host) if host in self.list_peers() else None
         if reply is None or reply.grantor:
             return None
-        return reply.wait_ms / 1000
+        return min(MAX_WAIT_S, reply.wait_ms / 1000)
 
     async def _exchange(self, endpoint: Endpoint, host: str) -> PermitReply | None:
         peer = self.list_peers().get(host)
--- a/tests/coordination/test_budget.py
+++ b/tests/coordination/test_budget.py
@@ -58,3 +58,15 @@
         assert guard.admit(resource, number) == (number >= seen[resource])
         seen[resource] = max(seen[resource], number)
         assert guard.highest(resource) == seen[resource]
+
+
+def test_a_bucket_that_is_resized_keeps_its_level_as_far_as_it_fits(clock) -> None:
+    bucket = TokenBucket(10, 20, clock)
+    assert bucket.take(15)
+    bucket.resize(1, 3)
+    assert bucket.take(3)
+    assert bucket.delay(2) == pytest.approx(2)
+    bucket.resize(4, 8)
+    assert bucket.delay(2) == pytest.approx(0.5)
+    with pytest.raises(ValueError):
+        bucket.resize(0, 1)
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -13,11 +13,12 @@
 
 import pytest
 
+from basilroad.coordination.permits import MAX_WAIT_S
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.limits import RETURN_SPREAD_S, NamedLimit
 from basilroad.gateway.notices import NoticeRegister, Source
-from basilroad.gateway.permits import Peer, PermitExchange, PermitReply, PermitRequest
+from basilroad.gateway.permits import LimitReport, Peer, PermitExchange, PermitReply, PermitRequest
 from basilroad.peers.address import Address
 from builders import PLACE, build_entry
 
@@ -233,6 +234,19 @@
     assert fleet.messages <= 20 * 20
 
 
+# fault: a reply with an absurd wait takes the endpoint from a host for good
+async def test_a_reply_with_an_absurd_wait_is_believed_for_some_seconds_only() -> None:
+    fleet = Fleet(4, 1.0)
+    first = fleet.hosts[0].permits.rank_grantors(fleet.hosts[0].endpoint)[0]
+    asker = next(host for host in fleet.hosts if host.name != first)
+    report = LimitReport(1000, 0)
+    asker.permits.send = lambda request, _: asker.permits.take_reply(
+        PermitReply(request.number, 2**40, report)
+    )
+    assert not await asker.permits.acquire(asker.endpoint)
+    assert not asker.endpoint.notices.limit.is_refused(fleet.now + MAX_WAIT_S)
+
+
 # fault: a host goes on asking for permits after the limit has ended, as others know
 async def test_a_grantor_that_knows_of_the_end_tells_so() -> None:
     fleet = Fleet(4, 1.0)
