Blame no stream that has passed for an engine that falls silent

Callers of a stream that met a crash and then silent engines could have it refused in the end, with its parts.

Cause: since the beginning of a resumed run counted as that of a new stream, other than for a broken connection.

Change: the silence of an engine counts only against streams that have not passed, as its crash does.

Evidence: test_a_resumed_stream_is_not_blamed_for_a_silent_engine failed before: one record was in the ledger.

--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -272,11 +272,15 @@
             containment.record_whole(run)
         elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
             await self._record_break(run)
-        elif isinstance(outcome, MayHaveRun) and attempt.endpoint.lost_at >= run.started_at:
+        elif isinstance(outcome, MayHaveRun) and self._fell_silent(run):
             containment.record_silence(run)
         self._passed = self._passed or run.passed
         return outcome
 
+    def _fell_silent(self, run: Run) -> bool:
+        endpoint = run.endpoint
+        return not self._passed and endpoint is not None and endpoint.lost_at >= run.started_at
+
     async def _record_break(self, run: Run) -> None:
         containment = self._gateway.containment
         if not self._passed and run.is_at_beginning(time.monotonic()):
--- a/tests/gateway/test_silent_crashes.py
+++ b/tests/gateway/test_silent_crashes.py
@@ -12,7 +12,7 @@
 from basilroad.errors import RefusedError
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.runs import Run
+from basilroad.gateway.runs import BEGINNING_S, Run
 from basilroad.standin.appserver import AppServerStandin, CrashPoint
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
@@ -76,3 +76,32 @@
     gateway.directory.remove("i-1")
     gateway.containment.check_silent(time.monotonic())
     assert not len(gateway.containment.ledger)
+
+
+# fault: the content of a stream that had passed was blamed for an engine that fell silent later
+async def test_a_resumed_stream_is_not_blamed_for_a_silent_engine(gateway, start_server) -> None:
+    options = {"events": 30, "event_interval_s": 0.03}
+    first = await start_server("i-1", service="llm", **options)
+    second = await start_server("i-2", service="llm", data_centre="kurzeme-a", **options)
+    third = await start_server("i-3", service="llm", data_centre="kurzeme-a", **options)
+    call, responder = build_call(build_stream_route()), RecordingResponder()
+    running = asyncio.ensure_future(CallHandler(gateway).handle(call, responder))
+    await asyncio.sleep(BEGINNING_S + 0.2)
+    second.silent = third.silent = True
+    await first.stop()
+    lost = await wait_for_lost(gateway)
+    second.silent = third.silent = False
+    await running
+    assert responder.numbers == list(range(1, 31))
+    gateway.directory.remove(lost)
+    gateway.containment.check_silent(time.monotonic())
+    assert not len(gateway.containment.ledger)
+
+
+async def wait_for_lost(gateway: Gateway) -> str:
+    """:return: id of an engine that is found to be silent."""
+    while True:
+        for endpoint in gateway.directory:
+            if endpoint.lost_at > 0:
+                return endpoint.id
+        await asyncio.sleep(0.01)
