Check an endpoint again when its permit has arrived

Cause: since a round trip may pass between the choice of an endpoint and its use; one that announced its exit meanwhile was used all the same.

Change: the endpoint is asked again; if it takes no calls, another is chosen.

--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -299,7 +299,10 @@
     async def _choose_permitted(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
         endpoint = self._choose(call, avoid)
         for _ in range(MAX_PERMIT_ROUNDS):
-            if endpoint is None or await self.acquire_permit(endpoint):
+            if endpoint is None:
+                return None
+            # it may have announced its exit while the permit was asked for
+            if await self.acquire_permit(endpoint) and endpoint.is_available(self._clock()):
                 return endpoint
             # one round trip is enough while others need no permit
             endpoint = self._choose_at_once(call, avoid) or self._choose(call, avoid)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -225,3 +225,21 @@
     await CallHandler(gateway).handle(build_call(), RecordingResponder())
     text = gateway.render_metrics().decode()
     assert 'basilroad_endpoint_notices_total{kind="limit",source="answer"} 1.0' in text
+
+
+# fault: an endpoint that announces its exit while a permit is asked for gets the call all the same
+async def test_an_endpoint_that_leaves_while_a_permit_is_asked_for_is_not_used(gateway) -> None:
+    gateway.directory.put(build_entry("i-1"))
+    [endpoint] = gateway.directory
+    now = time.monotonic()
+    endpoint.notices.record_limit(NamedLimit(2.0, now), Source.ANSWER, now)
+
+    class Granting:
+        async def acquire(self, endpoint: Endpoint) -> bool:
+            endpoint.notices.limit.add_permit(time.monotonic())
+            endpoint.notices.record_leaving(Source.ANSWER, time.monotonic())
+            return True
+
+    gateway.dispatcher._permits = Granting()
+    assert await gateway.dispatcher.place(build_call(), now) is None
+    assert endpoint.notices.limit.has_permit(time.monotonic())
