--- a/tests/harness/test_known_red.py
+++ b/tests/harness/test_known_red.py
@@ -98,3 +98,10 @@
     result = pytester.runpytest_subprocess()
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines(["*no notes, or no such file*"])
+
+
+# fault: a listed test fails for another reason than its entry names, and nothing tells so
+def test_what_failed_this_time_is_printed(pytester: pytest.Pytester, workers: str) -> None:
+    result = run(pytester, workers, "test_red", "test_setup", select="red or setup")
+    result.stdout.fnmatch_lines(["*test_it.py::test_red", "*E * assert False*"])
+    result.stdout.fnmatch_lines(["*test_it.py::test_setup", "*E * ValueError*"])
--- a/tests/support/known_red.py
+++ b/tests/support/known_red.py
@@ -19,6 +19,9 @@
 """Note of a test that fails only in some runs."""
 
 _REASON = "known red"
+_FAILURE_MARK = "E "
+"""Start of the lines of a report that say what failed."""
+
 _ENTRIES = pytest.StashKey[dict[str, list[str]]]()
 
 
@@ -75,19 +78,23 @@
 
 
 def pytest_terminal_summary(terminalreporter: Any, config: pytest.Config) -> None:
-    """Print the entry of each listed test that failed.
+    """Print the entry of each listed test that failed, and how it failed this time.
 
     :param terminalreporter: prints the section and holds the reports
     :param config: of this run
     """
     reports = terminalreporter.stats.get("xfailed", ())
-    red = sorted({r.nodeid for r in reports if r.wasxfail == _REASON})
+    failures = {r.nodeid: r.longreprtext for r in reports if r.wasxfail == _REASON}
+    red = sorted(failures)
     if red:
         terminalreporter.section(f"{_REASON}: {len(red)}")
     for test in red:
         terminalreporter.line(test)
         for note in config.stash[_ENTRIES][test]:
             terminalreporter.line(f"  {note}")
+        for line in failures[test].splitlines():
+            if line.startswith(_FAILURE_MARK):
+                terminalreporter.line(f"  {line}")
 
 
 __all__ = ["FILE_NAME", "read_entries"]
