--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""BUDGET: once all gateways were killed, a request that crashes servers is retried again."""
+"""DRAIN: after open channels fell silent, the gateways learn too late that a server leaves."""
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
@@ -12,12 +11,11 @@
 from rig import (  # noqa: E402
     BOUNDS,
     TROUBLE,
-    CannotRunError,
+    Client,
     Gateway,
     HttpError,
     Server,
     Store,
-    fetch,
     make_config,
     make_route,
     new_id,
@@ -27,60 +25,37 @@
 )
 
 ZONES = {"riga-a": "riga", "riga-b": "riga", "kurzeme-a": "kurzeme"}
+CLIENTS, PAUSE_S = 4, 0.05
+DRAIN_S = BOUNDS["drainMs"] / 1000
 CONTACT_S = BOUNDS["contactMs"] / 1000
-DOWN_S = 3.0  # of a server that crashed
-KILLS = 3
-KILLED_S = 1.0  # until killed gateways are started again
-MAX_RETRIES = 3  # after the third crash, by the rule
-DEADLY = "/look/deadly"
-
-
-class FragileServer(Server):
-    """A server that crashes as it begins to run one request, and is back after some seconds."""
-
-    crashes: list[float] = []
-    deadly: list[tuple[float, str]] = []
-
-    async def run(self, request, head, body, writer) -> None:
-        if head["x-target"] != DEADLY:
-            await super().run(request, head, body, writer)
-            return
-        self.crashes.append(time.monotonic())
-        self.deadly.append((time.monotonic(), request))
-        self.record(f"server {self.id} crashes on {request}, crash {len(self.crashes)}")
-        self.end()
-        asyncio.get_running_loop().create_task(self._come_back())
-
-    async def respond(self, method, target, head, body, writer) -> None:
-        await super().respond(method, target, {**head, "x-target": target}, body, writer)
-
-    async def _come_back(self) -> None:
-        await asyncio.sleep(DOWN_S)
-        self.born = time.time_ns() // 1_000_000
-        self.sequence = 0
-        await self.start()
-        self.record(f"server {self.id} is back")
-
-
-async def ask(gateway: Gateway, record, target: str) -> object:
-    """Send one request."""
-    request = new_id()
-    headers = {"Host": "shop.example", "X-Attempt-Id": request, "X-Deadline-Ms": "4000"}
-    try:
-        status, _, _ = await fetch(gateway.front, "GET", target, headers)
-    except (HttpError, OSError, TimeoutError) as error:
-        status = repr(error)
-    record(f"request {request} for {target} at {gateway.name} is answered {status}")
-    return status
+ROUNDS = 6
+CROSSING_S = 0.1
+
+
+async def send_requests(gateway: Gateway, sent: dict, record, until: float) -> None:
+    """Send requests one after the other."""
+    client = Client(gateway.front)
+    while time.monotonic() < until:
+        request = new_id()
+        sent[request] = time.monotonic()
+        headers = {"Host": "shop.example", "X-Attempt-Id": request, "X-Deadline-Ms": "4000"}
+        try:
+            await client.send("GET", "/look/1", headers)
+            status, _, _ = await client.receive()
+        except (HttpError, OSError) as error:
+            status = repr(error)
+            client.close()
+        record(f"request {request} at {gateway.name} is answered {status}")
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(record, folder: Path) -> bool:
     store = Store(new_ip())
     await store.listen()
-    route = make_route("look", "stock", "idempotent", maxAttempts=5, sloMs=2000)
-    service = {"name": "stock", "healthPath": "/health", "maxConnections": 100}
+    route = make_route("look", "orders", "idempotent", maxAttempts=2)
+    service = {"name": "orders", "healthPath": "/health", "maxConnections": 100}
     await store.put("op", "config", make_config(1, [route], [service]))
-    servers = [FragileServer(store, record, "stock", zone) for zone in ZONES for _ in range(3)]
+    servers = [Server(store, record, "orders", zone) for zone in ZONES]
     gateways = [Gateway(store, f"edge-{zone}-1", zone, ZONES, folder) for zone in ZONES]
     async with running(store, *servers, *gateways):
         for server in servers:
@@ -89,40 +64,44 @@
             gateway.start()
         for gateway in gateways:
             await gateway.wait_ready()
+        sent: dict[str, float] = {}
+        until = time.monotonic() + CONTACT_S + 1.0 + ROUNDS * 3 * CONTACT_S
+        traffic = asyncio.gather(
+            *(send_requests(gateway, sent, record, until) for gateway in gateways for _ in range(CLIENTS))
+        )
         await asyncio.sleep(CONTACT_S + 1.0)
-        # the request comes again and again, at any machine, until it is known
-        for number in range(6):
-            await ask(gateways[number % len(gateways)], record, DEADLY)
-            await asyncio.sleep(1.0)
-        crashes = FragileServer.crashes
-        if len(crashes) < 3:
-            raise CannotRunError("the request crashed fewer than three servers")
-        bound = crashes[2] + CONTACT_S
-        record.say(f"before any kill it crashed {len(crashes)} servers")
-        for _ in range(KILLS):
+        late = []
+        for _ in range(ROUNDS):
+            # the store is stable and all machines are in touch when it acknowledges the draining
+            leaving = max(servers, key=lambda server: len(server.arrivals))
+            servers.remove(leaving)
+            leaving.state = "draining"
+            await leaving.write_entry()
+            acknowledged = time.monotonic()
+            record(f"the store acknowledged that {leaving.id} is draining")
+            await asyncio.sleep(CROSSING_S)
+            silenced_at = time.monotonic()
             if TROUBLE:
-                for gateway in gateways:
-                    gateway.signal(signal.SIGKILL)
-                record("all gateways are killed")
-                await asyncio.sleep(KILLED_S)
-                for gateway in gateways:
-                    gateway.kill()
-                    gateway.start()
-                for gateway in gateways:
-                    await gateway.wait_ready()
-            await asyncio.sleep(CONTACT_S + 1.0)
-            for number in range(3):
-                await ask(gateways[number], record, DEADLY)
-                await asyncio.sleep(1.0)
-            sound = [await ask(gateway, record, "/look/sound") for gateway in gateways]
-            record.say(f"it has crashed {len(crashes)} servers; other requests get {sound}")
-        later = [request for at, request in FragileServer.deadly if at > bound]
-        retries = len(later) - len(set(later))
-        record.say(
-            f"later than {CONTACT_S} s after the third crash it reached servers {len(later)} times,"
-            f" {retries} of them as a retry of the same client attempt; {MAX_RETRIES} are allowed"
-        )
-        return retries > MAX_RETRIES
+                record(f"{store.silence_channels()} open channels to the store fall silent")
+            await asyncio.sleep(2 * CONTACT_S)
+            bound = max(acknowledged + DRAIN_S, silenced_at + CONTACT_S)
+            found = [r for at, r in leaving.arrivals if at > bound and sent[r] > bound]
+            late += found
+            record.say(
+                f"{len(found)} requests reached {leaving.id} later than {DRAIN_S} s after the ack and"
+                f" {CONTACT_S} s after the silence; the last request came"
+                f" {leaving.arrivals[-1][0] - acknowledged:.2f} s after the ack"
+            )
+            leaving.end()
+            await store.drop("servers", leaving.id)
+            fresh = Server(store, record, "orders", leaving.zone)
+            servers.append(fresh)
+            await fresh.start()
+            await asyncio.sleep(CONTACT_S - 1.0)
+        await traffic
+        for server in servers:
+            server.end()
+        return bool(late)
 
 
 run_case(str(FOLDER), case)
