Skip what can't be read by itself, whatever is wrong with it

Cause: an entry of another writer, nested 2,000 deep, made the decoder raise RecursionError where ConfigError was promised. It ended in the last handler of the watch, which reads all rows again with the same result: no gateway applied any change as long as the entry stood there.

Change: one total decoder, coordination/decoding.py, at each boundary: config, entries, reports, store, datagrams, bodies of callers, claims, leases, status, events of engines. It raises DecodeError and nothing else. Address and EndpointEntry hold only what can be connected to, named in a header and sent to followers; a record, peer or change that can't be read or applied is skipped alone. So no row's failure can become the table's.

--- a/src/basilroad/backing/hosts.py
+++ b/src/basilroad/backing/hosts.py
@@ -5,8 +5,8 @@
 from typing import Protocol
 
 import attrs
-import msgspec
 
+from basilroad.coordination.decoding import DecodeError, decode_json
 from basilroad.http import HttpClient, HttpError, HttpRequest
 
 OK = 200
@@ -80,8 +80,8 @@
         if response.status != OK:
             raise HostListError(f"answered {response.status}")
         try:
-            return msgspec.json.decode(response.body, type=HostsAnswer).hosts
-        except msgspec.MsgspecError as error:
+            return decode_json(response.body, HostsAnswer).hosts
+        except DecodeError as error:
             raise HostListError(f"invalid response: {error}") from error
 
     async def close(self) -> None:
--- a/src/basilroad/backing/table.py
+++ b/src/basilroad/backing/table.py
@@ -16,6 +16,7 @@
     RowsAnswer,
     ScanRequest,
 )
+from basilroad.coordination.decoding import DecodeError, decode_json
 from basilroad.coordination.table import (
     Changes,
     Row,
@@ -95,8 +96,8 @@
         if response.status != OK:
             raise TableUnavailableError(f"refused with {response.status}: {response.body!r}")
         try:
-            return msgspec.json.decode(response.body, type=CommitAnswer).results
-        except msgspec.MsgspecError as error:
+            return decode_json(response.body, CommitAnswer).results
+        except DecodeError as error:
             raise TableUnknownError(f"invalid response: {error}") from error
 
     async def close(self) -> None:
@@ -111,8 +112,8 @@
         if response.status != OK:
             raise TableUnavailableError(f"answered {response.status}: {response.body!r}")
         try:
-            return msgspec.json.decode(response.body, type=kind)
-        except msgspec.MsgspecError as error:
+            return decode_json(response.body, kind)
+        except DecodeError as error:
             raise TableUnavailableError(f"invalid response: {error}") from error
 
     async def _post(self, path: str, message: object) -> HttpResponse:
--- a/src/basilroad/cli/explain.py
+++ b/src/basilroad/cli/explain.py
@@ -7,9 +7,9 @@
 from typing import Annotated, Any, BinaryIO
 
 import attrs
-import msgspec
 import typer
 
+from basilroad.coordination.decoding import DecodeError, JsonDecoder, decode_json
 from basilroad.logs import Candidate, Decision
 
 _STDIN = "-"
@@ -61,8 +61,8 @@
             continue
         try:
             # A log collector may prepend text to the JSON object.
-            fields = msgspec.json.decode(line[line.find(b"{") :])
-        except msgspec.DecodeError:
+            fields = decode_json(line[line.find(b"{") :])
+        except DecodeError:
             continue
         if not isinstance(fields, dict) or fields.get("request") != request:
             continue
@@ -77,13 +77,13 @@
     :param lines: raw log lines
     :return: decisions in the order of the lines
     """
-    decoder = msgspec.json.Decoder(DecisionLine)
+    decoder = JsonDecoder(DecisionLine)
     for line in lines:
         if _DECISION_MARKER not in line:
             continue
         try:
             yield decoder.decode(line)
-        except msgspec.DecodeError:
+        except DecodeError:
             continue
 
 
--- a/src/basilroad/cli/show.py
+++ b/src/basilroad/cli/show.py
@@ -6,8 +6,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-import msgspec
-
+from basilroad.coordination.decoding import DecodeError, decode_json
 from basilroad.coordination.table import Row
 from basilroad.settings.file import show_settings
 from basilroad.settings.progress import HostReports, Progress
@@ -17,8 +16,8 @@
 def decode_value(row: Row) -> Any:
     """:return: the decoded value of a row, or its text if it is not valid JSON."""
     try:
-        return msgspec.json.decode(row.value or "null")
-    except msgspec.DecodeError:
+        return decode_json(row.value or "null")
+    except DecodeError:
         return row.value
 
 
--- a/src/basilroad/coordination/abandoned.py
+++ b/src/basilroad/coordination/abandoned.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 
 import attrs
-import msgspec
 from mode import Service
 
 from basilroad.coordination.claim import Claim, ClaimState, read_claim
 from basilroad.coordination.claimsettings import ClaimsSettings
+from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.groupcommit import GroupCommit
 from basilroad.coordination.table import Table, TableError, Write
 
@@ -80,7 +80,7 @@
             return True
         try:
             claim = read_claim(await self._table.read(abandoned.path))
-        except (TableError, msgspec.MsgspecError) as error:
+        except (TableError, DecodeError) as error:
             logger.warning("failed to read abandoned claim path=%s error=%r", abandoned.path, error)
             return False
         if claim is None or claim.record.nonce != nonce:
--- a/src/basilroad/coordination/claim.py
+++ b/src/basilroad/coordination/claim.py
@@ -9,6 +9,7 @@
 import msgspec
 import xxhash
 
+from basilroad.coordination.decoding import decode_json
 from basilroad.coordination.table import Row
 
 CLAIMS_PREFIX = "claims/"
@@ -190,11 +191,11 @@
 
     :param row: the row, if there is one
     :return: the claim; ``None`` if there is no row
-    :raises msgspec.MsgspecError: the row holds no claim
+    :raises DecodeError: the row holds no claim
     """
     if row is None or row.value is None:
         return None
-    record = msgspec.json.decode(row.value, type=ClaimRecord)
+    record = decode_json(row.value, ClaimRecord)
     return Claim(row.key, row.revision, record)
 
 
--- a/src/basilroad/coordination/claims.py
+++ b/src/basilroad/coordination/claims.py
@@ -28,6 +28,7 @@
     read_claim,
 )
 from basilroad.coordination.claimsettings import ClaimsSettings
+from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.groupcommit import GroupCommit, GroupCommitSettings
 from basilroad.coordination.outcomes import OutcomeRecorder
 from basilroad.coordination.table import (
@@ -137,7 +138,7 @@
         :param key: the caller's idempotency key
         :return: the current claim, if any
         :raises TableError: the table did not answer
-        :raises msgspec.MsgspecError: the row holds no claim
+        :raises DecodeError: the row holds no claim
         """
         return read_claim(await self._table.read(build_path(workspace, caller, key)))
 
@@ -149,7 +150,7 @@
         :param key: the caller's idempotency key
         :return: the claim; ``None`` if there is none or this process abandoned it unsent
         :raises TableError: the table did not answer
-        :raises msgspec.MsgspecError: the row holds no claim
+        :raises DecodeError: the row holds no claim
         """
         # Deleting an absent row is a no-op, and a commit is never answered from a stale copy.
         write = Write(build_path(workspace, caller, key), None, ABSENT)
@@ -212,7 +213,7 @@
     def _classify(self, attempt: _Attempt, row: Row | None) -> ClaimOutcome | None:
         try:
             claim = read_claim(row)
-        except msgspec.MsgspecError:
+        except DecodeError:
             logger.error("failed to decode claim row path=%s", attempt.request.path)
             return KeyMismatch()
         if claim is None:
--- a/src/basilroad/coordination/leaserow.py
+++ b/src/basilroad/coordination/leaserow.py
@@ -5,8 +5,8 @@
 import logging
 
 import attrs
-import msgspec
 
+from basilroad.coordination.decoding import DecodeError, decode_json
 from basilroad.coordination.table import Row
 
 logger = logging.getLogger(__name__)
@@ -42,8 +42,8 @@
     if row is None or row.value is None:
         return None
     try:
-        return msgspec.json.decode(row.value, type=LeaseRow)
-    except msgspec.MsgspecError:
+        return decode_json(row.value, LeaseRow)
+    except DecodeError:
         logger.warning("failed to decode lease row key=%s", row.key)
         return None
 
--- a/src/basilroad/endpoints/stream.py
+++ b/src/basilroad/endpoints/stream.py
@@ -6,8 +6,8 @@
 from typing import TypeVar
 
 import attrs
-import msgspec
 
+from basilroad.coordination.decoding import DecodeError, JsonDecoder, decode_json
 from basilroad.endpoints.errors import EngineRefusedError
 from basilroad.endpoints.messages import EngineFinish, EngineToken
 
@@ -17,7 +17,7 @@
 FRAME_END = b"\n\n"
 FRAME_START = b"data: "
 
-_TOKEN_DECODER = msgspec.json.Decoder(EngineToken)
+_TOKEN_DECODER = JsonDecoder(EngineToken)
 
 Message = TypeVar("Message")
 
@@ -54,7 +54,7 @@
     data = frame.removeprefix(FRAME_START)
     try:
         return _TOKEN_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except DecodeError:
         # Every event but the last one is a token.
         return _decode_end(data)
 
@@ -75,8 +75,8 @@
     :raises EngineRefusedError: the message is invalid
     """
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(data, kind)
+    except DecodeError as error:
         raise EngineRefusedError(OK, f"invalid response: {error}") from error
 
 
--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/earliersend.py
@@ -7,10 +7,9 @@
 import time
 from typing import TYPE_CHECKING, Protocol
 
-import msgspec
-
 from basilroad.coordination.callledger import CallState
 from basilroad.coordination.claim import ClaimState, build_path
+from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.table import TableError
 from basilroad.entry.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, read_answer
@@ -86,7 +85,7 @@
         if kind is not ErrorKind.STORE_UNAVAILABLE:
             try:
                 return await self._check_claim(keyed_call, error)
-            except (TableError, msgspec.MsgspecError):
+            except (TableError, DecodeError):
                 _LOGGER.info("claim can't be read; asking the agents")
         return await self._ask_agents(keyed_call, error)
 
--- a/src/basilroad/entry/hostwatch.py
+++ b/src/basilroad/entry/hostwatch.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from basilroad.backing.hosts import HostListError
-from basilroad.peers.address import parse_address
+from basilroad.peers.address import parse_remote_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -49,7 +49,11 @@
         for host in listed:
             if host.role != "agent":
                 continue
-            address = parse_address(host.address)
+            try:
+                address = parse_remote_address(host.address)
+            except ValueError as error:
+                _LOGGER.warning("host skipped", extra={"host": host.name, "detail": str(error)})
+                continue
             if address in self._links:
                 self._links[address].mark_leaving(host.leaving)
             elif not host.leaving:
--- a/src/basilroad/entry/request.py
+++ b/src/basilroad/entry/request.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from basilroad.coordination.decoding import DecodeError, decode_json
 from basilroad.errors import ErrorKind, refuse
 from basilroad.world.prefix import hash_prefixes
 
@@ -118,8 +119,8 @@
 
 def _decode(raw: bytes) -> _Body:
     try:
-        return msgspec.json.decode(raw, type=_Body)
-    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(raw, _Body)
+    except DecodeError as error:
         raise refuse(ErrorKind.BAD_REQUEST, f"the request body is not valid: {error}") from error
 
 
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from attrs.validators import ge, le, max_len
 
 from basilroad.endpoints.channels import ChannelPool
 from basilroad.gateway.notices import Lifetime, NoticeRegister
@@ -42,6 +43,13 @@
 FAILURE_HALF_LIFE_S = 2.0
 """Half-life of the failure rate; a few calls per endpoint arrive in that time."""
 
+MAX_SLOTS = 2**31 - 1
+
+MAX_START_MS = 2**53
+
+MAX_NAME_CHARS = 200
+"""Longest id, service and data centre of an entry; other gateways are told of it in a datagram."""
+
 FAILURE_WEIGHT = 0.3
 """Weight of one outcome in the failure rate; three failures in a row raise it above one half."""
 
@@ -53,6 +61,18 @@
     DRAINING = "draining"
 
 
+def _check_name(_instance: object, field: attrs.Attribute[str], value: str) -> None:
+    if not 0 < len(value) <= MAX_NAME_CHARS:
+        raise ValueError(f"{field.name} has {len(value)} characters, limit is {MAX_NAME_CHARS}")
+
+
+def _check_id(_instance: object, field: attrs.Attribute[str], value: str) -> None:
+    _check_name(_instance, field, value)
+    # calls name their endpoint in a header
+    if not (value.isascii() and value.isprintable() and value.strip() == value):
+        raise ValueError(f"{field.name} is no value of a header: {value!r}")
+
+
 @attrs.frozen
 class EndpointEntry:
     """Entry of an endpoint in the platform's listing.
@@ -65,15 +85,16 @@
     :param state: whether it accepts new calls
     :param started_ms: start time in Unix milliseconds, 0 if unknown; another value means that it
         restarted and lost its state
+    :raises ValueError: calls can't name the endpoint, or other gateways can't be told of it
     """
 
-    id: str
-    service: str
+    id: str = attrs.field(validator=_check_id)
+    service: str = attrs.field(validator=_check_name)
     address: Address
-    data_centre: str
-    slots: int
+    data_centre: str = attrs.field(validator=max_len(MAX_NAME_CHARS))
+    slots: int = attrs.field(validator=[ge(0), le(MAX_SLOTS)])
     state: EndpointState = EndpointState.READY
-    started_ms: int = 0
+    started_ms: int = attrs.field(default=0, validator=[ge(0), le(MAX_START_MS)])
 
     @property
     def lifetime(self) -> Lifetime:
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -14,6 +14,7 @@
 import attrs
 import msgspec
 
+from basilroad.coordination.decoding import DecodeError, MsgpackDecoder
 from basilroad.gateway.crashreports import Crashes, CrashExchange
 from basilroad.gateway.gossipstate import LoadReport, StateMessage
 from basilroad.gateway.loans import Loan, LoanRequest
@@ -28,7 +29,7 @@
 )
 from basilroad.gateway.promptlocations import PromptReport
 from basilroad.gateway.relay import Update
-from basilroad.peers.address import Address, parse_address
+from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
     from basilroad.gateway.directory import Directory
@@ -89,7 +90,7 @@
     data_centre: str = ""
 
 
-_DECODER = msgspec.msgpack.Decoder(
+_DECODER: MsgpackDecoder[object] = MsgpackDecoder(
     StateMessage | Update | LoanRequest | Loan | Crashes | PermitRequest | PermitReply
 )
 
@@ -262,9 +263,11 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode and apply a datagram from a peer."""
         try:
-            self._handle(_DECODER.decode(data), Address(*addr))
-        except (msgspec.MsgspecError, ValueError) as error:
+            self._handle(_DECODER.decode(data), Address(*addr[:2]))
+        except (DecodeError, ValueError) as error:
             _LOGGER.warning("datagram skipped", extra={"peer": addr[0], "detail": str(error)})
+        except Exception:
+            _LOGGER.error("datagram not handled", extra={"peer": addr[0]}, exc_info=True)
 
     @singledispatchmethod
     def _handle(self, message: object, address: Address) -> None:
@@ -272,8 +275,8 @@
 
     @_handle.register
     def _(self, message: StateMessage, _: Address) -> None:
-        others = [parse_address(text) for text in message.peers]
-        self.take(message, parse_address(message.address), others)
+        others = _parse_known(message.peers)
+        self.take(message, parse_remote_address(message.address), others)
 
     @_handle.register
     def _(self, message: Update, address: Address) -> None:
@@ -435,6 +438,16 @@
             self._transport.sendto(data, (peer.ip, peer.port))
 
 
+def _parse_known(texts: Iterable[str]) -> list[Address]:
+    found = []
+    for text in texts:
+        try:
+            found.append(parse_remote_address(text))
+        except ValueError as error:
+            _LOGGER.warning("peer skipped", extra={"peer": text, "detail": str(error)})
+    return found
+
+
 def _pack_load(endpoint: Endpoint) -> LoadReport:
     load = endpoint.load
     return load.calls, load.memory_tokens, load.pending_prefill_tokens
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -11,14 +11,15 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
 import attrs
 import msgspec
 
 from basilroad.gateway.endpoint import EndpointEntry, EndpointState
+from basilroad.gateway.gossipstate import Count
 from basilroad.gateway.revision import Revision
-from basilroad.peers.address import parse_address
+from basilroad.peers.address import parse_remote_address
 
 if TYPE_CHECKING:
     from basilroad.peers.address import Address
@@ -54,6 +55,12 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+StoreSeconds = Annotated[float, msgspec.Meta(ge=-(2.0**53), le=2.0**53)]
+"""Reading of the store's clock in seconds; this excludes those that are not finite."""
+
+
 class EntryRecord(msgspec.Struct, array_like=True):
     """A change of one entry, as sent between gateways.
 
@@ -62,7 +69,7 @@
     :param service: its service; empty if the entry was removed
     """
 
-    revision: int
+    revision: RevisionNumber
     id: str
     service: str = ""
     address: str = ""
@@ -87,12 +94,12 @@
 
     host: str
     config_version: int
-    store_s: float
-    age_ms: int
-    base: int
-    revision: int
+    store_s: StoreSeconds
+    age_ms: Count
+    base: RevisionNumber
+    revision: RevisionNumber
     changes: list[EntryRecord] = []
-    epoch: int = 0
+    epoch: RevisionNumber = 0
 
     @property
     def complete_from(self) -> Revision:
@@ -154,8 +161,7 @@
     """Read the changes sent by another gateway.
 
     :param update: what it sent
-    :return: the changes in order
-    :raises ValueError: an address or state is malformed
+    :return: the changes in order; one that can't be read names no endpoint
     """
     return [_unpack_change(record, update.epoch) for record in update.changes]
 
@@ -164,15 +170,20 @@
     revision = Revision(epoch, record.revision)
     if not record.service:
         return ListedChange(revision, record.id, None)
-    entry = EndpointEntry(
-        record.id,
-        record.service,
-        parse_address(record.address),
-        record.data_centre,
-        record.slots,
-        EndpointState(record.state),
-        record.started_ms,
-    )
+    try:
+        entry = EndpointEntry(
+            record.id,
+            record.service,
+            parse_remote_address(record.address),
+            record.data_centre,
+            record.slots,
+            EndpointState(record.state),
+            record.started_ms,
+        )
+    except ValueError as error:
+        # like an entry of the store that can't be read, it names no endpoint
+        _LOGGER.warning("entry skipped", extra={"endpoint": record.id, "detail": str(error)})
+        return ListedChange(revision, record.id, None)
     return ListedChange(revision, record.id, entry)
 
 
--- a/src/basilroad/peers/copykey.py
+++ b/src/basilroad/peers/copykey.py
@@ -20,7 +20,7 @@
     :param key: key in the message
     :return: the fingerprint; empty if the lookup is not for copies
     """
-    return key.removeprefix(_PREFIX).decode() if key.startswith(_PREFIX) else ""
+    return key.removeprefix(_PREFIX).decode(errors="replace") if key.startswith(_PREFIX) else ""
 
 
 __all__ = ["build_copies_key", "read_copies_key"]
--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+from typing import Annotated
 
 import msgspec
 
+from basilroad.coordination.decoding import JsonDecoder
 from basilroad.gateway.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.route import (
     CallerLimits,
@@ -17,7 +19,7 @@
     WeightedService,
     WorkspaceSpec,
 )
-from basilroad.peers.address import parse_address
+from basilroad.peers.address import parse_remote_address
 
 KIND_IDEMPOTENT = "idempotent"
 KIND_STREAMING = "streaming"
@@ -80,7 +82,7 @@
 
 
 class _Config(msgspec.Struct, rename="camel"):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]  # other gateways are told of it
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -96,6 +98,10 @@
     born: int = 0  # start of this instance; a restarted server may reuse the id
 
 
+_CONFIG_DECODER = JsonDecoder(_Config)
+_SERVER_DECODER = JsonDecoder(_Server)
+
+
 def decode_config(data: bytes) -> RoutingTable:
     """Decode the operator's config.
 
@@ -104,9 +110,13 @@
     :raises ConfigError: the value can't be decoded
     """
     try:
-        config = msgspec.json.decode(data, type=_Config)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _build_table(_CONFIG_DECODER.decode(data))
+    except Exception as error:
+        # whatever is wrong with a row, it must not hold up the others
         raise ConfigError(str(error)) from error
+
+
+def _build_table(config: _Config) -> RoutingTable:
     limits = config.limits
     return RoutingTable(
         config.version,
@@ -131,17 +141,18 @@
     :raises ConfigError: the value can't be decoded or describes no usable endpoint
     """
     try:
-        server = msgspec.json.decode(data, type=_Server)
+        server = _SERVER_DECODER.decode(data)
         return EndpointEntry(
             server_id,
             server.service,
-            parse_address(server.address),
+            parse_remote_address(server.address),
             server.zone,
             max(MIN_SLOTS, server.slots),
             EndpointState(server.state),
             server.born,
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except Exception as error:
+        # whatever is wrong with a row, it must not hold up the others
         raise ConfigError(str(error)) from error
 
 
--- a/src/basilroad/platform/peerdiscovery.py
+++ b/src/basilroad/platform/peerdiscovery.py
@@ -9,7 +9,7 @@
 
 from mode import Service
 
-from basilroad.peers.address import parse_address
+from basilroad.peers.address import parse_remote_address
 from basilroad.platform.store import StoreError
 
 if TYPE_CHECKING:
@@ -101,7 +101,7 @@
         for row in rows:
             try:
                 address, _, data_centre = (row.value or b"").decode().partition(SEPARATOR)
-                found[row.key] = parse_address(address), data_centre
+                found[row.key] = parse_remote_address(address), data_centre
             except ValueError as error:
                 _LOGGER.warning("peer skipped", extra={"peer": row.key, "detail": str(error)})
         self._gossip.add_peers(address for address, _ in found.values())
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.endpoints.channels import OutgoingRequest
 from basilroad.endpoints.plainservice import HOP_BY_HOP_HEADERS
 from basilroad.gateway.attempt import AttemptOptions, ResponseVerdict
@@ -73,6 +74,9 @@
     runs: list[tuple[str, Count, Count, int]] = []  # with events: id, tokens, events, priority
 
 
+_REPORT_DECODER = JsonDecoder(_Report)
+
+
 class PlatformProtocol:
     """Encodes calls for the platform's servers and classifies their responses."""
 
@@ -112,8 +116,8 @@
         :return: the report; ``None`` if it is malformed
         """
         try:
-            report = msgspec.json.decode(body, type=_Report)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+            report = _REPORT_DECODER.decode(body)
+        except DecodeError:
             return None
         generating = sum(run[1] for run in report.runs)
         # memory of runs that have no event yet; backups of other servers' runs are no work
--- a/src/basilroad/platform/serverswatch.py
+++ b/src/basilroad/platform/serverswatch.py
@@ -129,12 +129,21 @@
 
     def _apply_listed(self, changes: list[ListedChange]) -> None:
         for change in changes:
+            self._apply_change(change)
+        assert self._revision is not None
+        self._relay.record_changes(changes, self._revision)
+
+    def _apply_change(self, change: ListedChange) -> None:
+        try:
             if change.entry is None:
                 self._directory.remove(change.endpoint_id)
             else:
                 self._directory.put(change.entry)
-        assert self._revision is not None
-        self._relay.record_changes(changes, self._revision)
+        except Exception:
+            # the changes of other endpoints have to be applied all the same
+            _LOGGER.error(
+                "entry not applied", extra={"endpoint": change.endpoint_id}, exc_info=True
+            )
 
     def on_lost(self) -> None:
         """Mark the listing unreliable: entries of running servers may be missing."""
--- a/src/basilroad/platform/settings.py
+++ b/src/basilroad/platform/settings.py
@@ -93,7 +93,7 @@
     """
     try:
         document = yaml.safe_load(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+    except (OSError, ValueError, RecursionError, yaml.YAMLError) as error:
         raise ProcessSettingsError(f"{path}: can't be read: {error}") from error
     if not isinstance(document, dict):
         raise ProcessSettingsError(f"{path}: expected a table at the top")
@@ -139,6 +139,12 @@
         except ValueError as error:
             raise ProcessSettingsError(f"{name}: {error}") from error
 
+    def address_at(self, name: str, port: int) -> Address:
+        try:
+            return Address(self.text(name), port)
+        except ValueError as error:
+            raise ProcessSettingsError(f"{name}: {error}") from error
+
 
 def _decode(fields: _Fields) -> ProcessSettings:
     regions = fields.find("zones")
@@ -151,7 +157,7 @@
         place=place,
         front=fields.address("listen.front"),
         ready=fields.address("listen.ready"),
-        metrics=Address(fields.text("ip"), METRICS_PORT),
+        metrics=fields.address_at("ip", METRICS_PORT),
         peers=_find_peers(fields),
         bounds=_decode_bounds(fields),
         store=StoreAccess(fields.address("platform.address")),
@@ -175,7 +181,7 @@
     ports = fields.find("internalPorts")
     if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
         return None
-    return Address(fields.text("ip"), ports[0])
+    return fields.address_at("ip", ports[0])
 
 
 __all__ = [
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import logging
 from collections.abc import Callable
+from typing import Annotated
 from urllib.parse import urlencode
 
 import attrs
 import msgspec
 
+from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.gateway.revision import Revision
 from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse
 
@@ -26,6 +27,7 @@
 PAGE_ROWS = 500
 
 HEADER_EPOCH = "Store-Era"
+MAX_EPOCH_DIGITS = 18  # fits into a message to another gateway
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -41,20 +43,26 @@
     """The store no longer keeps the requested changes."""
 
 
+RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _WireRow(msgspec.Struct):
     key: str
     value: str = ""
-    ver: int = 0
+    ver: RevisionNumber = 0
     deleted: bool = False
 
 
 class _WireRows(msgspec.Struct, rename="camel"):
     rows: list[_WireRow]
-    ver: int
+    ver: RevisionNumber
     has_more: bool = False
     now_ms: float | None = None  # the store's monotonic clock, not time of day
 
 
+_ROWS_DECODER = JsonDecoder(_WireRows)
+
+
 @attrs.frozen
 class StoreRow:
     """A row of a table.
@@ -194,8 +202,8 @@
         if answer.status != STATUS_OK:
             raise StoreError(f"responded with status {answer.status}, expected {STATUS_OK}")
         try:
-            return msgspec.json.decode(answer.body, type=_WireRows), epoch
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return _ROWS_DECODER.decode(answer.body), epoch
+        except DecodeError as error:
             raise StoreError(f"response can't be decoded: {error}") from error
 
 
@@ -203,10 +211,9 @@
     text = answer.headers.get(HEADER_EPOCH, "")
     if not text:
         return default
-    try:
-        return int(text)
-    except ValueError as error:
-        raise StoreError(f"{HEADER_EPOCH}: expected a number, found {text!r}") from error
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_EPOCH_DIGITS):
+        raise StoreError(f"{HEADER_EPOCH}: expected a number, found {text[:MAX_EPOCH_DIGITS]!r}")
+    return int(text)
 
 
 def _read_store_clock(page: _WireRows) -> float | None:
@@ -219,7 +226,7 @@
         return StoreRow(row.key, None, revision)
     try:
         return StoreRow(row.key, base64.b64decode(row.value, validate=True), revision)
-    except binascii.Error:
+    except ValueError:
         # the decoders of the value reject empty bytes like any other malformed value
         return StoreRow(row.key, b"", revision)
 
--- a/src/basilroad/settings/schema.py
+++ b/src/basilroad/settings/schema.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 import attrs
-import msgspec
 
+from basilroad.coordination.decoding import DecodeError, decode_json
 from basilroad.settings.document import Document
 from basilroad.settings.objects import Drain, Limits, Owners
 from basilroad.settings.problem import UNKNOWN_LINE, Problem, SettingsError
@@ -108,8 +108,8 @@
     """
     try:
         parsed = parse_path(path)
-        value: Any = msgspec.json.decode(text)
-    except (msgspec.DecodeError, RecursionError) as error:
+        value: Any = decode_json(text)
+    except DecodeError as error:
         raise SettingsError((Problem(path, UNKNOWN_LINE, "", f"not JSON: {error}"),)) from error
     except ValueError as error:
         raise SettingsError((Problem(path, UNKNOWN_LINE, "", str(error)),)) from error
--- a/src/basilroad/settings/status.py
+++ b/src/basilroad/settings/status.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from basilroad.coordination.decoding import decode_json
 from basilroad.settings.history import RejectedSetting
 
 STATUS_ROOT = "status/"
@@ -105,7 +106,7 @@
 
     :raises ValueError: the row holds no valid report
     """
-    return msgspec.json.decode(text, type=HostStatus)
+    return decode_json(text, HostStatus)
 
 
 __all__ = [
--- a/src/basilroad/standin/server.py
+++ b/src/basilroad/standin/server.py
@@ -13,6 +13,8 @@
 from aiohttp import web
 from mode import Service
 
+from basilroad.coordination.decoding import DecodeError, decode_json
+
 EXIT_STATUS = 70
 """Exit status of a process that crashed on request."""
 
@@ -160,7 +162,7 @@
             return await handler(request)
         except DroppedError:
             return web.Response()
-        except msgspec.MsgspecError as error:
+        except DecodeError as error:
             return answer_error(400, str(error))
 
 
@@ -170,9 +172,9 @@
     :param request: the request
     :param kind: attrs class of the body
     :return: the body
-    :raises msgspec.MsgspecError: the body is not JSON or does not match the class
+    :raises DecodeError: the body is not JSON or does not match the class
     """
-    return msgspec.json.decode(await request.read() or b"{}", type=kind)
+    return decode_json(await request.read() or b"{}", kind)
 
 
 def answer_json(message: object, status: int = 200) -> web.Response:
