Notice a silent connection to the store within the contact limit

Cause: a poll of the servers was given up 4.6 s after it was sent, and sent up to 0.5 s after the last response. The limits were constants that nobody added up. The read after it could take another silent connection (0.8 s each), and a time-out counted as an outage, in which removed entries are kept 2 s longer.

With the wait of a poll left at its constant, all ten tests of the budget fail; with idle connections kept after a time-out, two.

Change: StalenessBudget derives pause, wait and give-up from contactMs and drainMs, and leaves 0.5 s for the read and the relay. HttpClient opens new connections after a time-out. A silent poll is repeated once on a new connection before the store counts as lost. So whatever the bounds are, the steps add up to less than contactMs, which a property test checks.

--- a/soak/process.py
+++ b/soak/process.py
@@ -14,7 +14,7 @@
 import yaml
 
 from soak.link import Link
-from soak.settings import APPLY_S, DRAIN_S, GRACE_S, REVOKE_S
+from soak.settings import APPLY_S, CONTACT_S, DRAIN_S, GRACE_S, REVOKE_S
 
 FRONT_PORT, READY_PORT, PEER_PORT = 8227, 8220, 7340
 POLL_S = 0.02
@@ -156,6 +156,7 @@
             "platform": {"address": f"{self.store.ip}:{self.store.port}"},
             "bounds": {
                 "drainMs": 1000 * DRAIN_S,
+                "contactMs": 1000 * CONTACT_S,
                 "graceS": GRACE_S,
                 "configApplyMs": 1000 * APPLY_S,
                 "strictRevoke": True,
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -8,6 +8,9 @@
 """Seconds after which requests with a revoked key no longer run; shorter than specified for
 the fleets, so that short runs cover it."""
 
+CONTACT_S = 4.0
+"""Seconds after a disturbance from which the other bounds hold, as specified for the fleets."""
+
 DRAIN_S = 2.0
 """Seconds after which a draining endpoint gets no more calls; shorter than specified for
 the fleets, so that short runs cover it."""
@@ -51,6 +54,7 @@
 __all__ = [
     "APPLY_S",
     "CALLER_TIMEOUT_MARGIN_S",
+    "CONTACT_S",
     "DEADLINE_S",
     "DRAIN_S",
     "GRACE_S",
--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
 from types import SimpleNamespace
@@ -72,6 +73,9 @@
 class HttpClient:
     """Sends requests to one server, without retries.
 
+    After a time-out, further requests get new connections: those that are idle may have fallen
+    silent too, and each of them would cost another time-out.
+
     :param url: base URL of the server
     :param timeout_s: time limit of a request in seconds; for a stream, of the connection attempt
     :param reuse_connections: whether connections are kept alive for further requests
@@ -82,6 +86,7 @@
         self._timeout_s = timeout_s
         self._reuse_connections = reuse_connections
         self._session: aiohttp.ClientSession | None = None
+        self._running: Counter[aiohttp.ClientSession] = Counter()
 
     async def send(self, request: HttpRequest, timeout_s: float | None = None) -> HttpResponse:
         """Send a request and wait for the complete response.
@@ -122,8 +127,11 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        sessions = set(self._running)
         if self._session is not None:
-            session, self._session = self._session, None
+            sessions.add(self._session)
+            self._session = None
+        for session in sessions:
             await session.close()
 
     @asynccontextmanager
@@ -131,17 +139,36 @@
         self, request: HttpRequest, timeout: aiohttp.ClientTimeout
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         state = _ConnectionState()
-        with _translate_errors(state):
-            async with self._open_session().request(
-                request.method,
-                URL(self._url + request.path, encoded=True),
-                headers=request.headers,
-                data=request.body,
-                timeout=timeout,
-                allow_redirects=False,
-                trace_request_ctx=state,
-            ) as response:
-                yield response
+        async with self._use_session() as session:
+            with _translate_errors(state):
+                async with session.request(
+                    request.method,
+                    URL(self._url + request.path, encoded=True),
+                    headers=request.headers,
+                    data=request.body,
+                    timeout=timeout,
+                    allow_redirects=False,
+                    trace_request_ctx=state,
+                ) as response:
+                    yield response
+
+    @asynccontextmanager
+    async def _use_session(self) -> AsyncIterator[aiohttp.ClientSession]:
+        session = self._open_session()
+        self._running[session] += 1
+        try:
+            yield session
+        except HttpError as error:
+            if error.timed_out and self._session is session:
+                # idle connections may have fallen silent with this one
+                self._session = None
+            raise
+        finally:
+            self._running[session] -= 1
+            if not self._running[session]:
+                del self._running[session]
+                if session is not self._session:
+                    await session.close()
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -16,6 +16,7 @@
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.relay import Relay, Update
     from basilroad.gateway.revision import Revision
+    from basilroad.platform.staleness import StalenessBudget
     from basilroad.platform.store import StoreClient, StoreRow
 
 CONFIG_TABLE = "op"
@@ -46,16 +47,22 @@
     :param gateway: gateway to which new versions are applied
     :param relay: role of this host among those that share a reader
     :param exchange: exchange of the config with the others
+    :param budget: time after which a silent connection must have been noticed
     """
 
     def __init__(
-        self, store: StoreClient, gateway: Gateway, relay: Relay, exchange: ConfigExchange
+        self,
+        store: StoreClient,
+        gateway: Gateway,
+        relay: Relay,
+        exchange: ConfigExchange,
+        budget: StalenessBudget,
     ) -> None:
         key_age_s = gateway.settings.key_age_limit_s
         wait_s = CONFIG_LONG_POLL_S
         if key_age_s is not None:
             wait_s = min(wait_s, KEY_AGE_POLL_SHARE * key_age_s)
-        super().__init__(store, CONFIG_TABLE, wait_s, relay)
+        super().__init__(store, CONFIG_TABLE, wait_s, relay, budget)
         self._gateway = gateway
         self._exchange = exchange
         self._wanted_version = 0
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -29,6 +29,7 @@
     ProcessSettingsError,
     load_process_settings,
 )
+from basilroad.platform.staleness import StalenessBudget
 from basilroad.platform.store import StoreClient
 
 if TYPE_CHECKING:
@@ -92,11 +93,13 @@
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: the child services, in their start order."""
+        bounds = self.settings.bounds
+        budget = StalenessBudget(bounds.contact_s, bounds.drain_s)
         services: list[ServiceT] = [
             self.timers,
             self.exchange,
-            ConfigWatch(self.store, self.gateway, self.relay, self.exchange),
-            ServersWatch(self.store, self.gateway, self.relay, self.settings.bounds.drain_s),
+            ConfigWatch(self.store, self.gateway, self.relay, self.exchange, budget),
+            ServersWatch(self.store, self.gateway, self.relay, budget),
         ]
         settings = self.settings
         if self.gossip is not None and settings.peers is not None:
--- a/src/basilroad/platform/serverswatch.py
+++ b/src/basilroad/platform/serverswatch.py
@@ -15,22 +15,19 @@
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.relay import Relay, Update
     from basilroad.gateway.revision import Revision
+    from basilroad.platform.staleness import StalenessBudget
     from basilroad.platform.store import StoreClient, StoreRow
 
 SERVERS_TABLE = "servers"
 
 SERVERS_LONG_POLL_S = 4.0
-"""Duration of a long poll for entry changes; a change ends it at once, and requests to the store
-are billed."""
+"""Maximum duration of a long poll for entry changes; a change ends it at once, and requests to the
+store are billed."""
 
 SERVERS_PAUSE_S = 0.5
 """Maximum pause between a change of the entries and the next poll: endpoints of a data centre are
 added and removed together within about a second, and requests to the store are billed."""
 
-DRAIN_PAUSE_SHARE = 0.4
-"""Maximum share of the drain limit that the pause may take; the rest is left for a read and for
-calls on their way."""
-
 COPIED_ROWS_S = 8.0
 """Time after a restore for which rows of the copy don't take the place of what is known: endpoints
 write their entries again within two seconds, and the entry of one that has ended is removed after
@@ -45,12 +42,13 @@
     :param store: the platform's store
     :param gateway: gateway whose directory is updated
     :param relay: role of this host among those that share a reader
-    :param drain_s: seconds within which a draining endpoint must stop receiving calls
+    :param budget: time after which a silent connection must have been noticed
     """
 
-    def __init__(self, store: StoreClient, gateway: Gateway, relay: Relay, drain_s: float) -> None:
-        pause_s = min(SERVERS_PAUSE_S, DRAIN_PAUSE_SHARE * drain_s)
-        super().__init__(store, SERVERS_TABLE, SERVERS_LONG_POLL_S, relay, pause_s)
+    def __init__(
+        self, store: StoreClient, gateway: Gateway, relay: Relay, budget: StalenessBudget
+    ) -> None:
+        super().__init__(store, SERVERS_TABLE, SERVERS_LONG_POLL_S, relay, budget, SERVERS_PAUSE_S)
         self._directory = gateway.directory
         self._held_back: set[str] = set()
 
--- a/src/basilroad/platform/settings.py
+++ b/src/basilroad/platform/settings.py
@@ -37,6 +37,7 @@
     :param retry_ratio: allowed number of retries per request
     :param retry_window_s: window over which attempts are counted
     :param retry_slack: retries allowed in addition per window, over all hosts together
+    :param contact_s: time after a disturbance from which a host is held to the other bounds
     """
 
     drain_s: float
@@ -46,6 +47,7 @@
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
+    contact_s: float
 
 
 @attrs.frozen
@@ -174,6 +176,7 @@
         retry_ratio=fields.number("bounds.retryBudgetRatio"),
         retry_window_s=fields.number("bounds.budgetWindowS"),
         retry_slack=fields.number("bounds.retrySlack"),
+        contact_s=fields.seconds("bounds.contactMs"),
     )
 
 
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -14,6 +14,7 @@
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.gateway.revision import Revision
 from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse
+from basilroad.platform.staleness import RESPONSE_ALLOWANCE_S
 
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -21,9 +22,6 @@
 """Timeout of a read: many times the store's usual latency, and short enough for a retry within the
 time in which a config version has to be in force."""
 
-FEED_TIMEOUT_MARGIN_S = 0.6
-"""Time allowed for the response to a long poll beyond the requested wait."""
-
 PAGE_ROWS = 500
 
 HEADER_EPOCH = "Store-Era"
@@ -39,6 +37,10 @@
     """
 
 
+class SilentStoreError(StoreError):
+    """No response arrived in time; the connection or the store fell silent."""
+
+
 class HistoryGoneError(StoreError):
     """The store no longer keeps the requested changes."""
 
@@ -142,10 +144,11 @@
         :param wait_s: seconds after which the store sends an empty response
         :return: the changes in order
         :raises HistoryGoneError: the store doesn't keep these changes, or not in this epoch
+        :raises SilentStoreError: there was no response in time
         :raises StoreError: there was no valid response
         """
         query = {"table": table, "sinceRevision": revision.number, "waitMs": round(1000 * wait_s)}
-        page, epoch = await self._get("/rows-feed", query, wait_s + FEED_TIMEOUT_MARGIN_S)
+        page, epoch = await self._get("/rows-feed", query, wait_s + RESPONSE_ALLOWANCE_S)
         if epoch != revision.epoch:
             raise HistoryGoneError("the requested changes are of another epoch")
         rows = tuple(_decode_row(row, epoch) for row in page.rows)
@@ -195,7 +198,8 @@
         try:
             answer = await self._client.send(request, limit_s)
         except HttpError as error:
-            raise StoreError(str(error)) from error
+            kind = SilentStoreError if error.timed_out else StoreError
+            raise kind(str(error)) from error
         epoch = self._observe_epoch(answer)
         if answer.status == STATUS_GONE:
             raise HistoryGoneError("the requested changes are no longer kept")
@@ -231,4 +235,11 @@
         return StoreRow(row.key, b"", revision)
 
 
-__all__ = ["Changes", "HistoryGoneError", "StoreClient", "StoreError", "StoreRow"]
+__all__ = [
+    "Changes",
+    "HistoryGoneError",
+    "SilentStoreError",
+    "StoreClient",
+    "StoreError",
+    "StoreRow",
+]
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -14,12 +14,13 @@
 from mode import Service
 
 from basilroad.gateway.freshness import read_boot_clock
-from basilroad.platform.store import HistoryGoneError, StoreError
+from basilroad.platform.store import HistoryGoneError, SilentStoreError, StoreError
 from basilroad.platform.storeclock import StoreClock
 
 if TYPE_CHECKING:
     from basilroad.gateway.relay import Relay, Update
     from basilroad.gateway.revision import Revision
+    from basilroad.platform.staleness import StalenessBudget
     from basilroad.platform.store import Changes, StoreClient, StoreRow
 
 RETRY_MIN_S = 0.05
@@ -68,15 +69,24 @@
 
     :param store: the platform's store
     :param table: name of the table
-    :param wait_s: duration of a long poll in seconds
+    :param wait_s: maximum duration of a long poll in seconds
     :param relay: role of this host among those that share a reader
-    :param pause_s: pause between changes and the next poll in seconds
+    :param budget: time after which a silent connection must have been noticed
+    :param pause_s: maximum pause between changes and the next poll in seconds
     """
 
     def __init__(
-        self, store: StoreClient, table: str, wait_s: float, relay: Relay, pause_s: float = 0.0
+        self,
+        store: StoreClient,
+        table: str,
+        wait_s: float,
+        relay: Relay,
+        budget: StalenessBudget,
+        pause_s: float = 0.0,
     ) -> None:
         super().__init__()
+        self.budget = budget
+        self._responded_at = 0.0
         self._store = store
         self._table = table
         self._wait_s = wait_s
@@ -129,7 +139,7 @@
     @property
     def poll_limit_s(self) -> float:
         """:return: maximum duration of a long poll in seconds."""
-        return self._wait_s
+        return self.budget.limit_poll(self._wait_s, read_boot_clock() - self._responded_at)
 
     @property
     def is_snapshot_due(self) -> bool:
@@ -198,6 +208,7 @@
     async def _read_snapshot(self) -> None:
         requested_at = read_boot_clock()
         changes = await self._store.read_table(self._table)
+        self._responded_at = read_boot_clock()
         if self._lost:
             # after an outage another store may respond, with another clock
             self._clock.reset()
@@ -209,14 +220,21 @@
     async def _poll_changes(self, wait_s: float) -> None:
         assert self._revision is not None
         requested_at = read_boot_clock()
-        changes = await self._store.wait_changes(self._table, self._revision, wait_s)
+        try:
+            changes = await self._store.wait_changes(self._table, self._revision, wait_s)
+        except SilentStoreError as error:
+            _LOGGER.info("poll silent", extra={"table": self._table, "detail": str(error)})
+            # a new connection tells whether the store fell silent or only the last one
+            requested_at, wait_s = read_boot_clock(), 0.0
+            changes = await self._store.wait_changes(self._table, self._revision, wait_s)
+        self._responded_at = read_boot_clock()
         self._apply_changes(changes)
         waited_s = read_boot_clock() - requested_at
         # the store sends an empty response only at the end of the wait
         idle_s = wait_s if not changes.rows and waited_s >= wait_s else 0.0
         self._confirm(changes, requested_at + idle_s)
         if changes.rows and self._pause_s:
-            await self.sleep(self._pause_s)
+            await self.sleep(self.budget.limit_pause(self._pause_s))
 
     def _apply_snapshot(self, changes: Changes) -> None:
         self._check_current(changes)
--- a/src/basilroad/standin/rowstore.py
+++ b/src/basilroad/standin/rowstore.py
@@ -55,6 +55,7 @@
     _rows: dict[tuple[str, str], tuple[int, bytes | None]] = attrs.field(factory=dict)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _break_count: int = 0
+    _silenced: set[web.RequestHandler] = attrs.field(factory=set)
     _runner: web.ServerRunner | None = None
 
     async def start(self, port: int = 0) -> None:
@@ -116,6 +117,20 @@
         self._break_count += 1
         self._wake_polls()
 
+    def silence_connections(self) -> int:
+        """Respond no more on the connections that are open now; new ones work.
+
+        :return: number of connections
+        """
+        assert self._runner is not None
+        assert self._runner.server is not None
+        self._silenced.update(self._runner.server.connections)
+        return len(self._runner.server.connections)
+
+    async def _hold_if_silenced(self, request: web.BaseRequest) -> None:
+        while request.protocol in self._silenced and request.transport is not None:
+            await asyncio.sleep(0.01)
+
     def _wake_polls(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
@@ -130,6 +145,7 @@
         response = None
         if break_count == self._break_count:
             response = await self._respond(request, body)
+        await self._hold_if_silenced(request)
         if response is None or break_count != self._break_count:
             if request.transport is not None:
                 request.transport.close()
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -101,7 +101,7 @@
             ready=Address(ip, 8002),
             metrics=Address(ip, 8003),
             peers=Address(ip, 8004),
-            bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150),
+            bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150, 4.0),
             store=StoreAccess(Address("127.0.0.1", self.store.port)),
         )
 
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -86,7 +86,7 @@
             ready=Address("127.0.0.1", find_free_port()),
             metrics=Address("127.0.0.1", find_free_port()),
             peers=None,
-            bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150),
+            bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150, 4.0),
             store=StoreAccess(Address("127.0.0.1", self.store.port)),
         )
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -21,6 +21,7 @@
     "internalPorts": [7340, 7355],
     "bounds": {
         "drainMs": 2500,
+        "contactMs": 4000,
         "graceS": 8,
         "configApplyMs": 2500,
         "strictRevoke": True,
@@ -44,7 +45,7 @@
     settings = load_process_settings(write_settings(tmp_path, SETTINGS))
     assert (settings.host, str(settings.front)) == ("edge-1", "10.1.0.40:8227")
     assert (settings.bounds.drain_s, settings.bounds.grace_s) == (2.5, 8.0)
-    assert settings.bounds.revoke_s == 5.0
+    assert (settings.bounds.revoke_s, settings.bounds.contact_s) == (5.0, 4.0)
     assert str(settings.peers) == "10.1.0.40:7340"
     assert settings.place.distance_s("kurzeme-a") > settings.place.distance_s("riga-a") == 0.0
 
--- /dev/null
+++ b/tests/platform/test_staleness.py
@@ -0,0 +1,99 @@
+"""The steps from a silent connection to a known change add up to the platform's bounds."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+from hypothesis import given, strategies as st
+
+from basilroad.gateway.endpoint import EndpointState
+from basilroad.platform.configwatch import CONFIG_LONG_POLL_S
+from basilroad.platform.serverswatch import SERVERS_LONG_POLL_S, SERVERS_PAUSE_S
+from basilroad.platform.staleness import (
+    MIN_POLL_S,
+    REREAD_RESERVE_S,
+    RESPONSE_ALLOWANCE_S,
+    StalenessBudget,
+)
+from support.watchrig import DRAIN_S, SERVER, Rig, build_config, wait_until
+
+SHORTEST_CONTACT_S = MIN_POLL_S + RESPONSE_ALLOWANCE_S + REREAD_RESERVE_S
+
+
+# the limits of the steps were constants, and their sum exceeded the contact limit
+@given(st.floats(SHORTEST_CONTACT_S, 60.0), st.floats(0.1, 10.0))
+def test_pause_poll_and_read_add_up_to_the_contact_limit(contact_s: float, drain_s: float) -> None:
+    budget = StalenessBudget(contact_s, drain_s)
+    for wait_s, wanted_pause_s in (
+        (CONFIG_LONG_POLL_S, 0.0),
+        (SERVERS_LONG_POLL_S, SERVERS_PAUSE_S),
+    ):
+        pause_s = budget.limit_pause(wanted_pause_s)
+        poll_s = budget.limit_poll(wait_s, pause_s)
+        spent_s = pause_s + poll_s + RESPONSE_ALLOWANCE_S + REREAD_RESERVE_S
+        assert spent_s <= contact_s + 1e-9
+        assert poll_s >= MIN_POLL_S
+
+
+@pytest.mark.parametrize("contact_s", [0.0, 0.5, SHORTEST_CONTACT_S])
+def test_a_poll_never_gets_shorter_than_its_minimum(contact_s: float) -> None:
+    budget = StalenessBudget(contact_s, DRAIN_S)
+    assert budget.limit_poll(4.0, 0.0) == pytest.approx(MIN_POLL_S)
+    assert budget.limit_pause(0.5) == pytest.approx(0.0)
+
+
+CONTACT_S = 2.5
+
+
+@pytest.fixture
+async def silent_rig() -> AsyncIterator[Rig]:
+    rig = Rig(StalenessBudget(CONTACT_S, DRAIN_S))
+    await rig.start()
+    rig.store.put("op", "config", build_config(1))
+    rig.store.put("servers", "i-1", SERVER)
+    await wait_until(lambda: rig.version == 1 and rig.gateway.directory.get("i-1") is not None)
+    yield rig
+    await rig.stop()
+
+
+# calls reached a drained server for seconds after the connections to the store fell silent
+@pytest.mark.parametrize("before_s", [0.0, 0.2, 0.45, 1.2])
+async def test_a_drain_is_known_in_time_although_connections_fall_silent(
+    silent_rig: Rig, before_s: float
+) -> None:
+    rig = silent_rig
+    # a change starts the pause in which the connection falls silent unnoticed
+    rig.store.put("servers", "i-2", SERVER)
+    await asyncio.sleep(before_s)
+    rig.store.put("servers", "i-1", {**SERVER, "state": "draining"})
+    assert rig.store.silence_connections()
+    silent_at = time.monotonic()
+    endpoint = rig.gateway.directory.get("i-1")
+    assert endpoint is not None
+    await wait_until(lambda: endpoint.entry.state is EndpointState.DRAINING)
+    assert time.monotonic() - silent_at <= CONTACT_S
+
+
+async def test_a_config_is_in_force_in_time_although_connections_fall_silent(
+    silent_rig: Rig,
+) -> None:
+    silent_rig.store.put("op", "config", build_config(2))
+    silent_rig.store.silence_connections()
+    silent_at = time.monotonic()
+    await wait_until(lambda: silent_rig.version == 2)
+    assert time.monotonic() - silent_at <= CONTACT_S
+
+
+# each idle connection that fell silent with the poll cost a further time-out, and an entry that was
+# removed meanwhile was kept as if the store had been away
+async def test_silence_of_many_connections_costs_one_time_out(silent_rig: Rig) -> None:
+    rig = silent_rig
+    await asyncio.gather(*(rig.client.read_table("other") for _ in range(6)))
+    rig.store.put("servers", "i-1", None)
+    rig.store.silence_connections()
+    silent_at = time.monotonic()
+    await wait_until(lambda: rig.gateway.directory.get("i-1") is None)
+    assert time.monotonic() - silent_at <= CONTACT_S
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -20,7 +20,7 @@
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.platform.store import StoreClient
 from basilroad.standin.rowstore import RowStoreStandin
-from support.watchrig import NOBODY, SERVER, Rig, build_config, wait_until
+from support.watchrig import BUDGET, NOBODY, SERVER, Rig, build_config, wait_until
 
 
 async def test_a_version_is_in_force_soon_after_it_was_written(rig: Rig) -> None:
@@ -137,7 +137,9 @@
     client = StoreClient(f"http://127.0.0.1:{store.port}")
     place = Locality("a", "r", {"a": "r"})
     gateway = Gateway(GatewaySettings("h", place, key_age_limit_s=0.8), PlatformProtocol())
-    service = ConfigWatch(client, gateway, Relay("h", read_boot_clock), ConfigExchange(None))
+    service = ConfigWatch(
+        client, gateway, Relay("h", read_boot_clock), ConfigExchange(None), BUDGET
+    )
     await service.start()
     await wait_until(lambda: gateway.table is not None)
     ages = []
--- a/tests/support/watchrig.py
+++ b/tests/support/watchrig.py
@@ -14,14 +14,18 @@
 from basilroad.platform.configwatch import ConfigWatch
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.platform.serverswatch import ServersWatch
+from basilroad.platform.staleness import StalenessBudget
 from basilroad.platform.store import StoreClient
 from basilroad.standin.rowstore import RowStoreStandin
 
 TIMEOUT_S = 5.0
 DRAIN_S = 2.5
+CONTACT_S = 4.0
 SERVER = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": "ready"}
 
 
+BUDGET = StalenessBudget(CONTACT_S, DRAIN_S)
+
 STARTED = {**SERVER, "born": 1000}
 """Entry of a server that tells when it started."""
 
@@ -41,9 +45,13 @@
 
 
 class Rig:
-    """A gateway that watches a stand-in store."""
+    """A gateway that watches a stand-in store.
+
+    :param budget: time limits of its watches
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: StalenessBudget = BUDGET) -> None:
+        self.budget = budget
         self.store = RowStoreStandin()
         place = Locality("a", "r", {"a": "r"})
         self.gateway = Gateway(GatewaySettings("h", place), PlatformProtocol())
@@ -54,8 +62,8 @@
         self.exchange = ConfigExchange(None)
         self.client = StoreClient(f"http://127.0.0.1:{self.store.port}")
         self.watches = [
-            ConfigWatch(self.client, self.gateway, self.relay, self.exchange),
-            ServersWatch(self.client, self.gateway, self.relay, drain_s=DRAIN_S),
+            ConfigWatch(self.client, self.gateway, self.relay, self.exchange, self.budget),
+            ServersWatch(self.client, self.gateway, self.relay, self.budget),
         ]
         for service in self.watches:
             await service.start()
@@ -71,4 +79,14 @@
         return self.gateway.table.version if self.gateway.table else 0
 
 
-__all__ = ["DRAIN_S", "NOBODY", "SERVER", "STARTED", "Rig", "build_config", "wait_until"]
+__all__ = [
+    "BUDGET",
+    "CONTACT_S",
+    "DRAIN_S",
+    "NOBODY",
+    "SERVER",
+    "STARTED",
+    "Rig",
+    "build_config",
+    "wait_until",
+]
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -68,6 +68,65 @@
     assert len(server.requests) == 1
 
 
+class SilentServer:
+    """Stops responding on the connections that are open, and serves new ones."""
+
+    def __init__(self) -> None:
+        self.opened = 0
+        self._is_silent = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        silent = self._is_silent
+        while await reader.readline() not in (b"", b"\r\n"):
+            pass
+        while not reader.at_eof():
+            if not silent.is_set():
+                writer.write(OK)
+            while await reader.readline() not in (b"", b"\r\n"):
+                pass
+        writer.close()
+
+    def silence(self) -> None:
+        silent, self._is_silent = self._is_silent, asyncio.Event()
+        silent.set()
+
+
+# after one connection fell silent, each idle one cost another time-out
+async def test_after_a_time_out_requests_get_new_connections() -> None:
+    silent = SilentServer()
+    server = await asyncio.start_server(silent.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = HttpClient(f"http://{host}:{port}", 0.3)
+    await asyncio.gather(*(client.send(HttpRequest("GET", "/")) for _ in range(3)))
+    assert silent.opened == 3
+    silent.silence()
+    with pytest.raises(ResponseLostError):
+        await client.send(HttpRequest("GET", "/"))
+    assert (await client.send(HttpRequest("GET", "/"))).status == 200
+    await client.close()
+    server.close()
+
+
+async def test_a_time_out_ends_no_other_request() -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+        await asyncio.sleep(0.5 if path == b"/slow" else 5.0)
+        writer.write(OK)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = HttpClient(f"http://{host}:{port}", TIMEOUT_S)
+    slow = asyncio.ensure_future(client.send(HttpRequest("GET", "/slow")))
+    with pytest.raises(ResponseLostError):
+        await client.send(HttpRequest("GET", "/"), 0.1)
+    assert (await slow).status == 200
+    await client.close()
+    server.close()
+
+
 async def test_only_given_headers_are_sent(connect: Callable[[str], HttpClient]) -> None:
     async with run_server(OK) as server:
         request = HttpRequest("GET", "/a%2Fb?c=%20", (("X-Oak", "1"), ("X-Oak", "2")))
