Open a connection for each request of an agent to its endpoint

Callers saw (shown by a test, not in a play): after a service had sent a response twice, each caller of a repeatable call got the answer to the call before its own; reports of an engine lagged by one in the same way.

Cause: the HTTP library keeps bytes that arrive on an idle connection and takes them for the response to the next request. These responses carry no id that would tell them apart; calls that run once had a connection of their own already, all others did not.

Change: none of these connections is used again. Both ends are on one host.

Failed before, on: test_a_late_copy_is_not_the_answer_to_the_next_call (repeatable calls) and test_a_late_copy_is_not_the_next_report_of_an_engine.

--- a/src/basilroad/endpoints/engine.py
+++ b/src/basilroad/endpoints/engine.py
@@ -99,7 +99,9 @@
 
     def __init__(self, url: str, timeout_s: float = 5.0) -> None:
         self._timeout_s = timeout_s
-        self._client = HttpClient(url, timeout_s)
+        # responses name no request: on a reused connection, a late second copy of one would be
+        # taken for the response to the next request
+        self._client = HttpClient(url, timeout_s, reuse_connections=False)
 
     async def generate(self, request: GenerateRequest) -> AsyncIterator[EngineToken | EngineFinish]:
         """Generate a completion; closing the iterator cancels it.
--- a/src/basilroad/endpoints/plainservice.py
+++ b/src/basilroad/endpoints/plainservice.py
@@ -110,11 +110,10 @@
     """
 
     def __init__(self, url: str) -> None:
-        timeout_s = PlainCall("", "").timeout_s
         self._url = URL(url)
-        self._pooled_client = HttpClient(url, timeout_s)
-        # On a reused connection a refused call can't be distinguished from one that ran.
-        self._unpooled_client = HttpClient(url, timeout_s, reuse_connections=False)
+        # responses name no request: on a reused connection, a late second copy of one would be
+        # taken for the response to the next call
+        self._client = HttpClient(url, PlainCall("", "").timeout_s, reuse_connections=False)
 
     async def call(self, call: PlainCall) -> CallOutcome:
         """Run a call, at most once.
@@ -122,10 +121,9 @@
         :param call: the call
         :return: outcome of the call
         """
-        client = self._pooled_client if call.idempotent else self._unpooled_client
         request = HttpRequest(call.method, call.path, _remove_hop_headers(call.headers), call.body)
         try:
-            response = await client.send(request, call.timeout_s)
+            response = await self._client.send(request, call.timeout_s)
         except RequestNotSentError as error:
             return CallNotSent(str(error))
         except HttpError as error:
@@ -144,8 +142,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pooled_client.close()
-        await self._unpooled_client.close()
+        await self._client.close()
 
 
 def _convert_response(response: HttpResponse) -> CallAnswered:
