Never send two attempts of one call on one connection

Cause: all attempts of a call share one id. The connection of a rejected attempt was kept, the next attempt went over it, and the late copy of the rejection passed for its answer: "not run" was believed of a run, and the order was sent to another server.

Change: a connection remembers the ids that it has carried, and the pool gives none out for an id twice. Probes of engines are treated alike: reports have no id, so a probe takes a connection that has carried no report, and a response that names a call is no report.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -39,6 +39,14 @@
 response."""
 
 
+MAX_REQUESTS = 1000
+"""Requests after which a connection is closed, as it remembers their ids."""
+
+
+NO_REQUEST_ID = ""
+"""Id of requests whose responses name none."""
+
+
 class ChannelError(Exception):
     """The connection failed or the response is not valid HTTP.
 
@@ -78,14 +86,14 @@
     :param target: path and query, as the caller sent them
     :param headers: all headers except Content-Length
     :param body: whole body
-    :param id: id that the endpoint echoes in its response; empty without one
+    :param id: id that the endpoint echoes in its response; ``NO_REQUEST_ID`` without one
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes = b""
-    id: str = ""
+    id: str = NO_REQUEST_ID
 
 
 class Channel(asyncio.Protocol):
@@ -104,6 +112,7 @@
         self.requests = 0
         self.previous_id = ""
         self._request_id = ""
+        self._carried: set[str] = set()
         self._request_head: h11.Request | None = None
         self.idle_since = 0.0
         self.idle_limit_s = POOL_IDLE_LIMIT_S
@@ -149,8 +158,18 @@
     @property
     def usable(self) -> bool:
         """:return: whether another request may be sent."""
+        if self.requests >= MAX_REQUESTS:
+            return False
         return not self._busy and not self._ended and self._transport is not None
 
+    def has_carried(self, request_id: str) -> bool:
+        """Check whether a response to an earlier request can't be told from one to this request.
+
+        :param request_id: id of the request; empty for one without an id
+        :return: whether a request with this id was sent before
+        """
+        return request_id in self._carried
+
     @property
     def is_cut_off(self) -> bool:
         """:return: whether the endpoint or the network ended the connection, not this side."""
@@ -166,6 +185,7 @@
         self._busy = True
         self.requests += 1
         self.previous_id, self._request_id = self._request_id, request.id
+        self._carried.add(request.id)
         headers = list(request.headers)
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append(("Content-Length", str(len(request.body))))
@@ -303,14 +323,18 @@
         self._idle: list[Channel] = []
         self.opened = 0
 
-    async def open(self, idle_limit_s: float = POOL_IDLE_LIMIT_S) -> Channel:
+    async def open(
+        self, idle_limit_s: float = POOL_IDLE_LIMIT_S, request_id: str | None = None
+    ) -> Channel:
         """Reuse an idle connection or open a new one.
 
         :param idle_limit_s: longest idle time of a reused connection in seconds; 0 for a new one
+        :param request_id: id of the request, which the connection must not have carried before;
+            ``None`` if a late response to an earlier one does no harm
         :return: a connection without a request in progress
         :raises ConnectError: no connection could be opened
         """
-        channel = self._take_idle(idle_limit_s)
+        channel = self._take_idle(idle_limit_s, request_id)
         if channel is not None:
             return channel
         return await self._connect()
@@ -329,17 +353,18 @@
         for channel in idle:
             channel.close()
 
-    def _take_idle(self, idle_limit_s: float) -> Channel | None:
+    def _take_idle(self, idle_limit_s: float, request_id: str | None) -> Channel | None:
         now = time.monotonic()
-        while self._idle:
-            channel = self._idle[-1]
+        for channel in reversed(self._idle.copy()):
             idle_s = now - channel.idle_since
-            if channel.usable and idle_limit_s <= idle_s < channel.idle_limit_s:
+            if not channel.usable or idle_s >= channel.idle_limit_s:
+                self._idle.remove(channel)
+                channel.close()
+            elif idle_s >= idle_limit_s:
                 return None
-            self._idle.pop()
-            if channel.usable and idle_s < min(idle_limit_s, channel.idle_limit_s):
+            elif request_id is None or not channel.has_carried(request_id):
+                self._idle.remove(channel)
                 return channel
-            channel.close()
         return None
 
     async def _connect(self) -> Channel:
@@ -358,6 +383,8 @@
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
+    "MAX_REQUESTS",
+    "NO_REQUEST_ID",
     "SHORT_BODY_BYTES",
     "Channel",
     "ChannelError",
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -95,6 +95,9 @@
         :return: the engine's report; ``None`` if the body contains none
         """
 
+    def read_request_id(self, head: ReplyHead) -> str:
+        """:return: id of the call to which a response belongs; empty if it names none."""
+
     def read_notice(self, head: ReplyHead, endpoint_id: str) -> Notice:
         """Read what a response says of its endpoint.
 
@@ -241,7 +244,8 @@
             POOL_IDLE_LIMIT_S if self.call.route.repeatable else NON_REPEATABLE_IDLE_LIMIT_S
         )
         try:
-            channel = await self.endpoint.pool.open(idle_limit_s)
+            # a late copy of the response to an earlier attempt has the same id
+            channel = await self.endpoint.pool.open(idle_limit_s, self.call.id)
         except ConnectError as error:
             self.endpoint.record_unreachable(time.monotonic())
             return NotRun(f"no connection: {error}")
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from basilroad.endpoints.channels import SHORT_BODY_BYTES, ChannelError
+from basilroad.endpoints.channels import NO_REQUEST_ID, SHORT_BODY_BYTES, ChannelError
 from basilroad.gateway.endpoint import EngineReport
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Purpose, Source
@@ -79,7 +79,9 @@
 
     async def _ask(self, endpoint: Endpoint, purpose: Purpose) -> bytes:
         notices = endpoint.notices
-        channel = await endpoint.pool.open()
+        # a late copy of an earlier report would pass for a sign of life
+        used_by = NO_REQUEST_ID if purpose is Purpose.PROBE else None
+        channel = await endpoint.pool.open(request_id=used_by)
         reused = channel.requests > 0
         try:
             return await self._exchange(endpoint, channel, notices, purpose)
@@ -99,6 +101,8 @@
             asked_at = time.monotonic()
             channel.send(self.protocol.encode_probe(endpoint.entry.address))
             head = await channel.read_head()
+            if self.protocol.read_request_id(head):
+                raise ChannelError("the response belongs to a call")
             now, source = time.monotonic(), Source(purpose.value)
             notices.record(self.protocol.read_notice(head, endpoint.id), source, now)
             per_s = self.protocol.read_limit(head, endpoint.id)
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -128,6 +128,10 @@
             prefilling + report.queued * report.next,
         )
 
+    def read_request_id(self, head: ReplyHead) -> str:
+        """:return: id of the call to which a response belongs; empty if it names none."""
+        return head.get(HEADER_REQUEST_ID.lower())
+
     def read_notice(self, head: ReplyHead, endpoint_id: str) -> Notice:
         """Read what a response says of its server.
 
@@ -157,7 +161,7 @@
         :param previous_id: id of the previous request on the connection; empty without one
         :return: the classification
         """
-        echoed_id = head.get(HEADER_REQUEST_ID.lower())
+        echoed_id = self.read_request_id(head)
         if echoed_id and echoed_id != call.id and echoed_id == previous_id:
             return ResponseVerdict.SUPERSEDED
         if echoed_id != call.id and (echoed_id or not first_use):
--- a/tests/gateway/test_second_copies.py
+++ b/tests/gateway/test_second_copies.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from basilroad.endpoints import channels
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
@@ -34,6 +35,33 @@
     assert server.connections == 1
 
 
+# a late copy of a rejection was taken for the answer to a later attempt, and the order ran twice
+@pytest.mark.holds_once
+@pytest.mark.parametrize("servers", [1, 2])
+async def test_a_copy_of_a_rejection_is_not_the_answer_to_a_later_attempt(
+    gateway, start_server, servers: int
+) -> None:
+    started = [await start_server(f"i-{number}") for number in range(servers)]
+    for server in started:
+        server.schedule_faults([WireFault.TURN_AWAY_COPY])
+    route = build_route(
+        retry_safety=RetrySafety.FORBIDDEN, attempts_limit=1, timeout_s=3.0, latency_target_s=0.9
+    )
+    reply = await run(gateway, route, id="c1")
+    assert reply.status == 200
+    assert [ran for server in started for ran in server.ran] == ["c1"]
+
+
+async def test_a_connection_is_closed_after_many_requests(
+    gateway, start_server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(channels, "MAX_REQUESTS", 3)
+    server = await start_server("i-1")
+    for number in range(7):
+        await run(gateway, id=f"c{number}")
+    assert server.connections == 3
+
+
 @pytest.mark.parametrize("fault", [WireFault.OTHER_ID, WireFault.LOSE_ANSWER])
 async def test_a_response_with_a_foreign_id_is_not_waited_out(gateway, start_server, fault) -> None:
     server = await start_server("i-1")
