Let followers read the store once their reader may hear nothing

Cause: the host follows a reader that was cut off from the store, one way. A reader whose poll hangs can't tell that it hears nothing; its updates said that nothing had changed until its confirmation was 2.8 s old, and followers read the store 0.8 s after the last one.

Change: the kernel probes idle connections to the store, so that a cut ends the poll within 2 s at no call. The reader then withdraws with a datagram and sends nothing until it has read again; followers read at once. The sum of the steps, 2.4 s, is tested against drainMs and configApplyMs.

--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -28,7 +28,7 @@
     read_limit_report,
 )
 from basilroad.gateway.promptlocations import PromptReport
-from basilroad.gateway.relay import Update
+from basilroad.gateway.relay import Update, Withdrawal
 from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
@@ -91,7 +91,7 @@
 
 
 _DECODER: MsgpackDecoder[object] = MsgpackDecoder(
-    StateMessage | Update | LoanRequest | Loan | Crashes | PermitRequest | PermitReply
+    StateMessage | Update | Withdrawal | LoanRequest | Loan | Crashes | PermitRequest | PermitReply
 )
 
 
@@ -236,7 +236,9 @@
             self._send(data, peer)
 
     def _send_counted(
-        self, message: Update | Crashes | PermitRequest | PermitReply, peers: Sequence[Address]
+        self,
+        message: Update | Withdrawal | Crashes | PermitRequest | PermitReply,
+        peers: Sequence[Address],
     ) -> None:
         data = msgspec.msgpack.encode(message)
         for peer in peers:
@@ -282,6 +284,10 @@
     def _(self, message: Update, address: Address) -> None:
         self._relay.take(message, address)
 
+    @_handle.register
+    def _(self, message: Withdrawal, address: Address) -> None:
+        self._relay.take_withdrawal(message, address)
+
     @_handle.register
     def _(self, message: LoanRequest, address: Address) -> None:
         self._loans.take_request(message, address)
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -43,6 +43,9 @@
 REPEAT_S = 1.0
 """Time for which a change is repeated, as datagrams get lost."""
 
+WITHDRAWALS_SENT = 3
+"""Times that followers are told that a reader may hear nothing, as datagrams get lost."""
+
 GROUP_HOSTS = 16
 """Largest number of gateways that follow one reader; bounds what a reader sends."""
 
@@ -112,6 +115,15 @@
         return Revision(self.epoch, self.revision)
 
 
+class Withdrawal(msgspec.Struct, array_like=True, tag="withdrawal"):
+    """Word of a reader that it may hear of no changes any more.
+
+    :param host: name of the reader
+    """
+
+    host: str
+
+
 @attrs.frozen
 class ListedChange:
     """A change of one entry.
@@ -217,6 +229,8 @@
         self._log_base = self._revision = Revision(0, 0)
         self._sent_at = -math.inf
         self._changed = False
+        self._suspended: set[str] = set()
+        self._withdrawals_due = 0
         self.reader: Address | None = None
         self._subscribers: list[Callable[[Update], None]] = []
 
@@ -233,7 +247,8 @@
 
     @property
     def _reads(self) -> bool:
-        return self._listing_read and self._confirmation is not None
+        has_read = self._listing_read and self._confirmation is not None
+        return has_read and not self._suspended
 
     def subscribe(self, callback: Callable[[Update], None]) -> None:
         """Call a function with each update of a reader that is followed.
@@ -259,6 +274,16 @@
         for callback in self._subscribers:
             callback(update)
 
+    def take_withdrawal(self, message: Withdrawal, address: Address) -> None:
+        """Follow a reader no more that may hear of no changes.
+
+        :param message: what it sent
+        :param address: address of the gateway
+        """
+        if address == self.reader and self.follows:
+            _LOGGER.info("reader withdrew", extra={"reader": message.host})
+            self._updated_at = -math.inf
+
     def update_peers(self, peers: Iterable[tuple[str, Address]]) -> None:
         """Update the set of gateways in this data centre that are heard.
 
@@ -284,6 +309,24 @@
         """
         self._confirmation = confirmation
 
+    def suspend(self, table: str) -> None:
+        """Send no updates while it is in doubt whether changes of a table are heard.
+
+        The followers are told at once, so that they read the store themselves.
+
+        :param table: name of the table
+        """
+        if self._reads and not self.follows:
+            self._withdrawals_due = WITHDRAWALS_SENT
+        self._suspended.add(table)
+
+    def resume(self, table: str) -> None:
+        """Send updates again, as a read of a table has succeeded.
+
+        :param table: name of the table
+        """
+        self._suspended.discard(table)
+
     def record_listing(self, revision: Revision) -> None:
         """Record a complete listing, which earlier changes don't lead up to.
 
@@ -312,9 +355,12 @@
         """Record that the listing can't be read."""
         self._listing_read = False
 
-    def list_due(self) -> tuple[list[Update], list[Address]]:
-        """:return: updates that have to be sent now, and their recipients; empty if none are."""
+    def list_due(self) -> tuple[Sequence[Update | Withdrawal], list[Address]]:
+        """:return: messages that have to be sent now, and their recipients; empty if none are."""
         now = self._clock()
+        if self._suspended:
+            self._withdrawals_due -= 1
+            return [Withdrawal(self._host)] if self._withdrawals_due >= 0 else [], self._recipients
         if not self._changed and now < self._sent_at + UPDATE_INTERVAL_S:
             return [], []
         confirmation = self._confirmation
@@ -366,6 +412,7 @@
     "ListedChange",
     "Relay",
     "Update",
+    "Withdrawal",
     "pack_change",
     "unpack_changes",
 ]
--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
@@ -15,6 +16,37 @@
 """Headers that aiohttp would otherwise add to a request by default."""
 
 
+@attrs.frozen
+class KeepAlive:
+    """Probes of idle connections by the kernel, which find that the way to the server is cut.
+
+    :param idle_s: whole seconds without data before the first probe
+    :param interval_s: whole seconds between probes
+    :param probes: unanswered probes after which the connection is closed
+    """
+
+    idle_s: int = 1
+    interval_s: int = 1
+    probes: int = 1
+
+    @property
+    def limit_s(self) -> int:
+        """:return: seconds after the last data at which a cut connection is closed."""
+        return self.idle_s + self.probes * self.interval_s
+
+    def open_socket(self, info: aiohttp.AddrInfoType) -> socket.socket:
+        """:return: a socket for an address, with these probes."""
+        family, kind, protocol, _, _ = info
+        sock = socket.socket(family, kind, protocol)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, self.idle_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, self.interval_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, self.probes)
+        # probes are not sent while data is unacknowledged
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1000 * self.limit_s)
+        return sock
+
+
 class HttpError(Exception):
     """A request did not get a complete response.
 
@@ -79,9 +111,18 @@
     :param url: base URL of the server
     :param timeout_s: time limit of a request in seconds; for a stream, of the connection attempt
     :param reuse_connections: whether connections are kept alive for further requests
+    :param keep_alive: probes of its connections; ``None`` for none
     """
 
-    def __init__(self, url: str, timeout_s: float, *, reuse_connections: bool = True) -> None:
+    def __init__(
+        self,
+        url: str,
+        timeout_s: float,
+        *,
+        reuse_connections: bool = True,
+        keep_alive: KeepAlive | None = None,
+    ) -> None:
+        self._keep_alive = keep_alive
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
         self._reuse_connections = reuse_connections
@@ -172,8 +213,13 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
+            keep_alive = self._keep_alive
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, force_close=not self._reuse_connections),
+                connector=aiohttp.TCPConnector(
+                    limit=0,
+                    force_close=not self._reuse_connections,
+                    socket_factory=None if keep_alive is None else keep_alive.open_socket,
+                ),
                 cookie_jar=aiohttp.DummyCookieJar(),
                 auto_decompress=False,
                 trace_configs=[_trace_connection()],
@@ -220,6 +266,7 @@
     "HttpError",
     "HttpRequest",
     "HttpResponse",
+    "KeepAlive",
     "RequestNotSentError",
     "ResponseLostError",
 ]
--- a/src/basilroad/platform/staleness.py
+++ b/src/basilroad/platform/staleness.py
@@ -7,6 +7,11 @@
 - the pause after a change, the wait of a long poll and the allowance for its response end at most
   ``silence_s`` after the last response on the connection;
 - what is left of ``contact_s`` is for the read on a new connection and for the relay of its result.
+
+The followers of a reader are held to the shorter limits of draining and of the config all the
+while, as nothing happens to them when their reader is cut off from the store. For them the kernel's
+probes of the reader's connections (``KeepAlive.limit_s``), the word that it withdraws (one interval
+of gossip) and the check and the read of a follower add up.
 """
 
 from __future__ import annotations
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -13,7 +13,7 @@
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.gateway.revision import Revision
-from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse
+from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse, KeepAlive
 from basilroad.platform.staleness import RESPONSE_ALLOWANCE_S
 
 STATUS_OK = 200
@@ -37,8 +37,8 @@
     """
 
 
-class SilentStoreError(StoreError):
-    """No response arrived in time; the connection or the store fell silent."""
+class ConnectionLostError(StoreError):
+    """No response arrived in time, or the connection was lost before it."""
 
 
 class HistoryGoneError(StoreError):
@@ -100,7 +100,7 @@
     """
 
     def __init__(self, url: str) -> None:
-        self._client = HttpClient(url, READ_TIMEOUT_S)
+        self._client = HttpClient(url, READ_TIMEOUT_S, keep_alive=KeepAlive())
         self.epoch: int | None = None
         self._subscribers: list[Callable[[], None]] = []
 
@@ -144,7 +144,7 @@
         :param wait_s: seconds after which the store sends an empty response
         :return: the changes in order
         :raises HistoryGoneError: the store doesn't keep these changes, or not in this epoch
-        :raises SilentStoreError: there was no response in time
+        :raises ConnectionLostError: there was no response
         :raises StoreError: there was no valid response
         """
         query = {"table": table, "sinceRevision": revision.number, "waitMs": round(1000 * wait_s)}
@@ -198,8 +198,7 @@
         try:
             answer = await self._client.send(request, limit_s)
         except HttpError as error:
-            kind = SilentStoreError if error.timed_out else StoreError
-            raise kind(str(error)) from error
+            raise ConnectionLostError(str(error)) from error
         epoch = self._observe_epoch(answer)
         if answer.status == STATUS_GONE:
             raise HistoryGoneError("the requested changes are no longer kept")
@@ -237,8 +236,8 @@
 
 __all__ = [
     "Changes",
+    "ConnectionLostError",
     "HistoryGoneError",
-    "SilentStoreError",
     "StoreClient",
     "StoreError",
     "StoreRow",
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -14,7 +14,7 @@
 from mode import Service
 
 from basilroad.gateway.freshness import read_boot_clock
-from basilroad.platform.store import HistoryGoneError, SilentStoreError, StoreError
+from basilroad.platform.store import ConnectionLostError, HistoryGoneError, StoreError
 from basilroad.platform.storeclock import StoreClock
 
 if TYPE_CHECKING:
@@ -222,9 +222,10 @@
         requested_at = read_boot_clock()
         try:
             changes = await self._store.wait_changes(self._table, self._revision, wait_s)
-        except SilentStoreError as error:
-            _LOGGER.info("poll silent", extra={"table": self._table, "detail": str(error)})
-            # a new connection tells whether the store fell silent or only the last one
+        except ConnectionLostError as error:
+            _LOGGER.info("poll lost", extra={"table": self._table, "detail": str(error)})
+            self._relay.suspend(self._table)
+            # a new connection tells whether the store is lost or only the last one
             requested_at, wait_s = read_boot_clock(), 0.0
             changes = await self._store.wait_changes(self._table, self._revision, wait_s)
         self._responded_at = read_boot_clock()
@@ -259,11 +260,13 @@
             raise OutdatedResponseError("the response is older than the known state")
 
     def _confirm(self, changes: Changes, earliest: float) -> None:
+        self._relay.resume(self._table)
         received_at = read_boot_clock()
         at = self._clock.estimate_time(earliest, received_at, changes.store_s)
         self.on_confirmed(at, changes.store_s)
 
     def _report_lost(self, detail: str) -> None:
+        self._relay.suspend(self._table)
         self.on_lost()
         if not self._lost:
             self._lost = True
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -10,6 +10,9 @@
 from hypothesis import given, strategies as st
 
 from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.gossip import GOSSIP_INTERVAL_S
+from basilroad.gateway.relay import Update, Withdrawal
+from basilroad.http import KeepAlive
 from basilroad.platform.configwatch import CONFIG_LONG_POLL_S
 from basilroad.platform.serverswatch import SERVERS_LONG_POLL_S, SERVERS_PAUSE_S
 from basilroad.platform.staleness import (
@@ -18,7 +21,8 @@
     RESPONSE_ALLOWANCE_S,
     StalenessBudget,
 )
-from support.watchrig import DRAIN_S, SERVER, Rig, build_config, wait_until
+from basilroad.platform.watch import FOLLOW_CHECK_INTERVAL_S
+from support.watchrig import DRAIN_S, NOBODY, SERVER, Rig, build_config, wait_until
 
 SHORTEST_CONTACT_S = MIN_POLL_S + RESPONSE_ALLOWANCE_S + REREAD_RESERVE_S
 
@@ -47,6 +51,9 @@
 
 CONTACT_S = 2.5
 
+FOLLOWER_READ_S = 0.25
+"""A read by a follower on a new connection between regions, and calls on their way."""
+
 
 @pytest.fixture
 async def silent_rig() -> AsyncIterator[Rig]:
@@ -87,6 +94,34 @@
     assert time.monotonic() - silent_at <= CONTACT_S
 
 
+# a follower knew of a drain after its reader had noticed that the way to the store is cut, and then
+# only after the reader's updates had been missing for a while
+@pytest.mark.parametrize(("drain_s", "config_apply_s"), [(2.5, 2.5), (4.0, 4.0), (5.0, 5.0)])
+def test_a_cut_of_the_reader_and_the_read_of_its_followers_add_up_to_the_bounds(
+    drain_s: float, config_apply_s: float
+) -> None:
+    steps_s = KeepAlive().limit_s + GOSSIP_INTERVAL_S + FOLLOW_CHECK_INTERVAL_S
+    assert steps_s + FOLLOWER_READ_S <= min(drain_s, config_apply_s)
+
+
+async def test_a_reader_whose_poll_is_lost_withdraws(silent_rig: Rig) -> None:
+    rig = silent_rig
+    rig.relay.update_peers([("i", NOBODY)])
+    await wait_until(lambda: bool(rig.relay.list_due()[0]))
+    rig.store.silence_connections()
+    seen: list[object] = []
+
+    def is_withdrawn() -> bool:
+        seen.extend(rig.relay.list_due()[0])
+        return any(isinstance(message, Withdrawal) for message in seen)
+
+    rig.store.refusing = 503
+    await wait_until(is_withdrawn)
+    rig.store.refusing = 0
+    seen.clear()
+    await wait_until(lambda: any(isinstance(m, Update) for m in rig.relay.list_due()[0]))
+
+
 # each idle connection that fell silent with the poll cost a further time-out, and an entry that was
 # removed meanwhile was kept as if the store had been away
 async def test_silence_of_many_connections_costs_one_time_out(silent_rig: Rig) -> None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import pytest
 
-from basilroad.http import HttpClient, HttpRequest, RequestNotSentError, ResponseLostError
+from basilroad.http import (
+    HttpClient,
+    HttpRequest,
+    KeepAlive,
+    RequestNotSentError,
+    ResponseLostError,
+)
 
 TIMEOUT_S = 5.0
 METHODS = ["GET", "PUT", "DELETE", "POST"]
@@ -109,6 +116,25 @@
     server.close()
 
 
+# a cut way to the server was noticed only when a long poll had timed out
+async def test_idle_connections_are_probed_by_the_kernel() -> None:
+    info = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", ("127.0.0.1", 1))
+    with KeepAlive(idle_s=1, interval_s=1, probes=1).open_socket(info) as sock:
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL) == 1
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT) == 1
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 2000
+    assert KeepAlive(idle_s=2, interval_s=1, probes=3).limit_s == 5
+
+
+async def test_a_client_with_keep_alive_sends_requests() -> None:
+    async with run_server(OK) as server:
+        client = HttpClient(server.url, TIMEOUT_S, keep_alive=KeepAlive())
+        assert (await client.send(HttpRequest("GET", "/"))).status == 200
+        await client.close()
+
+
 async def test_a_time_out_ends_no_other_request() -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
