Take calls from a silent engine only if they can go on elsewhere

Cause: an engine that doesn't answer a probe counts as lost, and all its calls that may run again were closed, with or without an attempt, a retry or an engine left. Streams that stall or wait for their first event asked for these, but took none, so that several gave up for one retry; repeatable calls of plain services were cut at a share of their target for a retry the budget refused.

Change: a call claims the retry and the place before its attempt is ended, most urgent first, and stays where it is without them; claims not used are returned. After two seconds of silence a place may also be queued for. So no attempt ends without the next one being certain, whatever the cause of giving up.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -22,13 +22,14 @@
     RequestEncodingError,
 )
 from basilroad.errors import ErrorKind, refuse
+from basilroad.gateway.endpoint import never_move
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Purpose, Source
 
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Headers
-    from basilroad.gateway.endpoint import Endpoint, EngineReport
+    from basilroad.gateway.endpoint import ClaimMove, Endpoint, EngineReport
     from basilroad.gateway.notices import Notice
     from basilroad.peers.address import Address
 
@@ -214,10 +215,16 @@
     :param endpoint: destination
     :param protocol: encoding of the call
     :param options: per-attempt data
+    :param claim_move: claims what the call needs to go on at another endpoint
     """
 
     def __init__(
-        self, call: Call, endpoint: Endpoint, protocol: EndpointProtocol, options: AttemptOptions
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        protocol: EndpointProtocol,
+        options: AttemptOptions,
+        claim_move: ClaimMove = never_move,
     ) -> None:
         self.call = call
         self.endpoint = endpoint
@@ -225,6 +232,7 @@
         self._sent_at = -math.inf
         self._protocol = protocol
         self._options = options
+        self._claim_move = claim_move
         # a response may arrive after a restart; it speaks for the lifetime that was asked
         self._notices = endpoint.notices
         self._channel: Channel | None = None
@@ -257,8 +265,7 @@
             channel.close()
             return NotRun("the endpoint leaves or wants no requests")
         self._channel = channel
-        repeatable = self.call.route.repeatable
-        self.endpoint.add_pending(channel, time.monotonic(), repeatable=repeatable)
+        self.endpoint.add_pending(channel, time.monotonic(), self.call.rank, self._claim_move)
         request = self._protocol.encode(self.call, self._options)
         try:
             channel.send(request)
--- a/src/basilroad/gateway/attempttracker.py
+++ b/src/basilroad/gateway/attempttracker.py
@@ -50,9 +50,35 @@
     lacks_budget: bool = False
     running: Attempt | None = None
     _charged: bool = False
+    _claimed: bool = False
+
+    def claim_retry(self) -> bool:
+        """Take a retry for the attempt after the running one.
+
+        :return: whether the running attempt may be ended for another one
+        """
+        route = self.call.route
+        if self._claimed:
+            return True
+        if not route.repeatable or self.sent + 1 >= route.attempts_limit:
+            return False
+        self._claimed = self.budget.take()
+        return self._claimed
+
+    def release_claim(self) -> None:
+        """Return a claimed retry that was not used."""
+        if self._claimed:
+            self._claimed = False
+            self.budget.refund()
 
     def try_start_attempt(self) -> bool:
         """:return: whether one more attempt is allowed; if so, a retry is taken from the budget."""
+        allowed = self._may_start()
+        if not allowed:
+            self.release_claim()
+        return allowed
+
+    def _may_start(self) -> bool:
         call = self.call
         self.lacks_budget = False
         if time.monotonic() >= call.expires_at or self.refused >= MAX_REJECTIONS:
@@ -63,7 +89,8 @@
             return False
         if not self.sent and not self.refused:
             return True
-        self._charged = self.budget.take()
+        self._charged = self._claimed or self.budget.take()
+        self._claimed = False
         self.lacks_budget = not self._charged
         return self._charged
 
@@ -73,13 +100,6 @@
             self._charged = False
             self.budget.refund()
 
-    def can_retry(self) -> bool:
-        """:return: whether the running attempt may be followed by another."""
-        route = self.call.route
-        if not route.repeatable or self.sent + 1 >= route.attempts_limit:
-            return False
-        return self.budget.available() >= 1
-
     def build_refusal(self, pause: ServicePause | None = None) -> Refusal:
         """Build the error for a call without a response; "not run" only if that is certain.
 
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
+from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING
 
 from basilroad.endpoints.channels import ChannelError
@@ -23,7 +25,11 @@
 """Fraction of the target for which a call may be queued; the rest is left for its processing."""
 
 ATTEMPT_TIMEOUT_SHARE = 0.6
-"""Fraction of the target after which a repeatable call is retried; nearly all calls are faster."""
+"""Fraction of the target after which a repeatable call is retried, if it can be; nearly all calls
+are faster."""
+
+LEAVE_CHECK_INTERVAL_S = 0.05
+"""Interval of checks whether a call that takes long can go on at another endpoint."""
 
 Outcome = Reply | NotRun | MayHaveRun
 
@@ -47,6 +53,12 @@
         :return: its response
         :raises RefusedError: there is no response
         """
+        try:
+            return await self._run()
+        finally:
+            self._tracker.release_claim()
+
+    async def _run(self) -> Reply:
         tracker = self._tracker
         while tracker.try_start_attempt():
             outcome = await self._try_once()
@@ -87,7 +99,9 @@
         started = time.monotonic()
         self._gateway.record_placed(call, started - queued_at)
         options = AttemptOptions(endpoint.id, call.expires_at - started)
-        attempt = tracker.running = Attempt(call, endpoint, self._gateway.protocol, options)
+        attempt = tracker.running = Attempt(
+            call, endpoint, self._gateway.protocol, options, self._claim_move
+        )
         run = Run(call, endpoint)
         try:
             outcome = await self._exchange(attempt)
@@ -103,6 +117,20 @@
         self._gateway.record_attempt(AttemptRecord(call, endpoint, outcome, took_s))
         return outcome
 
+    def _claim_move(self, needs_room: bool) -> bool:
+        """Claim a retry, so that the running attempt may end.
+
+        :param needs_room: whether another endpoint must have room at once
+        :return: whether the call can go on elsewhere
+        """
+        attempt = self._tracker.running
+        if attempt is None or not attempt.sent:
+            return False
+        avoid = self._tracker.tried | {attempt.endpoint.id}
+        if needs_room and not self._gateway.dispatcher.has_room(self._call, avoid):
+            return False
+        return self._tracker.claim_retry()
+
     def _check_still_allowed(self, reservation: Reservation) -> None:
         # its content may have been refused, or a shutdown have begun, while it was queued
         if self._tracker.sent:
@@ -115,8 +143,9 @@
             raise
 
     async def _exchange(self, attempt: Attempt) -> Outcome:
+        limit = asyncio.timeout(max(0.0, self._call.expires_at - time.monotonic()))
         try:
-            async with asyncio.timeout(self._attempt_limit_s()):
+            async with limit, self._leave_early(limit):
                 opened = await attempt.open()
                 if isinstance(opened, NotRun | MayHaveRun):
                     return opened
@@ -134,13 +163,27 @@
         elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
             await self._gateway.containment.record_break(run)
 
-    def _attempt_limit_s(self) -> float:
-        call, tracker = self._call, self._tracker
-        left_s = call.expires_at - time.monotonic()
-        is_last = tracker.sent + 1 >= call.route.attempts_limit
-        if is_last or not call.route.repeatable:
-            return max(0.0, left_s)
-        return max(0.0, min(left_s, ATTEMPT_TIMEOUT_SHARE * call.route.latency_target_s))
+    @contextlib.asynccontextmanager
+    async def _leave_early(self, limit: asyncio.Timeout) -> AsyncIterator[None]:
+        """End an attempt that takes long, once the call can go on at another endpoint.
+
+        :param limit: time limit of the attempt
+        """
+        if not self._call.route.repeatable:
+            yield
+            return
+        watch = asyncio.ensure_future(self._wait_to_leave(limit))
+        try:
+            yield
+        finally:
+            watch.cancel()
+
+    async def _wait_to_leave(self, limit: asyncio.Timeout) -> None:
+        await asyncio.sleep(ATTEMPT_TIMEOUT_SHARE * self._call.route.latency_target_s)
+        attempt = self._tracker.running
+        while attempt is not None and attempt.sent and not self._claim_move(True):
+            await asyncio.sleep(LEAVE_CHECK_INTERVAL_S)
+        limit.reschedule(asyncio.get_running_loop().time())
 
     def _should_retry(self, reply: Reply) -> bool:
         call = self._call
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -190,6 +190,13 @@
         """:return: whether another endpoint could take the call at once."""
         return not self._is_blocked(call) and self._choose_at_once(call, avoid) is not None
 
+    def reserve_at_once(self, call: Call, avoid: Collection[str]) -> Reservation | None:
+        """:return: capacity of another endpoint, if one could take the call at once."""
+        if self._is_blocked(call):
+            return None
+        endpoint = self._choose_at_once(call, avoid)
+        return None if endpoint is None else self.reserve(endpoint, call.size)
+
     def release(self, reservation: Reservation) -> None:
         """Release a reservation and dispatch queued calls.
 
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -6,6 +6,7 @@
 import enum
 import math
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,7 +16,7 @@
 from basilroad.gateway.notices import Lifetime, NoticeRegister
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Iterator
 
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import PromptSize
@@ -54,6 +55,20 @@
 """Weight of one outcome in the failure rate; three failures in a row raise it above one half."""
 
 
+LONG_SILENCE_S = 2.0
+"""Silence after which calls leave an endpoint also to queue for another one; sound engines fall
+silent for a second or so."""
+
+ClaimMove = Callable[[bool], bool]
+"""Claims what a call needs to go on at another endpoint: an attempt, a retry and, if asked for, a
+place. Returns whether it was claimed; the attempt must end then."""
+
+
+def never_move(_needs_room: bool) -> bool:
+    """:return: false, for calls that may not run again."""
+    return False
+
+
 class EndpointState(enum.Enum):
     """State that an endpoint publishes."""
 
@@ -159,7 +174,7 @@
         self._backoff_s = UNREACHABLE_BACKOFF_S
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
-        self._channels: dict[Channel, bool] = {}
+        self._channels: dict[Channel, tuple[int, ClaimMove]] = {}
         self._pending_since = 0.0
         self._buffered_bytes = 0
 
@@ -231,16 +246,19 @@
         self._added.memory_tokens += memory_tokens
         self._added.pending_prefill_tokens += pending_prefill_tokens
 
-    def add_pending(self, channel: Channel, now: float, *, repeatable: bool) -> None:
+    def add_pending(
+        self, channel: Channel, now: float, rank: int = 0, claim_move: ClaimMove = never_move
+    ) -> None:
         """Add a connection with a pending response.
 
         :param channel: the connection
         :param now: monotonic seconds
-        :param repeatable: whether its call may go on at another endpoint
+        :param rank: rank of its call
+        :param claim_move: claims what its call needs to go on at another endpoint
         """
         if not self._channels:
             self._pending_since = now
-        self._channels[channel] = repeatable
+        self._channels[channel] = (rank, claim_move)
 
     def remove_pending(self, channel: Channel) -> None:
         """Remove a connection with a pending response.
@@ -325,16 +343,19 @@
         return self._failure_rate * math.exp2(-age_s / FAILURE_HALF_LIFE_S)
 
     def mark_lost(self, now: float) -> None:
-        """Start a backoff for an endpoint that does not respond, and close its connections.
+        """Start a backoff for an endpoint that does not respond, and move its calls.
 
-        Those of calls that may not run again stay open: the endpoint may only be late.
+        Those that can't go on elsewhere stay, the most urgent ones move first: the endpoint may
+        only be late.
 
         :param now: monotonic seconds
         """
+        needs_room = self.silence_s(now) < LONG_SILENCE_S
         self.lost_at = now
         self.record_unreachable(now)
-        for channel, repeatable in list(self._channels.items()):
-            if repeatable:
+        pending = sorted(self._channels.items(), key=lambda item: item[1][0])
+        for channel, (_, claim_move) in pending:
+            if claim_move(needs_room):
                 channel.close()
 
     def restart(self, entry: EndpointEntry) -> None:
--- a/src/basilroad/gateway/firstevent.py
+++ b/src/basilroad/gateway/firstevent.py
@@ -35,14 +35,15 @@
     :param call: the call
     :param endpoint: its endpoint
     :param sent_at: monotonic seconds
-    :param can_move: returns whether the stream could run at another endpoint
+    :param claim_move: claims what the stream needs to run at another endpoint; if it returns true,
+        the attempt must be cancelled
     :param cancel_attempt: cancels the attempt
     """
 
     call: Call
     endpoint: Endpoint
     sent_at: float
-    can_move: Callable[[], bool]
+    claim_move: Callable[[], bool]
     cancel_attempt: Callable[[], None]
 
     @property
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -103,7 +103,7 @@
 
     def _cancel_overdue(self, now: float) -> None:
         for wait in list(self._first_waits):
-            if not wait.is_overdue(now) or not wait.can_move():
+            if not wait.is_overdue(now) or not wait.claim_move():
                 continue
             _LOGGER.warning(
                 "stream overdue",
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -79,6 +79,8 @@
         self._passed = False
         self._late_breaks = LateBreaks()
         self._backup_endpoint: Endpoint | None = None
+        self._backup: Reservation | None = None
+        self._claimed: tuple[Reservation, bool] | None = None
         self._failed_reply: Reply | None = None
         self._last_forwarded_at = 0.0
         self._stall_timeout_s = STALL_TIMEOUT_S
@@ -91,6 +93,12 @@
         :raises RefusedError: there is no response
         :raises StreamBrokenError: the stream was cut off after it started
         """
+        try:
+            return await self._run()
+        finally:
+            self._release_claim()
+
+    async def _run(self) -> Reply | None:
         while await self._start_attempt():
             outcome = await self._try_once()
             if outcome is None:
@@ -167,7 +175,7 @@
         if self._tracker.sent:
             self._gateway.metrics.resumes.labels("copy" if kv_cache_source else "none").inc()
         endpoint = reservation.endpoint
-        backup = self._reserve_backup(endpoint)
+        backup = self._backup = self._reserve_backup(endpoint)
         started = time.monotonic()
         attempt = self._tracker.running = Attempt(
             self._call,
@@ -180,6 +188,7 @@
                 copy_at=backup.endpoint.entry.address if backup else None,
                 kv_cache_source=endpoint.entry.address if kv_cache_source else None,
             ),
+            self._claim_move,
         )
         self._gateway.dispatcher.prompt_locations.record(self._call.prompt_key, endpoint.id)
         try:
@@ -219,6 +228,11 @@
     async def _place(self) -> tuple[Reservation | None, bool]:
         call, now = self._call, time.monotonic()
         holder, self._backup_endpoint = self._backup_endpoint, None
+        if self._claimed is not None:
+            claimed, self._claimed = self._claimed, None
+            if claimed[0].endpoint.is_available(now):
+                return claimed
+            self._gateway.dispatcher.release(claimed[0])
         dispatcher = self._gateway.dispatcher
         usable = holder is not None and holder.is_available(now)
         if holder is not None and usable and await dispatcher.acquire_permit(holder):
@@ -297,7 +311,7 @@
             self._call,
             attempt.endpoint,
             now,
-            lambda: self._can_move(attempt),
+            lambda: self._claim_move(True),
             lambda: first.reschedule(asyncio.get_running_loop().time()),
         )
         if not self._passed:
@@ -311,7 +325,7 @@
                     if opened.status != OK:
                         return Reply(opened.status, opened.headers, await opened.read_all())
                     run.began = True
-                    return await self._relay(opened, attempt, reservation, wait, run)
+                    return await self._relay(opened, reservation, wait, run)
         except TimeoutError:
             if not attempt.sent:
                 return NotRun("no connection in time")
@@ -325,18 +339,46 @@
         except EventOrderError as error:
             return MayHaveRun(str(error))
 
-    def _can_move(self, attempt: Attempt) -> bool:
-        avoid = self._tracker.tried | {attempt.endpoint.id}
-        return (
-            attempt.sent
-            and self._tracker.can_retry()
-            and self._gateway.dispatcher.has_room(self._call, avoid)
-        )
+    def _claim_move(self, needs_room: bool) -> bool:
+        """Claim a retry and a place at another endpoint, so that the running attempt may end.
+
+        :param needs_room: whether a place must be free at once
+        :return: whether the stream can go on elsewhere
+        """
+        attempt = self._tracker.running
+        if attempt is None or not attempt.sent:
+            return False
+        if not self._tracker.claim_retry():
+            if self._call.route.repeatable:
+                self._gateway.request_retries(self._call.service)
+            return False
+        if self._claimed is None:
+            self._claimed = self._reserve_elsewhere(attempt.endpoint)
+        if self._claimed is None and needs_room:
+            self._tracker.release_claim()
+            return False
+        return True
+
+    def _reserve_elsewhere(self, endpoint: Endpoint) -> tuple[Reservation, bool] | None:
+        dispatcher, now = self._gateway.dispatcher, time.monotonic()
+        holder = self._backup.endpoint if self._backup is not None and self._events.last else None
+        is_free = holder is not None and holder.is_available(now)
+        if holder is not None and is_free and holder.notices.limit.has_permit(now):
+            log_resume_from_backup(self._call, holder, self._events.last)
+            return dispatcher.reserve(holder, self._call.size, needs_prefill=False), True
+        avoid = self._tracker.tried | {endpoint.id}
+        reservation = dispatcher.reserve_at_once(self._call, avoid)
+        return None if reservation is None else (reservation, False)
+
+    def _release_claim(self) -> None:
+        self._tracker.release_claim()
+        if self._claimed is not None:
+            self._gateway.dispatcher.release(self._claimed[0])
+            self._claimed = None
 
     async def _relay(
         self,
         opened: OpenReply,
-        attempt: Attempt,
         reservation: Reservation,
         wait: FirstEventWait,
         run: Run,
@@ -350,7 +392,7 @@
             except TimeoutError:
                 if stalls_at is None or time.monotonic() >= self._call.expires_at:
                     raise
-                if not self._can_move(attempt):
+                if not self._claim_move(True):
                     stalls_at += self._stall_timeout_s
                     continue
                 self._stall_timeout_s *= 2
