Stay ready while a restored store can't confirm the keys yet

Callers saw (a test, no play): after an outage of two seconds that ends with a restore, all gateways were unready for 0.7 to 1.2 s at once.

Cause: readiness asks for keys confirmed within 3 s. A restored store confirms them only 2 s after it is first seen, as the operator may not have written again what it lost.

Change: a gateway whose keys were confirmed before and that reads such a store is ready; no other gateway would be a better choice. Keys still count for their limit only, so that calls with one are refused meanwhile if they are older.

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -212,7 +212,9 @@
         """:return: whether the gateway is ready to take calls."""
         if self.shutdown.is_requested or self.table is None:
             return False
-        return self.freshness.is_within(self.settings.ready_age_limit_s)
+        limit_s = self.settings.ready_age_limit_s
+        # a restored store confirms nothing for a while, to no gateway: none is a better choice
+        return self.freshness.is_within(limit_s) or self.freshness.is_heard_within(limit_s)
 
     async def wait_until_fresh(self) -> None:
         """Wait for the configuration or its confirmation at startup or in a short outage."""
--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -150,6 +150,7 @@
         if table is None:
             return
         if self._is_in_doubt(at):
+            self._gateway.freshness.record_heard(at)
             # the response may have been on its way when the store settled
             self._confirmation_due = not self._is_in_doubt(read_boot_clock())
             return
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -20,3 +20,17 @@
     assert freshness.is_within(1.0)
     now = 12.0
     assert not freshness.is_within(1.0)
+
+
+# a store that was restored made all gateways unready at once, though each of them read it
+def test_a_source_that_is_heard_keeps_state_that_was_confirmed_once() -> None:
+    now = 100.0
+    freshness = Freshness(lambda: now)
+    freshness.record_heard(now)
+    assert not freshness.is_heard_within(1.0), "nothing was ever confirmed"
+    freshness.confirm(now)
+    now += 5.0
+    assert not freshness.is_heard_within(1.0)
+    freshness.record_heard(now)
+    assert freshness.is_heard_within(1.0)
+    assert not freshness.is_within(1.0), "what is heard confirms nothing"
