Explain how old knowledge may be, and name what stopped a reader

Cause: a reading of the diff as a newcomer. A tuple of rank and function stood for a pending call, comments used words of their own, and the sums of the staleness budget were explained in the code only.

No behaviour changes.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -22,7 +22,7 @@
     RequestEncodingError,
 )
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.endpoint import never_move
+from basilroad.gateway.endpoint import PendingCall, never_move
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Purpose, Source
 
@@ -265,7 +265,8 @@
             channel.close()
             return NotRun("the endpoint leaves or wants no requests")
         self._channel = channel
-        self.endpoint.add_pending(channel, time.monotonic(), self.call.rank, self._claim_move)
+        pending = PendingCall(self.call.rank, self._claim_move)
+        self.endpoint.add_pending(channel, time.monotonic(), pending)
         request = self._protocol.encode(self.call, self._options)
         try:
             channel.send(request)
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -76,6 +76,18 @@
     DRAINING = "draining"
 
 
+@attrs.frozen
+class PendingCall:
+    """A call whose response is pending.
+
+    :param rank: its rank; lower ones are more urgent
+    :param claim_move: claims what it needs to go on at another endpoint
+    """
+
+    rank: int
+    claim_move: ClaimMove
+
+
 def _check_name(_instance: object, field: attrs.Attribute[str], value: str) -> None:
     if not 0 < len(value) <= MAX_NAME_CHARS:
         raise ValueError(f"{field.name} has {len(value)} characters, limit is {MAX_NAME_CHARS}")
@@ -174,7 +186,7 @@
         self._backoff_s = UNREACHABLE_BACKOFF_S
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
-        self._channels: dict[Channel, tuple[int, ClaimMove]] = {}
+        self._channels: dict[Channel, PendingCall] = {}
         self._pending_since = 0.0
         self._buffered_bytes = 0
 
@@ -246,19 +258,16 @@
         self._added.memory_tokens += memory_tokens
         self._added.pending_prefill_tokens += pending_prefill_tokens
 
-    def add_pending(
-        self, channel: Channel, now: float, rank: int = 0, claim_move: ClaimMove = never_move
-    ) -> None:
+    def add_pending(self, channel: Channel, now: float, pending: PendingCall) -> None:
         """Add a connection with a pending response.
 
         :param channel: the connection
         :param now: monotonic seconds
-        :param rank: rank of its call
-        :param claim_move: claims what its call needs to go on at another endpoint
+        :param pending: its call
         """
         if not self._channels:
             self._pending_since = now
-        self._channels[channel] = (rank, claim_move)
+        self._channels[channel] = pending
 
     def remove_pending(self, channel: Channel) -> None:
         """Remove a connection with a pending response.
@@ -353,9 +362,8 @@
         needs_room = self.silence_s(now) < LONG_SILENCE_S
         self.lost_at = now
         self.record_unreachable(now)
-        pending = sorted(self._channels.items(), key=lambda item: item[1][0])
-        for channel, (_, claim_move) in pending:
-            if claim_move(needs_room):
+        for channel, pending in sorted(self._channels.items(), key=lambda item: item[1].rank):
+            if pending.claim_move(needs_room):
                 channel.close()
 
     def restart(self, entry: EndpointEntry) -> None:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -213,7 +213,7 @@
         if self.shutdown.is_requested or self.table is None:
             return False
         limit_s = self.settings.ready_age_limit_s
-        # a restored store confirms nothing for a while, to no gateway: none is a better choice
+        # a store that was just restored confirms the keys to no gateway yet
         return self.freshness.is_within(limit_s) or self.freshness.is_heard_within(limit_s)
 
     async def wait_until_fresh(self) -> None:
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -277,7 +277,7 @@
 
     @_handle.register
     def _(self, message: StateMessage, _: Address) -> None:
-        others = _parse_known(message.peers)
+        others = _parse_peers(message.peers)
         self.take(message, parse_remote_address(message.address), others)
 
     @_handle.register
@@ -444,7 +444,7 @@
             self._transport.sendto(data, (peer.ip, peer.port))
 
 
-def _parse_known(texts: Iterable[str]) -> list[Address]:
+def _parse_peers(texts: Iterable[str]) -> list[Address]:
     found = []
     for text in texts:
         try:
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -44,7 +44,7 @@
 """Time for which a change is repeated, as datagrams get lost."""
 
 WITHDRAWALS_SENT = 3
-"""Times that followers are told that a reader may hear nothing, as datagrams get lost."""
+"""Number of times that a withdrawal is sent, as datagrams get lost."""
 
 GROUP_HOSTS = 16
 """Largest number of gateways that follow one reader; bounds what a reader sends."""
@@ -116,7 +116,7 @@
 
 
 class Withdrawal(msgspec.Struct, array_like=True, tag="withdrawal"):
-    """Word of a reader that it may hear of no changes any more.
+    """Notice from a reader that it may have lost the store, so that it would miss changes.
 
     :param host: name of the reader
     """
@@ -275,7 +275,7 @@
             callback(update)
 
     def take_withdrawal(self, message: Withdrawal, address: Address) -> None:
-        """Follow a reader no more that may hear of no changes.
+        """Stop following a reader that may have lost the store.
 
         :param message: what it sent
         :param address: address of the gateway
@@ -310,9 +310,9 @@
         self._confirmation = confirmation
 
     def suspend(self, table: str) -> None:
-        """Send no updates while it is in doubt whether changes of a table are heard.
+        """Stop sending updates while changes of a table may be missed.
 
-        The followers are told at once, so that they read the store themselves.
+        A withdrawal is sent at once, so that the followers read the store themselves.
 
         :param table: name of the table
         """
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -80,8 +80,8 @@
     async def _ask(self, endpoint: Endpoint, purpose: Purpose) -> bytes:
         notices = endpoint.notices
         # a late copy of an earlier report would pass for a sign of life
-        used_by = NO_REQUEST_ID if purpose is Purpose.PROBE else None
-        channel = await endpoint.pool.open(request_id=used_by)
+        request_id = NO_REQUEST_ID if purpose is Purpose.PROBE else None
+        channel = await endpoint.pool.open(request_id=request_id)
         reused = channel.requests > 0
         try:
             return await self._exchange(endpoint, channel, notices, purpose)
--- a/src/basilroad/platform/staleness.py
+++ b/src/basilroad/platform/staleness.py
@@ -10,8 +10,8 @@
 
 The followers of a reader are held to the shorter limits of draining and of the config all the
 while, as nothing happens to them when their reader is cut off from the store. For them the kernel's
-probes of the reader's connections (``KeepAlive.limit_s``), the word that it withdraws (one interval
-of gossip) and the check and the read of a follower add up.
+probes of the reader's connections (``KeepAlive.limit_s``), its withdrawal (one interval of gossip)
+and the check and the read of a follower add up.
 """
 
 from __future__ import annotations
