Observe a load of the engine stand-in that takes a second

The load took 10 ms; if the question after the order comes later than that, the engine is ready, rightly.

Evidence: with a sleep of 20 ms between order and question the test fails in the same line with the same values.

Change: the load that is observed takes 1 s; all assertions stay.

--- a/tests/standin/test_engine_standin.py
+++ b/tests/standin/test_engine_standin.py
@@ -15,6 +15,9 @@
 from basilroad.standin.tokens import expect_tokens
 from basilroad.world.prefix import hash_prefixes
 
+MODEL_LOAD_S = 1.0
+"""Duration of a load that is observed, far above the time between two requests on a busy host."""
+
 PROMPT = " ".join(f"word{number}" for number in range(40))
 Frames = list[dict[str, Any]]
 
@@ -214,7 +217,7 @@
 
 async def test_load_takes_time_and_needs_a_new_fence(client: aiohttp.ClientSession) -> None:
     new = {"model": "n", "adapter": "a", "version": "2"}
-    async with make_engine(model_load_s=0.01) as engine:
+    async with make_engine(model_load_s=MODEL_LOAD_S) as engine:
         assert await order(client, engine, action="load", fence=5, **new) == 200
         assert (await get(client, engine, "/health"))["state"] == "loading"
         health = await wait_ready(client, engine)
