Say why each connection of a caller ended without a whole answer

Cause: of the ways in which a caller's connection can end, only a broken stream left a line. Change: the server for callers keeps its connections itself (`platform/connections.py`, taken out of the frontend) and logs and counts each such end with its cause; the lines of a planned stop say how many answers callers have not received yet. The gateway of test_frontend.py moves to `tests/support/gatewayrig.py`, as other tests need it; its test of idle connections names the new place of the same method. No decision changes.

--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -46,6 +46,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self.ends = Counter(
+            "basilroad_connections_ended",
+            "Connections of callers that ended before the whole answer to a request.",
+            ["cause"],
+            registry=self.registry,
+        )
         self.resumes = Counter(
             "basilroad_resumes",
             "Streams that went on at another endpoint.",
--- /dev/null
+++ b/src/basilroad/platform/connections.py
@@ -0,0 +1,189 @@
+"""Connections of callers, and why each of them ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import Iterator
+from enum import StrEnum
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import StreamReader, web
+
+from basilroad.platform.protocol import HEADER_REQUEST_ID
+
+if TYPE_CHECKING:
+    from prometheus_client import Counter
+
+    from basilroad.gateway.shutdown import Shutdown
+
+DRAIN_POLL_INTERVAL_S = 0.05
+"""Interval of checks for calls in flight during shutdown."""
+
+HANDLER_START_TURNS = 4
+"""Turns of the event loop until the handler of a request read before has started, and one more."""
+
+_HAS_ENDED = web.RequestKey("has_ended", bool)
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class EndCause(StrEnum):
+    """Why a connection ended before a request that was read on it had its whole answer."""
+
+    CALLER_LEFT = "caller_left"
+    STREAM_BROKEN = "stream_broken"
+    SHUTDOWN = "shutdown"
+    ERROR = "error"
+    UNREAD_REQUEST = "unread_request"
+
+
+class CallerServer(web.Server):
+    """Keeps track of the connections of callers and of the requests on them.
+
+    :param handler: answers a request
+    :param shutdown: planned shutdown of this process
+    :param ends: counts connections that end without a whole answer, by cause
+    :param options: options of the HTTP server
+    """
+
+    def __init__(self, handler: Any, shutdown: Shutdown, ends: Counter, **options: Any) -> None:
+        super().__init__(handler, **options)
+        self._shutdown = shutdown
+        self._ends = ends
+        self._busy: set[web.RequestHandler] = set()
+        self._unread_bodies: dict[web.RequestHandler, StreamReader] = {}
+        self._is_exiting = False
+
+    @property
+    def in_flight(self) -> int:
+        """:return: number of requests that are being answered."""
+        return len(self._busy)
+
+    @property
+    def unsent(self) -> int:
+        """:return: number of connections with a part of an answer that was not received yet."""
+        transports = [connection.transport for connection in self.connections]
+        return sum(bool(at is not None and at.get_write_buffer_size()) for at in transports)
+
+    @contextlib.contextmanager
+    def track(self, request: web.BaseRequest, arrived_at: float) -> Iterator[None]:
+        """Count the connection as busy while a request is answered, and log an end without answer.
+
+        :param request: the request
+        :param arrived_at: monotonic seconds
+        """
+        connection = request.protocol
+        self._busy.add(connection)
+        try:
+            yield
+        except asyncio.CancelledError:
+            cause = EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
+            self.record_end(request, cause, arrived_at)
+            raise
+        except ConnectionError as error:
+            self.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+            raise
+        except Exception as error:
+            self.record_end(request, EndCause.ERROR, arrived_at, repr(error))
+            raise
+        finally:
+            self._busy.discard(connection)
+            if self._shutdown.is_requested and not request.content.is_eof():
+                self._unread_bodies[connection] = request.content
+
+    def record_end(
+        self, request: web.BaseRequest, cause: EndCause, arrived_at: float, detail: str = ""
+    ) -> None:
+        """Log and count a connection that ends without a whole answer, once a request.
+
+        :param request: the request that gets none
+        :param cause: why
+        :param arrived_at: monotonic seconds at which it was read
+        :param detail: what happened
+        """
+        if request.get(_HAS_ENDED):
+            return
+        request[_HAS_ENDED] = True
+        self._ends.labels(cause.value).inc()
+        _LOGGER.info(
+            "connection ended",
+            extra={
+                "request": request.headers.get(HEADER_REQUEST_ID, ""),
+                "cause": cause.value,
+                "detail": detail,
+                "waited_ms": round(1000 * (time.monotonic() - arrived_at)),
+            },
+        )
+
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Log the requests that nobody will answer; called by the HTTP library.
+
+        :param handler: the connection
+        :param exc: why it was lost; ``None`` if either side closed it
+        """
+        self._unread_bodies.pop(handler, None)
+        unread = count_unread_requests(handler)
+        if unread:
+            self._ends.labels(EndCause.UNREAD_REQUEST.value).inc(unread)
+            _LOGGER.info(
+                "connection ended",
+                extra={
+                    "request": "",
+                    "cause": EndCause.UNREAD_REQUEST.value,
+                    "detail": repr(exc) if exc is not None else "",
+                    "requests": unread,
+                },
+            )
+        super().connection_lost(handler, exc)
+
+    async def close_connections(self, limit: float) -> None:
+        """Close connections without a call, until there are none with a call.
+
+        :param limit: monotonic seconds after which calls are not awaited
+        """
+        while True:
+            await self._close_idle_connections()
+            is_idle = not any(map(self._is_busy, self.connections))
+            if is_idle or time.monotonic() >= limit:
+                return
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+
+    def mark_exiting(self) -> None:
+        """Tell that handlers are cancelled from now on because the process exits."""
+        self._is_exiting = True
+
+    def _is_busy(self, connection: web.RequestHandler) -> bool:
+        # a close before the whole body was received resets the connection and loses the response
+        body = self._unread_bodies.get(connection)
+        return connection in self._busy or (body is not None and not body.is_eof())
+
+    async def _close_idle_connections(self) -> None:
+        paused = [
+            (connection, connection.transport)
+            for connection in self.connections
+            if not self._is_busy(connection) and connection.transport is not None
+        ]
+        for _, transport in paused:
+            transport.pause_reading()
+        # a request that was read but not handled yet gets its response
+        for _ in range(HANDLER_START_TURNS):
+            await asyncio.sleep(0)
+        for connection, transport in paused:
+            if self._is_busy(connection):
+                transport.resume_reading()
+            else:
+                transport.close()
+
+
+def count_unread_requests(connection: web.RequestHandler) -> int:
+    """:return: requests that were received behind the one being answered."""
+    # the HTTP library has no public name for them
+    return len(connection._messages)
+
+
+__all__ = ["CallerServer", "EndCause", "count_unread_requests"]
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -6,11 +6,10 @@
 import logging
 import math
 import time
-from collections.abc import Sized
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
-from aiohttp import StreamReader, web
+from aiohttp import web
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
 
@@ -20,6 +19,7 @@
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.platform.connections import CallerServer, EndCause
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
     HEADER_LAST_EVENT_ID,
@@ -35,6 +35,7 @@
     from basilroad.gateway.call import Headers, Reply
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.route import Route
+    from basilroad.peers.address import Address
     from basilroad.platform.settings import ProcessSettings
 
 MAX_HEAD_BYTES = 65536
@@ -46,11 +47,15 @@
 RESPONSE_MARGIN_S = 0.02
 """Time by which a call's deadline is shortened, so that its response arrives in time."""
 
-DRAIN_POLL_INTERVAL_S = 0.05
-"""Interval of checks for calls in flight during shutdown."""
-
-HANDLER_START_TURNS = 4
-"""Turns of the event loop until the handler of a request read before has started, and one more."""
+SERVER_OPTIONS: dict[str, Any] = {
+    "access_log": None,
+    "auto_decompress": False,
+    "handler_cancellation": True,
+    "keepalive_timeout": KEEPALIVE_TIMEOUT_S,
+    "max_field_size": MAX_HEAD_BYTES,
+    "max_line_size": MAX_HEAD_BYTES,
+}
+"""Options of the HTTP servers."""
 
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
@@ -72,91 +77,45 @@
         self._handler = CallHandler(gateway)
         self._runners: list[web.ServerRunner] = []
         self._front_sites: list[web.TCPSite] = []
-        self._front_server: web.Server | None = None
-        self._busy_connections: set[web.RequestHandler] = set()
-        self._unread_bodies: dict[web.RequestHandler, StreamReader] = {}
+        self._connections: CallerServer | None = None
 
     async def on_start(self) -> None:
         """Listen for calls, readiness checks and metrics scrapes."""
-        front = self._settings.front
-        site = await self._listen(self._handle, front.ip, front.port)
-        self._front_sites.append(site)
-        self._front_server = self._runners[-1].server
-        await self._listen(
-            self._serve_readiness, self._settings.ready.ip, self._settings.ready.port
+        settings, gateway = self._settings, self._gateway
+        self._connections = CallerServer(
+            self._handle, gateway.shutdown, gateway.metrics.ends, **SERVER_OPTIONS
         )
-        metrics = self._settings.metrics
-        await self._listen(self._serve_metrics, metrics.ip, metrics.port)
+        self._front_sites.append(await self._listen(self._connections, settings.front))
+        readiness = web.Server(self._serve_readiness, **SERVER_OPTIONS)
+        await self._listen(readiness, settings.ready)
+        await self._listen(web.Server(self._serve_metrics, **SERVER_OPTIONS), settings.metrics)
 
     async def on_stop(self) -> None:
         """Wait for calls in flight up to the grace period, answer the rest and close everything."""
-        shutdown = self._gateway.shutdown
+        shutdown, connections = self._gateway.shutdown, self._connections
         shutdown.signal.record()
         schedule = self._gateway.shutdown_schedule
         assert schedule is not None
-        _LOGGER.info("stopping", extra=_describe_shutdown(shutdown, self._busy_connections))
+        assert connections is not None
+        _LOGGER.info("stopping", extra=_describe_shutdown(shutdown, connections))
         await _sleep_until(schedule.accepts_until)
         # connections that are accepted already still get their responses
         for site in self._front_sites:
             await site.stop()
         await _sleep_until(schedule.admits_until)
-        _LOGGER.info("admission ended", extra=_describe_shutdown(shutdown, self._busy_connections))
-        await self._close_connections(schedule.ends_at)
+        _LOGGER.info("admission ended", extra=_describe_shutdown(shutdown, connections))
+        await connections.close_connections(schedule.ends_at)
         ended = shutdown.end_calls()
-        await self._close_connections(time.monotonic() + LAST_RESPONSES_S)
-        _LOGGER.info("stopped", extra=_describe_shutdown(shutdown, self._busy_connections, ended))
+        await connections.close_connections(time.monotonic() + LAST_RESPONSES_S)
+        _LOGGER.info("stopped", extra=_describe_shutdown(shutdown, connections, ended))
+        connections.mark_exiting()
         for runner in self._runners:
             await runner.cleanup()
 
-    async def _close_connections(self, limit: float) -> None:
-        """Close connections without a call, until there are none with a call.
-
-        :param limit: monotonic seconds after which calls are not awaited
-        """
-        assert self._front_server is not None
-        while True:
-            await self._close_idle_connections()
-            is_idle = not any(map(self._is_busy, self._front_server.connections))
-            if is_idle or time.monotonic() >= limit:
-                return
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-
-    def _is_busy(self, connection: web.RequestHandler) -> bool:
-        # a close before the whole body was received resets the connection and loses the response
-        body = self._unread_bodies.get(connection)
-        return connection in self._busy_connections or (body is not None and not body.is_eof())
-
-    async def _close_idle_connections(self) -> None:
-        assert self._front_server is not None
-        paused = [
-            (connection, connection.transport)
-            for connection in self._front_server.connections
-            if not self._is_busy(connection) and connection.transport is not None
-        ]
-        for _, transport in paused:
-            transport.pause_reading()
-        # a request that was read but not handled yet gets its response
-        for _ in range(HANDLER_START_TURNS):
-            await asyncio.sleep(0)
-        for connection, transport in paused:
-            if self._is_busy(connection):
-                transport.resume_reading()
-            else:
-                transport.close()
-
-    async def _listen(self, handler: object, ip: str, port: int) -> web.TCPSite:
-        server = web.Server(
-            handler,  # type: ignore[arg-type]
-            access_log=None,
-            auto_decompress=False,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            max_field_size=MAX_HEAD_BYTES,
-            max_line_size=MAX_HEAD_BYTES,
-        )
+    async def _listen(self, server: web.Server, address: Address) -> web.TCPSite:
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
-        site = web.TCPSite(runner, ip, port, reuse_address=True, backlog=1024)
+        site = web.TCPSite(runner, address.ip, address.port, reuse_address=True, backlog=1024)
         await site.start()
         self._runners.append(runner)
         return site
@@ -170,16 +129,11 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_at = time.monotonic()
-        connection = request.protocol
-        self._busy_connections.add(connection)
-        try:
+        assert self._connections is not None
+        with self._connections.track(request, arrived_at):
             response = await self._respond(request, arrived_at)
-            await _complete_response(request, response)
+            await self._complete_response(request, response, arrived_at)
             return response
-        finally:
-            self._busy_connections.discard(connection)
-            if self._gateway.shutdown.is_requested and not request.content.is_eof():
-                self._unread_bodies[connection] = request.content
 
     async def _respond(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         try:
@@ -187,6 +141,21 @@
         except RefusedError as error:
             return self._refuse(request, error.refusal, arrived_at)
 
+    async def _complete_response(
+        self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
+    ) -> None:
+        # aiohttp sends it after the handler has returned, when the connection would count as idle
+        assert self._connections is not None
+        if request.transport is None or request.transport.is_closing():
+            detail = f"status {response.status} not sent"
+            self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, detail)
+            return
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        except ConnectionError as error:
+            self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+
     async def _serve_call(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         call = await self._read_call(request, arrived_at)
         responder = _StreamResponder(request)
@@ -201,6 +170,8 @@
                     "waited_ms": round(1000 * (time.monotonic() - arrived_at)),
                 },
             )
+            assert self._connections is not None
+            self._connections.record_end(request, EndCause.STREAM_BROKEN, arrived_at, str(error))
             return responder.abort()
         if reply is None:
             return responder.response
@@ -334,28 +305,18 @@
         return self.response
 
 
-async def _complete_response(request: web.BaseRequest, response: web.StreamResponse) -> None:
-    # aiohttp sends it after the handler has returned, when the connection would count as idle
-    if request.transport is None or request.transport.is_closing():
-        return
-    try:
-        await response.prepare(request)
-        await response.write_eof()
-    except ConnectionError as error:
-        _LOGGER.debug("response not sent", extra={"detail": repr(error)})
-
-
 async def _sleep_until(at: float) -> None:
     await asyncio.sleep(max(0.0, at - time.monotonic()))
 
 
 def _describe_shutdown(
-    shutdown: Shutdown, busy_connections: Sized, ended: int = 0
+    shutdown: Shutdown, connections: CallerServer, ended: int = 0
 ) -> dict[str, int]:
     return {
-        "in_flight": len(busy_connections),
+        "in_flight": connections.in_flight,
         "signal_age_ms": round(1000 * shutdown.signal.age_s()),
         "ended": ended,
+        "unsent": connections.unsent,
     }
 
 
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -4,142 +4,41 @@
 
 import asyncio
 import os
-import re
 import signal
-import socket
 import time
 from collections.abc import AsyncIterator
-from pathlib import Path
 
 import aiohttp
 import attrs
 import pytest
-from yarl import URL
-
-from basilroad.gateway.selection import Locality
-from basilroad.gateway.shutdown import SHUTDOWN_RESERVE_S
-from basilroad.gateway.streamdurations import StreamDurations
-from basilroad.peers.address import Address
-from basilroad.platform.run import PlatformService
-from basilroad.platform.settings import Bounds, ProcessSettings, StoreAccess
-from basilroad.standin.appserver import AppServerStandin, WireFault
-from basilroad.standin.rowstore import RowStoreStandin
-
-HEADERS = {"Host": "h.example", "X-Attempt-Id": "c1", "X-Key": "key", "X-Deadline-Ms": "2000"}
-
-
-def find_free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
-def build_config(version: int, *keys: str) -> dict[str, object]:
-    base = {"host": "h.example", "timeoutMs": 2000, "sloMs": 500, "priority": 1}
-    orders = {**base, "name": "o", "prefix": "/o/", "kind": "non_idempotent", "service": "app"}
-    streams = {
-        **base,
-        "name": "s",
-        "prefix": "/s/",
-        "kind": "streaming",
-        "service": "llm",
-        "maxAttempts": 5,
-        "resumable": True,
-    }
-    engine = {"slots": 48, "kvCapacity": 88000, "backups": True}
-    return {
-        "version": version,
-        "routes": [orders, streams],
-        "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
-        "limits": {"maxBodyBytes": 10000},
-        "tenants": [{"name": "tenant", "apiKeys": list(keys)}],
-    }
-
-
-class Rig:
-    """One gateway with its store and two servers, all on loopback."""
-
-    def __init__(self) -> None:
-        self.store = RowStoreStandin()
-        self.app = AppServerStandin("i-app")
-        self.llm = AppServerStandin("i-llm", events=10)
-
-    async def start(self) -> None:
-        await self.store.start()
-        for server, service in ((self.app, "app"), (self.llm, "llm")):
-            await server.start()
-            entry = {"service": service, "zone": "a", "slots": 4, "state": "ready"}
-            self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
-        self.service = PlatformService(self._build_settings(), Path("absent"))
-        # the stand-in's streams are short
-        self.service.gateway.stream_durations = StreamDurations(mean_s=0.5, events=10, event_s=0.01)
-        await self.service.start()
-        self.url = f"http://{self.service.settings.front}"
-        self.session = aiohttp.ClientSession()
-
-    def _build_settings(self) -> ProcessSettings:
-        return ProcessSettings(
-            host="h",
-            role="gateway",
-            place=Locality("a", "r", {"a": "r"}),
-            front=Address("127.0.0.1", find_free_port()),
-            ready=Address("127.0.0.1", find_free_port()),
-            metrics=Address("127.0.0.1", find_free_port()),
-            peers=None,
-            bounds=Bounds(2.5, 3.0, 2.5, 2.0, 0.8, 10, 150, 4.0),
-            store=StoreAccess(Address("127.0.0.1", self.store.port)),
-        )
-
-    async def configure(self, version: int, *keys: str) -> None:
-        self.store.put("op", "config", build_config(version, *keys))
-        async with asyncio.timeout(3):
-            while self.version != version or not list(self.service.gateway.directory):
-                await asyncio.sleep(0.01)
-
-    @property
-    def version(self) -> int:
-        table = self.service.gateway.table
-        return table.version if table else 0
-
-    async def send_request(
-        self, path: str, body: bytes = b"x", **headers: str
-    ) -> aiohttp.ClientResponse:
-        named = {name.replace("_", "-"): value for name, value in headers.items()}
-        response = await self.session.post(
-            URL(self.url + path, encoded=True), data=body, headers={**HEADERS, **named}
-        )
-        await response.read()
-        return response
-
-    async def is_ready(self) -> bool:
-        url = f"http://{self.service.settings.ready}/readiness"
-        async with self.session.get(url) as response:
-            return response.status == 200
-
-    async def stop(self) -> None:
-        await self.session.close()
-        await self.service.stop()
-        for server in (self.app, self.llm):
-            await server.stop()
-        await self.store.stop()
+
+from basilroad.standin.appserver import WireFault
+from support.gatewayrig import (
+    HEADERS,
+    GatewayRig,
+    build_order,
+    open_kept_connection,
+    send_on_kept,
+    shorten_grace,
+)
 
 
 @pytest.fixture
-async def rig() -> AsyncIterator[Rig]:
-    rig = Rig()
+async def rig() -> AsyncIterator[GatewayRig]:
+    rig = GatewayRig()
     await rig.start()
     yield rig
     await rig.stop()
 
 
-async def test_calls_before_the_first_config_may_be_retried(rig: Rig) -> None:
+async def test_calls_before_the_first_config_may_be_retried(rig: GatewayRig) -> None:
     assert not await rig.is_ready()
     response = await rig.send_request("/o/1")
     assert response.status == 503
     assert "Retry-After" in response.headers
 
 
-async def test_a_call_waits_briefly_for_the_first_config(rig: Rig) -> None:
+async def test_a_call_waits_briefly_for_the_first_config(rig: GatewayRig) -> None:
     # all hosts restart, and calls arrive before the config has been read
     pending = asyncio.ensure_future(rig.send_request("/o/1"))
     await asyncio.sleep(0.1)
@@ -147,7 +46,7 @@
     assert (await pending).status == 200
 
 
-async def test_an_order_is_forwarded_unchanged_but_for_its_key(rig: Rig) -> None:
+async def test_an_order_is_forwarded_unchanged_but_for_its_key(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     response = await rig.send_request("/o/a%20b?q=%2F", b"body", X_Other="kept", X_Tenant="forged")
     assert response.status == 200
@@ -160,7 +59,7 @@
     assert await rig.is_ready()
 
 
-async def test_calls_are_refused_at_once_in_a_long_outage(rig: Rig) -> None:
+async def test_calls_are_refused_at_once_in_a_long_outage(rig: GatewayRig) -> None:
     rig.service.gateway._started_at -= 10
     started_at = asyncio.get_running_loop().time()
     response = await rig.send_request("/o/1")
@@ -172,14 +71,14 @@
     ("path", "key", "status"), [("/none/", "key", 404), ("/o/1", "unknown", 401), ("/o/1", "", 401)]
 )
 async def test_unknown_routes_and_keys_are_refused(
-    rig: Rig, path: str, key: str, status: int
+    rig: GatewayRig, path: str, key: str, status: int
 ) -> None:
     await rig.configure(1, "key")
     assert (await rig.send_request(path, X_Key=key)).status == status
     assert not rig.app.seen
 
 
-async def test_a_stream_reaches_its_client(rig: Rig) -> None:
+async def test_a_stream_reaches_its_client(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     response = await rig.send_request("/s/1", X_Token_Usage="100,50", X_Hold="forged")
     assert response.status == 200
@@ -187,7 +86,7 @@
     assert "x-hold" not in rig.llm.seen[0].headers
 
 
-async def test_metrics_count_calls_and_refusals(rig: Rig) -> None:
+async def test_metrics_count_calls_and_refusals(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     await rig.send_request("/o/1")
     await rig.send_request("/s/1", X_Attempt_Id="c2")
@@ -202,14 +101,14 @@
     assert 'basilroad_first_event_seconds_count{rank="1"} 1.0' in text
 
 
-async def test_a_stream_that_can_not_be_resumed_is_truncated(rig: Rig) -> None:
+async def test_a_stream_that_can_not_be_resumed_is_truncated(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     rig.llm.reset_at_event = 4
     with pytest.raises(aiohttp.ClientPayloadError):
         await rig.send_request("/s/1", X_Deadline_Ms="600")
 
 
-async def test_a_caller_is_told_when_the_only_server_takes_calls_again(rig: Rig) -> None:
+async def test_a_caller_is_told_when_the_only_server_takes_calls_again(rig: GatewayRig) -> None:
     # fault: callers come back after a fixed second to a server that still wants nothing
     await rig.configure(1, "key")
     rig.app.retry_after = "7.5"
@@ -220,7 +119,7 @@
     assert b"no endpoint takes calls now: 1 paused, 0 leaving" in await response.read()
 
 
-async def test_a_lost_response_is_not_reported_as_not_executed(rig: Rig) -> None:
+async def test_a_lost_response_is_not_reported_as_not_executed(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     rig.app.schedule_faults([WireFault.RESET])
     response = await rig.send_request("/o/1")
@@ -228,12 +127,12 @@
     assert "X-Response-Seal" not in response.headers
 
 
-async def test_a_body_beyond_the_limit_is_refused(rig: Rig) -> None:
+async def test_a_body_beyond_the_limit_is_refused(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     assert (await rig.send_request("/o/1", b"x" * 10001)).status == 413
 
 
-async def test_calls_are_refused_while_keys_are_unconfirmed(rig: Rig) -> None:
+async def test_calls_are_refused_while_keys_are_unconfirmed(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     assert (await rig.send_request("/o/1")).status == 200
     rig.store.silent = True
@@ -247,7 +146,7 @@
     rig.store.silent = False
 
 
-async def test_a_client_disconnect_cancels_the_server_request(rig: Rig) -> None:
+async def test_a_client_disconnect_cancels_the_server_request(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     rig.app.response_delay_s = 30.0
     task = asyncio.ensure_future(rig.send_request("/o/1"))
@@ -263,7 +162,7 @@
             await asyncio.sleep(0.01)
 
 
-async def test_a_planned_stop_cuts_no_stream(rig: Rig) -> None:
+async def test_a_planned_stop_cuts_no_stream(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     rig.llm.event_interval_s = 0.1
     task = asyncio.ensure_future(rig.send_request("/s/1"))
@@ -283,7 +182,7 @@
     await stopping
 
 
-async def exchange_raw(rig: Rig, pause_s: float, request_id: str) -> bytes:
+async def exchange_raw(rig: GatewayRig, pause_s: float, request_id: str) -> bytes:
     """Send an order in two parts on a new connection.
 
     :param pause_s: seconds between the connection and the end of the request
@@ -301,7 +200,7 @@
     return response
 
 
-async def test_a_planned_stop_answers_each_request_that_was_accepted(rig: Rig) -> None:
+async def test_a_planned_stop_answers_each_request_that_was_accepted(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     rig.app.response_delay_s = 0.15
     stopping = asyncio.ensure_future(rig.service.stop())
@@ -322,7 +221,7 @@
 
 
 async def test_a_call_taken_late_in_a_planned_stop_is_not_given_up_without_an_answer(
-    rig: Rig,
+    rig: GatewayRig,
 ) -> None:
     # fault: calls were read from kept connections until the process ended, and cancelled there
     await rig.configure(1, "key")
@@ -350,7 +249,7 @@
 
 @pytest.mark.parametrize("busy_from_s", [0.0, 2.2])
 async def test_a_busy_host_admits_no_call_after_the_end_of_admission(
-    rig: Rig, busy_from_s: float
+    rig: GatewayRig, busy_from_s: float
 ) -> None:
     # fault: admission ended by timers that began with the signal's handler and ran late, so a
     # stream that came after the end of admission was sent on and then cut off
@@ -378,7 +277,7 @@
     assert not response or response.startswith(b"HTTP/1.1 503 ")
 
 
-async def stop_after(rig: Rig, event: asyncio.Event) -> None:
+async def stop_after(rig: GatewayRig, event: asyncio.Event) -> None:
     """Stop a gateway once its signal is handled.
 
     :param rig: the gateway
@@ -393,7 +292,7 @@
     time.sleep(length_s)
 
 
-async def test_a_planned_stop_answers_each_call_that_its_limit_cuts_off(rig: Rig) -> None:
+async def test_a_planned_stop_answers_each_call_that_its_limit_cuts_off(rig: GatewayRig) -> None:
     # fault: calls in flight at the limit of a planned stop ended with a closed connection
     await rig.configure(1, "key")
     shorten_grace(rig)
@@ -412,7 +311,7 @@
     assert rig.app.ran == ["sent"]
 
 
-async def test_the_limit_of_calls_in_a_planned_stop_counts_from_its_signal(rig: Rig) -> None:
+async def test_the_limit_of_calls_in_a_planned_stop_counts_from_its_signal(rig: GatewayRig) -> None:
     # fault: a late handler moved the end of the calls in flight towards SIGKILL
     await rig.configure(1, "key")
     limit_s = shorten_grace(rig)
@@ -429,7 +328,7 @@
 
 
 async def test_an_answer_that_arrived_before_the_limit_of_a_planned_stop_is_passed_on(
-    rig: Rig,
+    rig: GatewayRig,
 ) -> None:
     # fault: a timer for the limit gave an answer up that a late loop read in the same turn
     await rig.configure(1, "key")
@@ -446,23 +345,25 @@
 
 
 async def test_a_request_that_was_just_read_is_answered_before_its_connection_closes(
-    rig: Rig,
+    rig: GatewayRig,
 ) -> None:
     # fault: a connection counted as idle until the handler of its request had started
     await rig.configure(1, "key")
     reader, writer = await open_kept_connection(rig, 1)
-    front = rig.service.front
-    assert front._front_server is not None
-    (connection,) = front._front_server.connections
+    server = rig.service.front._connections
+    assert server is not None
+    (connection,) = server.connections
     gateway = rig.service.gateway
     gateway.shutdown.signal.received_at = time.monotonic() - gateway.settings.grace_s
     connection.data_received(build_order("just-read"))
-    await front._close_connections(time.monotonic() + 1)
+    await server.close_connections(time.monotonic() + 1)
     assert (await reader.read()).startswith(b"HTTP/1.1 503 "), "it has not run"
     writer.close()
 
 
-async def test_a_body_that_is_complete_too_late_in_a_planned_stop_is_not_sent_on(rig: Rig) -> None:
+async def test_a_body_that_is_complete_too_late_in_a_planned_stop_is_not_sent_on(
+    rig: GatewayRig,
+) -> None:
     # fault: the time left was compared when the head arrived, and the call was sent and given up
     await rig.configure(1, "key")
     limit_s = shorten_grace(rig)
@@ -479,7 +380,7 @@
     await stopping
 
 
-async def test_a_planned_stop_leaves_time_to_receive_an_early_answer(rig: Rig) -> None:
+async def test_a_planned_stop_leaves_time_to_receive_an_early_answer(rig: GatewayRig) -> None:
     # fault: a connection was closed while its caller still sent the body, which lost the answer
     await rig.configure(1, "key")
     shorten_grace(rig)
@@ -496,7 +397,9 @@
     await asyncio.gather(busy, stopping)
 
 
-async def test_a_stream_that_a_planned_stop_cuts_off_does_not_look_complete(rig: Rig) -> None:
+async def test_a_stream_that_a_planned_stop_cuts_off_does_not_look_complete(
+    rig: GatewayRig,
+) -> None:
     await rig.configure(1, "key")
     shorten_grace(rig)
     rig.llm.event_interval_s = 1.0
@@ -513,7 +416,7 @@
     await stopping
 
 
-async def upload_slowly(rig: Rig, request_id: str) -> bytes:
+async def upload_slowly(rig: GatewayRig, request_id: str) -> bytes:
     """Send an order that exceeds the size limit, and go on sending after the response.
 
     :param rig: the gateway
@@ -532,59 +435,3 @@
     response = await reader.read()
     writer.close()
     return response
-
-
-def shorten_grace(rig: Rig) -> float:
-    """Set a short grace period.
-
-    :param rig: the gateway
-    :return: time limit of its calls during a stop, in seconds
-    """
-    gateway = rig.service.gateway
-    gateway.settings = attrs.evolve(gateway.settings, grace_s=SHUTDOWN_RESERVE_S + 1.5)
-    return 1.5
-
-
-async def open_kept_connection(
-    rig: Rig, number: int
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Open a connection and complete one order on it.
-
-    :param rig: the gateway
-    :param number: distinguishes the order
-    :return: the connection, which the gateway keeps open
-    """
-    front = rig.service.settings.front
-    reader, writer = await asyncio.open_connection(front.ip, front.port)
-    writer.write(build_order(f"first-{number}"))
-    head = await reader.readuntil(b"\r\n\r\n")
-    length = re.search(rb"content-length: (\d+)", head.lower())
-    assert length is not None
-    await reader.readexactly(int(length[1]))
-    return reader, writer
-
-
-async def send_on_kept(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request_id: str
-) -> bytes:
-    """Send an order on a kept connection.
-
-    :param reader: the connection
-    :param writer: the same
-    :param request_id: id of the order
-    :return: what came back until the connection was closed; empty without a response
-    """
-    try:
-        writer.write(build_order(request_id))
-        return await reader.read()
-    except ConnectionError:
-        return b""
-    finally:
-        writer.close()
-
-
-def build_order(request_id: str) -> bytes:
-    """:return: an order as bytes."""
-    headers = {**HEADERS, "X-Attempt-Id": request_id, "Content-Length": "4"}
-    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    return f"POST /o/1 HTTP/1.1\r\n{head}\r\nbody".encode()
