Count no end without an answer where an error was answered

Cause: each unexpected error of a handler was logged and counted as a connection that ended without a whole answer, also before the head of the response, where the HTTP library answers 500. A `ConnectionError` that didn't come from the caller's connection was put down to the caller. Change: the cause follows the connection: the caller left if it is closed; an error counts only after the head.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -83,11 +83,12 @@
             cause = EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
             self.record_end(request, cause, arrived_at)
             raise
-        except ConnectionError as error:
-            self.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
-            raise
         except Exception as error:
-            self.record_end(request, EndCause.ERROR, arrived_at, repr(error))
+            if request.transport is None or request.transport.is_closing():
+                self.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+            elif request.writer.output_size:
+                # the HTTP library answers an error before the head
+                self.record_end(request, EndCause.ERROR, arrived_at, repr(error))
             raise
         finally:
             self._busy.discard(connection)
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -179,3 +179,21 @@
     assert received.count(b"HTTP/1.1 502 ") == 1, "it may have run"
     assert received.count(b"HTTP/1.1 503 ") == 1, "it has not run"
     assert "second" not in rig.app.ran
+
+
+async def test_an_error_before_the_head_is_not_logged_as_an_end_without_an_answer(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: the HTTP library answers such a request with 500, and it was counted as unanswered
+    async def fail(*_: Any) -> None:
+        raise RuntimeError("unexpected")
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", fail)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("fails"))
+    received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert list_ends(caplog) == []
+    assert count_ends(rig, EndCause.ERROR) == 0
