Let callers receive the rest of their answers before the exit of a stop

Cause: a stop ended when no call was in flight, though a part of an answer (up to the 64 KiB that the HTTP library writes without waiting) was still in a buffer of the process, which the exit loses: the connection of a caller that reads slowly ended in the middle of its answer, seconds before the limit. Change: a stop also waits for these parts, up to its limit. A caller that doesn't read holds the exit until then. Result: a case in tests/platform/test_connections.py failed before (`stopped` with `unsent` 1, though its caller began to read half a second after the end of admission) and passes; 36 tests of test_connections.py and test_frontend.py pass.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -143,13 +143,14 @@
         super().connection_lost(handler, exc)
 
     async def close_connections(self, limit: float) -> None:
-        """Close connections without a call, until there are none with a call.
+        """Close connections without a call, until no call and no part of an answer is left.
 
-        :param limit: monotonic seconds after which calls are not awaited
+        :param limit: monotonic seconds after which neither is awaited
         """
         while True:
             await self._close_idle_connections()
-            is_idle = not any(map(self._is_busy, self.connections))
+            # the exit loses what is still in a buffer of this process
+            is_idle = not self.unsent and not any(map(self._is_busy, self.connections))
             if is_idle or time.monotonic() >= limit:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
+import attrs
 import pytest
+from aiohttp import web
 
+from basilroad.gateway.call import Reply
 from basilroad.gateway.handler import CallHandler
 from basilroad.platform.connections import EndCause
 from support.gatewayrig import (
@@ -181,6 +185,53 @@
     assert "second" not in rig.app.ran
 
 
+async def test_a_stop_leaves_time_to_receive_the_rest_of_an_answer(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: the process exited with a part of an answer in its buffer, long before the limit
+    async def answer(*_: Any) -> Reply:
+        return Reply(200, (), b"x" * 60000)
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", answer)
+    gateway = rig.service.gateway
+    gateway.settings = attrs.evolve(gateway.settings, grace_s=8.0)
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        front = rig.service.settings.front
+        await asyncio.get_running_loop().sock_connect(sock, (front.ip, front.port))
+        connection = await find_connection(rig)
+        assert connection.transport is not None
+        server_sock = connection.transport.get_extra_info("socket")
+        server_sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await asyncio.get_running_loop().sock_sendall(sock, build_order("slow"))
+        await asyncio.sleep(0.1)
+        assert connection.transport.get_write_buffer_size() > 0
+        stopping = asyncio.ensure_future(rig.service.stop())
+        while not any(line.message == "admission ended" for line in caplog.records):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        received = 0
+        while data := await asyncio.get_running_loop().sock_recv(sock, 65536):
+            received += len(data)
+        await stopping
+    assert received > 60000
+    (stopped,) = [line for line in caplog.records if line.message == "stopped"]
+    assert vars(stopped)["unsent"] == 0
+
+
+async def find_connection(rig: GatewayRig) -> web.RequestHandler:
+    """:return: the only connection of a caller."""
+    server = rig.service.front._connections
+    assert server is not None
+    async with asyncio.timeout(5):
+        while not server.connections:
+            await asyncio.sleep(0.01)
+    (connection,) = server.connections
+    return connection
+
+
 async def test_an_error_before_the_head_is_not_logged_as_an_end_without_an_answer(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
