--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -83,11 +83,12 @@
             cause = EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
             self.record_end(request, cause, arrived_at)
             raise
-        except ConnectionError as error:
-            self.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
-            raise
         except Exception as error:
-            self.record_end(request, EndCause.ERROR, arrived_at, repr(error))
+            if request.transport is None or request.transport.is_closing():
+                self.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+            elif request.writer.output_size:
+                # the HTTP library answers an error before the head
+                self.record_end(request, EndCause.ERROR, arrived_at, repr(error))
             raise
         finally:
             self._busy.discard(connection)
@@ -142,13 +143,14 @@
         super().connection_lost(handler, exc)
 
     async def close_connections(self, limit: float) -> None:
-        """Close connections without a call, until there are none with a call.
+        """Close connections without a call, until no call and no part of an answer is left.
 
-        :param limit: monotonic seconds after which calls are not awaited
+        :param limit: monotonic seconds after which neither is awaited
         """
         while True:
             await self._close_idle_connections()
-            is_idle = not any(map(self._is_busy, self.connections))
+            # the exit loses what is still in a buffer of this process
+            is_idle = not self.unsent and not any(map(self._is_busy, self.connections))
             if is_idle or time.monotonic() >= limit:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
@@ -158,9 +160,11 @@
         self._is_exiting = True
 
     def _is_busy(self, connection: web.RequestHandler) -> bool:
+        if connection in self._busy or count_unread_requests(connection):
+            return True
         # a close before the whole body was received resets the connection and loses the response
         body = self._unread_bodies.get(connection)
-        return connection in self._busy or (body is not None and not body.is_eof())
+        return body is not None and not body.is_eof()
 
     async def _close_idle_connections(self) -> None:
         paused = [
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -4,11 +4,15 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
+import attrs
 import pytest
+from aiohttp import web
 
+from basilroad.gateway.call import Reply
 from basilroad.gateway.handler import CallHandler
 from basilroad.platform.connections import EndCause
 from support.gatewayrig import (
@@ -142,3 +146,105 @@
     writer.close()
     await wait_for_end(rig, EndCause.UNREAD_REQUEST)
     assert ("", "unread_request") in list_ends(caplog)
+
+
+async def test_a_request_behind_the_one_that_is_answered_when_a_stop_begins_is_answered(
+    rig: GatewayRig,
+) -> None:
+    # fault: the answer to the first one closed the connection, though the second was read whole
+    rig.app.response_delay_s = 0.3
+    reader, writer = await open_kept_connection(rig, 1)
+    writer.write(build_order("first") + build_order("second"))
+    while "first" not in rig.app.ran:
+        await asyncio.sleep(0.01)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    received = await reader.read()
+    writer.close()
+    await stopping
+    assert received.count(b"HTTP/1.1 200 ") == 2, received
+    assert received.lower().count(b"connection: close") == 1, "only the last one closes"
+    assert count_ends(rig, EndCause.UNREAD_REQUEST) == 0
+
+
+async def test_a_request_behind_one_that_the_limit_of_a_stop_ends_is_answered(
+    rig: GatewayRig,
+) -> None:
+    # fault: the same, where the first one is answered at the limit of the stop
+    shorten_grace(rig)
+    reader, writer = await open_kept_connection(rig, 1)
+    rig.app.response_delay_s = 30.0
+    writer.write(build_order("first") + build_order("second"))
+    while "first" not in rig.app.ran:
+        await asyncio.sleep(0.01)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    received = await reader.read()
+    writer.close()
+    await stopping
+    assert received.count(b"HTTP/1.1 502 ") == 1, "it may have run"
+    assert received.count(b"HTTP/1.1 503 ") == 1, "it has not run"
+    assert "second" not in rig.app.ran
+
+
+async def test_a_stop_leaves_time_to_receive_the_rest_of_an_answer(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: the process exited with a part of an answer in its buffer, long before the limit
+    async def answer(*_: Any) -> Reply:
+        return Reply(200, (), b"x" * 60000)
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", answer)
+    gateway = rig.service.gateway
+    gateway.settings = attrs.evolve(gateway.settings, grace_s=8.0)
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        front = rig.service.settings.front
+        await asyncio.get_running_loop().sock_connect(sock, (front.ip, front.port))
+        connection = await find_connection(rig)
+        assert connection.transport is not None
+        server_sock = connection.transport.get_extra_info("socket")
+        server_sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await asyncio.get_running_loop().sock_sendall(sock, build_order("slow"))
+        await asyncio.sleep(0.1)
+        assert connection.transport.get_write_buffer_size() > 0
+        stopping = asyncio.ensure_future(rig.service.stop())
+        while not any(line.message == "admission ended" for line in caplog.records):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.5)
+        received = 0
+        while data := await asyncio.get_running_loop().sock_recv(sock, 65536):
+            received += len(data)
+        await stopping
+    assert received > 60000
+    (stopped,) = [line for line in caplog.records if line.message == "stopped"]
+    assert vars(stopped)["unsent"] == 0
+
+
+async def find_connection(rig: GatewayRig) -> web.RequestHandler:
+    """:return: the only connection of a caller."""
+    server = rig.service.front._connections
+    assert server is not None
+    async with asyncio.timeout(5):
+        while not server.connections:
+            await asyncio.sleep(0.01)
+    (connection,) = server.connections
+    return connection
+
+
+async def test_an_error_before_the_head_is_not_logged_as_an_end_without_an_answer(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: the HTTP library answers such a request with 500, and it was counted as unanswered
+    async def fail(*_: Any) -> None:
+        raise RuntimeError("unexpected")
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", fail)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("fails"))
+    received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 500 ")
+    assert list_ends(caplog) == []
+    assert count_ends(rig, EndCause.ERROR) == 0
