Confirm a refused follower's keys by its reader's answer

Cause: after a restore, a follower that the store refuses can't measure the offset of the store's new clock, so no update of its reader confirmed its keys. They went stale 4.3 s after the last proof from before the restore. An update tells nothing of its own delay, so its arrival must not date them.

Change: a reader's answer to a fetch of the config also names the version that the store last confirmed to the reader, and the age of that by the reader's boot clock, rounded up. The follower counts the age from before it sent the request, so any delay only makes the keys look older. It uses no store clock, no revision and no further call of the store.

--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/configexchange.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
+import attrs
 from aiohttp import web
 from mode import Service
 
+from basilroad.gateway.freshness import read_boot_clock
 from basilroad.http import HttpClient, HttpError, HttpRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from basilroad.gateway.relay import Confirmation
     from basilroad.peers.address import Address
 
 PATH = "/config"
@@ -24,9 +30,30 @@
 
 STATUS_OK = 200
 
+HEADER_VERSION = "Confirmed-Version"
+HEADER_AGE = "Confirmed-Age-Ms"
+MAX_DIGITS = 15  # exact as a float
+
+AGE_MARGIN_MS = 1
+"""Added to an age, as two clocks drift apart by less than this while keys count as fresh."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class FetchedConfig:
+    """The configuration of another gateway, and what the store last confirmed to it.
+
+    :param document: the document as the store gave it
+    :param confirmed_version: version that the store confirmed there; ``None`` if unknown
+    :param confirmed_at: lower bound of when, by the boot clock of this gateway in seconds
+    """
+
+    document: bytes
+    confirmed_version: int | None = None
+    confirmed_at: float = -math.inf
+
+
 class ConfigExchange(Service):
     """Serves the last configuration document to other gateways, and fetches theirs.
 
@@ -36,6 +63,7 @@
     def __init__(self, address: Address | None) -> None:
         super().__init__()
         self.document: bytes | None = None
+        self.confirmation: Confirmation | None = None
         self._address = address
         self._runner: web.ServerRunner | None = None
 
@@ -54,12 +82,16 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def fetch(self, address: Address) -> bytes | None:
+    async def fetch(self, address: Address) -> FetchedConfig | None:
         """Fetch the document of another gateway.
 
+        The age of its confirmation is told after the request was sent. Counted from before that, a
+        delay on either way only makes the confirmation look older.
+
         :param address: its listening address
-        :return: the document as the store gave it; ``None`` if there was none in time
+        :return: what it sent; ``None`` if there was no document in time
         """
+        asked_at = read_boot_clock()
         client = HttpClient(f"http://{address}", FETCH_TIMEOUT_S)
         try:
             response = await client.send(HttpRequest("GET", PATH))
@@ -72,12 +104,26 @@
             detail = f"status {response.status}"
             _LOGGER.info("config not fetched", extra={"peer": str(address), "detail": detail})
             return None
-        return response.body
+        version = _read_count(response.headers, HEADER_VERSION)
+        age_ms = _read_count(response.headers, HEADER_AGE)
+        if version is None or age_ms is None:
+            return FetchedConfig(response.body)
+        return FetchedConfig(response.body, version, asked_at - age_ms / 1000)
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
         if request.path != PATH or self.document is None:
             return web.Response(status=404)
-        return web.Response(body=self.document)
+        response = web.Response(body=self.document)
+        if self.confirmation is not None:
+            age_s = max(0.0, read_boot_clock() - self.confirmation.at)
+            response.headers[HEADER_VERSION] = str(self.confirmation.version)
+            response.headers[HEADER_AGE] = str(math.ceil(1000 * age_s) + AGE_MARGIN_MS)
+        return response
+
+
+def _read_count(headers: Mapping[str, str], name: str) -> int | None:
+    text = headers.get(name, "")
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS else None
 
 
-__all__ = ["ConfigExchange"]
+__all__ = ["ConfigExchange", "FetchedConfig"]
--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -12,7 +12,7 @@
 from basilroad.platform.watch import TableWatch
 
 if TYPE_CHECKING:
-    from basilroad.gateway.configexchange import ConfigExchange
+    from basilroad.gateway.configexchange import ConfigExchange, FetchedConfig
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.relay import Relay, Update
     from basilroad.gateway.revision import Revision
@@ -86,7 +86,7 @@
 
     def on_restored(self) -> None:
         """Confirm nothing to other hosts until the store confirms the keys again."""
-        self._relay.record_confirmation(None)
+        self._record_confirmation(None)
 
     def apply_snapshot(self, rows: Sequence[StoreRow], _: Revision | None) -> None:
         """Apply the config, if it is among the rows."""
@@ -128,14 +128,21 @@
         """Read the config itself from the reader, or else from the store."""
         reader = self._relay.reader
         if reader is not None:
-            document = await self._exchange.fetch(reader)
-            if document is not None:
-                self._apply_document(document)
+            fetched = await self._exchange.fetch(reader)
+            if fetched is not None:
+                self._apply_document(fetched.document)
+                self._confirm_fetched(fetched)
         table = self._gateway.table
         is_restored = self._revision is not None and self._wanted_epoch > self._revision.epoch
         if table is None or is_restored or table.version < self._wanted_version:
             await self._read_snapshot()
 
+    def _confirm_fetched(self, fetched: FetchedConfig) -> None:
+        # no clock of the store is involved, so this also holds while its epoch isn't known here
+        table = self._gateway.table
+        if table is not None and table.version == fetched.confirmed_version:
+            self._gateway.freshness.confirm(fetched.confirmed_at)
+
     async def _follow_reader(self) -> None:
         await super()._follow_reader()
         # a poll would confirm the keys only at its end
@@ -156,11 +163,15 @@
             return
         self._gateway.freshness.confirm(at)
         if store_s is not None:
-            self._relay.record_confirmation(Confirmation(table.version, store_s, at))
+            self._record_confirmation(Confirmation(table.version, store_s, at))
 
     def on_lost(self) -> None:
         """Send no more updates to other hosts."""
-        self._relay.record_confirmation(None)
+        self._record_confirmation(None)
+
+    def _record_confirmation(self, confirmation: Confirmation | None) -> None:
+        self._relay.record_confirmation(confirmation)
+        self._exchange.confirmation = confirmation
 
 
 __all__ = ["ConfigWatch"]
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 
 import msgspec
@@ -20,7 +19,15 @@
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.platform.store import StoreClient
 from basilroad.standin.rowstore import RowStoreStandin
-from support.watchrig import BUDGET, NOBODY, SERVER, Rig, build_config, wait_until
+from support.watchrig import (
+    BUDGET,
+    NOBODY,
+    SERVER,
+    Rig,
+    build_config,
+    find_free_address,
+    wait_until,
+)
 
 
 async def test_a_version_is_in_force_soon_after_it_was_written(rig: Rig) -> None:
@@ -253,12 +260,6 @@
     await wait_until(lambda: rig.version == 2 and rig.gateway.directory.get("i-1") is not None)
 
 
-def find_free_address() -> Address:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", int(sock.getsockname()[1]))
-
-
 async def test_a_host_that_the_store_refuses_gets_the_config_from_its_reader(rig: Rig) -> None:
     rig.store.put("op", "config", build_config(1, "k"))
     await wait_until(lambda: rig.version == 1)
