Name each request that nobody reads any more in the log

Cause: requests that were received behind the one being answered when their connection ended were counted, but their line had no request id, so that such an end could not be traced to the users' record. Change: one line a request, with its id if its head could be read; the field `requests` is gone. Result: test_connections.py asks for the id now (it asked for an empty one before, and is renamed after what it checks) and passes.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import StreamReader, web
+from aiohttp.http import RawRequestMessage
 
 from basilroad.platform.protocol import HEADER_REQUEST_ID
 
@@ -127,16 +128,14 @@
         :param exc: why it was lost; ``None`` if either side closed it
         """
         self._unread_bodies.pop(handler, None)
-        unread = count_unread_requests(handler)
-        if unread:
-            self._ends.labels(EndCause.UNREAD_REQUEST.value).inc(unread)
+        for request_id in list_unread_requests(handler):
+            self._ends.labels(EndCause.UNREAD_REQUEST.value).inc()
             _LOGGER.info(
                 "connection ended",
                 extra={
-                    "request": "",
+                    "request": request_id,
                     "cause": EndCause.UNREAD_REQUEST.value,
                     "detail": repr(exc) if exc is not None else "",
-                    "requests": unread,
                 },
             )
         super().connection_lost(handler, exc)
@@ -180,10 +179,14 @@
                 transport.close()
 
 
-def count_unread_requests(connection: web.RequestHandler) -> int:
-    """:return: requests that were received behind the one being answered."""
+def list_unread_requests(connection: web.RequestHandler) -> list[str]:
+    """:return: ids of the requests received behind the one being answered; empty if not read."""
     # the HTTP library has no public name for them
-    return len(connection._messages)
+    messages = [message for message, _ in connection._messages]
+    return [
+        message.headers.get(HEADER_REQUEST_ID, "") if isinstance(message, RawRequestMessage) else ""
+        for message in messages
+    ]
 
 
-__all__ = ["CallerServer", "EndCause", "count_unread_requests"]
+__all__ = ["CallerServer", "EndCause", "list_unread_requests"]
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -130,7 +130,7 @@
     assert list_ends(caplog) == [("hangs", "shutdown")]
 
 
-async def test_requests_that_nobody_reads_any_more_are_counted(
+async def test_requests_that_nobody_reads_any_more_are_logged_with_their_ids(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture
 ) -> None:
     caplog.set_level(logging.INFO)
@@ -141,4 +141,4 @@
         await asyncio.sleep(0.01)
     writer.close()
     await wait_for_end(rig, EndCause.UNREAD_REQUEST)
-    assert ("", "unread_request") in list_ends(caplog)
+    assert ("second", "unread_request") in list_ends(caplog)
