--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -19,7 +19,7 @@
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streaming import StreamBrokenError
-from basilroad.platform.connections import CallerServer, EndCause, count_unread_requests
+from basilroad.platform.connections import CallerServer, EndCause, list_unread_requests
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
     HEADER_LAST_EVENT_ID,
@@ -233,7 +233,7 @@
 
     def _close_if_stopping(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
         # a request that was received behind this one gets its response on the same connection
-        if self._gateway.shutdown.is_requested and not count_unread_requests(request.protocol):
+        if self._gateway.shutdown.is_requested and not list_unread_requests(request.protocol):
             response.force_close()
             response.headers["Connection"] = "close"
 
