Send no plain call whose connection is open too late in a stop

Cause: the time left of a planned stop was compared before the connection to the endpoint was opened, which may take up to 0.35 s, longer than the 0.3 s that are asked for. A call that may run only once was then sent with next to no time left and answered as one that may have run. Change: the time is compared once more when the connection is open, as the deadline is. Streams are left as they are.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -216,6 +217,7 @@
     :param protocol: encoding of the call
     :param options: per-attempt data
     :param claim_move: claims what the call needs to go on at another endpoint
+    :param may_send: checks whether there is still time to send the call
     """
 
     def __init__(
@@ -225,6 +227,7 @@
         protocol: EndpointProtocol,
         options: AttemptOptions,
         claim_move: ClaimMove = never_move,
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
         self.call = call
         self.endpoint = endpoint
@@ -233,6 +236,7 @@
         self._protocol = protocol
         self._options = options
         self._claim_move = claim_move
+        self._may_send = may_send
         # a response may arrive after a restart; it speaks for the lifetime that was asked
         self._notices = endpoint.notices
         self._channel: Channel | None = None
@@ -257,8 +261,8 @@
         except ConnectError as error:
             self.endpoint.record_unreachable(time.monotonic())
             return NotRun(f"no connection: {error}")
-        if time.monotonic() >= self.call.expires_at:
-            # a busy host runs the timers of the waits before this too late
+        if time.monotonic() >= self.call.expires_at or not self._may_send():
+            # the connection took time, and a busy host runs the timers before this too late
             channel.close()
             return NotRun("no time is left to send it")
         if not self._notices.permits(Purpose.CALL, time.monotonic()):
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -100,7 +100,7 @@
         self._gateway.record_placed(call, started - queued_at)
         options = AttemptOptions(endpoint.id, call.expires_at - started)
         attempt = tracker.running = Attempt(
-            call, endpoint, self._gateway.protocol, options, self._claim_move
+            call, endpoint, self._gateway.protocol, options, self._claim_move, self._may_send
         )
         run = Run(call, endpoint)
         try:
@@ -142,6 +142,16 @@
             self._gateway.dispatcher.release(reservation)
             raise
 
+    def _may_send(self) -> bool:
+        # a shutdown may have left too little time while the connection was opened
+        if self._tracker.sent:
+            return True
+        try:
+            self._gateway.check_time_before_shutdown(self._call.route)
+        except RefusedError:
+            return False
+        return True
+
     async def _exchange(self, attempt: Attempt) -> Outcome:
         limit = asyncio.timeout(max(0.0, self._call.expires_at - time.monotonic()))
         try:
