Answer keyed completions that an entry looks up when it stops

Cause: a stop of an entry waits for the generations that it runs. A keyed completion, or a caller that attaches again, isn't one of them until its generation was looked up, which takes up to several seconds, so that the stop went on, cancelled the handler and closed the connection without an answer. Change: the stop waits for lookups too and ends them at its limit: a keyed completion as one that may have run, as it may run elsewhere, an attempt to attach as not run.

--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -44,7 +44,7 @@
 from basilroad.stopsignal import StopSignal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import AsyncIterator, Iterator, Sequence
 
     from mode.types import ServiceT
 
@@ -112,6 +112,7 @@
         self.models_seen: set[str] = set()
         self.calls_running = 0
         self._run_tasks: dict[Flight, asyncio.Task[None]] = {}
+        self._lookups: set[asyncio.Timeout] = set()
         self._heartbeats = HeartbeatScheduler(self.store)
         self._agents_tried = False
 
@@ -152,8 +153,12 @@
         self.stopping = True
         _LOGGER.info("entry draining", extra={"flights": len(self.flights)})
         deadline_s = self._stop_signal.record() + self.options.drain_limit_s
-        while (self._run_tasks or self.calls_running) and time.monotonic() < deadline_s:
+        while self._is_working and time.monotonic() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
+        for limit in self._lookups:
+            limit.reschedule(asyncio.get_running_loop().time())
+        while self._lookups:
+            await asyncio.sleep(0)
         for flight, task in list(self._run_tasks.items()):
             flight.end_at_shutdown()
             task.cancel()
@@ -190,7 +195,8 @@
         if identity.key_generated:
             self.launch(flight)
             return flight
-        return await self.takeover.open_keyed(flight)
+        async with self._limit_lookup(ErrorKind.MAY_HAVE_RUN):
+            return await self.takeover.open_keyed(flight)
 
     async def reattach(self, generation: str, identity: Identity) -> Flight:
         """Find a generation by its identifier.
@@ -203,7 +209,8 @@
         key = read_key(generation)
         flight = self.flights.get(key)
         if flight is None:
-            flight = await self.takeover.attach(key, generation)
+            async with self._limit_lookup(ErrorKind.DRAINING):
+                flight = await self.takeover.attach(key, generation)
         if not _may_read(flight, generation, identity):
             raise refuse(ErrorKind.UNKNOWN_GENERATION, "no such generation")
         return flight
@@ -239,6 +246,30 @@
                 delay_s = _find_abandon_delay(flight)
                 asyncio.get_running_loop().call_later(delay_s, self._abandon, flight)
 
+    @property
+    def _is_working(self) -> bool:
+        return bool(self._run_tasks or self._lookups or self.calls_running)
+
+    @contextlib.asynccontextmanager
+    async def _limit_lookup(self, kind: ErrorKind) -> AsyncIterator[None]:
+        """End the lookup of a generation at the limit of a planned stop, which waits for it.
+
+        :param kind: error for the caller
+        :raises RefusedError: the limit has passed
+        """
+        limit = asyncio.timeout(None)
+        try:
+            async with limit:
+                self._lookups.add(limit)
+                try:
+                    yield
+                finally:
+                    self._lookups.discard(limit)
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            raise refuse(kind, "this host shut down before the generation was found") from None
+
     # peers
 
     async def connect(self, address: Address) -> AgentLink:
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -124,3 +124,40 @@
     assert response.startswith(status)
     assert effect in response
     writer.close()
+
+
+@pytest.mark.holds_stop
+@pytest.mark.parametrize(
+    ("lookup_s", "answer"),
+    [(2.5, (b"HTTP/1.1 503 ", b"not_run")), (30.0, (b"HTTP/1.1 502 ", b"may_have_run"))],
+    ids=["found in time", "found too late"],
+)
+async def test_a_keyed_completion_that_is_looked_up_when_a_stop_begins_is_answered(
+    monkeypatch: pytest.MonkeyPatch, lookup_s: float, answer: tuple[bytes, bytes]
+) -> None:
+    # fault: a completion that was not launched yet wasn't counted, and the stop did not wait for it
+    port = find_free_port()
+    entry = EntryService(build_settings(port, drain_limit_s=4.0))
+    await entry.start()
+    entry.models_seen.add("m")
+    looking = asyncio.Event()
+
+    async def claim(*_: object) -> None:
+        looking.set()
+        await asyncio.sleep(lookup_s)
+
+    monkeypatch.setattr(entry.locations, "claim", claim)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    body = json.dumps({"model": "m", "prompt": "a", "max_tokens": 5}).encode()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    await looking.wait()
+    await entry.stop()
+    async with asyncio.timeout(10):
+        response = await reader.read()
+    writer.close()
+    assert response.startswith(answer[0]), response
+    assert answer[1] in response
