End a stop during the start of a gateway without an error

Cause: a SIGTERM that comes while the other services start stopped the server for callers before its start, where an assertion failed; the stop went on, but logged an error with a traceback. Change: such a stop has nothing to close. Result: the first of three new cases in tests/platform/test_connections.py failed before and passes. The other two passed before too and guard what was looked at: a stop before the first config answers the calls that wait for it, and neither a change of the grace period nor a second signal moves the limits of a stop.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -94,9 +94,11 @@
         """Wait for calls in flight up to the grace period, answer the rest and close everything."""
         shutdown, connections = self._gateway.shutdown, self._connections
         shutdown.signal.record()
+        if connections is None:
+            # stopped while the other services start
+            return
         schedule = self._gateway.shutdown_schedule
         assert schedule is not None
-        assert connections is not None
         _LOGGER.info("stopping", extra=_describe_shutdown(shutdown, connections))
         await _sleep_until(schedule.accepts_until)
         # connections that are accepted already still get their responses
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -5,7 +5,9 @@
 import asyncio
 import logging
 import socket
+import time
 from collections.abc import AsyncIterator
+from pathlib import Path
 from typing import Any
 
 import attrs
@@ -15,6 +17,7 @@
 from basilroad.gateway.call import Reply
 from basilroad.gateway.handler import CallHandler
 from basilroad.platform.connections import EndCause
+from basilroad.platform.run import PlatformService
 from support.gatewayrig import (
     GatewayRig,
     build_order,
@@ -248,3 +251,54 @@
     assert received.startswith(b"HTTP/1.1 500 ")
     assert list_ends(caplog) == []
     assert count_ends(rig, EndCause.ERROR) == 0
+
+
+async def test_a_stop_before_the_server_for_callers_has_started_ends_without_an_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # fault: a SIGTERM during the start ended in a failed assertion
+    rig = GatewayRig()
+    await rig.store.start()
+    service = PlatformService(rig._build_settings(), Path("absent"))
+    service.add_dependency(service.front)
+    await service.stop()
+    await rig.store.stop()
+    assert [line for line in caplog.records if line.levelno >= logging.ERROR] == []
+
+
+async def test_a_stop_before_the_first_config_answers_the_calls_that_wait_for_it() -> None:
+    # guards against a stop that cuts off calls that wait for the config of a host that just started
+    rig = GatewayRig()
+    await rig.start()
+    shorten_grace(rig)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("early"))
+    server = rig.service.front._connections
+    assert server is not None
+    while not server.in_flight:
+        await asyncio.sleep(0.001)
+    await rig.stop()
+    assert (await reader.read()).startswith(b"HTTP/1.1 503 "), "it has not run"
+    writer.close()
+
+
+async def test_a_change_of_the_settings_and_a_second_signal_leave_the_times_of_a_stop(
+    rig: GatewayRig,
+) -> None:
+    # guards against a SIGHUP or a second SIGTERM that moves the limits of a stop that has begun
+    gateway = rig.service.gateway
+    shorten_grace(rig)
+    rig.app.response_delay_s = 30.0
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("in-flight"))
+    while "in-flight" not in rig.app.ran:
+        await asyncio.sleep(0.01)
+    began_at = time.monotonic()
+    stopping = asyncio.ensure_future(rig.service.stop())
+    await asyncio.sleep(0.5)
+    gateway.settings = attrs.evolve(gateway.settings, grace_s=60.0)
+    gateway.shutdown.signal.record()
+    assert (await reader.read()).startswith(b"HTTP/1.1 502 "), "it may have run"
+    writer.close()
+    await stopping
+    assert 1.4 < time.monotonic() - began_at < 10.0
