Give each drain of an endpoint its own limit

Cause: the timer of a drain went on when the drain had ended, and found the endpoint drained again: it moved the runs of the second drain before that one's limit. Change: a timer acts only for the drain that started it. Result: a case in tests/agent/test_drains.py failed before (the runs were moved 0.2 s into a drain of 10 s) and passes; a second one guards the limit itself. The 37 tests of tests/agent pass.

--- a/src/basilroad/agent/drains.py
+++ b/src/basilroad/agent/drains.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from typing import TYPE_CHECKING, Protocol
 
 from basilroad.agent.enginedriver import EngineDriver
@@ -52,6 +53,7 @@
     def __init__(self, agent: DrainContext) -> None:
         self._agent = agent
         self._stopping = False
+        self._numbers: Counter[str] = Counter()
 
     def apply(self) -> None:
         """Start and end drains to match the settings and the host's state."""
@@ -71,17 +73,20 @@
     def _set_draining(self, name: str, leaving: bool) -> None:
         driver = self._agent.drivers[name]
         driver.draining = leaving
+        self._numbers[name] += leaving
         decision = Decision(what="drain", chosen=name, reason="leaving" if leaving else "back")
         log_decision(_LOGGER, decision)
         self._agent.announce()
         if leaving and isinstance(driver, EngineDriver):
-            driver.add_future(self._move_after_limit(driver))
+            driver.add_future(self._move_after_limit(driver, self._numbers[name]))
         elif isinstance(driver, EngineDriver):
             driver.grant()
 
-    async def _move_after_limit(self, driver: EngineDriver) -> None:
-        await asyncio.sleep(self._read_limit(driver.settings.name))
-        if not driver.draining:
+    async def _move_after_limit(self, driver: EngineDriver, number: int) -> None:
+        name = driver.settings.name
+        await asyncio.sleep(self._read_limit(name))
+        # a later drain has a limit of its own
+        if not driver.draining or self._numbers[name] != number:
             return
         for run in list(driver.slots.running):
             driver.cancel(run, FailReason.MOVED)
