Answer requests whose body an entry reads when it stops

Cause: a stop of an entry didn't count a request whose body was still arriving, went on without it, and closed its connection a second or two later without an answer, long before the limit of the stop. Change: the stop waits for such bodies as it does for lookups, and ends them at its limit as not run. It waits only for what had begun by then, so that a request that comes later can't hold it.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -18,7 +18,7 @@
 from basilroad.peers.address import parse_address
 
 if TYPE_CHECKING:
-    from contextlib import AbstractContextManager
+    from contextlib import AbstractAsyncContextManager, AbstractContextManager
 
     from aiohttp.typedefs import Handler
 
@@ -55,6 +55,9 @@
     def reading(self, flight: Flight) -> AbstractContextManager[None]:
         """:return: context in which the caller counts as a reader of the generation."""
 
+    def limit_preparation(self, kind: ErrorKind) -> AbstractAsyncContextManager[None]:
+        """:return: context that the limit of a planned stop ends with an error."""
+
 
 class HttpServer(Service):
     """Serves callers over HTTP.
@@ -106,7 +109,7 @@
         return await self._generate(http, chat=True)
 
     async def _generate(self, http: web.Request, *, chat: bool) -> web.StreamResponse:
-        raw = await _read_body(http)
+        raw = await self._read_body(http)
         identity = read_identity(http.headers, self.entry.store.view)
         request = read_request(raw, chat=chat)
         may_restart = http.headers.get(RESTART_HEADER, "") == "allow" or not request.stream
@@ -195,12 +198,16 @@
         return _build_json(_Models(models))
 
     async def _call(self, http: web.Request) -> web.StreamResponse:
-        body = await _read_body(http)
+        body = await self._read_body(http)
         identity = read_identity(http.headers, self.entry.store.view)
         answer = await self.entry.caller.call(http, body, identity)
         headers = {**answer.headers, KEY_HEADER: identity.idempotency_key}
         return web.Response(status=answer.status, body=answer.body, headers=headers)
 
+    async def _read_body(self, http: web.Request) -> bytes:
+        async with self.entry.limit_preparation(ErrorKind.DRAINING):
+            return await _read_body(http)
+
     async def _show_health(self, http: web.Request) -> web.Response:
         del http
         return _build_json(_Health("ok"))
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -112,7 +112,7 @@
         self.models_seen: set[str] = set()
         self.calls_running = 0
         self._run_tasks: dict[Flight, asyncio.Task[None]] = {}
-        self._lookups: set[asyncio.Timeout] = set()
+        self._preparations: set[asyncio.Timeout] = set()
         self._heartbeats = HeartbeatScheduler(self.store)
         self._agents_tried = False
 
@@ -155,9 +155,11 @@
         deadline_s = self._stop_signal.record() + self.options.drain_limit_s
         while self._is_working and time.monotonic() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
-        for limit in self._lookups:
+        ending = set(self._preparations)
+        for limit in ending:
             limit.reschedule(asyncio.get_running_loop().time())
-        while self._lookups:
+        # what came later has to be refused anyway
+        while ending & self._preparations:
             await asyncio.sleep(0)
         for flight, task in list(self._run_tasks.items()):
             flight.end_at_shutdown()
@@ -195,7 +197,7 @@
         if identity.key_generated:
             self.launch(flight)
             return flight
-        async with self._limit_lookup(ErrorKind.MAY_HAVE_RUN):
+        async with self.limit_preparation(ErrorKind.MAY_HAVE_RUN):
             return await self.takeover.open_keyed(flight)
 
     async def reattach(self, generation: str, identity: Identity) -> Flight:
@@ -209,7 +211,7 @@
         key = read_key(generation)
         flight = self.flights.get(key)
         if flight is None:
-            async with self._limit_lookup(ErrorKind.DRAINING):
+            async with self.limit_preparation(ErrorKind.DRAINING):
                 flight = await self.takeover.attach(key, generation)
         if not _may_read(flight, generation, identity):
             raise refuse(ErrorKind.UNKNOWN_GENERATION, "no such generation")
@@ -246,13 +248,9 @@
                 delay_s = _find_abandon_delay(flight)
                 asyncio.get_running_loop().call_later(delay_s, self._abandon, flight)
 
-    @property
-    def _is_working(self) -> bool:
-        return bool(self._run_tasks or self._lookups or self.calls_running)
-
     @contextlib.asynccontextmanager
-    async def _limit_lookup(self, kind: ErrorKind) -> AsyncIterator[None]:
-        """End the lookup of a generation at the limit of a planned stop, which waits for it.
+    async def limit_preparation(self, kind: ErrorKind) -> AsyncIterator[None]:
+        """End what precedes a generation or call at the limit of a stop, which waits for it.
 
         :param kind: error for the caller
         :raises RefusedError: the limit has passed
@@ -260,15 +258,15 @@
         limit = asyncio.timeout(None)
         try:
             async with limit:
-                self._lookups.add(limit)
+                self._preparations.add(limit)
                 try:
                     yield
                 finally:
-                    self._lookups.discard(limit)
+                    self._preparations.discard(limit)
         except TimeoutError:
             if not limit.expired():
                 raise
-            raise refuse(kind, "this host shut down before the generation was found") from None
+            raise refuse(kind, "this host is shutting down") from None
 
     # peers
 
@@ -370,6 +368,10 @@
         names = {view.state.service for view in views if view.state.kind == "engine"}
         return sorted(names - {""})
 
+    @property
+    def _is_working(self) -> bool:
+        return bool(self._run_tasks or self._preparations or self.calls_running)
+
     def _build_watch(self, table: HttpTable) -> SettingsWatch:
         return SettingsWatch(
             WatchSettings(), table, self.store, lambda: 1 + len(self.links), self.exchange.broadcast
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -161,3 +161,24 @@
     writer.close()
     assert response.startswith(answer[0]), response
     assert answer[1] in response
+
+
+@pytest.mark.holds_stop
+async def test_a_completion_whose_body_arrives_during_a_stop_is_answered() -> None:
+    # fault: a request whose body was still read wasn't counted, and the stop did not wait for it
+    port = find_free_port()
+    entry = EntryService(build_settings(port, drain_limit_s=5.0))
+    await entry.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    body = json.dumps({"model": "m", "prompt": "a", "max_tokens": 5}).encode()
+    head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body[:-2])
+    await asyncio.sleep(0.2)
+    stopping = asyncio.ensure_future(entry.stop())
+    await asyncio.sleep(2.5)
+    writer.write(body[-2:])
+    async with asyncio.timeout(10):
+        response = await reader.read()
+    writer.close()
+    await stopping
+    assert response.startswith(b"HTTP/1.1 503 "), response
