--- a/tests/support/gatewayrig.py
+++ b/tests/support/gatewayrig.py
@@ -29,8 +29,8 @@
         return int(sock.getsockname()[1])
 
 
-def build_config(version: int, *keys: str) -> dict[str, object]:
-    base = {"host": "h.example", "timeoutMs": 2000, "sloMs": 500, "priority": 1}
+def build_config(version: int, *keys: str, timeout_ms: int = 2000) -> dict[str, object]:
+    base = {"host": "h.example", "timeoutMs": timeout_ms, "sloMs": 500, "priority": 1}
     orders = {**base, "name": "o", "prefix": "/o/", "kind": "non_idempotent", "service": "app"}
     streams = {
         **base,
@@ -85,8 +85,8 @@
             store=StoreAccess(Address("127.0.0.1", self.store.port)),
         )
 
-    async def configure(self, version: int, *keys: str) -> None:
-        self.store.put("op", "config", build_config(version, *keys))
+    async def configure(self, version: int, *keys: str, timeout_ms: int = 2000) -> None:
+        self.store.put("op", "config", build_config(version, *keys, timeout_ms=timeout_ms))
         async with asyncio.timeout(3):
             while self.version != version or not list(self.service.gateway.directory):
                 await asyncio.sleep(0.01)
