Read what arrived while the event loop was late before idle connections are closed

Cause: at the end of admission, reading from idle connections was paused in the turn of the event loop in which its timer was handled. A whole request that lay in the socket's buffer by then was never read, and closing the connection reset it: neither an answer nor a refusal, and no line, as the process had not seen it. Change: two turns of the event loop before reading is paused. No decision about admission changes.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -22,6 +22,9 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 """Interval of checks for calls in flight during shutdown."""
 
+READ_TURNS = 2
+"""Turns of the event loop until it has read the requests that arrived before the first of them."""
+
 HANDLER_START_TURNS = 4
 """Turns of the event loop until the handler of a request read before has started, and one more."""
 
@@ -163,6 +166,9 @@
         return connection in self._busy or (body is not None and not body.is_eof())
 
     async def _close_idle_connections(self) -> None:
+        # a late event loop reads first what arrived in the meantime
+        for _ in range(READ_TURNS):
+            await asyncio.sleep(0)
         paused = [
             (connection, connection.transport)
             for connection in self.connections
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -361,6 +361,24 @@
     writer.close()
 
 
+async def test_a_request_that_arrived_while_the_loop_was_late_is_answered(
+    rig: GatewayRig,
+) -> None:
+    # fault: reading was paused before the event loop had looked for what arrived in the meantime,
+    # so that a late host reset the connection of a whole request without an answer
+    await rig.configure(1, "key")
+    reader, writer = await open_kept_connection(rig, 1)
+    server = rig.service.front._connections
+    assert server is not None
+    gateway = rig.service.gateway
+    gateway.shutdown.signal.received_at = time.monotonic() - gateway.settings.grace_s
+    writer.write(build_order("late"))
+    block_event_loop(0.05)
+    await server.close_connections(time.monotonic() + 1)
+    assert (await reader.read()).startswith(b"HTTP/1.1 503 "), "it has not run"
+    writer.close()
+
+
 async def test_a_body_that_is_complete_too_late_in_a_planned_stop_is_not_sent_on(
     rig: GatewayRig,
 ) -> None:
