--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -16,10 +16,12 @@
 from support.gatewayrig import (
     HEADERS,
     GatewayRig,
+    block_event_loop,
     build_order,
     open_kept_connection,
     send_on_kept,
     shorten_grace,
+    stop_after,
 )
 
 
@@ -279,21 +281,6 @@
     assert not response or response.startswith(b"HTTP/1.1 503 ")
 
 
-async def stop_after(rig: GatewayRig, event: asyncio.Event) -> None:
-    """Stop a gateway once its signal is handled.
-
-    :param rig: the gateway
-    :param event: set by the handler of the signal
-    """
-    await event.wait()
-    await rig.service.stop()
-
-
-def block_event_loop(length_s: float) -> None:
-    """Do nothing else for a while, as on a host without processor time."""
-    time.sleep(length_s)
-
-
 async def test_a_planned_stop_answers_each_call_that_its_limit_cuts_off(rig: GatewayRig) -> None:
     # fault: calls in flight at the limit of a planned stop ended with a closed connection
     await rig.configure(1, "key")
--- a/tests/platform/test_stop_record.py
+++ b/tests/platform/test_stop_record.py
@@ -13,7 +13,7 @@
 import attrs
 import pytest
 
-from support.gatewayrig import GatewayRig, build_order
+from support.gatewayrig import GatewayRig, block_event_loop, build_order, stop_after
 
 GRACE_S = 8.0
 """Grace period of the record; admission ends at a fixed time, so a shorter one doesn't scale."""
@@ -83,21 +83,6 @@
     caller.close()
 
 
-async def stop_after(rig: GatewayRig, event: asyncio.Event) -> None:
-    """Stop a gateway once its signal is handled.
-
-    :param rig: the gateway
-    :param event: set by the handler of the signal
-    """
-    await event.wait()
-    await rig.service.stop()
-
-
-def block_event_loop(length_s: float) -> None:
-    """Do nothing else for a while, as on a host without processor time."""
-    time.sleep(length_s)
-
-
 def exchange(caller: socket.socket, request_id: str, at: float = 0.0) -> bytes:
     """Send a stream's request on a kept connection.
 
--- a/tests/support/gatewayrig.py
+++ b/tests/support/gatewayrig.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 import socket
+import time
 from pathlib import Path
 
 import aiohttp
@@ -176,13 +177,30 @@
     return f"POST /o/1 HTTP/1.1\r\n{head}\r\nbody".encode()
 
 
+async def stop_after(rig: GatewayRig, event: asyncio.Event) -> None:
+    """Stop a gateway once its signal is handled.
+
+    :param rig: the gateway
+    :param event: set by the handler of the signal
+    """
+    await event.wait()
+    await rig.service.stop()
+
+
+def block_event_loop(length_s: float) -> None:
+    """Do nothing else for a while, as on a host without processor time."""
+    time.sleep(length_s)
+
+
 __all__ = [
     "HEADERS",
     "GatewayRig",
+    "block_event_loop",
     "build_config",
     "build_order",
     "find_free_port",
     "open_kept_connection",
     "send_on_kept",
     "shorten_grace",
+    "stop_after",
 ]
