Send no stream whose connection is open too late in a stop

Change: the comparison that plain calls have there holds for streams too, as a question without an exception. Result: test_a_stream_is_not_sent_when_its_connection_is_open_too_late_in_a_stop failed before (the stream was sent) and passes; 56 tests of late openings, stops, buffered calls and streams pass.

--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -144,13 +144,8 @@
 
     def _may_send(self) -> bool:
         # a shutdown may have left too little time while the connection was opened
-        if self._tracker.sent:
-            return True
-        try:
-            self._gateway.check_time_before_shutdown(self._call.route)
-        except RefusedError:
-            return False
-        return True
+        sent, route = self._tracker.sent, self._call.route
+        return bool(sent) or self._gateway.has_time_before_shutdown(route)
 
     async def _exchange(self, attempt: Attempt) -> Outcome:
         limit = asyncio.timeout(max(0.0, self._call.expires_at - time.monotonic()))
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -283,12 +283,20 @@
         :param route: the call's route
         :raises RefusedError: it has to be sent to another host
         """
+        if not self.has_time_before_shutdown(route):
+            raise refuse_at_shutdown()
+
+    def has_time_before_shutdown(self, route: Route) -> bool:
+        """Check whether a call that is sent now is likely to end before this host shuts down.
+
+        :param route: the call's route
+        :return: whether it is; always true without a shutdown
+        """
         schedule = self.shutdown_schedule
         if schedule is None:
-            return
+            return True
         needed_s = self.stream_durations.typical_max_s if route.streams else SHORT_CALL_S
-        if time.monotonic() + needed_s > schedule.ends_at:
-            raise refuse_at_shutdown()
+        return time.monotonic() + needed_s <= schedule.ends_at
 
     @property
     def shutdown_schedule(self) -> ShutdownSchedule | None:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -189,6 +189,7 @@
                 kv_cache_source=endpoint.entry.address if kv_cache_source else None,
             ),
             self._claim_move,
+            self._may_send,
         )
         self._gateway.dispatcher.prompt_locations.record(self._call.prompt_key, endpoint.id)
         try:
@@ -225,6 +226,11 @@
             self._gateway.dispatcher.release(reservation)
             raise
 
+    def _may_send(self) -> bool:
+        # a shutdown may have left too little time while the connection was opened
+        sent, route = self._tracker.sent, self._call.route
+        return bool(sent) or self._gateway.has_time_before_shutdown(route)
+
     async def _place(self) -> tuple[Reservation | None, bool]:
         call, now = self._call, time.monotonic()
         holder, self._backup_endpoint = self._backup_endpoint, None
--- a/tests/gateway/test_late_opening.py
+++ b/tests/gateway/test_late_opening.py
@@ -11,7 +11,7 @@
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.shutdown import SHORT_CALL_S, SHUTDOWN_RESERVE_S
-from builders import RecordingResponder, build_call, build_route
+from builders import RecordingResponder, build_call, build_route, build_stream_route
 
 OPENING_S = 0.2
 """Time to open a connection, below its limit."""
@@ -46,3 +46,24 @@
         await CallHandler(gateway).handle(build_call(build_route()), RecordingResponder())
     assert caught.value.refusal.answer.effect is Effect.NOT_RUN
     assert not server.seen
+
+
+# fault: the same for a stream, whose time is compared when it leaves the queue only
+async def test_a_stream_is_not_sent_when_its_connection_is_open_too_late_in_a_stop(
+    gateway, start_server, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    server = await start_server("i-1", service="llm", events=10)
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+
+    async def connect_slowly(*arguments, **options):
+        await asyncio.sleep(OPENING_S)
+        return await connect(*arguments, **options)
+
+    monkeypatch.setattr(loop, "create_connection", connect_slowly)
+    needed_s = gateway.stream_durations.mean_s = 1.0
+    begin_stop(gateway, needed_s + OPENING_S / 2)
+    with pytest.raises(RefusedError) as caught:
+        await CallHandler(gateway).handle(build_call(build_stream_route()), RecordingResponder())
+    assert caught.value.refusal.answer.effect is Effect.NOT_RUN
+    assert not server.seen
