Refuse calls whose body is complete after the end of admission

Cause: the end of admission was compared when the head of a call was read. The rule excuses such a cut only for requests sent within 3 s. Change: the end of admission is compared again when the body is complete, as the time left was. Result: test_a_stream_whose_body_is_complete_after_the_end_of_admission_is_refused failed before (200 and no end) and passes; 44 tests of the record, the frontend and its connections pass.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -193,7 +193,8 @@
                 body = await self._read_body(request)
         except ShutdownError:
             raise refuse_at_shutdown() from None
-        gateway.check_time_before_shutdown(route)
+        # the body may have arrived after the end of admission
+        gateway.check_draining(route)
         time_left_s = _read_time_left(request, route)
         workspace_rank = workspace.rank if workspace else None
         return Call(
--- a/tests/platform/test_stop_record.py
+++ b/tests/platform/test_stop_record.py
@@ -83,6 +83,26 @@
     caller.close()
 
 
+async def test_a_stream_whose_body_is_complete_after_the_end_of_admission_is_refused(
+    rig: GatewayRig,
+) -> None:
+    # fault: admission ended by the arrival of the head, so that a stream whose body came later was
+    # sent to an endpoint more than three seconds after the signal
+    front = rig.service.settings.front
+    reader, writer = await asyncio.open_connection(front.ip, front.port)
+    gateway = rig.service.gateway
+    gateway.stream_durations.mean_s = 0.5
+    gateway.shutdown.signal.received_at = time.monotonic() - 2.0
+    request = build_order("late-body").replace(b"/o/1", b"/s/1")
+    writer.write(request[:-2])
+    await asyncio.sleep(1.0)
+    writer.write(request[-2:])
+    response = await reader.read()
+    writer.close()
+    assert response.startswith(b"HTTP/1.1 503 "), "it has not run"
+    assert "late-body" not in rig.llm.ran
+
+
 def exchange(caller: socket.socket, request_id: str, at: float = 0.0) -> bytes:
     """Send a stream's request on a kept connection.
 
