Cut no stream before the time limit of its route

Cause: the reserve of 20 ms in which an answer reaches its caller was taken from the lesser of the caller's time and the route's limit. A caller with more time than the route saw its stream cut just before the limit, at each host alike once a change of the config had made the limit shorter than a stream. Change: only the caller's own time is shortened by the reserve.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -45,7 +45,8 @@
 """Keep-alive time of idle connections of callers; longer than the idle limits in configs."""
 
 RESPONSE_MARGIN_S = 0.02
-"""Time by which a call's deadline is shortened, so that its response arrives in time."""
+"""Time by which a caller's deadline is shortened, so that its response arrives in time; not the
+time limit of a route, before which no stream may be cut."""
 
 SERVER_OPTIONS: dict[str, Any] = {
     "access_log": None,
@@ -192,7 +193,7 @@
         except ShutdownError:
             raise refuse_at_shutdown() from None
         gateway.check_time_before_shutdown(route)
-        time_left_s = _read_time_left(request, route)
+        time_limit_s = _read_time_limit(request, route)
         workspace_rank = workspace.rank if workspace else None
         return Call(
             id=request_id,
@@ -205,7 +206,7 @@
             workspace=workspace.name if workspace else "",
             rank=route.rank if workspace_rank is None else workspace_rank,
             arrived_at=arrived_at,
-            expires_at=arrived_at + max(0.0, time_left_s - RESPONSE_MARGIN_S),
+            expires_at=arrived_at + max(0.0, time_limit_s),
             size=read_prompt_size(request.headers) if route.streams else read_prompt_size({}),
             resume_after=request.headers.get(HEADER_LAST_EVENT_ID, ""),
             prompt_key=read_prompt_key(request.headers) if route.streams else "",
@@ -324,13 +325,15 @@
     return host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
 
 
-def _read_time_left(request: web.BaseRequest, route: Route) -> float:
+def _read_time_limit(request: web.BaseRequest, route: Route) -> float:
     text = request.headers.get(HEADER_TIME_LEFT_MS, "")
     try:
         time_left_s = float(text) / 1000
     except ValueError:
         return route.timeout_s
-    return route.timeout_s if math.isnan(time_left_s) else min(time_left_s, route.timeout_s)
+    if math.isnan(time_left_s):
+        return route.timeout_s
+    return min(time_left_s - RESPONSE_MARGIN_S, route.timeout_s)
 
 
 __all__ = ["PlatformFrontend"]
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -32,6 +32,9 @@
 SHORT_TIMEOUT_S = 0.3
 """Time limit of a route that is shorter than a stream."""
 
+LATE_END_S = 0.25
+"""Time after its route's time limit by which a call has ended."""
+
 REFUSALS = frozenset({401, 404, 413, 429, 502, 503, 504})
 
 
@@ -562,6 +565,32 @@
         assert answer.whole
         assert answer.status == 200 or answer.status in REFUSALS
     assert sum(rig.list_ends().values()) == len(cut)
+    assert all(answer.took_s >= SHORT_TIMEOUT_S for answer in cut)
+
+
+async def test_a_stream_is_not_cut_before_the_time_limit_of_its_route(rig: ChangingRig) -> None:
+    # fault: the reserve for sending an answer was also taken from time limits of routes, so that
+    # streams whose callers had more time were cut just before the limit
+    def shorten(config: Config) -> None:
+        for route in config["routes"]:
+            route["timeoutMs"] = 1000 * SHORT_TIMEOUT_S
+
+    await rig.change(shorten)
+    rig.app.response_delay_s = 5.0
+    order, stream = await asyncio.gather(
+        send_call(rig, "/o/1", "order"), send_call(rig, "/s/1", "stream")
+    )
+    assert (order.status, order.whole) == (504, True)
+    assert (stream.status, stream.whole) == (200, False)
+    assert SHORT_TIMEOUT_S <= stream.took_s < SHORT_TIMEOUT_S + LATE_END_S
+    assert rig.list_ends() == {"stream_broken": 1}
+
+
+async def test_an_answer_comes_before_the_end_of_its_callers_time(rig: ChangingRig) -> None:
+    rig.app.response_delay_s = 5.0
+    answer = await send_call(rig, "/o/1", "order", deadline_s=0.5)
+    assert (answer.status, answer.whole) == (504, True)
+    assert answer.took_s < 0.5
 
 
 @change_kinds
