--- a/tests/gateway/test_late_opening.py
+++ b/tests/gateway/test_late_opening.py
@@ -17,6 +17,18 @@
 """Time to open a connection, below its limit."""
 
 
+@pytest.fixture
+async def slow_connections(monkeypatch: pytest.MonkeyPatch) -> None:
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+
+    async def connect_slowly(*arguments, **options):
+        await asyncio.sleep(OPENING_S)
+        return await connect(*arguments, **options)
+
+    monkeypatch.setattr(loop, "create_connection", connect_slowly)
+
+
 def begin_stop(gateway: Gateway, left_s: float) -> None:
     """Begin a planned stop.
 
@@ -29,18 +41,11 @@
 
 # fault: the time left was compared before the connection was opened, and a call that may run only
 # once was sent with next to no time left
+@pytest.mark.usefixtures("slow_connections")
 async def test_a_plain_call_is_not_sent_when_its_connection_is_open_too_late_in_a_stop(
-    gateway, start_server, monkeypatch: pytest.MonkeyPatch
+    gateway, start_server
 ) -> None:
     server = await start_server("i-1")
-    loop = asyncio.get_running_loop()
-    connect = loop.create_connection
-
-    async def connect_slowly(*arguments, **options):
-        await asyncio.sleep(OPENING_S)
-        return await connect(*arguments, **options)
-
-    monkeypatch.setattr(loop, "create_connection", connect_slowly)
     begin_stop(gateway, SHORT_CALL_S + OPENING_S / 2)
     with pytest.raises(RefusedError) as caught:
         await CallHandler(gateway).handle(build_call(build_route()), RecordingResponder())
@@ -48,19 +53,12 @@
     assert not server.seen
 
 
-# fault: the same for a stream, whose time is compared when it leaves the queue only
+# fault: the same for a stream, whose time was compared only when it left the queue
+@pytest.mark.usefixtures("slow_connections")
 async def test_a_stream_is_not_sent_when_its_connection_is_open_too_late_in_a_stop(
-    gateway, start_server, monkeypatch: pytest.MonkeyPatch
+    gateway, start_server
 ) -> None:
     server = await start_server("i-1", service="llm", events=10)
-    loop = asyncio.get_running_loop()
-    connect = loop.create_connection
-
-    async def connect_slowly(*arguments, **options):
-        await asyncio.sleep(OPENING_S)
-        return await connect(*arguments, **options)
-
-    monkeypatch.setattr(loop, "create_connection", connect_slowly)
     needed_s = gateway.stream_durations.mean_s = 1.0
     begin_stop(gateway, needed_s + OPENING_S / 2)
     with pytest.raises(RefusedError) as caught:
