--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -20,6 +20,7 @@
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.platform.connections import CallerServer, EndCause, list_unread_requests
+from basilroad.platform.listener import LISTEN_BACKLOG, CallerListener
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
     HEADER_LAST_EVENT_ID,
@@ -77,7 +78,7 @@
         self._gateway = gateway
         self._handler = CallHandler(gateway)
         self._runners: list[web.ServerRunner] = []
-        self._front_sites: list[web.TCPSite] = []
+        self._listener: CallerListener | None = None
         self._connections: CallerServer | None = None
 
     async def on_start(self) -> None:
@@ -86,7 +87,8 @@
         self._connections = CallerServer(
             self._handle, gateway.shutdown, gateway.metrics.ends, **SERVER_OPTIONS
         )
-        self._front_sites.append(await self._listen(self._connections, settings.front))
+        runner = await self._set_up(self._connections)
+        self._listener = await CallerListener.open(runner, settings.front)
         readiness = web.Server(self._serve_readiness, **SERVER_OPTIONS)
         await self._listen(readiness, settings.ready)
         await self._listen(web.Server(self._serve_metrics, **SERVER_OPTIONS), settings.metrics)
@@ -102,9 +104,8 @@
         assert schedule is not None
         _LOGGER.info("stopping", extra=_describe_shutdown(shutdown, connections))
         await _sleep_until(schedule.accepts_until)
-        # connections that are accepted already still get their responses
-        for site in self._front_sites:
-            await site.stop()
+        if self._listener is not None:
+            await self._listener.close()
         await _sleep_until(schedule.admits_until)
         _LOGGER.info("admission ended", extra=_describe_shutdown(shutdown, connections))
         await connections.close_connections(schedule.ends_at)
@@ -115,13 +116,18 @@
         for runner in self._runners:
             await runner.cleanup()
 
-    async def _listen(self, server: web.Server, address: Address) -> web.TCPSite:
+    async def _listen(self, server: web.Server, address: Address) -> None:
+        runner = await self._set_up(server)
+        site = web.TCPSite(
+            runner, address.ip, address.port, reuse_address=True, backlog=LISTEN_BACKLOG
+        )
+        await site.start()
+
+    async def _set_up(self, server: web.Server) -> web.ServerRunner:
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
-        site = web.TCPSite(runner, address.ip, address.port, reuse_address=True, backlog=1024)
-        await site.start()
         self._runners.append(runner)
-        return site
+        return runner
 
     async def _serve_readiness(self, _: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self._gateway.is_ready else 503)
--- /dev/null
+++ b/src/basilroad/platform/listener.py
@@ -0,0 +1,83 @@
+"""Listening socket for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from basilroad.peers.address import Address
+
+LISTEN_BACKLOG = 1024
+"""Maximum number of connections that wait to be accepted."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class CallerListener:
+    """Accepts the connections of callers; no connection that waits is lost when it is closed.
+
+    :param runner: runs the server that the connections go to
+    :param sock: the listening socket
+    :param site: accepts the connections while it is open
+    """
+
+    _runner: web.ServerRunner
+    _sock: socket.socket
+    _site: web.SockSite
+
+    @classmethod
+    async def open(cls, runner: web.ServerRunner, address: Address) -> CallerListener:
+        """Listen at an address.
+
+        :param runner: runs the server
+        :param address: the address
+        :return: the listener
+        :raises OSError: the address can't be used
+        """
+        sock = socket.socket()
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setblocking(False)
+            sock.bind((address.ip, address.port))
+            site = web.SockSite(runner, sock, backlog=LISTEN_BACKLOG)
+            await site.start()
+        except OSError:
+            sock.close()
+            raise
+        return cls(runner, sock, site)
+
+    async def close(self) -> None:
+        """Stop listening, and serve the connections that wait to be accepted."""
+        waiting = self._accept_waiting()
+        # without a turn of the event loop in between: the kernel resets what waits at the close
+        await self._site.stop()
+        server = self._runner.server
+        assert server is not None
+        for sock in waiting:
+            await asyncio.get_running_loop().connect_accepted_socket(server, sock)
+
+    def _accept_waiting(self) -> list[socket.socket]:
+        waiting: list[socket.socket] = []
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except BlockingIOError:
+                return waiting
+            except ConnectionAbortedError:
+                # its caller has left
+                continue
+            except OSError as error:
+                _LOGGER.warning("accept failed", extra={"detail": repr(error)})
+                return waiting
+            sock.setblocking(False)
+            waiting.append(sock)
+
+
+__all__ = ["LISTEN_BACKLOG", "CallerListener"]
--- /dev/null
+++ b/tests/platform/test_listener.py
@@ -0,0 +1,48 @@
+"""Listening socket for callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from support.gatewayrig import GatewayRig, block_event_loop, shorten_grace
+from support.tries import TryEnd, exchange_once, hold_stop
+
+GRACE_LIMIT_S = 3.5
+"""Time limit of the calls in flight of a stop; new connections end after 2.3 s."""
+
+
+@pytest.fixture
+async def rig() -> AsyncIterator[GatewayRig]:
+    rig = GatewayRig()
+    await rig.start()
+    await rig.configure(1, "key", timeout_ms=20000)
+    yield rig
+    await rig.stop()
+
+
+async def test_a_connection_that_waits_to_be_accepted_at_the_end_of_listening_is_served(
+    rig: GatewayRig,
+) -> None:
+    # fault: the kernel reset the connections that a busy gateway had not accepted when it closed
+    # its listening socket
+    loop = asyncio.get_running_loop()
+    companion = await hold_stop(rig)
+    shorten_grace(rig, GRACE_LIMIT_S)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    while (schedule := rig.service.gateway.shutdown_schedule) is None:
+        await asyncio.sleep(0)
+    # the second one begins in the turn of the event loop that ends listening, before its end
+    loop.call_at(schedule.accepts_until - 0.2, block_event_loop, 0.3)
+    loop.call_at(schedule.accepts_until - 0.1, block_event_loop, 0.3)
+    tries = [
+        asyncio.to_thread(exchange_once, rig, f"waits-{number}", schedule.accepts_until + delay_s)
+        for number, delay_s in enumerate((0.15, 0.2, 0.25, 0.3))
+    ]
+    ends = await asyncio.gather(*tries)
+    await stopping
+    await asyncio.gather(companion, return_exceptions=True)
+    assert TryEnd.NO_ANSWER not in ends, ends
+    assert TryEnd.REFUSED in ends, ends
