--- a/soak/promises.py
+++ b/soak/promises.py
@@ -18,6 +18,9 @@
 RESPONSE_MARGIN_S = 0.5
 """Seconds after its deadline within which a request must have its response."""
 
+UNCONNECTED = frozenset({"ClientConnectorError", "ConnectionTimeoutError"})
+"""Details of requests for which no connection was opened."""
+
 _EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
 
 
@@ -291,6 +294,21 @@
                 yield f"{request.id} was cut by a planned stop: {request.detail}"
 
 
+class StopsAnswerWhatIsNotRun(Promise):
+    """A request to a stopping gateway that no endpoint ran gets a response, even in faults."""
+
+    def find_breaches(self, record: Record) -> Iterator[str]:
+        """:return: requests without a response; a kill, a pause or no connection excuses."""
+        for request in record.requests.values():
+            if request.aborted or request.status or record.runs_of(request.id):
+                continue
+            if request.detail in UNCONNECTED or not record.is_stopped(
+                request.gateway, request.sent_at, request.ended_at
+            ):
+                continue
+            yield f"{request.id} got no answer in a planned stop: {request.detail}"
+
+
 class StopsEndInTime(Promise):
     """A planned stop completes within the grace period."""
 
@@ -357,6 +375,7 @@
     ConfigIsInForce(),
     VersionsDoNotGoBack(),
     PlannedStopsCutNothing(),
+    StopsAnswerWhatIsNotRun(),
     StopsEndInTime(),
     NothingIsHeld(),
     GatewaysLive(),
--- a/soak/records.py
+++ b/soak/records.py
@@ -192,6 +192,12 @@
         """:return: whether a gateway was killed or stopped in a time span."""
         return self._is_affected(gateway, (KillGateway, StopGateway), begin, end)
 
+    def is_stopped(self, gateway: int, begin: float, end: float) -> bool:
+        """:return: whether a gateway was stopped in a time span, and not killed or suspended."""
+        if self._is_affected(gateway, (KillGateway, PauseGateway), begin, end):
+            return False
+        return self._is_affected(gateway, (StopGateway,), begin, end)
+
     def _is_affected(
         self, gateway: int, kinds: tuple[type[Fault], ...], begin: float, end: float
     ) -> bool:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -335,6 +335,23 @@
     assert find(record) == {"PlannedStopsCutNothing"}
 
 
+@pytest.mark.parametrize(
+    ("detail", "names"),
+    [
+        ("ServerDisconnectedError", {"StopsAnswerWhatIsNotRun"}),
+        ("ClientConnectorError", set()),
+    ],
+)
+def test_a_request_that_a_stop_leaves_unanswered(detail: str, names: set[str]) -> None:
+    request = build_request(at=FAULT.began)
+    request.status, request.whole, request.detail = 0, False, detail
+    record = build_record(request)
+    record.requests["r2"] = build_request(Kind.LOOK, FAULT_FREE_AT + 20.0)
+    stop = StopGateway(0.0, 0, 0.0)
+    record.injected_faults.append(InjectedFault(stop, request.sent_at, request.sent_at + 3.0))
+    assert find(record) == names
+
+
 def test_a_stop_beyond_its_grace_and_a_gateway_that_exited() -> None:
     record = build_record(build_request(), build_run())
     record.stops_s.append(GRACE_S + 0.01)
