--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -218,7 +218,11 @@
         """
         transport.set_protocol(self)
         transport.write(LAST_RESPONSE)
-        transport.write_eof()
+        try:
+            transport.write_eof()
+        except OSError as error:
+            # its caller has closed the connection and reset it at the last response
+            _LOGGER.info("caller left", extra={"detail": repr(error)})
         asyncio.get_running_loop().call_later(CLOSE_LINGER_S, transport.close)
 
     def data_received(self, _: bytes) -> None:
--- a/tests/platform/test_stop_connections.py
+++ b/tests/platform/test_stop_connections.py
@@ -134,3 +134,23 @@
     while server.connections:
         await asyncio.sleep(0.001)
     assert "crosses" not in rig.app.ran
+
+
+# fault: a caller that closed its idle connection in the moment at which the stop closed it, and so
+# reset it at the last response, ended the stop with an error, and all other calls with it
+@pytest.mark.parametrize("turns", range(8))
+async def test_a_caller_that_leaves_while_its_connection_is_closed_does_not_end_the_stop(
+    rig: GatewayRig, turns: int
+) -> None:
+    front = rig.service.settings.front
+    server = rig.service.front._connections
+    assert server is not None
+    caller = socket.create_connection((front.ip, front.port))
+    while not server.connections:
+        await asyncio.sleep(0.001)
+    closing = asyncio.ensure_future(server.close_connections(time.monotonic() + 1.0))
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    caller.close()
+    await closing
+    assert not server.connections
