--- a/src/basilroad/platform/listener.py
+++ b/src/basilroad/platform/listener.py
@@ -55,6 +55,9 @@
 
     async def close(self) -> None:
         """Stop listening, and serve the connections that wait to be accepted."""
+        asyncio.get_running_loop().remove_reader(self._sock)
+        # what the event loop accepted in this turn gets its transport before the close
+        await asyncio.sleep(0)
         waiting = self._accept_waiting()
         # without a turn of the event loop in between: the kernel resets what waits at the close
         await self._site.stop()
--- a/tests/platform/test_listener.py
+++ b/tests/platform/test_listener.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
 
-from support.gatewayrig import GatewayRig, block_event_loop, shorten_grace
-from support.tries import TryEnd, exchange_once, hold_stop
+from support.gatewayrig import GatewayRig, block_event_loop, build_order, shorten_grace
+from support.tries import TryEnd, exchange_once, hold_stop, read_end
 
 GRACE_LIMIT_S = 3.5
 """Time limit of the calls in flight of a stop; new connections end after 2.3 s."""
@@ -46,3 +47,22 @@
     await asyncio.gather(companion, return_exceptions=True)
     assert TryEnd.NO_ANSWER not in ends, ends
     assert TryEnd.REFUSED in ends, ends
+
+
+# fault: a connection that the event loop had accepted in the turn of the close, and that had no
+# transport yet, was dropped without a line
+@pytest.mark.parametrize("turns", range(6))
+async def test_a_connection_that_is_accepted_beside_the_end_of_listening_is_served(
+    rig: GatewayRig, turns: int
+) -> None:
+    front = rig.service.settings.front
+    listener = rig.service.front._listener
+    assert listener is not None
+    with socket.create_connection((front.ip, front.port), timeout=5) as caller:
+        caller.sendall(build_order("beside"))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        await listener.close()
+        received = await asyncio.to_thread(caller.recv, 65536)
+    rig.service.front._listener = None
+    assert read_end(received) is TryEnd.ANSWERED
