--- a/src/basilroad/platform/listener.py
+++ b/src/basilroad/platform/listener.py
@@ -63,8 +63,15 @@
         await self._site.stop()
         server = self._runner.server
         assert server is not None
-        for sock in waiting:
-            await asyncio.get_running_loop().connect_accepted_socket(server, sock)
+        # at once: each takes some turns of the event loop, which are long on a busy host
+        connect = asyncio.get_running_loop().connect_accepted_socket
+        results = await asyncio.gather(
+            *(connect(server, sock) for sock in waiting), return_exceptions=True
+        )
+        for sock, result in zip(waiting, results, strict=True):
+            if isinstance(result, Exception):
+                _LOGGER.warning("accept failed", extra={"detail": repr(result)})
+                sock.close()
 
     def _accept_waiting(self) -> list[socket.socket]:
         waiting: list[socket.socket] = []
--- a/tests/platform/test_listener.py
+++ b/tests/platform/test_listener.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 
 from support.gatewayrig import GatewayRig, block_event_loop, build_order, shorten_grace
 from support.tries import TryEnd, exchange_once, hold_stop, read_end
 
+WAITING = 200
+"""Connections that wait when listening ends."""
+
+MAX_TURNS = 20
+"""Turns of the event loop that the end of listening may take; each may be long on a busy host."""
+
 GRACE_LIMIT_S = 3.5
 """Time limit of the calls in flight of a stop; new connections end after 2.3 s."""
 
@@ -66,3 +74,50 @@
         received = await asyncio.to_thread(caller.recv, 65536)
     rig.service.front._listener = None
     assert read_end(received) is TryEnd.ANSWERED
+
+
+async def test_many_waiting_connections_do_not_delay_a_stop(
+    rig: GatewayRig,
+) -> None:
+    # fault: each waiting connection took turns of its own of the event loop, so that the last ones
+    # were served, and admission ended, seconds later
+    front = rig.service.settings.front
+    listener = rig.service.front._listener
+    assert listener is not None
+    callers = [socket.create_connection((front.ip, front.port)) for _ in range(WAITING)]
+    closing = asyncio.ensure_future(listener.close())
+    turns = 0
+    while not closing.done():
+        await asyncio.sleep(0)
+        turns += 1
+    rig.service.front._listener = None
+    for caller in callers:
+        caller.close()
+    assert turns < MAX_TURNS
+
+
+async def test_a_waiting_connection_that_fails_does_not_end_the_others(
+    rig: GatewayRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: it ended the stop with an error, and the connections behind it were lost
+    front = rig.service.settings.front
+    listener = rig.service.front._listener
+    assert listener is not None
+    loop = asyncio.get_running_loop()
+    connect, number = loop.connect_accepted_socket, itertools.count()
+
+    async def fail_first(server: Any, sock: socket.socket) -> Any:
+        if next(number) == 0:
+            raise OSError("no transport")
+        return await connect(server, sock)
+
+    monkeypatch.setattr(loop, "connect_accepted_socket", fail_first)
+    callers = [socket.create_connection((front.ip, front.port), timeout=5) for _ in range(3)]
+    for index, caller in enumerate(callers):
+        caller.sendall(build_order(f"waits-{index}"))
+    await listener.close()
+    rig.service.front._listener = None
+    for caller in callers[1:]:
+        assert read_end(await asyncio.to_thread(caller.recv, 65536)) is TryEnd.ANSWERED
+    for caller in callers:
+        caller.close()
