--- a/src/basilroad/platform/listener.py
+++ b/src/basilroad/platform/listener.py
@@ -41,11 +41,10 @@
         :return: the listener
         :raises OSError: the address can't be used
         """
-        sock = socket.socket()
+        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+        sock = socket.create_server((address.ip, address.port), family=family)
         try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.setblocking(False)
-            sock.bind((address.ip, address.port))
             site = web.SockSite(runner, sock, backlog=LISTEN_BACKLOG)
             await site.start()
         except OSError:
--- a/tests/platform/test_listener.py
+++ b/tests/platform/test_listener.py
@@ -9,7 +9,10 @@
 from typing import Any
 
 import pytest
+from aiohttp import web
 
+from basilroad.peers.address import Address
+from basilroad.platform.listener import CallerListener
 from support.gatewayrig import GatewayRig, block_event_loop, build_order, shorten_grace
 from support.tries import TryEnd, exchange_once, hold_stop, read_end
 
@@ -121,3 +124,20 @@
         assert read_end(await asyncio.to_thread(caller.recv, 65536)) is TryEnd.ANSWERED
     for caller in callers:
         caller.close()
+
+
+@pytest.mark.parametrize("ip", ["127.0.0.1", "::1"])
+async def test_a_listener_has_an_address_of_either_version_of_ip(ip: str) -> None:
+    # fault: a gateway whose address is an IPv6 number did not start
+    async def serve(_: web.BaseRequest) -> web.Response:
+        return web.Response()
+
+    runner = web.ServerRunner(web.Server(serve))
+    await runner.setup()
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    with socket.create_server((ip, 0), family=family) as probe:
+        port = probe.getsockname()[1]
+    listener = await CallerListener.open(runner, Address(ip, port))
+    with socket.create_connection((ip, port), timeout=5):
+        await listener.close()
+    await runner.cleanup()
