--- a/src/basilroad/platform/listener.py
+++ b/src/basilroad/platform/listener.py
@@ -41,11 +41,10 @@
         :return: the listener
         :raises OSError: the address can't be used
         """
-        sock = socket.socket()
+        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+        sock = socket.create_server((address.ip, address.port), family=family)
         try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.setblocking(False)
-            sock.bind((address.ip, address.port))
             site = web.SockSite(runner, sock, backlog=LISTEN_BACKLOG)
             await site.start()
         except OSError:
@@ -55,13 +54,23 @@
 
     async def close(self) -> None:
         """Stop listening, and serve the connections that wait to be accepted."""
+        asyncio.get_running_loop().remove_reader(self._sock)
+        # what the event loop accepted in this turn gets its transport before the close
+        await asyncio.sleep(0)
         waiting = self._accept_waiting()
         # without a turn of the event loop in between: the kernel resets what waits at the close
         await self._site.stop()
         server = self._runner.server
         assert server is not None
-        for sock in waiting:
-            await asyncio.get_running_loop().connect_accepted_socket(server, sock)
+        # at once: each takes some turns of the event loop, which are long on a busy host
+        connect = asyncio.get_running_loop().connect_accepted_socket
+        results = await asyncio.gather(
+            *(connect(server, sock) for sock in waiting), return_exceptions=True
+        )
+        for sock, result in zip(waiting, results, strict=True):
+            if isinstance(result, Exception):
+                _LOGGER.warning("accept failed", extra={"detail": repr(result)})
+                sock.close()
 
     def _accept_waiting(self) -> list[socket.socket]:
         waiting: list[socket.socket] = []
