--- a/src/basilroad/platform/listener.py
+++ b/src/basilroad/listener.py
@@ -28,12 +28,14 @@
     :param site: accepts the connections while it is open
     """
 
-    _runner: web.ServerRunner
+    _runner: web.AppRunner | web.ServerRunner
     _sock: socket.socket
     _site: web.SockSite
 
     @classmethod
-    async def open(cls, runner: web.ServerRunner, address: Address) -> CallerListener:
+    async def open(
+        cls, runner: web.AppRunner | web.ServerRunner, address: Address
+    ) -> CallerListener:
         """Listen at an address.
 
         :param runner: runs the server
--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -13,6 +13,7 @@
 from aiohttp import StreamReader, web
 from aiohttp.http import RawRequestMessage
 
+from basilroad.idleconnections import close_idle_connections
 from basilroad.platform.protocol import HEADER_REQUEST_ID
 
 if TYPE_CHECKING:
@@ -20,22 +21,6 @@
 
     from basilroad.gateway.shutdown import Shutdown
 
-DRAIN_POLL_INTERVAL_S = 0.05
-"""Interval of checks for calls in flight during shutdown."""
-
-READ_TURNS = 2
-"""Turns of the event loop until it has read the requests that arrived before the first of them."""
-
-CLOSE_LINGER_S = 0.2
-"""Time for a caller to close its half of a connection after the last response; several round trips
-between data centres."""
-
-LAST_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-"""Sent before an idle connection is closed: a request that crosses it is answered as not run."""
-
-HANDLER_START_TURNS = 4
-"""Turns of the event loop until the handler of a request read before has started, and one more."""
-
 _HAS_ENDED = web.RequestKey("has_ended", bool)
 
 _LOGGER = logging.getLogger(__name__)
@@ -158,11 +143,9 @@
 
         :param limit: monotonic seconds after which none is awaited
         """
-        while True:
-            await self._close_idle_connections()
-            if not self.connections or time.monotonic() >= limit:
-                return
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await close_idle_connections(
+            self, lambda connection: not self._is_busy(connection), limit, self._count_crossed
+        )
 
     def mark_exiting(self) -> None:
         """Tell that handlers are cancelled from now on because the process exits."""
@@ -175,65 +158,8 @@
         body = self._unread_bodies.get(connection)
         return body is not None and not body.is_eof()
 
-    async def _close_idle_connections(self) -> None:
-        # a late event loop reads first what arrived in the meantime
-        for _ in range(READ_TURNS):
-            await asyncio.sleep(0)
-        paused = [
-            (connection, connection.transport)
-            for connection in self.connections
-            if connection.transport is not None and not self._is_busy(connection)
-        ]
-        for _, transport in paused:
-            transport.pause_reading()
-        # a request that was read but not handled yet gets its response
-        for _ in range(HANDLER_START_TURNS):
-            await asyncio.sleep(0)
-        for connection, transport in paused:
-            is_closed = transport.get_protocol() is not connection or transport.is_closing()
-            if not is_closed and not self._is_busy(connection):
-                _ClosedConnection(self, connection).close(transport)
-            transport.resume_reading()
-
-
-class _ClosedConnection(asyncio.Protocol):
-    """Drops what a caller sends on a connection whose sending half is closed.
-
-    Closed with unread data, the connection would be reset, and the caller might lose the last
-    response.
-
-    :param server: counts the connections with such data
-    :param connection: the connection before it was closed
-    """
-
-    def __init__(self, server: CallerServer, connection: web.RequestHandler) -> None:
-        self._server = server
-        self._connection = connection
-        self._is_crossed = False
-
-    def close(self, transport: asyncio.Transport) -> None:
-        """Send the last response, and wait a while for the caller to close its half.
-
-        :param transport: the connection
-        """
-        transport.set_protocol(self)
-        transport.write(LAST_RESPONSE)
-        try:
-            transport.write_eof()
-        except OSError as error:
-            # its caller has closed the connection and reset it at the last response
-            _LOGGER.info("caller left", extra={"detail": repr(error)})
-        asyncio.get_running_loop().call_later(CLOSE_LINGER_S, transport.close)
-
-    def data_received(self, _: bytes) -> None:
-        """Drop a request that crossed the last response."""
-        if not self._is_crossed:
-            self._is_crossed = True
-            self._server.crossed += 1
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the server that the caller has closed its half too."""
-        self._connection.connection_lost(exc)
+    def _count_crossed(self) -> None:
+        self.crossed += 1
 
 
 def list_unread_requests(connection: web.RequestHandler) -> list[str]:
--- a/tests/platform/test_listener.py
+++ b/tests/test_listener.py
@@ -11,8 +11,8 @@
 import pytest
 from aiohttp import web
 
+from basilroad.listener import CallerListener
 from basilroad.peers.address import Address
-from basilroad.platform.listener import CallerListener
 from support.gatewayrig import GatewayRig, block_event_loop, build_order, shorten_grace
 from support.tries import TryEnd, exchange_once, hold_stop, read_end
 
