--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
@@ -15,6 +16,8 @@
 from basilroad.entry.identity import KEY_HEADER, read_identity
 from basilroad.entry.request import read_request
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
+from basilroad.idleconnections import awaits_request, close_idle_connections
+from basilroad.listener import CallerListener
 from basilroad.peers.address import parse_address
 
 if TYPE_CHECKING:
@@ -33,6 +36,9 @@
 SHUTDOWN_TIMEOUT_S = 1.0
 """Seconds that open connections are given to finish at shutdown."""
 
+CANCEL_TIMEOUT_S = 0.1
+"""Seconds that the handlers which are left after that are given to end."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -69,6 +75,7 @@
         super().__init__()
         self.entry = entry
         self._runner: web.AppRunner | None = None
+        self._listener: CallerListener | None = None
 
     async def on_start(self) -> None:
         """Start listening for callers."""
@@ -78,18 +85,23 @@
         )
         app.add_routes(self._list_routes())
         self._runner = web.AppRunner(
-            app, handler_cancellation=True, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            app, handler_cancellation=True, access_log=None, shutdown_timeout=CANCEL_TIMEOUT_S
         )
         await self._runner.setup()
         address = parse_address(options.listen)
-        site = web.TCPSite(self._runner, address.ip, address.port, reuse_address=True)
-        await site.start()
+        self._listener = await CallerListener.open(self._runner, address)
         _LOGGER.info("entry is listening", extra={"address": str(address)})
 
     async def on_stop(self) -> None:
-        """Close the listener and all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Close the listener and all connections, each one once it is idle."""
+        if self._listener is not None:
+            await self._listener.close()
+        if self._runner is None:
+            return
+        if self._runner.server is not None:
+            limit = time.monotonic() + SHUTDOWN_TIMEOUT_S
+            await close_idle_connections(self._runner.server, awaits_request, limit)
+        await self._runner.cleanup()
 
     def _list_routes(self) -> list[web.RouteDef]:
         return [
--- /dev/null
+++ b/tests/entry/test_stop_connections.py
@@ -0,0 +1,84 @@
+"""Connections that callers keep, or have just opened, when an entry stops."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from basilroad.entry.service import EntryService
+from basilroad.settings.daemon import DaemonSettings, EntrySettings
+from support.gatewayrig import find_free_port
+from support.tries import TryEnd, read_end
+
+
+def build_completion() -> bytes:
+    """:return: a request that is refused by a stopping entry."""
+    body = json.dumps({"model": "m", "prompt": "a", "max_tokens": 5}).encode()
+    head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+@pytest.fixture
+async def entry() -> AsyncIterator[EntryService]:
+    settings = DaemonSettings(
+        host="h",
+        address="127.0.0.1",
+        region="r",
+        data_centre="d",
+        entry=EntrySettings(listen=f"127.0.0.1:{find_free_port()}", drain_limit_s=0.3),
+    )
+    entry = EntryService(settings)
+    await entry.start()
+    entry.models_seen.add("m")
+    yield entry
+    await entry.stop()
+
+
+def connect(entry: EntryService) -> socket.socket:
+    """:return: a connection that the entry has not accepted yet."""
+    ip, _, port = entry.options.listen.rpartition(":")
+    return socket.create_connection((ip, int(port)), timeout=5)
+
+
+def receive(caller: socket.socket) -> TryEnd:
+    """:return: how the try of a caller ends."""
+    try:
+        return read_end(caller.recv(65536))
+    except ConnectionError:
+        return TryEnd.NO_ANSWER
+
+
+@pytest.mark.holds_stop
+async def test_a_request_that_crosses_the_end_of_its_idle_connection_is_answered(
+    entry: EntryService,
+) -> None:
+    # fault: a stopping entry closed idle connections, and requests on their way to it got neither
+    # an answer nor a refusal
+    with connect(entry) as caller:
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(entry.stop())
+        # the end of the connection has arrived, but not been read when the request is sent
+        await asyncio.to_thread(caller.recv, 1, socket.MSG_PEEK)
+        caller.sendall(build_completion())
+        assert await asyncio.to_thread(receive, caller) is TryEnd.REFUSED
+    await stopping
+
+
+@pytest.mark.holds_stop
+@pytest.mark.parametrize("turns", range(8))
+async def test_a_connection_that_waits_when_an_entry_stops_is_served(
+    entry: EntryService, turns: int
+) -> None:
+    # fault: the kernel reset a connection that was not accepted when a stopping entry closed its
+    # listener, and the entry one that was accepted and not read yet
+    with connect(entry) as caller:
+        caller.sendall(build_completion())
+        entry.stopping = True
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        await entry.http.stop()
+        assert await asyncio.to_thread(receive, caller) is TryEnd.REFUSED
