--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/configexchange.py
@@ -106,6 +106,16 @@
             return None
         version = _read_count(response.headers, HEADER_VERSION)
         age_ms = _read_count(response.headers, HEADER_AGE)
+        _LOGGER.info(
+            "config fetched",
+            extra={
+                "peer": str(address),
+                "version": version,
+                "age_ms": age_ms,
+                "bytes": len(response.body),
+                "took_ms": round(1000 * (read_boot_clock() - asked_at)),
+            },
+        )
         if version is None or age_ms is None:
             return FetchedConfig(response.body)
         return FetchedConfig(response.body, version, asked_at - age_ms / 1000)
--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -98,8 +98,9 @@
 
 
 @attrs.define
-class _ConnectionState:
+class _ExchangeState:
     connected: bool = False
+    received_bytes: int = 0  # of the response's body
 
 
 class HttpClient:
@@ -146,9 +147,13 @@
                 "time limit expired before the request was sent", timed_out=True
             )
         timeout = aiohttp.ClientTimeout(total=limit_s)
-        async with self._exchange(request, timeout) as response:
-            body = await response.read()
-            return HttpResponse(response.status, response.headers, body)
+        state = _ExchangeState()
+        async with self._exchange(request, timeout, state) as response:
+            body = bytearray()
+            async for chunk in response.content.iter_any():
+                body += chunk
+                state.received_bytes = len(body)
+            return HttpResponse(response.status, response.headers, bytes(body))
 
     @asynccontextmanager
     async def stream(self, request: HttpRequest) -> AsyncIterator[aiohttp.ClientResponse]:
@@ -160,7 +165,7 @@
         :raises ResponseLostError: the response was interrupted
         """
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-        async with self._exchange(request, timeout) as response:
+        async with self._exchange(request, timeout, _ExchangeState()) as response:
             try:
                 yield response
             finally:
@@ -177,9 +182,8 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, request: HttpRequest, timeout: aiohttp.ClientTimeout
+        self, request: HttpRequest, timeout: aiohttp.ClientTimeout, state: _ExchangeState
     ) -> AsyncIterator[aiohttp.ClientResponse]:
-        state = _ConnectionState()
         async with self._use_session() as session:
             with _translate_errors(state):
                 async with session.request(
@@ -242,12 +246,13 @@
 
 
 @contextmanager
-def _translate_errors(state: _ConnectionState) -> Iterator[None]:
+def _translate_errors(state: _ExchangeState) -> Iterator[None]:
     try:
         yield
     except (aiohttp.ClientError, OSError) as error:
         kind = ResponseLostError if state.connected else RequestNotSentError
-        raise kind(repr(error), timed_out=isinstance(error, TimeoutError)) from error
+        detail = f"{error!r}, {state.received_bytes} bytes received"
+        raise kind(detail, timed_out=isinstance(error, TimeoutError)) from error
 
 
 def _trace_connection() -> aiohttp.TraceConfig:
