--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
@@ -52,11 +53,13 @@
 
     :param detail: description of the failure
     :param timed_out: whether a time-out expired
+    :param closed: whether the server closed or reset the connection
     """
 
-    def __init__(self, detail: str, *, timed_out: bool = False) -> None:
+    def __init__(self, detail: str, *, timed_out: bool = False, closed: bool = False) -> None:
         super().__init__(detail)
         self.timed_out = timed_out
+        self.closed = closed
 
 
 class RequestNotSentError(HttpError):
@@ -242,7 +245,13 @@
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ResponseLostError(repr(error)) from error
+        raise ResponseLostError(repr(error), closed=_is_closed(error)) from error
+
+
+def _is_closed(error: Exception) -> bool:
+    # a connection that the kernel's probes give up ends with ETIMEDOUT instead
+    is_reset = isinstance(error, OSError) and error.errno == errno.ECONNRESET
+    return is_reset or isinstance(error, aiohttp.ServerDisconnectedError)
 
 
 @contextmanager
--- a/src/basilroad/platform/staleness.py
+++ b/src/basilroad/platform/staleness.py
@@ -12,6 +12,9 @@
 while, as nothing happens to them when their reader is cut off from the store. For them the kernel's
 probes of the reader's connections (``KeepAlive.limit_s``), its withdrawal (one interval of gossip)
 and the check and the read of a follower add up.
+
+A store that closes a connection, or whose history is gone, isn't lost: its reader has ``reread_s``
+to read again before it withdraws.
 """
 
 from __future__ import annotations
@@ -33,6 +36,11 @@
 calls on their way."""
 
 
+DRAIN_REREAD_SHARE = 0.4
+"""Share of the drain limit that a reader may take to read again; the rest is left for the read of
+its followers after a withdrawal and for calls on their way."""
+
+
 @attrs.frozen
 class StalenessBudget:
     """Time limits of the watches on the store.
@@ -49,6 +57,11 @@
         """:return: seconds after the last response at which a poll without one is given up."""
         return max(MIN_POLL_S + RESPONSE_ALLOWANCE_S, self.contact_s - REREAD_RESERVE_S)
 
+    @property
+    def reread_s(self) -> float:
+        """:return: seconds after a lost poll at which a reader that hasn't read again withdraws."""
+        return DRAIN_REREAD_SHARE * self.drain_s
+
     def limit_poll(self, wait_s: float, since_response_s: float) -> float:
         """Limit the wait of a long poll.
 
@@ -71,6 +84,7 @@
 
 __all__ = [
     "DRAIN_PAUSE_SHARE",
+    "DRAIN_REREAD_SHARE",
     "MIN_POLL_S",
     "REREAD_RESERVE_S",
     "RESPONSE_ALLOWANCE_S",
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -38,7 +38,15 @@
 
 
 class ConnectionLostError(StoreError):
-    """No response arrived in time, or the connection was lost before it."""
+    """No response arrived in time, or the connection was lost before it.
+
+    :param detail: cause
+    :param closed: whether the store closed or reset the connection
+    """
+
+    def __init__(self, detail: str, *, closed: bool = False) -> None:
+        super().__init__(detail)
+        self.closed = closed
 
 
 class HistoryGoneError(StoreError):
@@ -198,7 +206,7 @@
         try:
             answer = await self._client.send(request, limit_s)
         except HttpError as error:
-            raise ConnectionLostError(str(error)) from error
+            raise ConnectionLostError(str(error), closed=error.closed) from error
         epoch = self._observe_epoch(answer)
         if answer.status == STATUS_GONE:
             raise HistoryGoneError("the requested changes are no longer kept")
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -102,6 +102,7 @@
         self._snapshot_due = True
         self._confirmation_due = False
         self._lost = False
+        self._withdrawal: asyncio.TimerHandle | None = None
 
     @abc.abstractmethod
     def apply_snapshot(self, rows: Sequence[StoreRow], known: Revision | None) -> None:
@@ -146,6 +147,10 @@
         """:return: whether all rows have to be read again."""
         return self._snapshot_due
 
+    async def on_stop(self) -> None:
+        """Cancel the scheduled withdrawal."""
+        self._cancel_withdrawal()
+
     @Service.task
     async def _follow(self) -> None:
         pause_s = RETRY_MIN_S
@@ -157,6 +162,7 @@
                     await self._read_store()
             except HistoryGoneError as error:
                 self._snapshot_due = True
+                self._schedule_withdrawal()
                 _LOGGER.info(
                     "history gone",
                     extra={
@@ -224,7 +230,10 @@
             changes = await self._store.wait_changes(self._table, self._revision, wait_s)
         except ConnectionLostError as error:
             _LOGGER.info("poll lost", extra={"table": self._table, "detail": str(error)})
-            self._relay.suspend(self._table)
+            if error.closed:
+                self._schedule_withdrawal()
+            else:
+                self._relay.suspend(self._table)
             # a new connection tells whether the store is lost or only the last one
             requested_at, wait_s = read_boot_clock(), 0.0
             changes = await self._store.wait_changes(self._table, self._revision, wait_s)
@@ -260,12 +269,27 @@
             raise OutdatedResponseError("the response is older than the known state")
 
     def _confirm(self, changes: Changes, earliest: float) -> None:
+        self._cancel_withdrawal()
         self._relay.resume(self._table)
         received_at = read_boot_clock()
         at = self._clock.estimate_time(earliest, received_at, changes.store_s)
         self.on_confirmed(at, changes.store_s)
 
+    def _schedule_withdrawal(self) -> None:
+        # the store responds, so the followers stay while the tables are read again
+        if self._withdrawal is None:
+            loop = asyncio.get_running_loop()
+            self._withdrawal = loop.call_later(
+                self.budget.reread_s, self._relay.suspend, self._table
+            )
+
+    def _cancel_withdrawal(self) -> None:
+        if self._withdrawal is not None:
+            self._withdrawal.cancel()
+            self._withdrawal = None
+
     def _report_lost(self, detail: str) -> None:
+        self._cancel_withdrawal()
         self._relay.suspend(self._table)
         self.on_lost()
         if not self._lost:
--- /dev/null
+++ b/tests/platform/test_large_config.py
@@ -0,0 +1,173 @@
+"""A large config reaches all hosts of a data centre in time over a link of limited bandwidth."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncIterator
+
+import attrs
+import msgspec
+import pytest
+
+from basilroad.gateway.configexchange import ConfigExchange
+from basilroad.gateway.freshness import read_boot_clock
+from basilroad.gateway.gateway import Gateway, GatewaySettings
+from basilroad.gateway.gossip import GOSSIP_INTERVAL_S
+from basilroad.gateway.relay import Relay, Withdrawal
+from basilroad.gateway.selection import Locality
+from basilroad.peers.address import Address
+from basilroad.platform.configwatch import ConfigWatch
+from basilroad.platform.protocol import PlatformProtocol
+from basilroad.platform.serverswatch import ServersWatch
+from basilroad.platform.store import StoreClient
+from basilroad.platform.watch import TableWatch
+from basilroad.standin.rowstore import RowStoreStandin
+from support.sharedlink import SharedLink
+from support.watchrig import BUDGET, SERVER, build_config, find_free_address, wait_until
+
+HOSTS = 5
+CONFIG_BYTES = 60_000
+LINK_BYTES_PER_S = 400_000
+"""One host reads the config in 0.2 s; five at once read it in 1 s."""
+
+DELAY_S = 0.04
+CHANGE_INTERVAL_S = 0.3
+CHANGES = 12
+LAG_LIMIT_S = 1.5
+
+_KEYS = random.Random(7)
+
+
+def build_large_config(version: int, size: int = CONFIG_BYTES) -> bytes:
+    # random keys don't compress, so that the size on the link is that of the config
+    return msgspec.json.encode(build_config(version, _KEYS.randbytes(size // 2).hex()))
+
+
+@attrs.define(eq=False)
+class Host:
+    """A host of the data centre, whose exchange also gives the address of its datagrams."""
+
+    name: str
+    address: Address
+    gateway: Gateway
+    relay: Relay
+    exchange: ConfigExchange
+    client: StoreClient
+    watches: list[TableWatch]
+
+    @property
+    def version(self) -> int:
+        return self.gateway.table.version if self.gateway.table else 0
+
+
+class DataCentre:
+    """Hosts that share a reader and a link to the store."""
+
+    def __init__(self) -> None:
+        self.store = RowStoreStandin()
+        self.link = SharedLink(LINK_BYTES_PER_S, DELAY_S)
+        self.hosts: list[Host] = []
+        self.written: list[tuple[float, int]] = []
+        self.withdrawals = 0
+        self.longest_lag_s = 0.0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        await self.store.start()
+        self.store.put("servers", "i-1", SERVER)
+        self.write_config(0)
+        address = await self.link.start(Address("127.0.0.1", self.store.port))
+        for number in range(HOSTS):
+            self.hosts.append(await self._start_host(f"h{number}", address))
+        for host in self.hosts:
+            others = [(other.name, other.address) for other in self.hosts if other is not host]
+            host.relay.update_peers(others)
+        self._tasks = [asyncio.create_task(self._relay()), asyncio.create_task(self._measure())]
+
+    async def _start_host(self, name: str, store: Address) -> Host:
+        place = Locality("a", "r", {"a": "r"})
+        gateway = Gateway(GatewaySettings(name, place), PlatformProtocol())
+        relay, exchange = Relay(name, read_boot_clock), ConfigExchange(find_free_address())
+        client = StoreClient(f"http://{store}")
+        watches: list[TableWatch] = [
+            ConfigWatch(client, gateway, relay, exchange, BUDGET),
+            ServersWatch(client, gateway, relay, BUDGET),
+        ]
+        assert exchange._address is not None
+        for service in (exchange, *watches):
+            await service.start()
+        return Host(name, exchange._address, gateway, relay, exchange, client, watches)
+
+    async def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for host in self.hosts:
+            for service in (*host.watches, host.exchange):
+                await service.stop()
+            await host.client.close()
+        await self.link.stop()
+        await self.store.stop()
+
+    def write_config(self, size: int = CONFIG_BYTES) -> None:
+        version = len(self.written) + 1
+        self.store.put("op", "config", build_large_config(version, size))
+        self.written.append((time.monotonic(), version))
+
+    def drop_history(self) -> None:
+        self.store.history_from = self.store.revision + 1
+        self.store.put("op", "other", b"")
+        self.store.break_off()
+
+    async def _relay(self) -> None:
+        by_address = {host.address: host for host in self.hosts}
+        while True:
+            for host in self.hosts:
+                messages, recipients = host.relay.list_due()
+                for message in messages:
+                    self.withdrawals += isinstance(message, Withdrawal)
+                    for address in recipients:
+                        peer = by_address[address].relay
+                        if isinstance(message, Withdrawal):
+                            peer.take_withdrawal(message, host.address)
+                        else:
+                            peer.take(message, host.address)
+            await asyncio.sleep(GOSSIP_INTERVAL_S)
+
+    async def _measure(self) -> None:
+        while True:
+            now = time.monotonic()
+            for host in self.hosts:
+                missing = [at for at, version in self.written if version > host.version]
+                if missing and host.version:
+                    self.longest_lag_s = max(self.longest_lag_s, now - missing[0])
+            await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def data_centre() -> AsyncIterator[DataCentre]:
+    data_centre = DataCentre()
+    await data_centre.start()
+    await wait_until(lambda: all(host.version for host in data_centre.hosts))
+    # each host has read the store once, and follows the first one from now on
+    await wait_until(lambda: all(host.relay.follows for host in data_centre.hosts[1:]))
+    await asyncio.sleep(1.0)
+    yield data_centre
+    await data_centre.stop()
+
+
+# fault: a reader whose history was gone withdrew, and all hosts read the store at once
+async def test_hosts_keep_their_reader_when_the_history_is_dropped(
+    data_centre: DataCentre,
+) -> None:
+    for number in range(CHANGES):
+        data_centre.write_config()
+        if number == CHANGES // 3:
+            data_centre.drop_history()
+        await asyncio.sleep(CHANGE_INTERVAL_S)
+    last = data_centre.written[-1][1]
+    await wait_until(lambda: all(host.version == last for host in data_centre.hosts))
+    assert data_centre.longest_lag_s <= LAG_LIMIT_S
+    assert data_centre.withdrawals == 0
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -21,6 +21,7 @@
     RESPONSE_ALLOWANCE_S,
     StalenessBudget,
 )
+from basilroad.platform.store import Changes
 from basilroad.platform.watch import FOLLOW_CHECK_INTERVAL_S
 from support.watchrig import DRAIN_S, NOBODY, SERVER, Rig, build_config, wait_until
 
@@ -122,6 +123,54 @@
     await wait_until(lambda: any(isinstance(m, Update) for m in rig.relay.list_due()[0]))
 
 
+# fault: a reader that reads the tables again kept its followers without a limit
+async def test_a_reader_that_reads_again_for_too_long_withdraws(
+    silent_rig: Rig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    rig = silent_rig
+    rig.relay.update_peers([("i", NOBODY)])
+    await wait_until(lambda: bool(rig.relay.list_due()[0]))
+
+    async def read_for_ever(_: str) -> Changes:
+        return await asyncio.get_running_loop().create_future()
+
+    monkeypatch.setattr(rig.client, "read_table", read_for_ever)
+    rig.store.history_from = rig.store.revision + 1
+    rig.store.put("other", "row", b"")
+    rig.store.break_off()
+    dropped_at = time.monotonic()
+    seen: list[object] = []
+    while not any(isinstance(message, Withdrawal) for message in seen):
+        seen.extend(rig.relay.list_due()[0])
+        await asyncio.sleep(0.01)
+        assert time.monotonic() - dropped_at <= rig.budget.reread_s + GOSSIP_INTERVAL_S + 0.2
+    assert any(isinstance(message, Update) for message in seen), "it went on as the reader"
+
+
+@pytest.mark.parametrize("silent", [True, False])
+async def test_a_reader_whose_store_does_not_return_withdraws(
+    silent_rig: Rig, silent: bool
+) -> None:
+    rig = silent_rig
+    rig.relay.update_peers([("i", NOBODY)])
+    await wait_until(lambda: bool(rig.relay.list_due()[0]))
+    rig.store.silent, rig.store.refusing = silent, 0 if silent else 503
+    rig.store.break_off()
+    closed_at = time.monotonic()
+    await wait_until(lambda: any(isinstance(m, Withdrawal) for m in rig.relay.list_due()[0]))
+    assert time.monotonic() - closed_at <= rig.budget.reread_s + GOSSIP_INTERVAL_S
+
+
+@pytest.mark.parametrize(("drain_s", "config_apply_s"), [(2.5, 2.5), (4.0, 4.0), (5.0, 5.0)])
+def test_a_pause_a_reread_and_the_read_of_followers_add_up_to_the_bounds(
+    drain_s: float, config_apply_s: float
+) -> None:
+    budget = StalenessBudget(CONTACT_S, drain_s)
+    steps_s = budget.reread_s + GOSSIP_INTERVAL_S + FOLLOW_CHECK_INTERVAL_S + FOLLOWER_READ_S
+    assert budget.limit_pause(SERVERS_PAUSE_S) + steps_s <= drain_s
+    assert steps_s <= config_apply_s
+
+
 # each idle connection that fell silent with the poll cost a further time-out, and an entry that was
 # removed meanwhile was kept as if the store had been away
 async def test_silence_of_many_connections_costs_one_time_out(silent_rig: Rig) -> None:
