--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/configexchange.py
@@ -22,8 +22,11 @@
 PATH = "/config"
 
 FETCH_TIMEOUT_S = 0.5
-"""Time limit of a fetch from a gateway of the same data centre; the store is read after it, and a
-version has to be in force within a few seconds."""
+"""Longest silence in a fetch from a gateway of the same data centre; the store is read after it,
+and a version has to be in force within a few seconds."""
+
+FETCH_TRANSFER_LIMIT_S = 1.6
+"""Longest fetch whose bytes keep arriving: other gateways may fetch over the same link at once."""
 
 SHUTDOWN_TIMEOUT_S = 0.1
 """Time for running responses at a stop."""
@@ -94,7 +97,7 @@
         asked_at = read_boot_clock()
         client = HttpClient(f"http://{address}", FETCH_TIMEOUT_S)
         try:
-            response = await client.send(HttpRequest("GET", PATH))
+            response = await client.send(HttpRequest("GET", PATH), None, FETCH_TRANSFER_LIMIT_S)
         except HttpError as error:
             _LOGGER.info("config not fetched", extra={"peer": str(address), "detail": str(error)})
             return None
--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -133,12 +133,19 @@
         self._session: aiohttp.ClientSession | None = None
         self._running: Counter[aiohttp.ClientSession] = Counter()
 
-    async def send(self, request: HttpRequest, timeout_s: float | None = None) -> HttpResponse:
+    async def send(
+        self,
+        request: HttpRequest,
+        timeout_s: float | None = None,
+        transfer_limit_s: float | None = None,
+    ) -> HttpResponse:
         """Send a request and wait for the complete response.
 
         :param request: the request
         :param timeout_s: time limit in seconds, by default the client's; if it is 0 or less,
             nothing is sent
+        :param transfer_limit_s: time limit in seconds of a response whose bytes keep arriving;
+            the other limit then is that of silence
         :return: the response, whatever its status
         :raises RequestNotSentError: no byte was sent
         :raises ResponseLostError: the request may have reached the server
@@ -150,6 +157,10 @@
                 "time limit expired before the request was sent", timed_out=True
             )
         timeout = aiohttp.ClientTimeout(total=limit_s)
+        if transfer_limit_s is not None:
+            timeout = aiohttp.ClientTimeout(
+                total=transfer_limit_s, sock_connect=limit_s, sock_read=limit_s
+            )
         state = _ExchangeState()
         async with self._exchange(request, timeout, state) as response:
             body = bytearray()
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -19,8 +19,11 @@
 STATUS_OK = 200
 STATUS_GONE = 410
 READ_TIMEOUT_S = 0.8
-"""Timeout of a read: many times the store's usual latency, and short enough for a retry within the
-time in which a config version has to be in force."""
+"""Longest silence in a read: many times the store's usual latency, and short enough for a retry
+within the time in which a config version has to be in force."""
+
+READ_TRANSFER_LIMIT_S = 2.4
+"""Longest read whose bytes keep arriving; all hosts of a region may read a large config at once."""
 
 PAGE_ROWS = 500
 
@@ -156,7 +159,7 @@
         :raises StoreError: there was no valid response
         """
         query = {"table": table, "sinceRevision": revision.number, "waitMs": round(1000 * wait_s)}
-        page, epoch = await self._get("/rows-feed", query, wait_s + RESPONSE_ALLOWANCE_S)
+        page, epoch = await self._get("/rows-feed", query, wait_s + RESPONSE_ALLOWANCE_S, wait_s)
         if epoch != revision.epoch:
             raise HistoryGoneError("the requested changes are of another epoch")
         rows = tuple(_decode_row(row, epoch) for row in page.rows)
@@ -200,11 +203,11 @@
         return epoch
 
     async def _get(
-        self, path: str, query: dict[str, object], limit_s: float
+        self, path: str, query: dict[str, object], limit_s: float, wait_s: float = 0.0
     ) -> tuple[_WireRows, int]:
         request = HttpRequest("GET", f"{path}?{urlencode(query)}")
         try:
-            answer = await self._client.send(request, limit_s)
+            answer = await self._client.send(request, limit_s, wait_s + READ_TRANSFER_LIMIT_S)
         except HttpError as error:
             raise ConnectionLostError(str(error), closed=error.closed) from error
         epoch = self._observe_epoch(answer)
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -74,10 +74,10 @@
         self.longest_lag_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self) -> None:
+    async def start(self, config_bytes: int = 0) -> None:
         await self.store.start()
         self.store.put("servers", "i-1", SERVER)
-        self.write_config(0)
+        self.write_config(config_bytes)
         address = await self.link.start(Address("127.0.0.1", self.store.port))
         for number in range(HOSTS):
             self.hosts.append(await self._start_host(f"h{number}", address))
@@ -171,3 +171,26 @@
     await wait_until(lambda: all(host.version == last for host in data_centre.hosts))
     assert data_centre.longest_lag_s <= LAG_LIMIT_S
     assert data_centre.withdrawals == 0
+
+
+# fault: hosts that read a large config at once were cut while its bytes arrived, and began anew
+async def test_hosts_that_start_together_read_a_large_config_once() -> None:
+    data_centre = DataCentre()
+    await data_centre.start(CONFIG_BYTES)
+    await wait_until(lambda: all(host.version for host in data_centre.hosts))
+    # a read of each table, a poll of each, and the answer to one of those polls
+    assert data_centre.store.calls <= 5 * HOSTS
+    await data_centre.stop()
+
+
+# fault: a fetch over the slow link of a reader was cut while its bytes arrived
+async def test_a_config_is_fetched_over_a_slow_link() -> None:
+    link, address = SharedLink(CONFIG_BYTES / 0.8), find_free_address()
+    exchange = ConfigExchange(address)
+    exchange.document = build_large_config(1)
+    await exchange.start()
+    fetched = await ConfigExchange(None).fetch(await link.start(address))
+    assert fetched is not None
+    assert fetched.document == exchange.document
+    await link.stop()
+    await exchange.stop()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -153,6 +153,53 @@
     server.close()
 
 
+@asynccontextmanager
+async def run_slow_server(chunks: int, then_silent: bool = False) -> AsyncIterator[str]:
+    """Run a server that sends ten bytes each 0.1 s.
+
+    :param chunks: number of times that it sends
+    :param then_silent: whether it never sends the last of these
+    """
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {10 * chunks}\r\n\r\n".encode())
+        for _ in range(chunks - then_silent):
+            await asyncio.sleep(0.1)
+            writer.write(b"0123456789")
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        yield f"http://{host}:{port}"
+
+
+# fault: a read over a slow link was cut while its bytes arrived, and began anew
+async def test_a_response_whose_bytes_arrive_is_not_cut_by_the_limit_of_silence() -> None:
+    async with run_slow_server(10) as url:
+        client = HttpClient(url, 0.5)
+        response = await client.send(HttpRequest("GET", "/"), transfer_limit_s=TIMEOUT_S)
+        assert len(response.body) == 100
+        await client.close()
+
+
+@pytest.mark.parametrize(
+    ("chunks", "then_silent", "transfer_limit_s"), [(3, True, 9.0), (60, False, 1.0)]
+)
+async def test_a_response_that_falls_silent_or_lasts_too_long_is_cut(
+    chunks: int, then_silent: bool, transfer_limit_s: float
+) -> None:
+    async with run_slow_server(chunks, then_silent) as url:
+        client = HttpClient(url, 0.5)
+        with pytest.raises(ResponseLostError, match=r"[1-9][0-9]* bytes received") as caught:
+            async with asyncio.timeout(2.0):
+                await client.send(HttpRequest("GET", "/"), None, transfer_limit_s)
+        assert caught.value.timed_out
+        await client.close()
+
+
 async def test_only_given_headers_are_sent(connect: Callable[[str], HttpClient]) -> None:
     async with run_server(OK) as server:
         request = HttpRequest("GET", "/a%2Fb?c=%20", (("X-Oak", "1"), ("X-Oak", "2")))
