--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -125,8 +125,11 @@
             self._gateway.freshness.confirm(min(at, now - update.age_ms / 1000))
 
     async def read_missing(self) -> None:
-        """Read the config itself from the reader, or else from the store."""
-        reader = self._relay.reader
+        """Read the config itself from the reader, or else from the store.
+
+        A version that the reader tells of during the fetch is fetched next.
+        """
+        reader, wanted_version = self._relay.reader, self._wanted_version
         if reader is not None:
             fetched = await self._exchange.fetch(reader)
             if fetched is not None:
@@ -134,7 +137,7 @@
                 self._confirm_fetched(fetched)
         table = self._gateway.table
         is_restored = self._revision is not None and self._wanted_epoch > self._revision.epoch
-        if table is None or is_restored or table.version < self._wanted_version:
+        if table is None or is_restored or table.version < wanted_version:
             await self._read_snapshot()
 
     def _confirm_fetched(self, fetched: FetchedConfig) -> None:
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -15,7 +15,7 @@
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.gossip import GOSSIP_INTERVAL_S
-from basilroad.gateway.relay import Relay, Withdrawal
+from basilroad.gateway.relay import Relay, Update, Withdrawal
 from basilroad.gateway.selection import Locality
 from basilroad.peers.address import Address
 from basilroad.platform.configwatch import ConfigWatch
@@ -25,7 +25,7 @@
 from basilroad.platform.watch import TableWatch
 from basilroad.standin.rowstore import RowStoreStandin
 from support.sharedlink import SharedLink
-from support.watchrig import BUDGET, SERVER, build_config, find_free_address, wait_until
+from support.watchrig import BUDGET, SERVER, Rig, build_config, find_free_address, wait_until
 
 HOSTS = 5
 CONFIG_BYTES = 60_000
@@ -194,3 +194,33 @@
     assert fetched.document == exchange.document
     await link.stop()
     await exchange.stop()
+
+
+# fault: a follower that heard of a newer version during a fetch read the store as well
+async def test_a_follower_reads_only_from_its_reader_in_a_storm(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1))
+    await wait_until(lambda: rig.version == 1)
+    reader, link = ConfigExchange(find_free_address()), SharedLink(CONFIG_BYTES / 0.3)
+    await reader.start()
+    assert reader._address is not None
+    address = await link.start(reader._address)
+    await follow(rig, 1, 0.6, address)
+    calls = rig.store.calls
+    # a fetch takes 0.3 s, and the reader has the next version after 0.1 s
+    for version in range(10, 30):
+        reader.document = build_large_config(version)
+        await follow(rig, version, 0.1, address)
+    assert rig.version >= 25
+    assert rig.store.calls == calls
+    await link.stop()
+    await reader.stop()
+
+
+async def follow(rig: Rig, version: int, seconds: float, address: Address) -> None:
+    """Send the updates of a reader for a while."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        revision = rig.store.revision
+        update = Update("a", version, time.monotonic(), 0, revision, revision, epoch=rig.store.era)
+        rig.relay.take(update, address)
+        await asyncio.sleep(0.1)
