--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -261,8 +261,11 @@
 
 def _is_closed(error: Exception) -> bool:
     # a connection that the kernel's probes give up ends with ETIMEDOUT instead
-    is_reset = isinstance(error, OSError) and error.errno == errno.ECONNRESET
-    return is_reset or isinstance(error, aiohttp.ServerDisconnectedError)
+    is_body_cut = isinstance(error, aiohttp.ClientPayloadError)
+    cause = error.__cause__ if is_body_cut else error
+    if isinstance(cause, OSError):
+        return cause.errno == errno.ECONNRESET
+    return is_body_cut or isinstance(error, aiohttp.ServerDisconnectedError)
 
 
 @contextmanager
@@ -272,7 +275,8 @@
     except (aiohttp.ClientError, OSError) as error:
         kind = ResponseLostError if state.connected else RequestNotSentError
         detail = f"{error!r}, {state.received_bytes} bytes received"
-        raise kind(detail, timed_out=isinstance(error, TimeoutError)) from error
+        timed_out = isinstance(error, TimeoutError)
+        raise kind(detail, timed_out=timed_out, closed=_is_closed(error)) from error
 
 
 def _trace_connection() -> aiohttp.TraceConfig:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -75,6 +75,17 @@
     assert len(server.requests) == 1
 
 
+# fault: a response cut in its body told nothing of a server that responds
+@pytest.mark.parametrize("answer", [b"", OK[:-1]], ids=["none", "body"])
+async def test_the_error_tells_that_the_server_closed_the_connection(answer: bytes) -> None:
+    async with run_server(answer) as server:
+        client = HttpClient(server.url, TIMEOUT_S)
+        with pytest.raises(ResponseLostError) as caught:
+            await client.send(HttpRequest("GET", "/"))
+        assert caught.value.closed
+        await client.close()
+
+
 class SilentServer:
     """Stops responding on the connections that are open, and serves new ones."""
 
@@ -161,19 +172,29 @@
     :param then_silent: whether it never sends the last of these
     """
 
+    tasks: list[asyncio.Task[None]] = []
+
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        tasks.append(task)
         await reader.readuntil(b"\r\n\r\n")
         writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {10 * chunks}\r\n\r\n".encode())
-        for _ in range(chunks - then_silent):
-            await asyncio.sleep(0.1)
-            writer.write(b"0123456789")
-        await reader.read()
-        writer.close()
+        try:
+            for _ in range(chunks - then_silent):
+                await asyncio.sleep(0.1)
+                writer.write(b"0123456789")
+            await reader.read()
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     async with server:
         yield f"http://{host}:{port}"
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 # fault: a read over a slow link was cut while its bytes arrived, and began anew
@@ -197,6 +218,7 @@
             async with asyncio.timeout(2.0):
                 await client.send(HttpRequest("GET", "/"), None, transfer_limit_s)
         assert caught.value.timed_out
+        assert not caught.value.closed
         await client.close()
 
 
