--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
@@ -52,11 +53,13 @@
 
     :param detail: description of the failure
     :param timed_out: whether a time-out expired
+    :param closed: whether the server closed or reset the connection
     """
 
-    def __init__(self, detail: str, *, timed_out: bool = False) -> None:
+    def __init__(self, detail: str, *, timed_out: bool = False, closed: bool = False) -> None:
         super().__init__(detail)
         self.timed_out = timed_out
+        self.closed = closed
 
 
 class RequestNotSentError(HttpError):
@@ -98,8 +101,9 @@
 
 
 @attrs.define
-class _ConnectionState:
+class _ExchangeState:
     connected: bool = False
+    received_bytes: int = 0  # of the response's body
 
 
 class HttpClient:
@@ -129,12 +133,19 @@
         self._session: aiohttp.ClientSession | None = None
         self._running: Counter[aiohttp.ClientSession] = Counter()
 
-    async def send(self, request: HttpRequest, timeout_s: float | None = None) -> HttpResponse:
+    async def send(
+        self,
+        request: HttpRequest,
+        timeout_s: float | None = None,
+        transfer_limit_s: float | None = None,
+    ) -> HttpResponse:
         """Send a request and wait for the complete response.
 
         :param request: the request
         :param timeout_s: time limit in seconds, by default the client's; if it is 0 or less,
             nothing is sent
+        :param transfer_limit_s: time limit in seconds of a response whose bytes keep arriving;
+            the other limit then is that of silence
         :return: the response, whatever its status
         :raises RequestNotSentError: no byte was sent
         :raises ResponseLostError: the request may have reached the server
@@ -146,9 +157,17 @@
                 "time limit expired before the request was sent", timed_out=True
             )
         timeout = aiohttp.ClientTimeout(total=limit_s)
-        async with self._exchange(request, timeout) as response:
-            body = await response.read()
-            return HttpResponse(response.status, response.headers, body)
+        if transfer_limit_s is not None:
+            timeout = aiohttp.ClientTimeout(
+                total=transfer_limit_s, sock_connect=limit_s, sock_read=limit_s
+            )
+        state = _ExchangeState()
+        async with self._exchange(request, timeout, state) as response:
+            body = bytearray()
+            async for chunk in response.content.iter_any():
+                body += chunk
+                state.received_bytes = len(body)
+            return HttpResponse(response.status, response.headers, bytes(body))
 
     @asynccontextmanager
     async def stream(self, request: HttpRequest) -> AsyncIterator[aiohttp.ClientResponse]:
@@ -160,7 +179,7 @@
         :raises ResponseLostError: the response was interrupted
         """
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-        async with self._exchange(request, timeout) as response:
+        async with self._exchange(request, timeout, _ExchangeState()) as response:
             try:
                 yield response
             finally:
@@ -177,9 +196,8 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, request: HttpRequest, timeout: aiohttp.ClientTimeout
+        self, request: HttpRequest, timeout: aiohttp.ClientTimeout, state: _ExchangeState
     ) -> AsyncIterator[aiohttp.ClientResponse]:
-        state = _ConnectionState()
         async with self._use_session() as session:
             with _translate_errors(state):
                 async with session.request(
@@ -238,16 +256,27 @@
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ResponseLostError(repr(error)) from error
+        raise ResponseLostError(repr(error), closed=_is_closed(error)) from error
+
+
+def _is_closed(error: Exception) -> bool:
+    # a connection that the kernel's probes give up ends with ETIMEDOUT instead
+    is_body_cut = isinstance(error, aiohttp.ClientPayloadError)
+    cause = error.__cause__ if is_body_cut else error
+    if isinstance(cause, OSError):
+        return cause.errno == errno.ECONNRESET
+    return is_body_cut or isinstance(error, aiohttp.ServerDisconnectedError)
 
 
 @contextmanager
-def _translate_errors(state: _ConnectionState) -> Iterator[None]:
+def _translate_errors(state: _ExchangeState) -> Iterator[None]:
     try:
         yield
     except (aiohttp.ClientError, OSError) as error:
         kind = ResponseLostError if state.connected else RequestNotSentError
-        raise kind(repr(error), timed_out=isinstance(error, TimeoutError)) from error
+        detail = f"{error!r}, {state.received_bytes} bytes received"
+        timed_out = isinstance(error, TimeoutError)
+        raise kind(detail, timed_out=timed_out, closed=_is_closed(error)) from error
 
 
 def _trace_connection() -> aiohttp.TraceConfig:
