--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -127,7 +127,7 @@
     async def read_missing(self) -> None:
         """Read the config itself from the reader, or else from the store.
 
-        A version that the reader tells of during the fetch is fetched next.
+        A version that the reader tells of during the fetch is fetched after its next update.
         """
         reader, wanted_version = self._relay.reader, self._wanted_version
         if reader is not None:
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -198,24 +198,15 @@
     async def _follow_reader(self) -> None:
         while self._relay.follows and not self.is_snapshot_due and not self.should_stop:
             if self._needs_read:
-                await self._read_missing_once()
-                continue
+                await self.read_missing()
+                self._needs_read = False
+                self._report_recovered()
             self._wake.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), FOLLOW_CHECK_INTERVAL_S)
         self._needs_read = False
         _LOGGER.info("no reader followed", extra={"table": self._table})
 
-    async def _read_missing_once(self) -> None:
-        # an update that comes during the read requests the next one
-        self._needs_read = False
-        try:
-            await self.read_missing()
-        except StoreError:
-            self._needs_read = True
-            raise
-        self._report_recovered()
-
     def _request_read(self) -> None:
         self._needs_read = True
         self._wake.set()
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 from collections.abc import AsyncIterator
@@ -197,7 +198,9 @@
 
 
 # fault: a follower that heard of a newer version during a fetch read the store as well
-async def test_a_follower_reads_only_from_its_reader_in_a_storm(rig: Rig) -> None:
+async def test_a_follower_reads_only_from_its_reader_in_a_storm(
+    rig: Rig, caplog: pytest.LogCaptureFixture
+) -> None:
     rig.store.put("op", "config", build_config(1))
     await wait_until(lambda: rig.version == 1)
     reader, link = ConfigExchange(find_free_address()), SharedLink(CONFIG_BYTES / 0.3)
@@ -212,6 +215,13 @@
         await follow(rig, version, 0.1, address)
     assert rig.version >= 25
     assert rig.store.calls == calls
+    # updates that repeat a version during its fetch request no second one
+    caplog.clear()
+    with caplog.at_level(logging.INFO):
+        reader.document = build_large_config(30)
+        await follow(rig, 30, 1.5, address)
+    assert rig.version == 30
+    assert [record.message for record in caplog.records].count("config fetched") == 1
     await link.stop()
     await reader.stop()
 
