--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/configexchange.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import zlib
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,7 +12,7 @@
 from mode import Service
 
 from basilroad.gateway.freshness import read_boot_clock
-from basilroad.http import HttpClient, HttpError, HttpRequest
+from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -33,6 +34,9 @@
 
 STATUS_OK = 200
 
+ENCODING = "deflate"
+COMPRESSION_LEVEL = 1  # a document is compressed once a version, on a fraction of a core
+
 HEADER_VERSION = "Confirmed-Version"
 HEADER_AGE = "Confirmed-Age-Ms"
 MAX_DIGITS = 15  # exact as a float
@@ -68,6 +72,7 @@
         self.document: bytes | None = None
         self.confirmation: Confirmation | None = None
         self._address = address
+        self._compressed: tuple[bytes, bytes] | None = None
         self._runner: web.ServerRunner | None = None
 
     async def on_start(self) -> None:
@@ -97,8 +102,10 @@
         asked_at = read_boot_clock()
         client = HttpClient(f"http://{address}", FETCH_TIMEOUT_S)
         try:
-            response = await client.send(HttpRequest("GET", PATH), None, FETCH_TRANSFER_LIMIT_S)
-        except HttpError as error:
+            request = HttpRequest("GET", PATH, (("Accept-Encoding", ENCODING),))
+            response = await client.send(request, None, FETCH_TRANSFER_LIMIT_S)
+            document = _read_document(response)
+        except (HttpError, zlib.error) as error:
             _LOGGER.info("config not fetched", extra={"peer": str(address), "detail": str(error)})
             return None
         finally:
@@ -120,13 +127,21 @@
             },
         )
         if version is None or age_ms is None:
-            return FetchedConfig(response.body)
-        return FetchedConfig(response.body, version, asked_at - age_ms / 1000)
+            return FetchedConfig(document)
+        return FetchedConfig(document, version, asked_at - age_ms / 1000)
+
+    def _compress(self, document: bytes) -> bytes:
+        if self._compressed is None or self._compressed[0] is not document:
+            self._compressed = (document, zlib.compress(document, COMPRESSION_LEVEL))
+        return self._compressed[1]
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
         if request.path != PATH or self.document is None:
             return web.Response(status=404)
         response = web.Response(body=self.document)
+        if ENCODING in request.headers.get("Accept-Encoding", ""):
+            response = web.Response(body=self._compress(self.document))
+            response.headers["Content-Encoding"] = ENCODING
         if self.confirmation is not None:
             age_s = max(0.0, read_boot_clock() - self.confirmation.at)
             response.headers[HEADER_VERSION] = str(self.confirmation.version)
@@ -134,6 +149,13 @@
         return response
 
 
+def _read_document(response: HttpResponse) -> bytes:
+    # a gateway of an earlier release sends the document as it is
+    if response.headers.get("Content-Encoding") != ENCODING:
+        return response.body
+    return zlib.decompress(response.body)
+
+
 def _read_count(headers: Mapping[str, str], name: str) -> int | None:
     text = headers.get(name, "")
     return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS else None
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 import pytest
+from aiohttp import web
 
 from basilroad.gateway.configexchange import ConfigExchange
 from basilroad.gateway.freshness import read_boot_clock
@@ -215,6 +216,7 @@
         await follow(rig, version, 0.1, address)
     assert rig.version >= 25
     assert rig.store.calls == calls
+    await follow(rig, 29, 1.0, address)
     # updates that repeat a version during its fetch request no second one
     caplog.clear()
     with caplog.at_level(logging.INFO):
@@ -226,6 +228,43 @@
     await reader.stop()
 
 
+# fault: a reader on a slow link sent each follower the whole config uncompressed, at each version
+async def test_a_large_config_costs_a_slow_link_little() -> None:
+    link, address = SharedLink(20_000), find_free_address()
+    exchange = ConfigExchange(address)
+    routes = [
+        {"name": f"r-{number}", "host": f"h{number}.example", "prefix": f"/{number}/"}
+        | {"kind": "idempotent", "timeoutMs": 4000, "sloMs": 300, "service": "s"}
+        for number in range(500)
+    ]
+    config = {**build_config(1), "routes": routes}
+    exchange.document = msgspec.json.encode(config)
+    await exchange.start()
+    started_at = time.monotonic()
+    fetched = await ConfigExchange(None).fetch(await link.start(address))
+    assert fetched is not None
+    assert fetched.document == exchange.document
+    assert time.monotonic() - started_at <= 0.3 * len(exchange.document) / 20_000
+    await link.stop()
+    await exchange.stop()
+
+
+@pytest.mark.parametrize("headers", [(), (("Content-Encoding", "deflate"),)])
+async def test_a_config_that_is_not_compressed_or_spoiled(
+    headers: tuple[tuple[str, str], ...],
+) -> None:
+    async def serve(_: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"{}", headers=dict(headers))
+
+    address = find_free_address()
+    runner = web.ServerRunner(web.Server(serve))
+    await runner.setup()
+    await web.TCPSite(runner, address.ip, address.port).start()
+    fetched = await ConfigExchange(None).fetch(address)
+    assert (fetched.document if fetched else None) == (None if headers else b"{}")
+    await runner.cleanup()
+
+
 async def follow(rig: Rig, version: int, seconds: float, address: Address) -> None:
     """Send the updates of a reader for a while."""
     until = time.monotonic() + seconds
