--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 from collections.abc import AsyncIterator
@@ -10,6 +11,7 @@
 import attrs
 import msgspec
 import pytest
+from aiohttp import web
 
 from basilroad.gateway.configexchange import ConfigExchange
 from basilroad.gateway.freshness import read_boot_clock
@@ -197,7 +199,9 @@
 
 
 # fault: a follower that heard of a newer version during a fetch read the store as well
-async def test_a_follower_reads_only_from_its_reader_in_a_storm(rig: Rig) -> None:
+async def test_a_follower_reads_only_from_its_reader_in_a_storm(
+    rig: Rig, caplog: pytest.LogCaptureFixture
+) -> None:
     rig.store.put("op", "config", build_config(1))
     await wait_until(lambda: rig.version == 1)
     reader, link = ConfigExchange(find_free_address()), SharedLink(CONFIG_BYTES / 0.3)
@@ -212,10 +216,55 @@
         await follow(rig, version, 0.1, address)
     assert rig.version >= 25
     assert rig.store.calls == calls
+    await follow(rig, 29, 1.0, address)
+    # updates that repeat a version during its fetch request no second one
+    caplog.clear()
+    with caplog.at_level(logging.INFO):
+        reader.document = build_large_config(30)
+        await follow(rig, 30, 1.5, address)
+    assert rig.version == 30
+    assert [record.message for record in caplog.records].count("config fetched") == 1
     await link.stop()
     await reader.stop()
 
 
+# fault: a reader on a slow link sent each follower the whole config uncompressed, at each version
+async def test_a_large_config_costs_a_slow_link_little() -> None:
+    link, address = SharedLink(20_000), find_free_address()
+    exchange = ConfigExchange(address)
+    routes = [
+        {"name": f"r-{number}", "host": f"h{number}.example", "prefix": f"/{number}/"}
+        | {"kind": "idempotent", "timeoutMs": 4000, "sloMs": 300, "service": "s"}
+        for number in range(500)
+    ]
+    config = {**build_config(1), "routes": routes}
+    exchange.document = msgspec.json.encode(config)
+    await exchange.start()
+    started_at = time.monotonic()
+    fetched = await ConfigExchange(None).fetch(await link.start(address))
+    assert fetched is not None
+    assert fetched.document == exchange.document
+    assert time.monotonic() - started_at <= 0.3 * len(exchange.document) / 20_000
+    await link.stop()
+    await exchange.stop()
+
+
+@pytest.mark.parametrize("headers", [(), (("Content-Encoding", "deflate"),)])
+async def test_a_config_that_is_not_compressed_or_spoiled(
+    headers: tuple[tuple[str, str], ...],
+) -> None:
+    async def serve(_: web.BaseRequest) -> web.Response:
+        return web.Response(body=b"{}", headers=dict(headers))
+
+    address = find_free_address()
+    runner = web.ServerRunner(web.Server(serve))
+    await runner.setup()
+    await web.TCPSite(runner, address.ip, address.port).start()
+    fetched = await ConfigExchange(None).fetch(address)
+    assert (fetched.document if fetched else None) == (None if headers else b"{}")
+    await runner.cleanup()
+
+
 async def follow(rig: Rig, version: int, seconds: float, address: Address) -> None:
     """Send the updates of a reader for a while."""
     until = time.monotonic() + seconds
