--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -16,7 +16,7 @@
 from basilroad.entry.identity import KEY_HEADER, read_identity
 from basilroad.entry.request import read_request
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
-from basilroad.idleconnections import awaits_request, close_idle_connections
+from basilroad.idleconnections import close_idle_connections
 from basilroad.listener import CallerListener
 from basilroad.peers.address import parse_address
 
@@ -100,7 +100,7 @@
             return
         if self._runner.server is not None:
             limit = time.monotonic() + SHUTDOWN_TIMEOUT_S
-            await close_idle_connections(self._runner.server, awaits_request, limit)
+            await close_idle_connections(self._runner.server, limit)
         await self._runner.cleanup()
 
     def _list_routes(self) -> list[web.RouteDef]:
--- a/src/basilroad/idleconnections.py
+++ b/src/basilroad/idleconnections.py
@@ -22,62 +22,42 @@
 LAST_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 """Sent before an idle connection is closed: a request that crosses it is answered as not run."""
 
-HANDLER_START_TURNS = 4
-"""Turns of the event loop until the handler of a request read before has started, and one more."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
-def awaits_request(connection: web.RequestHandler) -> bool:
-    """:return: whether all requests of a connection are answered and the next one was not read."""
-    # the HTTP library has no public name for it
-    waiter = connection._waiter
-    return waiter is not None and not waiter.done()
-
-
 async def close_idle_connections(
-    server: web.Server,
-    is_idle: Callable[[web.RequestHandler], bool],
-    limit: float,
-    on_crossed: Callable[[], None] | None = None,
+    server: web.Server, limit: float, on_crossed: Callable[[], None] | None = None
 ) -> None:
     """Close each connection of a server once it is idle, until all of them are closed.
 
     :param server: the server
-    :param is_idle: tells whether a connection has no request
     :param limit: monotonic seconds after which none is awaited
     :param on_crossed: called for each connection on which data came after its last response
     """
     while True:
-        await _close_idle(server, is_idle, on_crossed)
+        # a late event loop reads first what arrived in the meantime
+        for _ in range(READ_TURNS):
+            await asyncio.sleep(0)
+        for connection in server.connections:
+            if _awaits_request(connection):
+                _close(connection, on_crossed)
         if not server.connections or time.monotonic() >= limit:
             return
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
-async def _close_idle(
-    server: web.Server,
-    is_idle: Callable[[web.RequestHandler], bool],
-    on_crossed: Callable[[], None] | None,
-) -> None:
-    # a late event loop reads first what arrived in the meantime
-    for _ in range(READ_TURNS):
-        await asyncio.sleep(0)
-    paused = [
-        (connection, connection.transport)
-        for connection in server.connections
-        if connection.transport is not None and is_idle(connection)
-    ]
-    for _, transport in paused:
-        transport.pause_reading()
-    # a request that was read but not handled yet gets its response
-    for _ in range(HANDLER_START_TURNS):
-        await asyncio.sleep(0)
-    for connection, transport in paused:
-        is_closed = transport.get_protocol() is not connection or transport.is_closing()
-        if not is_closed and is_idle(connection):
-            _ClosedConnection(connection, on_crossed).close(transport)
-        transport.resume_reading()
+def _awaits_request(connection: web.RequestHandler) -> bool:
+    # the HTTP library has no public name for it; all requests read are answered, and their bodies
+    # are complete: a close before that resets the connection and loses the response
+    waiter = connection._waiter
+    return waiter is not None and not waiter.done()
+
+
+def _close(connection: web.RequestHandler, on_crossed: Callable[[], None] | None) -> None:
+    transport = connection.transport
+    if transport is None or transport.is_closing() or transport.get_protocol() is not connection:
+        return
+    _ClosedConnection(connection, on_crossed).close(transport)
 
 
 class _ClosedConnection(asyncio.Protocol):
@@ -121,4 +101,4 @@
         self._connection.connection_lost(exc)
 
 
-__all__ = ["awaits_request", "close_idle_connections"]
+__all__ = ["close_idle_connections"]
--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -10,7 +10,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import StreamReader, web
+from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
 from basilroad.idleconnections import close_idle_connections
@@ -19,8 +19,6 @@
 if TYPE_CHECKING:
     from prometheus_client import Counter
 
-    from basilroad.gateway.shutdown import Shutdown
-
 _HAS_ENDED = web.RequestKey("has_ended", bool)
 
 _LOGGER = logging.getLogger(__name__)
@@ -40,18 +38,15 @@
     """Keeps track of the connections of callers and of the requests on them.
 
     :param handler: answers a request
-    :param shutdown: planned shutdown of this process
     :param ends: counts connections that end without a whole answer, by cause
     :param options: options of the HTTP server
     :ivar crossed: number of connections on which data came after their last response
     """
 
-    def __init__(self, handler: Any, shutdown: Shutdown, ends: Counter, **options: Any) -> None:
+    def __init__(self, handler: Any, ends: Counter, **options: Any) -> None:
         super().__init__(handler, **options)
-        self._shutdown = shutdown
         self._ends = ends
         self._busy: set[web.RequestHandler] = set()
-        self._unread_bodies: dict[web.RequestHandler, StreamReader] = {}
         self._is_exiting = False
         self.crossed = 0
 
@@ -90,8 +85,6 @@
             raise
         finally:
             self._busy.discard(connection)
-            if self._shutdown.is_requested and not request.content.is_eof():
-                self._unread_bodies[connection] = request.content
 
     def record_end(
         self, request: web.BaseRequest, cause: EndCause, arrived_at: float, detail: str = ""
@@ -125,7 +118,6 @@
         :param handler: the connection
         :param exc: why it was lost; ``None`` if either side closed it
         """
-        self._unread_bodies.pop(handler, None)
         for request_id in list_unread_requests(handler):
             self._ends.labels(EndCause.UNREAD_REQUEST.value).inc()
             _LOGGER.info(
@@ -143,21 +135,12 @@
 
         :param limit: monotonic seconds after which none is awaited
         """
-        await close_idle_connections(
-            self, lambda connection: not self._is_busy(connection), limit, self._count_crossed
-        )
+        await close_idle_connections(self, limit, self._count_crossed)
 
     def mark_exiting(self) -> None:
         """Tell that handlers are cancelled from now on because the process exits."""
         self._is_exiting = True
 
-    def _is_busy(self, connection: web.RequestHandler) -> bool:
-        if connection in self._busy or list_unread_requests(connection):
-            return True
-        # a close before the whole body was received resets the connection and loses the response
-        body = self._unread_bodies.get(connection)
-        return body is not None and not body.is_eof()
-
     def _count_crossed(self) -> None:
         self.crossed += 1
 
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -84,9 +84,7 @@
     async def on_start(self) -> None:
         """Listen for calls, readiness checks and metrics scrapes."""
         settings, gateway = self._settings, self._gateway
-        self._connections = CallerServer(
-            self._handle, gateway.shutdown, gateway.metrics.ends, **SERVER_OPTIONS
-        )
+        self._connections = CallerServer(self._handle, gateway.metrics.ends, **SERVER_OPTIONS)
         runner = await self._set_up(self._connections)
         self._listener = await CallerListener.open(runner, settings.front)
         readiness = web.Server(self._serve_readiness, **SERVER_OPTIONS)
--- a/tests/platform/test_stop_connections.py
+++ b/tests/platform/test_stop_connections.py
@@ -154,3 +154,25 @@
     caller.close()
     await closing
     assert not server.connections
+
+
+async def test_a_refused_request_whose_body_still_arrives_gets_one_answer(rig: GatewayRig) -> None:
+    # fault: a connection whose request was refused before the stop, and whose body still arrived,
+    # counted as idle: it got a second answer, and was reset if the body took longer
+    front = rig.service.settings.front
+    server = rig.service.front._connections
+    assert server is not None
+    reader, writer = await asyncio.open_connection(front.ip, front.port)
+    order = build_order("refused").replace(b"X-Key: key", b"X-Key: other")
+    writer.write(order[:-2])
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 401 ")
+    rig.service.gateway.shutdown.signal.record()
+    closing = asyncio.ensure_future(server.close_connections(time.monotonic() + 5.0))
+    await asyncio.sleep(0.5)
+    body = await reader.read(65536)
+    assert b"HTTP/1.1" not in body
+    writer.write(order[-2:])
+    assert read_end(await reader.read()) is TryEnd.REFUSED, "idle from now on"
+    writer.close()
+    await closing
