--- a/src/basilroad/idleconnections.py
+++ b/src/basilroad/idleconnections.py
@@ -39,21 +39,31 @@
         for _ in range(READ_TURNS):
             await asyncio.sleep(0)
         for connection in server.connections:
-            if _awaits_request(connection):
-                _close(connection, on_crossed)
+            if awaits_request(connection):
+                close_connection(connection, on_crossed)
         if not server.connections or time.monotonic() >= limit:
             return
         await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
 
-def _awaits_request(connection: web.RequestHandler) -> bool:
-    # the HTTP library has no public name for it; all requests read are answered, and their bodies
-    # are complete: a close before that resets the connection and loses the response
+def awaits_request(connection: web.RequestHandler) -> bool:
+    """:return: whether all requests of a connection that were read are answered, with whole bodies.
+
+    A close before that resets the connection and loses the response.
+    """
+    # the HTTP library has no public name for it
     waiter = connection._waiter
     return waiter is not None and not waiter.done()
 
 
-def _close(connection: web.RequestHandler, on_crossed: Callable[[], None] | None) -> None:
+def close_connection(
+    connection: web.RequestHandler, on_crossed: Callable[[], None] | None = None
+) -> None:
+    """Send the last response on a connection that awaits a request, and close it.
+
+    :param connection: the connection
+    :param on_crossed: called if data came after the last response
+    """
     transport = connection.transport
     if transport is None or transport.is_closing() or transport.get_protocol() is not connection:
         return
@@ -101,4 +111,4 @@
         self._connection.connection_lost(exc)
 
 
-__all__ = ["close_idle_connections"]
+__all__ = ["awaits_request", "close_connection", "close_idle_connections"]
--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -13,7 +13,11 @@
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
-from basilroad.idleconnections import close_idle_connections
+from basilroad.idleconnections import (
+    awaits_request,
+    close_connection,
+    close_idle_connections,
+)
 from basilroad.platform.protocol import HEADER_REQUEST_ID
 
 if TYPE_CHECKING:
@@ -50,6 +54,10 @@
         self._is_exiting = False
         self.crossed = 0
 
+    def __call__(self) -> web.RequestHandler:
+        """:return: the protocol of a new connection."""
+        return _CallerConnection(self, loop=self._loop, **self._kwargs)
+
     @property
     def in_flight(self) -> int:
         """:return: number of requests that are being answered."""
@@ -145,6 +153,20 @@
         self.crossed += 1
 
 
+class _CallerConnection(web.RequestHandler):
+    """A connection that sends the last response when its keep-alive time ends."""
+
+    __slots__ = ()
+
+    def _process_keepalive(self) -> None:
+        # the HTTP library would close it with a request on its way, which the kernel resets
+        is_due = self._loop.time() >= self._next_keepalive_close_time
+        if is_due and self._keepalive and awaits_request(self):
+            close_connection(self)
+        else:
+            super()._process_keepalive()
+
+
 def list_unread_requests(connection: web.RequestHandler) -> list[str]:
     """:return: ids of the requests received behind the one being answered; empty if not read."""
     # the HTTP library has no public name for them
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -24,6 +24,7 @@
     open_kept_connection,
     shorten_grace,
 )
+from support.tries import TryEnd, read_end
 
 
 @pytest.fixture
@@ -302,3 +303,23 @@
     writer.close()
     await stopping
     assert 1.4 < time.monotonic() - began_at < 10.0
+
+
+async def test_a_request_that_crosses_the_end_of_the_keep_alive_time_is_answered(
+    rig: GatewayRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # fault: an idle connection was closed at the end of its keep-alive time, and a request on its
+    # way got neither an answer nor a refusal
+    front = rig.service.settings.front
+    server = rig.service.front._connections
+    assert server is not None
+    monkeypatch.setitem(server._kwargs, "keepalive_timeout", 0.3)
+    with socket.create_connection((front.ip, front.port), timeout=5) as caller:
+        # the end of the connection has arrived, but not been read when the request is sent
+        await asyncio.to_thread(caller.recv, 1, socket.MSG_PEEK)
+        caller.sendall(build_order("crosses"))
+        assert read_end(await asyncio.to_thread(caller.recv, 65536)) is TryEnd.REFUSED
+    async with asyncio.timeout(5):
+        while server.connections:
+            await asyncio.sleep(0.01)
+    assert "crosses" not in rig.app.ran
