--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/configexchange.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,6 +13,8 @@
 
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.http import HttpClient, HttpError, HttpRequest
+from basilroad.idleconnections import close_idle_connections
+from basilroad.listener import CallerListener
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -66,6 +69,7 @@
         self.confirmation: Confirmation | None = None
         self._address = address
         self._runner: web.ServerRunner | None = None
+        self._listener: CallerListener | None = None
 
     async def on_start(self) -> None:
         """Listen for fetches."""
@@ -74,13 +78,18 @@
         server = web.Server(self._serve, access_log=None)
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
-        address = self._address
-        await web.TCPSite(self._runner, address.ip, address.port, reuse_address=True).start()
+        self._listener = await CallerListener.open(self._runner, self._address)
 
     async def on_stop(self) -> None:
-        """Close the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        """Close the listener, and answer the fetches that have arrived."""
+        if self._listener is not None:
+            await self._listener.close()
+        if self._runner is None:
+            return
+        if self._runner.server is not None:
+            limit = time.monotonic() + SHUTDOWN_TIMEOUT_S
+            await close_idle_connections(self._runner.server, limit)
+        await self._runner.cleanup()
 
     async def fetch(self, address: Address) -> FetchedConfig | None:
         """Fetch the document of another gateway.
