--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -10,17 +10,19 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import StreamReader, web
+from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
-from basilroad.idleconnections import close_idle_connections
+from basilroad.idleconnections import (
+    awaits_request,
+    close_connection,
+    close_idle_connections,
+)
 from basilroad.platform.protocol import HEADER_REQUEST_ID
 
 if TYPE_CHECKING:
     from prometheus_client import Counter
 
-    from basilroad.gateway.shutdown import Shutdown
-
 _HAS_ENDED = web.RequestKey("has_ended", bool)
 
 _LOGGER = logging.getLogger(__name__)
@@ -40,21 +42,22 @@
     """Keeps track of the connections of callers and of the requests on them.
 
     :param handler: answers a request
-    :param shutdown: planned shutdown of this process
     :param ends: counts connections that end without a whole answer, by cause
     :param options: options of the HTTP server
     :ivar crossed: number of connections on which data came after their last response
     """
 
-    def __init__(self, handler: Any, shutdown: Shutdown, ends: Counter, **options: Any) -> None:
+    def __init__(self, handler: Any, ends: Counter, **options: Any) -> None:
         super().__init__(handler, **options)
-        self._shutdown = shutdown
         self._ends = ends
         self._busy: set[web.RequestHandler] = set()
-        self._unread_bodies: dict[web.RequestHandler, StreamReader] = {}
         self._is_exiting = False
         self.crossed = 0
 
+    def __call__(self) -> web.RequestHandler:
+        """:return: the protocol of a new connection."""
+        return _CallerConnection(self, loop=self._loop, **self._kwargs)
+
     @property
     def in_flight(self) -> int:
         """:return: number of requests that are being answered."""
@@ -90,8 +93,6 @@
             raise
         finally:
             self._busy.discard(connection)
-            if self._shutdown.is_requested and not request.content.is_eof():
-                self._unread_bodies[connection] = request.content
 
     def record_end(
         self, request: web.BaseRequest, cause: EndCause, arrived_at: float, detail: str = ""
@@ -125,7 +126,6 @@
         :param handler: the connection
         :param exc: why it was lost; ``None`` if either side closed it
         """
-        self._unread_bodies.pop(handler, None)
         for request_id in list_unread_requests(handler):
             self._ends.labels(EndCause.UNREAD_REQUEST.value).inc()
             _LOGGER.info(
@@ -143,25 +143,30 @@
 
         :param limit: monotonic seconds after which none is awaited
         """
-        await close_idle_connections(
-            self, lambda connection: not self._is_busy(connection), limit, self._count_crossed
-        )
+        await close_idle_connections(self, limit, self._count_crossed)
 
     def mark_exiting(self) -> None:
         """Tell that handlers are cancelled from now on because the process exits."""
         self._is_exiting = True
 
-    def _is_busy(self, connection: web.RequestHandler) -> bool:
-        if connection in self._busy or list_unread_requests(connection):
-            return True
-        # a close before the whole body was received resets the connection and loses the response
-        body = self._unread_bodies.get(connection)
-        return body is not None and not body.is_eof()
-
     def _count_crossed(self) -> None:
         self.crossed += 1
 
 
+class _CallerConnection(web.RequestHandler):
+    """A connection that sends the last response when its keep-alive time ends."""
+
+    __slots__ = ()
+
+    def _process_keepalive(self) -> None:
+        # the HTTP library would close it with a request on its way, which the kernel resets
+        is_due = self._loop.time() >= self._next_keepalive_close_time
+        if is_due and self._keepalive and awaits_request(self):
+            close_connection(self)
+        else:
+            super()._process_keepalive()
+
+
 def list_unread_requests(connection: web.RequestHandler) -> list[str]:
     """:return: ids of the requests received behind the one being answered; empty if not read."""
     # the HTTP library has no public name for them
