--- a/tests/support/gatewayrig.py
+++ b/tests/support/gatewayrig.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import re
 import socket
 import time
@@ -24,10 +26,16 @@
 HEADERS = {"Host": "h.example", "X-Attempt-Id": "c1", "X-Key": "key", "X-Deadline-Ms": "2000"}
 
 
+LISTEN_PORTS = range(20000, 32000)
+"""Ports of gateways, below those that the kernel gives to connections."""
+
+
 def find_free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    while True:
+        port = random.SystemRandom().choice(LISTEN_PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 def build_config(version: int, *keys: str, timeout_ms: int = 2000) -> dict[str, object]:
