Keep crashes that show what is refused in the store

Cause: what is known of crashes was in the memory of the gateways only, and gossip needs one that lives. The new test of two gateways that end and one that starts: 502 and more crashes. Change: a gateway that saw one of the crashes that change what is refused keeps them in a row of the store, dated by the store's clock; each gateway reads the rows at its start. Nothing waits for either; a write a second at most, none for crashes that were only heard of. Rows of a restored store are written again, malformed ones skipped, and old ones ignored. Why it works: the store outlives the gateways, and the records merge as those of a peer do, with their true age. Failed before: test_a_part_is_refused_after_the_end_of_all_gateways.

--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -23,7 +23,7 @@
 from basilroad.gateway.runs import Run
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Collection, Iterator, Sequence
+    from collections.abc import AsyncIterator, Callable, Collection, Iterator, Sequence
 
     from basilroad.coordination.crashledger import RefusedKeys
     from basilroad.gateway.call import Call
@@ -53,6 +53,9 @@
 """Runs at silent endpoints that wait for the listing; more of them are the failure of a data
 centre or of this host's links."""
 
+MAX_OWN_CRASHES = 256
+"""Crashes that this gateway saw itself of which it knows so, the newest ones."""
+
 REFUSED_MESSAGE = "endpoints crashed on requests with the same content or prompt part"
 
 _LOGGER = logging.getLogger(__name__)
@@ -73,6 +76,26 @@
         self._silent: deque[tuple[Run, float]] = deque(maxlen=MAX_SILENT_RUNS)
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._known: tuple[RefusedKeys, ...] = ()
+        self._own: deque[str] = deque(maxlen=MAX_OWN_CRASHES)
+        self._subscribers: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call a function when other keys are refused than before.
+
+        :param callback: the function
+        """
+        self._subscribers.append(callback)
+
+    def has_recorded(self, crash: str) -> bool:
+        """:return: whether this gateway saw a crash itself."""
+        return crash in self._own
+
+    def restore(self, records: Sequence[CrashRecord]) -> None:
+        """Record crashes that gateways saw before.
+
+        :param records: the crashes
+        """
+        self._apply_heard(self.ledger.merge(records))
 
     def find_refusal(self, call: Call) -> RefusedKeys | None:
         """:return: why a call is refused; ``None`` if it may run."""
@@ -227,6 +250,7 @@
     def _record_own(self, record: CrashRecord, call: Call) -> None:
         if self.ledger.merge([record]):
             _log_crash(record, call.id)
+            self._own.append(record.crash)
             self._metrics.crashes.labels("own").inc()
             self.exchange.announce_crash(record)
             self._apply_refusals()
@@ -267,6 +291,9 @@
                     },
                 )
                 self._metrics.refused_parts.inc()
+        if after != before:
+            for callback in self._subscribers:
+                callback()
         if after - before:
             for run in [run for run in self._runs if self.find_refusal(run.call) is not None]:
                 run.cancel()
--- a/src/basilroad/gateway/crashreports.py
+++ b/src/basilroad/gateway/crashreports.py
@@ -59,6 +59,9 @@
 RECORDS_PER_REFUSAL = 6
 """Newest records of each of these, twice the number that it takes to refuse something."""
 
+MAX_REFUSED_RECORDS = MAX_REFUSED_REPEATED * RECORDS_PER_REFUSAL
+"""Records that show what is refused, at most."""
+
 _LOGGER = logging.getLogger(__name__)
 
 Key = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_KEY_CHARS)]
@@ -177,7 +180,7 @@
             return
         ages = message.passed.items()
         cleared = [key for key, age in ages if self.ledger.record_passed(key, age / 1000)]
-        new = self.ledger.merge(_unpack(report) for report in message.reports)
+        new = self.ledger.merge(unpack_report(report) for report in message.reports)
         if message.reply and cleared:
             self.announce_passed(self.ledger.list_passed(cleared))
         parts = {key for record in new for key in record.parts}
@@ -188,6 +191,10 @@
         if new or cleared:
             self.on_change(new)
 
+    def list_refused(self) -> list[CrashRecord]:
+        """:return: records that show what is refused, ``MAX_REFUSED_RECORDS`` at most."""
+        return self.ledger.list_refused(MAX_REFUSED_REPEATED, RECORDS_PER_REFUSAL)
+
     def _send_collected(self) -> None:
         self._told_at = self.clock()
         records = [
@@ -206,7 +213,9 @@
     def _send(
         self, records: Sequence[CrashRecord], passed: Mapping[str, float], peers: Sequence[Address]
     ) -> None:
-        message = Crashes(self.host, [_pack(record) for record in records], _pack_ages(passed))
+        message = Crashes(
+            self.host, [pack_record(record) for record in records], _pack_ages(passed)
+        )
         half = len(records) // 2
         if half and len(msgspec.msgpack.encode(message)) > MAX_MESSAGE_BYTES:
             self._send(records[:half], {}, peers)
@@ -216,12 +225,12 @@
 
     def _list_repeated(self) -> list[CrashRecord]:
         recent = self.ledger.list_newest(MAX_REPORTS, RECENT_S)
-        refused = self.ledger.list_refused(MAX_REFUSED_REPEATED, RECORDS_PER_REFUSAL)
-        chosen = {(r.crash, r.content): r for r in (*recent, *refused)}
+        chosen = {(r.crash, r.content): r for r in (*recent, *self.list_refused())}
         return list(chosen.values())
 
 
-def _pack(record: CrashRecord) -> CrashReport:
+def pack_record(record: CrashRecord) -> CrashReport:
+    """:return: the report of a crash."""
     return CrashReport(
         record.crash,
         round(1000 * record.age_s),
@@ -232,14 +241,20 @@
     )
 
 
-def _unpack(report: CrashReport) -> CrashRecord:
+def unpack_report(report: CrashReport, age_s: float = 0.0) -> CrashRecord:
+    """Unpack the report of a crash.
+
+    :param report: the report
+    :param age_s: seconds since it was made
+    :return: the crash
+    """
     return CrashRecord(
         report.crash,
         report.content,
         frozenset(report.parts),
         report.began,
         report.ran_ms / 1000,
-        report.age_ms / 1000,
+        age_s + report.age_ms / 1000,
     )
 
 
@@ -248,4 +263,13 @@
     return {key: round(1000 * age_s) for key, age_s in [*newest][:MAX_PASSED]}
 
 
-__all__ = ["MAX_KEY_CHARS", "MAX_PARTS", "CrashExchange", "CrashReport", "Crashes"]
+__all__ = [
+    "MAX_KEY_CHARS",
+    "MAX_PARTS",
+    "MAX_REFUSED_RECORDS",
+    "CrashExchange",
+    "CrashReport",
+    "Crashes",
+    "pack_record",
+    "unpack_report",
+]
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -20,6 +20,7 @@
 from basilroad.gateway.liveness import LIVENESS_CHECK_INTERVAL_S
 from basilroad.gateway.relay import Relay
 from basilroad.platform.configwatch import ConfigWatch
+from basilroad.platform.crasharchive import CrashArchive
 from basilroad.platform.frontend import PlatformFrontend
 from basilroad.platform.peerdiscovery import PeerDiscovery
 from basilroad.platform.protocol import PlatformProtocol
@@ -100,6 +101,7 @@
             self.exchange,
             ConfigWatch(self.store, self.gateway, self.relay, self.exchange, budget),
             ServersWatch(self.store, self.gateway, self.relay, budget),
+            CrashArchive(self.store, self.settings.host, self.gateway.containment),
         ]
         settings = self.settings
         if self.gossip is not None and settings.peers is not None:
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -58,6 +58,7 @@
             for n in range(SERVERS)
         ]
         self.gateways: list[PlatformService] = []
+        self._addresses = itertools.count(100)
         self._numbers = itertools.count(1)
 
     async def start(self, peers: int = 2) -> None:
@@ -92,7 +93,7 @@
             service.gossip.add_peers(addresses)
 
     def _build_settings(self, host: str) -> ProcessSettings:
-        ip = name_ip(100 + len(self.gateways))
+        ip = name_ip(next(self._addresses))
         return ProcessSettings(
             host=host,
             role="gateway",
@@ -139,6 +140,11 @@
         seen = [request for server in self.servers for request in server.seen]
         return sum(DEADLY in request.headers["x-prompt-prefix"] for request in seen)
 
+    async def end_gateways(self) -> None:
+        """End all gateways, which forget what they know."""
+        gateways, self.gateways = self.gateways, []
+        await asyncio.gather(*(service.stop() for service in gateways))
+
     async def stop(self) -> None:
         await self.session.close()
         await asyncio.gather(*(service.stop() for service in self.gateways))
@@ -202,3 +208,19 @@
     assert 'basilroad_crashes_total{source="heard"}' in metrics
     assert "basilroad_refused_parts_total 1.0" in metrics
     assert await fleet.generate([SHARED], 2) == (200, 40)
+
+
+# fault: once all gateways were killed, a part that had crashed servers ended as many again
+async def test_a_part_is_refused_after_the_end_of_all_gateways(fleet: Fleet) -> None:
+    await fleet.generate([SHARED], 0)
+    for number in range(3):
+        await fleet.generate([SHARED, DEADLY], number % 2)
+    crashes = fleet.crashes
+    await asyncio.sleep(2.5)
+    await fleet.end_gateways()
+    await fleet.add_gateway("h2")
+    await asyncio.sleep(4.0)
+    status, _ = await fleet.generate([SHARED, DEADLY], 0)
+    assert status == 503
+    assert fleet.crashes == crashes
+    assert await fleet.generate([SHARED], 0) == (200, 40)
