Let the answer of the test of a stop's limit arrive before the limit

Its server shares the event loop that the test blocks across the limit, so its answer was written after the block, 0.05 s after the limit, and whether it was passed on depended on the order of turns: the test did not play what its name says. Change: the server runs in an event loop of its own, and answers 0.5 s before the limit while that of the gateway is blocked. No check was relaxed.

--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -12,7 +12,8 @@
 import attrs
 import pytest
 
-from basilroad.standin.appserver import WireFault
+from basilroad.standin.appserver import AppServerStandin, WireFault
+from support.background import Background
 from support.gatewayrig import (
     HEADERS,
     GatewayRig,
@@ -315,19 +316,39 @@
     await stopping
 
 
+@pytest.fixture
+async def own_clock_app(rig: GatewayRig) -> AsyncIterator[AppServerStandin]:
+    """A server that goes on while the event loop of the gateway is blocked."""
+    background, server = Background(), AppServerStandin("i-own-clock")
+    await asyncio.to_thread(background.run, server.start())
+    entry = {"service": "app", "zone": "a", "slots": 4, "state": "ready"}
+    rig.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
+    rig.store.put("servers", rig.app.id, None)
+    yield server
+    await asyncio.to_thread(background.run, server.stop())
+    await asyncio.to_thread(background.close)
+
+
 async def test_an_answer_that_arrived_before_the_limit_of_a_planned_stop_is_passed_on(
-    rig: GatewayRig,
+    rig: GatewayRig, own_clock_app: AppServerStandin
 ) -> None:
     # fault: a timer for the limit gave an answer up that a late loop read in the same turn
     await rig.configure(1, "key")
+    async with asyncio.timeout(3):
+        while [
+            endpoint.id
+            for endpoint in rig.service.gateway.directory
+            if endpoint.entry.service == "app"
+        ] != [own_clock_app.id]:
+            await asyncio.sleep(0.01)
     limit_s = shorten_grace(rig)
-    rig.app.response_delay_s = limit_s - 0.1
+    own_clock_app.response_delay_s = limit_s - 0.5
     order = asyncio.ensure_future(exchange_raw(rig, 0.0, "answered"))
-    while not rig.app.ran:
+    while not own_clock_app.ran:
         await asyncio.sleep(0.001)
     stopping = asyncio.ensure_future(rig.service.stop())
-    await asyncio.sleep(limit_s - 0.15)
-    block_event_loop(0.2)
+    await asyncio.sleep(limit_s - 0.7)
+    block_event_loop(0.8)
     assert (await order).startswith(b"HTTP/1.1 200 ")
     await stopping
 
