Take over what arrived while the event loop was late, at the limit of a request

Callers saw: nothing that was traced to it. On a busy host, reads of the store, fetches of the config and requests to engines and backing services ended with a time-out although the response lay in the socket's buffer; what was given up began anew. Cause: the HTTP library's limits of the whole request and of opening a connection are timers that cancel the task. An event loop that was late runs them in the turn in which it reads what arrived, before the task goes on. The limit of silence isn't one of them: it restarts with the bytes. Change: the client has its own limit, which leaves 8 turns of the event loop to end with what has arrived. A request without a limit of silence still isn't sent on a connection that is open too late.

--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -4,6 +4,7 @@
 
 import errno
 import socket
+import time
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
@@ -13,6 +14,8 @@
 import attrs
 from yarl import URL
 
+from basilroad.timelimit import TimeLimit
+
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 """Headers that aiohttp would otherwise add to a request by default."""
 
@@ -102,6 +105,8 @@
 
 @attrs.define
 class _ExchangeState:
+    limit: TimeLimit
+    ends_at: float | None  # monotonic seconds; None for no limit once connected
     connected: bool = False
     received_bytes: int = 0  # of the response's body
 
@@ -156,13 +161,13 @@
             raise RequestNotSentError(
                 "time limit expired before the request was sent", timed_out=True
             )
-        timeout = aiohttp.ClientTimeout(total=limit_s)
-        if transfer_limit_s is not None:
-            timeout = aiohttp.ClientTimeout(
-                total=transfer_limit_s, sock_connect=limit_s, sock_read=limit_s
-            )
-        state = _ExchangeState()
-        async with self._exchange(request, timeout, state) as response:
+        if transfer_limit_s is None:
+            # nothing is sent on a connection that is open too late
+            silence_s, total_s, limit = None, limit_s, TimeLimit(limit_s, 0)
+        else:
+            silence_s, total_s, limit = limit_s, transfer_limit_s, TimeLimit(limit_s)
+        state = _ExchangeState(limit, time.monotonic() + total_s)
+        async with self._exchange(request, silence_s, state) as response:
             body = bytearray()
             async for chunk in response.content.iter_any():
                 body += chunk
@@ -178,8 +183,8 @@
         :raises RequestNotSentError: no byte was sent
         :raises ResponseLostError: the response was interrupted
         """
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=self._timeout_s)
-        async with self._exchange(request, timeout, _ExchangeState()) as response:
+        state = _ExchangeState(TimeLimit(self._timeout_s), None)
+        async with self._exchange(request, None, state) as response:
             try:
                 yield response
             finally:
@@ -196,19 +201,24 @@
 
     @asynccontextmanager
     async def _exchange(
-        self, request: HttpRequest, timeout: aiohttp.ClientTimeout, state: _ExchangeState
+        self, request: HttpRequest, silence_s: float | None, state: _ExchangeState
     ) -> AsyncIterator[aiohttp.ClientResponse]:
+        # the HTTP library's other limits count nothing that arrived while the event loop was late
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=silence_s)
         async with self._use_session() as session:
             with _translate_errors(state):
-                async with session.request(
-                    request.method,
-                    URL(self._url + request.path, encoded=True),
-                    headers=request.headers,
-                    data=request.body,
-                    timeout=timeout,
-                    allow_redirects=False,
-                    trace_request_ctx=state,
-                ) as response:
+                async with (
+                    state.limit,
+                    session.request(
+                        request.method,
+                        URL(self._url + request.path, encoded=True),
+                        headers=request.headers,
+                        data=request.body,
+                        timeout=timeout,
+                        allow_redirects=False,
+                        trace_request_ctx=state,
+                    ) as response,
+                ):
                     yield response
 
     @asynccontextmanager
@@ -287,7 +297,9 @@
 
 
 async def _record_connected(_: aiohttp.ClientSession, context: SimpleNamespace, __: object) -> None:
-    context.trace_request_ctx.connected = True
+    state: _ExchangeState = context.trace_request_ctx
+    state.connected = True
+    state.limit.restart(None if state.ends_at is None else state.ends_at - time.monotonic())
 
 
 __all__ = [
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,9 +4,13 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Callable
+import threading
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 
+import aiohttp
+import attrs
 import pytest
 
 from basilroad.http import (
@@ -222,6 +226,120 @@
         await client.close()
 
 
+class ThreadServer:
+    """Serves connections while the event loop of the test is blocked.
+
+    :param answer: bytes of the response
+    """
+
+    def __init__(self, answer: bytes) -> None:
+        self.answers = threading.Event()
+        self.requests: list[bytes] = []
+        self._answer = answer
+        self._sock = socket.create_server(("127.0.0.1", 0))
+        self.url = "http://{}:{}".format(*self._sock.getsockname())
+        self._thread = threading.Thread(target=self._serve)
+        self._thread.start()
+
+    def stop(self) -> None:
+        self.answers.set()
+        # ends the accept
+        self._sock.shutdown(socket.SHUT_RDWR)
+        self._thread.join()
+        self._sock.close()
+
+    def answer_in_block(self, block_s: float) -> None:
+        """Block the event loop, and respond meanwhile."""
+        self.answers.set()
+        time.sleep(block_s)
+
+    def _serve(self) -> None:
+        while True:
+            try:
+                connection, _ = self._sock.accept()
+            except OSError:
+                return
+            with connection:
+                if request := connection.recv(65536):
+                    self.requests.append(request)
+                    self.answers.wait(TIMEOUT_S)
+                    connection.sendall(self._answer)
+
+
+BODY = 200_000 * b"x"
+
+
+@pytest.fixture
+def thread_server() -> Iterator[ThreadServer]:
+    server = ThreadServer(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + BODY)
+    yield server
+    server.stop()
+
+
+@attrs.frozen
+class BlockingKeepAlive(KeepAlive):
+    """Blocks the event loop while the kernel opens a connection.
+
+    :param block_s: for how long, in seconds
+    """
+
+    block_s: float = 0.0
+
+    def open_socket(self, info: aiohttp.AddrInfoType) -> socket.socket:
+        asyncio.get_running_loop().call_soon(time.sleep, self.block_s)
+        return super().open_socket(info)
+
+
+# fault: a late event loop gave up a request whose response had arrived before the limit
+async def test_a_response_that_arrived_while_the_event_loop_was_late(
+    thread_server: ThreadServer,
+) -> None:
+    client = HttpClient(thread_server.url, 0.5)
+    call = asyncio.create_task(client.send(HttpRequest("GET", "/")))
+    while not thread_server.requests:
+        await asyncio.sleep(0.01)
+    asyncio.get_running_loop().call_soon(thread_server.answer_in_block, 0.7)
+    assert (await call).body == BODY
+    await client.close()
+
+
+# fault: a late event loop gave up a connection that the kernel had opened before the limit
+async def test_a_connection_that_was_opened_while_the_event_loop_was_late(
+    thread_server: ThreadServer,
+) -> None:
+    thread_server.answers.set()
+    client = HttpClient(thread_server.url, 0.3, keep_alive=BlockingKeepAlive(block_s=0.5))
+    response = await client.send(HttpRequest("GET", "/"), None, TIMEOUT_S)
+    assert response.body == BODY
+    await client.close()
+
+
+@pytest.mark.holds_not_run
+async def test_nothing_is_sent_on_a_connection_that_is_open_after_the_time_limit(
+    thread_server: ThreadServer,
+) -> None:
+    client = HttpClient(thread_server.url, 0.3, keep_alive=BlockingKeepAlive(block_s=0.5))
+    with pytest.raises(RequestNotSentError) as caught:
+        await client.send(HttpRequest("POST", "/"))
+    assert caught.value.timed_out
+    await client.close()
+    assert thread_server.requests == []
+
+
+async def test_a_late_event_loop_gives_up_a_request_without_a_response(
+    thread_server: ThreadServer,
+) -> None:
+    client = HttpClient(thread_server.url, 0.3)
+    call = asyncio.create_task(client.send(HttpRequest("GET", "/")))
+    while not thread_server.requests:
+        await asyncio.sleep(0.01)
+    asyncio.get_running_loop().call_soon(time.sleep, 0.5)
+    with pytest.raises(ResponseLostError) as caught:
+        await call
+    assert caught.value.timed_out
+    await client.close()
+
+
 async def test_only_given_headers_are_sent(connect: Callable[[str], HttpClient]) -> None:
     async with run_server(OK) as server:
         request = HttpRequest("GET", "/a%2Fb?c=%20", (("X-Oak", "1"), ("X-Oak", "2")))
