Hold the ports of listeners of tests until they listen

Cause: tests asked for a free port, gave it back and listened on it later. In tests/support/watchrig.py, tests/entry/test_stop.py, tests/harness/test_proxy.py and tests/test_listener.py the kernel had named it, so that any server or connection of another test could take it meanwhile; in tests/support/gatewayrig.py two sessions could choose the same one. Not shown: that one of the tests that failed beside load failed by this.

--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 import time
 from types import SimpleNamespace
 
@@ -15,12 +14,7 @@
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.settings.daemon import DaemonSettings, EntrySettings
 from basilroad.stopsignal import StopSignal
-
-
-def find_free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+from support.addresses import find_free_port
 
 
 def build_settings(port: int, drain_limit_s: float) -> DaemonSettings:
--- a/tests/entry/test_stop_connections.py
+++ b/tests/entry/test_stop_connections.py
@@ -11,7 +11,7 @@
 
 from basilroad.entry.service import EntryService
 from basilroad.settings.daemon import DaemonSettings, EntrySettings
-from support.gatewayrig import find_free_port
+from support.addresses import find_free_port
 from support.tries import TryEnd, read_end
 
 
--- a/tests/gateway/test_configexchange.py
+++ b/tests/gateway/test_configexchange.py
@@ -9,7 +9,7 @@
 
 from basilroad.gateway.configexchange import PATH, ConfigExchange
 from basilroad.peers.address import Address
-from support.gatewayrig import find_free_port
+from support.addresses import find_free_port
 
 
 # fault: the kernel reset a fetch that was not read when the gateway stopped, and the other gateway
--- a/tests/harness/test_proxy.py
+++ b/tests/harness/test_proxy.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from support.addresses import find_free_port
 from support.background import Background
 from support.proxy import FaultProxy
 
@@ -21,17 +22,11 @@
     writer.close()
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 @pytest.fixture
 def proxy(background: Background) -> Iterator[FaultProxy]:
     server = background.run(asyncio.start_server(echo, "127.0.0.1", 0))
     target = server.sockets[0].getsockname()[1]
-    proxy = FaultProxy(background, f"127.0.0.1:{find_port()}", f"127.0.0.1:{target}")
+    proxy = FaultProxy(background, f"127.0.0.1:{find_free_port()}", f"127.0.0.1:{target}")
     yield proxy
     proxy.close()
     server.close()
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -26,8 +26,9 @@
 from basilroad.platform.store import StoreClient
 from basilroad.platform.watch import TableWatch
 from basilroad.standin.rowstore import RowStoreStandin
+from support.addresses import find_free_address
 from support.sharedlink import SharedLink
-from support.watchrig import BUDGET, SERVER, Rig, build_config, find_free_address, wait_until
+from support.watchrig import BUDGET, SERVER, Rig, build_config, wait_until
 
 HOSTS = 5
 CONFIG_BYTES = 60_000
--- a/tests/platform/test_restore_open.py
+++ b/tests/platform/test_restore_open.py
@@ -12,7 +12,8 @@
 from basilroad.gateway.configexchange import ConfigExchange
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.relay import Confirmation, Update
-from support.watchrig import NOBODY, Rig, build_config, find_free_address, wait_until
+from support.addresses import find_free_address
+from support.watchrig import NOBODY, Rig, build_config, wait_until
 
 if TYPE_CHECKING:
     from aiohttp import web
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -19,13 +19,13 @@
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.platform.store import StoreClient
 from basilroad.standin.rowstore import RowStoreStandin
+from support.addresses import find_free_address
 from support.watchrig import (
     BUDGET,
     NOBODY,
     SERVER,
     Rig,
     build_config,
-    find_free_address,
     wait_until,
 )
 
--- a/tests/support/gatewayrig.py
+++ b/tests/support/gatewayrig.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import random
 import re
-import socket
 import time
 from pathlib import Path
 
@@ -22,22 +19,11 @@
 from basilroad.platform.settings import Bounds, ProcessSettings, StoreAccess
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.rowstore import RowStoreStandin
+from support.addresses import find_free_port
 
 HEADERS = {"Host": "h.example", "X-Attempt-Id": "c1", "X-Key": "key", "X-Deadline-Ms": "2000"}
 
 
-LISTEN_PORTS = range(20000, 32000)
-"""Ports of gateways, below those that the kernel gives to connections."""
-
-
-def find_free_port() -> int:
-    while True:
-        port = random.SystemRandom().choice(LISTEN_PORTS)
-        with socket.socket() as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            return port
-
-
 def build_config(version: int, *keys: str, timeout_ms: int = 2000) -> dict[str, object]:
     base = {"host": "h.example", "timeoutMs": timeout_ms, "sloMs": 500, "priority": 1}
     orders = {**base, "name": "o", "prefix": "/o/", "kind": "non_idempotent", "service": "app"}
@@ -206,7 +192,6 @@
     "block_event_loop",
     "build_config",
     "build_order",
-    "find_free_port",
     "open_kept_connection",
     "send_on_kept",
     "shorten_grace",
--- a/tests/support/watchrig.py
+++ b/tests/support/watchrig.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
 
 from basilroad.gateway.configexchange import ConfigExchange
@@ -39,12 +38,6 @@
     return {"version": version, "routes": [], "services": [], "tenants": tenants}
 
 
-def find_free_address() -> Address:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", int(sock.getsockname()[1]))
-
-
 async def wait_until(check: Callable[[], bool]) -> None:
     async with asyncio.timeout(TIMEOUT_S):
         while not check():
@@ -104,6 +97,5 @@
     "STARTED",
     "Rig",
     "build_config",
-    "find_free_address",
     "wait_until",
 ]
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -13,6 +13,7 @@
 
 from basilroad.listener import CallerListener
 from basilroad.peers.address import Address
+from support.addresses import find_free_port
 from support.gatewayrig import GatewayRig, block_event_loop, build_order, shorten_grace
 from support.tries import TryEnd, exchange_once, hold_stop, read_end
 
@@ -134,9 +135,7 @@
 
     runner = web.ServerRunner(web.Server(serve))
     await runner.setup()
-    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-    with socket.create_server((ip, 0), family=family) as probe:
-        port = probe.getsockname()[1]
+    port = find_free_port()
     listener = await CallerListener.open(runner, Address(ip, port))
     with socket.create_connection((ip, port), timeout=5):
         await listener.close()
