Limit what a fetch of the config receives and unpacks to

Callers would see: a gateway that stalls or runs out of memory when a peer, or whatever listens at its address, sends a body that unpacks to gigabytes or has no end. Cause: the body of a fetch was collected without a limit, zlib.decompress had none either, and it drops what follows the end of the stream. Change: a document of over 1 MiB isn't fetched. The code accepts any size, but reads the config only as one row of /rows-get, whose responses hold at most 1 MB. A body that is cut, goes on after its end, is longer than such a document or has another encoding counts as "config not fetched", with a log line; the follower reads the store as after any failed fetch.

--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/configexchange.py
@@ -40,6 +40,13 @@
 ENCODING = "deflate"
 COMPRESSION_LEVEL = 1  # a document is compressed once a version, on a fraction of a core
 
+MAX_DOCUMENT_BYTES = 2**20
+"""Largest document that is fetched: the store sends at most 1 MB of rows in a response, and a
+config is read as one row."""
+
+MAX_BODY_BYTES = MAX_DOCUMENT_BYTES + MAX_DOCUMENT_BYTES // 1024 + 64
+"""Largest body of a fetch: a document that doesn't compress grows by less than this."""
+
 HEADER_VERSION = "Confirmed-Version"
 HEADER_AGE = "Confirmed-Age-Ms"
 MAX_DIGITS = 15  # exact as a float
@@ -64,6 +71,10 @@
     confirmed_at: float = -math.inf
 
 
+class DocumentError(Exception):
+    """The body of a fetch holds no whole document, or one that is too large."""
+
+
 class ConfigExchange(Service):
     """Serves the last configuration document to other gateways, and fetches theirs.
 
@@ -109,20 +120,16 @@
         :return: what it sent; ``None`` if there was no document in time
         """
         asked_at = read_boot_clock()
-        client = HttpClient(f"http://{address}", FETCH_TIMEOUT_S)
+        client = HttpClient(f"http://{address}", FETCH_TIMEOUT_S, max_body_bytes=MAX_BODY_BYTES)
         try:
             request = HttpRequest("GET", PATH, (("Accept-Encoding", ENCODING),))
             response = await client.send(request, None, FETCH_TRANSFER_LIMIT_S)
             document = _read_document(response)
-        except (HttpError, zlib.error) as error:
+        except (HttpError, DocumentError) as error:
             _LOGGER.info("config not fetched", extra={"peer": str(address), "detail": str(error)})
             return None
         finally:
             await client.close()
-        if response.status != STATUS_OK:
-            detail = f"status {response.status}"
-            _LOGGER.info("config not fetched", extra={"peer": str(address), "detail": detail})
-            return None
         version = _read_count(response.headers, HEADER_VERSION)
         age_ms = _read_count(response.headers, HEADER_AGE)
         _LOGGER.info(
@@ -159,10 +166,30 @@
 
 
 def _read_document(response: HttpResponse) -> bytes:
+    if response.status != STATUS_OK:
+        raise DocumentError(f"status {response.status}")
+    encoding = response.headers.get("Content-Encoding", "")
     # a gateway of an earlier release sends the document as it is
-    if response.headers.get("Content-Encoding") != ENCODING:
-        return response.body
-    return zlib.decompress(response.body)
+    document = _decompress(response.body) if encoding == ENCODING else response.body
+    if encoding not in ("", ENCODING):
+        raise DocumentError(f"encoding {encoding!r}")
+    if len(document) > MAX_DOCUMENT_BYTES:
+        raise DocumentError(f"document exceeds {MAX_DOCUMENT_BYTES} bytes")
+    return document
+
+
+def _decompress(body: bytes) -> bytes:
+    stream = zlib.decompressobj()
+    try:
+        # the byte beyond the limit tells that there are more
+        document = stream.decompress(body, MAX_DOCUMENT_BYTES + 1)
+    except zlib.error as error:
+        raise DocumentError(str(error)) from error
+    if len(document) <= MAX_DOCUMENT_BYTES and not stream.eof:
+        raise DocumentError("compressed document is cut")
+    if stream.unused_data:
+        raise DocumentError(f"{len(stream.unused_data)} bytes after the compressed document")
+    return document
 
 
 def _read_count(headers: Mapping[str, str], name: str) -> int | None:
@@ -170,4 +197,10 @@
     return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS else None
 
 
-__all__ = ["ConfigExchange", "FetchedConfig"]
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_DOCUMENT_BYTES",
+    "ConfigExchange",
+    "DocumentError",
+    "FetchedConfig",
+]
--- a/src/basilroad/http.py
+++ b/src/basilroad/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
@@ -116,6 +117,7 @@
     :param timeout_s: time limit of a request in seconds; for a stream, of the connection attempt
     :param reuse_connections: whether connections are kept alive for further requests
     :param keep_alive: probes of its connections; ``None`` for none
+    :param max_body_bytes: largest response body that is received whole; ``None`` for any
     """
 
     def __init__(
@@ -125,7 +127,9 @@
         *,
         reuse_connections: bool = True,
         keep_alive: KeepAlive | None = None,
+        max_body_bytes: int | None = None,
     ) -> None:
+        self._max_body_bytes = math.inf if max_body_bytes is None else max_body_bytes
         self._keep_alive = keep_alive
         self._url = url.rstrip("/")
         self._timeout_s = timeout_s
@@ -167,6 +171,10 @@
             async for chunk in response.content.iter_any():
                 body += chunk
                 state.received_bytes = len(body)
+                if len(body) > self._max_body_bytes:
+                    # the rest is not read, so the connection can't be used again
+                    response.close()
+                    raise ResponseLostError(f"body exceeds {self._max_body_bytes} bytes")
             return HttpResponse(response.status, response.headers, bytes(body))
 
     @asynccontextmanager
