Refuse work that crosses the stop of an agent as not run

Callers saw: 502 "may have run" for a call without a key of theirs that was on its way to an agent when a planned stop of that agent began, though it never ran. Cause: an agent without work closed its streams at once. The news of its drain was queued by a task that had not run yet, so entries never heard of it and went on sending; what arrived wasn't read, and the stream ended only with the process. The streams were also flushed one after another, up to 1 s each. Change: the streams stay open for 0.3 s after the news of the drain, in which work is refused as not run, which entries send elsewhere. They are then flushed at once, and the end of each is sent before the listener closes.

--- a/src/basilroad/agent/link.py
+++ b/src/basilroad/agent/link.py
@@ -57,6 +57,7 @@
         self._ends: list[wire.AgentMessage] = []
         self._readers: dict[Reader, None] = {}
         self._closed = asyncio.Event()
+        self._ended = asyncio.Event()
 
     def record_hello(self, hello: wire.EntryHello) -> None:
         """Record the identity of the entry.
@@ -129,6 +130,14 @@
         """Wait until :meth:`close` is called."""
         await self._closed.wait()
 
+    def mark_ended(self) -> None:
+        """Record that the stream is no longer served."""
+        self._ended.set()
+
+    async def wait_ended(self) -> None:
+        """Wait until :meth:`mark_ended` is called."""
+        await self._ended.wait()
+
     def _collect_tokens(self) -> list[wire.AgentMessage]:
         messages = [_build_tokens(reader) for reader in self._readers]
         self._readers.clear()
--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -62,6 +62,13 @@
 CACHE_UPDATE_INTERVAL_S = 0.1
 """Seconds over which changes of a prefix cache are collected before they are sent."""
 
+CROSSING_S = 0.3
+"""Time after the news of a drain for which the streams stay open, so that work which was sent
+before the news had arrived is refused as not run; several round trips between data centres."""
+
+FLUSH_TIMEOUT_S = 1.0
+"""Time for the last messages to all entries."""
+
 PLATFORM_TIMEOUT_S = 2.0
 """Seconds to wait for one response of the platform."""
 
@@ -142,9 +149,11 @@
     async def on_stop(self) -> None:
         """Drain: accept no new work, let running work end or move it, then close."""
         self.drains.drain_all()
+        drained_at = time.monotonic()
         await self._wait_for_runs()
-        for link in list(self.links):
-            await self._flush(link)
+        if self.links:
+            await asyncio.sleep(max(0.0, drained_at + CROSSING_S - time.monotonic()))
+        await asyncio.gather(*(self._flush(link) for link in list(self.links)))
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -173,6 +182,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             self._drop_link(link)
+            link.mark_ended()
 
     def send_hello(self, link: EntryLink) -> None:
         """Send a new entry this agent's identity, the poison marks and the cache contents.
@@ -392,13 +402,15 @@
 
     async def _flush(self, link: EntryLink) -> None:
         try:
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
                 await link.wait_drained()
+                link.close()
+                # the end of the stream is sent when its handler returns
+                await link.wait_ended()
         except TimeoutError:
             _LOGGER.warning(
                 "an entry did not receive the last messages before its stream was closed"
             )
-        link.close()
 
 
 __all__ = ["AgentService"]
