--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -181,6 +181,8 @@
             except Exception:
                 # one row that can't be applied must not end the watch; all rows are read again
                 self._revision, self._snapshot_due = None, True
+                # the followers miss what isn't applied here
+                self._schedule_withdrawal()
                 _LOGGER.error("watch failed", extra={"table": self._table}, exc_info=True)
             else:
                 pause_s = RETRY_MIN_S
@@ -272,6 +274,10 @@
         self._cancel_withdrawal()
         self._relay.resume(self._table)
         received_at = read_boot_clock()
+        if self._clock.is_other(earliest, received_at, changes.store_s):
+            # it may also have come back at once, without a read that failed
+            self._clock.reset()
+            _LOGGER.warning("store clock changed", extra={"table": self._table})
         at = self._clock.estimate_time(earliest, received_at, changes.store_s)
         self.on_confirmed(at, changes.store_s)
 
