Let handshakes finish while a stop refuses new connections

What callers saw: a request without an answer or a refusal, sent on a connection whose handshake had begun when a stopping gateway closed its listening socket. The connection is open for its caller with the gateway's first packet, so that the caller sends its request; the kernel resets handshakes that lose their listening socket.

Cause: the close ends both at once, new handshakes and those that have begun. Class: an end that only one side knows of.

Change: the listening socket is bound to an index that no interface has, so that the kernel refuses new handshakes at once, and is closed after 0.1 s, never later than the end of admission. Handshakes that have begun keep the interface that they came with. Any process may bind a socket that isn't bound yet (Linux 5.7 or later); where the kernel refuses it, a line is logged and the socket is closed at once, as before. Entries end listening the same way.

Evidence: tests on the real kernel, whose handshakes are left unfinished by TCP_DEFER_ACCEPT until the caller sends its request.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -94,12 +94,12 @@
 
     async def on_stop(self) -> None:
         """Close the listener and all connections, each one once it is idle."""
+        limit = time.monotonic() + SHUTDOWN_TIMEOUT_S
         if self._listener is not None:
-            await self._listener.close()
+            await self._listener.close(limit)
         if self._runner is None:
             return
         if self._runner.server is not None:
-            limit = time.monotonic() + SHUTDOWN_TIMEOUT_S
             await close_idle_connections(self._runner.server, limit)
         await self._runner.cleanup()
 
--- a/src/basilroad/listener.py
+++ b/src/basilroad/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import socket
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -16,6 +17,15 @@
 LISTEN_BACKLOG = 1024
 """Maximum number of connections that wait to be accepted."""
 
+HANDSHAKE_LIMIT_S = 0.1
+"""Time for handshakes that have begun to finish; several round trips between data centres."""
+
+SO_BINDTOIFINDEX = 62
+"""Socket option of Linux, ``asm-generic/socket.h``; the socket module has no name for it."""
+
+NO_INTERFACE = 0x7FFFFFFE
+"""Index that no network interface has."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -54,8 +64,14 @@
             raise
         return cls(runner, sock, site)
 
-    async def close(self) -> None:
-        """Stop listening, and serve the connections that wait to be accepted."""
+    async def close(self, limit: float = 0.0) -> None:
+        """Stop listening, and serve the connections that have begun.
+
+        :param limit: monotonic seconds until which handshakes that have begun may finish
+        """
+        handshakes_s = min(HANDSHAKE_LIMIT_S, limit - time.monotonic())
+        if handshakes_s > 0.0 and self._refuse_handshakes():
+            await asyncio.sleep(handshakes_s)
         asyncio.get_running_loop().remove_reader(self._sock)
         # what the event loop accepted in this turn gets its transport before the close
         await asyncio.sleep(0)
@@ -74,6 +90,15 @@
                 _LOGGER.warning("accept failed", extra={"detail": repr(result)})
                 sock.close()
 
+    def _refuse_handshakes(self) -> bool:
+        # the kernel finds no listener for new handshakes; begun ones keep the interface they have
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, SO_BINDTOIFINDEX, NO_INTERFACE)
+        except OSError as error:
+            _LOGGER.warning("handshakes not awaited", extra={"detail": repr(error)})
+            return False
+        return True
+
     def _accept_waiting(self) -> list[socket.socket]:
         waiting: list[socket.socket] = []
         while True:
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -103,7 +103,7 @@
         _LOGGER.info("stopping", extra=_describe_shutdown(shutdown, connections))
         await _sleep_until(schedule.accepts_until)
         if self._listener is not None:
-            await self._listener.close()
+            await self._listener.close(schedule.admits_until)
         await _sleep_until(schedule.admits_until)
         _LOGGER.info("admission ended", extra=_describe_shutdown(shutdown, connections))
         await connections.close_connections(schedule.ends_at)
--- a/tests/entry/test_stop_connections.py
+++ b/tests/entry/test_stop_connections.py
@@ -12,7 +12,10 @@
 from basilroad.entry.service import EntryService
 from basilroad.settings.daemon import DaemonSettings, EntrySettings
 from support.gatewayrig import find_free_port
-from support.tries import TryEnd, read_end
+from support.tries import TryEnd, is_listening, read_end
+
+DEFER_ACCEPT_S = 5
+"""Time for which the kernel leaves a handshake unfinished until its caller sends something."""
 
 
 def build_completion() -> bytes:
@@ -82,3 +85,23 @@
             await asyncio.sleep(0)
         await entry.http.stop()
         assert await asyncio.to_thread(receive, caller) is TryEnd.REFUSED
+
+
+@pytest.mark.holds_stop
+async def test_a_handshake_that_has_begun_when_an_entry_stops_is_finished(
+    entry: EntryService,
+) -> None:
+    # fault: the kernel reset the handshakes that were not finished when a stopping entry closed its
+    # listener, though their callers had sent a request
+    ip, _, port = entry.options.listen.rpartition(":")
+    listener = entry.http._listener
+    assert listener is not None
+    listener._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_S)
+    with connect(entry) as caller:
+        entry.stopping = True
+        stopping = asyncio.ensure_future(entry.http.stop())
+        while is_listening(ip, int(port)):
+            await asyncio.sleep(0)
+        caller.sendall(build_completion())
+        assert await asyncio.to_thread(receive, caller) is TryEnd.REFUSED
+    await stopping
--- a/tests/support/tries.py
+++ b/tests/support/tries.py
@@ -50,6 +50,15 @@
             return TryEnd.NO_ANSWER
 
 
+def is_listening(ip: str, port: int) -> bool:
+    """:return: whether new connections to an address are accepted."""
+    try:
+        socket.create_connection((ip, port), timeout=5).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
 async def hold_stop(rig: GatewayRig) -> asyncio.Task[object]:
     """Start a stream that outlasts a stop, so that the stop lasts until its limit.
 
@@ -65,4 +74,4 @@
     return companion
 
 
-__all__ = ["TryEnd", "exchange_once", "hold_stop", "read_end"]
+__all__ = ["TryEnd", "exchange_once", "hold_stop", "is_listening", "read_end"]
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -5,16 +5,18 @@
 import asyncio
 import itertools
 import socket
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
 from aiohttp import web
 
+from basilroad import listener as listener_module
 from basilroad.listener import CallerListener
 from basilroad.peers.address import Address
 from support.gatewayrig import GatewayRig, block_event_loop, build_order, shorten_grace
-from support.tries import TryEnd, exchange_once, hold_stop, read_end
+from support.tries import TryEnd, exchange_once, hold_stop, is_listening, read_end
 
 WAITING = 200
 """Connections that wait when listening ends."""
@@ -25,6 +27,53 @@
 GRACE_LIMIT_S = 3.5
 """Time limit of the calls in flight of a stop; new connections end after 2.3 s."""
 
+UNKNOWN_OPTION = 0x7FFF
+"""Socket option that no kernel has."""
+
+DEFER_ACCEPT_S = 5
+"""Time for which the kernel leaves a handshake unfinished until its caller sends something."""
+
+
+def open_unfinished(rig: GatewayRig) -> socket.socket:
+    """Open a connection whose handshake is not finished at the gateway.
+
+    :param rig: the gateway
+    :return: the connection, which is open for its caller
+    """
+    front = rig.service.settings.front
+    listener = rig.service.front._listener
+    assert listener is not None
+    listener._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_DEFER_ACCEPT, DEFER_ACCEPT_S)
+    return socket.create_connection((front.ip, front.port), timeout=5)
+
+
+async def open_listener(ip: str) -> tuple[CallerListener, int]:
+    """Listen at a free port.
+
+    :param ip: address
+    :return: the listener of a server that answers each request with status 200, and its port
+    """
+
+    async def serve(_: web.BaseRequest) -> web.Response:
+        return web.Response()
+
+    runner = web.ServerRunner(web.Server(serve))
+    await runner.setup()
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    with socket.create_server((ip, 0), family=family) as probe:
+        port = probe.getsockname()[1]
+    return await CallerListener.open(runner, Address(ip, port)), port
+
+
+async def count_turns(task: asyncio.Future[None]) -> int:
+    """:return: turns of the event loop until a task has ended."""
+    turns = 0
+    while not task.done():
+        await asyncio.sleep(0)
+        turns += 1
+    await task
+    return turns
+
 
 @pytest.fixture
 async def rig() -> AsyncIterator[GatewayRig]:
@@ -141,3 +190,85 @@
     with socket.create_connection((ip, port), timeout=5):
         await listener.close()
     await runner.cleanup()
+
+
+# fault: the kernel reset the connections whose handshakes were not finished when a stopping gateway
+# closed its listening socket, though their callers had sent a request
+async def test_a_handshake_that_has_begun_at_the_end_of_listening_is_finished(
+    rig: GatewayRig,
+) -> None:
+    front = rig.service.settings.front
+    listener = rig.service.front._listener
+    assert listener is not None
+    with open_unfinished(rig) as caller:
+        closing = asyncio.ensure_future(listener.close(time.monotonic() + 5.0))
+        while is_listening(front.ip, front.port):
+            await asyncio.sleep(0)
+        caller.sendall(build_order("handshake"))
+        await closing
+        received = await asyncio.to_thread(caller.recv, 65536)
+    rig.service.front._listener = None
+    assert read_end(received) is TryEnd.ANSWERED
+
+
+# guards against callers that wait for a gateway which doesn't accept them any more
+@pytest.mark.parametrize("ip", ["127.0.0.1", "::1"])
+async def test_a_handshake_that_begins_after_the_end_of_listening_is_refused_at_once(
+    ip: str,
+) -> None:
+    listener, port = await open_listener(ip)
+    closing = asyncio.ensure_future(listener.close(time.monotonic() + 5.0))
+    await asyncio.sleep(0)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((ip, port), timeout=5)
+    assert not closing.done()
+    await closing
+    await listener._runner.cleanup()
+
+
+async def test_handshakes_are_not_awaited_past_the_limit() -> None:
+    # guards against a stop that lasts longer than its grace period
+    listener, _ = await open_listener("127.0.0.1")
+    closing = asyncio.ensure_future(listener.close(time.monotonic()))
+    assert await count_turns(closing) < MAX_TURNS
+    await listener._runner.cleanup()
+
+
+async def test_handshakes_are_not_awaited_on_a_kernel_that_can_not_refuse_new_ones(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # guards against a stop that ends with an error there, or begins to lose what waits
+    monkeypatch.setattr(listener_module, "SO_BINDTOIFINDEX", UNKNOWN_OPTION)
+    listener, port = await open_listener("127.0.0.1")
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as caller:
+        caller.sendall(build_order("waits"))
+        closing = asyncio.ensure_future(listener.close(time.monotonic() + 5.0))
+        assert await count_turns(closing) < MAX_TURNS
+        assert "handshakes not awaited" in caplog.messages
+        received = await asyncio.to_thread(caller.recv, 65536)
+    assert read_end(received) is TryEnd.ANSWERED
+    await listener._runner.cleanup()
+
+
+async def test_a_stop_refuses_the_late_request_of_a_handshake_that_has_begun(
+    rig: GatewayRig,
+) -> None:
+    # fault: the kernel reset the connection at the end of listening, and its caller did not know
+    # whether its request ran, which could only be read after the end of admission
+    loop, front = asyncio.get_running_loop(), rig.service.settings.front
+    companion = await hold_stop(rig)
+    shorten_grace(rig, GRACE_LIMIT_S)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    while (schedule := rig.service.gateway.shutdown_schedule) is None:
+        await asyncio.sleep(0)
+    await asyncio.sleep(schedule.accepts_until - time.monotonic() - 0.2)
+    with open_unfinished(rig) as caller:
+        while is_listening(front.ip, front.port):
+            await asyncio.sleep(0.001)
+        caller.sendall(build_order("handshake"))
+        late_s = max(0.0, schedule.admits_until - time.monotonic()) + 0.1
+        loop.call_soon(block_event_loop, late_s)
+        received = await asyncio.to_thread(caller.recv, 65536)
+    await stopping
+    await asyncio.gather(companion, return_exceptions=True)
+    assert read_end(received) is TryEnd.REFUSED
