--- a/tests/agent/test_stop.py
+++ b/tests/agent/test_stop.py
@@ -15,7 +15,7 @@
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.peers.wire.peer_grpc import PeerStub
 from basilroad.settings.daemon import AgentSettings, DaemonSettings, EndpointSettings
-from support.gatewayrig import find_free_port
+from support.addresses import find_free_port
 
 DELAY_S = 0.08
 """Time for a message from one data centre to another."""
--- a/tests/platform/test_confirmation_age.py
+++ b/tests/platform/test_confirmation_age.py
@@ -13,13 +13,13 @@
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.relay import Confirmation, Update, Withdrawal
 from basilroad.platform import configwatch
+from support.addresses import find_free_address
 from support.watchrig import (
     BUDGET,
     NOBODY,
     SERVER,
     Rig,
     build_config,
-    find_free_address,
     wait_until,
 )
 
