Notice when the store comes back at once with another clock

Callers would see, where strictRevoke is set: 503 for requests with a key, at all hosts of a data centre but one, until their reader changes. Cause: followers convert the store's clock by an offset that they know from their own reads. Only a failed read discards it. Since a reader keeps its followers when the store closes a connection, no host reads again then, and followers took confirmations by the wrong offset, too old ones for good. A clock that is ahead dated a response as late as it was received, which takes up to 3 s, so keys that were taken away meanwhile counted as confirmed. Change: a reading that fits no offset discards it, so that the response counts as of its request, and a reading from the future confirms nothing. A follower whose keys are over 2 s older than its reader's reads the store. Evidence: tests/platform/test_large_config.py and test_storeclock.py.

--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -37,6 +37,10 @@
 SETTLE_MARGIN_S = 0.02
 """Time by which a poll goes on after that, as its wait is rounded."""
 
+CONFIRMATION_LAG_S = 2.0
+"""Time by which a follower's keys may be older than its reader's before it reads the store, whose
+clock may be another one than it knows; several times the delay of a datagram."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -67,6 +71,7 @@
         self._exchange = exchange
         self._wanted_version = 0
         self._wanted_epoch = 0
+        self._clock_doubted = False
 
     @property
     def poll_limit_s(self) -> float:
@@ -119,10 +124,16 @@
             self._wanted_epoch = update.epoch
             self._request_read()
             return
-        now = read_boot_clock()
+        if (update.epoch, update.config_version) != (epoch, table.version):
+            return
+        now, age_s = read_boot_clock(), update.age_ms / 1000
         at = self._clock.convert(update.store_s, now)
-        if at is not None and (update.epoch, update.config_version) == (epoch, table.version):
-            self._gateway.freshness.confirm(min(at, now - update.age_ms / 1000))
+        if at is not None:
+            self._gateway.freshness.confirm(min(at, now - age_s))
+        is_late = not self._gateway.freshness.is_within(age_s + CONFIRMATION_LAG_S)
+        if is_late and self._clock.is_known:
+            self._clock_doubted = True
+            self._request_read()
 
     async def read_missing(self) -> None:
         """Read the config itself from the reader, or else from the store.
@@ -137,8 +148,10 @@
                 self._confirm_fetched(fetched)
         table = self._gateway.table
         is_restored = self._revision is not None and self._wanted_epoch > self._revision.epoch
-        if table is None or is_restored or table.version < wanted_version:
+        is_outdated = table is None or is_restored or table.version < wanted_version
+        if is_outdated or self._clock_doubted:
             await self._read_snapshot()
+            self._clock_doubted = False
 
     def _confirm_fetched(self, fetched: FetchedConfig) -> None:
         # no clock of the store is involved, so this also holds while its epoch isn't known here
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -272,6 +272,10 @@
         self._cancel_withdrawal()
         self._relay.resume(self._table)
         received_at = read_boot_clock()
+        if self._clock.is_other(earliest, received_at, changes.store_s):
+            # it may also have come back at once, without a read that failed
+            self._clock.reset()
+            _LOGGER.warning("store clock changed", extra={"table": self._table})
         at = self._clock.estimate_time(earliest, received_at, changes.store_s)
         self.on_confirmed(at, changes.store_s)
 
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -265,6 +265,25 @@
     await runner.cleanup()
 
 
+# fault: a reader kept its followers when its store came back with another clock, by which they
+# took no confirmation of their keys any more
+@pytest.mark.parametrize("step_s", [-1000.0, 1000.0])
+async def test_followers_keep_their_keys_when_the_store_returns_with_another_clock(
+    data_centre: DataCentre, step_s: float
+) -> None:
+    # the polls of the followers from before they had a reader end
+    await asyncio.sleep(4.0)
+    data_centre.store.clock_offset_s = step_s
+    data_centre.store.break_off()
+    await asyncio.sleep(6.0)
+    calls = data_centre.store.calls
+    for _ in range(30):
+        # a reader's poll takes 2.2 s
+        assert all(host.gateway.freshness.is_within(3.0) for host in data_centre.hosts)
+        await asyncio.sleep(0.1)
+    assert data_centre.store.calls - calls < HOSTS
+
+
 async def follow(rig: Rig, version: int, seconds: float, address: Address) -> None:
     """Send the updates of a reader for a while."""
     until = time.monotonic() + seconds
--- a/tests/platform/test_storeclock.py
+++ b/tests/platform/test_storeclock.py
@@ -50,3 +50,38 @@
     clock.estimate_time(10.0, 10.01, STORE_OFFSET_S + 10.005)
     clock.reset()
     assert clock.estimate_time(20.0, 22.0, 5000.0) == 20.0
+
+
+# fault: the readings of another clock dated a response as late as it was received, so keys that
+# were taken away while it was on its way counted as confirmed
+@pytest.mark.parametrize("step_s", [-5000.0, -3.5, 3.5, 5000.0])
+def test_another_clock_dates_no_response_too_late(step_s: float) -> None:
+    clock = StoreClock()
+    clock.estimate_time(10.0, 10.01, STORE_OFFSET_S + 10.005)
+    clock.estimate_time(10.01, 12.21, STORE_OFFSET_S + 12.205)
+    step_at = STORE_OFFSET_S + step_s
+    assert clock.is_other(12.3, 15.0, step_at + 12.4)
+    clock.reset()
+    assert clock.estimate_time(12.3, 15.0, step_at + 12.4) <= 12.4
+    assert not clock.is_other(15.0, 15.01, step_at + 15.005)
+
+
+def test_a_slow_response_or_a_rounded_reading_shows_no_other_clock() -> None:
+    clock = StoreClock()
+    clock.estimate_time(10.0, 10.001, STORE_OFFSET_S + 10.0005)
+    assert not clock.is_other(11.0, 11.001, STORE_OFFSET_S + 11.002)
+    assert not clock.is_other(11.0, 11.001, STORE_OFFSET_S + 10.999)
+    assert not clock.is_other(11.0, 16.0, STORE_OFFSET_S + 11.0)
+    assert not clock.is_other(11.0, 16.0, STORE_OFFSET_S + 16.0)
+    assert not clock.is_other(11.0, 16.0, None)
+
+
+def test_the_drift_of_a_day_shows_no_other_clock() -> None:
+    clock = StoreClock()
+    clock.estimate_time(10.0, 10.01, STORE_OFFSET_S + 10.005)
+    for drift_s in (-8.0, 8.0):
+        assert not clock.is_other(86410.0, 86410.01, STORE_OFFSET_S + 86410.005 + drift_s)
+
+
+def test_nothing_is_another_clock_than_none() -> None:
+    assert not StoreClock().is_other(10.0, 10.01, STORE_OFFSET_S)
