Let a reader whose watch fails withdraw

Callers would see: requests to a server later than drainMs after its leaving was acknowledged. Cause: a reader whose watch ended with an unexpected error went on to send its followers the listing up to the last change that it had applied, so that they never read the changes after it.

--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -181,6 +181,8 @@
             except Exception:
                 # one row that can't be applied must not end the watch; all rows are read again
                 self._revision, self._snapshot_due = None, True
+                # the followers miss what isn't applied here
+                self._schedule_withdrawal()
                 _LOGGER.error("watch failed", extra={"table": self._table}, exc_info=True)
             else:
                 pause_s = RETRY_MIN_S
