Send no call that a stopping entry would end before its answer

Callers saw: 502 "may have run" for a call to a plain service without a key of theirs, which had waited for an endpoint until shortly before the limit of a planned stop. Cause: the call was sent although the stop ended it milliseconds later. Change: with under 0.3 s left, as at gateways, it is refused as not run, so that the caller sends it to another host. Evidence: tests/entry/test_stop.py, a call that finds its endpoint 0.15 s before the limit; it failed before (502, may_have_run).

--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -35,6 +36,9 @@
 RETRIES_MIN_PER_S = 1.0
 """Retries per second that every service is allowed, whatever its request rate."""
 
+SHORT_CALL_S = 0.3
+"""Time that a call needs at least; one that a planned stop would end before that isn't sent."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -196,6 +200,9 @@
         avoided: set[str] = set()
         while True:
             view = await self.choose(call, avoided)
+            if time.monotonic() + SHORT_CALL_S > self.entry.work_ends_at:
+                # its end can't be promised, and another host can run it
+                raise refuse(ErrorKind.DRAINING, "this host is shutting down")
             try:
                 answer = await self.send(view, call)
             except LinkLostError as error:
--- a/src/basilroad/entry/context.py
+++ b/src/basilroad/entry/context.py
@@ -32,6 +32,7 @@
     :param containment: tracks requests that were running when endpoints failed
     :param link_costs: cost of sending work to other regions
     :param stopping: whether it is draining
+    :param work_ends_at: monotonic seconds at which a planned stop ends what is in flight
     :param calls_running: calls of plain services in flight
     """
 
@@ -45,6 +46,7 @@
     containment: Containment
     link_costs: LinkCosts
     stopping: bool
+    work_ends_at: float
     calls_running: int
 
     @property
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import time
 import uuid
 from typing import TYPE_CHECKING
@@ -109,6 +110,7 @@
         self.caller = ServiceCaller(self)
         self.http = HttpServer(self)
         self.stopping = False
+        self.work_ends_at = math.inf
         self.models_seen: set[str] = set()
         self.calls_running = 0
         self._run_tasks: dict[Flight, asyncio.Task[None]] = {}
@@ -152,8 +154,8 @@
         """Drain: wait for work in flight up to the limit, then refuse and cancel it."""
         self.stopping = True
         _LOGGER.info("entry draining", extra={"flights": len(self.flights)})
-        deadline_s = self._stop_signal.record() + self.options.drain_limit_s
-        while self._is_working and time.monotonic() < deadline_s:
+        self.work_ends_at = self._stop_signal.record() + self.options.drain_limit_s
+        while self._is_working and time.monotonic() < self.work_ends_at:
             await asyncio.sleep(DRAIN_POLL_S)
         ending = set(self._preparations)
         for limit in ending:
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -126,6 +126,39 @@
     writer.close()
 
 
+@pytest.mark.holds_stop
+async def test_a_call_that_finds_its_endpoint_shortly_before_the_limit_of_a_stop_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # fault: a call that had waited for an endpoint was sent when no time was left for it, and ended
+    # as one that may have run
+    port = find_free_port()
+    entry = EntryService(build_settings(port, drain_limit_s=0.5))
+    await entry.start()
+
+    async def wait(*_: object) -> None:
+        await asyncio.sleep(30)
+
+    async def choose(*_: object) -> EndpointView:
+        while not entry.stopping:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.35)
+        link = SimpleNamespace(next_call_number=lambda: 1, ask=wait)
+        return EndpointView(link, wire.EndpointState(endpoint="e"))
+
+    monkeypatch.setattr(entry.caller, "_check_accepted", lambda _: None)
+    monkeypatch.setattr(entry.caller, "choose", choose)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"POST /v1/services/s/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+    while not entry.calls_running:
+        await asyncio.sleep(0.01)
+    await entry.stop()
+    response = await reader.read()
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"not_run" in response
+    writer.close()
+
+
 @pytest.mark.holds_stop
 @pytest.mark.parametrize(
     ("lookup_s", "answer"),
