Tell in the soak when a stopping process was last seen running

Cause: the time of a stop ends when the soak's own event loop looks at the process again.

Change: a stop has two times, until the process was last seen running and until its exit was seen. The report names both. The promise is judged as before, by the later time, so that nothing passes that was reported until now.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -72,7 +72,7 @@
 
 @inject.register
 async def _(fault: StopGateway, world: World) -> None:
-    world.record.stops_s.append(await world.gateways[fault.target].stop())
+    world.record.stops.append(await world.gateways[fault.target].stop())
 
 
 @inject.register
--- a/soak/process.py
+++ b/soak/process.py
@@ -14,6 +14,7 @@
 import yaml
 
 from soak.link import Link
+from soak.records import StopTimes
 from soak.settings import APPLY_S, CONTACT_S, DRAIN_S, GRACE_S, REVOKE_S
 
 FRONT_PORT, READY_PORT, PEER_PORT = 8227, 8220, 7340
@@ -82,22 +83,22 @@
             await asyncio.sleep(downtime_s)
             self.start()
 
-    async def stop(self) -> float:
+    async def stop(self) -> StopTimes:
         """Send SIGTERM, then start the gateway again.
 
         SIGKILL follows if it has not exited within the grace period.
 
-        :return: seconds from the signal to the exit
+        :return: how long the exit took
         """
         async with self._lock:
             signalled_at = time.monotonic()
             self._signal(signal.SIGTERM)
-            await self._wait_exit(GRACE_S)
-            took_s = time.monotonic() - signalled_at
+            running_at = await self._wait_exit(GRACE_S)
+            times = StopTimes(running_at - signalled_at, time.monotonic() - signalled_at)
             self._signal(signal.SIGKILL)
             await self._wait_exit()
             self.start()
-            return took_s
+            return times
 
     async def pause(self, duration_s: float) -> None:
         """Suspend the process, then resume it.
@@ -133,12 +134,17 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
-    async def _wait_exit(self, limit_s: float = 10.0) -> None:
-        until = time.monotonic() + limit_s
+    async def _wait_exit(self, limit_s: float = 10.0) -> float:
+        """:return: monotonic seconds at which the process was last seen running."""
+        running_at = asked_at = time.monotonic()
+        until = asked_at + limit_s
         while self._process is not None and self._process.poll() is None:
+            running_at = asked_at
             if time.monotonic() > until:
-                return
+                break
             await asyncio.sleep(POLL_S)
+            asked_at = time.monotonic()
+        return running_at
 
     def _build_settings(self) -> dict[str, object]:
         return {
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -314,9 +314,10 @@
 
     def find_breaches(self, record: Record) -> Iterator[str]:
         """:return: stops that reached the grace period and needed SIGKILL."""
-        for took_s in record.stops_s:
-            if took_s >= GRACE_S:
-                yield f"a stop took {took_s:.2f} s"
+        for stop in record.stops:
+            if stop.took_s >= GRACE_S:
+                running = f"last seen running after {stop.running_s:.2f} s"
+                yield f"a stop took {stop.took_s:.2f} s, {running}"
 
 
 class NothingIsHeld(Promise):
--- a/soak/records.py
+++ b/soak/records.py
@@ -144,6 +144,21 @@
         return isinstance(self.fault, PLANNED)
 
 
+@attrs.frozen
+class StopTimes:
+    """How long a planned stop took.
+
+    The exit lies between the two times; they are far apart when the soak itself waited for the
+    processor.
+
+    :param running_s: seconds from the signal until the process was last seen running
+    :param took_s: seconds from the signal until its exit was seen, or until it was given up
+    """
+
+    running_s: float
+    took_s: float
+
+
 @attrs.define
 class Record:
     """Everything recorded in one run of the soak test; times are monotonic seconds.
@@ -157,7 +172,7 @@
     :param key_revoked_at: when the config without the key had been written to the store, by key
     :param draining_since: when each draining endpoint was stored as draining, by instance name
     :param route_moves: when the moved route was assigned to which service, in order
-    :param stops_s: durations of planned stops in seconds
+    :param stops: durations of planned stops
     :param exited_gateways: numbers of the gateways that exited without being signalled
     :param events: number of events of a complete stream
     """
@@ -171,7 +186,7 @@
     key_revoked_at: dict[str, float] = attrs.field(factory=dict)
     draining_since: dict[str, float] = attrs.field(factory=dict)
     route_moves: list[tuple[float, str]] = attrs.field(factory=list)
-    stops_s: list[float] = attrs.field(factory=list)
+    stops: list[StopTimes] = attrs.field(factory=list)
     exited_gateways: list[int] = attrs.field(factory=list)
     events: int = 0
 
@@ -225,4 +240,4 @@
         return list(past)[-1][1]
 
 
-__all__ = ["InjectedFault", "Kind", "Limit", "Pause", "Record", "Request", "Run"]
+__all__ = ["InjectedFault", "Kind", "Limit", "Pause", "Record", "Request", "Run", "StopTimes"]
--- a/tests/soak/test_process.py
+++ b/tests/soak/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -20,6 +21,13 @@
 EXIT_S = 1.0
 """Seconds for a process to exit after its services have ended."""
 
+SEEN_RUNNING_S = 0.5
+BLOCKED_S = GRACE_S
+
+
+def block_event_loop() -> None:
+    time.sleep(BLOCKED_S)
+
 
 async def wait_ready(gateway: GatewayProcess) -> None:
     async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
@@ -44,5 +52,17 @@
 async def test_a_stop_ends_soon_after_the_last_call(world: World) -> None:
     gateway = world.gateways[0]
     await wait_ready(gateway)
-    took_s = await gateway.stop()
-    assert took_s < DRAINING_S + EXIT_S < GRACE_S
+    times = await gateway.stop()
+    assert times.running_s <= times.took_s < DRAINING_S + EXIT_S < GRACE_S
+
+
+# fault: an exit that the soak saw late was reported like a stop that took too long
+async def test_an_exit_that_is_seen_late_has_the_time_before_it(world: World) -> None:
+    gateway = world.gateways[0]
+    await wait_ready(gateway)
+    stop = asyncio.ensure_future(gateway.stop())
+    await asyncio.sleep(SEEN_RUNNING_S)
+    block_event_loop()
+    times = await stop
+    assert times.took_s >= BLOCKED_S
+    assert SEEN_RUNNING_S / 2 < times.running_s < SEEN_RUNNING_S + BLOCKED_S - EXIT_S
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -7,7 +7,7 @@
 
 from basilroad.standin.appserver import ReceivedRequest
 from soak.promises import PROMISES, Promise
-from soak.records import InjectedFault, Kind, Limit, Pause, Record, Request, Run
+from soak.records import InjectedFault, Kind, Limit, Pause, Record, Request, Run, StopTimes
 from soak.schedule import (
     ENDPOINT_LINK,
     AskForPause,
@@ -354,7 +354,7 @@
 
 def test_a_stop_beyond_its_grace_and_a_gateway_that_exited() -> None:
     record = build_record(build_request(), build_run())
-    record.stops_s.append(GRACE_S + 0.01)
+    record.stops.append(StopTimes(GRACE_S - 0.01, GRACE_S + 0.01))
     record.exited_gateways.append(2)
     assert find(record) == {"StopsEndInTime", "GatewaysLive"}
 
