Tell refused streams when to come back while most hosts are stopping

What callers saw: of all hosts stopped a quarter of a second apart, streams that a stopping host refused were lost. Each was told to come back after 0.05 s, came to a host that was stopping too, was refused again and had no try left.

Cause: the retry delay of a refusal at a shutdown assumes that another host is ready.

Change: the state that gateways exchange says whether a gateway's shutdown was requested. While fewer others are running than are stopping, a stream that is refused gets a Retry-After until the refusing host has started again; while more are running, and for calls that aren't streams, the delay stays 0.05 s. Admission is as before. A gateway of an older version ignores the new field, and counts as running here.

The tests of the delay failed before: 0.05 s in place of 7.7 s.

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -12,7 +12,7 @@
 import attrs
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.errors import ErrorKind, refuse
+from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.gateway.calllog import AttemptRecord, log_attempt, log_service_pause
 from basilroad.gateway.containment import Containment
 from basilroad.gateway.directory import Directory
@@ -37,7 +37,7 @@
 from basilroad.stopsignal import StopSignal
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from basilroad.errors import Refusal
     from basilroad.gateway.attempt import EndpointProtocol
@@ -125,6 +125,7 @@
         self.freshness = Freshness()
         self.table: RoutingTable | None = None
         self.known_hosts = 1
+        self.are_most_hosts_stopping: Callable[[], bool] = lambda: False
         self.preference = EnginePreference()
         chooser = Chooser(
             settings.place, self.random, lambda: self.known_hosts, lambda: self.preference
@@ -274,7 +275,7 @@
         """
         schedule = self.shutdown_schedule
         if schedule is not None and time.monotonic() >= schedule.admits_until:
-            raise refuse_at_shutdown()
+            raise self._refuse_at_shutdown(route)
         self.check_time_before_shutdown(route)
 
     def check_time_before_shutdown(self, route: Route) -> None:
@@ -284,7 +285,14 @@
         :raises RefusedError: it has to be sent to another host
         """
         if not self.has_time_before_shutdown(route):
-            raise refuse_at_shutdown()
+            raise self._refuse_at_shutdown(route)
+
+    def _refuse_at_shutdown(self, route: Route) -> RefusedError:
+        schedule = self.shutdown_schedule
+        if schedule is None or not route.streams or not self.are_most_hosts_stopping():
+            return refuse_at_shutdown()
+        # a retry at once would come to this host, or to one that refuses it too
+        return refuse_at_shutdown(schedule.restarted_at - time.monotonic())
 
     def has_time_before_shutdown(self, route: Route) -> bool:
         """Check whether a call that is sent now is likely to end before this host shuts down.
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/gossip.py
@@ -88,6 +88,7 @@
     loads: dict[str, LoadReport]
     address: Address
     data_centre: str = ""
+    stopping: bool = False
 
 
 _DECODER: MsgpackDecoder[object] = MsgpackDecoder(
@@ -108,6 +109,7 @@
     :param clock: monotonic seconds
     :param crashes: exchange of crashes, which are sent too
     :param permits: exchange of permits, which are sent too
+    :param is_stopping: whether the shutdown of this host was requested
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         clock: Callable[[], float] = time.monotonic,
         crashes: CrashExchange | None = None,
         permits: PermitExchange | None = None,
+        is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
         self._host = host
         self._data_centre = data_centre
@@ -143,6 +146,7 @@
             permits.has_roster = lambda: self._registered_at > -math.inf
             permits.send = lambda message, peer: self._send_counted(message, [peer])
         self._clock = clock
+        self._is_stopping = is_stopping
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
         self._peers: set[Address] = set()
@@ -165,6 +169,13 @@
         """:return: data centre by host of each other gateway that sends gossip."""
         return {host: view.data_centre for host, view in self._peer_states.items()}
 
+    def are_most_stopping(self) -> bool:
+        """:return: whether fewer gateways send gossip and aren't stopping than are stopping, this
+        one counted if it is."""
+        stopping = sum(view.stopping for view in self._peer_states.values())
+        running = len(self._peer_states) - stopping
+        return running < stopping + self._is_stopping()
+
     def _list_addressed_peers(self) -> dict[str, Peer]:
         return {
             host: Peer(view.address, view.data_centre) for host, view in self._peer_states.items()
@@ -224,7 +235,8 @@
         leaving = self._directory.notices.list_leaving(now)
         limits = self._list_limits(now)
         named = frozenset((name, limit[1]) for name, limit in limits.items())
-        state = (loads, frozenset(failures), runs, frozenset(leaving), named)
+        stopping = self._is_stopping()
+        state = (loads, frozenset(failures), runs, frozenset(leaving), named, stopping)
         if state == self._last_sent and now - self._last_sent_at < REFRESH_INTERVAL_S:
             return
         self._last_sent, self._last_sent_at = state, now
@@ -331,7 +343,7 @@
         if known is None:
             _LOGGER.info("peer heard", extra={"peer": message.host, "address": str(address)})
         self._peer_states[message.host] = _PeerState(
-            *order, now, message.loads, address, message.data_centre
+            *order, now, message.loads, address, message.data_centre, message.stopping
         )
         self.add_peers([address, *others])
         self._prompt_locations.merge_reported(message.runs)
@@ -429,6 +441,7 @@
             self._data_centre,
             leaving,
             limits,
+            self._is_stopping(),
         )
         data = msgspec.msgpack.encode(message)
         while len(data) > MAX_DATAGRAM_BYTES and (message.loads or message.runs):
--- a/src/basilroad/gateway/gossipstate.py
+++ b/src/basilroad/gateway/gossipstate.py
@@ -33,6 +33,7 @@
     :param leaving: start time of each leaving endpoint and milliseconds since it said so
     :param limits: start time of endpoints that named a limit, requests per 1000 seconds (0 if it
         has ended), and milliseconds since that was known
+    :param stopping: whether its shutdown was requested
     """
 
     host: str
@@ -46,6 +47,7 @@
     data_centre: str = ""
     leaving: dict[str, tuple[StartTime, Count]] = {}
     limits: dict[str, tuple[StartTime, Count, Count]] = {}
+    stopping: bool = False
 
 
 __all__ = ["Count", "LoadReport", "StartTime", "StateMessage"]
--- a/src/basilroad/gateway/shutdown.py
+++ b/src/basilroad/gateway/shutdown.py
@@ -30,6 +30,9 @@
 """Retry delay for callers that only this host refuses: the retry reaches another host, and a
 longer delay would use up the target of a short call."""
 
+RESTART_S = 2.5
+"""Time from the end of the calls in flight of a shutdown until the host has started again."""
+
 
 @attrs.frozen
 class ShutdownSchedule:
@@ -57,6 +60,11 @@
         accepts_until = min(requested_at + LISTEN_AFTER_STOP_S, last_accept_at)
         return cls(accepts_until, accepts_until + ACCEPTED_LINGER_S, ends_at)
 
+    @property
+    def restarted_at(self) -> float:
+        """:return: time at which this host has started again, if it does so at once."""
+        return self.ends_at + RESTART_S
+
 
 @attrs.define
 class Shutdown:
@@ -121,13 +129,18 @@
     """A call was still in flight at the time limit of a planned shutdown."""
 
 
-def refuse_at_shutdown() -> RefusedError:
-    """:return: the error for a call that has not run and has to be sent to another host."""
-    return refuse(ErrorKind.DRAINING, "this host is shutting down", OTHER_HOST_RETRY_S)
+def refuse_at_shutdown(retry_after_s: float = OTHER_HOST_RETRY_S) -> RefusedError:
+    """Build the error for a call that has not run and has to be sent to another host.
+
+    :param retry_after_s: seconds after which another host takes it
+    :return: the error
+    """
+    return refuse(ErrorKind.DRAINING, "this host is shutting down", retry_after_s)
 
 
 __all__ = [
     "OTHER_HOST_RETRY_S",
+    "RESTART_S",
     "SHORT_CALL_S",
     "SHUTDOWN_RESERVE_S",
     "Shutdown",
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -89,7 +89,9 @@
                 self.gateway.loans,
                 crashes=self.gateway.containment.exchange,
                 permits=self.gateway.permits,
+                is_stopping=lambda: self.gateway.shutdown.is_requested,
             )
+            self.gateway.are_most_hosts_stopping = self.gossip.are_most_stopping
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: the child services, in their start order."""
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/test_gossip.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import pytest
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.call import PromptSize
@@ -49,6 +50,7 @@
     def __init__(self, count: int = 2, endpoints: int = 3) -> None:
         self.now = 100.0
         self.sent: list[tuple[bytes, Address]] = []
+        self.stopping: set[int] = set()
         self.gateways = [self._build(number, endpoints) for number in range(count)]
         self.directories: list[Directory]
 
@@ -62,7 +64,15 @@
         relay = Relay(f"g{number}", lambda: self.now, lambda: self.now)
         loans = RetryLoans(f"g{number}", lambda _: RetryBudget(RetrySettings()))
         gossip = Gossip(
-            f"g{number}", place, address, directory, runs, relay, loans, lambda: self.now
+            f"g{number}",
+            place,
+            address,
+            directory,
+            runs,
+            relay,
+            loans,
+            lambda: self.now,
+            is_stopping=lambda: number in self.stopping,
         )
         gossip._directory = directory
         gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
@@ -98,6 +108,43 @@
     assert get(net.gateways[1], "e1").remote.calls == 0
 
 
+# fault: a stopping gateway didn't know that its callers would reach others that were stopping too
+@pytest.mark.parametrize(
+    ("stopping", "expected"), [({0}, False), ({0, 1}, False), ({0, 1, 2}, True), ({1, 2, 3}, True)]
+)
+def test_a_gateway_sees_whether_most_gateways_are_stopping(
+    stopping: set[int], expected: bool
+) -> None:
+    net = Net(4)
+    for gateway in net.gateways:
+        gateway.add_peers(Address("127.0.0.1", 9000 + n) for n in range(4))
+        gateway.tick()
+    net.deliver()
+    assert not net.gateways[0].are_most_stopping()
+
+    net.stopping = stopping
+    net.now += GOSSIP_INTERVAL_S
+    for gateway in net.gateways:
+        gateway.tick()
+    net.deliver()
+    assert net.gateways[0].are_most_stopping() is expected
+
+
+def test_a_gateway_that_has_started_again_counts_as_running() -> None:
+    net = Net()
+    net.stopping = {1}
+    net.gateways[1].tick()
+    net.deliver()
+    assert net.gateways[0].are_most_stopping()
+
+    net.stopping = set()
+    net.gateways[1] = net._build(1, 3)
+    net.gateways[1]._started_ms += 1000
+    net.gateways[1].tick()
+    net.deliver()
+    assert not net.gateways[0].are_most_stopping()
+
+
 def test_a_reordered_older_datagram_is_ignored() -> None:
     net = Net()
     reservation = Reservation(get(net.gateways[0], "e1"), SIZE)
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -15,7 +15,7 @@
     GatewaySettings,
 )
 from basilroad.gateway.route import Route
-from basilroad.gateway.shutdown import OTHER_HOST_RETRY_S
+from basilroad.gateway.shutdown import OTHER_HOST_RETRY_S, RESTART_S, SHUTDOWN_RESERVE_S
 from basilroad.platform.protocol import PlatformProtocol
 from builders import PLACE, build_route, build_stream_route, build_table
 
@@ -40,6 +40,28 @@
     assert refusal.retry_after == OTHER_HOST_RETRY_S
 
 
+# fault: where all hosts stopped, refused streams were retried at once, refused again and lost
+def test_a_stream_that_is_refused_while_most_hosts_stop_comes_back_when_they_have_started() -> None:
+    gateway = build_gateway(1.8)
+    gateway.are_most_hosts_stopping = lambda: True
+    with pytest.raises(RefusedError) as caught:
+        gateway.check_draining(build_stream_route())
+    refusal = caught.value.refusal
+    assert refusal.answer.effect is Effect.NOT_RUN
+    grace_s = gateway.settings.grace_s
+    expected_s = grace_s - SHUTDOWN_RESERVE_S + RESTART_S - 1.8
+    assert refusal.retry_after == pytest.approx(expected_s, abs=0.1)
+
+
+def test_a_short_call_that_is_refused_while_most_hosts_stop_has_a_short_retry_delay() -> None:
+    # a longer delay would use up its time limit
+    gateway = build_gateway(2.5)
+    gateway.are_most_hosts_stopping = lambda: True
+    with pytest.raises(RefusedError) as caught:
+        gateway.check_draining(build_route())
+    assert caught.value.refusal.retry_after == OTHER_HOST_RETRY_S
+
+
 def test_short_calls_are_admitted_until_the_end_of_admission() -> None:
     build_gateway(2.4).check_draining(build_route())
 
