Limit the examples of Hypothesis by processor time

Cause of test_restored_table_is_the_one_of_that_revision, which failed once beside load 13 to 33: a pure function, whose examples Hypothesis holds to 200 ms by the clock of the machine. Evidence: pytest stopped for 0.3 s after each 0.1 s (SIGSTOP to our process) fails in tests/standin/test_memorytable.py with "DeadlineExceeded: Test took 301 ms", once in this test and once in another of the file, 2 of 2 runs that ended. Change: the same 200 ms by the processor time of the thread, for each test that has no limit of its own; those that have set one keep it. As strict: by the same limit, without the time in which the process didn't run.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,6 +17,7 @@
 
 pytest_plugins = [
     "pytester",
+    "support.examples",
     "support.known_red",
     "support.steps.answers",
     "support.steps.fleets",
