Use a connection to an endpoint that was opened while the event loop was late

Cause: opening a connection was limited to 0.35 s by a timer that cancels it. A late event loop runs the timer in the turn in which it learns that the kernel has opened the connection long ago. Change: the limit leaves some turns of the event loop, as in the HTTP client. Result: test_a_connection_that_was_opened_while_the_event_loop_was_late [1] and [2] failed before and pass; [3] passes in both, as the connection is complete by then.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -11,6 +11,8 @@
 import attrs
 import h11
 
+from basilroad.timelimit import TimeLimit
+
 if TYPE_CHECKING:
     from basilroad.peers.address import Address
 
@@ -370,7 +372,7 @@
     async def _connect(self) -> Channel:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with TimeLimit(CONNECT_TIMEOUT_S):
                 _, channel = await loop.create_connection(
                     Channel, self._address.ip, self._address.port
                 )
--- a/src/basilroad/timelimit.py
+++ b/src/basilroad/timelimit.py
@@ -1,4 +1,4 @@
-"""Time limits of requests that count what arrived while the event loop was late."""
+"""Time limits that count what arrived while the event loop was late."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/endpoints/test_connecting.py
@@ -0,0 +1,42 @@
+"""Time limit of opening a connection to an endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from basilroad.endpoints.channels import CONNECT_TIMEOUT_S, ChannelPool, ConnectError
+from basilroad.peers.address import Address
+
+
+@pytest.fixture
+def listener() -> Iterator[socket.socket]:
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        yield listener
+
+
+# fault: a late event loop gave up a connection that the kernel had opened, and its call was refused
+@pytest.mark.parametrize("turns", [1, 2, 3])
+async def test_a_connection_that_was_opened_while_the_event_loop_was_late(
+    listener: socket.socket, turns: int
+) -> None:
+    pool = ChannelPool(Address(*listener.getsockname()))
+    opening = asyncio.create_task(pool.open())
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    asyncio.get_running_loop().call_soon(time.sleep, CONNECT_TIMEOUT_S + 0.2)
+    channel = await opening
+    assert channel.usable
+    channel.close()
+
+
+async def test_a_connection_that_is_not_opened_is_given_up(listener: socket.socket) -> None:
+    address = listener.getsockname()
+    # the queue of the listener holds one connection, so the kernel opens no further one
+    with socket.create_connection(address), pytest.raises(ConnectError):
+        async with asyncio.timeout(3 * CONNECT_TIMEOUT_S + 2.0):
+            await ChannelPool(Address(*address)).open()
