Check a doubted clock of the store once in ten seconds

Callers would see: requests delayed, as all followers of a slow data centre read the whole config again and again. Cause: a read over a slow link leaves the clock as uncertain as it was, so that each update asks for the next read. Change: such a read is made once in 10 s at most; the fetch from the reader, which needs no clock, confirms the keys before. Result: test_a_follower_that_doubts_its_clock_reads_the_store_once failed before, and passes.

--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -41,6 +42,10 @@
 """Time by which a follower's keys may be older than its reader's before it reads the store, whose
 clock may be another one than it knows; several times the delay of a datagram."""
 
+CLOCK_CHECK_INTERVAL_S = 10.0
+"""Shortest time between two such reads: each is of the whole config, and a read over a slow link
+leaves the clock as uncertain as it was."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -72,6 +77,7 @@
         self._wanted_version = 0
         self._wanted_epoch = 0
         self._clock_doubted = False
+        self._clock_checked_at = -math.inf
 
     @property
     def poll_limit_s(self) -> float:
@@ -131,8 +137,10 @@
         if at is not None:
             self._gateway.freshness.confirm(min(at, now - age_s))
         is_late = not self._gateway.freshness.is_within(age_s + CONFIRMATION_LAG_S)
-        if is_late and self._clock.is_known:
+        is_due = now - self._clock_checked_at >= CLOCK_CHECK_INTERVAL_S
+        if is_late and is_due and self._clock.is_known:
             self._clock_doubted = True
+            self._clock_checked_at = now
             self._request_read()
 
     async def read_missing(self) -> None:
--- a/tests/platform/test_confirmation_age.py
+++ b/tests/platform/test_confirmation_age.py
@@ -13,6 +13,7 @@
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.relay import Confirmation, Update, Withdrawal
 from basilroad.platform import configwatch
+from basilroad.platform.configwatch import CONFIRMATION_LAG_S
 from support.addresses import find_free_address
 from support.watchrig import (
     BUDGET,
@@ -166,3 +167,21 @@
 def test_a_version_without_a_sound_age_confirms_nothing() -> None:
     for text in ("", "-1", "1e3", "1.5", "\u0664", "9" * 16, "nan"):
         assert configexchange._read_count({"Confirmed-Age-Ms": text}, "Confirmed-Age-Ms") is None
+
+
+# fault: a follower whose clock of the store stays uncertain read the whole config at each update
+async def test_a_follower_that_doubts_its_clock_reads_the_store_once(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1, "key"))
+    await wait_until(lambda: rig.version == 1)
+    # the poll from before it follows ends
+    for seconds in (1.0, 1.0):
+        calls = rig.store.calls
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            revision = rig.store.revision
+            told_s = time.monotonic() - CONFIRMATION_LAG_S - 6.0
+            update = Update("a", 1, told_s, 0, revision, revision, epoch=rig.store.era)
+            rig.relay.take(update, NOBODY)
+            rig.gateway.freshness._confirmed_at = read_boot_clock() - CONFIRMATION_LAG_S - 5.0
+            await asyncio.sleep(0.05)
+    assert rig.store.calls - calls <= 1
