Count a service as reached when only the event loop of its agent was late

Callers saw: nothing that was traced to it; an agent whose event loop was late told that its service was gone. Result: test_a_service_that_is_reached_while_the_event_loop_is_late failed 2 of 2 before and passes.

--- a/src/basilroad/endpoints/plainservice.py
+++ b/src/basilroad/endpoints/plainservice.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse, RequestNotSentError
+from basilroad.timelimit import TimeLimit
 
 REACHABILITY_TIMEOUT_S = 1.0
 """Connect timeout of the reachability check."""
@@ -133,7 +134,7 @@
     async def is_reachable(self) -> bool:
         """:return: whether the service accepts a connection; nothing is sent."""
         try:
-            async with asyncio.timeout(REACHABILITY_TIMEOUT_S):
+            async with TimeLimit(REACHABILITY_TIMEOUT_S):
                 _, writer = await asyncio.open_connection(self._url.host, self._url.port)
         except OSError:
             return False
--- a/tests/endpoints/test_connecting.py
+++ b/tests/endpoints/test_connecting.py
@@ -10,6 +10,7 @@
 import pytest
 
 from basilroad.endpoints.channels import CONNECT_TIMEOUT_S, ChannelPool, ConnectError
+from basilroad.endpoints.plainservice import REACHABILITY_TIMEOUT_S, HttpPlainService
 from basilroad.peers.address import Address
 
 
@@ -40,3 +41,17 @@
     with socket.create_connection(address), pytest.raises(ConnectError):
         async with asyncio.timeout(3 * CONNECT_TIMEOUT_S + 2.0):
             await ChannelPool(Address(*address)).open()
+
+
+# fault: a service counted as gone as the event loop was late while its connection was opened
+@pytest.mark.parametrize("turns", [1, 2])
+async def test_a_service_that_is_reached_while_the_event_loop_is_late(
+    listener: socket.socket, turns: int
+) -> None:
+    service = HttpPlainService("http://{}:{}".format(*listener.getsockname()))
+    check = asyncio.create_task(service.is_reachable())
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    asyncio.get_running_loop().call_soon(time.sleep, REACHABILITY_TIMEOUT_S + 0.2)
+    assert await check
+    await service.close()
