Start the data centre of two tests by one function

Cause: two changes of tests/platform/test_large_config.py met in a merge; one took the fixture away that the other uses. Change: both call a function.

--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -148,15 +148,20 @@
             await asyncio.sleep(0.02)
 
 
-# fault: a reader whose history was gone withdrew, and all hosts read the store at once
-@pytest.mark.by_turns
-async def test_hosts_keep_their_reader_when_the_history_is_dropped() -> None:
+async def start_data_centre() -> DataCentre:
+    """:return: a data centre whose hosts have read the store once, and follow the first one."""
     data_centre = DataCentre()
     await data_centre.start()
     await wait_until(lambda: all(host.version for host in data_centre.hosts))
-    # each host has read the store once, and follows the first one from now on
     await wait_until(lambda: all(host.relay.follows for host in data_centre.hosts[1:]))
     await asyncio.sleep(1.0)
+    return data_centre
+
+
+# fault: a reader whose history was gone withdrew, and all hosts read the store at once
+@pytest.mark.by_turns
+async def test_hosts_keep_their_reader_when_the_history_is_dropped() -> None:
+    data_centre = await start_data_centre()
     # ends the polls that followers have begun before
     data_centre.write_config(0)
     await wait_until(lambda: all(host.version == 2 for host in data_centre.hosts))
@@ -266,8 +271,9 @@
 # took no confirmation of their keys any more
 @pytest.mark.parametrize("step_s", [-1000.0, 1000.0])
 async def test_followers_keep_their_keys_when_the_store_returns_with_another_clock(
-    data_centre: DataCentre, step_s: float
+    step_s: float,
 ) -> None:
+    data_centre = await start_data_centre()
     # the polls of the followers from before they had a reader end
     await asyncio.sleep(4.0)
     data_centre.store.clock_offset_s = step_s
@@ -278,7 +284,9 @@
         # a reader's poll takes 2.2 s
         assert all(host.gateway.freshness.is_within(3.0) for host in data_centre.hosts)
         await asyncio.sleep(0.1)
-    assert data_centre.store.calls - calls < HOSTS
+    calls = data_centre.store.calls - calls
+    await data_centre.stop()
+    assert calls < HOSTS
 
 
 async def follow(rig: Rig, version: int, seconds: float, address: Address) -> None:
