Wait for a queued call by the order of events, not for 0.05 s

Cause: test_a_call_queued_when_its_host_shuts_down_is_not_sent_too_late failed once beside load 32 to 43, "assert 0 == 1" calls waiting: the test slept 0.05 s until the call waits, and a machine that is busy makes that longer than the call may wait in the queue. By reading; the sleep of that run wasn't measured. Change: the test goes on as soon as the call waits, and fails if the call ended before. The test after it, which sleeps alike, too.

--- a/tests/gateway/test_buffered.py
+++ b/tests/gateway/test_buffered.py
@@ -162,7 +162,8 @@
 ) -> None:
     # fault: the time left was compared on arrival only, and a queued call was sent and then cut off
     pending = asyncio.ensure_future(run(gateway, ONCE))
-    await asyncio.sleep(0.05)
+    while not gateway.dispatcher.waiting and not pending.done():
+        await asyncio.sleep(0)
     assert gateway.dispatcher.waiting == 1
     gateway.shutdown.signal.received_at = time.monotonic() - gateway.settings.grace_s + 1.2
     server = await start_server("i-1")
@@ -183,7 +184,8 @@
     endpoint.full_until = time.monotonic() + 100
     call = build_call(ONCE, id="late", expires_at=time.monotonic() + 0.1)
     pending = asyncio.ensure_future(CallHandler(gateway).handle(call, RecordingResponder()))
-    await asyncio.sleep(0.05)
+    while not gateway.dispatcher.waiting and not pending.done():
+        await asyncio.sleep(0)
     assert gateway.dispatcher.waiting == 1
     time.sleep(0.2)  # noqa: ASYNC251
     endpoint.full_until = time.monotonic()
