--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -288,10 +288,12 @@
 ) -> None:
     # guards against a SIGHUP or a second SIGTERM that moves the limits of a stop that has begun
     gateway = rig.service.gateway
+    # neither the route nor the caller limits the order before the stop does
+    await rig.configure(2, "key", timeout_ms=20_000)
     shorten_grace(rig)
     rig.app.response_delay_s = 30.0
     reader, writer = await open_connection(rig)
-    writer.write(build_order("in-flight"))
+    writer.write(build_order("in-flight").replace(b"X-Deadline-Ms: 2000", b"X-Deadline-Ms: 20000"))
     while "in-flight" not in rig.app.ran:
         await asyncio.sleep(0.01)
     began_at = time.monotonic()
