--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -269,6 +269,7 @@
 
 # fault: a reader kept its followers when its store came back with another clock, by which they
 # took no confirmation of their keys any more
+@pytest.mark.by_turns
 @pytest.mark.parametrize("step_s", [-1000.0, 1000.0])
 async def test_followers_keep_their_keys_when_the_store_returns_with_another_clock(
     step_s: float,
