--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -49,7 +49,7 @@
 MAX_START_MS = 2**53
 
 MAX_NAME_CHARS = 200
-"""Longest id, service and data centre of an entry; other gateways are told of it in a datagram."""
+"""Longest id, service, data centre and version of an entry; other gateways are told of it in a datagram."""
 
 FAILURE_WEIGHT = 0.3
 """Weight of one outcome in the failure rate; three failures in a row raise it above one half."""
@@ -112,6 +112,7 @@
     :param state: whether it accepts new calls
     :param started_ms: start time in Unix milliseconds, 0 if unknown; another value means that it
         restarted and lost its state
+    :param version: version of its software; streams go on only at the version that began them
     :raises ValueError: calls can't name the endpoint, or other gateways can't be told of it
     """
 
@@ -122,6 +123,7 @@
     slots: int = attrs.field(validator=[ge(0), le(MAX_SLOTS)])
     state: EndpointState = EndpointState.READY
     started_ms: int = attrs.field(default=0, validator=[ge(0), le(MAX_START_MS)])
+    version: str = attrs.field(default="", validator=max_len(MAX_NAME_CHARS))
 
     @property
     def lifetime(self) -> Lifetime:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -34,6 +34,7 @@
     refuse_at_shutdown,
 )
 from basilroad.gateway.streamdurations import StreamDurations
+from basilroad.gateway.streamversions import StreamVersions
 from basilroad.stopsignal import StopSignal
 
 if TYPE_CHECKING:
@@ -141,6 +142,7 @@
         self.shutdown = Shutdown(signal=stop_signal or StopSignal())
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
+        self.stream_versions = StreamVersions(self.directory)
         self.containment = Containment(settings.host, self.metrics)
         self._budgets: dict[str, RetryBudget] = {}
         self.loans = RetryLoans(settings.host, self.budget_of, generator=self.random)
