Know the software version of each endpoint

Entries of the listing name the version of their server's software, which nothing read. It is decoded as text, or as the text of a whole number, and told to the gateways that follow a reader. A reader of an older release doesn't tell it: its followers read such changes from the store, or an entry would lose its version. An entry with another version under the same id and start counts as a restart: the endpoint has lost what it held.

--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -54,8 +54,8 @@
     :param expires_at: monotonic seconds of its deadline
     :param size: tokens of a generation; zero for other calls
     :param resume_after: id of the last event that the caller received; empty for a new stream
-    :param resumes: id of the caller's request that brought the first event of a stream that it takes
-        up again; empty if not given
+    :param resumes: id of the caller's request that brought the first event of the stream that it
+        takes up again; empty if not given
     :param prompt_key: key of the prompt of a generation; empty without one
     :param prompt_parts: keys of the parts of its prompt that other calls may share
     """
--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -84,7 +84,7 @@
         previous = known.entry
         if previous == entry:
             return
-        if previous.started_ms != entry.started_ms or previous.address != entry.address:
+        if _is_other_start(previous, entry):
             known.restart(entry)
             _LOGGER.info("endpoint restarted", extra=_describe(entry))
             return
@@ -178,12 +178,17 @@
         _LOGGER.info("endpoint gone", extra=_describe(endpoint.entry))
 
 
+def _is_other_start(previous: EndpointEntry, entry: EndpointEntry) -> bool:
+    return previous.lifetime != entry.lifetime or previous.version != entry.version
+
+
 def _describe(entry: EndpointEntry) -> dict[str, str]:
     return {
         "endpoint": entry.id,
         "service": entry.service,
         "address": str(entry.address),
         "state": entry.state.value,
+        "version": entry.version,
     }
 
 
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -49,7 +49,8 @@
 MAX_START_MS = 2**53
 
 MAX_NAME_CHARS = 200
-"""Longest id, service, data centre and version of an entry; other gateways are told of it in a datagram."""
+"""Longest id, service, data centre and version of an entry; other gateways are told of it in a
+datagram."""
 
 FAILURE_WEIGHT = 0.3
 """Weight of one outcome in the failure rate; three failures in a row raise it above one half."""
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/relay.py
@@ -70,6 +70,7 @@
     :param revision: number of the change's revision, in the epoch of its update
     :param id: id of the endpoint
     :param service: its service; empty if the entry was removed
+    :param version: version of its software; ``None`` from older gateways, which don't tell it
     """
 
     revision: RevisionNumber
@@ -80,6 +81,7 @@
     slots: int = 1
     state: str = EndpointState.READY.value
     started_ms: int = 0
+    version: str | None = None
 
 
 class Update(msgspec.Struct, array_like=True, tag="update"):
@@ -114,6 +116,11 @@
         """:return: revision up to which all changes are included."""
         return Revision(self.epoch, self.revision)
 
+    @property
+    def lacks_versions(self) -> bool:
+        """:return: whether its entries have to be read from the store to know their versions."""
+        return any(change.service and change.version is None for change in self.changes)
+
 
 class Withdrawal(msgspec.Struct, array_like=True, tag="withdrawal"):
     """Notice from a reader that it may have lost the store, so that it would miss changes.
@@ -166,6 +173,7 @@
         entry.slots,
         entry.state.value,
         entry.started_ms,
+        entry.version,
     )
 
 
@@ -191,6 +199,7 @@
             record.slots,
             EndpointState(record.state),
             record.started_ms,
+            record.version or "",
         )
     except ValueError as error:
         # like an entry of the store that can't be read, it names no endpoint
--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -96,6 +96,7 @@
     slots: int
     state: str
     born: int = 0  # start of this instance; a restarted server may reuse the id
+    version: str | int = ""  # of the software, not of the weights
 
 
 _CONFIG_DECODER = JsonDecoder(_Config)
@@ -150,6 +151,7 @@
             max(MIN_SLOTS, server.slots),
             EndpointState(server.state),
             server.born,
+            str(server.version),
         )
     except Exception as error:
         # whatever is wrong with a row, it must not hold up the others
--- a/src/basilroad/platform/serverswatch.py
+++ b/src/basilroad/platform/serverswatch.py
@@ -110,10 +110,10 @@
         )
 
     def apply_update(self, update: Update) -> None:
-        """Apply the changes of a reader, or request a read if some are missing before them."""
+        """Apply the changes of a reader, or request a read if some are missing or incomplete."""
         if self._revision is None or self._snapshot_due:
             return
-        if update.complete_from > self._revision:
+        if update.complete_from > self._revision or update.lacks_versions:
             self._request_read()
             return
         known = self._revision
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -84,10 +84,11 @@
     slots: int = 6,
     state: EndpointState = EndpointState.READY,
     started_ms: int = 1,
+    version: str = "v1",
 ) -> EndpointEntry:
     """:return: an entry of an endpoint on loopback."""
     address = Address("127.0.0.1", port)
-    return EndpointEntry(name, service, address, data_centre, slots, state, started_ms)
+    return EndpointEntry(name, service, address, data_centre, slots, state, started_ms, version)
 
 
 def build_table(version: int = 1, *routes: Route) -> RoutingTable:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -49,13 +49,25 @@
     servers: list[AppServerStandin] = []
 
     async def start(
-        name: str, *, service: str = "app", data_centre: str = "riga-a", **options: object
+        name: str,
+        *,
+        service: str = "app",
+        data_centre: str = "riga-a",
+        software: str = "v1",
+        **options: object,
     ) -> AppServerStandin:
         server = AppServerStandin(name, **options)  # type: ignore[arg-type]
         await server.start()
         servers.append(server)
         gateway.directory.put(
-            build_entry(name, port=server.port, service=service, data_centre=data_centre, slots=48)
+            build_entry(
+                name,
+                port=server.port,
+                service=service,
+                data_centre=data_centre,
+                slots=48,
+                version=software,
+            )
         )
         return server
 
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -47,6 +47,19 @@
     assert endpoint.is_available(0.1)
 
 
+def test_another_version_under_the_same_id_and_start_is_a_restart() -> None:
+    directory = Directory(Clock())
+    directory.put(build_entry("e1"))
+    endpoint = directory.get("e1")
+    assert endpoint is not None
+    endpoint.record_unreachable(0.0)
+    pool = endpoint.pool
+    directory.put(build_entry("e1", version="v2"))
+    assert endpoint.is_available(0.1)
+    assert endpoint.pool is not pool
+    assert endpoint.entry.version == "v2"
+
+
 def test_absence_after_a_listing_outage_counts_only_after_a_time_limit() -> None:
     clock = Clock()
     directory = Directory(clock)
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -108,6 +108,12 @@
     assert (entry.id, entry.service, str(entry.address)) == ("i-1", "s1", "10.128.0.9:8080")
     assert (entry.data_centre, entry.slots, entry.state) == ("riga-a", 48, EndpointState.READY)
     assert entry.started_ms == 1700000000000
+    assert entry.version == "v1"
+
+
+def test_a_software_version_that_is_a_whole_number_is_taken_as_its_text() -> None:
+    entry = decode_server("i-1", msgspec.json.encode({**SERVER, "version": 12}))
+    assert entry.version == "12"
 
 
 @pytest.mark.parametrize(
@@ -120,6 +126,11 @@
         {"zone": None},
         {"service": 3},
         {"born": 1.5},
+        {"version": None},
+        {"version": True},
+        {"version": 1.5},
+        {"version": ["v1"]},
+        {"version": "v" * 201},
     ],
 )
 def test_a_malformed_entry_is_an_error(change: dict[str, object]) -> None:
--- a/tests/platform/test_unreadable_rows.py
+++ b/tests/platform/test_unreadable_rows.py
@@ -140,11 +140,12 @@
 def test_an_unreadable_record_of_a_reader_names_no_endpoint(address: str) -> None:
     records = [
         EntryRecord(6, "i-1", "s", address, "a"),
-        EntryRecord(7, "i-2", "s", "10.0.0.2:80", "a"),
+        EntryRecord(7, "i-2", "s", "10.0.0.2:80", "a", version="v1"),
     ]
     first, second = unpack_changes(Update("g", 1, 1.0, 0, 5, 7, records, 1))
     assert (first.endpoint_id, first.entry) == ("i-1", None)
     assert second.entry is not None
+    assert second.entry.version == "v1"
 
 
 class PeerList:
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -306,6 +306,26 @@
     assert rig.gateway.directory.get("i-2") is not None
 
 
+async def test_a_follower_reads_versions_that_an_older_gateway_does_not_tell(rig: Rig) -> None:
+    # fault: the entry lost its version, which also counted as a restart of its endpoint
+    rig.store.put("op", "config", build_config(1))
+    rig.store.put("servers", "i-1", {**SERVER, "version": "v1"})
+    await wait_until(lambda: rig.version == 1 and rig.gateway.directory.get("i-1") is not None)
+    await follow(rig, 1, 0.6)
+    known = rig.gateway.directory.get("i-1")
+    pool = known.pool
+    rig.store.put("servers", "i-1", {**SERVER, "version": "v1", "slots": 5})
+    update = build_update(rig, 1, base=rig.store.revision - 1)
+    record = EntryRecord(rig.store.revision, "i-1", "s", "10.0.0.1:80", "a", 5)
+    update.changes.append(record)
+    for _ in range(6):
+        rig.relay.take(update, NOBODY)
+        await asyncio.sleep(0.1)
+    assert known.entry.slots == 5
+    assert known.entry.version == "v1"
+    assert known.pool is pool
+
+
 async def test_a_follower_reads_a_restored_store_itself(rig: Rig) -> None:
     # fault: a follower applied revisions and clock of one epoch in another
     rig.store.put("op", "config", build_config(1, "k"))
