Keep backups of a run's KV cache only at its software version

What two software versions keep doesn't fit together, and servers don't check it. The backup of a run went to the endpoint of another data centre with the most free memory, of whichever version, and the stream went on there from a memory that another version had written.

Backups are now made only at endpoints of the version that runs the stream. The new test failed before: the emptier endpoint of another version was chosen.

--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/selection.py
@@ -297,9 +297,9 @@
         :param size: tokens of the run
         :param engine: limits of the service's engines
         :param now: monotonic seconds
-        :return: an endpoint of another data centre with capacity and without a limit, if any:
-            preferably not a suspect one, then the one with most free memory, as a backup needs no
-            computation
+        :return: an endpoint of the same version in another data centre, with capacity and without
+            a limit, if any: preferably not a suspect one, then the one with most free memory, as a
+            backup needs no computation
         """
         endpoints = list(endpoints)
         failures = find_last_failures(endpoints)
@@ -307,6 +307,7 @@
             endpoint
             for endpoint in endpoints
             if endpoint.entry.data_centre != runs_at.entry.data_centre
+            and endpoint.entry.version == runs_at.entry.version
             and endpoint.is_available(now)
             and not endpoint.notices.limit.is_in_force(now)
             and has_room(endpoint, size, engine, now)
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -106,6 +106,20 @@
     assert holder is engines[2]
 
 
+def test_a_backup_is_kept_only_at_the_version_of_its_run() -> None:
+    # fault: a stream went on from the memory of another software version
+    engines = [
+        Endpoint(build_entry("e1", service="llm", slots=48)),
+        Endpoint(build_entry("e2", service="llm", slots=48, data_centre="riga-b", version="v2")),
+        Endpoint(build_entry("e3", service="llm", slots=48, data_centre="kurzeme-a")),
+    ]
+    size = PromptSize(8000, 1000)
+    engines[2].load.memory_tokens = 10_000
+    chooser = build_chooser()
+    assert chooser.choose_backup_endpoint(engines, engines[0], size, ENGINE, 0.0) is engines[2]
+    assert chooser.choose_backup_endpoint(engines[:2], engines[0], size, ENGINE, 0.0) is None
+
+
 def test_a_failing_endpoint_is_avoided_until_its_failure_rate_decays() -> None:
     # fault: a server fails some of its calls while it reports itself healthy
     endpoints = [Endpoint(build_entry("near")), Endpoint(build_entry("far", data_centre="riga-b"))]
