Resume streams only at the software version that began them

Callers got answers whose events came from two software versions of a service: a stream that broke off went on at whichever endpoint had room, and servers don't check which version made the events before.

The version of a stream is now that of the endpoint that made the first event passed on. Every place at which an endpoint is chosen knows it: placements, the queue, reservations for moves of stalled or silent streams, and the use of backups. A queued stream that waits for its version doesn't hold up those that may use others, and they don't take the places for which it waits. When the listing shows that no endpoint of the version is left, the stream ends at once; an unreliable listing shows nothing. It leaves a silent endpoint only if its version has another one.

Before its first event a stream may run anywhere; the event is passed on once the memory of versions has recorded its version. An attempt whose endpoint was listed anew while the connection opened sends nothing.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -239,6 +239,7 @@
         self._may_send = may_send
         # a response may arrive after a restart; it speaks for the lifetime that was asked
         self._notices = endpoint.notices
+        self._pool = endpoint.pool
         self._channel: Channel | None = None
 
     @property
@@ -257,7 +258,7 @@
         )
         try:
             # a late copy of the response to an earlier attempt has the same id
-            channel = await self.endpoint.pool.open(idle_limit_s, self.call.id)
+            channel = await self._pool.open(idle_limit_s, self.call.id)
         except ConnectError as error:
             self.endpoint.record_unreachable(time.monotonic())
             return NotRun(f"no connection: {error}")
@@ -268,6 +269,9 @@
         if not self._notices.permits(Purpose.CALL, time.monotonic()):
             channel.close()
             return NotRun("the endpoint leaves or wants no requests")
+        if self.endpoint.pool is not self._pool:
+            channel.close()
+            return NotRun("the endpoint restarted")
         self._channel = channel
         pending = PendingCall(self.call.rank, self._claim_move)
         self.endpoint.add_pending(channel, time.monotonic(), pending)
--- a/src/basilroad/gateway/availability.py
+++ b/src/basilroad/gateway/availability.py
@@ -7,8 +7,6 @@
 
 import attrs
 
-from basilroad.gateway.endpoint import EndpointState
-
 if TYPE_CHECKING:
     from basilroad.gateway.endpoint import Endpoint
 
@@ -64,7 +62,7 @@
         if endpoint.removed:
             continue
         notices = endpoint.notices
-        if endpoint.entry.state is not EndpointState.READY or notices.leaving_since is not None:
+        if endpoint.is_leaving:
             leaving += 1
         elif now < notices.paused_until:
             paused_until.append(notices.paused_until)
--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -54,6 +54,19 @@
         """:return: the listed endpoints of a service."""
         return [e for e in self._endpoints.values() if e.entry.service == service]
 
+    def list_staying(self, service: str, version: str) -> list[Endpoint]:
+        """:return: the listed endpoints of one software version of a service that don't leave."""
+        return [
+            endpoint
+            for endpoint in self.list_by_service(service)
+            if endpoint.entry.version == version and not endpoint.is_leaving
+        ]
+
+    @property
+    def is_reliable(self) -> bool:
+        """:return: whether endpoints that are not listed are gone."""
+        return bool(self._endpoints) and self._clock() >= self._unreliable_until
+
     def list_passed_over(self, service: str) -> list[dict[str, object]]:
         """:return: why endpoints of a service get no calls by their own notice, for the log."""
         if not self.notices.has_any:
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -23,6 +23,7 @@
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.permits import PermitExchange
+    from basilroad.gateway.promptlocations import PromptLocation
     from basilroad.gateway.reports import ReportReader
     from basilroad.gateway.route import EngineLimits
     from basilroad.gateway.selection import Chooser
@@ -57,12 +58,14 @@
     :param avoid: excluded endpoints
     :param wait_until: monotonic seconds until which it may wait
     :param placed: future of the reservation; ``None`` if waiting is of no use
+    :param version: the only version that may run it; ``None`` for any
     """
 
     call: Call
     avoid: Collection[str]
     wait_until: float
     placed: asyncio.Future[Reservation | None]
+    version: str | None = None
 
     @property
     def flow(self) -> Flow:
@@ -84,6 +87,7 @@
     :param reports: reads the load reports of engines
     :param permits: asks for permits of endpoints that named a limit; without it none are had
     :param clock: monotonic seconds
+    :param may_begin: checks whether new streams of a service may be placed at a version
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         reports: ReportReader | None = None,
         permits: PermitExchange | None = None,
         clock: Callable[[], float] = time.monotonic,
+        may_begin: Callable[[str, str], bool] = lambda _service, _version: True,
     ) -> None:
         self.directory = directory
         self.chooser = chooser
@@ -104,6 +109,7 @@
         self._permit_requests: dict[str, asyncio.Task[None]] = {}
         self.prompt_locations = PromptLocations(clock)
         self._clock = clock
+        self._may_begin = may_begin
         self._queues: dict[str, FairQueue[Ticket]] = {}
 
     @property
@@ -112,28 +118,34 @@
         return sum(len(queue) for queue in self._queues.values())
 
     async def place(
-        self, call: Call, wait_until: float, avoid: Collection[str] = ()
+        self,
+        call: Call,
+        wait_until: float,
+        avoid: Collection[str] = (),
+        version: str | None = None,
     ) -> Reservation | None:
         """Wait for an endpoint with capacity, unless none takes calls in time.
 
         :param call: the call
         :param wait_until: monotonic seconds until which it may wait
         :param avoid: excluded endpoints
+        :param version: the only version that may run it; ``None`` for any
         :return: reserved capacity; ``None`` if there was none in time
         """
-        if not self._is_blocked(call):
-            endpoint = await self._choose_by_reports(call, avoid)
+        if not self._is_blocked(call, version):
+            endpoint = await self._choose_by_reports(call, avoid, version)
             if endpoint is None:
-                endpoint = await self._choose_permitted(call, avoid)
+                endpoint = await self._choose_permitted(call, avoid, version)
             if endpoint is not None:
                 return self.reserve(endpoint, call.size)
         left_s = wait_until - self._clock()
         if left_s <= 0:
             return None
-        pause = self.find_turn(call, avoid)
-        if pause is not None and pause.outlasts(wait_until):
+        ticket = Ticket(call, avoid, wait_until, _create_future(), version)
+        pause = self.find_turn(call, avoid, version)
+        if self._is_wait_useless(ticket, pause):
             return None
-        return await self._wait(Ticket(call, avoid, wait_until, _create_future()), left_s)
+        return await self._wait(ticket, left_s)
 
     async def acquire_permit(self, endpoint: Endpoint) -> bool:
         """Get a permit for a request to an endpoint, unless there is one in hand or none is needed.
@@ -176,25 +188,28 @@
         endpoint.notices.limit.take_permit(self._clock())
         return Reservation(endpoint, size, needs_prefill=needs_prefill)
 
-    def find_pause(self, call: Call, avoid: Collection[str] = ()) -> ServicePause | None:
-        """:return: the pause of a call's service, if all its endpoints want no requests."""
-        endpoints = self.directory.list_by_service(call.service)
-        return find_service_pause(endpoints, self._clock(), avoid)
+    def find_pause(
+        self, call: Call, avoid: Collection[str] = (), version: str | None = None
+    ) -> ServicePause | None:
+        """:return: the pause of a call's service, if all endpoints for it want no requests."""
+        return find_service_pause(self._list_endpoints(call, version), self._clock(), avoid)
 
-    def find_turn(self, call: Call, avoid: Collection[str] = ()) -> ServicePause | None:
+    def find_turn(
+        self, call: Call, avoid: Collection[str] = (), version: str | None = None
+    ) -> ServicePause | None:
         """:return: the same, until the turn of a call that comes after those that wait."""
-        pause = self.find_pause(call, avoid)
+        pause = self.find_pause(call, avoid, version)
         return None if pause is None else pause.after(self._count_ahead(call))
 
-    def has_room(self, call: Call, avoid: Collection[str]) -> bool:
+    def has_room(self, call: Call, avoid: Collection[str], version: str | None = None) -> bool:
         """:return: whether another endpoint could take the call at once."""
-        return not self._is_blocked(call) and self._choose_at_once(call, avoid) is not None
+        return self._choose_unblocked(call, avoid, version) is not None
 
-    def reserve_at_once(self, call: Call, avoid: Collection[str]) -> Reservation | None:
+    def reserve_at_once(
+        self, call: Call, avoid: Collection[str], version: str | None = None
+    ) -> Reservation | None:
         """:return: capacity of another endpoint, if one could take the call at once."""
-        if self._is_blocked(call):
-            return None
-        endpoint = self._choose_at_once(call, avoid)
+        endpoint = self._choose_unblocked(call, avoid, version)
         return None if endpoint is None else self.reserve(endpoint, call.size)
 
     def release(self, reservation: Reservation) -> None:
@@ -210,9 +225,25 @@
         for queue in list(self._queues.values()):
             self._dispatch_queue(queue)
 
-    def _is_blocked(self, call: Call) -> bool:
+    def _list_ahead(self, call: Call) -> list[Ticket]:
         queue = self._queues.get(call.service)
-        return queue is not None and any(rank <= call.rank for rank in queue.ranks())
+        if queue is None or not any(rank <= call.rank for rank in queue.ranks()):
+            return []
+        return [ticket for ticket in queue.items() if ticket.call.rank <= call.rank]
+
+    def _is_blocked(self, call: Call, version: str | None) -> bool:
+        return any(ticket.version in (None, version) for ticket in self._list_ahead(call))
+
+    def _list_claimed(self, call: Call) -> set[str]:
+        """:return: versions for which calls wait that come before a new one."""
+        return {t.version for t in self._list_ahead(call) if t.version is not None}
+
+    def _choose_unblocked(
+        self, call: Call, avoid: Collection[str], version: str | None
+    ) -> Endpoint | None:
+        if self._is_blocked(call, version):
+            return None
+        return self._choose_at_once(call, avoid, version, self._list_claimed(call))
 
     async def _wait(self, ticket: Ticket, left_s: float) -> Reservation | None:
         placed, service = ticket.placed, ticket.call.service
@@ -238,51 +269,72 @@
     def _dispatch_queue(self, queue: FairQueue[Ticket]) -> None:
         self._end_useless_waits(queue)
         held: list[Ticket] = []
+        claimed: set[str] = set()
         while (ticket := queue.peek()) is not None:
             if ticket.placed.done():
                 queue.remove(ticket)
                 continue
-            endpoint = self._choose_at_once(ticket.call, ticket.avoid)
-            if endpoint is None:
-                endpoint = self._choose(ticket.call, ticket.avoid)
-            if endpoint is None and not ticket.avoid:
+            endpoint = self._choose_for(ticket, claimed)
+            if endpoint is not None and not endpoint.notices.limit.has_permit(self._clock()):
+                self.request_permit(endpoint)
+                if ticket.version is None:
+                    break
+                endpoint = None
+            if endpoint is None and not ticket.avoid and ticket.version is None:
                 break
             if endpoint is None:
                 # later calls may use the endpoints that this one excludes
                 queue.remove(ticket)
-                pause = self.find_pause(ticket.call, ticket.avoid)
-                if pause is not None and pause.outlasts(ticket.wait_until):
+                pause = self.find_pause(ticket.call, ticket.avoid, ticket.version)
+                if self._is_wait_useless(ticket, pause):
                     ticket.placed.set_result(None)
-                else:
-                    held.append(ticket)
+                    continue
+                held.append(ticket)
+                if ticket.version is not None and not ticket.avoid:
+                    claimed.add(ticket.version)
                 continue
-            if not endpoint.notices.limit.has_permit(self._clock()):
-                self.request_permit(endpoint)
-                break
             queue.pop()
             ticket.placed.set_result(self.reserve(endpoint, ticket.call.size))
         for ticket in reversed(held):
             queue.push_front(ticket, ticket.flow, ticket.cost)
 
+    def _choose_for(self, ticket: Ticket, claimed: Collection[str]) -> Endpoint | None:
+        call, avoid, version = ticket.call, ticket.avoid, ticket.version
+        if version in claimed:
+            return None
+        endpoint = self._choose_at_once(call, avoid, version, claimed)
+        return endpoint or self._choose(call, avoid, version, claimed)
+
     def _end_useless_waits(self, queue: FairQueue[Ticket]) -> None:
-        head = queue.peek()
-        pause = self.find_pause(head.call) if head is not None else None
-        if pause is None:
-            return
-        for ticket in queue.items():
-            if pause.outlasts(ticket.wait_until) and not ticket.placed.done():
+        tickets = queue.items()
+        pauses = {t.version: self.find_pause(t.call, version=t.version) for t in tickets}
+        for ticket in tickets:
+            useless = self._is_wait_useless(ticket, pauses[ticket.version])
+            if useless and not ticket.placed.done():
                 queue.remove(ticket)
                 ticket.placed.set_result(None)
 
-    async def _choose_by_reports(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
+    def _is_wait_useless(self, ticket: Ticket, pause: ServicePause | None) -> bool:
+        if pause is not None and pause.outlasts(ticket.wait_until):
+            return True
+        service, version = ticket.call.service, ticket.version
+        if version is None or not self.directory.is_reliable:
+            return False
+        staying = self.directory.list_staying(service, version)
+        return all(endpoint.id in ticket.avoid for endpoint in staying)
+
+    async def _choose_by_reports(
+        self, call: Call, avoid: Collection[str], version: str | None
+    ) -> Endpoint | None:
         """Choose an engine by the reports of a few candidates.
 
         :param call: the call
         :param avoid: excluded endpoints
+        :param version: the only version that may run it; ``None`` for any
         :return: an engine that reported; ``None`` if engines are not asked or none has room
         """
         engine = self.find_engine(call.service)
-        cached = self.prompt_locations.find(call.prompt_key)
+        cached = self._find_prompt(call, version)
         if self._reports is None or engine is None or not self.asks_engines or cached is not None:
             return None
         excluded, known = set(avoid), []
@@ -290,9 +342,10 @@
             # requests for reports would use up the permits of limited engines
             endpoints = [
                 endpoint
-                for endpoint in self.directory.list_by_service(call.service)
+                for endpoint in self._list_endpoints(call, version, self._list_claimed(call))
                 if not endpoint.notices.limit.is_in_force(self._clock())
             ]
+            endpoints = self._filter_preferred(call, version, endpoints)
             scored = self.chooser.list_scored(endpoints, call, engine, self._clock(), excluded)
             scored.sort(key=itemgetter(0))
             candidates = [endpoint for _, endpoint in scored[:REPORT_CANDIDATES]]
@@ -303,8 +356,10 @@
                 break
         return best
 
-    async def _choose_permitted(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
-        endpoint = self._choose(call, avoid)
+    async def _choose_permitted(
+        self, call: Call, avoid: Collection[str], version: str | None
+    ) -> Endpoint | None:
+        endpoint = self._choose(call, avoid, version, self._list_claimed(call))
         for _ in range(MAX_PERMIT_ROUNDS):
             if endpoint is None:
                 return None
@@ -312,11 +367,19 @@
             if await self.acquire_permit(endpoint) and endpoint.is_available(self._clock()):
                 return endpoint
             # one round trip is enough while others need no permit
-            endpoint = self._choose_at_once(call, avoid) or self._choose(call, avoid)
-        return self._choose_at_once(call, avoid)
+            claimed = self._list_claimed(call)
+            endpoint = self._choose_at_once(call, avoid, version, claimed)
+            endpoint = endpoint or self._choose(call, avoid, version, claimed)
+        return self._choose_at_once(call, avoid, version, self._list_claimed(call))
 
-    def _choose_at_once(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
-        return self._choose(call, avoid, at_once=True)
+    def _choose_at_once(
+        self,
+        call: Call,
+        avoid: Collection[str],
+        version: str | None,
+        claimed: Collection[str],
+    ) -> Endpoint | None:
+        return self._choose(call, avoid, version, claimed, at_once=True)
 
     def _count_ahead(self, call: Call) -> int:
         queue = self._queues.get(call.service)
@@ -325,16 +388,57 @@
         return sum(queue.count(rank) for rank in queue.ranks() if rank <= call.rank)
 
     def _choose(
-        self, call: Call, avoid: Collection[str], *, at_once: bool = False
+        self,
+        call: Call,
+        avoid: Collection[str],
+        version: str | None,
+        claimed: Collection[str] = (),
+        *,
+        at_once: bool = False,
     ) -> Endpoint | None:
-        endpoints = self.directory.list_by_service(call.service)
+        endpoints = self._list_endpoints(call, version, claimed)
         if at_once:
             now = self._clock()
             endpoints = [e for e in endpoints if e.notices.limit.has_permit(now)]
+        preferred = self._filter_preferred(call, version, endpoints)
+        found = self._choose_among(preferred, call, avoid, version)
+        if found is None and len(preferred) < len(endpoints):
+            found = self._choose_among(endpoints, call, avoid, version)
+        return found
+
+    def _choose_among(
+        self,
+        endpoints: Collection[Endpoint],
+        call: Call,
+        avoid: Collection[str],
+        version: str | None,
+    ) -> Endpoint | None:
         engine = self.find_engine(call.service)
-        cached_prompt = self.prompt_locations.find(call.prompt_key)
+        cached_prompt = self._find_prompt(call, version)
         return self.chooser.choose(endpoints, call, engine, self._clock(), avoid, cached_prompt)
 
+    def _list_endpoints(
+        self, call: Call, version: str | None, claimed: Collection[str] = ()
+    ) -> list[Endpoint]:
+        endpoints = self.directory.list_by_service(call.service)
+        if version is not None:
+            return [e for e in endpoints if e.entry.version == version]
+        return [e for e in endpoints if e.entry.version not in claimed]
+
+    def _filter_preferred(
+        self, call: Call, version: str | None, endpoints: list[Endpoint]
+    ) -> list[Endpoint]:
+        if version is not None or not (call.route.streams and call.route.repeatable):
+            return endpoints
+        return [e for e in endpoints if self._may_begin(call.service, e.entry.version)]
+
+    def _find_prompt(self, call: Call, version: str | None) -> PromptLocation | None:
+        found = self.prompt_locations.find(call.prompt_key)
+        if found is None or version is None:
+            return found
+        endpoint = self.directory.get(found.endpoint_id)
+        return found if endpoint is not None and endpoint.entry.version == version else None
+
 
 def _create_future() -> asyncio.Future[Reservation | None]:
     return asyncio.get_running_loop().create_future()
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -198,6 +198,12 @@
         """:return: the endpoint's id."""
         return self.entry.id
 
+    @property
+    def is_leaving(self) -> bool:
+        """:return: whether it takes no further calls in this lifetime."""
+        drains = self.entry.state is not EndpointState.READY
+        return self.removed or drains or self.notices.leaving_since is not None
+
     def is_available(self, now: float) -> bool:
         """Check whether a call may be sent to it, with a permit if it named a limit.
 
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -136,7 +136,12 @@
             settings.host, settings.place, self.directory, generator=self.random
         )
         self.dispatcher = Dispatcher(
-            self.directory, chooser, self.find_engine, reports, self.permits
+            self.directory,
+            chooser,
+            self.find_engine,
+            reports,
+            self.permits,
+            may_begin=lambda service, version: self.stream_versions.may_begin(service, version),
         )
         self.liveness = Liveness(self.dispatcher, reports)
         self.shutdown = Shutdown(signal=stop_signal or StopSignal())
@@ -328,14 +333,15 @@
         log_attempt(attempt, self.directory.list_passed_over(attempt.call.service))
         self.metrics.count_attempt(attempt.call, attempt.outcome)
 
-    def build_refusal(self, tracker: AttemptTracker) -> Refusal:
+    def build_refusal(self, tracker: AttemptTracker, version: str | None = None) -> Refusal:
         """Build the error for a call without a response.
 
         :param tracker: its attempts
+        :param version: the only version that may run it; ``None`` for any
         :return: the error
         """
         call = tracker.call
-        pause = None if tracker.sent else self.dispatcher.find_turn(call)
+        pause = None if tracker.sent else self.dispatcher.find_turn(call, version=version)
         if pause is not None:
             log_service_pause(call, self.directory.list_passed_over(call.service))
         return tracker.build_refusal(pause)
--- a/src/basilroad/gateway/runs.py
+++ b/src/basilroad/gateway/runs.py
@@ -33,6 +33,7 @@
     :param passed: whether it is past its beginning
     :param started_at: monotonic seconds
     :param crash: identifier of a crash of the endpoint from now on
+    :param version: software version of the endpoint
     """
 
     call: Call
@@ -44,12 +45,14 @@
     passed: bool = False
     started_at: float = attrs.field(factory=time.monotonic)
     crash: str = ""
+    version: str = ""
     _notices: EndpointNotices | None = None
 
     def __attrs_post_init__(self) -> None:
         """Name the process of the endpoint, which may have restarted when the run ends."""
         if self.endpoint is not None:
             self.crash = f"{self.endpoint.id}/{self.endpoint.entry.started_ms}"
+            self.version = self.endpoint.entry.version
             self._notices = self.endpoint.notices
 
     @property
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -20,6 +20,7 @@
 from basilroad.gateway.latecrashes import LateBreak, LateBreaks
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.runs import Run
+from basilroad.gateway.versionpin import VersionPin
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, Responder
@@ -72,6 +73,7 @@
         self._call = call
         self._responder = responder
         self._tracker = AttemptTracker(call, gateway.budget_of(call.service))
+        self._pin = VersionPin(call, gateway.stream_versions, gateway.directory)
         self._events = EventSequence(call.events_received)
         self._first_at = 0.0
         self._first_event = 0
@@ -97,9 +99,10 @@
             return await self._run()
         finally:
             self._release_claim()
+            self._pin.end()
 
     async def _run(self) -> Reply | None:
-        while await self._start_attempt():
+        while not self._pin.is_lost and await self._start_attempt():
             outcome = await self._try_once()
             if outcome is None:
                 break
@@ -111,12 +114,14 @@
                 if self._started or self._is_final(outcome):
                     break
         if self._started:
-            raise StreamBrokenError(self._tracker.last_detail or "no endpoint to resume the stream")
+            lost = self._pin.describe_loss() if self._pin.is_lost else ""
+            detail = lost or self._tracker.last_detail or "no endpoint to resume the stream"
+            raise StreamBrokenError(detail)
         if self._failed_reply is not None:
             return self._failed_reply
         if not self._tracker.sent:
             self._gateway.containment.check(self._call)
-        raise RefusedError(self._gateway.build_refusal(self._tracker))
+        raise RefusedError(self._gateway.build_refusal(self._tracker, self._pin.version))
 
     def end_at_shutdown(self) -> Reply:
         """End a cancelled run because this host shuts down.
@@ -170,6 +175,11 @@
         reservation, kv_cache_source = await self._place()
         if reservation is None:
             return None
+        if not self._pin.admits(reservation.endpoint):
+            # it was listed anew while the reservation was handed over
+            self._gateway.dispatcher.release(reservation)
+            self._tracker.record_unsent()
+            return NotRun("the endpoint has changed")
         self._gateway.record_placed(self._call, time.monotonic() - queued_at)
         self._check_time_before_shutdown(reservation)
         if self._tracker.sent:
@@ -191,6 +201,7 @@
             self._claim_move,
             self._may_send,
         )
+        self._pin.begin(endpoint)
         self._gateway.dispatcher.prompt_locations.record(self._call.prompt_key, endpoint.id)
         try:
             outcome = await self._run_watched(attempt, reservation)
@@ -236,11 +247,12 @@
         holder, self._backup_endpoint = self._backup_endpoint, None
         if self._claimed is not None:
             claimed, self._claimed = self._claimed, None
-            if claimed[0].endpoint.is_available(now):
+            endpoint = claimed[0].endpoint
+            if endpoint.is_available(now) and self._pin.admits(endpoint):
                 return claimed
             self._gateway.dispatcher.release(claimed[0])
         dispatcher = self._gateway.dispatcher
-        usable = holder is not None and holder.is_available(now)
+        usable = holder is not None and holder.is_available(now) and self._pin.admits(holder)
         if holder is not None and usable and await dispatcher.acquire_permit(holder):
             log_resume_from_backup(call, holder, self._events.last)
             return dispatcher.reserve(holder, call.size, needs_prefill=False), True
@@ -260,11 +272,13 @@
 
     async def _wait_for_endpoint(self, wait_until: float) -> Reservation | None:
         tracker, now = self._tracker, time.monotonic()
-        dispatcher = self._gateway.dispatcher
-        reservation = await dispatcher.place(self._call, wait_until, tracker.tried)
-        if reservation is None:
+        dispatcher, version = self._gateway.dispatcher, self._pin.version
+        reservation = await dispatcher.place(self._call, wait_until, tracker.tried, version)
+        if reservation is None and not self._pin.is_lost:
             tracker.tried.clear()
-            reservation = await dispatcher.place(self._call, now)
+            # the others of its version may have left while it waited for them
+            again_until = now if version is None else wait_until
+            reservation = await dispatcher.place(self._call, again_until, version=version)
         return reservation
 
     def _reserve_backup(self, endpoint: Endpoint) -> Reservation | None:
@@ -352,8 +366,12 @@
         :return: whether the stream can go on elsewhere
         """
         attempt = self._tracker.running
-        if attempt is None or not attempt.sent:
+        if attempt is None or not attempt.sent or not self._pin.may_leave(attempt.endpoint):
             return False
+        if self._claimed is not None and not self._pin.admits(self._claimed[0].endpoint):
+            # claimed before the first event
+            self._gateway.dispatcher.release(self._claimed[0])
+            self._claimed = None
         if not self._tracker.claim_retry():
             if self._call.route.repeatable:
                 self._gateway.request_retries(self._call.service)
@@ -368,12 +386,12 @@
     def _reserve_elsewhere(self, endpoint: Endpoint) -> tuple[Reservation, bool] | None:
         dispatcher, now = self._gateway.dispatcher, time.monotonic()
         holder = self._backup.endpoint if self._backup is not None and self._events.last else None
-        is_free = holder is not None and holder.is_available(now)
+        is_free = holder is not None and holder.is_available(now) and self._pin.admits(holder)
         if holder is not None and is_free and holder.notices.limit.has_permit(now):
             log_resume_from_backup(self._call, holder, self._events.last)
             return dispatcher.reserve(holder, self._call.size, needs_prefill=False), True
         avoid = self._tracker.tried | {endpoint.id}
-        reservation = dispatcher.reserve_at_once(self._call, avoid)
+        reservation = dispatcher.reserve_at_once(self._call, avoid, self._pin.version)
         return None if reservation is None else (reservation, False)
 
     def _release_claim(self) -> None:
@@ -407,8 +425,8 @@
                 break
             received = self._events.received
             due = self._events.take(data)
-            if due:
-                await self._forward(opened, due)
+            if due and not await self._pass_on(opened, due, run, wait):
+                return MayHaveRun("the software version of the stream could not be recorded")
             if self._events.received > received:
                 reservation.record_started()
                 self._gateway.liveness.mark_started(wait)
@@ -421,6 +439,23 @@
             await self._forward(opened, b"")
         return Ended()
 
+    async def _pass_on(self, opened: OpenReply, due: bytes, run: Run, wait: FirstEventWait) -> bool:
+        if not self._started and not await self._confirm_version(run, wait):
+            return False
+        await self._forward(opened, due)
+        return True
+
+    async def _confirm_version(self, run: Run, wait: FirstEventWait) -> bool:
+        self._gateway.liveness.mark_started(wait)
+        confirmed = False
+        try:
+            confirmed = await self._pin.confirm(run.version)
+        finally:
+            if not confirmed:
+                # another run makes the events again that this one made
+                self._events = EventSequence(self._call.events_received)
+        return confirmed
+
     def _find_truncation(self, opened: OpenReply, run: Run) -> str:
         if not self._events.is_whole:
             return "the stream stopped within an event"
--- /dev/null
+++ b/src/basilroad/gateway/versionpin.py
@@ -0,0 +1,83 @@
+"""Binds one stream to the software version that began it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from basilroad.gateway.call import Call
+    from basilroad.gateway.directory import Directory
+    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.streamversions import StreamVersions
+
+
+class VersionPin:
+    """Version at which one stream goes on.
+
+    :param call: the call of the stream
+    :param versions: memory of the versions of streams
+    :param directory: the listed endpoints
+    """
+
+    def __init__(self, call: Call, versions: StreamVersions, directory: Directory) -> None:
+        self.version: str | None = None
+        self._call = call
+        self._versions = versions
+        self._directory = directory
+        self._has_begun = False
+
+    @property
+    def is_lost(self) -> bool:
+        """:return: whether no endpoint is left at which the stream may go on."""
+        if self.version is None or not self._directory.is_reliable:
+            return False
+        return not self._list_staying()
+
+    def admits(self, endpoint: Endpoint) -> bool:
+        """:return: whether the stream may go on at an endpoint."""
+        return self.version is None or endpoint.entry.version == self.version
+
+    def may_leave(self, endpoint: Endpoint) -> bool:
+        """:return: whether there may be another endpoint at which the stream can go on."""
+        if self.version is None or not self._directory.is_reliable:
+            return True
+        return any(other is not endpoint for other in self._list_staying())
+
+    def begin(self, endpoint: Endpoint) -> None:
+        """Prepare the record of a new stream that is sent to an endpoint.
+
+        :param endpoint: the endpoint
+        """
+        if self.version is None and self._call.route.repeatable:
+            self._has_begun = True
+            self._versions.begin(self._call, endpoint.entry.version)
+
+    async def confirm(self, version: str) -> bool:
+        """Bind the stream to the version that made the first event, once that is recorded.
+
+        :param version: the version
+        :return: false if the event may not be passed on
+        """
+        if self.version is not None:
+            return self.version == version
+        # streams that may not be resumed need no record
+        if self._call.route.repeatable and not await self._versions.confirm(self._call, version):
+            return False
+        self.version = version
+        return True
+
+    def end(self) -> None:
+        """Record that the response has ended."""
+        if self._has_begun:
+            self._versions.end(self._call)
+
+    def describe_loss(self) -> str:
+        """:return: why the stream can't go on, for the caller and the log."""
+        return f"no endpoint of software version {self.version} is left, which began this stream"
+
+    def _list_staying(self) -> list[Endpoint]:
+        assert self.version is not None
+        return self._directory.list_staying(self._call.service, self.version)
+
+
+__all__ = ["VersionPin"]
--- /dev/null
+++ b/tests/gateway/test_version_queue.py
@@ -0,0 +1,128 @@
+"""Queueing of streams that are bound to a software version; no network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from basilroad.gateway.directory import Directory
+from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.notices import Notice, Source
+from basilroad.gateway.selection import Chooser
+from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
+
+ROUTE = build_stream_route()
+
+
+@pytest.fixture
+def dispatcher() -> Dispatcher:
+    """:return: a dispatcher with one engine of each of two versions."""
+    directory = Directory()
+    directory.put(build_entry("e1", service="llm", slots=48, version="v1"))
+    directory.put(build_entry("e2", service="llm", slots=48, version="v2"))
+    return Dispatcher(directory, Chooser(PLACE, random.Random(1)), lambda _: ENGINE)
+
+
+async def fill(dispatcher: Dispatcher, version: str) -> list:
+    taken = []
+    while (found := await dispatcher.place(build_call(ROUTE), 0.0, version=version)) is not None:
+        taken.append(found)
+    assert {r.endpoint.entry.version for r in taken} == {version}
+    return taken
+
+
+def start_waiting(dispatcher: Dispatcher, version: str | None = None, **changes: object):
+    until = time.monotonic() + 5
+    return asyncio.ensure_future(
+        dispatcher.place(build_call(ROUTE, **changes), until, version=version)
+    )
+
+
+async def test_a_stream_that_waits_for_its_version_blocks_no_other(dispatcher: Dispatcher) -> None:
+    # fault: new streams waited though other versions had room
+    await fill(dispatcher, "v1")
+    bound = start_waiting(dispatcher, "v1")
+    await asyncio.sleep(0)
+    assert dispatcher.has_room(build_call(ROUTE), ())
+    placed = await asyncio.wait_for(start_waiting(dispatcher), 0.2)
+    assert placed.endpoint.id == "e2"
+    assert not bound.done()
+    bound.cancel()
+
+
+async def test_a_queued_stream_passes_one_that_waits_for_its_version(
+    dispatcher: Dispatcher,
+) -> None:
+    await fill(dispatcher, "v1")
+    taken = await fill(dispatcher, "v2")
+    bound = start_waiting(dispatcher, "v1")
+    await asyncio.sleep(0)
+    other = start_waiting(dispatcher)
+    await asyncio.sleep(0)
+    assert dispatcher.waiting == 2
+    dispatcher.release(taken[0])
+    assert (await asyncio.wait_for(other, 0.2)).endpoint.id == "e2"
+    assert not bound.done()
+    bound.cancel()
+
+
+async def test_new_streams_take_no_place_for_which_a_bound_one_waits(
+    dispatcher: Dispatcher,
+) -> None:
+    # fault: streams that were broken off starved while new ones took each place of their version
+    taken = await fill(dispatcher, "v1")
+    await fill(dispatcher, "v2")
+    bound = start_waiting(dispatcher, "v1")
+    await asyncio.sleep(0)
+    # capacity that becomes free without a call of this gateway ending
+    taken[0].release()
+    assert not dispatcher.has_room(build_call(ROUTE), ())
+    assert await dispatcher.place(build_call(ROUTE), 0.0) is None
+    dispatcher.dispatch_waiting()
+    assert (await asyncio.wait_for(bound, 0.2)).endpoint.id == "e1"
+
+
+async def test_an_urgent_stream_does_not_wait_behind_a_bound_one(dispatcher: Dispatcher) -> None:
+    taken = await fill(dispatcher, "v1")
+    await fill(dispatcher, "v2")
+    bound = start_waiting(dispatcher, "v1", rank=2)
+    await asyncio.sleep(0)
+    taken[0].release()
+    placed = await dispatcher.place(build_call(ROUTE, rank=0), 0.0)
+    assert placed is not None
+    assert placed.endpoint.id == "e1"
+    bound.cancel()
+
+
+async def test_a_wait_ends_when_the_version_has_left(dispatcher: Dispatcher) -> None:
+    await fill(dispatcher, "v1")
+    bound = start_waiting(dispatcher, "v1")
+    await asyncio.sleep(0)
+    assert dispatcher.waiting == 1
+    dispatcher.directory.remove("e1")
+    dispatcher.dispatch_waiting()
+    assert await asyncio.wait_for(bound, 0.2) is None
+    assert await asyncio.wait_for(start_waiting(dispatcher, "v1"), 0.2) is None
+
+
+async def test_the_pause_of_a_version_is_that_of_its_endpoints(dispatcher: Dispatcher) -> None:
+    # fault: a bound stream waited to its limit for endpoints that want nothing for longer
+    endpoint = dispatcher.directory.get("e1")
+    assert endpoint is not None
+    endpoint.notices.record(Notice(pause_s=30.0), Source.ANSWER, time.monotonic())
+    call = build_call(ROUTE)
+    assert dispatcher.find_pause(call) is None
+    pause = dispatcher.find_pause(call, version="v1")
+    assert pause is not None
+    assert pause.paused == 1
+    assert await asyncio.wait_for(start_waiting(dispatcher, "v1"), 0.2) is None
+
+
+async def test_a_cached_prompt_of_another_version_saves_nothing(dispatcher: Dispatcher) -> None:
+    dispatcher.prompt_locations.record("p", "e2")
+    assert dispatcher._find_prompt(build_call(ROUTE, prompt_key="p"), "v1") is None
+    assert dispatcher._find_prompt(build_call(ROUTE, prompt_key="p"), "v2") is not None
+    assert dispatcher._find_prompt(build_call(ROUTE, prompt_key="p"), None) is not None
--- /dev/null
+++ b/tests/gateway/test_versions.py
@@ -0,0 +1,221 @@
+"""Streams go on only at the software version that began them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.gateway import Gateway
+from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.standin.appserver import WireFault
+from builders import RecordingResponder, build_call, build_entry, build_stream_route
+
+ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
+ALL_EVENTS = list(range(1, 21))
+ENDED_AT_ONCE_S = 1.0
+"""Well below the time that a stream may wait for an endpoint."""
+
+
+async def run(gateway: Gateway, responder: RecordingResponder | None = None, **changes: object):
+    responder = responder or RecordingResponder()
+    await CallHandler(gateway).handle(build_call(ROUTE, **changes), responder)
+    return responder
+
+
+async def start_engine(start_server, name: str, data_centre: str, software: str, **options: object):
+    return await start_server(
+        name, service="llm", events=20, data_centre=data_centre, software=software, **options
+    )
+
+
+async def wait_for_events(responder: RecordingResponder, count: int) -> None:
+    async with asyncio.timeout(5):
+        while len(responder.numbers) < count:
+            await asyncio.sleep(0.005)
+
+
+async def test_a_stream_resumes_only_at_its_version(gateway, start_server) -> None:
+    # fault: events of two software versions in one answer
+    await start_engine(start_server, "i-1", "riga-a", "v1", reset_at_event=8)
+    other = await start_engine(start_server, "i-2", "riga-b", "v2")
+    same = await start_engine(start_server, "i-3", "riga-a", "v1", response_delay_s=0.01)
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert not other.seen
+    assert same.seen[0].headers["last-event-id"] == "7"
+
+
+@pytest.mark.parametrize("leaves", ["removed", "draining"])
+async def test_a_stream_whose_version_has_left_ends_at_once(gateway, start_server, leaves) -> None:
+    # fault: it went on at another version, or waited up to its deadline
+    first = await start_engine(start_server, "i-1", "riga-a", "v1", event_interval_s=0.02)
+    other = await start_engine(start_server, "i-2", "riga-b", "v2")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for_events(responder, 3)
+    if leaves == "removed":
+        gateway.directory.remove("i-1")
+    else:
+        state = EndpointState.DRAINING
+        gateway.directory.put(
+            build_entry("i-1", port=first.port, service="llm", slots=48, state=state)
+        )
+    began = time.monotonic()
+    await first.stop()
+    with pytest.raises(StreamBrokenError, match="version v1"):
+        await task
+    assert time.monotonic() - began < ENDED_AT_ONCE_S
+    assert not other.seen
+
+
+async def test_a_stream_that_waits_for_its_version_ends_when_that_has_left(
+    gateway, start_server
+) -> None:
+    first = await start_engine(start_server, "i-1", "riga-a", "v1", event_interval_s=0.02)
+    other = await start_engine(start_server, "i-2", "riga-b", "v2")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for_events(responder, 3)
+    await first.stop()
+    await asyncio.sleep(0.2)
+    assert not task.done()
+    gateway.directory.remove("i-1")
+    with pytest.raises(StreamBrokenError, match="version v1"):
+        await asyncio.wait_for(task, ENDED_AT_ONCE_S)
+    assert not other.seen
+
+
+async def test_a_stream_waits_for_its_version_while_the_listing_is_unreliable(
+    gateway, start_server
+) -> None:
+    first = await start_engine(start_server, "i-1", "riga-a", "v1", event_interval_s=0.02)
+    other = await start_engine(start_server, "i-2", "riga-b", "v2")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for_events(responder, 3)
+    gateway.directory.remove("i-1")
+    gateway.directory.mark_listing_unreliable()
+    await first.stop()
+    await asyncio.sleep(0.2)
+    assert not task.done()
+    await start_engine(start_server, "i-3", "riga-b", "v1")
+    assert (await task).numbers == ALL_EVENTS
+    assert not other.seen
+
+
+async def test_a_stream_goes_on_at_the_same_endpoint_if_its_version_has_no_other(
+    gateway, start_server
+) -> None:
+    first = await start_engine(
+        start_server, "i-1", "riga-a", "v1", event_interval_s=0.02, reset_at_event=4
+    )
+    other = await start_engine(start_server, "i-2", "riga-b", "v2")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    async with asyncio.timeout(5):
+        while gateway.directory.get("i-1").last_failed_at < 0:
+            await asyncio.sleep(0.001)
+    first.reset_at_event = 0
+    assert (await asyncio.wait_for(task, 3)).numbers == ALL_EVENTS
+    assert not other.seen
+
+
+async def test_a_stalled_stream_moves_only_to_its_version(gateway, start_server) -> None:
+    # fault: the stream moved to the nearest endpoint with room
+    await start_engine(start_server, "i-1", "riga-a", "v1", trickle_at_event=5, trickle=b": \n")
+    other = await start_engine(start_server, "i-2", "riga-b", "v2")
+    same = await start_engine(start_server, "i-3", "riga-a", "v1")
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert not other.seen
+    assert same.seen
+
+
+async def test_a_silent_stream_stays_if_its_version_has_no_other_endpoint(
+    gateway, start_server
+) -> None:
+    first = await start_engine(start_server, "i-1", "riga-a", "v1", event_interval_s=0.02)
+    other = await start_engine(start_server, "i-2", "riga-b", "v2")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for_events(responder, 3)
+    first.trickle_at_event = 1
+    first.silent = True
+    await asyncio.sleep(1.0)
+    first.silent = False
+    first.trickle_at_event = 0
+    assert (await task).numbers == ALL_EVENTS
+    assert not other.seen
+    assert len(first.seen) == 1
+
+
+async def test_the_first_event_decides_on_the_version_of_a_stream(gateway, start_server) -> None:
+    # fault: a stream held to the version at which it was placed first
+    first = await start_engine(start_server, "i-1", "riga-a", "v1")
+    first.schedule_faults([WireFault.RESET])
+    second = await start_engine(start_server, "i-2", "riga-b", "v2", reset_at_event=8)
+    third = await start_engine(start_server, "i-3", "kurzeme-a", "v2")
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert (len(first.seen), len(second.seen), len(third.seen)) == (1, 1, 1)
+
+
+async def test_an_event_whose_version_can_not_be_recorded_is_not_passed_on(
+    gateway, start_server
+) -> None:
+    # fault: nobody could tell later which version had begun the stream
+    first = await start_engine(start_server, "i-1", "riga-a", "v1")
+    await start_engine(start_server, "i-2", "riga-b", "v2")
+
+    async def confirm(_call: object, version: str) -> bool:
+        return version == "v2"
+
+    gateway.stream_versions.confirm = confirm
+    responder = await run(gateway)
+    assert responder.numbers == ALL_EVENTS
+    assert ("X-Response-Seal", "seal-of-i-2") in responder.headers
+    assert len(first.seen) == 1
+
+
+async def test_new_streams_begin_where_their_version_can_be_recorded(gateway, start_server) -> None:
+    first = await start_engine(start_server, "i-1", "riga-a", "v1")
+    gateway.stream_versions.may_begin = lambda _service, version: version != "v1"
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert len(first.seen) == 1, "no other will do"
+    second = await start_engine(start_server, "i-2", "kurzeme-a", "v2")
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert len(second.seen) == 1
+
+
+async def test_the_memory_of_versions_is_told_of_begin_and_end(gateway, start_server) -> None:
+    await start_engine(start_server, "i-1", "riga-a", "v1")
+    told: list[tuple[str, ...]] = []
+    versions = gateway.stream_versions
+    versions.begin = lambda call, version: told.append(("begin", call.id, version))
+    versions.end = lambda call: told.append(("end", call.id))
+    await run(gateway)
+    assert told == [("begin", "c1", "v1"), ("end", "c1")]
+
+
+async def test_an_endpoint_that_restarts_while_its_connection_opens_is_sent_nothing(
+    gateway, start_server
+) -> None:
+    # fault: the request reached a start of which nothing was known when it was placed
+    first = await start_engine(start_server, "i-1", "riga-a", "v1")
+    endpoint = gateway.directory.get("i-1")
+    opened = endpoint.pool.open
+    entry = endpoint.entry
+
+    async def open_late(*args: object) -> object:
+        channel = await opened(*args)
+        gateway.directory.put(
+            build_entry("i-1", port=first.port, service="llm", slots=48, version="v2", started_ms=2)
+        )
+        return channel
+
+    endpoint.pool.open = open_late
+    await run(gateway)
+    assert entry.version == "v1"
+    assert len(first.seen) == 1
+    assert gateway.stream_versions._known["llm", "w", "c1"] == "v2"
