Take up streams only at the software version that began them

A caller whose stream broke off takes it up with the id of its last event, at any gateway. The stream went on at whichever endpoint had room, so that its rest came from another version than its first part, with nothing in the answer to show it.

The caller names the request that brought the first event in `Resumes`; the gateway asks the memory of versions for it, and the stream is bound to that version from the start. It is refused at once with 503, as it has not run, when its version isn't known or when no endpoint of it is left; the refusals are counted by kind. A malformed name is refused with 400, and one without received events is ignored.

--- a/src/basilroad/errors.py
+++ b/src/basilroad/errors.py
@@ -41,6 +41,8 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     TIME_TOO_SHORT = "time_too_short"
     CRASHES_ENDPOINTS = "crashes_endpoints"
+    VERSION_UNKNOWN = "version_unknown"
+    VERSION_GONE = "version_gone"
     STALE_ORDER = "stale_order"
     INTERNAL = "internal"
 
@@ -104,6 +106,10 @@
     ErrorKind.CRASHES_ENDPOINTS: ErrorResponse(
         503, Status.FAILED_PRECONDITION, Effect.NOT_RUN, _SERVER, 600
     ),
+    ErrorKind.VERSION_UNKNOWN: ErrorResponse(
+        503, Status.FAILED_PRECONDITION, Effect.NOT_RUN, _SERVER, 1
+    ),
+    ErrorKind.VERSION_GONE: ErrorResponse(503, Status.UNAVAILABLE, Effect.NOT_RUN, _SERVER, 1),
     ErrorKind.STALE_ORDER: ErrorResponse(409, Status.FAILED_PRECONDITION, Effect.NOT_RUN, _SERVER),
     ErrorKind.INTERNAL: ErrorResponse(500, Status.INTERNAL, Effect.MAY_HAVE_RUN, _SERVER),
 }
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -96,6 +96,7 @@
         :raises StreamBrokenError: the stream was cut off after it started
         """
         try:
+            await self._pin.find()
             return await self._run()
         finally:
             self._release_claim()
@@ -121,6 +122,8 @@
             return self._failed_reply
         if not self._tracker.sent:
             self._gateway.containment.check(self._call)
+            if self._pin.is_lost:
+                raise RefusedError(self._pin.build_refusal())
         raise RefusedError(self._gateway.build_refusal(self._tracker, self._pin.version))
 
     def end_at_shutdown(self) -> Reply:
--- a/src/basilroad/gateway/versionpin.py
+++ b/src/basilroad/gateway/versionpin.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
+
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
     from basilroad.gateway.directory import Directory
@@ -43,6 +45,20 @@
             return True
         return any(other is not endpoint for other in self._list_staying())
 
+    async def find(self) -> None:
+        """Find the version of a stream that its caller takes up again.
+
+        :raises RefusedError: it isn't known, or no endpoint of it is left
+        """
+        if not self._call.events_received:
+            return
+        self.version = await self._versions.find(self._call)
+        if self.version is None:
+            message = "the software version that began this stream is not known"
+            raise refuse(ErrorKind.VERSION_UNKNOWN, message)
+        if self.is_lost:
+            raise RefusedError(self.build_refusal())
+
     def begin(self, endpoint: Endpoint) -> None:
         """Prepare the record of a new stream that is sent to an endpoint.
 
@@ -71,6 +87,10 @@
         if self._has_begun:
             self._versions.end(self._call)
 
+    def build_refusal(self) -> Refusal:
+        """:return: the error for a stream of which no event was passed on."""
+        return Refusal(ErrorKind.VERSION_GONE, self.describe_loss())
+
     def describe_loss(self) -> str:
         """:return: why the stream can't go on, for the caller and the log."""
         return f"no endpoint of software version {self.version} is left, which began this stream"
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -8,6 +8,7 @@
 import time
 from typing import TYPE_CHECKING, Any
 
+import attrs
 import msgspec
 from aiohttp import web
 from mode import Service
@@ -30,6 +31,7 @@
     read_prompt_key,
     read_prompt_parts,
     read_prompt_size,
+    read_resumes,
 )
 
 if TYPE_CHECKING:
@@ -202,7 +204,7 @@
         gateway.check_draining(route)
         time_limit_s = _read_time_limit(request, route)
         workspace_rank = workspace.rank if workspace else None
-        return Call(
+        call = Call(
             id=request_id,
             method=request.method,
             target=target,
@@ -219,6 +221,9 @@
             prompt_key=read_prompt_key(request.headers) if route.streams else "",
             prompt_parts=read_prompt_parts(request.headers) if route.streams else (),
         )
+        if not (route.streams and call.events_received):
+            return call
+        return attrs.evolve(call, resumes=read_resumes(request.headers))
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         assert self._gateway.table is not None
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -10,6 +10,7 @@
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.endpoints.channels import OutgoingRequest
 from basilroad.endpoints.plainservice import HOP_BY_HOP_HEADERS
+from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.attempt import AttemptOptions, ResponseVerdict
 from basilroad.gateway.call import CONTENT_KEY_MARK, Headers, PromptSize
 from basilroad.gateway.crashreports import MAX_KEY_CHARS, MAX_PARTS
@@ -27,6 +28,7 @@
 HEADER_API_KEY = "X-Key"
 HEADER_WORKSPACE = "X-Tenant"
 HEADER_LAST_EVENT_ID = "Last-Event-Id"
+HEADER_RESUMES = "Resumes"  # request id of the try that brought the first event of a stream
 HEADER_TOKEN_USAGE = "X-Token-Usage"  # estimate: input tokens, maximum output tokens
 HEADER_PROMPT_PARTS = "X-Prompt-Prefix"  # all parts of the prompt in order, not only a prefix
 HEADER_EXPECTED_ENDPOINT = "X-Expect-Instance"
@@ -36,6 +38,7 @@
 HEADER_RESPONSE_SEAL = "x-response-seal"
 HEADER_NOT_EXECUTED = "x-not-executed"
 MAX_STATUS = 599
+MAX_REQUEST_ID_CHARS = 200  # keys of the store have as many bytes
 MAX_URGENCY = 9
 MAX_COUNT_DIGITS = 9  # far beyond the memory of an engine
 
@@ -245,6 +248,19 @@
     return PromptSize(*(count or 0 for count in counts))
 
 
+def read_resumes(headers: Mapping[str, str]) -> str:
+    """Read which stream a caller takes up again.
+
+    :param headers: headers of a caller
+    :return: id of the request that brought its first event; empty if absent
+    :raises RefusedError: the value can't be the id of a request
+    """
+    text = headers.get(HEADER_RESUMES, "").strip()
+    if len(text) > MAX_REQUEST_ID_CHARS or not (text.isascii() and text.isprintable()):
+        raise refuse(ErrorKind.BAD_REQUEST, f"malformed header {HEADER_RESUMES}")
+    return text
+
+
 def _read_count(text: str) -> int | None:
     # int() accepts other scripts' digits and fails beyond some thousand digits
     if not text.isascii() or not text.isdigit() or len(text) > MAX_COUNT_DIGITS:
@@ -263,4 +279,5 @@
     "read_prompt_key",
     "read_prompt_parts",
     "read_prompt_size",
+    "read_resumes",
 ]
