Take up streams of split routes at the service that began them

A route with several targets drew one at random for each request. A caller that took its stream up came to another service as often as the weights say, where nothing was known of the stream: it was refused, or went on at another service.

The target of a stream is now found by weighted rendezvous hashing of the id of the request that began it, which is the same at all gateways; a change of weights moves only the streams that it has to. Other calls are drawn as before.

Measured: of 12 streams on a route with two targets, each one is taken up where it began; the test failed before.

--- a/src/basilroad/coordination/rendezvous.py
+++ b/src/basilroad/coordination/rendezvous.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import heapq
+import math
+from collections import defaultdict
 from collections.abc import Iterable
 
 import xxhash
 
+FRACTION_BITS = 52
+"""Bits of a hash that are taken as a fraction, which excludes 0 and 1 without rounding."""
+
 
 def _score(seed: int, host: str) -> tuple[int, str]:
     return xxhash.xxh3_64_intdigest(host.encode(), seed=seed), host
@@ -39,4 +44,23 @@
     return heapq.nlargest(count, set(hosts), key=lambda host: _score(seed, host))
 
 
-__all__ = ["choose_hosts", "rank_hosts"]
+def choose_weighted(key: str, weights: Iterable[tuple[str, float]]) -> str:
+    """Choose a name by its weight; a change of weights moves as few keys as possible.
+
+    :param key: key to place
+    :param weights: names with positive weights, at least one; those of the same name add up
+    :return: the name, the same on every host; its share of the keys is that of its weight
+    """
+    seed = _seed(key)
+    totals: defaultdict[str, float] = defaultdict(float)
+    for name, weight in weights:
+        totals[name] += weight
+    return max(totals, key=lambda name: (-totals[name] / math.log(_fraction(seed, name)), name))
+
+
+def _fraction(seed: int, name: str) -> float:
+    score = _score(seed, name)[0] >> (64 - FRACTION_BITS)
+    return (score + 0.5) / float(2**FRACTION_BITS)
+
+
+__all__ = ["choose_hosts", "choose_weighted", "rank_hosts"]
--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -104,10 +104,7 @@
     @property
     def events_received(self) -> int:
         """:return: number of events that the caller has received, from the last event id."""
-        text = self.resume_after
-        if not text.isascii() or not text.isdigit() or len(text) > MAX_ID_DIGITS:
-            return 0
-        return int(text)
+        return read_events_received(self.resume_after)
 
 
 @attrs.frozen
@@ -124,6 +121,18 @@
     body: bytes
 
 
+def read_events_received(last_event_id: str) -> int:
+    """Read how many events a caller has received.
+
+    :param last_event_id: id of the last one, as the caller sent it
+    :return: their number; 0 if it is empty or malformed
+    """
+    text = last_event_id
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_ID_DIGITS:
+        return 0
+    return int(text)
+
+
 class Responder(Protocol):
     """Sends the response of one call to its caller."""
 
@@ -141,4 +150,12 @@
         """
 
 
-__all__ = ["CONTENT_KEY_MARK", "Call", "Headers", "PromptSize", "Reply", "Responder"]
+__all__ = [
+    "CONTENT_KEY_MARK",
+    "Call",
+    "Headers",
+    "PromptSize",
+    "Reply",
+    "Responder",
+    "read_events_received",
+]
--- a/src/basilroad/gateway/route.py
+++ b/src/basilroad/gateway/route.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from basilroad.coordination.rendezvous import choose_weighted
+
 
 class RetrySafety(enum.Enum):
     """Whether a call may run more than once."""
@@ -104,6 +106,14 @@
         weights = [target.weight for target in self.targets]
         return generator.choices(self.targets, weights)[0].service
 
+    def find_service(self, stream_id: str) -> str:
+        """Find the target of a stream, the same for all requests that take it up.
+
+        :param stream_id: id of the request that began it
+        :return: name of the service; streams are spread by weight
+        """
+        return choose_weighted(stream_id, [(t.service, t.weight) for t in self.targets])
+
 
 @attrs.frozen
 class WorkspaceSpec:
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -8,14 +8,13 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-import attrs
 import msgspec
 from aiohttp import web
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
-from basilroad.gateway.call import Call
+from basilroad.gateway.call import Call, read_events_received
 from basilroad.gateway.calllog import log_refusal
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
@@ -35,6 +34,8 @@
 )
 
 if TYPE_CHECKING:
+    import random
+
     from basilroad.gateway.call import Headers, Reply
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.route import Route
@@ -204,26 +205,27 @@
         gateway.check_draining(route)
         time_limit_s = _read_time_limit(request, route)
         workspace_rank = workspace.rank if workspace else None
-        call = Call(
+        resume_after = request.headers.get(HEADER_LAST_EVENT_ID, "")
+        is_taken_up = route.streams and read_events_received(resume_after) > 0
+        resumes = read_resumes(request.headers) if is_taken_up else ""
+        return Call(
             id=request_id,
             method=request.method,
             target=target,
             headers=filter_caller_headers(request.headers.items()),
             body=body,
             route=route,
-            service=route.select_service(gateway.random),
+            service=_select_service(route, resumes or request_id, gateway.random),
             workspace=workspace.name if workspace else "",
             rank=route.rank if workspace_rank is None else workspace_rank,
             arrived_at=arrived_at,
             expires_at=arrived_at + max(0.0, time_limit_s),
             size=read_prompt_size(request.headers) if route.streams else read_prompt_size({}),
-            resume_after=request.headers.get(HEADER_LAST_EVENT_ID, ""),
+            resume_after=resume_after,
+            resumes=resumes,
             prompt_key=read_prompt_key(request.headers) if route.streams else "",
             prompt_parts=read_prompt_parts(request.headers) if route.streams else (),
         )
-        if not (route.streams and call.events_received):
-            return call
-        return attrs.evolve(call, resumes=read_resumes(request.headers))
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         assert self._gateway.table is not None
@@ -340,6 +342,12 @@
     return host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
 
 
+def _select_service(route: Route, stream_id: str, generator: random.Random) -> str:
+    if route.streams and stream_id and stream_id.isascii():
+        return route.find_service(stream_id)
+    return route.select_service(generator)
+
+
 def _read_time_limit(request: web.BaseRequest, route: Route) -> float:
     text = request.headers.get(HEADER_TIME_LEFT_MS, "")
     try:
--- a/tests/gateway/test_route.py
+++ b/tests/gateway/test_route.py
@@ -41,5 +41,15 @@
     assert 850 < drawn.count("one") < 950
 
 
+def test_a_stream_has_the_same_target_at_every_host() -> None:
+    # fault: a stream was taken up at another service, where nothing was known of it
+    targets = (WeightedService("one", 9), WeightedService("two", 1))
+    routes = [build_route(targets=targets), build_route(targets=targets[::-1])]
+    ids = [f"{number:016x}" for number in range(2000)]
+    found = [[route.find_service(stream) for stream in ids] for route in routes]
+    assert found[0] == found[1]
+    assert 1740 < found[0].count("one") < 1860
+
+
 def test_a_table_without_workspaces_needs_no_keys() -> None:
     assert not RoutingTable(1, [build_route()], []).needs_keys
--- a/tests/platform/test_takeups.py
+++ b/tests/platform/test_takeups.py
@@ -10,7 +10,7 @@
 
 from basilroad.platform.protocol import MAX_REQUEST_ID_CHARS
 from basilroad.standin.appserver import AppServerStandin
-from support.gatewayrig import GatewayRig
+from support.gatewayrig import GatewayRig, build_config
 
 ENTRY = {"service": "llm", "zone": "a", "slots": 48, "state": "ready"}
 
@@ -90,3 +90,33 @@
     for value in ("never", "x" * (MAX_REQUEST_ID_CHARS + 1)):
         response = await rig.send_request("/s/1", Resumes=value)
         assert response.status == 200
+
+
+async def test_a_stream_on_a_split_route_is_taken_up_at_the_same_service(rig: GatewayRig) -> None:
+    # fault: a stream was taken up at another service, where nothing was known of it
+    third = AppServerStandin("i-third", events=10)
+    await third.start()
+    entry = {**ENTRY, "service": "llm-two", "version": "v1"}
+    rig.store.put("servers", third.id, {**entry, "address": f"127.0.0.1:{third.port}"})
+    config = build_config(2, "key")
+    route = config["routes"][1]
+    del route["service"]
+    route["trafficSplit"] = [{"service": s, "weight": 1} for s in ("llm", "llm-two")]
+    config["services"].append({**config["services"][1], "name": "llm-two"})
+    rig.store.put("op", "config", config)
+    async with asyncio.timeout(3):
+        while rig.version != 2 or not rig.service.gateway.directory.list_by_service("llm-two"):
+            await asyncio.sleep(0.01)
+    for number in range(12):
+        begun = await rig.send_request("/s/1", X_Attempt_Id=f"first-{number}")
+        assert begun.status == 200
+        response = await rig.send_request(
+            "/s/1", X_Attempt_Id=f"again-{number}", Resumes=f"first-{number}", Last_Event_Id="6"
+        )
+        assert response.status == 200
+    for server in (rig.llm, rig.second, third):
+        begun_here = {run[6:] for run in server.ran if run.startswith("first")}
+        taken_up = {run[6:] for run in server.ran if run.startswith("again")}
+        assert taken_up == begun_here
+    assert 0 < len(third.ran) < 24
+    await third.stop()
