Log the software version of attempts

Which version an attempt ran at couldn't be told from the log. `explain` shows it, as it shows all fields.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -231,6 +231,7 @@
     ) -> None:
         self.call = call
         self.endpoint = endpoint
+        self.version = endpoint.entry.version
         self.sent = False
         self._sent_at = -math.inf
         self._protocol = protocol
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -114,7 +114,9 @@
             tracker.record_unsent()
         self._record_outcome(outcome, endpoint)
         took_s = time.monotonic() - started
-        self._gateway.record_attempt(AttemptRecord(call, endpoint, outcome, took_s))
+        self._gateway.record_attempt(
+            AttemptRecord(call, endpoint, outcome, took_s, version=attempt.version)
+        )
         return outcome
 
     def _claim_move(self, needs_room: bool) -> bool:
--- a/src/basilroad/gateway/calllog.py
+++ b/src/basilroad/gateway/calllog.py
@@ -33,6 +33,7 @@
     :param took_s: duration in seconds
     :param last_event: last event forwarded, for a stream
     :param copy_at: id of the endpoint that kept a backup of its KV cache
+    :param version: software version of the endpoint when the attempt began
     """
 
     call: Call
@@ -41,6 +42,7 @@
     took_s: float
     last_event: int | None = None
     copy_at: str | None = None
+    version: str = ""
 
 
 def log_attempt(attempt: AttemptRecord, passed_over: Sequence[Mapping[str, object]] = ()) -> None:
@@ -57,6 +59,7 @@
         "rank": call.rank,
         "endpoint": endpoint.id,
         "data_centre": endpoint.entry.data_centre,
+        "version": attempt.version,
         "calls_there": endpoint.load.calls,
         "heard_ms_ago": (
             _to_ms(now - endpoint.last_received_at) if endpoint.last_received_at > 0 else None
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -226,6 +226,7 @@
                 took_s,
                 self._events.last,
                 backup.endpoint.id if backup else None,
+                attempt.version,
             )
         )
         return outcome
--- a/tests/gateway/test_version_takeups.py
+++ b/tests/gateway/test_version_takeups.py
@@ -142,3 +142,12 @@
     responder = await take_up(gateway, resume_after="")
     assert responder.numbers == list(range(1, 21))
     assert near.seen
+
+
+async def test_the_log_tells_at_which_version_an_attempt_ran(gateway, start_server, caplog) -> None:
+    await start_both(start_server)
+    await begin(gateway, "v1")
+    with caplog.at_level("INFO", logger="basilroad"):
+        await take_up(gateway)
+    versions = [r.version for r in caplog.records if r.message == "attempt"]
+    assert versions == ["v1"]
