Send no stream to a restart that the listing doesn't show yet

An endpoint may start again with other software under its id and address. The header that names the endpoint tells the two starts not apart, and the listing shows the new one only after a check-in and the watch. Until then a stream that broke off at the old start could go on at the new one, and a stream that began at the new one was recorded with the version of the old one.

A connection leads to one process for as long as it lives. Before a stream is sent on a connection that was not checked, the endpoint's report is read on it, whose start must be the listed one. This is done once for each connection, only while several versions of the service are or were listed lately, or after the endpoint failed.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -112,6 +112,7 @@
         self._buffered = 0
         self._paused = False
         self.requests = 0
+        self.confirmed_start_ms: int | None = None
         self.previous_id = ""
         self._request_id = ""
         self._carried: set[str] = set()
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -7,7 +7,7 @@
 import logging
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
@@ -97,6 +97,13 @@
         :return: the engine's report; ``None`` if the body contains none
         """
 
+    def decode_start(self, body: bytes) -> int | None:
+        """Read from the response to a probe when the endpoint started.
+
+        :param body: its body
+        :return: Unix milliseconds; ``None`` if it doesn't tell
+        """
+
     def read_request_id(self, head: ReplyHead) -> str:
         """:return: id of the call to which a response belongs; empty if it names none."""
 
@@ -218,6 +225,7 @@
     :param options: per-attempt data
     :param claim_move: claims what the call needs to go on at another endpoint
     :param may_send: checks whether there is still time to send the call
+    :param confirm_start: checks a connection before the call is sent on it; ``None`` for no check
     """
 
     def __init__(
@@ -228,6 +236,7 @@
         options: AttemptOptions,
         claim_move: ClaimMove = never_move,
         may_send: Callable[[], bool] = lambda: True,
+        confirm_start: Callable[[Channel], Awaitable[bool]] | None = None,
     ) -> None:
         self.call = call
         self.endpoint = endpoint
@@ -238,6 +247,7 @@
         self._options = options
         self._claim_move = claim_move
         self._may_send = may_send
+        self._confirm_start = confirm_start
         # a response may arrive after a restart; it speaks for the lifetime that was asked
         self._notices = endpoint.notices
         self._pool = endpoint.pool
@@ -263,6 +273,9 @@
         except ConnectError as error:
             self.endpoint.record_unreachable(time.monotonic())
             return NotRun(f"no connection: {error}")
+        if self._confirm_start is not None and not await self._confirm_start(channel):
+            channel.close()
+            return NotRun("the start of the endpoint was not confirmed")
         if time.monotonic() >= self.call.expires_at or not self._may_send():
             # the connection took time, and a busy host runs the timers before this too late
             channel.close()
--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -23,6 +23,10 @@
 """Time for which removed lifetimes of endpoints are remembered, longer than the age of a copy from
 which the listing may be restored."""
 
+VERSIONS_MEMORY_S = 30.0
+"""Time for which a service counts as served by several versions after the listing shows one: a
+release is over then, or its next endpoint follows."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -42,6 +46,7 @@
         self._absent: dict[str, float] = {}
         self._removed: dict[tuple[str, int], float] = {}
         self._unreliable_until = 0.0
+        self._versions_differed_at: dict[str, float] = {}
 
     def __iter__(self) -> Iterator[Endpoint]:
         return iter(self._endpoints.values())
@@ -92,12 +97,16 @@
         known = self._endpoints.get(entry.id)
         if known is None:
             self._endpoints[entry.id] = Endpoint(entry, self.notices)
+            self._note_versions(entry.service)
             _LOGGER.info("endpoint listed", extra=_describe(entry))
             return
         previous = known.entry
         if previous == entry:
             return
         if _is_other_start(previous, entry):
+            if previous.version != entry.version:
+                self._versions_differed_at[entry.service] = self._clock()
+            self._note_versions(previous.service)
             known.restart(entry)
             _LOGGER.info("endpoint restarted", extra=_describe(entry))
             return
@@ -182,7 +191,18 @@
         for endpoint_id in [known for known, until in self._absent.items() if now >= until]:
             self._drop(endpoint_id)
 
+    def has_versions(self, service: str) -> bool:
+        """:return: whether endpoints of several software versions of a service serve, or did."""
+        self._note_versions(service)
+        differed_at = self._versions_differed_at.get(service)
+        return differed_at is not None and self._clock() - differed_at < VERSIONS_MEMORY_S
+
+    def _note_versions(self, service: str) -> None:
+        if len({endpoint.entry.version for endpoint in self.list_by_service(service)}) > 1:
+            self._versions_differed_at[service] = self._clock()
+
     def _drop(self, endpoint_id: str) -> None:
+        self._note_versions(self._endpoints[endpoint_id].entry.service)
         self._absent.pop(endpoint_id, None)
         endpoint = self._endpoints.pop(endpoint_id)
         self._removed[(endpoint_id, endpoint.entry.started_ms)] = self._clock()
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -33,6 +33,7 @@
     ShutdownSchedule,
     refuse_at_shutdown,
 )
+from basilroad.gateway.startcheck import StartCheck
 from basilroad.gateway.streamdurations import StreamDurations
 from basilroad.gateway.streamversions import StreamVersions
 from basilroad.stopsignal import StopSignal
@@ -144,6 +145,7 @@
             may_begin=lambda service, version: self.stream_versions.may_begin(service, version),
         )
         self.liveness = Liveness(self.dispatcher, reports)
+        self.start_check = StartCheck(self.directory, protocol, reports)
         self.shutdown = Shutdown(signal=stop_signal or StopSignal())
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -84,16 +84,28 @@
         channel = await endpoint.pool.open(request_id=request_id)
         reused = channel.requests > 0
         try:
-            return await self._exchange(endpoint, channel, notices, purpose)
+            body = await self.exchange(endpoint, channel, notices, purpose)
         except ChannelError:
             # an idle connection may have been closed by a live endpoint
             if not reused:
                 raise
-        return await self._exchange(endpoint, await endpoint.pool.open(0), notices, purpose)
+            channel = await endpoint.pool.open(0)
+            body = await self.exchange(endpoint, channel, notices, purpose)
+        endpoint.pool.keep(channel)
+        return body
 
-    async def _exchange(
+    async def exchange(
         self, endpoint: Endpoint, channel: Channel, notices: EndpointNotices, purpose: Purpose
     ) -> bytes:
+        """Read a report on a given connection.
+
+        :param endpoint: the engine
+        :param channel: a connection to it, which is closed on a failure
+        :param notices: notices of the lifetime that is asked
+        :param purpose: what the report is read for
+        :return: its body
+        :raises ChannelError: there is no report
+        """
         try:
             # Liveness checks the permission of probes itself, and counts them
             if purpose is Purpose.REPORT and not notices.permits(purpose, time.monotonic()):
@@ -112,7 +124,6 @@
         except BaseException:
             channel.close()
             raise
-        endpoint.pool.keep(channel)
         return body
 
 
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -5,7 +5,8 @@
 import asyncio
 import time
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 from basilroad.endpoints.channels import ChannelError
 from basilroad.errors import RefusedError
@@ -23,6 +24,9 @@
 from basilroad.gateway.versionpin import VersionPin
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Responder
     from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.gateway import Gateway
@@ -203,6 +207,7 @@
             ),
             self._claim_move,
             self._may_send,
+            self._find_start_check(endpoint),
         )
         self._pin.begin(endpoint)
         self._gateway.dispatcher.prompt_locations.record(self._call.prompt_key, endpoint.id)
@@ -241,6 +246,14 @@
             self._gateway.dispatcher.release(reservation)
             raise
 
+    def _find_start_check(
+        self, endpoint: Endpoint
+    ) -> Callable[[Channel], Coroutine[Any, Any, bool]] | None:
+        check = self._gateway.start_check
+        if not self._call.route.repeatable or not check.is_due(endpoint):
+            return None
+        return partial(check.confirm, endpoint)
+
     def _may_send(self) -> bool:
         # a shutdown may have left too little time while the connection was opened
         sent, route = self._tracker.sent, self._call.route
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -77,7 +77,12 @@
     runs: list[tuple[str, Count, Count, int]] = []  # with events: id, tokens, events, priority
 
 
+class _Start(msgspec.Struct):
+    born: int | None = None
+
+
 _REPORT_DECODER = JsonDecoder(_Report)
+_START_DECODER = JsonDecoder(_Start)
 
 
 class PlatformProtocol:
@@ -131,6 +136,17 @@
             prefilling + report.queued * report.next,
         )
 
+    def decode_start(self, body: bytes) -> int | None:
+        """Read from a server's status report when the server started.
+
+        :param body: body of the response
+        :return: Unix milliseconds; ``None`` if it doesn't tell
+        """
+        try:
+            return _START_DECODER.decode(body).born
+        except DecodeError:
+            return None
+
     def read_request_id(self, head: ReplyHead) -> str:
         """:return: id of the call to which a response belongs; empty if it names none."""
         return head.get(HEADER_REQUEST_ID.lower())
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -66,6 +66,7 @@
                 service=service,
                 data_centre=data_centre,
                 slots=48,
+                started_ms=getattr(server, "born", 1),
                 version=software,
             )
         )
--- /dev/null
+++ b/tests/gateway/test_startcheck.py
@@ -0,0 +1,138 @@
+"""Endpoints that start again with other software under their id and address."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import attrs
+import pytest
+
+from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.standin.appserver import AppServerStandin
+from builders import RecordingResponder, build_call, build_entry, build_stream_route
+
+ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
+ALL_EVENTS = list(range(1, 21))
+
+
+@attrs.define
+class ReportingServer(AppServerStandin):
+    """Tells its start in reports.
+
+    :param start_ms: the start; ``None`` to tell none
+    """
+
+    start_ms: int | None = 1
+
+    async def _report(self, writer: asyncio.StreamWriter) -> None:
+        self.reported_at.append(0.0)
+        body = b"{}" if self.start_ms is None else b'{"born": %d}' % self.start_ms
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+@pytest.fixture
+async def engine(gateway) -> AsyncIterator[ReportingServer]:
+    """:return: an engine of the version v1, which is listed."""
+    server = ReportingServer("i-1", events=20)
+    await server.start()
+    put(gateway, server)
+    yield server
+    await server.stop()
+
+
+def put(gateway, server: AppServerStandin, **fields: object) -> None:
+    gateway.directory.put(
+        build_entry(server.id, port=server.port, service="llm", slots=48, **fields)
+    )
+
+
+async def run(gateway, responder: RecordingResponder | None = None, **changes: object):
+    responder = responder or RecordingResponder()
+    await CallHandler(gateway).handle(build_call(ROUTE, **changes), responder)
+    return responder
+
+
+async def wait_for(condition) -> None:
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize("listed", [1, 2])
+async def test_a_stream_does_not_go_on_at_a_restart_that_is_not_listed_yet(
+    gateway, engine, start_server, listed
+) -> None:
+    # fault: the engine was back with other software before the listing showed it
+    if listed == 2:
+        await start_server("i-2", service="llm", events=20, software="v2")
+        gateway.directory.get("i-2").full_until = float("inf")
+    engine.reset_at_event = 8
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: len(engine.seen) == 1)
+    engine.start_ms = 2
+    await wait_for(lambda: gateway.directory.get("i-1").last_failed_at > 0)
+    await asyncio.sleep(0.3)
+    assert not task.done()
+    put(gateway, engine, started_ms=2, version="v2")
+    with pytest.raises(StreamBrokenError, match="version v1"):
+        await asyncio.wait_for(task, 2)
+    assert responder.numbers == list(range(1, 8))
+    assert len(engine.seen) == 1
+
+
+async def test_a_stream_goes_on_at_a_listed_restart_of_its_version(gateway, engine) -> None:
+    engine.reset_at_event = 8
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: len(engine.seen) == 1)
+    engine.start_ms = 2
+    await wait_for(lambda: gateway.directory.get("i-1").last_failed_at > 0)
+    engine.reset_at_event = 0
+    put(gateway, engine, started_ms=2)
+    assert (await asyncio.wait_for(task, 3)).numbers == ALL_EVENTS
+
+
+async def test_a_new_stream_is_not_begun_at_a_restart_that_is_not_listed_yet(
+    gateway, engine, start_server
+) -> None:
+    # fault: it was recorded with the version that the listing told, not the one that began it
+    await start_server("i-2", service="llm", events=20, software="v2", data_centre="kurzeme-a")
+    engine.start_ms = 2
+    responder = await run(gateway)
+    assert responder.numbers == ALL_EVENTS
+    assert ("X-Response-Seal", "seal-of-i-2") in responder.headers
+    assert not engine.seen
+
+
+async def test_a_connection_is_checked_once(gateway, engine) -> None:
+    put(gateway, engine, version="v2")
+    for number in range(3):
+        assert (await run(gateway, id=f"c{number}")).numbers == ALL_EVENTS
+    assert engine.connections == 1
+    assert engine.reports == 1
+
+
+async def test_nothing_is_checked_while_one_version_serves(gateway, engine) -> None:
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert engine.reports == 0
+
+
+async def test_an_engine_that_does_not_tell_its_start_is_used(gateway, engine) -> None:
+    engine.start_ms = None
+    put(gateway, engine, version="v2")
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert engine.reports == 1
+
+
+async def test_an_engine_that_answers_no_report_is_passed_over(
+    gateway, engine, start_server
+) -> None:
+    await start_server("i-2", service="llm", events=20, software="v2", data_centre="kurzeme-a")
+    engine.silent = True
+    responder = await run(gateway)
+    assert responder.numbers == ALL_EVENTS
+    assert ("X-Response-Seal", "seal-of-i-2") in responder.headers
+    assert not engine.seen
--- a/tests/gateway/test_version_takeups.py
+++ b/tests/gateway/test_version_takeups.py
@@ -4,6 +4,7 @@
 
 import time
 
+import attrs
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
@@ -11,7 +12,7 @@
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.streaming import StreamBrokenError
-from builders import RecordingResponder, build_call, build_entry, build_stream_route
+from builders import RecordingResponder, build_call, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
 REFUSED_AT_ONCE_S = 0.5
@@ -92,8 +93,8 @@
     if leaves == "removed":
         gateway.directory.remove("i-2")
     elif leaves == "draining":
-        entry = build_entry("i-2", port=far.port, service="llm", state=EndpointState.DRAINING)
-        gateway.directory.put(entry)
+        entry = gateway.directory.get("i-2").entry
+        gateway.directory.put(attrs.evolve(entry, state=EndpointState.DRAINING))
     await expect_refusal(gateway, ErrorKind.VERSION_GONE)
     assert not near.seen
     assert not far.seen
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 
+import attrs
 import pytest
 
 from basilroad.gateway.endpoint import EndpointState
@@ -12,7 +13,7 @@
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.standin.appserver import WireFault
-from builders import RecordingResponder, build_call, build_entry, build_stream_route
+from builders import RecordingResponder, build_call, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
 ALL_EVENTS = list(range(1, 21))
@@ -59,10 +60,8 @@
     if leaves == "removed":
         gateway.directory.remove("i-1")
     else:
-        state = EndpointState.DRAINING
-        gateway.directory.put(
-            build_entry("i-1", port=first.port, service="llm", slots=48, state=state)
-        )
+        entry = gateway.directory.get("i-1").entry
+        gateway.directory.put(attrs.evolve(entry, state=EndpointState.DRAINING))
     began = time.monotonic()
     await first.stop()
     with pytest.raises(StreamBrokenError, match="version v1"):
@@ -209,9 +208,7 @@
 
     async def open_late(*args: object) -> object:
         channel = await opened(*args)
-        gateway.directory.put(
-            build_entry("i-1", port=first.port, service="llm", slots=48, version="v2", started_ms=2)
-        )
+        gateway.directory.put(attrs.evolve(entry, version="v2"))
         return channel
 
     endpoint.pool.open = open_late
