Continue a stream at the version that its tokens are of

What callers saw: while a model's versions roll, a stream could hold tokens of two versions. Cause: a generation kept the version of its first attempt. If that engine died before its first token, the next attempt began at any version; when that engine died as well, the stream went on at the version of the first attempt. Evidence: tests/entry/test_flight.py::test_a_stream_goes_on_at_the_version_that_its_tokens_are_of failed before, with the engine of version 1 fitting a stream whose tokens are of version 2. Change: the version of the latest attempt counts until there is a token. With a token each later attempt fits that version only, so it can't change any more. Result: the test passes, with tests/entry/test_dispatch.py (8 passed).

--- a/src/basilroad/entry/flight.py
+++ b/src/basilroad/entry/flight.py
@@ -272,7 +272,9 @@
             self.entry.dispatcher.release_placement(placement)
             await self._join(moved_to)
             return
-        self.version = self.version or start.version
+        if not self.tokens:
+            # an earlier attempt without tokens may have been at another version
+            self.version = start.version
         self.endpoint = view.name
         self._tokens_before_attempt = len(self.tokens)
         tokens_to_pass = self.entry.containment.clearance_tokens(self.request.fingerprint)
--- a/tests/entry/test_flight.py
+++ b/tests/entry/test_flight.py
@@ -16,6 +16,7 @@
 from basilroad.entry.link import EndpointView
 from basilroad.entry.linkcost import LinkCosts
 from basilroad.entry.placement import Placement
+from basilroad.entry.placementwait import fits
 from basilroad.entry.request import read_request
 from basilroad.errors import Effect, ErrorKind, refuse
 from basilroad.peers.failreason import FailReason
@@ -86,6 +87,56 @@
         return Placement(EndpointView(BusyLink(), wire.EndpointState(endpoint="engine-0")))
 
 
+class DyingLink(BusyLink):
+    """Link to an agent whose engine dies after some tokens.
+
+    :param tokens: tokens of its attempt
+    """
+
+    def __init__(self, *tokens: str) -> None:
+        super().__init__()
+        self._tokens = tokens
+
+    def send(self, message: wire.EntryMessage) -> None:
+        start = message.start
+        attempt = self.attempts[start.generation]
+        tokens = wire.Tokens(
+            generation=start.generation,
+            attempt=start.attempt,
+            offset=len(start.prior),
+            tokens=self._tokens,
+        )
+        attempt.receive_tokens(tokens)
+        attempt.fail_locally(FailReason.ENDPOINT_SILENT)
+
+
+class RollDispatcher:
+    """Places a request at an engine of each version in turn, and notes which ones fit after."""
+
+    def __init__(self) -> None:
+        self._engines = [
+            EndpointView(link, wire.EndpointState(endpoint=f"e-{number}", version=version))
+            for number, (version, link) in enumerate(
+                [("1", DyingLink()), ("2", DyingLink("The", " cask"))]
+            )
+        ]
+        for view in self._engines:
+            view.link.leaving = False
+            view.state.alive = True
+        self._next = iter(self._engines)
+        self.fitting: list[str] = []
+
+    async def place(self, flight: Flight) -> Placement:
+        view = next(self._next, None)
+        if view is None:
+            self.fitting = [each.state.version for each in self._engines if fits(flight, each)]
+            raise refuse(ErrorKind.NO_ENDPOINT, "no endpoint runs this model")
+        return Placement(view)
+
+    def on_tokens(self, *_: object) -> None:
+        """Count nothing."""
+
+
 async def move(*_: object) -> None:
     """Record no location."""
 
@@ -98,7 +149,10 @@
         locations=SimpleNamespace(move=move),
         link_costs=LinkCosts("riga", SettingsView),
         records=SimpleNamespace(
-            record_refused=lambda *_, **__: None, log_resume=lambda *_, **__: None
+            record_refused=lambda *_, **__: None,
+            log_resume=lambda *_, **__: None,
+            record_first_token=lambda *_: None,
+            record_resumed=lambda *_: None,
         ),
     )
     identity = Identity("default", "anna", 1, "7", False)
@@ -126,6 +180,16 @@
     assert dispatcher.endpoints == ["", ""]
 
 
+# fault: a stream went on at the version of an attempt that had died before its first token
+@pytest.mark.holds_generations
+async def test_a_stream_goes_on_at_the_version_that_its_tokens_are_of() -> None:
+    dispatcher = RollDispatcher()
+    flight = _build_flight(dispatcher, Containment(lambda _: False, lambda _: None))
+    await flight.run()
+    assert flight.tokens == ["The", " cask"]
+    assert dispatcher.fitting == ["2"]
+
+
 @pytest.mark.holds_not_run
 @pytest.mark.parametrize(
     ("has_run", "kind", "effect"),
