Answer may_have_run at an entry that knows no agents

What callers saw: with the store away, an entry without agents refused an order as not run, although an earlier sending at another entry had run. Cause: the entry asks the agents that it knows; with none, no reply contradicted "not run". Evidence: tests/entry/test_earliersend.py:: test_an_entry_without_agents_does_not_tell_that_a_call_was_not_run got not_run before. Change: without a link to any agent, the answer is may_have_run. Result: it passes, with tests/entry/test_calls.py and test_stop.py (13 passed).

--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/earliersend.py
@@ -125,7 +125,9 @@
             running = next(r for r in known if r.state == CallState.RUNNING.value)
             self._check_may_wait(keyed_call, running)
             await asyncio.sleep(POLL_INTERVAL_S)
-        if len(known) < len(replies) or states - {CallState.NOT_STARTED}:
+        # without links, it isn't known which agents there are
+        is_complete = len(known) == len(replies) and bool(self._reader.links())
+        if not is_complete or states - {CallState.NOT_STARTED}:
             raise refuse(
                 ErrorKind.MAY_HAVE_RUN, "it is not known whether an earlier call with this key ran"
             )
