Let an agent answer may_have_run for its predecessor's orders

What callers saw: with the store away, an order that had run was refused as not run. Cause: an entry notices that an agent was replaced only if it was connected before. One that started later asked the new agent, which knew nothing of the order and answered "never". Evidence: the scenario "An entry starts after the agent that ran an order was replaced, and the store goes away" got 503 not_run for an order with one run. Change: an agent records its host in the table, once, before it runs a claimed call. Why it works: the predecessor could not run a claimed call without the record, and a conditional insert is not answered from a copy that lags. The agents of a new fleet find no record, so that fresh orders are still refused as not run.

--- a/src/basilroad/agent/plaindriver.py
+++ b/src/basilroad/agent/plaindriver.py
@@ -25,6 +25,7 @@
 
 if TYPE_CHECKING:
     from basilroad.agent.link import EntryLink
+    from basilroad.agent.registration import AgentRegistration
     from basilroad.settings.daemon import EndpointSettings
 
 PROBE_INTERVAL_S = 0.25
@@ -44,11 +45,16 @@
 
     :param settings: the endpoint
     :param incarnation: incarnation of this process; claims for another one are refused
+    :param registration: of the agent; claimed calls wait for it
     :param announce: called when the endpoint's state has changed
     """
 
     def __init__(
-        self, settings: EndpointSettings, incarnation: str, announce: Callable[[], None]
+        self,
+        settings: EndpointSettings,
+        incarnation: str,
+        registration: AgentRegistration,
+        announce: Callable[[], None],
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -56,6 +62,7 @@
         self.draining = False
         self.running = 0
         self.alive = True
+        self._registration = registration
         self._announce = announce
         self._service = HttpPlainService(settings.url)
         self._ledger = CallLedger(incarnation, CallLedgerSettings())
@@ -85,7 +92,11 @@
         :param link: stream to the entry
         :param request: the call
         """
-        refusal = self._refuse(request)
+        deadline_s = time.monotonic() + request.patience
+        is_registered = not request.claim or await self._registration.await_registered(
+            request.patience
+        )
+        refusal = self._refuse(request, deadline_s, is_registered=is_registered)
         if refusal is not None:
             link.send(wire.AgentMessage(answer=refusal))
             return
@@ -130,13 +141,17 @@
         while len(self._answers) > MAX_KEPT_ANSWERS:
             self._answers.popitem(last=False)
 
-    def _refuse(self, request: wire.RunCall) -> wire.CallAnswer | None:
+    def _refuse(
+        self, request: wire.RunCall, deadline_s: float, *, is_registered: bool
+    ) -> wire.CallAnswer | None:
         if not request.claim:
             detail = "the endpoint is draining"
             return _build_failure(request, ErrorKind.DRAINING, detail) if self.draining else None
         if self.draining:
             return self._settle_refused(request, ErrorKind.DRAINING, "the endpoint is draining")
-        deadline_s = time.monotonic() + request.patience
+        if not is_registered:
+            detail = "the agent could not record its host"
+            return self._settle_refused(request, ErrorKind.NO_ENDPOINT, detail)
         if not self._ledger.begin(request.claim, request.incarnation, deadline_s):
             return self._settle_refused(
                 request, ErrorKind.STALE_ORDER, "the claim has expired or was already used"
--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -21,8 +21,10 @@
 from basilroad.agent.hoststate import build_host_state
 from basilroad.agent.link import EntryLink
 from basilroad.agent.plaindriver import PlainDriver
+from basilroad.agent.registration import AgentRegistration
 from basilroad.agent.runstore import RunStore
 from basilroad.backing.table import HttpTable
+from basilroad.coordination.hostrecords import HostRecords
 from basilroad.coordination.poison import PoisonLedger, PoisonMark, PoisonSettings
 from basilroad.coordination.timer import Timer
 from basilroad.metrics import Metrics
@@ -57,7 +59,7 @@
 """Seconds between removals of expired records."""
 
 FIRST_POLL_TIMEOUT_S = 1.0
-"""Seconds to wait for the engines' loaded models before entries may connect."""
+"""Seconds to wait for the engines' loaded models and for the table before entries may connect."""
 
 CACHE_UPDATE_INTERVAL_S = 0.1
 """Seconds over which changes of a prefix cache are collected before they are sent."""
@@ -113,6 +115,8 @@
         )
         self.table = HttpTable(settings.platform, PLATFORM_TIMEOUT_S) if settings.platform else None
         self.fences = LeaseFence(self.table)
+        records = HostRecords(self.table) if self.table is not None else None
+        self.registration = AgentRegistration(records, settings.host, self.incarnation)
         self.drivers = {e.name: self._build_driver(e) for e in self.options.endpoints}
         self.drains = Drains(self)
         self._announce_pending = False
@@ -122,7 +126,7 @@
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: child services."""
-        services: list[ServiceT] = [self.timers, *self.drivers.values()]
+        services: list[ServiceT] = [self.timers, self.registration, *self.drivers.values()]
         if self.table is not None:
             services.append(self._build_watch(self.table))
             services.append(self._build_reporter(self.table))
@@ -140,7 +144,7 @@
                 self.timers.subscribe(HEALTH_CHECK_INTERVAL_S, driver.check_health)
         self.timers.subscribe(EXPIRY_INTERVAL_S, self._expire)
         self.timers.subscribe(CACHE_UPDATE_INTERVAL_S, self._send_cache_changes)
-        await self._poll_engines()
+        await asyncio.gather(self._poll_engines(), self._await_registration())
         address = parse_address(self.options.listen)
         self._server = Server([_PeerHandler(self)])
         await self._server.start(address.ip, address.port)
@@ -247,7 +251,8 @@
                 found = driver.find(request)
                 if found.state != "never":
                     return found
-        return wire.CallSettled(call=request.call, state="never")
+        state = "never" if self.registration.knows_all_calls else "may_have_run"
+        return wire.CallSettled(call=request.call, state=state)
 
     def merge_poison_marks(self, message: wire.PoisonMarks, link: EntryLink | None) -> None:
         """Merge poison marks and forward them to the other entries if any is new.
@@ -276,12 +281,19 @@
         except TimeoutError:
             _LOGGER.warning("an engine did not report its loaded model in time")
 
+    async def _await_registration(self) -> None:
+        try:
+            async with asyncio.timeout(FIRST_POLL_TIMEOUT_S):
+                await self.registration.tried.wait()
+        except TimeoutError:
+            _LOGGER.warning("the table did not answer in time; claimed calls wait for it")
+
     def _build_driver(self, endpoint: EndpointSettings) -> EngineDriver | PlainDriver:
         if endpoint.kind == "engine":
             return EngineDriver(
                 endpoint, self.incarnation, self.announce, self.fences, self._record_mark
             )
-        return PlainDriver(endpoint, self.incarnation, self.announce)
+        return PlainDriver(endpoint, self.incarnation, self.registration, self.announce)
 
     def _record_mark(self, mark: PoisonMark) -> None:
         self.merge_poison_marks(pack_marks([mark]), None)
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -71,6 +71,21 @@
     Then the last effect is may_have_run
     And order 1 has run 1 time
 
+  # fault: a new agent told "never" of what the one before it had run
+  Scenario: An entry starts after the agent that ran an order was replaced, and the store goes away
+    Given a fleet of 1 order service and 2 entries
+    When order 1 is sent at entry 0
+    Then the last effect is done
+    When the agent of the first service is restarted
+    And entry 1 is restarted
+    And the store is cut off
+    And order 1 is sent at entry 1
+    Then the last effect is may_have_run
+    When the store is reachable again
+    And order 1 is sent at entry 1
+    Then the last effect is done
+    And order 1 has run 1 time
+
   Scenario: The agent is killed while an order runs, and starts again
     Given a fleet of 1 order service and 2 entries
     And each order takes 1 second
--- a/tests/support/steps/order_faults.py
+++ b/tests/support/steps/order_faults.py
@@ -109,6 +109,16 @@
     context.target.agent.restart()
 
 
+@when("the agent of the first service is restarted")
+def restart_first_agent(context: ScenarioContext) -> None:
+    context.fleet.endpoints[0].agent.restart()
+
+
+@when(parsers.parse("entry {entry:d} is restarted"))
+def restart_entry(context: ScenarioContext, entry: int) -> None:
+    context.fleet.entries[entry].restart()
+
+
 @when("all services refuse connections")
 def refuse_services(context: ScenarioContext) -> None:
     for endpoint in context.fleet.endpoints:
