Count on agents that were gone before an entry started

What callers saw: with the store away, an order was refused as not run although an agent had run it that was removed before this entry started. Cause: the entry asks the agents that it has links to. A removed one is in no list that a new entry reads, so nothing contradicted "not run". Evidence: tests/entry/test_earliersend.py:: test_a_host_that_ran_calls_and_is_not_linked_may_have_run_them and ..._that_never_read_the_hosts_... got not_run with the former condition. While a host that it has no link to was found within 600 s, or none was ever read, the answer is may_have_run. Only agents with plain services record their host.

--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -115,7 +115,8 @@
         )
         self.table = HttpTable(settings.platform, PLATFORM_TIMEOUT_S) if settings.platform else None
         self.fences = LeaseFence(self.table)
-        records = HostRecords(self.table) if self.table is not None else None
+        runs_calls = any(each.kind == "service" for each in self.options.endpoints)
+        records = HostRecords(self.table) if self.table is not None and runs_calls else None
         self.registration = AgentRegistration(records, settings.host, self.incarnation)
         self.drivers = {e.name: self._build_driver(e) for e in self.options.endpoints}
         self.drains = Drains(self)
--- a/src/basilroad/coordination/hostrecords.py
+++ b/src/basilroad/coordination/hostrecords.py
@@ -37,5 +37,13 @@
         # the row is its own if the answer to an earlier write was lost
         return written.done or (written.row is not None and written.row.value == value)
 
+    async def list_hosts(self) -> frozenset[str]:
+        """:return: names of the recorded hosts; a read that lags misses the latest.
+
+        :raises TableError: the table did not answer
+        """
+        rows = await self._table.scan(CALL_HOSTS_ROOT)
+        return frozenset(row.key.removeprefix(CALL_HOSTS_ROOT) for row in rows)
+
 
 __all__ = ["CALL_HOSTS_ROOT", "HostRecords"]
--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/earliersend.py
@@ -11,6 +11,7 @@
 from basilroad.coordination.claim import ClaimState, build_path
 from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.table import TableError
+from basilroad.entry.callhosts import GONE_AGENT_WINDOW_S
 from basilroad.entry.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
@@ -21,6 +22,7 @@
 
     from basilroad.coordination.claim import Claim
     from basilroad.coordination.claims import Claims
+    from basilroad.entry.callhosts import CallHosts
     from basilroad.entry.keyedcall import KeyedCall
     from basilroad.entry.link import AgentLink
 
@@ -30,9 +32,6 @@
 POLL_INTERVAL_S = 0.5
 """Seconds between queries about a running call."""
 
-LOST_AGENT_WINDOW_S = 600.0
-"""Seconds after an agent disconnected or restarted in which it may have run an earlier call."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -40,9 +39,11 @@
     """Reads claims and asks agents about them.
 
     :param claims: client of the claims table; ``None`` without a table
+    :param hosts: hosts that may have run calls; ``None`` without a table
     """
 
     claims: Claims | None
+    hosts: CallHosts | None
 
     def links(self) -> Sequence[AgentLink]:
         """:return: links to all known agents."""
@@ -125,26 +126,33 @@
             running = next(r for r in known if r.state == CallState.RUNNING.value)
             self._check_may_wait(keyed_call, running)
             await asyncio.sleep(POLL_INTERVAL_S)
-        # without links, it isn't known which agents there are
-        is_complete = len(known) == len(replies) and bool(self._reader.links())
-        if not is_complete or states - {CallState.NOT_STARTED}:
+        if (
+            len(known) < len(replies)
+            or not self._knows_all_agents()
+            or states - {CallState.NOT_STARTED}
+        ):
             raise refuse(
                 ErrorKind.MAY_HAVE_RUN, "it is not known whether an earlier call with this key ran"
             )
         raise error
 
+    def _knows_all_agents(self) -> bool:
+        hosts = self._reader.hosts
+        return bool(self._reader.links()) and hosts is not None and hosts.are_linked()
+
     def _list_links(self, keyed_call: KeyedCall) -> list[AgentLink]:
-        links = self._reader.links()
-        return [link for link in links if link.may_run_service(keyed_call.call.service)]
+        return [
+            link for link in self._reader.links() if link.may_run_service(keyed_call.call.service)
+        ]
 
     async def _ask(self, link: AgentLink, keyed_call: KeyedCall) -> wire.CallSettled | None:
         if not link.is_up:
             return (
-                None
-                if time.monotonic() - link.connection_changed_s < LOST_AGENT_WINDOW_S
-                else _build_not_started()
+                _build_not_started()
+                if time.monotonic() - link.connection_changed_s >= GONE_AGENT_WINDOW_S
+                else None
             )
-        if time.monotonic() - link.restarted_s < LOST_AGENT_WINDOW_S:
+        if time.monotonic() - link.restarted_s < GONE_AGENT_WINDOW_S:
             return None
         number = link.next_call_number()
         question = wire.FindCall(call=number, key=build_key(keyed_call))
--- a/src/basilroad/entry/keyedcallrunner.py
+++ b/src/basilroad/entry/keyedcallrunner.py
@@ -22,7 +22,9 @@
 )
 from basilroad.coordination.claims import Claims
 from basilroad.coordination.claimsettings import ClaimsSettings
+from basilroad.coordination.hostrecords import HostRecords
 from basilroad.coordination.table import TableError
+from basilroad.entry.callhosts import CallHosts
 from basilroad.entry.earliersend import EarlierSendCheck, build_key
 from basilroad.entry.keyedcall import KeyedCall
 from basilroad.entry.link import LinkLostError
@@ -70,6 +72,7 @@
         self._entry = caller.entry
         table = self._entry.table
         self.claims = Claims(table, ClaimsSettings()) if table is not None else None
+        self.hosts = CallHosts(HostRecords(table), self.links) if table is not None else None
         self.earlier = EarlierSendCheck(self)
 
     async def run(self, keyed_call: KeyedCall) -> ServiceAnswer:
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -15,6 +15,7 @@
 from basilroad.backing.hosts import HttpHostList
 from basilroad.backing.table import HttpTable
 from basilroad.coordination.timer import Timer
+from basilroad.entry.callhosts import CALL_HOSTS_READ_INTERVAL_S
 from basilroad.entry.calls import ServiceCaller
 from basilroad.entry.containment import Containment
 from basilroad.entry.dispatch import Dispatcher
@@ -121,7 +122,8 @@
     @property
     def is_ready(self) -> bool:
         """:return: whether requests should be routed to this entry."""
-        if self.stopping:
+        hosts = self.caller.keyed_calls.hosts
+        if self.stopping or (hosts is not None and not hosts.tried.is_set()):
             return False
         # until a first connection to each agent was tried, its models would be refused as unknown
         self._agents_tried = self._agents_tried or all(
@@ -146,6 +148,9 @@
         self.timers.subscribe(self.options.heartbeat_s, self._send_heartbeats)
         self.timers.subscribe(EXPIRY_INTERVAL_S, self.containment.expire)
         self.timers.subscribe(EXPIRY_INTERVAL_S, self.locations.expire)
+        call_hosts = self.caller.keyed_calls.hosts
+        if call_hosts is not None:
+            self.timers.subscribe(CALL_HOSTS_READ_INTERVAL_S, call_hosts.read).fire_soon()
         if self.hosts is not None:
             watch = HostWatch(self.hosts, self.links, self.connect)
             self.timers.subscribe(HOSTS_READ_INTERVAL_S, watch.read)
--- a/tests/entry/test_earliersend.py
+++ b/tests/entry/test_earliersend.py
@@ -7,16 +7,78 @@
 from types import SimpleNamespace
 
 import pytest
+from fake_table import FakeTable
 
+from basilroad.coordination.hostrecords import HostRecords
+from basilroad.entry.callhosts import GONE_AGENT_WINDOW_S, CallHosts
 from basilroad.entry.earliersend import EarlierSendCheck
 from basilroad.entry.identity import Identity
 from basilroad.entry.keyedcall import KeyedCall
+from basilroad.entry.link import AgentLink
 from basilroad.entry.servicecall import ServiceCall
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
+from basilroad.peers.address import parse_address
+from basilroad.peers.wire import peer_pb2 as wire
+from basilroad.settings.daemon import EntrySettings
 from basilroad.world.contract import Contract
 
 SERVICE = "order-app"
 
+OWNER = SimpleNamespace(
+    build_hello=lambda: wire.EntryHello(region="baltic"),
+    on_up=lambda _: None,
+    on_lost=lambda *_: None,
+    on_message=lambda *_: None,
+)
+
+
+class Agent:
+    """Connection to an agent that knows of no call.
+
+    :param host: name of its host
+    """
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        settings = EntrySettings(listen="127.0.0.1:1")
+        self.link = AgentLink(parse_address("127.0.0.1:2"), settings, OWNER)
+        self.link.ask = self._answer  # type: ignore[method-assign]
+
+    def connect(self, incarnation: str, *services: str) -> AgentLink:
+        states = [
+            wire.EndpointState(endpoint=name, kind="service", service=name) for name in services
+        ]
+        hello = wire.AgentHello(
+            host=self.host, region="baltic", incarnation=incarnation, endpoints=states
+        )
+        self.link._handle_message(wire.AgentMessage(hello=hello))
+        return self.link
+
+    def disconnect(self) -> AgentLink:
+        self.link._disconnect("stream ended")
+        return self.link
+
+    async def _answer(self, *_: object) -> wire.CallSettled:
+        return wire.CallSettled(state="never")
+
+
+class Clock:
+    """Monotonic clock that can be moved forward."""
+
+    def __init__(self) -> None:
+        self.ahead_s = 0.0
+        self._read = time.monotonic
+
+    def __call__(self) -> float:
+        return self._read() + self.ahead_s
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
+    clock = Clock()
+    monkeypatch.setattr("basilroad.entry.link.time.monotonic", clock)
+    return clock
+
 
 def build_call() -> KeyedCall:
     contract = Contract(name=SERVICE)
@@ -24,16 +86,51 @@
     return KeyedCall(call, Identity("w", "anna", 1, "7", False))
 
 
-async def read_effect(links: Sequence[object]) -> Effect:
+async def build_hosts(links: Sequence[AgentLink], *recorded: str) -> CallHosts:
+    table = FakeTable()
+    for host in recorded:
+        await HostRecords(table).add(host, "i0")
+    hosts = CallHosts(HostRecords(table), lambda: links)
+    await hosts.read()
+    return hosts
+
+
+async def read_effect(links: Sequence[AgentLink], hosts: CallHosts) -> Effect:
     """:return: effect told of a call that could not be claimed."""
-    reader = SimpleNamespace(claims=object(), links=lambda: links)
+    reader = SimpleNamespace(claims=object(), links=lambda: links, hosts=hosts)
     unclaimed = refuse(ErrorKind.STORE_UNAVAILABLE, "the call could not be claimed")
     with pytest.raises(RefusedError) as caught:
         await EarlierSendCheck(reader).check(build_call(), unclaimed)
     return caught.value.refusal.answer.effect
 
 
+@pytest.mark.holds_not_run
+async def test_a_call_that_no_agent_ran_is_told_as_not_run() -> None:
+    links = [Agent("h").connect("i0", SERVICE)]
+    assert await read_effect(links, await build_hosts(links, "h")) is Effect.NOT_RUN
+
+
 # fault: an entry that knew no agent asked none, and told "not run" of an order that had run
 @pytest.mark.holds_not_run
 async def test_an_entry_without_agents_does_not_tell_that_a_call_was_not_run() -> None:
-    assert await read_effect([]) is Effect.MAY_HAVE_RUN
+    assert await read_effect([], await build_hosts([])) is Effect.MAY_HAVE_RUN
+
+
+# fault: an agent that was gone before the entry started was not counted on
+@pytest.mark.holds_not_run
+async def test_a_host_that_ran_calls_and_is_not_linked_may_have_run_them(clock: Clock) -> None:
+    links = [Agent("h").connect("i0", SERVICE)]
+    hosts = await build_hosts(links, "gone", "h")
+    assert await read_effect(links, hosts) is Effect.MAY_HAVE_RUN
+    clock.ahead_s += GONE_AGENT_WINDOW_S + 1
+    assert await read_effect(links, hosts) is Effect.NOT_RUN
+
+
+@pytest.mark.holds_not_run
+async def test_an_entry_that_never_read_the_hosts_does_not_tell_that_a_call_was_not_run() -> None:
+    links = [Agent("h").connect("i0", SERVICE)]
+    table = FakeTable()
+    table.unavailable = True
+    hosts = CallHosts(HostRecords(table), lambda: links)
+    await hosts.read()
+    assert await read_effect(links, hosts) is Effect.MAY_HAVE_RUN
