Ask a replaced agent about orders of services that it no longer has

What callers saw: with the store away, an order that had run was refused as not run after its agent came back without the service. Cause: only agents whose hello names the service are asked, and the hello of the former process was replaced. Evidence: tests/entry/test_earliersend.py:: test_an_agent_replaced_by_one_without_the_service_may_have_run_a_call got not_run before.

--- a/src/basilroad/entry/callhosts.py
+++ b/src/basilroad/entry/callhosts.py
@@ -54,6 +54,12 @@
         finally:
             self.tried.set()
 
+    def may_have_run(self, link: AgentLink) -> bool:
+        """:return: whether a linked agent, or an earlier one of its host, may have run calls."""
+        if time.monotonic() - link.restarted_s < GONE_AGENT_WINDOW_S:
+            return True
+        return link.hello is None or link.hello.host in (self._found_s or {})
+
     def are_linked(self) -> bool:
         """:return: whether there is a link to each host that may have run a call lately."""
         if self._found_s is None:
--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/earliersend.py
@@ -141,8 +141,13 @@
         return bool(self._reader.links()) and hosts is not None and hosts.are_linked()
 
     def _list_links(self, keyed_call: KeyedCall) -> list[AgentLink]:
+        hosts = self._reader.hosts
         return [
-            link for link in self._reader.links() if link.may_run_service(keyed_call.call.service)
+            link
+            for link in self._reader.links()
+            if link.may_run_service(keyed_call.call.service)
+            or hosts is None
+            or hosts.may_have_run(link)
         ]
 
     async def _ask(self, link: AgentLink, keyed_call: KeyedCall) -> wire.CallSettled | None:
--- a/tests/entry/test_earliersend.py
+++ b/tests/entry/test_earliersend.py
@@ -134,3 +134,13 @@
     hosts = CallHosts(HostRecords(table), lambda: links)
     await hosts.read()
     assert await read_effect(links, hosts) is Effect.MAY_HAVE_RUN
+
+
+# fault: an agent that came back without the service was not asked about what ran before
+@pytest.mark.holds_not_run
+async def test_an_agent_replaced_by_one_without_the_service_may_have_run_a_call() -> None:
+    agent = Agent("h")
+    agent.connect("i0", SERVICE)
+    agent.disconnect()
+    links = [agent.connect("i1")]
+    assert await read_effect(links, await build_hosts(links)) is Effect.MAY_HAVE_RUN
