Count on unreachable agents for as long as the platform lists them

What callers saw: with the store away, an order that ran at an agent which this entry had not reached for 600 s was refused as not run. Cause: an agent out of reach for that long counted as one that ran nothing, but it goes on running orders for entries that do reach it, such as those of its own region. Evidence: tests/entry/test_earliersend.py:: test_an_agent_out_of_reach_may_have_run_a_call_while_it_is_listed got not_run before. Change: such an agent is left out only once the platform's list has lacked it for 600 s as well. Result: the test passes; tests/entry/test_hostwatch.py checks the mark.

--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/earliersend.py
@@ -152,11 +152,7 @@
 
     async def _ask(self, link: AgentLink, keyed_call: KeyedCall) -> wire.CallSettled | None:
         if not link.is_up:
-            return (
-                _build_not_started()
-                if time.monotonic() - link.connection_changed_s >= GONE_AGENT_WINDOW_S
-                else None
-            )
+            return _build_not_started() if link.is_gone(GONE_AGENT_WINDOW_S) else None
         if time.monotonic() - link.restarted_s < GONE_AGENT_WINDOW_S:
             return None
         number = link.next_call_number()
--- a/src/basilroad/entry/hostwatch.py
+++ b/src/basilroad/entry/hostwatch.py
@@ -46,6 +46,7 @@
         except HostListError as error:
             _LOGGER.info("could not read the host list: %s", error)
             return
+        addresses: set[Address] = set()
         for host in listed:
             if host.role != "agent":
                 continue
@@ -54,10 +55,13 @@
             except ValueError as error:
                 _LOGGER.warning("host skipped", extra={"host": host.name, "detail": str(error)})
                 continue
+            addresses.add(address)
             if address in self._links:
                 self._links[address].mark_leaving(host.leaving)
             elif not host.leaving:
                 await self._connect(address)
+        for address, link in self._links.items():
+            link.mark_listed(address in addresses)
 
 
 __all__ = ["HOSTS_READ_INTERVAL_S", "HostWatch"]
--- a/src/basilroad/entry/link.py
+++ b/src/basilroad/entry/link.py
@@ -146,6 +146,8 @@
         self.leaving = False
         self.restarted_s = float("-inf")
         """Monotonic time at which a new incarnation of the agent connected."""
+        self.unlisted_s: float | None = None
+        """Monotonic time since which the platform does not list the host; ``None`` if it does."""
         self._last_idle_s = 0.0
         self.up_s = 0.0
         self.connection_changed_s = time.monotonic()
@@ -194,6 +196,22 @@
         states = (*self.hello.endpoints, *(view.state for view in self.endpoints.values()))
         return any(state.service == service and state.kind == "service" for state in states)
 
+    def is_gone(self, window_s: float) -> bool:
+        """:return: whether the host has been unreachable and unlisted for some seconds."""
+        if self.is_up or self.unlisted_s is None:
+            return False
+        return time.monotonic() - max(self.unlisted_s, self.connection_changed_s) >= window_s
+
+    def mark_listed(self, listed: bool) -> None:
+        """Record whether the platform lists the agent's host.
+
+        :param listed: whether it is listed
+        """
+        if listed:
+            self.unlisted_s = None
+        elif self.unlisted_s is None:
+            self.unlisted_s = time.monotonic()
+
     def mark_leaving(self, leaving: bool) -> None:
         """Record whether the platform lists the agent's host as leaving, and notify the agent.
 
--- a/tests/entry/test_earliersend.py
+++ b/tests/entry/test_earliersend.py
@@ -144,3 +144,19 @@
     agent.disconnect()
     links = [agent.connect("i1")]
     assert await read_effect(links, await build_hosts(links)) is Effect.MAY_HAVE_RUN
+
+
+# fault: an agent that had been out of reach for 600 s counted as one that ran nothing
+@pytest.mark.holds_not_run
+async def test_an_agent_out_of_reach_may_have_run_a_call_while_it_is_listed(clock: Clock) -> None:
+    agent = Agent("h")
+    agent.connect("i0", SERVICE)
+    links = [agent.disconnect()]
+    hosts = await build_hosts(links, "h")
+    clock.ahead_s += GONE_AGENT_WINDOW_S + 1
+    agent.link.mark_listed(True)
+    assert await read_effect(links, hosts) is Effect.MAY_HAVE_RUN
+    agent.link.mark_listed(False)
+    assert await read_effect(links, hosts) is Effect.MAY_HAVE_RUN
+    clock.ahead_s += GONE_AGENT_WINDOW_S + 1
+    assert await read_effect(links, hosts) is Effect.NOT_RUN
--- a/tests/entry/test_hostwatch.py
+++ b/tests/entry/test_hostwatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 
 from basilroad.backing.hosts import HostListError, ListedHost
@@ -26,9 +27,16 @@
     return ListedHost(name, role, "baltic", "riga-a", f"127.0.0.1:{port}", leaving)
 
 
+def build_link(
+    mark_leaving: Callable[[bool], None] = lambda _: None,
+    mark_listed: Callable[[bool], None] = lambda _: None,
+) -> SimpleNamespace:
+    return SimpleNamespace(mark_leaving=mark_leaving, mark_listed=mark_listed)
+
+
 async def test_new_agents_are_connected_and_leaving_ones_marked() -> None:
     marked: list[bool] = []
-    links = {parse_address("127.0.0.1:1"): SimpleNamespace(mark_leaving=marked.append)}
+    links = {parse_address("127.0.0.1:1"): build_link(marked.append)}
     connected: list[Address] = []
 
     async def connect(address: Address) -> None:
@@ -47,3 +55,20 @@
     listing.unavailable = True
     await watch.read()
     assert marked == [True]
+
+
+async def test_agents_are_marked_that_are_no_longer_listed() -> None:
+    marked: list[bool] = []
+    links = {parse_address("127.0.0.1:1"): build_link(mark_listed=marked.append)}
+
+    async def connect(_: Address) -> None:
+        """Connect to nothing."""
+
+    listing = Listing(list_host("a", "agent", 1))
+    watch = HostWatch(listing, links, connect)
+    await watch.read()
+    listing.hosts = (list_host("a", "entry", 1),)
+    await watch.read()
+    listing.unavailable = True
+    await watch.read()
+    assert marked == [True, False]
