Name the figures in the refusal of a stream for want of time

Cause: the log told that too little time was left, but not how much was left and how much was needed, so whether the check was right could not be seen. Change: both, and the last event that the caller has, in the detail.

--- a/src/basilroad/gateway/handler.py
+++ b/src/basilroad/gateway/handler.py
@@ -65,12 +65,17 @@
             return running.end_at_shutdown()
 
     def _check_time_left(self, call: Call) -> None:
-        gateway = self._gateway
+        gateway, received = self._gateway, call.events_received
         read = gateway.dispatcher.prompt_locations.find(call.prompt_key) is not None
         prompt_tokens = 0 if read else call.size.prompt_tokens
         left_s = call.expires_at - time.monotonic()
-        if gateway.stream_durations.is_time_too_short(left_s, prompt_tokens, call.events_received):
-            raise refuse(ErrorKind.TIME_TOO_SHORT, "too little time is left for the stream")
+        if gateway.stream_durations.is_time_too_short(left_s, prompt_tokens, received):
+            need_s = gateway.stream_durations.estimate_need(prompt_tokens, received)
+            raise refuse(
+                ErrorKind.TIME_TOO_SHORT,
+                f"too little time is left for the stream: {left_s:.1f} s of about {need_s:.1f} s"
+                f" after event {received}",
+            )
 
     def _count(self, call: Call, outcome: str) -> None:
         took_s = time.monotonic() - call.arrived_at
