Resume streams with little time left while an endpoint has room

What callers saw: after a power cut of all hosts, callers whose connection had stayed silent came back 16 to 20 s later, and were refused each time until their deadline, beside idle engines.

Cause: the check of the time that is left asks whether a stream will probably end in time. A caller that resumes has use of each further event, so for it the question is whether the next one can come.

The test test_a_caller_that_resumes_gets_the_events_that_there_is_time_for failed before (time_too_short: 2.5 s of about 5.1 s after event 27).

--- a/src/basilroad/gateway/handler.py
+++ b/src/basilroad/gateway/handler.py
@@ -69,13 +69,25 @@
         read = gateway.dispatcher.prompt_locations.find(call.prompt_key) is not None
         prompt_tokens = 0 if read else call.size.prompt_tokens
         left_s = call.expires_at - time.monotonic()
-        if gateway.stream_durations.is_time_too_short(left_s, prompt_tokens, received):
-            need_s = gateway.stream_durations.estimate_need(prompt_tokens, received)
-            raise refuse(
-                ErrorKind.TIME_TOO_SHORT,
-                f"too little time is left for the stream: {left_s:.1f} s of about {need_s:.1f} s"
-                f" after event {received}",
-            )
+        if not gateway.stream_durations.is_time_too_short(left_s, prompt_tokens, received):
+            return
+        if self._can_go_on(call, left_s, prompt_tokens):
+            return
+        need_s = gateway.stream_durations.estimate_need(prompt_tokens, received)
+        raise refuse(
+            ErrorKind.TIME_TOO_SHORT,
+            f"too little time is left for the stream: {left_s:.1f} s of about {need_s:.1f} s"
+            f" after event {received}",
+        )
+
+    def _can_go_on(self, call: Call, left_s: float, prompt_tokens: int) -> bool:
+        # a caller that resumes has use of each further event, also if the stream will not end
+        gateway = self._gateway
+        return (
+            call.events_received > 0
+            and left_s >= gateway.stream_durations.estimate_next_event(prompt_tokens)
+            and gateway.dispatcher.has_room(call, ())
+        )
 
     def _count(self, call: Call, outcome: str) -> None:
         took_s = time.monotonic() - call.arrived_at
--- a/src/basilroad/gateway/streamdurations.py
+++ b/src/basilroad/gateway/streamdurations.py
@@ -89,6 +89,14 @@
         missing = max(0.0, self.events - events_received)
         return prompt_tokens / PREFILL_TOKENS_PER_S + missing * self.event_s
 
+    def estimate_next_event(self, prompt_tokens: int) -> float:
+        """Estimate the time until the first event of a stream, or the next one if it is resumed.
+
+        :param prompt_tokens: tokens of prefill that are still needed
+        :return: seconds, at an idle engine
+        """
+        return prompt_tokens / PREFILL_TOKENS_PER_S + self.event_s
+
     def is_time_too_short(self, left_s: float, prompt_tokens: int, events_received: int) -> bool:
         """Check whether a stream is unlikely to end in the remaining time.
 
--- a/tests/gateway/test_streamdurations.py
+++ b/tests/gateway/test_streamdurations.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 import pytest
 
-from basilroad.errors import Effect, RefusedError
+from basilroad.errors import Effect, ErrorKind, RefusedError
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.streamdurations import SAMPLE_VALIDITY_S, StreamDurations
 from basilroad.platform.protocol import PlatformProtocol
 from builders import PLACE, RecordingResponder, build_call, build_stream_route, build_table
 
+if TYPE_CHECKING:
+    from basilroad.gateway.call import Call
+
 
 def build_durations() -> StreamDurations:
     durations = StreamDurations()
@@ -39,6 +43,44 @@
     assert caught.value.refusal.answer.effect is Effect.NOT_RUN
 
 
+def build_resumed_call(left_s: float) -> Call:
+    return build_call(
+        build_stream_route(prefix="/s/"), resume_after="27", expires_at=time.monotonic() + left_s
+    )
+
+
+# guards against: all gateways lose power, and callers that resume after a long wait are refused
+# until their deadline, beside idle engines
+async def test_a_caller_that_resumes_gets_the_events_that_there_is_time_for(
+    gateway, start_server
+) -> None:
+    await start_server("i-1", service="llm", events=30)
+    gateway.stream_durations = build_durations()
+    responder = RecordingResponder()
+    await CallHandler(gateway).handle(build_resumed_call(2.5), responder)
+    assert responder.numbers == [28, 29, 30]
+
+
+# guards against: streams that cannot end delay others at engines that are full
+async def test_a_resumed_stream_that_will_not_end_is_refused_without_a_free_endpoint(
+    gateway,
+) -> None:
+    gateway.stream_durations = build_durations()
+    with pytest.raises(RefusedError) as caught:
+        await CallHandler(gateway).handle(build_resumed_call(2.5), RecordingResponder())
+    assert caught.value.refusal.kind is ErrorKind.TIME_TOO_SHORT
+
+
+# guards against: a prompt is processed for a caller whose deadline passes before the next event
+async def test_a_resumed_stream_without_time_for_prefill_is_refused(gateway, start_server) -> None:
+    server = await start_server("i-1", service="llm", events=30)
+    gateway.stream_durations = build_durations()
+    with pytest.raises(RefusedError) as caught:
+        await CallHandler(gateway).handle(build_resumed_call(0.9), RecordingResponder())
+    assert caught.value.refusal.kind is ErrorKind.TIME_TOO_SHORT
+    assert server.ran == []
+
+
 def test_a_caller_with_most_events_is_not_refused() -> None:
     assert not build_durations().is_time_too_short(3.0, 8000, 90)
 
