--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -49,7 +49,8 @@
 MAX_START_MS = 2**53
 
 MAX_NAME_CHARS = 200
-"""Longest id, service, data centre and version of an entry; other gateways are told of it in a datagram."""
+"""Longest id, service, data centre and version of an entry; other gateways are told of it in a
+datagram."""
 
 FAILURE_WEIGHT = 0.3
 """Weight of one outcome in the failure rate; three failures in a row raise it above one half."""
@@ -197,6 +198,12 @@
         """:return: the endpoint's id."""
         return self.entry.id
 
+    @property
+    def is_leaving(self) -> bool:
+        """:return: whether it takes no further calls in this lifetime."""
+        drains = self.entry.state is not EndpointState.READY
+        return self.removed or drains or self.notices.leaving_since is not None
+
     def is_available(self, now: float) -> bool:
         """Check whether a call may be sent to it, with a permit if it named a limit.
 
