Check the start of an endpoint only after it cut a connection

Only a connection that was refused or cut off by the other end hints at a restart. A report that doesn't come now starts a backoff, so that checks last longer than the second for which sound engines may be silent.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -272,6 +272,7 @@
             channel = await self._pool.open(idle_limit_s, self.call.id)
         except ConnectError as error:
             self.endpoint.record_unreachable(time.monotonic())
+            self.endpoint.record_cut(time.monotonic())
             return NotRun(f"no connection: {error}")
         if self._confirm_start is not None and not await self._confirm_start(channel):
             channel.close()
@@ -308,6 +309,8 @@
         if channel is None:
             return
         self.endpoint.remove_pending(channel)
+        if channel.is_cut_off:
+            self.endpoint.record_cut(time.monotonic())
         if not channel.usable:
             channel.close()
 
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -183,6 +183,7 @@
         self.last_received_at = -math.inf
         self.last_failed_at = -math.inf
         self.lost_at = -math.inf
+        self.cut_at = -math.inf
         self.full_until = -math.inf
         self.backoff_until = -math.inf
         self.removed = False
@@ -338,6 +339,13 @@
         """
         self.last_failed_at = now
 
+    def record_cut(self, now: float) -> None:
+        """Record that it refused or ended a connection, as one that restarts does.
+
+        :param now: monotonic seconds
+        """
+        self.cut_at = now
+
     def record_full(self, now: float) -> None:
         """Record that it rejected a call for lack of capacity.
 
--- a/src/basilroad/gateway/startcheck.py
+++ b/src/basilroad/gateway/startcheck.py
@@ -17,11 +17,12 @@
     from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.reports import ReportReader
 
-START_TIMEOUT_S = 0.3
-"""Time limit of the report that tells the start; several round trips between regions."""
+START_TIMEOUT_S = 0.5
+"""Time limit of the report that tells the start; sound engines fall silent for a second or so, and
+a backoff and further checks follow."""
 
 RESTART_LISTED_S = 5.0
-"""Time after a failure of an endpoint within which the listing shows its restart; three missed
+"""Time after an endpoint cut a connection within which the listing shows its restart; three missed
 check-ins and a pause of the watch."""
 
 _LOGGER = logging.getLogger(__name__)
@@ -55,7 +56,7 @@
         now = time.monotonic()
         if not endpoint.entry.started_ms or endpoint.notices.limit.is_in_force(now):
             return False
-        if now - endpoint.last_failed_at < RESTART_LISTED_S:
+        if now - endpoint.cut_at < RESTART_LISTED_S:
             return True
         return self._directory.has_versions(endpoint.entry.service)
 
@@ -76,6 +77,7 @@
                 )
         except (ChannelError, TimeoutError) as error:
             channel.close()
+            endpoint.record_unreachable(time.monotonic())
             _LOGGER.info(
                 "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
             )
--- a/tests/gateway/test_startcheck.py
+++ b/tests/gateway/test_startcheck.py
@@ -136,3 +136,22 @@
     assert responder.numbers == ALL_EVENTS
     assert ("X-Response-Seal", "seal-of-i-2") in responder.headers
     assert not engine.seen
+
+
+async def test_a_new_stream_waits_for_an_engine_that_is_silent_for_a_second(
+    gateway, engine
+) -> None:
+    # fault: it was refused after a few checks that got no answer
+    put(gateway, engine, version="v2")
+    engine.silent = True
+    task = asyncio.ensure_future(run(gateway))
+    await asyncio.sleep(1.0)
+    engine.silent = False
+    assert (await asyncio.wait_for(task, 4)).numbers == ALL_EVENTS
+
+
+async def test_an_engine_that_was_only_silent_is_not_checked(gateway, engine) -> None:
+    # fault: streams were refused at an engine that fell silent, though it went on
+    gateway.directory.get("i-1").mark_lost(0.0)
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert engine.reports == 0
