Resume streams at the endpoint that broke them off if its version has no room

A stream that is bound to a version waited up to its deadline for the others of that version, though the one that had broken it off was back. It now waits for them for a second, and then for any. The new test failed before.

--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -45,6 +45,10 @@
 LOAN_POLL_INTERVAL_S = 0.01
 """Interval of checks for them."""
 
+AVOID_TRIED_S = 1.0
+"""Time for which a stream that is bound to a version waits only for endpoints at which it hasn't
+failed; a version may have few."""
+
 PREFILL_RESERVE_S = 1.5
 """Part of the target reserved for prefill: 1.5 times that of a mean prompt."""
 
@@ -290,10 +294,12 @@
     async def _wait_for_endpoint(self, wait_until: float) -> Reservation | None:
         tracker, now = self._tracker, time.monotonic()
         dispatcher, version = self._gateway.dispatcher, self._pin.version
-        reservation = await dispatcher.place(self._call, wait_until, tracker.tried, version)
+        avoid_until = wait_until if version is None else min(wait_until, now + AVOID_TRIED_S)
+        reservation = None
+        if version is None or tracker.tried:
+            reservation = await dispatcher.place(self._call, avoid_until, tracker.tried, version)
         if reservation is None and not self._pin.is_lost:
             tracker.tried.clear()
-            # the others of its version may have left while it waited for them
             again_until = now if version is None else wait_until
             reservation = await dispatcher.place(self._call, again_until, version=version)
         return reservation
--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -122,6 +122,24 @@
     assert not other.seen
 
 
+async def test_a_stream_does_not_wait_for_the_full_other_endpoint_of_its_version(
+    gateway, start_server
+) -> None:
+    # fault: it waited up to its deadline, as all but the endpoint that broke it off were full
+    first = await start_engine(start_server, "i-1", "riga-a", "v1", reset_at_event=4)
+    second = await start_engine(start_server, "i-2", "riga-a", "v1")
+    await start_engine(start_server, "i-3", "riga-b", "v2")
+    full = gateway.directory.get("i-2")
+    full.load.memory_tokens = 80_000
+    task = asyncio.ensure_future(run(gateway))
+    async with asyncio.timeout(5):
+        while gateway.directory.get("i-1").last_failed_at < 0:
+            await asyncio.sleep(0.001)
+    first.reset_at_event = 0
+    assert (await asyncio.wait_for(task, 3)).numbers == ALL_EVENTS
+    assert not second.seen
+
+
 async def test_a_stalled_stream_moves_only_to_its_version(gateway, start_server) -> None:
     # fault: the stream moved to the nearest endpoint with room
     await start_engine(start_server, "i-1", "riga-a", "v1", trickle_at_event=5, trickle=b": \n")
