--- /dev/null
+++ b/src/basilroad/gateway/candidates.py
@@ -0,0 +1,110 @@
+"""Endpoints that may run a call, by software version."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from basilroad.gateway.call import Call
+    from basilroad.gateway.directory import Directory
+    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.promptlocations import PromptLocation, PromptLocations
+    from basilroad.gateway.route import EngineLimits
+    from basilroad.gateway.selection import Chooser
+
+
+@attrs.frozen
+class Wanted:
+    """Endpoints that a call may use.
+
+    :param avoid: ids of excluded endpoints
+    :param version: the only version that may run the call; ``None`` for any
+    :param claimed: versions that are left to other calls unless ``version`` names them
+    """
+
+    avoid: Collection[str] = ()
+    version: str | None = None
+    claimed: Collection[str] = ()
+
+
+@attrs.frozen
+class Candidates:
+    """Lists and chooses endpoints for calls.
+
+    :param directory: known endpoints
+    :param chooser: selects among them
+    :param find_engine: returns the engine limits of a service by its name
+    :param prompt_locations: endpoints that processed recent prompts
+    :param may_begin: checks whether new streams of a service may be placed at a version
+    :param clock: monotonic seconds
+    """
+
+    directory: Directory
+    chooser: Chooser
+    find_engine: Callable[[str], EngineLimits | None]
+    prompt_locations: PromptLocations
+    may_begin: Callable[[str, str], bool]
+    clock: Callable[[], float]
+
+    def list_all(self, call: Call, wanted: Wanted) -> list[Endpoint]:
+        """:return: endpoints of a call's service and of the versions that it may use."""
+        endpoints = self.directory.list_by_service(call.service)
+        if wanted.version is not None:
+            return [e for e in endpoints if e.entry.version == wanted.version]
+        return [e for e in endpoints if e.entry.version not in wanted.claimed]
+
+    def list_preferred(self, call: Call, wanted: Wanted) -> list[Endpoint]:
+        """:return: the same, without those at which a new stream had better not begin."""
+        return self._filter_preferred(call, wanted, self.list_all(call, wanted))
+
+    def choose(self, call: Call, wanted: Wanted, *, at_once: bool = False) -> Endpoint | None:
+        """Choose an endpoint with capacity.
+
+        :param call: the call
+        :param wanted: the endpoints that it may use
+        :param at_once: whether only those count for which there is a permit, if they need one
+        :return: the endpoint, if there is one
+        """
+        endpoints = self.list_all(call, wanted)
+        if at_once:
+            now = self.clock()
+            endpoints = [e for e in endpoints if e.notices.limit.has_permit(now)]
+        preferred = self._filter_preferred(call, wanted, endpoints)
+        found = self._choose_among(preferred, call, wanted)
+        if found is None and len(preferred) < len(endpoints):
+            found = self._choose_among(endpoints, call, wanted)
+        return found
+
+    def find_prompt(self, call: Call, wanted: Wanted) -> PromptLocation | None:
+        """:return: where the prompt of a call was processed, unless it may not use that."""
+        found = self.prompt_locations.find(call.prompt_key)
+        if found is None or wanted.version is None:
+            return found
+        endpoint = self.directory.get(found.endpoint_id)
+        is_usable = endpoint is not None and endpoint.entry.version == wanted.version
+        return found if is_usable else None
+
+    def _filter_preferred(
+        self, call: Call, wanted: Wanted, endpoints: list[Endpoint]
+    ) -> list[Endpoint]:
+        if wanted.version is not None or not (call.route.streams and call.route.repeatable):
+            return endpoints
+        return [e for e in endpoints if self.may_begin(call.service, e.entry.version)]
+
+    def _choose_among(
+        self, endpoints: Collection[Endpoint], call: Call, wanted: Wanted
+    ) -> Endpoint | None:
+        return self.chooser.choose(
+            endpoints,
+            call,
+            self.find_engine(call.service),
+            self.clock(),
+            wanted.avoid,
+            self.find_prompt(call, wanted),
+        )
+
+
+__all__ = ["Candidates", "Wanted"]
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from basilroad.coordination.fairpolicy import FairSettings, Flow
 from basilroad.coordination.fairqueue import FairQueue
 from basilroad.gateway.availability import find_service_pause
+from basilroad.gateway.candidates import Candidates, Wanted
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.promptlocations import PromptLocations
 from basilroad.gateway.selection import estimate_wait
@@ -23,7 +24,6 @@
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.permits import PermitExchange
-    from basilroad.gateway.promptlocations import PromptLocation
     from basilroad.gateway.reports import ReportReader
     from basilroad.gateway.route import EngineLimits
     from basilroad.gateway.selection import Chooser
@@ -109,7 +109,9 @@
         self._permit_requests: dict[str, asyncio.Task[None]] = {}
         self.prompt_locations = PromptLocations(clock)
         self._clock = clock
-        self._may_begin = may_begin
+        self._candidates = Candidates(
+            directory, chooser, find_engine, self.prompt_locations, may_begin, clock
+        )
         self._queues: dict[str, FairQueue[Ticket]] = {}
 
     @property
@@ -133,9 +135,11 @@
         :return: reserved capacity; ``None`` if there was none in time
         """
         if not self._is_blocked(call, version):
-            endpoint = await self._choose_by_reports(call, avoid, version)
+            endpoint = await self._choose_by_reports(call, self._find_wanted(call, avoid, version))
             if endpoint is None:
-                endpoint = await self._choose_permitted(call, avoid, version)
+                endpoint = await self._choose_permitted(
+                    call, self._find_wanted(call, avoid, version)
+                )
             if endpoint is not None:
                 return self.reserve(endpoint, call.size)
         left_s = wait_until - self._clock()
@@ -192,7 +196,8 @@
         self, call: Call, avoid: Collection[str] = (), version: str | None = None
     ) -> ServicePause | None:
         """:return: the pause of a call's service, if all endpoints for it want no requests."""
-        return find_service_pause(self._list_endpoints(call, version), self._clock(), avoid)
+        endpoints = self._candidates.list_all(call, Wanted(avoid, version))
+        return find_service_pause(endpoints, self._clock(), avoid)
 
     def find_turn(
         self, call: Call, avoid: Collection[str] = (), version: str | None = None
@@ -234,16 +239,12 @@
     def _is_blocked(self, call: Call, version: str | None) -> bool:
         return any(ticket.version in (None, version) for ticket in self._list_ahead(call))
 
-    def _list_claimed(self, call: Call) -> set[str]:
-        """:return: versions for which calls wait that come before a new one."""
-        return {t.version for t in self._list_ahead(call) if t.version is not None}
-
     def _choose_unblocked(
         self, call: Call, avoid: Collection[str], version: str | None
     ) -> Endpoint | None:
         if self._is_blocked(call, version):
             return None
-        return self._choose_at_once(call, avoid, version, self._list_claimed(call))
+        return self._choose_at_once(call, self._find_wanted(call, avoid, version))
 
     async def _wait(self, ticket: Ticket, left_s: float) -> Reservation | None:
         placed, service = ticket.placed, ticket.call.service
@@ -299,11 +300,11 @@
             queue.push_front(ticket, ticket.flow, ticket.cost)
 
     def _choose_for(self, ticket: Ticket, claimed: Collection[str]) -> Endpoint | None:
-        call, avoid, version = ticket.call, ticket.avoid, ticket.version
-        if version in claimed:
+        if ticket.version in claimed:
             return None
-        endpoint = self._choose_at_once(call, avoid, version, claimed)
-        return endpoint or self._choose(call, avoid, version, claimed)
+        wanted = Wanted(ticket.avoid, ticket.version, claimed)
+        endpoint = self._choose_at_once(ticket.call, wanted)
+        return endpoint or self._candidates.choose(ticket.call, wanted)
 
     def _end_useless_waits(self, queue: FairQueue[Ticket]) -> None:
         tickets = queue.items()
@@ -323,63 +324,55 @@
         staying = self.directory.list_staying(service, version)
         return all(endpoint.id in ticket.avoid for endpoint in staying)
 
-    async def _choose_by_reports(
-        self, call: Call, avoid: Collection[str], version: str | None
-    ) -> Endpoint | None:
+    async def _choose_by_reports(self, call: Call, wanted: Wanted) -> Endpoint | None:
         """Choose an engine by the reports of a few candidates.
 
         :param call: the call
-        :param avoid: excluded endpoints
-        :param version: the only version that may run it; ``None`` for any
+        :param wanted: the endpoints that it may use
         :return: an engine that reported; ``None`` if engines are not asked or none has room
         """
         engine = self.find_engine(call.service)
-        cached = self._find_prompt(call, version)
+        cached = self._candidates.find_prompt(call, wanted)
         if self._reports is None or engine is None or not self.asks_engines or cached is not None:
             return None
-        excluded, known = set(avoid), []
+        excluded, known = set(wanted.avoid), []
         for _ in range(MAX_REPORT_ROUNDS):
             # requests for reports would use up the permits of limited engines
             endpoints = [
                 endpoint
-                for endpoint in self._list_endpoints(call, version, self._list_claimed(call))
+                for endpoint in self._candidates.list_preferred(call, wanted)
                 if not endpoint.notices.limit.is_in_force(self._clock())
             ]
-            endpoints = self._filter_preferred(call, version, endpoints)
             scored = self.chooser.list_scored(endpoints, call, engine, self._clock(), excluded)
             scored.sort(key=itemgetter(0))
             candidates = [endpoint for _, endpoint in scored[:REPORT_CANDIDATES]]
             excluded.update(endpoint.id for endpoint in candidates)
             known += await self._reports.refresh(candidates)
-            best = self.chooser.choose(known, call, engine, self._clock(), avoid)
+            best = self.chooser.choose(known, call, engine, self._clock(), wanted.avoid)
             if best is not None and estimate_wait(best, call.size, self._clock()) < CROWDED_WAIT_S:
                 break
         return best
 
-    async def _choose_permitted(
-        self, call: Call, avoid: Collection[str], version: str | None
-    ) -> Endpoint | None:
-        endpoint = self._choose(call, avoid, version, self._list_claimed(call))
+    async def _choose_permitted(self, call: Call, wanted: Wanted) -> Endpoint | None:
+        endpoint = self._candidates.choose(call, wanted)
         for _ in range(MAX_PERMIT_ROUNDS):
             if endpoint is None:
                 return None
             # it may have announced its exit while the permit was asked for
             if await self.acquire_permit(endpoint) and endpoint.is_available(self._clock()):
                 return endpoint
+            # calls may have queued meanwhile
+            wanted = self._find_wanted(call, wanted.avoid, wanted.version)
             # one round trip is enough while others need no permit
-            claimed = self._list_claimed(call)
-            endpoint = self._choose_at_once(call, avoid, version, claimed)
-            endpoint = endpoint or self._choose(call, avoid, version, claimed)
-        return self._choose_at_once(call, avoid, version, self._list_claimed(call))
+            endpoint = self._choose_at_once(call, wanted) or self._candidates.choose(call, wanted)
+        return self._choose_at_once(call, self._find_wanted(call, wanted.avoid, wanted.version))
 
-    def _choose_at_once(
-        self,
-        call: Call,
-        avoid: Collection[str],
-        version: str | None,
-        claimed: Collection[str],
-    ) -> Endpoint | None:
-        return self._choose(call, avoid, version, claimed, at_once=True)
+    def _choose_at_once(self, call: Call, wanted: Wanted) -> Endpoint | None:
+        return self._candidates.choose(call, wanted, at_once=True)
+
+    def _find_wanted(self, call: Call, avoid: Collection[str], version: str | None) -> Wanted:
+        ahead = self._list_ahead(call)
+        return Wanted(avoid, version, {t.version for t in ahead if t.version is not None})
 
     def _count_ahead(self, call: Call) -> int:
         queue = self._queues.get(call.service)
@@ -387,58 +380,6 @@
             return 0
         return sum(queue.count(rank) for rank in queue.ranks() if rank <= call.rank)
 
-    def _choose(
-        self,
-        call: Call,
-        avoid: Collection[str],
-        version: str | None,
-        claimed: Collection[str] = (),
-        *,
-        at_once: bool = False,
-    ) -> Endpoint | None:
-        endpoints = self._list_endpoints(call, version, claimed)
-        if at_once:
-            now = self._clock()
-            endpoints = [e for e in endpoints if e.notices.limit.has_permit(now)]
-        preferred = self._filter_preferred(call, version, endpoints)
-        found = self._choose_among(preferred, call, avoid, version)
-        if found is None and len(preferred) < len(endpoints):
-            found = self._choose_among(endpoints, call, avoid, version)
-        return found
-
-    def _choose_among(
-        self,
-        endpoints: Collection[Endpoint],
-        call: Call,
-        avoid: Collection[str],
-        version: str | None,
-    ) -> Endpoint | None:
-        engine = self.find_engine(call.service)
-        cached_prompt = self._find_prompt(call, version)
-        return self.chooser.choose(endpoints, call, engine, self._clock(), avoid, cached_prompt)
-
-    def _list_endpoints(
-        self, call: Call, version: str | None, claimed: Collection[str] = ()
-    ) -> list[Endpoint]:
-        endpoints = self.directory.list_by_service(call.service)
-        if version is not None:
-            return [e for e in endpoints if e.entry.version == version]
-        return [e for e in endpoints if e.entry.version not in claimed]
-
-    def _filter_preferred(
-        self, call: Call, version: str | None, endpoints: list[Endpoint]
-    ) -> list[Endpoint]:
-        if version is not None or not (call.route.streams and call.route.repeatable):
-            return endpoints
-        return [e for e in endpoints if self._may_begin(call.service, e.entry.version)]
-
-    def _find_prompt(self, call: Call, version: str | None) -> PromptLocation | None:
-        found = self.prompt_locations.find(call.prompt_key)
-        if found is None or version is None:
-            return found
-        endpoint = self.directory.get(found.endpoint_id)
-        return found if endpoint is not None and endpoint.entry.version == version else None
-
 
 def _create_future() -> asyncio.Future[Reservation | None]:
     return asyncio.get_running_loop().create_future()
--- a/tests/gateway/test_version_queue.py
+++ b/tests/gateway/test_version_queue.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from basilroad.gateway.candidates import Wanted
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.notices import Notice, Source
@@ -123,6 +124,7 @@
 
 async def test_a_cached_prompt_of_another_version_saves_nothing(dispatcher: Dispatcher) -> None:
     dispatcher.prompt_locations.record("p", "e2")
-    assert dispatcher._find_prompt(build_call(ROUTE, prompt_key="p"), "v1") is None
-    assert dispatcher._find_prompt(build_call(ROUTE, prompt_key="p"), "v2") is not None
-    assert dispatcher._find_prompt(build_call(ROUTE, prompt_key="p"), None) is not None
+    call, candidates = build_call(ROUTE, prompt_key="p"), dispatcher._candidates
+    assert candidates.find_prompt(call, Wanted(version="v1")) is None
+    assert candidates.find_prompt(call, Wanted(version="v2")) is not None
+    assert candidates.find_prompt(call, Wanted()) is not None
