Let stand-in servers tell their software version in events and entries

Tests of streams that go on at another server couldn't see which software and which run made an event.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import re
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterator
 
+from basilroad.standin.streamevents import decode_events
 from soak.records import Kind, Limit, Record
 from soak.schedule import StopGateway
 from soak.settings import APPLY_S, DEADLINE_S, DRAIN_S, GRACE_S, RECOVERY_S, REVOKE_S
@@ -21,8 +21,6 @@
 UNCONNECTED = frozenset({"ClientConnectorError", "ConnectionTimeoutError"})
 """Details of requests for which no connection was opened."""
 
-_EVENT = re.compile(rb"id: (\d+)\ndata: token (\d+)\n\n")
-
 
 class Promise(ABC):
     """An invariant of the deployment."""
@@ -85,7 +83,7 @@
         for request in record.requests.values():
             if request.kind is not Kind.STREAM or request.status != OK:
                 continue
-            numbers = [int(a) for a, b in _EVENT.findall(request.answer) if a == b]
+            numbers = [event.number for event in decode_events(request.answer)]
             if numbers != list(range(1, len(numbers) + 1)):
                 yield f"{request.id} got events {numbers}"
             elif request.whole and len(numbers) != record.events:
--- a/soak/world.py
+++ b/soak/world.py
@@ -224,14 +224,16 @@
         self._register(endpoint)
 
     def _register(self, endpoint: Endpoint, state: str = "ready") -> None:
-        entry = {
-            "service": endpoint.service,
-            "address": f"{endpoint.link.ip}:{endpoint.link.port}",
-            "zone": endpoint.data_centre,
-            "slots": SLOTS,
-            "state": state,
-            "born": 1000 + len(endpoint.instances),
-        }
+        address = f"{endpoint.link.ip}:{endpoint.link.port}"
+        entry = endpoint.server.build_entry(
+            endpoint.service,
+            address=address,
+            zone=endpoint.data_centre,
+            slots=SLOTS,
+            state=state,
+            # each instance is a stand-in of its own, and counts its starts anew
+            born=1000 + len(endpoint.instances),
+        )
         self.writer.put("servers", endpoint.server.id, entry)
 
     # config
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -12,6 +12,9 @@
 
 import attrs
 import h11
+import msgspec
+
+from basilroad.standin.streamevents import StreamEvent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,6 +27,12 @@
 PREFILL_S = 0.05
 """Time between the response head of a stream that crashes the server and the crash."""
 
+SLOTS = 4
+"""Requests that an entry says are run at once."""
+
+FIRST_BORN_MS = 1000
+"""Time of the start before the first one in an entry."""
+
 
 class WireFault(enum.Enum):
     """Fault injected into one response.
@@ -136,6 +145,7 @@
     :param trickle_at_event: number of the event before which streams stall; 0 for never
     :param trickle: bytes that a stalled stream sends now and then
     :param ip: its loopback address
+    :param version: version of its software, which its events tell
     :param silent: whether all responses are withheld
     :param crash_on: prompt part on which the server crashes before the first event; empty for none
     :param crash_body: body of the requests that crash it at ``crash_point``; empty for none
@@ -151,6 +161,8 @@
     :param faults: faults of the next responses, in order
     :param seen: received requests except those for reports
     :param paused: requests that were answered with ``Retry-After``, and its value
+    :param starts: number of starts
+    :param streams: number of streams that it began or went on with
     :param reported_at: times of the received requests for reports, in monotonic seconds
     """
 
@@ -162,6 +174,7 @@
     trickle_at_event: int = 0
     trickle: bytes = b""
     ip: str = "127.0.0.1"
+    version: str = "v1"
     silent: bool = False
     crash_on: str = ""
     crash_body: bytes = b""
@@ -181,6 +194,8 @@
     reported_at: list[float] = attrs.field(factory=list)
     connections: int = 0
     endless_bytes: int = 0
+    starts: int = 0
+    streams: int = 0
     port: int = 0
     _late_copies: dict[asyncio.StreamWriter, bytes] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
@@ -192,6 +207,11 @@
         """:return: attempt ids of the executed requests, in order."""
         return [request.id for request in self.runs]
 
+    @property
+    def born(self) -> int:
+        """:return: Unix time in milliseconds that it names as that of its start."""
+        return FIRST_BORN_MS + self.starts
+
     @property
     def reports(self) -> int:
         """:return: number of received requests for reports."""
@@ -202,6 +222,7 @@
 
         :param port: port; 0 takes a free one
         """
+        self.starts += 1
         self._server = await asyncio.start_server(self._serve, self.ip, port)
         self.port = self._server.sockets[0].getsockname()[1]
 
@@ -211,6 +232,45 @@
             self._outage.cancel()
         await self._go_down()
 
+    async def release(self, version: str, *, down_s: float = 0.0, name: str = "") -> None:
+        """Start again with other software at the same address, after an end without a notice.
+
+        :param version: version of the software
+        :param down_s: seconds between end and start
+        :param name: its new id; empty to keep the one that it has
+        """
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.id, self.version = name or self.id, version
+        await self.start(self.port)
+
+    async def fall_silent(self, length_s: float) -> None:
+        """Send nothing for a time, then go on with all responses.
+
+        :param length_s: seconds
+        """
+        self.silent = True
+        await asyncio.sleep(length_s)
+        self.silent = False
+
+    def build_entry(self, service: str, **fields: object) -> dict[str, object]:
+        """Build its entry in the store.
+
+        :param service: its service
+        :param fields: fields that differ from those of a server that is ready
+        :return: the entry
+        """
+        entry: dict[str, object] = {
+            "service": service,
+            "address": f"{self.ip}:{self.port}",
+            "zone": "a",
+            "version": self.version,
+            "slots": SLOTS,
+            "state": "ready",
+            "born": self.born,
+        }
+        return {**entry, **fields}
+
     async def _go_down(self) -> None:
         if self._server is not None:
             self._server.close()
@@ -279,7 +339,8 @@
         while self.is_hung:
             await asyncio.sleep(0.01)
         self.reported_at.append(time.monotonic())
-        report = _encode_response(200, self._build_notice(ResponseKind.REPORT), b"{}")
+        body = msgspec.json.encode({"born": self.born})
+        report = _encode_response(200, self._build_notice(ResponseKind.REPORT), body)
         writer.write(report)
         if self.copies_reports:
             self._late_copies[writer] = report
@@ -374,6 +435,8 @@
 
     async def _stream(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         first = int(request.headers.get("last-event-id") or 0) + 1
+        self.streams += 1
+        run = f"{self.id}/{self.streams}"
         headers = {
             "X-Attempt-Id": request.id,
             "X-Response-Seal": f"seal-of-{self.id}",
@@ -389,7 +452,7 @@
         for number in range(first, self.events + 1):
             if number == self.crash_at_event and self._crashes_on(request, CrashPoint.EVENT):
                 await self._end_by_request()
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            event = StreamEvent(number, self.version, run).encode()
             while self.silent:
                 await asyncio.sleep(0.01)
             if number == self.reset_at_event:
