Name the start of the stand-in servers in a test of leaving endpoints

The fixture lists stand-in servers with the start that they tell in reports. The test lists two of them again as the same start, which it had written as 1, so that they counted as restarted and the leaving one as back. It now names their start; what it checks is unchanged.

--- a/tests/gateway/test_leaving_endpoints.py
+++ b/tests/gateway/test_leaving_endpoints.py
@@ -138,8 +138,10 @@
     await run(gateway, id="c0")
     gateway.directory.mark_listing_unreliable()
     entries = [
-        build_entry("i-1", port=first.port, slots=47),
-        build_entry("i-2", port=second.port, data_centre="riga-b", slots=48),
+        build_entry("i-1", port=first.port, slots=47, started_ms=first.born),
+        build_entry(
+            "i-2", port=second.port, data_centre="riga-b", slots=48, started_ms=second.born
+        ),
     ]
     gateway.directory.remove("i-1")
     gateway.directory.replace(entries)
