Use no entry that lacks a software version

An entry with missing fields comes from another writer and names no server to use. One without a version was used all the same, and streams of all such servers counted as of one version. The entries in tests name a version now, as those of servers do. The new case failed before.

--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -95,8 +95,8 @@
     zone: str
     slots: int
     state: str
+    version: str | int  # of the software, not of the weights
     born: int = 0  # start of this instance; a restarted server may reuse the id
-    version: str | int = ""  # of the software, not of the weights
 
 
 _CONFIG_DECODER = JsonDecoder(_Config)
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -105,7 +105,14 @@
 
 @given(st.binary(max_size=64), st.text(max_size=16))
 def test_any_bytes_of_an_entry_are_read_or_rejected(data: bytes, address: str) -> None:
-    entry = {"service": "s", "address": address, "zone": "a", "slots": 4, "state": "ready"}
+    entry = {
+        "service": "s",
+        "address": address,
+        "zone": "a",
+        "slots": 4,
+        "state": "ready",
+        "version": "v1",
+    }
     for raw in (data, msgspec.json.encode(entry)):
         try:
             decode_server("i", raw)
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -138,6 +138,14 @@
         decode_server("i-1", msgspec.json.encode({**SERVER, **change}))
 
 
+@pytest.mark.parametrize("missing", ["service", "address", "zone", "slots", "state", "version"])
+def test_an_entry_without_a_field_names_no_server(missing: str) -> None:
+    # fault: streams went on at servers of which nobody knew the version
+    fields = {name: value for name, value in SERVER.items() if name != missing}
+    with pytest.raises(ConfigError):
+        decode_server("i-1", msgspec.json.encode(fields))
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_an_entry_or_an_error(data: bytes) -> None:
     try:
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -79,7 +79,7 @@
                 await asyncio.sleep(0.01)
 
     def _list(self, server: AppServerStandin, service: str, slots: int = 30) -> None:
-        entry = {"service": service, "zone": "a", "slots": slots, "state": "ready"}
+        entry = {"service": service, "zone": "a", "slots": slots, "state": "ready", "version": "v1"}
         self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
 
     def send_change(self, change: Callable[[Config], None]) -> int:
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -66,7 +66,7 @@
         self.store.put("op", "config", CONFIG)
         for server in self.servers:
             await server.start()
-            entry = {"service": "llm", "zone": "a", "slots": 4, "state": "ready"}
+            entry = {"service": "llm", "zone": "a", "slots": 4, "state": "ready", "version": "v1"}
             self.store.put("servers", server.id, {**entry, "address": f"{server.ip}:{server.port}"})
         for number in range(peers):
             await self.add_gateway(f"h{number}")
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -321,7 +321,7 @@
     """A server that goes on while the event loop of the gateway is blocked."""
     background, server = Background(), AppServerStandin("i-own-clock")
     await asyncio.to_thread(background.run, server.start())
-    entry = {"service": "app", "zone": "a", "slots": 4, "state": "ready"}
+    entry = {"service": "app", "zone": "a", "slots": 4, "state": "ready", "version": "v1"}
     rig.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
     rig.store.put("servers", rig.app.id, None)
     yield server
--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -63,7 +63,14 @@
         self.store.put("op", "config", CONFIG)
         for server in self.servers:
             await server.start()
-            entry = {"service": "app", "zone": "a", "slots": 6, "state": "ready", "born": 7}
+            entry = {
+                "service": "app",
+                "zone": "a",
+                "slots": 6,
+                "state": "ready",
+                "version": "v1",
+                "born": 7,
+            }
             self.store.put("servers", server.id, {**entry, "address": f"{server.ip}:{server.port}"})
         for number in range(GATEWAYS):
             service = PlatformService(self._build_settings(number), Path("absent"))
--- a/tests/support/watchrig.py
+++ b/tests/support/watchrig.py
@@ -21,7 +21,14 @@
 TIMEOUT_S = 5.0
 DRAIN_S = 2.5
 CONTACT_S = 4.0
-SERVER = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 4, "state": "ready"}
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "version": "v1",
+}
 
 
 BUDGET = StalenessBudget(CONTACT_S, DRAIN_S)
