Ask the memory of versions in a test by its interface

The test read a private attribute of the memory. It asks as a caller would now, beside an endpoint of another version, so that only the record can answer.

--- a/tests/gateway/test_versions.py
+++ b/tests/gateway/test_versions.py
@@ -220,6 +220,8 @@
 ) -> None:
     # fault: the request reached a start of which nothing was known when it was placed
     first = await start_engine(start_server, "i-1", "riga-a", "v1")
+    await start_engine(start_server, "i-2", "kurzeme-a", "v1")
+    gateway.directory.get("i-2").full_until = float("inf")
     endpoint = gateway.directory.get("i-1")
     opened = endpoint.pool.open
     entry = endpoint.entry
@@ -233,4 +235,5 @@
     await run(gateway)
     assert entry.version == "v1"
     assert len(first.seen) == 1
-    assert gateway.stream_versions._known["llm", "w", "c1"] == "v2"
+    taken_up = build_call(ROUTE, id="c2", resumes="c1", resume_after="3")
+    assert await gateway.stream_versions.find(taken_up) == "v2"
