Let the store stand-in check conditions, parts and ranges

Transactions with conditions were refused with 400, and rows had no parts, so that nothing that writes under a condition could be tried against it.

The test of the era header used a removal as its example of a call that is answered 400. A removal is now applied; the list keeps it with 200 and has a malformed transaction for 400, so that one more kind of answer is checked.

Checked by: pytest -n 2 tests/standin/test_rowstore.py

--- a/tests/standin/test_rowstore.py
+++ b/tests/standin/test_rowstore.py
@@ -192,6 +192,7 @@
             await caller.poll(0),
             await caller.write(writes=[build_row("a", "1")]),
             await caller.write(remove=[build_row("a", "1")]),
+            await caller.write(remove=[{"table": "t"}]),
             await caller.get("/rows-get"),
             await caller.poll(store.revision + 1),
             await caller.get("/elsewhere"),
@@ -201,7 +202,7 @@
         store.refusing = 0
         return answers
 
-    statuses = [200, 200, 200, 400, 400, 410, 404, 503]
+    statuses = [200, 200, 200, 200, 400, 400, 410, 404, 503]
     copy = store.take_copy()
     assert [(a.status, a.era) for a in await call_all()] == [(status, "1") for status in statuses]
     store.restore(copy)
@@ -242,3 +243,47 @@
     store.restore(store.take_copy())
     store.clock_offset_s = -60.0
     assert -60_000 <= (await caller.list()).body["nowMs"] - before < -55_000
+
+
+async def test_a_condition_that_fails_applies_nothing(
+    store: RowStoreStandin, caller: Caller
+) -> None:
+    store.put("t", "a", b"one")
+    expected = [{"table": "t", "part": "", "key": key, "ver": 0} for key in ("a", "b")]
+    conflict = await caller.write(expected=expected, writes=[build_row("b", "two")])
+    assert (conflict.status, conflict.values, conflict.revisions) == (412, {"a": "one"}, {"a": 1})
+    assert store.get("t", "b") is None
+    expected[0]["ver"] = 1
+    applied = await caller.write(
+        expected=expected, writes=[build_row("b", "two")], remove=[build_row("a", "")]
+    )
+    assert (applied.status, applied.body["ver"], "rows" in applied.body) == (200, 2, False)
+    listed = await caller.list()
+    assert (listed.values, listed.revisions) == ({"b": "two"}, {"b": 2})
+    # a removed row counts as one that doesn't exist
+    again = [{"table": "t", "part": "", "key": "a", "ver": 0}]
+    assert (await caller.write(expected=again, writes=[build_row("a", "three")])).status == 200
+
+
+async def test_a_transaction_has_one_part_and_at_most_100_entries(
+    store: RowStoreStandin, caller: Caller
+) -> None:
+    rows = [{**build_row("a", "1"), "part": part} for part in ("p", "q")]
+    assert (await caller.write(writes=rows)).status == 400
+    assert (await caller.write(writes=rows, across=True)).status == 200
+    assert (store.get("t", "a", "p"), store.get("t", "a")) == (b"1", None)
+    many = [build_row(f"k{n}", "1") for n in range(101)]
+    assert (await caller.write(writes=many)).status == 400
+    assert (await caller.write(writes=many[:100])).status == 200
+
+
+async def test_a_read_has_a_range_of_one_part(store: RowStoreStandin, caller: Caller) -> None:
+    for key in ("a", "b", "c", "d"):
+        store.put("t", key, b"1", "p")
+        store.put("t", key, b"1", "q")
+    query = {"table": "t", "part": "p", "from": "b", "to": "d"}
+    whole = await caller.get("/rows-get", **query)
+    assert (list(whole.values), whole.body["hasMore"]) == (["b", "c"], False)
+    assert {row["part"] for row in whole.body["rows"]} == {"p"}
+    page = await caller.get("/rows-get", **query, limit=1)
+    assert (list(page.values), page.body["hasMore"]) == (["b"], True)
