Add transactions with conditions to the client of the store

The client could only write single rows unconditionally. A transaction tells apart what was applied, what was refused, and what got no response and may be applied later; reads take a part and a range of keys.

Checked by: pytest -n 2 tests/platform/test_store.py

--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -4,7 +4,7 @@
 
 import base64
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from typing import Annotated
 from urllib.parse import urlencode
 
@@ -13,11 +13,19 @@
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.gateway.revision import Revision
-from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse, KeepAlive
+from basilroad.http import (
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    KeepAlive,
+    RequestNotSentError,
+)
 from basilroad.platform.staleness import RESPONSE_ALLOWANCE_S
 
 STATUS_OK = 200
 STATUS_GONE = 410
+STATUS_CONFLICT = 412
 READ_TIMEOUT_S = 0.8
 """Longest silence in a read: many times the store's usual latency, and short enough for a retry
 within the time in which a config version has to be in force."""
@@ -52,6 +60,10 @@
         self.closed = closed
 
 
+class ResponseLostError(StoreError):
+    """A transaction got no response, so it may have been applied or may be later."""
+
+
 class HistoryGoneError(StoreError):
     """The store no longer keeps the requested changes."""
 
@@ -73,7 +85,14 @@
     now_ms: float | None = None  # the store's monotonic clock, not time of day
 
 
+class _WireResult(msgspec.Struct, rename="camel"):
+    ver: RevisionNumber
+    rows: list[_WireRow] = []
+    now_ms: float | None = None
+
+
 _ROWS_DECODER = JsonDecoder(_WireRows)
+_RESULT_DECODER = JsonDecoder(_WireResult)
 
 
 @attrs.frozen
@@ -104,6 +123,49 @@
     store_s: float | None = None
 
 
+@attrs.frozen
+class Transaction:
+    """Changes of rows of one part, which are applied together or not at all.
+
+    :param part: the part
+    :param table: table of the rows
+    :param expected: revision numbers by key; 0 for a row that must not exist
+    :param writes: new values by key
+    :param removals: keys of the rows that are removed
+    """
+
+    part: str
+    table: str
+    expected: Mapping[str, int] = attrs.field(factory=dict)
+    writes: Mapping[str, bytes] = attrs.field(factory=dict)
+    removals: Sequence[str] = ()
+
+    def encode(self) -> bytes:
+        """:return: body of the request."""
+        expected = [{**self._name(key), "ver": number} for key, number in self.expected.items()]
+        writes = [
+            {**self._name(key), "value": base64.b64encode(value).decode()}
+            for key, value in self.writes.items()
+        ]
+        removals = [self._name(key) for key in self.removals]
+        return msgspec.json.encode({"expected": expected, "writes": writes, "remove": removals})
+
+    def _name(self, key: str) -> dict[str, str | int]:
+        return {"table": self.table, "part": self.part, "key": key}
+
+
+@attrs.frozen
+class TransactionResult:
+    """Response to a transaction.
+
+    :param applied: whether it was applied; if not, rows didn't have the expected revisions
+    :param changes: if it was applied, its revision; if not, the current rows
+    """
+
+    applied: bool
+    changes: Changes
+
+
 class StoreClient:
     """Reads, watches and writes tables of the store.
 
@@ -162,8 +224,7 @@
         page, epoch = await self._get("/rows-feed", query, wait_s + RESPONSE_ALLOWANCE_S, wait_s)
         if epoch != revision.epoch:
             raise HistoryGoneError("the requested changes are of another epoch")
-        rows = tuple(_decode_row(row, epoch) for row in page.rows)
-        return Changes(rows, Revision(epoch, page.ver), _read_store_clock(page))
+        return _decode_page(page, epoch)
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row unconditionally.
@@ -173,18 +234,67 @@
         :param value: its new value
         :raises StoreError: it may not have been written
         """
-        row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value).decode()}
-        body = msgspec.json.encode({"expected": [], "writes": [row], "remove": []})
+        answer = await self._post(Transaction("", table, writes={key: value}))
+        if answer.status != STATUS_OK:
+            raise StoreError(f"responded with status {answer.status}, expected {STATUS_OK}")
+
+    async def read_row(self, table: str, part: str, key: str) -> Changes:
+        """Read one row.
+
+        :param table: its table
+        :param part: its part
+        :param key: its key
+        :return: the row, or no rows if it doesn't exist
+        :raises StoreError: there was no valid response
+        """
+        return await self.read_range(table, part, key, key + "\0", 1)
+
+    async def read_range(
+        self, table: str, part: str, start: str, end: str, limit: int = PAGE_ROWS
+    ) -> Changes:
+        """Read rows of a range of keys.
+
+        :param table: their table
+        :param part: their part
+        :param start: first key
+        :param end: key before which the range ends
+        :param limit: maximum number of rows
+        :return: the first rows of the range
+        :raises StoreError: there was no valid response
+        """
+        query = {"table": table, "part": part, "from": start, "to": end, "limit": limit}
+        page, epoch = await self._get("/rows-get", query, READ_TIMEOUT_S)
+        return _decode_page(page, epoch)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """Apply changes if their conditions hold.
+
+        :param transaction: the changes
+        :return: whether they were applied
+        :raises ResponseLostError: they may have been applied, or may be later
+        :raises StoreError: they were not applied and won't be
+        """
+        answer = await self._post(transaction)
+        if answer.status not in (STATUS_OK, STATUS_CONFLICT):
+            raise StoreError(f"responded with status {answer.status}, expected {STATUS_OK}")
+        try:
+            page = _RESULT_DECODER.decode(answer.body)
+        except DecodeError as error:
+            raise ResponseLostError(f"response can't be decoded: {error}") from error
+        epoch = _read_epoch(answer, self.epoch or 0)
+        return TransactionResult(answer.status == STATUS_OK, _decode_page(page, epoch))
+
+    async def _post(self, transaction: Transaction) -> HttpResponse:
         headers = (("Content-Type", "application/json"),)
+        request = HttpRequest("POST", "/rows-tx", headers, transaction.encode())
         try:
-            answer = await self._client.send(
-                HttpRequest("POST", "/rows-tx", headers, body), READ_TIMEOUT_S
-            )
-        except HttpError as error:
+            answer = await self._client.send(request, READ_TIMEOUT_S)
+        except RequestNotSentError as error:
             raise StoreError(str(error)) from error
+        except HttpError as error:
+            raise ResponseLostError(str(error)) from error
         self._observe_epoch(answer)
-        if answer.status != STATUS_OK:
-            raise StoreError(f"responded with status {answer.status}, expected {STATUS_OK}")
+        return answer
 
     async def close(self) -> None:
         """Close all connections."""
@@ -230,10 +340,15 @@
     return int(text)
 
 
-def _read_store_clock(page: _WireRows) -> float | None:
+def _read_store_clock(page: _WireRows | _WireResult) -> float | None:
     return None if page.now_ms is None else page.now_ms / 1000
 
 
+def _decode_page(page: _WireRows | _WireResult, epoch: int) -> Changes:
+    rows = tuple(_decode_row(row, epoch) for row in page.rows)
+    return Changes(rows, Revision(epoch, page.ver), _read_store_clock(page))
+
+
 def _decode_row(row: _WireRow, epoch: int) -> StoreRow:
     revision = Revision(epoch, row.ver)
     if row.deleted:
@@ -249,7 +364,10 @@
     "Changes",
     "ConnectionLostError",
     "HistoryGoneError",
+    "ResponseLostError",
     "StoreClient",
     "StoreError",
     "StoreRow",
+    "Transaction",
+    "TransactionResult",
 ]
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,74 @@
+"""Transactions and reads of rows by the client of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from basilroad.platform.store import ResponseLostError, StoreClient, StoreError, Transaction
+from basilroad.standin.rowstore import RowStoreStandin
+
+
+@pytest.fixture
+async def store() -> AsyncIterator[RowStoreStandin]:
+    store = RowStoreStandin()
+    await store.start()
+    yield store
+    await store.stop()
+
+
+@pytest.fixture
+async def client(store: RowStoreStandin) -> AsyncIterator[StoreClient]:
+    client = StoreClient(f"http://127.0.0.1:{store.port}")
+    yield client
+    await client.close()
+
+
+async def test_a_transaction_is_applied_if_its_conditions_hold(
+    store: RowStoreStandin, client: StoreClient
+) -> None:
+    first = await client.transact(Transaction("p", "t", {"a": 0}, {"a": b"one", "b": b"two"}))
+    assert (first.applied, first.changes.revision.number) == (True, 1)
+    conflict = await client.transact(Transaction("p", "t", {"a": 0, "c": 0}, {"a": b"three"}))
+    assert not conflict.applied
+    assert [(r.key, r.value, r.revision.number) for r in conflict.changes.rows] == [
+        ("a", b"one", 1)
+    ]
+    second = await client.transact(Transaction("p", "t", {"a": 1}, {"a": b"three"}, ["b"]))
+    assert (second.applied, second.changes.revision.number) == (True, 2)
+    assert (store.get("t", "a", "p"), store.get("t", "b", "p")) == (b"three", None)
+
+
+async def test_rows_of_one_part_are_read_by_key(
+    store: RowStoreStandin, client: StoreClient
+) -> None:
+    for key in ("a", "a1", "b"):
+        store.put("t", key, key.encode(), "p")
+        store.put("t", key, b"other", "q")
+    row = await client.read_row("t", "p", "a")
+    assert [(r.key, r.value) for r in row.rows] == [("a", b"a")]
+    assert (await client.read_row("t", "p", "c")).rows == ()
+    rows = await client.read_range("t", "p", "a", "b")
+    assert [r.key for r in rows.rows] == ["a", "a1"]
+
+
+# fault: a write that may still be applied is taken for one that is not
+async def test_a_lost_response_differs_from_a_refusal(
+    store: RowStoreStandin, client: StoreClient
+) -> None:
+    transaction = Transaction("p", "t", {"a": 0}, {"a": b"one"})
+    store.refusing = 503
+    with pytest.raises(StoreError) as refused:
+        await client.transact(transaction)
+    assert not isinstance(refused.value, ResponseLostError)
+    store.refusing, store.silent = 0, True
+    with pytest.raises(ResponseLostError):
+        await client.transact(transaction)
+    store.silent = False
+    await store.stop()
+    await asyncio.sleep(0.05)
+    with pytest.raises(StoreError) as unreached:
+        await client.transact(transaction)
+    assert not isinstance(unreached.value, ResponseLostError)
