Keep the versions of streams in the store

What callers saw: streams that were taken up again after all gateways had been killed at once went on at an endpoint of another software version, joined of two versions without a sign of it.

Cause: only the gateway that had begun a stream knew its version.

Change: the store has one base version for each service, whose streams need no record, and a record of each stream that began at another version, written before its first event is passed on. A transaction without a response may be applied later, so a record is settled only by a response to a later one, and the base version changes in two steps, the first of which hosts can see. A host relies on the base version only while it sees it listed; others change it only after it was away for longer.

--- /dev/null
+++ b/src/basilroad/gateway/baseversion.py
@@ -0,0 +1,329 @@
+"""The version whose streams need no record, one for each service."""
+
+from __future__ import annotations
+
+import logging
+import math
+import random
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Annotated
+
+import attrs
+import msgspec
+
+from basilroad.coordination.decoding import DecodeError, JsonDecoder
+from basilroad.gateway.streamrecords import RESUME_WINDOW_S
+from basilroad.gateway.versionarchive import (
+    ArchiveRow,
+    Committed,
+    Conflict,
+    MayCommit,
+    NotCommitted,
+    Outcome,
+    RowChange,
+)
+
+if TYPE_CHECKING:
+    from basilroad.gateway.versionlisting import VersionListing
+
+BASE_KEY = "base"
+
+LINGER_S = 30.0
+"""Time for which an endpoint may go on with its streams after its entry is gone."""
+
+VERSION_MEMORY_S = RESUME_WINDOW_S + LINGER_S
+"""Time after a version was last listed in which one of its streams may be taken up again."""
+
+LEASE_S = RESUME_WINDOW_S
+"""Time after the base version was last seen listed in which it can't have changed: shorter than the
+time without it after which others change it by more than listings of hosts differ."""
+
+CHANGE_DELAY_S = 15.0
+"""Time between the announcement and the change of a base version, longer than it takes until all
+hosts know a new entry."""
+
+CREATE_SPREAD_S = 1.0
+CHANGE_SPREAD_S = 10.0
+"""Random delays of writes for which hosts compete; the later ones find that they aren't needed."""
+
+RESTORE_SETTLE_S = 10.0
+"""Time after a restore in which hosts write what the copy lacks."""
+
+REREAD_INTERVAL_S = 20.0
+"""Interval of reads while the base version is not listed and another host may have changed it."""
+
+MAX_GENERATION = 2**63 - 1
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class _StoredBase(msgspec.Struct):
+    """Value of the row.
+
+    :param version: the base version
+    :param generation: rises with each change
+    :param successor: version to which it is about to change; ``None`` without an announcement
+    """
+
+    version: str
+    generation: Annotated[int, msgspec.Meta(ge=1, le=MAX_GENERATION)]
+    successor: str | None = None
+
+
+_DECODER = JsonDecoder(_StoredBase)
+
+
+@attrs.define
+class _State:
+    """What is known of the row.
+
+    :param base: its value; ``None`` without a row
+    :param revision: its revision; 0 without a row
+    :param read_at: when it was read, in seconds
+    """
+
+    base: _StoredBase | None
+    revision: int
+    read_at: float
+
+
+class BaseVersion:
+    """Knows a service's base version, and takes part in its creation and changes.
+
+    It changes in two steps, since a transaction without a response may be applied later: the first
+    one announces the successor, the second one is sent only when the version has stayed away since.
+    A host that reads the row without an announcement can rely on it while the version is listed;
+    one that sees the version listed withdraws an announcement first.
+
+    :param service: the service
+    :param listing: versions of the listed endpoints
+    :param generator: random number generator
+    """
+
+    def __init__(self, service: str, listing: VersionListing, generator: random.Random) -> None:
+        self._service = service
+        self._listing = listing
+        self._random = generator
+        self._state: _State | None = None
+        self._best: _StoredBase | None = None
+        self._leased = False
+        self._write_at: float | None = None
+        self._announced_at: float | None = None
+        self._settles_at = -math.inf
+        self._sent: _StoredBase | None = None
+
+    @property
+    def version(self) -> str | None:
+        """:return: the base version as it was last known; ``None`` if it isn't."""
+        known = self._state.base if self._state is not None else None
+        if known is None or (self._best and self._best.generation > known.generation):
+            known = self._best
+        return known.version if known is not None else None
+
+    def is_trusted(self, now: float) -> bool:
+        """Check whether the base version is known and can't have changed since.
+
+        :param now: boot clock in seconds
+        :return: whether streams of the base version need no record
+        """
+        if self._leased and self._is_absent(now, LEASE_S):
+            self._leased = False
+            _LOGGER.info("base version in doubt", extra=self._describe())
+        return self._leased
+
+    def doubt(self, now: float) -> None:
+        """Read the row again, as the store was restored.
+
+        :param now: boot clock in seconds
+        """
+        self._leased, self._state, self._write_at, self._announced_at = False, None, None, None
+        self._settles_at = now + RESTORE_SETTLE_S
+
+    def needs_read(self, now: float) -> bool:
+        """Check whether the row has to be read.
+
+        :param now: boot clock in seconds
+        :return: whether it is
+        """
+        if self.is_trusted(now):
+            return False
+        state = self._state
+        if state is None:
+            return True
+        if self._find_write(now) is not None:
+            # others may have written since the row was read
+            return self._write_at is not None and state.read_at < self._write_at <= now
+        if now < self._settles_at:
+            return False
+        if state.base is not None and self._listing.is_listed(self._service, state.base.version):
+            return True
+        is_served = bool(self._listing.count_listed(self._service))
+        return is_served and now - state.read_at >= REREAD_INTERVAL_S
+
+    def apply_read(self, row: ArchiveRow | None, requested_at: float, restored: bool) -> None:
+        """Apply the row as it was read.
+
+        :param row: the row; ``None`` if it doesn't exist
+        :param requested_at: boot clock in seconds
+        :param restored: whether the store was ever restored from a copy
+        """
+        previous = self._state
+        base = None if row is None else _decode(row)
+        revision = 0 if row is None else row.revision
+        if restored and row is None and previous is None:
+            # other hosts may know what the copy lacks
+            self._settles_at = max(self._settles_at, requested_at + RESTORE_SETTLE_S)
+        self._state = _State(base, revision, requested_at)
+        if previous is None or previous.revision != revision:
+            self._write_at = self._announced_at = None
+        if base is not None and (self._best is None or base.generation >= self._best.generation):
+            self._best = base
+        if base is not None and base.successor is not None and self._announced_at is None:
+            self._announced_at = requested_at
+        self._renew(requested_at)
+        if previous is None or previous.revision != revision:
+            _LOGGER.info("base version read", extra=self._describe())
+
+    def find_change(self, now: float) -> RowChange | None:
+        """Find the change of the row that this host has to send now.
+
+        :param now: boot clock in seconds
+        :return: the change, whose outcome has to be applied; ``None`` for none
+        """
+        target = None if self.is_trusted(now) else self._find_write(now)
+        state = self._state
+        if state is None or target is None:
+            self._write_at = None
+            return None
+        if not self._is_withdrawal(target):
+            if self._write_at is None:
+                spread_s = CREATE_SPREAD_S if state.base is None else CHANGE_SPREAD_S
+                self._write_at = now + self._random.uniform(0.0, spread_s)
+            if state.read_at < self._write_at:
+                return None
+        self._sent = target
+        return RowChange(BASE_KEY, msgspec.json.encode(target), state.revision)
+
+    def _is_withdrawal(self, target: _StoredBase) -> bool:
+        # sent at once, as streams need records until then
+        base = self._state.base if self._state is not None else None
+        return base is not None and base.version == target.version and target.successor is None
+
+    def _find_write(self, now: float) -> _StoredBase | None:
+        state = self._state
+        if state is None:
+            return None
+        base, best = state.base, self._best
+        if best is not None and (base is None or best.generation > base.generation):
+            # a restored store has lost it; streams without a record rely on it
+            return _StoredBase(best.version, best.generation + 1)
+        if now < self._settles_at:
+            return None
+        candidates = self._listing.count_ready(self._service) or self._listing.count_listed(
+            self._service
+        )
+        if base is None:
+            return _StoredBase(_choose(candidates), 1) if candidates else None
+        if self._listing.is_listed(self._service, base.version):
+            return None if base.successor is None else _StoredBase(base.version, base.generation)
+        away = self._is_absent(now, VERSION_MEMORY_S)
+        if not (away and self._listing.is_complete_since(now - VERSION_MEMORY_S) and candidates):
+            return None
+        if base.successor is None:
+            return _StoredBase(base.version, base.generation, _choose(candidates))
+        if self._announced_at is None or now - self._announced_at < CHANGE_DELAY_S:
+            return None
+        if base.successor not in candidates:
+            return _StoredBase(base.version, base.generation, _choose(candidates))
+        return _StoredBase(base.successor, base.generation + 1)
+
+    def apply(self, outcome: Outcome, now: float) -> None:
+        """Apply the outcome of a change.
+
+        :param outcome: what became of it
+        :param now: boot clock in seconds at which the change was sent
+        """
+        self._apply(outcome, now)
+
+    @singledispatchmethod
+    def _apply(self, outcome: object, now: float) -> None:
+        raise NotImplementedError(type(outcome).__name__)
+
+    @_apply.register
+    def _(self, outcome: Committed, now: float) -> None:
+        sent, self._sent = self._sent, None
+        if sent is None:
+            # the store was restored meanwhile
+            return
+        self._state = _State(sent, outcome.revision, now)
+        self._best = sent
+        self._write_at = None
+        self._announced_at = now if sent.successor is not None else None
+        _LOGGER.info("base version written", extra=self._describe())
+        self._renew(now)
+
+    @_apply.register
+    def _(self, outcome: Conflict, now: float) -> None:
+        self._sent = None
+        self.apply_read(outcome.rows.get(BASE_KEY), now, restored=False)
+
+    @_apply.register
+    def _(self, outcome: NotCommitted, now: float) -> None:
+        del outcome, now
+        self._sent = None
+
+    @_apply.register
+    def _(self, outcome: MayCommit, now: float) -> None:
+        del outcome, now
+        # read again before anything else is decided
+        self._sent = self._state = self._write_at = None
+
+    def _renew(self, read_at: float) -> None:
+        state = self._state
+        base = state.base if state is not None else None
+        self._leased = (
+            base is not None
+            and base.successor is None
+            and (self._best is None or self._best.generation <= base.generation)
+            and read_at >= self._settles_at
+            and self._listing.is_listed(self._service, base.version)
+        )
+
+    def _is_absent(self, now: float, limit_s: float) -> bool:
+        version = self.version
+        return version is None or now - self._listing.seen_at(self._service, version) > limit_s
+
+    def _describe(self) -> dict[str, object]:
+        base = self._state.base if self._state is not None else None
+        return {
+            "service": self._service,
+            "version": base.version if base else None,
+            "generation": base.generation if base else None,
+            "successor": base.successor if base else None,
+            "trusted": self._leased,
+        }
+
+
+def _decode(row: ArchiveRow) -> _StoredBase | None:
+    try:
+        return _DECODER.decode(row.value)
+    except DecodeError as error:
+        _LOGGER.warning("base version skipped", extra={"detail": str(error)})
+        return None
+
+
+def _choose(candidates: dict[str, int]) -> str:
+    """:return: the most frequent version; among several the first by name."""
+    return min(candidates, key=lambda version: (-candidates[version], version))
+
+
+__all__ = [
+    "BASE_KEY",
+    "CHANGE_DELAY_S",
+    "LEASE_S",
+    "LINGER_S",
+    "REREAD_INTERVAL_S",
+    "RESTORE_SETTLE_S",
+    "VERSION_MEMORY_S",
+    "BaseVersion",
+]
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -142,7 +142,7 @@
         self.shutdown = Shutdown(signal=stop_signal or StopSignal())
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
-        self.stream_versions = StreamVersions(self.directory)
+        self.stream_versions = StreamVersions(self.directory, self.metrics, generator=self.random)
         self.containment = Containment(settings.host, self.metrics)
         self._budgets: dict[str, RetryBudget] = {}
         self.loans = RetryLoans(settings.host, self.budget_of, generator=self.random)
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -64,6 +64,22 @@
             ["source"],
             registry=self.registry,
         )
+        self.stream_records = Counter(
+            "basilroad_stream_records",
+            "Records of the versions of streams that were written.",
+            registry=self.registry,
+        )
+        self.takeups = Counter(
+            "basilroad_stream_takeups",
+            "Streams that callers take up again by how their version was found.",
+            ["source"],
+            registry=self.registry,
+        )
+        self.unrecorded_streams = Counter(
+            "basilroad_streams_unrecorded",
+            "Streams that were passed on though their versions could not be recorded.",
+            registry=self.registry,
+        )
         self.refused_parts = Counter(
             "basilroad_refused_parts",
             "Contents and prompt parts that are refused since endpoints crashed on them.",
--- /dev/null
+++ b/src/basilroad/gateway/streamrecords.py
@@ -0,0 +1,320 @@
+"""Records of the versions of streams, and the transactions that keep them."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import math
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from basilroad.coordination.decoding import DecodeError, JsonDecoder
+from basilroad.gateway.versionarchive import (
+    ArchiveRow,
+    Committed,
+    Conflict,
+    MayCommit,
+    NotCommitted,
+    Outcome,
+    RowChange,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from basilroad.gateway.call import Call
+
+RESUME_WINDOW_S = 60.0
+"""Longest time after the end of a response in which its caller may take the stream up again."""
+
+BATCH_ENTRIES = 100
+"""Limit of the store for the conditions, writes and removals of one transaction."""
+
+BATCH_DELAY_S = 0.2
+"""Time for which records are batched; a stream's first event takes several times as long."""
+
+REMOVE_DELAY_S = 15.0
+"""Time for which removals wait for a transaction that writes records."""
+
+KEY_BYTES = 16
+"""Size of the hash of a stream's workspace and id; the streams of one hour differ in it."""
+
+KEY_PREFIX = "stream-"
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class _StoredVersion(msgspec.Struct):
+    """Value of a record.
+
+    :param version: version that began the stream
+    :param written_s: store clock in seconds when it was written; ``None`` if not known
+    """
+
+    version: str
+    written_s: float | None = None
+
+
+_DECODER = JsonDecoder(_StoredVersion)
+
+
+def build_key(workspace: str, stream_id: str) -> str:
+    """:return: key of the record of a stream, which tells neither its workspace nor its id."""
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    for field in (workspace.encode(), stream_id.encode()):
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
+    return KEY_PREFIX + digest.hexdigest()
+
+
+def decode_version(row: ArchiveRow) -> str | None:
+    """:return: version in a record; ``None`` if it can't be read."""
+    try:
+        return _DECODER.decode(row.value).version
+    except DecodeError as error:
+        _LOGGER.warning("stream record skipped", extra={"detail": str(error)})
+        return None
+
+
+@attrs.define(eq=False)
+class _Record:
+    """One stream's record, here and in the store.
+
+    :param wanted: version that the store has to hold
+    :param due_at: when it is to be written
+    :param leaves_at: when it is to be removed
+    :param stored: version that the store was last known to hold
+    :param revision: revision of the stored row, as far as known; 0 without a row
+    :param sent: whether it was ever sent to the store
+    :param doubtful: versions in transactions that may still be applied, one for each transaction
+    """
+
+    wanted: str
+    due_at: float
+    leaves_at: float
+    stored: str | None = None
+    revision: int = 0
+    sent: bool = False
+    doubtful: list[str] = attrs.field(factory=list)
+
+    @property
+    def is_settled(self) -> bool:
+        """:return: whether the store holds the wanted version, and no other can take its place."""
+        return self.stored == self.wanted and not self.doubtful
+
+
+@attrs.frozen
+class Batch:
+    """Changes for one transaction.
+
+    :param writes: version and expected revision by key of the records that are written
+    :param removals: keys of the records that are removed
+    :param restores: number of restores of the store that were known
+    """
+
+    writes: dict[str, tuple[str, int]]
+    removals: tuple[str, ...]
+    restores: int
+
+    def build_changes(self, store_s: float | None) -> list[RowChange]:
+        """Build the changes.
+
+        :param store_s: the store's clock in seconds; ``None`` if not known
+        :return: the changes
+        """
+        writes = [
+            RowChange(key, msgspec.json.encode(_StoredVersion(version, store_s)), revision)
+            for key, (version, revision) in self.writes.items()
+        ]
+        return writes + [RowChange(key, None) for key in self.removals]
+
+
+class StreamRecords:
+    """The records of those streams of one service that were begun here.
+
+    A transaction without a response may be applied later if its conditions still hold, so a record
+    is settled only after a response to a transaction that was sent later.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+        self._removals: dict[str, float] = {}
+        self._restores = 0
+
+    def request(self, call: Call, version: str, now: float, delay_s: float = BATCH_DELAY_S) -> None:
+        """Request that the store holds a version for a stream.
+
+        :param call: the stream's call
+        :param version: the version
+        :param now: seconds
+        :param delay_s: seconds for which the write may wait for others
+        """
+        key = build_key(call.workspace, call.id)
+        record = self._records.get(key)
+        if record is None:
+            leaves_at = now + (call.expires_at - call.arrived_at) + RESUME_WINDOW_S
+            record = self._records[key] = _Record(version, now + delay_s, leaves_at)
+            self._removals.pop(key, None)
+        record.wanted = version
+        record.due_at = min(record.due_at, now + delay_s)
+
+    def withdraw(self, call: Call) -> bool:
+        """Withdraw the request for a stream unless it was sent to the store.
+
+        :param call: the stream's call
+        :return: whether the store holds no record of it, nor will later
+        """
+        key = build_key(call.workspace, call.id)
+        record = self._records.get(key)
+        if record is not None and record.sent:
+            return False
+        self._records.pop(key, None)
+        return True
+
+    def withdraw_all(self, version: str) -> None:
+        """Withdraw the requests for a version that were not sent to the store.
+
+        :param version: the version
+        """
+        for key, record in list(self._records.items()):
+            if record.wanted == version and not record.sent:
+                del self._records[key]
+
+    def is_settled(self, call: Call) -> bool:
+        """:return: whether the store holds the requested version, and will go on to do so."""
+        record = self._records.get(build_key(call.workspace, call.id))
+        return record is not None and record.is_settled
+
+    def may_differ(self, call: Call, version: str) -> bool:
+        """:return: whether the store holds another version for a stream, or may do so later."""
+        record = self._records.get(build_key(call.workspace, call.id))
+        if record is None:
+            return False
+        possible = {*record.doubtful, record.stored}
+        return not possible <= {version, None}
+
+    def keep(self, call: Call, until: float = math.inf) -> None:
+        """Keep the record of a stream until a moment, by default until another one is named.
+
+        :param call: the stream's call
+        :param until: seconds
+        """
+        record = self._records.get(build_key(call.workspace, call.id))
+        if record is not None:
+            record.leaves_at = until
+
+    def repeat(self) -> None:
+        """Write all records again, as the store was restored from a copy."""
+        self._restores += 1
+        for record in self._records.values():
+            record.stored, record.revision = None, 0
+
+    def expire(self, now: float) -> None:
+        """Let the records leave whose streams can't be taken up any more.
+
+        :param now: seconds
+        """
+        for key in [key for key, r in self._records.items() if now >= r.leaves_at]:
+            if self._records.pop(key).sent:
+                self._removals[key] = now
+
+    def due_at(self) -> float:
+        """:return: when the next transaction is due in seconds; infinity for none."""
+        due = [r.due_at for r in self._records.values() if not r.is_settled]
+        if len(self._removals) >= BATCH_ENTRIES:
+            due.append(-math.inf)
+        due.extend(at + REMOVE_DELAY_S for at in self._removals.values())
+        return min(due, default=math.inf)
+
+    def next_leaving(self) -> float:
+        """:return: when the next record leaves in seconds; infinity for none."""
+        return min((record.leaves_at for record in self._records.values()), default=math.inf)
+
+    def take_batch(self) -> Batch:
+        """:return: the changes of the next transaction, whose outcome has to be applied."""
+        writes: dict[str, tuple[str, int]] = {}
+        due = [(r.due_at, key, r) for key, r in self._records.items() if not r.is_settled]
+        # each write has a condition, which counts as an entry too
+        for _, key, record in sorted(due, key=lambda item: item[0])[: BATCH_ENTRIES // 2]:
+            writes[key] = (record.wanted, record.revision)
+            record.sent = True
+            record.doubtful.append(record.wanted)
+        room = BATCH_ENTRIES - 2 * len(writes)
+        return Batch(writes, tuple(self._removals)[:room], self._restores)
+
+    def apply(self, batch: Batch, outcome: Outcome) -> int:
+        """Apply the outcome of a transaction.
+
+        :param batch: its changes
+        :param outcome: what became of them
+        :return: number of records that were written
+        """
+        if batch.restores != self._restores and not isinstance(outcome, NotCommitted):
+            # it may have been applied before the restore, so that the store has lost it
+            return 0
+        return self._apply(outcome, batch)
+
+    @singledispatchmethod
+    def _apply(self, outcome: object, batch: Batch) -> int:
+        raise NotImplementedError(type(outcome).__name__)
+
+    @_apply.register
+    def _(self, outcome: Committed, batch: Batch) -> int:
+        for record, (version, _) in self._list_written(batch):
+            record.stored, record.revision = version, outcome.revision
+            record.doubtful.clear()
+        for key in batch.removals:
+            self._removals.pop(key, None)
+        return len(batch.writes)
+
+    @_apply.register
+    def _(self, outcome: Conflict, batch: Batch) -> int:
+        self._take_back(batch)
+        for key, (_, expected) in batch.writes.items():
+            record, row = self._records.get(key), outcome.rows.get(key)
+            revision = 0 if row is None else row.revision
+            if record is None or revision == expected:
+                continue
+            # whatever expects the former revision can't be applied any more
+            record.doubtful.clear()
+            record.revision = revision
+            record.stored = None if row is None else decode_version(row)
+        return 0
+
+    @_apply.register
+    def _(self, outcome: NotCommitted, batch: Batch) -> int:
+        del outcome
+        self._take_back(batch)
+        return 0
+
+    @_apply.register
+    def _(self, outcome: MayCommit, batch: Batch) -> int:
+        del outcome, batch
+        return 0
+
+    def _take_back(self, batch: Batch) -> None:
+        for record, (version, _) in self._list_written(batch):
+            if version in record.doubtful:
+                record.doubtful.remove(version)
+            record.sent = bool(record.doubtful or record.revision)
+
+    def _list_written(self, batch: Batch) -> Iterator[tuple[_Record, tuple[str, int]]]:
+        for key, write in batch.writes.items():
+            record = self._records.get(key)
+            if record is not None:
+                yield record, write
+
+
+__all__ = [
+    "BATCH_DELAY_S",
+    "BATCH_ENTRIES",
+    "REMOVE_DELAY_S",
+    "RESUME_WINDOW_S",
+    "Batch",
+    "StreamRecords",
+    "build_key",
+    "decode_version",
+]
--- /dev/null
+++ b/src/basilroad/gateway/writepace.py
@@ -0,0 +1,89 @@
+"""Pace of a host's calls to the archive."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WRITES_PER_S = 100.0
+"""Transactions a second of all hosts together: half of what a part of the store takes."""
+
+BURST = 4
+"""Transactions that a host may make at once after a pause."""
+
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
+"""Limits of the backoff after a failed call."""
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class WritePace:
+    """Spaces out the calls of this host.
+
+    :param count_hosts: counts the hosts that share the archive
+    """
+
+    def __init__(self, count_hosts: Callable[[], int]) -> None:
+        self._count_hosts = count_hosts
+        self._spent_until = -math.inf
+        self._retry_s = RETRY_MIN_S
+        self.retry_at = -math.inf
+        self._write_failed = False
+        self.is_away = False
+
+    @property
+    def _interval_s(self) -> float:
+        return max(1, self._count_hosts()) / WRITES_PER_S
+
+    @property
+    def next_at(self) -> float:
+        """:return: when the next transaction may be made in seconds."""
+        return max(self.retry_at, self._spent_until - (BURST - 1) * self._interval_s)
+
+    def may_read(self, now: float) -> bool:
+        """:return: whether the archive may be read now, which is not done for a caller."""
+        return now >= self.retry_at
+
+    def may_write(self, now: float) -> bool:
+        """:return: whether a transaction may be made now."""
+        return now >= self.next_at
+
+    def record_write(self, now: float) -> None:
+        """Record a transaction.
+
+        :param now: seconds
+        """
+        self._spent_until = max(self._spent_until, now) + self._interval_s
+
+    def record_read(self) -> None:
+        """Record a successful read, which doesn't tell whether writes are possible."""
+        if not self._write_failed:
+            self.record_success()
+
+    def record_success(self) -> None:
+        """Record that writes are possible."""
+        if self.is_away:
+            _LOGGER.info("stream versions reached again")
+        self.is_away = self._write_failed = False
+        self.retry_at, self._retry_s = -math.inf, RETRY_MIN_S
+
+    def record_failure(self, now: float, detail: str, *, wrote: bool = False) -> None:
+        """Record a call without a valid response.
+
+        :param now: seconds
+        :param detail: cause
+        :param wrote: whether it was a transaction
+        """
+        self._write_failed = self._write_failed or wrote
+        if not self.is_away:
+            _LOGGER.warning("stream versions not reached", extra={"detail": detail})
+        self.is_away, self.retry_at = True, now + self._retry_s
+        self._retry_s = min(RETRY_MAX_S, 2 * self._retry_s)
+
+
+__all__ = ["BURST", "WRITES_PER_S", "WritePace"]
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -19,6 +19,7 @@
 from basilroad.gateway.gossip import GOSSIP_INTERVAL_S, Gossip
 from basilroad.gateway.liveness import LIVENESS_CHECK_INTERVAL_S
 from basilroad.gateway.relay import Relay
+from basilroad.gateway.versionlisting import OBSERVE_INTERVAL_S
 from basilroad.platform.configwatch import ConfigWatch
 from basilroad.platform.crasharchive import CrashArchive
 from basilroad.platform.frontend import PlatformFrontend
@@ -32,6 +33,7 @@
 )
 from basilroad.platform.staleness import StalenessBudget
 from basilroad.platform.store import StoreClient
+from basilroad.platform.streamarchive import StreamArchive
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -104,6 +106,7 @@
             ConfigWatch(self.store, self.gateway, self.relay, self.exchange, budget),
             ServersWatch(self.store, self.gateway, self.relay, budget),
             CrashArchive(self.store, self.settings.host, self.gateway.containment),
+            StreamArchive(self.store, self.gateway),
         ]
         settings = self.settings
         if self.gossip is not None and settings.peers is not None:
@@ -129,6 +132,7 @@
             self.timers.subscribe(HOSTS_UPDATE_INTERVAL_S, self._update_known_hosts)
         self.timers.subscribe(SETTINGS_POLL_INTERVAL_S, self.reload_if_changed)
         self.timers.subscribe(SWEEP_INTERVAL_S, self.gateway.sweep)
+        self.timers.subscribe(OBSERVE_INTERVAL_S, self.gateway.stream_versions.observe)
         self.timers.subscribe(LIVENESS_CHECK_INTERVAL_S, self.gateway.liveness.check)
 
     def _update_known_hosts(self) -> None:
--- /dev/null
+++ b/tests/gateway/test_streamversions.py
@@ -0,0 +1,336 @@
+"""Versions of streams as hosts know them from their own streams and from the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from basilroad.errors import ErrorKind, RefusedError
+from basilroad.gateway.baseversion import VERSION_MEMORY_S
+from basilroad.gateway.directory import Directory
+from basilroad.gateway.streamrecords import RESUME_WINDOW_S
+from basilroad.gateway.streamversions import StreamVersions
+from support.versionrig import SERVICE, SimFleet, SimHost, build_stream_call
+from support.virtualloop import run_virtually
+
+SETTLE_S = 5.0
+RESTART_S = 2.0
+
+
+def virtually(
+    test: Callable[[SimFleet], Coroutine[Any, Any, None]],
+) -> Callable[[], None]:
+    """:return: the test on an event loop without waits."""
+
+    async def run() -> None:
+        await test(SimFleet())
+
+    def run_test() -> None:
+        run_virtually(run())
+
+    run_test.__name__, run_test.__doc__ = test.__name__, test.__doc__
+    return run_test
+
+
+async def start_with_two_versions(fleet: SimFleet, hosts: int = 2) -> None:
+    """Serve v1 alone until it is the base version, then v1 and v2."""
+    fleet.serve("v1")
+    for _ in range(hosts):
+        host = fleet.start_host()
+        await asyncio.sleep(SETTLE_S)
+        fleet.end(await fleet.begin(host, "v1"))
+    await asyncio.sleep(VERSION_MEMORY_S)
+    fleet.serve("v1", "v2")
+    await asyncio.sleep(SETTLE_S)
+
+
+async def restart_all(fleet: SimFleet, hosts: int = 2) -> SimHost:
+    """:return: one of the hosts after all were killed at once."""
+    fleet.kill_all()
+    await asyncio.sleep(RESTART_S)
+    for _ in range(hosts):
+        fleet.start_host()
+    await asyncio.sleep(1.0)
+    return fleet.hosts[-1]
+
+
+# fault: streams were joined of two versions after all hosts had been killed at once
+@virtually
+async def test_versions_are_known_after_the_end_of_all_hosts(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    streams = [await fleet.begin(host, v) for host in fleet.hosts for v in ("v1", "v2", "v2")]
+    assert [stream.version for stream in streams] == 2 * ["v1", "v2", "v2"]
+    host = await restart_all(fleet)
+    assert [await host.find(stream) for stream in streams] == 2 * ["v1", "v2", "v2"]
+
+
+# fault: as above, where the old version had left before the kill
+@virtually
+async def test_versions_are_known_after_the_old_one_has_left(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    old, new = [await fleet.begin(fleet.hosts[0], v) for v in ("v1", "v2")]
+    fleet.serve("v2")
+    await asyncio.sleep(SETTLE_S)
+    host = await restart_all(fleet)
+    assert (await host.find(old), await host.find(new)) == ("v1", "v2")
+
+
+@virtually
+async def test_any_host_knows_the_versions_of_the_streams_of_others(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    first, second = fleet.hosts
+    streams = [await fleet.begin(first, v) for v in ("v1", "v2")]
+    assert [await second.find(stream) for stream in streams] == ["v1", "v2"]
+
+
+# fault: calls to the store are billed, and most of the time one version serves
+@virtually
+async def test_nothing_is_read_or_written_while_one_version_serves(fleet: SimFleet) -> None:
+    fleet.serve("v1")
+    for _ in range(3):
+        host = fleet.start_host()
+        await asyncio.sleep(SETTLE_S)
+        fleet.end(await fleet.begin(host, "v1"))
+    await asyncio.sleep(VERSION_MEMORY_S)
+    calls = fleet.store.reads, fleet.store.writes
+    for n in range(300):
+        host = fleet.hosts[n % 3]
+        stream = await fleet.begin(host, "v1")
+        assert await fleet.hosts[(n + 1) % 3].find(stream) == "v1"
+        fleet.end(stream)
+    assert (fleet.store.reads, fleet.store.writes) == calls
+    # the first host made the row of the base version
+    assert (fleet.store.writes, len(fleet.store.rows)) == (1, 1)
+    assert fleet.store.reads <= 4
+
+
+@virtually
+async def test_records_leave_after_the_time_for_a_take_up(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    streams = [await fleet.begin(fleet.hosts[0], "v2") for _ in range(5)]
+    assert len(fleet.store.rows) == 6
+    await asyncio.sleep(2.0)
+    for stream in streams:
+        fleet.end(stream)
+    writes = fleet.store.writes
+    await asyncio.sleep(RESUME_WINDOW_S - 1.0)
+    assert await fleet.hosts[1].find(streams[0]) == "v2"
+    assert (len(fleet.store.rows), fleet.store.writes) == (6, writes)
+    await asyncio.sleep(20.0)
+    assert (len(fleet.store.rows), fleet.store.writes) == (1, writes + 1)
+
+
+@virtually
+async def test_streams_that_begin_together_share_a_write(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    writes = fleet.store.writes
+    streams = await asyncio.gather(*[fleet.begin(fleet.hosts[0], "v2") for _ in range(120)])
+    assert all(stream.version == "v2" and stream.recorded for stream in streams)
+    # a transaction holds the condition and the write of 50 records
+    assert fleet.store.writes - writes == 3
+
+
+# fault: a stream that moves before its first event is found at the version it has left
+@pytest.mark.parametrize("path", [("v2", "v1"), ("v2", "v3"), ("v1", "v2"), ("v2", "v1", "v2")])
+def test_a_stream_that_moves_before_its_first_event(path: tuple[str, ...]) -> None:
+    @virtually
+    async def move(fleet: SimFleet) -> None:
+        await start_with_two_versions(fleet)
+        fleet.serve("v1", "v2", "v3")
+        await asyncio.sleep(SETTLE_S)
+        stream = await fleet.begin(fleet.hosts[0], *path)
+        assert stream.version == path[-1]
+        host = await restart_all(fleet)
+        assert await host.find(stream) == path[-1]
+
+    move()
+
+
+# fault: a write without a response is applied after the stream has moved
+def test_a_late_write_does_not_bring_back_a_version_that_was_left() -> None:
+    @virtually
+    async def move(fleet: SimFleet) -> None:
+        await start_with_two_versions(fleet)
+        host, store = fleet.hosts[0], fleet.store
+        store.mute, store.late_s = True, 4.0
+        stream = fleet.begin(host, "v2", "v1", wait_s=0.5)
+        task = asyncio.ensure_future(stream)
+        await asyncio.sleep(0.3)
+        store.mute = False
+        passed = await task
+        assert passed.version == "v1"
+        await asyncio.sleep(10.0)
+        assert await fleet.hosts[1].find(passed) == "v1"
+
+    move()
+
+
+# fault: while the store is away, streams begin whose versions no other host can know
+@virtually
+async def test_new_streams_go_to_the_base_version_while_the_store_is_away(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    host = fleet.hosts[0]
+    assert host.versions.may_begin(SERVICE, "v2")
+    fleet.store.down = True
+    refused = await fleet.begin(host, "v2")
+    assert refused.version is None
+    assert not host.versions.may_begin(SERVICE, "v2")
+    assert host.versions.may_begin(SERVICE, "v1")
+    moved = await fleet.begin(host, "v1")
+    assert (moved.version, moved.recorded) == ("v1", True)
+    fleet.store.down = False
+    await asyncio.sleep(SETTLE_S)
+    assert host.versions.may_begin(SERVICE, "v2")
+    assert (await fleet.begin(host, "v2")).recorded
+
+
+# fault: a store that is away lets no stream begin where no version can do without it
+@virtually
+async def test_streams_begin_without_a_record_where_no_version_needs_none(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    fleet.serve("v2")
+    await asyncio.sleep(SETTLE_S)
+    fleet.store.down = True
+    host = fleet.hosts[0]
+    assert host.versions.may_begin(SERVICE, "v2")
+    stream = await fleet.begin(host, "v2")
+    assert (stream.version, stream.recorded) == ("v2", False)
+    fleet.store.down = False
+    # the record is made as soon as the store is back
+    await asyncio.sleep(SETTLE_S)
+    assert await fleet.hosts[1].find(stream) == "v2"
+
+
+# fault: a take-up is guessed while the records can't be read
+@pytest.mark.parametrize("fault", ["down", "mute"])
+def test_a_take_up_is_refused_while_the_store_is_away(fault: str) -> None:
+    @virtually
+    async def take_up(fleet: SimFleet) -> None:
+        await start_with_two_versions(fleet)
+        first, second = fleet.hosts
+        stream = await fleet.begin(first, "v2")
+        setattr(fleet.store, fault, True)
+        call = build_stream_call("again", resumes=stream.call.id)
+        begun_at = asyncio.get_running_loop().time()
+        with pytest.raises(RefusedError) as refused:
+            await second.versions.find(call)
+        assert refused.value.refusal.kind is ErrorKind.STORE_UNAVAILABLE
+        assert refused.value.refusal.retry_after is not None
+        assert asyncio.get_running_loop().time() - begun_at <= 1.6
+        # a host's own streams go on
+        assert await first.find(stream) == "v2"
+
+    take_up()
+
+
+# fault: a caller learns of the streams of another workspace
+@virtually
+async def test_a_stream_of_another_workspace_is_unknown(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    first, second = fleet.hosts
+    stream = await fleet.begin(first, "v2")
+    for host in (first, second):
+        unknown = await host.versions.find(build_stream_call("a", "never"))
+        other = await host.versions.find(build_stream_call("b", stream.call.id, "x"))
+        assert (unknown, other) == ("v1", "v1")
+
+
+@virtually
+async def test_a_take_up_that_names_no_stream(fleet: SimFleet) -> None:
+    fleet.serve("v1")
+    host = fleet.start_host()
+    await asyncio.sleep(SETTLE_S)
+    # another version may have left just before this host started
+    assert await host.versions.find(build_stream_call("a")) is None
+    await asyncio.sleep(VERSION_MEMORY_S)
+    assert await host.versions.find(build_stream_call("a")) == "v1"
+    fleet.serve("v1", "v2")
+    await asyncio.sleep(SETTLE_S)
+    assert await host.versions.find(build_stream_call("a")) is None
+
+
+# fault: all streams need a record for ever after a release
+@virtually
+async def test_the_base_version_follows_a_release(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet, hosts=3)
+    fleet.serve("v2")
+    early = await fleet.begin(fleet.hosts[0], "v2")
+    for _ in range(200):
+        for host in fleet.hosts:
+            fleet.end(await fleet.begin(host, "v2"))
+    writes, reads = fleet.store.writes, fleet.store.reads
+    late = await fleet.begin(fleet.hosts[0], "v2")
+    await asyncio.sleep(SETTLE_S)
+    assert (fleet.store.writes, fleet.store.reads) == (writes, reads)
+    host = await restart_all(fleet)
+    assert (await host.find(early), await host.find(late)) == ("v2", "v2")
+
+
+# fault: a base version that is about to change is relied on when it comes back
+@virtually
+async def test_a_base_version_that_comes_back_stays(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    host = fleet.hosts[0]
+    fleet.serve("v2")
+    fleet.store.mute, fleet.store.late_s = False, None
+    for _ in range(9):
+        fleet.end(await fleet.begin(host, "v2"))
+        await asyncio.sleep(11.0)
+    fleet.serve("v1", "v2")
+    await asyncio.sleep(SETTLE_S)
+    streams = [await fleet.begin(host, v) for v in ("v1", "v2")]
+    await asyncio.sleep(SETTLE_S)
+    restarted = await restart_all(fleet)
+    assert [await restarted.find(stream) for stream in streams] == ["v1", "v2"]
+
+
+# fault: a host that slept relies on what changed meanwhile
+@virtually
+async def test_a_host_that_was_cut_off_for_long_reads_the_base_version_again(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    first, second = fleet.hosts
+    second.archive.cut = True
+    fleet.serve("v2")
+    for _ in range(15):
+        fleet.end(await fleet.begin(first, "v2"))
+        await asyncio.sleep(10.0)
+    assert not second.versions._is_base(second.versions._open(SERVICE), "v1")
+    second.archive.cut = False
+    fleet.serve("v1", "v2")
+    await asyncio.sleep(2 * SETTLE_S)
+    stream = await fleet.begin(second, "v1")
+    assert await first.find(stream) == "v1"
+
+
+# fault: a restored store has lost the records of streams that still run
+@virtually
+async def test_what_a_restored_store_has_lost_is_written_again(fleet: SimFleet) -> None:
+    copy = dict(fleet.store.rows), fleet.store.revision
+    await start_with_two_versions(fleet)
+    streams = [await fleet.begin(fleet.hosts[0], v) for v in ("v1", "v2")]
+    fleet.restore(*copy)
+    await asyncio.sleep(15.0)
+    host = await restart_all(fleet)
+    assert [await host.find(stream) for stream in streams] == ["v1", "v2"]
+
+
+def test_without_an_archive_the_own_streams_are_known() -> None:
+    async def check() -> None:
+        versions = StreamVersions(Directory())
+        call = build_stream_call("a")
+        versions.begin(call, "v2")
+        assert await versions.confirm(call, "v2")
+        versions.end(call)
+        assert await versions.find(build_stream_call("b", "a")) == "v2"
+        assert await versions.find(build_stream_call("b", "c")) is None
+
+    asyncio.run(check())
