Remove the records of gateways that were killed

Records of streams leave the store with the gateway that wrote them, so those of a gateway that was killed stayed for ever. The gateway that changes the base version now looks through them once, 10 minutes later, and removes those that are older than that, each under the condition that it hasn't changed.

Test: test_records_of_hosts_that_died_are_removed_after_a_release, 120 records, at most 5 reads and 5 writes.

--- a/src/basilroad/gateway/streamrecords.py
+++ b/src/basilroad/gateway/streamrecords.py
@@ -39,10 +39,15 @@
 REMOVE_DELAY_S = 15.0
 """Time for which removals wait for a transaction that writes records."""
 
+ORPHAN_AGE_S = 600.0
+"""Age from which a record was left behind by a host that died: many times the longest stream."""
+
 KEY_BYTES = 16
 """Size of the hash of a stream's workspace and id; the streams of one hour differ in it."""
 
 KEY_PREFIX = "stream-"
+KEY_END = "stream."
+"""Key after those of all records."""
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -79,6 +84,20 @@
         return None
 
 
+def is_orphaned(row: ArchiveRow, store_s: float) -> bool:
+    """Check whether a record was left behind.
+
+    :param row: the record
+    :param store_s: the store's clock in seconds
+    :return: whether its stream ended long ago; also if it can't be read
+    """
+    try:
+        written_s = _DECODER.decode(row.value).written_s
+    except DecodeError:
+        return True
+    return written_s is None or not 0 <= store_s - written_s < ORPHAN_AGE_S
+
+
 @attrs.define(eq=False)
 class _Record:
     """One stream's record, here and in the store.
@@ -174,6 +193,10 @@
         self._records.pop(key, None)
         return True
 
+    def has(self, key: str) -> bool:
+        """:return: whether a record is one of this host."""
+        return key in self._records
+
     def withdraw_all(self, version: str) -> None:
         """Withdraw the requests for a version that were not sent to the store.
 
@@ -311,10 +334,14 @@
 __all__ = [
     "BATCH_DELAY_S",
     "BATCH_ENTRIES",
+    "KEY_END",
+    "KEY_PREFIX",
+    "ORPHAN_AGE_S",
     "REMOVE_DELAY_S",
     "RESUME_WINDOW_S",
     "Batch",
     "StreamRecords",
     "build_key",
     "decode_version",
+    "is_orphaned",
 ]
--- a/src/basilroad/gateway/streamversions.py
+++ b/src/basilroad/gateway/streamversions.py
@@ -16,16 +16,22 @@
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.sharedread import SharedRead
 from basilroad.gateway.streamrecords import (
+    BATCH_ENTRIES,
+    KEY_END,
+    KEY_PREFIX,
+    ORPHAN_AGE_S,
     RESUME_WINDOW_S,
     StreamRecords,
     build_key,
     decode_version,
+    is_orphaned,
 )
 from basilroad.gateway.versionarchive import (
     ArchiveRow,
     ArchiveUnavailableError,
     Committed,
     Conflict,
+    RowChange,
 )
 from basilroad.gateway.versionlisting import VersionListing
 from basilroad.gateway.writepace import WritePace
@@ -85,12 +91,16 @@
     :param base: the version that needs no records
     :param base_read: reads of the row of that version
     :param records: records of the streams of other versions
+    :param cleans_at: when this host removes the records of hosts that died, in seconds
+    :param cleans_from: first key of those that are left to look through
     """
 
     name: str
     base: BaseVersion
     base_read: SharedRead[ArchiveRow | None]
     records: StreamRecords = attrs.field(factory=StreamRecords)
+    cleans_at: float = math.inf
+    cleans_from: str = KEY_PREFIX
 
 
 class StreamVersions:
@@ -346,6 +356,7 @@
         for service in self._services.values():
             due = min(due, service.records.next_leaving())
             due = min(due, max(service.records.due_at(), self._pace.next_at))
+            due = min(due, max(service.cleans_at, self._pace.next_at))
             if not service.base.is_trusted(now):
                 due = min(due, max(now + CHECK_INTERVAL_S, self._pace.retry_at))
         if self._pace.is_away:
@@ -364,6 +375,7 @@
             service.records.expire(self._clock())
             await self._keep_base(service)
             await self._write_records(service, self._archive)
+            await self._clean(service, self._archive)
         if self._pace.is_away and self._pace.may_read(self._clock()):
             await self._check_reached()
 
@@ -385,8 +397,12 @@
             return
         self._pace.record_write(now)
         outcome = await self._archive.write(service.name, [change])
+        previous = service.base.version
         service.base.apply(outcome, now)
         self._record_outcome(outcome)
+        if isinstance(outcome, Committed) and previous not in (None, service.base.version):
+            # by then no stream runs that began before the change
+            service.cleans_at, service.cleans_from = now + ORPHAN_AGE_S, KEY_PREFIX
 
     async def _refresh_base(self, service: _Service) -> bool:
         try:
@@ -421,6 +437,32 @@
             self._metrics.stream_records.inc(written)
         self._record_outcome(outcome)
 
+    async def _clean(self, service: _Service, archive: VersionArchive) -> None:
+        now = self._clock()
+        if service.cleans_at > now or not self._pace.may_write(now):
+            return
+        try:
+            rows = await archive.list_rows(service.name, service.cleans_from, KEY_END)
+        except ArchiveUnavailableError as error:
+            self._pace.record_failure(now, str(error))
+            return
+        store_s = archive.store_s
+        if not rows or store_s is None:
+            service.cleans_at = math.inf
+            return
+        orphaned = [
+            RowChange(key, None, row.revision)
+            for key, row in rows
+            if is_orphaned(row, store_s) and not service.records.has(key)
+        ][: BATCH_ENTRIES // 2]
+        if orphaned:
+            self._pace.record_write(now)
+            outcome = await archive.write(service.name, orphaned)
+            self._record_outcome(outcome)
+            _LOGGER.info("stream records removed", extra={"records": len(orphaned)})
+        if len(orphaned) < BATCH_ENTRIES // 2:
+            service.cleans_from = rows[-1][0] + "\0"
+
     def _record_outcome(self, outcome: Outcome) -> None:
         if isinstance(outcome, Committed | Conflict):
             self._pace.record_success()
--- a/src/basilroad/gateway/versionarchive.py
+++ b/src/basilroad/gateway/versionarchive.py
@@ -104,6 +104,16 @@
         :raises ArchiveUnavailableError: there was no valid response
         """
 
+    async def list_rows(self, service: str, start: str, end: str) -> list[tuple[str, ArchiveRow]]:
+        """Read the first rows of a range.
+
+        :param service: their service
+        :param start: first key
+        :param end: key before which the range ends
+        :return: rows in the order of their keys; none at the end of the range
+        :raises ArchiveUnavailableError: there was no valid response
+        """
+
     async def write(self, service: str, changes: Sequence[RowChange]) -> Outcome:
         """Apply changes, all or none of them.
 
--- a/src/basilroad/platform/streamarchive.py
+++ b/src/basilroad/platform/streamarchive.py
@@ -80,6 +80,22 @@
         self._observe_clock(changes)
         return _collect_rows(changes).get(key)
 
+    async def list_rows(self, service: str, start: str, end: str) -> list[tuple[str, ArchiveRow]]:
+        """Read the first rows of a range.
+
+        :param service: their service
+        :param start: first key
+        :param end: key before which the range ends
+        :return: rows in the order of their keys; none at the end of the range
+        :raises ArchiveUnavailableError: there was no valid response
+        """
+        try:
+            changes = await self._store.read_range(STREAMS_TABLE, service, start, end)
+        except StoreError as error:
+            raise ArchiveUnavailableError(str(error)) from error
+        self._observe_clock(changes)
+        return list(_collect_rows(changes).items())
+
     async def write(self, service: str, changes: Sequence[RowChange]) -> Outcome:
         """Apply changes, all or none of them.
 
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -9,9 +9,9 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.baseversion import VERSION_MEMORY_S
+from basilroad.gateway.baseversion import BASE_KEY, VERSION_MEMORY_S
 from basilroad.gateway.directory import Directory
-from basilroad.gateway.streamrecords import RESUME_WINDOW_S
+from basilroad.gateway.streamrecords import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
 from basilroad.gateway.streamversions import StreamVersions
 from support.versionrig import SERVICE, SimFleet, SimHost, build_stream_call
 from support.virtualloop import run_virtually
@@ -273,6 +273,28 @@
     assert (await host.find(early), await host.find(late)) == ("v2", "v2")
 
 
+# fault: records of hosts that died stay in the store for ever
+@virtually
+async def test_records_of_hosts_that_died_are_removed_after_a_release(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    await asyncio.gather(*[fleet.begin(fleet.hosts[0], "v2") for _ in range(120)])
+    await restart_all(fleet)
+    assert len(fleet.store.rows) == 121
+    fleet.serve("v2")
+    for _ in range(40):
+        for host in fleet.hosts:
+            fleet.end(await fleet.begin(host, "v2"))
+        await asyncio.sleep(3.0)
+    running = await fleet.begin(fleet.hosts[0], "v1")
+    reads, writes = fleet.store.reads, fleet.store.writes
+    await asyncio.sleep(ORPHAN_AGE_S + 100.0)
+    # the record of a stream that still runs stays
+    assert {key for _, key in fleet.store.rows} == {BASE_KEY, build_key("w", running.call.id)}
+    # three removals, and pages until none is left
+    assert fleet.store.writes - writes <= 5
+    assert fleet.store.reads - reads <= 5
+
+
 # fault: a base version that is about to change is relied on when it comes back
 @virtually
 async def test_a_base_version_that_comes_back_stays(fleet: SimFleet) -> None:
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -104,6 +104,14 @@
         await asyncio.sleep(CALL_S)
         return row
 
+    async def list_rows(self, service: str, start: str, end: str) -> list[tuple[str, ArchiveRow]]:
+        self.store.reads += 1
+        await asyncio.sleep(CALL_S)
+        if self.cut or self.store.mute or self.store.down:
+            raise ArchiveUnavailableError("no response")
+        rows = [(key, row) for (name, key), row in self.store.rows.items() if name == service]
+        return sorted((key, row) for key, row in rows if start <= key < end)[:500]
+
     async def write(self, service: str, changes: Sequence[RowChange]) -> Outcome:
         entries = sum(1 + (change.expected is not None) for change in changes)
         assert 0 < entries <= 100
