Test late writes of the versions of streams, and batch moved records

Trials with code that was broken on purpose showed two gaps: no test failed when a record counted as settled beside a write that may still be applied, nor when the base version changed in one step. Both have a test now that fails on such code. They also showed that the record of a stream that moves was written at once instead of with others, and that a base version whose endpoint had come back within the last half second could be named as its own successor; both are mended.

Checked by: pytest -n 2 tests/gateway/test_streamversions.py tests/gateway/test_streamversions_schedules.py tests/platform/test_streamarchive.py tests/platform/test_store.py tests/test_imports.py, 35 passed.

--- a/src/basilroad/gateway/baseversion.py
+++ b/src/basilroad/gateway/baseversion.py
@@ -24,6 +24,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from basilroad.gateway.versionlisting import VersionListing
 
 BASE_KEY = "base"
@@ -226,8 +228,17 @@
             return _StoredBase(_choose(candidates), 1) if candidates else None
         if self._listing.is_listed(self._service, base.version):
             return None if base.successor is None else _StoredBase(base.version, base.generation)
-        away = self._is_absent(now, VERSION_MEMORY_S)
-        if not (away and self._listing.is_complete_since(now - VERSION_MEMORY_S) and candidates):
+        return self._find_successor(base, candidates, now)
+
+    def _find_successor(
+        self, base: _StoredBase, candidates: Mapping[str, int], now: float
+    ) -> _StoredBase | None:
+        since = now - VERSION_MEMORY_S
+        # an endpoint may have come back since the last observation
+        is_back = base.version in self._listing.count_listed(self._service)
+        if is_back or not candidates or not self._listing.is_complete_since(since):
+            return None
+        if not self._is_absent(now, VERSION_MEMORY_S):
             return None
         if base.successor is None:
             return _StoredBase(base.version, base.generation, _choose(candidates))
@@ -312,7 +323,7 @@
         return None
 
 
-def _choose(candidates: dict[str, int]) -> str:
+def _choose(candidates: Mapping[str, int]) -> str:
     """:return: the most frequent version; among several the first by name."""
     return min(candidates, key=lambda version: (-candidates[version], version))
 
--- a/src/basilroad/gateway/streamrecords.py
+++ b/src/basilroad/gateway/streamrecords.py
@@ -177,6 +177,8 @@
             leaves_at = now + (call.expires_at - call.arrived_at) + RESUME_WINDOW_S
             record = self._records[key] = _Record(version, now + delay_s, leaves_at)
             self._removals.pop(key, None)
+        elif record.is_settled and record.wanted != version:
+            record.due_at = now + delay_s
         record.wanted = version
         record.due_at = min(record.due_at, now + delay_s)
 
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -168,6 +168,50 @@
     move()
 
 
+# fault: as above, where the version that was left is wanted again and the store still holds it
+@virtually
+async def test_a_late_write_does_not_replace_a_version_that_is_wanted_again(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    fleet.serve("v1", "v2", "v3")
+    await asyncio.sleep(SETTLE_S)
+    beginning = asyncio.ensure_future(fleet.begin(fleet.hosts[0], "v2", "v3", "v2", wait_s=0.5))
+    await asyncio.sleep(0.6)
+    fleet.store.loses_writes, fleet.store.late_s = True, 4.0
+    await asyncio.sleep(0.3)
+    fleet.store.loses_writes = False
+    stream = await beginning
+    assert (stream.version, stream.recorded) == ("v2", True)
+    await asyncio.sleep(10.0)
+    assert await fleet.hosts[1].find(stream) == "v2"
+
+
+# fault: a change of the base version is applied after that version has come back
+@virtually
+async def test_a_late_change_of_the_base_version(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    first = fleet.hosts[0]
+    fleet.serve("v2")
+    fleet.store.loses_writes, fleet.store.late_s = False, 15.0
+    begun_at = asyncio.get_running_loop().time()
+    for left_s in (45.0, 80.0):
+        fleet.end(await fleet.begin(first, "v2"))
+        await asyncio.sleep(begun_at + left_s - asyncio.get_running_loop().time())
+    fleet.store.loses_writes = True
+    await asyncio.sleep(25.0)
+    writes = fleet.store.writes
+    fleet.serve("v1", "v2")
+    fleet.store.loses_writes = False
+    await asyncio.sleep(2.0)
+    assert writes > 0
+    stream = await fleet.begin(first, "v1")
+    assert stream.version == "v1"
+    await asyncio.sleep(30.0)
+    host = await restart_all(fleet)
+    assert await host.find(stream) == "v1"
+
+
 # fault: while the store is away, streams begin whose versions no other host can know
 @virtually
 async def test_new_streams_go_to_the_base_version_while_the_store_is_away(
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -43,11 +43,13 @@
 
     :param down: whether calls are refused
     :param mute: whether calls get no response; writes may be applied all the same
+    :param loses_writes: whether only writes get no response
     :param late_s: seconds after which a write without response is applied; ``None`` for never
     """
 
     down: bool = False
     mute: bool = False
+    loses_writes: bool = False
     late_s: float | None = None
     rows: dict[tuple[str, str], ArchiveRow] = attrs.field(factory=dict)
     revision: int = 0
@@ -119,7 +121,7 @@
         if self.cut:
             await asyncio.sleep(TIMEOUT_S)
             return MayCommit("no way to the store")
-        if self.store.mute:
+        if self.store.mute or self.store.loses_writes:
             if self.store.late_s is not None:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.store.late_s, self.store.apply, service, list(changes))
