--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -9,9 +9,9 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.baseversion import VERSION_MEMORY_S
+from basilroad.gateway.baseversion import BASE_KEY, VERSION_MEMORY_S
 from basilroad.gateway.directory import Directory
-from basilroad.gateway.streamrecords import RESUME_WINDOW_S
+from basilroad.gateway.streamrecords import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
 from basilroad.gateway.streamversions import StreamVersions
 from support.versionrig import SERVICE, SimFleet, SimHost, build_stream_call
 from support.virtualloop import run_virtually
@@ -168,6 +168,50 @@
     move()
 
 
+# fault: as above, where the version that was left is wanted again and the store still holds it
+@virtually
+async def test_a_late_write_does_not_replace_a_version_that_is_wanted_again(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    fleet.serve("v1", "v2", "v3")
+    await asyncio.sleep(SETTLE_S)
+    beginning = asyncio.ensure_future(fleet.begin(fleet.hosts[0], "v2", "v3", "v2", wait_s=0.5))
+    await asyncio.sleep(0.6)
+    fleet.store.loses_writes, fleet.store.late_s = True, 4.0
+    await asyncio.sleep(0.3)
+    fleet.store.loses_writes = False
+    stream = await beginning
+    assert (stream.version, stream.recorded) == ("v2", True)
+    await asyncio.sleep(10.0)
+    assert await fleet.hosts[1].find(stream) == "v2"
+
+
+# fault: a change of the base version is applied after that version has come back
+@virtually
+async def test_a_late_change_of_the_base_version(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    first = fleet.hosts[0]
+    fleet.serve("v2")
+    fleet.store.loses_writes, fleet.store.late_s = False, 15.0
+    begun_at = asyncio.get_running_loop().time()
+    for left_s in (45.0, 80.0):
+        fleet.end(await fleet.begin(first, "v2"))
+        await asyncio.sleep(begun_at + left_s - asyncio.get_running_loop().time())
+    fleet.store.loses_writes = True
+    await asyncio.sleep(25.0)
+    writes = fleet.store.writes
+    fleet.serve("v1", "v2")
+    fleet.store.loses_writes = False
+    await asyncio.sleep(2.0)
+    assert writes > 0
+    stream = await fleet.begin(first, "v1")
+    assert stream.version == "v1"
+    await asyncio.sleep(30.0)
+    host = await restart_all(fleet)
+    assert await host.find(stream) == "v1"
+
+
 # fault: while the store is away, streams begin whose versions no other host can know
 @virtually
 async def test_new_streams_go_to_the_base_version_while_the_store_is_away(
@@ -273,6 +317,28 @@
     assert (await host.find(early), await host.find(late)) == ("v2", "v2")
 
 
+# fault: records of hosts that died stay in the store for ever
+@virtually
+async def test_records_of_hosts_that_died_are_removed_after_a_release(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    await asyncio.gather(*[fleet.begin(fleet.hosts[0], "v2") for _ in range(120)])
+    await restart_all(fleet)
+    assert len(fleet.store.rows) == 121
+    fleet.serve("v2")
+    for _ in range(40):
+        for host in fleet.hosts:
+            fleet.end(await fleet.begin(host, "v2"))
+        await asyncio.sleep(3.0)
+    running = await fleet.begin(fleet.hosts[0], "v1")
+    reads, writes = fleet.store.reads, fleet.store.writes
+    await asyncio.sleep(ORPHAN_AGE_S + 100.0)
+    # the record of a stream that still runs stays
+    assert {key for _, key in fleet.store.rows} == {BASE_KEY, build_key("w", running.call.id)}
+    # three removals, and pages until none is left
+    assert fleet.store.writes - writes <= 5
+    assert fleet.store.reads - reads <= 5
+
+
 # fault: a base version that is about to change is relied on when it comes back
 @virtually
 async def test_a_base_version_that_comes_back_stays(fleet: SimFleet) -> None:
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -43,11 +43,13 @@
 
     :param down: whether calls are refused
     :param mute: whether calls get no response; writes may be applied all the same
+    :param loses_writes: whether only writes get no response
     :param late_s: seconds after which a write without response is applied; ``None`` for never
     """
 
     down: bool = False
     mute: bool = False
+    loses_writes: bool = False
     late_s: float | None = None
     rows: dict[tuple[str, str], ArchiveRow] = attrs.field(factory=dict)
     revision: int = 0
@@ -104,6 +106,14 @@
         await asyncio.sleep(CALL_S)
         return row
 
+    async def list_rows(self, service: str, start: str, end: str) -> list[tuple[str, ArchiveRow]]:
+        self.store.reads += 1
+        await asyncio.sleep(CALL_S)
+        if self.cut or self.store.mute or self.store.down:
+            raise ArchiveUnavailableError("no response")
+        rows = [(key, row) for (name, key), row in self.store.rows.items() if name == service]
+        return sorted((key, row) for key, row in rows if start <= key < end)[:500]
+
     async def write(self, service: str, changes: Sequence[RowChange]) -> Outcome:
         entries = sum(1 + (change.expected is not None) for change in changes)
         assert 0 < entries <= 100
@@ -111,7 +121,7 @@
         if self.cut:
             await asyncio.sleep(TIMEOUT_S)
             return MayCommit("no way to the store")
-        if self.store.mute:
+        if self.store.mute or self.store.loses_writes:
             if self.store.late_s is not None:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.store.late_s, self.store.apply, service, list(changes))
