--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -132,7 +132,7 @@
             self.timers.subscribe(HOSTS_UPDATE_INTERVAL_S, self._update_known_hosts)
         self.timers.subscribe(SETTINGS_POLL_INTERVAL_S, self.reload_if_changed)
         self.timers.subscribe(SWEEP_INTERVAL_S, self.gateway.sweep)
-        self.timers.subscribe(OBSERVE_INTERVAL_S, self.gateway.stream_versions.observe)
+        self.timers.subscribe(OBSERVE_INTERVAL_S, self.gateway.stream_versions.keeper.observe)
         self.timers.subscribe(LIVENESS_CHECK_INTERVAL_S, self.gateway.liveness.check)
 
     def _update_known_hosts(self) -> None:
--- a/src/basilroad/platform/streamarchive.py
+++ b/src/basilroad/platform/streamarchive.py
@@ -44,15 +44,15 @@
     def __init__(self, store: StoreClient, gateway: Gateway) -> None:
         super().__init__()
         self._store = store
-        self._versions = gateway.stream_versions
+        self._keeper = gateway.stream_versions.keeper
         self._clock_offset_s: float | None = None
-        self._versions.attach(self, lambda: gateway.known_hosts)
+        self._keeper.attach(self, lambda: gateway.known_hosts)
         store.subscribe(self._prepare_repeat)
 
     def _prepare_repeat(self) -> None:
         # a restored store may have another clock, and may have lost rows
         self._clock_offset_s = None
-        self._versions.repeat()
+        self._keeper.repeat()
 
     @property
     def was_restored(self) -> bool:
@@ -128,9 +128,9 @@
     @Service.task
     async def _work(self) -> None:
         while not self.should_stop:
-            await self._versions.wait_work()
+            await self._keeper.wait_work()
             try:
-                await self._versions.work()
+                await self._keeper.work()
             except Exception:
                 # one service's rows must not end the work for the others
                 _LOGGER.error("stream versions not kept", exc_info=True)
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -369,7 +369,7 @@
     for _ in range(15):
         fleet.end(await fleet.begin(first, "v2"))
         await asyncio.sleep(10.0)
-    assert not second.versions._is_base(second.versions._open(SERVICE), "v1")
+    assert not second.versions._is_base(second.versions.keeper.open(SERVICE), "v1")
     second.archive.cut = False
     fleet.serve("v1", "v2")
     await asyncio.sleep(2 * SETTLE_S)
--- a/tests/platform/test_streamarchive.py
+++ b/tests/platform/test_streamarchive.py
@@ -33,7 +33,7 @@
     def list_versions(self, *versions: str) -> None:
         entries = [build_entry(version, service=SERVICE) for version in versions]
         self.gateway.directory.replace([attrs.evolve(entry, version=entry.id) for entry in entries])
-        self.gateway.stream_versions.observe()
+        self.gateway.stream_versions.keeper.observe()
 
     async def begin(self, stream: str, version: str) -> bool:
         call = build_call(build_stream_route(), id=stream)
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -150,7 +150,7 @@
         self._listed: set[str] | None = None
         self.versions = StreamVersions(self.directory, self.metrics, loop.time, random.Random(seed))
         self.archive = SimArchive(fleet.store)
-        self.versions.attach(self.archive, lambda: len(fleet.hosts))
+        self.versions.keeper.attach(self.archive, lambda: len(fleet.hosts))
         self.apply_listing()
         self._tasks = [loop.create_task(self._observe()), loop.create_task(self._work())]
 
@@ -166,13 +166,13 @@
         while True:
             self.apply_listing()
             self.directory.expire()
-            self.versions.observe()
+            self.versions.keeper.observe()
             await asyncio.sleep(OBSERVE_INTERVAL_S)
 
     async def _work(self) -> None:
         while True:
-            await self.versions.wait_work()
-            await self.versions.work()
+            await self.versions.keeper.wait_work()
+            await self.versions.keeper.work()
 
     @property
     def unrecorded(self) -> float:
@@ -303,7 +303,7 @@
         self.store.rows, self.store.revision = dict(rows), revision
         self.store.restores += 1
         for host in self.hosts:
-            host.versions.repeat()
+            host.versions.keeper.repeat()
 
 
 def build_stream_call(call_id: str, resumes: str = "", workspace: str = "w") -> Call:
