Let a take-up that names no stream match none without an id

What callers saw: none has been seen; found in review. A request without an id was remembered under an empty one, so that a take-up without the name of its stream could go on at that stream's version. Change: an empty name is looked up nowhere. Test: test_a_take_up_that_names_no_stream_is_not_one_without_an_id failed before.

--- a/src/basilroad/gateway/streamversions.py
+++ b/src/basilroad/gateway/streamversions.py
@@ -179,7 +179,7 @@
 
     async def _search(self, call: Call) -> tuple[str, str | None]:
         known = self._known.get((call.service, call.workspace, call.resumes))
-        if known is not None and self._clock() < known.leaves_at:
+        if call.resumes and known is not None and self._clock() < known.leaves_at:
             return "memory", known.version
         archive = self.keeper.archive
         if archive is None:
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -400,3 +400,13 @@
         assert await versions.find(build_stream_call("b", "c")) is None
 
     asyncio.run(check())
+
+
+# fault: callers whose requests had no id went on with each other's streams
+def test_a_take_up_that_names_no_stream_is_not_one_without_an_id() -> None:
+    async def check() -> None:
+        versions = StreamVersions(Directory())
+        assert await versions.confirm(build_stream_call(""), "v2")
+        assert await versions.find(build_stream_call("b")) is None
+
+    asyncio.run(check())
