--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -87,11 +87,6 @@
         """Record that the listing could not be read: entries may be missing from the next ones."""
         self._unreliable_until = self._clock() + ABSENCE_LIMIT_S
 
-    @property
-    def is_listing_reliable(self) -> bool:
-        """:return: whether the listing could be read lately."""
-        return self._clock() >= self._unreliable_until
-
     def put(self, entry: EndpointEntry) -> None:
         """Add or update one entry.
 
--- a/src/basilroad/gateway/versionlisting.py
+++ b/src/basilroad/gateway/versionlisting.py
@@ -46,7 +46,7 @@
             self._outdated_until = now + MAX_PAUSE_S
         self._observed_at = now
         listed = {(e.entry.service, e.entry.version) for e in self._directory}
-        if not listed or now < self._outdated_until or not self._directory.is_listing_reliable:
+        if now < self._outdated_until or not self._directory.is_reliable:
             self._complete_since = math.inf
             return
         self._complete_since = min(self._complete_since, now)
