Put tests whose parts share an event loop on the clock of turns

Cause: in these tests callers, gateways and servers share an event loop, so a bound measured what the machine took from all of them. No bound is changed. Reproduced by pausing the test process (SIGSTOP) for up to 1.6 s at a time, about 60% of the time, one run each, two at a time.

--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -202,6 +202,7 @@
 
 
 # fault: calls wait to their limit for a turn that can't come in time
+@pytest.mark.by_turns
 async def test_calls_beyond_all_limits_are_refused_at_once(gateway, start_server) -> None:
     servers = [await start_server(f"i-{n}", limit="0.5") for n in range(2)]
     route = build_route(latency_target_s=4.0, timeout_s=6.0)
--- a/tests/gateway/test_silent_engines.py
+++ b/tests/gateway/test_silent_engines.py
@@ -14,6 +14,8 @@
 from basilroad.gateway.streaming import StreamBrokenError
 from builders import RecordingResponder, build_call, build_route, build_stream_route
 
+pytestmark = pytest.mark.by_turns
+
 EVENTS = 30
 EVENT_S = 0.05
 SILENCE_S = 1.0
--- a/tests/gateway/test_streaming.py
+++ b/tests/gateway/test_streaming.py
@@ -77,6 +77,7 @@
     assert gateway.liveness.probes_sent > 0
 
 
+@pytest.mark.by_turns
 async def test_a_stream_that_never_starts_is_moved(gateway, start_server) -> None:
     first, second = await start_engines(start_server, response_delay_s=60.0)
     began = asyncio.get_running_loop().time()
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -19,6 +19,8 @@
 from basilroad.standin.appserver import AppServerStandin
 from support.gatewayrig import HEADERS, GatewayRig, build_config
 
+pytestmark = pytest.mark.by_turns
+
 Config = dict[str, Any]
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -19,6 +19,8 @@
 from basilroad.standin.rowstore import RowStoreStandin
 from support.addresses import name_ip
 
+pytestmark = pytest.mark.by_turns
+
 HEADERS = {"Host": "h.example", "X-Key": "key", "X-Deadline-Ms": "4000"}
 ROUTE = {
     "name": "s",
--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -19,6 +19,8 @@
 from basilroad.standin.rowstore import RowStoreStandin
 from support.addresses import name_ip
 
+pytestmark = pytest.mark.by_turns
+
 GATEWAYS, SERVERS = 3, 3
 WINDOW_S = 4.0
 TOLD_S = 0.5
--- a/tests/platform/test_restore_doubt.py
+++ b/tests/platform/test_restore_doubt.py
@@ -11,6 +11,8 @@
 from basilroad.platform import configwatch, serverswatch
 from support.watchrig import NOBODY, STARTED, Rig, build_config, wait_until
 
+pytestmark = pytest.mark.by_turns
+
 
 async def restore_before_a_revocation(rig: Rig) -> None:
     """Restore the store to a copy that lacks a config which was acknowledged while it was cut."""
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -68,6 +68,7 @@
 
 
 # calls reached a drained server for seconds after the connections to the store fell silent
+@pytest.mark.by_turns
 @pytest.mark.parametrize("before_s", [0.0, 0.2, 0.45, 1.2])
 async def test_a_drain_is_known_in_time_although_connections_fall_silent(
     silent_rig: Rig, before_s: float
@@ -173,6 +174,7 @@
 
 # each idle connection that fell silent with the poll cost a further time-out, and an entry that was
 # removed meanwhile was kept as if the store had been away
+@pytest.mark.by_turns
 async def test_silence_of_many_connections_costs_one_time_out(silent_rig: Rig) -> None:
     rig = silent_rig
     await asyncio.gather(*(rig.client.read_table("other") for _ in range(6)))
