Look at the endpoints once per dispatch for all queued calls of a version

Until calls were bound to versions this was done once. Callers saw nothing yet; the time grew with the product of both numbers.

The pause and the endpoints that stay are now found once for each version in the queue. Calls without excluded endpoints aren't checked a second time.

--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -147,7 +147,7 @@
             return None
         ticket = Ticket(call, avoid, wait_until, _create_future(), version)
         pause = self.find_turn(call, avoid, version)
-        if self._is_wait_useless(ticket, pause):
+        if self._is_wait_useless(ticket, pause, self._list_staying(call, version)):
             return None
         return await self._wait(ticket, left_s)
 
@@ -286,8 +286,11 @@
             if endpoint is None:
                 # later calls may use the endpoints that this one excludes
                 queue.remove(ticket)
-                pause = self.find_pause(ticket.call, ticket.avoid, ticket.version)
-                if self._is_wait_useless(ticket, pause):
+                if ticket.avoid and self._is_wait_useless(
+                    ticket,
+                    self.find_pause(ticket.call, ticket.avoid, ticket.version),
+                    self._list_staying(ticket.call, ticket.version),
+                ):
                     ticket.placed.set_result(None)
                     continue
                 held.append(ticket)
@@ -307,22 +310,32 @@
         return endpoint or self._candidates.choose(ticket.call, wanted)
 
     def _end_useless_waits(self, queue: FairQueue[Ticket]) -> None:
-        tickets = queue.items()
-        pauses = {t.version: self.find_pause(t.call, version=t.version) for t in tickets}
-        for ticket in tickets:
-            useless = self._is_wait_useless(ticket, pauses[ticket.version])
-            if useless and not ticket.placed.done():
-                queue.remove(ticket)
-                ticket.placed.set_result(None)
+        by_version: dict[str | None, list[Ticket]] = {}
+        for ticket in queue.items():
+            by_version.setdefault(ticket.version, []).append(ticket)
+        for version, tickets in by_version.items():
+            call = tickets[0].call
+            pause = self.find_pause(call, version=version)
+            staying = self._list_staying(call, version)
+            if pause is None and staying is None:
+                continue
+            for ticket in tickets:
+                if not ticket.placed.done() and self._is_wait_useless(ticket, pause, staying):
+                    queue.remove(ticket)
+                    ticket.placed.set_result(None)
 
-    def _is_wait_useless(self, ticket: Ticket, pause: ServicePause | None) -> bool:
+    def _list_staying(self, call: Call, version: str | None) -> list[Endpoint] | None:
+        """:return: the endpoints that a bound call can wait for; ``None`` if others may come."""
+        if version is None or not self.directory.is_reliable:
+            return None
+        return self.directory.list_staying(call.service, version)
+
+    def _is_wait_useless(
+        self, ticket: Ticket, pause: ServicePause | None, staying: list[Endpoint] | None
+    ) -> bool:
         if pause is not None and pause.outlasts(ticket.wait_until):
             return True
-        service, version = ticket.call.service, ticket.version
-        if version is None or not self.directory.is_reliable:
-            return False
-        staying = self.directory.list_staying(service, version)
-        return all(endpoint.id in ticket.avoid for endpoint in staying)
+        return staying is not None and all(endpoint.id in ticket.avoid for endpoint in staying)
 
     async def _choose_by_reports(self, call: Call, wanted: Wanted) -> Endpoint | None:
         """Choose an engine by the reports of a few candidates.
--- a/tests/gateway/test_version_queue.py
+++ b/tests/gateway/test_version_queue.py
@@ -128,3 +128,28 @@
     assert candidates.find_prompt(call, Wanted(version="v1")) is None
     assert candidates.find_prompt(call, Wanted(version="v2")) is not None
     assert candidates.find_prompt(call, Wanted()) is not None
+
+
+@pytest.mark.parametrize("version", [None, "v1"])
+async def test_a_dispatch_reads_the_endpoints_once_for_all_that_wait(
+    dispatcher: Dispatcher, monkeypatch: pytest.MonkeyPatch, version: str | None
+) -> None:
+    # fault: each dispatch went through all endpoints again for each queued call
+    await fill(dispatcher, "v1")
+    await fill(dispatcher, "v2")
+    waiting = [start_waiting(dispatcher, version) for _ in range(100)]
+    await asyncio.sleep(0)
+    assert dispatcher.waiting == 100
+    directory, reads = dispatcher.directory, 0
+    listed = directory.list_by_service
+
+    def count_read(service: str) -> list:
+        nonlocal reads
+        reads += 1
+        return listed(service)
+
+    monkeypatch.setattr(directory, "list_by_service", count_read)
+    dispatcher.dispatch_waiting()
+    assert reads < 10
+    for task in waiting:
+        task.cancel()
