Check the start of endpoints while the listing can't be read

Callers could get a stream joined of two software versions from a host that had lost the store: the listing that it went on with didn't show that an endpoint had started again under its id and address. The start was checked only at endpoints that had cut a connection of this host, and while the listing showed several versions. A stream that broke off elsewhere went on at the new start, and a stream that began there was recorded with the version of the old one.

The start is now checked also for five seconds after a read of the listing failed, the time within which it shows a restart. It costs a report for each new connection to an engine in that time.

Both tests failed before: the engine with the unlisted start was sent the stream. Their file and those of the directory, the liveness checks and silent engines pass (39 tests).

--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
@@ -45,7 +46,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._absent: dict[str, float] = {}
         self._removed: dict[tuple[str, int], float] = {}
-        self._unreliable_until = 0.0
+        self._unreliable_until = -math.inf
         self._versions_differed_at: dict[str, float] = {}
 
     def __iter__(self) -> Iterator[Endpoint]:
@@ -83,6 +84,10 @@
             if now < endpoint.notices.no_calls_until or endpoint.notices.limit.is_refused(now)
         ]
 
+    def was_unreadable_within(self, limit_s: float) -> bool:
+        """:return: whether a read of the listing failed that many seconds ago or later."""
+        return self._clock() < self._unreliable_until - ABSENCE_LIMIT_S + limit_s
+
     def mark_listing_unreliable(self) -> None:
         """Record that the listing could not be read: entries may be missing from the next ones."""
         self._unreliable_until = self._clock() + ABSENCE_LIMIT_S
--- a/src/basilroad/gateway/startcheck.py
+++ b/src/basilroad/gateway/startcheck.py
@@ -22,8 +22,8 @@
 a backoff and further checks follow."""
 
 RESTART_LISTED_S = 5.0
-"""Time after an endpoint cut a connection within which the listing shows its restart; three missed
-check-ins and a pause of the watch."""
+"""Time after an endpoint cut a connection, or after the listing could not be read, within which the
+listing shows its restart; three missed check-ins and a pause of the watch."""
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -58,6 +58,8 @@
             return False
         if now - endpoint.cut_at < RESTART_LISTED_S:
             return True
+        if self._directory.was_unreadable_within(RESTART_LISTED_S):
+            return True
         return self._directory.has_versions(endpoint.entry.service)
 
     async def confirm(self, endpoint: Endpoint, channel: Channel) -> bool:
--- a/tests/gateway/test_startcheck.py
+++ b/tests/gateway/test_startcheck.py
@@ -155,3 +155,33 @@
     gateway.directory.get("i-1").mark_lost(0.0)
     assert (await run(gateway)).numbers == ALL_EVENTS
     assert engine.reports == 0
+
+
+async def test_a_stream_goes_on_at_no_unlisted_restart_while_the_listing_is_stale(
+    gateway, engine, start_server
+) -> None:
+    # fault: the store was away, so that no listing told of a restart with other software
+    first = await start_server("i-2", service="llm", events=20, reset_at_event=8, software="v1")
+    engine.start_ms = 2
+    gateway.directory.get("i-1").full_until = float("inf")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: len(first.seen) == 1)
+    gateway.directory.mark_listing_unreliable()
+    gateway.directory.get("i-1").full_until = 0.0
+    await wait_for(lambda: gateway.directory.get("i-2").last_failed_at > 0)
+    first.reset_at_event = 0
+    await asyncio.wait_for(task, 5)
+    assert responder.numbers == ALL_EVENTS
+    assert not engine.seen
+
+
+async def test_a_new_stream_is_not_begun_at_an_unlisted_restart_while_the_listing_is_stale(
+    gateway, engine, start_server
+) -> None:
+    # fault: it was recorded with the version of a listing that could not be read any more
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a", software="v1")
+    engine.start_ms = 2
+    gateway.directory.mark_listing_unreliable()
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert not engine.seen
