Show with tests that streams are joined from two software versions

Servers of several software versions may serve one service side by side, and what two of them write doesn't fit together. Gateways don't know versions, so callers get streams whose rest another version made, in one answer and over their tries.

Twelve tests show it from the socket to the servers and back: after servers of one version crash or leave, after all gateways are killed with SIGKILL (also beside a second release, a version that has left, and a silent store), and after a server comes back at its address with other software. Callers take streams up as the platform's clients do.

--- /dev/null
+++ b/tests/platform/test_stream_versions.py
@@ -0,0 +1,353 @@
+"""Streams go on only at servers of the software version that began them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.rowstore import RowStoreStandin
+from soak.link import Link
+from soak.process import GatewayProcess
+from support.addresses import name_ip
+from support.gatewayrig import GatewayRig, build_config
+from support.streamcaller import StreamCaller, Try
+from support.watchrig import wait_until
+
+OLD, NEW, NEWEST = "v1", "v2", "v3"
+GATEWAYS = 2
+SERVERS = 2
+"""Servers of each version."""
+
+STREAMS = 16
+EVENTS = 240
+EVENT_INTERVAL_S = 0.03
+STREAM_TIMEOUT_S = 15.0
+WAIT_TIMEOUT_S = 20.0
+UNLISTED_S = 1.0
+"""Time in which gateways read that entries were removed."""
+
+DOWN_S = 0.3
+"""Time for which killed gateways are down."""
+
+RESTART_S = 0.05
+"""Time between end and start of a server that is released in place."""
+
+SILENT_S = 1.0
+"""Time for which the store is silent before and after the kill."""
+
+AT_ONCE_S = 2.0
+"""Time within which a stream ends that can't go on; one that waits has a deadline of 10 s."""
+
+REFUSED = 503
+
+
+class Fleet:
+    """Gateways as processes of their own, which can be killed, and servers of two versions."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.store = RowStoreStandin()
+        self.servers: list[AppServerStandin] = []
+        self.gateways: list[GatewayProcess] = []
+        self.sent: dict[StreamCaller, asyncio.Future[Try]] = {}
+        self._numbers = itertools.count(1)
+
+    async def start(self) -> None:
+        await self.store.start()
+        config = build_config(1, "key", timeout_ms=round(1000 * STREAM_TIMEOUT_S))
+        self.store.put("op", "config", config)
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+        for number in range(GATEWAYS):
+            link = Link(self.store.port, self.store.ip)
+            await link.start()
+            gateway = GatewayProcess(number, name_ip(100 + number), self.folder, link)
+            gateway.start()
+            self.gateways.append(gateway)
+
+    async def add_servers(self, version: str) -> None:
+        for number in range(SERVERS):
+            server = AppServerStandin(
+                f"i-{version}-{number}",
+                events=EVENTS,
+                event_interval_s=EVENT_INTERVAL_S,
+                ip=name_ip(len(self.servers)),
+                version=version,
+            )
+            await server.start()
+            self.servers.append(server)
+            self.store.put("servers", server.id, server.build_entry("llm", slots=48))
+
+    def list_servers(self, version: str) -> list[AppServerStandin]:
+        return [server for server in self.servers if server.version == version]
+
+    def unlist(self, version: str) -> None:
+        for server in self.list_servers(version):
+            self.store.put("servers", server.id, None)
+
+    async def end_servers(self, version: str) -> None:
+        for server in self.list_servers(version):
+            await server.stop()
+
+    async def remove_servers(self, version: str) -> None:
+        """Let the servers of a version leave the store, and end a little later."""
+        self.unlist(version)
+        await asyncio.sleep(UNLISTED_S)
+        await self.end_servers(version)
+
+    async def wait_listed(self, version: str) -> None:
+        """Wait until each gateway places streams at servers of a version."""
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            for gateway in self.gateways:
+                while not await self._places_at(gateway, version):
+                    await asyncio.sleep(0.05)
+
+    async def _places_at(self, gateway: GatewayProcess, version: str) -> bool:
+        caller = StreamCaller(self.session, next(self._numbers), EVENTS)
+        task = asyncio.ensure_future(caller.send(gateway.front))
+        while not caller.events and not task.done():
+            await asyncio.sleep(0.01)
+        task.cancel()
+        return caller.versions == {version}
+
+    def send_streams(self, count: int = STREAMS) -> list[StreamCaller]:
+        """:return: callers that have each sent a request to a gateway."""
+        numbers = itertools.islice(self._numbers, count)
+        callers = [StreamCaller(self.session, number, EVENTS) for number in numbers]
+        for caller in callers:
+            sending = caller.send(self.find_front(caller))
+            self.sent[caller] = asyncio.ensure_future(sending)
+        return callers
+
+    async def begin_streams(self) -> list[StreamCaller]:
+        """:return: callers that have received some events."""
+        callers = self.send_streams()
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not all(len(caller.events) > 2 for caller in callers):
+                await asyncio.sleep(0.01)
+        return callers
+
+    async def wait_ended(self, callers: list[StreamCaller]) -> None:
+        """Wait until the requests that callers sent first have ended."""
+        await asyncio.gather(*(self.sent[caller] for caller in callers))
+
+    def find_front(self, caller: StreamCaller, shift: int = 0) -> str:
+        """:return: URL of a gateway for a caller."""
+        return self.gateways[(caller.number + shift) % len(self.gateways)].front
+
+    async def wait_ready(self) -> None:
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            for gateway in self.gateways:
+                while not await self._is_ready(gateway):
+                    await asyncio.sleep(0.05)
+
+    async def _is_ready(self, gateway: GatewayProcess) -> bool:
+        try:
+            async with self.session.get(gateway.readiness) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def kill_gateways(self) -> None:
+        """Kill all gateways at once and wait until they are back."""
+        await asyncio.gather(*(gateway.kill(DOWN_S) for gateway in self.gateways))
+        await self.wait_ready()
+
+    async def take_up(self, callers: list[StreamCaller]) -> None:
+        """Let callers take up their streams at another gateway."""
+        await asyncio.gather(*(c.take_up(self.find_front(c, shift=1)) for c in callers))
+
+    async def stop(self) -> None:
+        await self.session.close()
+        for gateway in self.gateways:
+            await gateway.end()
+            await gateway.store.close()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+
+@pytest.fixture
+async def fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    fleet = Fleet(tmp_path)
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
+
+
+def list_joined(callers: list[StreamCaller]) -> list[set[str]]:
+    return [caller.versions for caller in callers if len(caller.versions) > 1]
+
+
+def select(callers: list[StreamCaller], version: str) -> list[StreamCaller]:
+    """:return: callers whose first event a version made."""
+    return [caller for caller in callers if caller.events[0].version == version]
+
+
+def have_begun(callers: list[StreamCaller], *versions: str) -> bool:
+    """:return: whether streams of each version have begun, and none has ended."""
+    begun = all(select(callers, version) for version in versions)
+    return begun and not any(caller.is_whole for caller in callers)
+
+
+# fault: a stream whose server had crashed went on at one of another software version
+async def test_a_stream_goes_on_at_a_server_of_its_version(fleet: Fleet) -> None:
+    for version in (OLD, NEW):
+        await fleet.add_servers(version)
+    await fleet.wait_ready()
+    callers = await fleet.begin_streams()
+    assert have_begun(callers, OLD, NEW)
+    await fleet.list_servers(OLD)[0].stop()
+    await fleet.wait_ended(callers)
+    assert list_joined(callers) == []
+    assert all(caller.is_whole for caller in callers)
+
+
+# fault: streams whose software version had left went on at servers of another one
+async def test_streams_without_a_server_of_their_version_end_at_once(fleet: Fleet) -> None:
+    for version in (OLD, NEW):
+        await fleet.add_servers(version)
+    await fleet.wait_ready()
+    callers = await fleet.begin_streams()
+    assert have_begun(callers, OLD, NEW)
+    old, new = select(callers, OLD), select(callers, NEW)
+    await fleet.remove_servers(OLD)
+    await asyncio.wait([fleet.sent[caller] for caller in old], timeout=AT_ONCE_S)
+    late = [caller.number for caller in old if not fleet.sent[caller].done()]
+    await fleet.wait_ended(callers)
+    assert list_joined(callers) == []
+    assert late == []
+    assert all(caller.is_whole for caller in new)
+
+
+# fault: once all gateways had been killed, streams went on at servers of any software version
+@pytest.mark.parametrize("joins_later", [False, True], ids=["together", "joined"])
+async def test_streams_are_taken_up_at_their_version_after_the_end_of_all_gateways(
+    fleet: Fleet, joins_later: bool
+) -> None:
+    await fleet.add_servers(OLD)
+    if not joins_later:
+        await fleet.add_servers(NEW)
+    await fleet.wait_ready()
+    callers = await fleet.begin_streams()
+    if joins_later:
+        await fleet.add_servers(NEW)
+        await fleet.wait_listed(NEW)
+        callers += await fleet.begin_streams()
+    assert have_begun(callers, OLD, NEW)
+    await fleet.kill_gateways()
+    await fleet.take_up(callers)
+    assert list_joined(callers) == []
+    assert all(caller.is_whole for caller in callers)
+
+
+# fault: streams of the release before went on at servers of the one after it
+async def test_streams_are_taken_up_at_their_version_beside_a_second_release(fleet: Fleet) -> None:
+    await fleet.add_servers(OLD)
+    await fleet.wait_ready()
+    await fleet.add_servers(NEW)
+    await fleet.wait_listed(NEW)
+    await fleet.remove_servers(OLD)
+    callers = await fleet.begin_streams()
+    await fleet.add_servers(NEWEST)
+    await fleet.wait_listed(NEWEST)
+    callers += await fleet.begin_streams()
+    assert have_begun(callers, NEW, NEWEST)
+    await fleet.kill_gateways()
+    await fleet.take_up(callers)
+    assert list_joined(callers) == []
+    assert all(caller.is_whole for caller in callers)
+
+
+# fault: streams of a software version that had left went on at another one after such an end
+async def test_streams_of_a_version_that_has_left_are_refused_at_once(fleet: Fleet) -> None:
+    await fleet.add_servers(OLD)
+    await fleet.wait_ready()
+    callers = await fleet.begin_streams()
+    await fleet.add_servers(NEW)
+    await fleet.wait_listed(NEW)
+    callers += await fleet.begin_streams()
+    assert have_begun(callers, OLD, NEW)
+    old, new = select(callers, OLD), select(callers, NEW)
+    fleet.unlist(OLD)
+    await asyncio.gather(fleet.kill_gateways(), fleet.end_servers(OLD))
+    refused = await asyncio.gather(*(caller.send(fleet.find_front(caller, 1)) for caller in old))
+    await fleet.take_up(new)
+    assert list_joined(callers) == []
+    assert {ended.status for ended in refused} == {REFUSED}
+    assert max(ended.took_s for ended in refused) < AT_ONCE_S
+    assert all(caller.is_whole for caller in new)
+
+
+# fault: gateways that came back beside a silent store let streams go on at any version
+async def test_streams_are_taken_up_at_their_version_after_a_silent_store(fleet: Fleet) -> None:
+    await fleet.add_servers(OLD)
+    await fleet.wait_ready()
+    callers = await fleet.begin_streams()
+    await fleet.add_servers(NEW)
+    await fleet.wait_listed(NEW)
+    callers += await fleet.begin_streams()
+    assert have_begun(callers, OLD, NEW)
+    fleet.store.silent = True
+    asyncio.get_running_loop().call_later(SILENT_S, setattr, fleet.store, "silent", False)
+    await fleet.kill_gateways()
+    await fleet.take_up(callers)
+    assert list_joined(callers) == []
+    assert all(caller.is_whole for caller in callers)
+
+
+# fault: streams that began while the store was silent went on at any version after such an end
+async def test_streams_that_begin_beside_a_silent_store_are_not_joined(fleet: Fleet) -> None:
+    await fleet.add_servers(OLD)
+    await fleet.wait_ready()
+    await fleet.add_servers(NEW)
+    await fleet.wait_listed(NEW)
+    fleet.store.silent = True
+    sent = fleet.send_streams()
+    await asyncio.sleep(SILENT_S)
+    asyncio.get_running_loop().call_later(SILENT_S, setattr, fleet.store, "silent", False)
+    await fleet.kill_gateways()
+    await fleet.wait_ended(sent)
+    begun = [caller for caller in sent if caller.events]
+    await fleet.take_up(begun)
+    assert list_joined(begun) == []
+    assert 2 * sum(caller.is_whole for caller in begun) >= len(begun)
+
+
+# fault: a server that came back at its address with other software went on with its old streams
+@pytest.mark.parametrize("name", ["", "i-after"], ids=["same-id", "new-id"])
+@pytest.mark.parametrize("listed_after_s", [0.0, 0.3], ids=["listed-at-once", "listed-later"])
+async def test_a_release_in_place_ends_streams_of_the_version_before(
+    name: str, listed_after_s: float
+) -> None:
+    rig = GatewayRig()
+    rig.llm = AppServerStandin("i-llm", events=EVENTS, event_interval_s=EVENT_INTERVAL_S)
+    await rig.start()
+    try:
+        await rig.configure(1, "key", timeout_ms=round(1000 * STREAM_TIMEOUT_S))
+        callers = [StreamCaller(rig.session, number, EVENTS) for number in range(1, 5)]
+        front = rig.url
+        tasks = [asyncio.ensure_future(caller.send(front)) for caller in callers]
+        await wait_until(lambda: all(len(caller.events) > 2 for caller in callers))
+        before = rig.llm.id
+        await rig.llm.release(NEW, down_s=RESTART_S, name=name)
+        await asyncio.sleep(listed_after_s)
+        if rig.llm.id != before:
+            rig.store.put("servers", before, None)
+        rig.store.put("servers", rig.llm.id, rig.llm.build_entry("llm"))
+        await asyncio.gather(*tasks)
+        assert list_joined(callers) == []
+        # nor do they get it at the next try
+        await asyncio.gather(*(caller.send(front) for caller in callers))
+        assert list_joined(callers) == []
+        later = StreamCaller(rig.session, 9, EVENTS)
+        await later.take_up(front)
+        assert later.is_whole
+        assert later.versions == {NEW}
+    finally:
+        await rig.stop()
