Release versions side by side in the soak, and let callers take streams up

The soak had one software version and callers that gave a broken stream up, so it couldn't see streams that are joined from two versions.

Engines are now released one, a share, the rest or back to an older version, drained or restarted at their address under the old or a new name; sound ones fall silent; all gateways are killed at once, whatever else happens to them; callers take broken streams up at other gateways as real clients do. Two promises: no stream holds events of two versions, and of twelve or more that are taken up while two endpoints of their version serve, at least half the share of new ones go on. Runs print these counts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -38,8 +38,11 @@
 
 def _print(result: Result) -> None:
     state = "broken" if result.breaches else "kept"
+    take_ups = result.take_ups
     print(
-        f"seed {result.settings.seed}: {state}; {result.served} of {result.requests} served"
+        f"seed {result.settings.seed}: {state}; {result.served} of {result.requests} served; "
+        f"{take_ups.went_on} of {take_ups.taken_up} streams went on, "
+        f"{take_ups.began} of {take_ups.new} began beside them"
         + (f"; logs in {result.folder}" if result.breaches else ""),
         flush=True,
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,12 @@
 from basilroad.standin.appserver import WireFault
 from soak.link import Link
 from soak.records import InjectedFault
+from soak.releaseschedule import (
+    KillAllGateways,
+    ReleaseEndpoint,
+    RestartEndpoint,
+    SilenceEndpoint,
+)
 from soak.schedule import (
     STORE_LINK,
     AskForPause,
@@ -65,6 +71,11 @@
     await world.gateways[fault.target].kill(fault.duration_s)
 
 
+@inject.register
+async def _(fault: KillAllGateways, world: World) -> None:
+    await asyncio.gather(*(one.kill_at_once(fault.duration_s) for one in world.gateways))
+
+
 @inject.register
 async def _(fault: PauseGateway, world: World) -> None:
     await world.gateways[fault.target].pause(fault.duration_s)
@@ -132,6 +143,21 @@
     await world.drain(fault.target)
 
 
+@inject.register
+async def _(fault: ReleaseEndpoint, world: World) -> None:
+    await world.drain(fault.target, fault.version)
+
+
+@inject.register
+async def _(fault: RestartEndpoint, world: World) -> None:
+    await world.crash(fault.target, fault.duration_s, fault.version, keeps_name=fault.keeps_name)
+
+
+@inject.register
+async def _(fault: SilenceEndpoint, world: World) -> None:
+    await world.endpoints[fault.target].server.fall_silent(fault.duration_s)
+
+
 @inject.register
 async def _(fault: CorruptResponses, world: World) -> None:
     world.endpoints[fault.target].server.schedule_faults(fault.faults)
--- a/soak/process.py
+++ b/soak/process.py
@@ -39,6 +39,7 @@
     starts: list[float] = attrs.field(factory=list)
     paused: bool = False
     _process: subprocess.Popen[bytes] | None = None
+    _killed: subprocess.Popen[bytes] | None = None
     _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     @property
@@ -83,6 +84,21 @@
             await asyncio.sleep(downtime_s)
             self.start()
 
+    async def kill_at_once(self, downtime_s: float) -> None:
+        """Send SIGKILL also to a process that is suspended or stopping, then start the gateway.
+
+        :param downtime_s: seconds between exit and start
+        """
+        killed = self._killed = self._process
+        self._signal(signal.SIGKILL)
+        async with self._lock:
+            # a stop in progress has started it again
+            if self._process is not killed:
+                return
+            await self._wait_exit()
+            await asyncio.sleep(downtime_s)
+            self.start()
+
     async def stop(self) -> StopTimes:
         """Send SIGTERM, then start the gateway again.
 
@@ -128,7 +144,7 @@
     def has_exited(self) -> bool:
         """:return: whether the process exited without being signalled."""
         ended = self._process is not None and self._process.poll() is not None
-        return ended and not self._lock.locked()
+        return ended and not self._lock.locked() and self._process is not self._killed
 
     def _signal(self, number: signal.Signals) -> None:
         if self._process is not None and self._process.poll() is None:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -2,38 +2,22 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterator
 
 from basilroad.standin.streamevents import decode_events
+from soak.promise import OK, UNCONNECTED, Promise
 from soak.records import Kind, Limit, Record
 from soak.schedule import StopGateway
-from soak.settings import APPLY_S, DEADLINE_S, DRAIN_S, GRACE_S, RECOVERY_S, REVOKE_S
+from soak.settings import APPLY_S, DRAIN_S, GRACE_S, RECOVERY_S, REVOKE_S
+from soak.streampromises import StreamsKeepTheirVersion, TakenUpStreamsGoOn
 
-OK = 200
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Status codes that state that a request did not run."""
 
 RESPONSE_MARGIN_S = 0.5
 """Seconds after its deadline within which a request must have its response."""
 
-UNCONNECTED = frozenset({"ClientConnectorError", "ConnectionTimeoutError"})
-"""Details of requests for which no connection was opened."""
-
-
-class Promise(ABC):
-    """An invariant of the deployment."""
-
-    @property
-    def name(self) -> str:
-        """:return: name used in reports."""
-        return type(self).__name__
-
-    @abstractmethod
-    def find_breaches(self, record: Record) -> Iterator[str]:
-        """:return: one line for each violation."""
-
 
 class RunsOnce(Promise):
     """A non-idempotent request runs at most once."""
@@ -84,10 +68,11 @@
             if request.kind is not Kind.STREAM or request.status != OK:
                 continue
             numbers = [event.number for event in decode_events(request.answer)]
-            if numbers != list(range(1, len(numbers) + 1)):
-                yield f"{request.id} got events {numbers}"
-            elif request.whole and len(numbers) != record.events:
-                yield f"{request.id} ended as whole after {len(numbers)} events"
+            first, last = request.last_event + 1, request.last_event + len(numbers)
+            if numbers != list(range(first, last + 1)):
+                yield f"{request.id} got events {numbers} from {first} on"
+            elif request.whole and last != record.events:
+                yield f"{request.id} ended as whole after {last} events"
 
 
 class NothingIsInvented(Promise):
@@ -325,7 +310,7 @@
         """:return: requests that ended after their deadline."""
         for request in record.requests.values():
             took_s = request.ended_at - request.sent_at
-            if request.aborted or took_s <= DEADLINE_S + RESPONSE_MARGIN_S:
+            if request.aborted or took_s <= request.deadline_s + RESPONSE_MARGIN_S:
                 continue
             if record.is_fault_free(request.sent_at - RECOVERY_S, request.ended_at):
                 yield f"{request.id} waited {took_s:.2f} s, answered {request.status}"
@@ -348,8 +333,11 @@
     def find_breaches(self, record: Record) -> Iterator[str]:
         """:return: one line if too few requests succeeded."""
         last = max((one.ended for one in record.injected_faults), default=0.0)
+        # streams that are taken up may be of a version that has left
         after_faults = [
-            r for r in record.requests.values() if r.sent_at > last + RECOVERY_S and not r.aborted
+            r
+            for r in record.requests.values()
+            if r.sent_at > last + RECOVERY_S and not r.aborted and not r.resumes
         ]
         authorized = [r for r in after_faults if r.key not in record.key_revoked_at]
         served = [r for r in authorized if r.status == OK and r.whole]
@@ -379,6 +367,8 @@
     NothingIsHeld(),
     GatewaysLive(),
     CalmIsServed(),
+    StreamsKeepTheirVersion(),
+    TakenUpStreamsGoOn(),
 )
 
 __all__ = ["PROMISES", "Promise"]
--- a/soak/records.py
+++ b/soak/records.py
@@ -4,20 +4,29 @@
 
 import enum
 import itertools
+import math
 
 import attrs
 
 from basilroad.standin.appserver import ReceivedRequest
+from soak.releaseschedule import KillAllGateways, RestartEndpoint
 from soak.schedule import (
     ENDPOINT_LINK,
     PLANNED,
+    AskForPause,
+    CorruptResponses,
     Fault,
     HoldLink,
     KillGateway,
+    NameLimit,
     PauseGateway,
     ResetLink,
     StopGateway,
 )
+from soak.settings import APPLY_S, CONTACT_S, DEADLINE_S
+
+IMPAIRING = (CorruptResponses, AskForPause, NameLimit)
+"""Faults for which an endpoint serves less than others, beside those of its link."""
 
 
 class Kind(enum.Enum):
@@ -55,6 +64,11 @@
     :param whole: whether the response was received completely
     :param aborted: whether the caller aborted the request
     :param detail: why the response is missing or incomplete
+    :param deadline_s: seconds that the caller waits
+    :param resumes: identifier of the request that brought the first event of a stream that this
+        one takes up; empty for a new request
+    :param last_event: number of the last event received before; 0 for a new request
+    :param retry_after_s: seconds that the response asks to wait; 0 if it does not
     """
 
     id: str
@@ -75,6 +89,10 @@
     whole: bool = False
     aborted: bool = False
     detail: str = ""
+    deadline_s: float = DEADLINE_S
+    resumes: str = ""
+    last_event: int = 0
+    retry_after_s: float = 0.0
 
 
 @attrs.frozen
@@ -125,6 +143,22 @@
     ended: float
 
 
+@attrs.define
+class ServingTime:
+    """Time for which an endpoint serves at a software version.
+
+    :param number: number of the endpoint
+    :param version: the version; empty for what is no engine
+    :param began: monotonic seconds
+    :param ended: monotonic seconds at which it crashed or began to leave; infinity before
+    """
+
+    number: int
+    version: str
+    began: float
+    ended: float = math.inf
+
+
 @attrs.frozen
 class InjectedFault:
     """A fault and the time during which it was in effect.
@@ -175,6 +209,7 @@
     :param stops: durations of planned stops
     :param exited_gateways: numbers of the gateways that exited without being signalled
     :param events: number of events of a complete stream
+    :param serving: when endpoints served, and at which version
     """
 
     requests: dict[str, Request] = attrs.field(factory=dict)
@@ -189,6 +224,7 @@
     stops: list[StopTimes] = attrs.field(factory=list)
     exited_gateways: list[int] = attrs.field(factory=list)
     events: int = 0
+    serving: list[ServingTime] = attrs.field(factory=list)
 
     def runs_of(self, request_id: str) -> list[Run]:
         """:return: runs of one request."""
@@ -219,18 +255,41 @@
         faults = (
             one
             for one in self.injected_faults
-            if isinstance(one.fault, kinds) and one.fault.target == gateway
+            if isinstance(one.fault, kinds)
+            and (one.fault.target == gateway or isinstance(one.fault, KillAllGateways))
         )
         return any(one.began <= end and one.ended >= begin for one in faults)
 
     def is_cut(self, endpoint: int, begin: float, end: float) -> bool:
-        """:return: whether the link of an endpoint was held or reset in a time span."""
+        """:return: whether an endpoint's link was held or reset, or its name given to another."""
         faults = (
             one
             for one in self.injected_faults
-            if isinstance(one.fault, HoldLink | ResetLink)
-            and one.fault.link == ENDPOINT_LINK
-            and one.fault.target == endpoint
+            if one.fault.target == endpoint and _cuts_off(one.fault)
+        )
+        return any(one.began <= end and one.ended >= begin for one in faults)
+
+    def count_serving(self, version: str, begin: float, end: float) -> int:
+        """Count the engines of a software version that serve all through a time span.
+
+        :param version: the version
+        :param begin: monotonic seconds
+        :param end: the same
+        :return: number of those that gateways know and that no fault keeps from serving
+        """
+        serving = (
+            one.number
+            for one in self.serving
+            if one.version == version and one.began + APPLY_S <= begin and one.ended >= end
+        )
+        return sum(not self._is_impaired(number, begin - CONTACT_S, end) for number in serving)
+
+    def _is_impaired(self, endpoint: int, begin: float, end: float) -> bool:
+        faults = (
+            one
+            for one in self.injected_faults
+            if one.fault.target == endpoint
+            and (_cuts_off(one.fault) or isinstance(one.fault, IMPAIRING))
         )
         return any(one.began <= end and one.ended >= begin for one in faults)
 
@@ -240,4 +299,20 @@
         return list(past)[-1][1]
 
 
-__all__ = ["InjectedFault", "Kind", "Limit", "Pause", "Record", "Request", "Run", "StopTimes"]
+def _cuts_off(fault: Fault) -> bool:
+    if isinstance(fault, HoldLink | ResetLink):
+        return fault.link == ENDPOINT_LINK
+    return isinstance(fault, RestartEndpoint) and fault.keeps_name
+
+
+__all__ = [
+    "InjectedFault",
+    "Kind",
+    "Limit",
+    "Pause",
+    "Record",
+    "Request",
+    "Run",
+    "ServingTime",
+    "StopTimes",
+]
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,9 +15,11 @@
 from soak.callers import Caller
 from soak.faults import run_fault
 from soak.promises import PROMISES
-from soak.records import InjectedFault, Record
-from soak.schedule import Fault, Schedule
+from soak.records import InjectedFault, Kind, Record
+from soak.releaseschedule import draw_faults
+from soak.schedule import Fault
 from soak.settings import RECOVERY_S, SoakSettings
+from soak.streampromises import TakeUps
 from soak.world import World
 
 READY_TIMEOUT_S = 20.0
@@ -37,6 +39,7 @@
     :param breaches: one line for each violation, by name of the promise
     :param requests: number of requests sent
     :param served: number of complete responses with status 200
+    :param take_ups: streams that callers took up
     :param folder: directory of the gateway logs, kept if a promise was broken
     """
 
@@ -44,6 +47,7 @@
     breaches: dict[str, list[str]]
     requests: int
     served: int
+    take_ups: TakeUps
     folder: Path
 
 
@@ -63,7 +67,7 @@
     await world.start()
     try:
         await _wait_ready(world)
-        await _drive(world, Schedule(settings).draw())
+        await _drive(world, draw_faults(settings))
     finally:
         await world.close()
     result = _evaluate(settings, world.record, folder)
@@ -76,6 +80,10 @@
     stop = asyncio.Event()
     seeds = random.Random(world.settings.seed + 1)
     callers = [Caller(world, random.Random(seeds.random())) for _ in range(world.settings.callers)]
+    callers += [
+        Caller(world, random.Random(seeds.random()), (Kind.STREAM,))
+        for _ in range(world.settings.stream_callers)
+    ]
     caller_tasks = [asyncio.ensure_future(caller.run(stop)) for caller in callers]
     monitor_task = asyncio.ensure_future(_monitor_gateways(world))
     try:
@@ -141,6 +149,7 @@
         {name: lines for name, lines in found.items() if lines},
         len(record.requests),
         sum(r.whole and r.status == 200 for r in record.requests.values()),
+        TakeUps.measure(record),
         folder,
     )
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,7 +14,8 @@
 from basilroad.standin.rowstore import RowStoreStandin
 from soak.link import Link
 from soak.process import GatewayProcess
-from soak.records import Limit, Pause, Record, Run
+from soak.records import Limit, Pause, Record, Run, ServingTime
+from soak.releaseschedule import FIRST_VERSION
 from soak.settings import DRAIN_S, SoakSettings
 from soak.storewriter import CONFIG_ROW, StoreWriter
 
@@ -52,6 +53,9 @@
     :param link: proxy through which gateways reach it
     :param instances: all instances, in order of their start
     :param busy: held during a crash or drain
+    :param version: software version of the instances that start
+    :param serving: when its current instance serves
+    :param name_reused_at: when its name was given to another instance last
     """
 
     number: int
@@ -60,6 +64,9 @@
     link: Link
     instances: list[AppServerStandin] = attrs.field(factory=list)
     busy: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    version: int = FIRST_VERSION
+    serving: ServingTime | None = None
+    name_reused_at: float = 0.0
 
     @property
     def data_centre(self) -> str:
@@ -94,6 +101,8 @@
         await self.store.start()
         for number in range(len(SERVICES) * self.settings.endpoints):
             await self._add_endpoint(number, SERVICES[number % len(SERVICES)])
+        for number in self.settings.list_released_engines():
+            await self._add_endpoint(number, ENGINE)
         self.write_config()
         self._copying = asyncio.ensure_future(self.writer.keep_copies())
         for number in range(self.settings.gateways):
@@ -142,30 +151,42 @@
 
     # endpoints
 
-    async def crash(self, number: int, downtime_s: float) -> None:
+    async def crash(
+        self, number: int, downtime_s: float, version: int = 0, *, keeps_name: bool = False
+    ) -> None:
         """Crash an endpoint; a new instance starts at its address.
 
         :param number: number of the endpoint
         :param downtime_s: seconds between crash and start
+        :param version: software version of the new instance; 0 for the same
+        :param keeps_name: whether it has the name of the one that crashed
         """
         endpoint = self.endpoints[number]
         async with endpoint.busy:
             dead = endpoint.server
+            endpoint.version = version or endpoint.version
+            _end_serving(endpoint)
             await dead.stop()
             endpoint.link.reset()
             await asyncio.sleep(downtime_s)
-            await self._start_instance(endpoint, dead.port)
+            if keeps_name:
+                endpoint.name_reused_at = time.monotonic()
+            await self._start_instance(endpoint, dead.port, dead.id if keeps_name else "")
             await asyncio.sleep(max(0.0, UNREGISTER_DELAY_S - downtime_s))
-            self.writer.put("servers", dead.id, None)
+            if not keeps_name:
+                self.writer.put("servers", dead.id, None)
 
-    async def drain(self, number: int) -> None:
+    async def drain(self, number: int, version: int = 0) -> None:
         """Drain an endpoint; a new instance starts at another address.
 
         :param number: number of the endpoint
+        :param version: software version of the new instance; 0 for the same
         """
         endpoint = self.endpoints[number]
         async with endpoint.busy:
             leaving, link = endpoint.server, endpoint.link
+            endpoint.version = version or endpoint.version
+            _end_serving(endpoint)
             self._register(endpoint, state="draining")
             self.record.draining_since[leaving.id] = time.monotonic()
             endpoint.link = Link(0, self._ip)
@@ -184,6 +205,7 @@
         async with endpoint.busy:
             leaving, link = endpoint.server, endpoint.link
             leaving.leaving_in = ALL_RESPONSES
+            _end_serving(endpoint)
             endpoint.link = Link(0, self._ip)
             await self._start_instance(endpoint, 0)
             await asyncio.sleep(DRAIN_S + DRAIN_MARGIN_S + UNLISTED_LEAVING_S)
@@ -198,21 +220,25 @@
         :param per_s: requests a second
         :param length_s: seconds
         """
-        server, began = self.endpoints[number].server, time.monotonic()
+        endpoint, began = self.endpoints[number], time.monotonic()
+        server = endpoint.server
         if server.limit:
             return
         server.limit = f"{per_s:g}"
         await asyncio.sleep(length_s)
         server.limit = ""
-        self.record.limits.append(Limit(server.id, number, per_s, began, time.monotonic()))
+        reused_at = endpoint.name_reused_at
+        ended = reused_at if reused_at > began else time.monotonic()
+        self.record.limits.append(Limit(server.id, number, per_s, began, ended))
 
     async def _add_endpoint(self, number: int, service: str) -> None:
         endpoint = Endpoint(number, service, AppServerStandin(), Link(0, self._ip))
         self.endpoints.append(endpoint)
         await self._start_instance(endpoint, 0)
 
-    async def _start_instance(self, endpoint: Endpoint, port: int) -> None:
-        instance = AppServerStandin(f"i-{endpoint.number}-{len(endpoint.instances)}", ip=self._ip)
+    async def _start_instance(self, endpoint: Endpoint, port: int, name: str = "") -> None:
+        name = name or f"i-{endpoint.number}-{len(endpoint.instances)}"
+        instance = AppServerStandin(name, ip=self._ip, version=f"v{endpoint.version}")
         if endpoint.service == ENGINE:
             instance.events, instance.event_interval_s = STREAM_EVENTS, EVENT_INTERVAL_S
         await instance.start(port)
@@ -222,6 +248,9 @@
             endpoint.link = Link(instance.port, self._ip)
             await endpoint.link.start()
         self._register(endpoint)
+        version = instance.version if endpoint.service == ENGINE else ""
+        endpoint.serving = ServingTime(endpoint.number, version, time.monotonic())
+        self.record.serving.append(endpoint.serving)
 
     def _register(self, endpoint: Endpoint, state: str = "ready") -> None:
         address = f"{endpoint.link.ip}:{endpoint.link.port}"
@@ -285,6 +314,11 @@
             route_moves.append((time.monotonic() if route_moves else 0.0, self._moved_to_service))
 
 
+def _end_serving(endpoint: Endpoint) -> None:
+    if endpoint.serving is not None:
+        endpoint.serving.ended = time.monotonic()
+
+
 def _choose_ip(number: int) -> str:
     # concurrent runs must not share addresses, as all gateways use the same ports
     high, low = divmod(os.getpid() % (250 * 250), 250)
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -30,6 +30,7 @@
         seed=int(str(case["seed"])),
         length_s=float(str(case["length_s"])),
         gateways=int(str(case.get("gateways", SoakSettings().gateways))),
+        has_releases=bool(case.get("has_releases", True)),
     )
     result = await run_soak(settings)
     assert result.breaches == {}, f"{case['cause']}; see {result.folder}"
--- /dev/null
+++ b/tests/standin/test_appserver.py
@@ -0,0 +1,66 @@
+"""The application server stand-in tells its software version."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+
+from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.streamevents import StreamEvent, decode_events
+
+EVENTS = 3
+SILENT_S = 0.3
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[AppServerStandin]:
+    server = AppServerStandin("i-1", events=EVENTS, version="v7")
+    await server.start()
+    yield server
+    await server.stop()
+
+
+async def read_events(server: AppServerStandin) -> list[StreamEvent]:
+    url = f"http://{server.ip}:{server.port}/s/1"
+    async with aiohttp.ClientSession() as session, session.post(url) as response:
+        return decode_events(await response.read())
+
+
+async def test_events_tell_the_version_and_the_run(server: AppServerStandin) -> None:
+    runs = [await read_events(server) for _ in range(2)]
+    for events in runs:
+        assert [event.number for event in events] == [1, 2, 3]
+        assert {event.version for event in events} == {"v7"}
+    names = [{event.run for event in events} for events in runs]
+    assert len(names[0]) == len(names[1]) == 1
+    assert names[0] != names[1]
+
+
+@pytest.mark.parametrize("name", ["", "i-2"])
+async def test_a_release_keeps_the_address(server: AppServerStandin, name: str) -> None:
+    before = server.build_entry("llm")
+    await server.release("v8", name=name)
+    after = server.build_entry("llm", slots=9)
+    assert server.id == (name or "i-1")
+    assert (before["version"], after["version"], after["slots"]) == ("v7", "v8", 9)
+    assert before["address"] == after["address"]
+    assert before["born"] != after["born"]
+    assert {event.version for event in await read_events(server)} == {"v8"}
+
+
+async def test_a_server_that_fell_silent_goes_on(server: AppServerStandin) -> None:
+    began = time.monotonic()
+    events, _ = await asyncio.gather(read_events(server), server.fall_silent(SILENT_S))
+    assert len(events) == EVENTS
+    assert time.monotonic() - began >= SILENT_S
+
+
+def test_damaged_events_are_not_decoded() -> None:
+    event = StreamEvent(2, "v1", "i-1/1")
+    assert decode_events(event.encode() * 2) == [event, event]
+    assert decode_events(event.encode()[:-1]) == []
+    assert decode_events(event.encode().replace(b"token 2", b"token 3")) == []
