Let engines of the soak tell in their reports the start that is listed

Reports of a stand-in told the first start of its object, while its entry counted the instances of its endpoint.

--- a/soak/world.py
+++ b/soak/world.py
@@ -238,7 +238,10 @@
 
     async def _start_instance(self, endpoint: Endpoint, port: int, name: str = "") -> None:
         name = name or f"i-{endpoint.number}-{len(endpoint.instances)}"
-        instance = AppServerStandin(name, ip=self._ip, version=f"v{endpoint.version}")
+        # it goes on with the count of starts, by which gateways tell it from the one before it
+        starts = len(endpoint.instances)
+        version = f"v{endpoint.version}"
+        instance = AppServerStandin(name, ip=self._ip, version=version, starts=starts)
         if endpoint.service == ENGINE:
             instance.events, instance.event_interval_s = STREAM_EVENTS, EVENT_INTERVAL_S
         await instance.start(port)
@@ -248,8 +251,8 @@
             endpoint.link = Link(instance.port, self._ip)
             await endpoint.link.start()
         self._register(endpoint)
-        version = instance.version if endpoint.service == ENGINE else ""
-        endpoint.serving = ServingTime(endpoint.number, version, time.monotonic())
+        serves = version if endpoint.service == ENGINE else ""
+        endpoint.serving = ServingTime(endpoint.number, serves, time.monotonic())
         self.record.serving.append(endpoint.serving)
 
     def _register(self, endpoint: Endpoint, state: str = "ready") -> None:
@@ -260,8 +263,6 @@
             zone=endpoint.data_centre,
             slots=SLOTS,
             state=state,
-            # each instance is a stand-in of its own, and counts its starts anew
-            born=1000 + len(endpoint.instances),
         )
         self.writer.put("servers", endpoint.server.id, entry)
 
