Report how long the event loop of the soak stood still

Callers, endpoints and the store of the soak share an event loop. Each run prints the longest time now.

--- a/soak/records.py
+++ b/soak/records.py
@@ -210,6 +210,8 @@
     :param exited_gateways: numbers of the gateways that exited without being signalled
     :param events: number of events of a complete stream
     :param serving: when endpoints served, and at which version
+    :param longest_stall_s: longest time for which the soak's own event loop stood still; callers,
+        endpoints and the store run there
     """
 
     requests: dict[str, Request] = attrs.field(factory=dict)
@@ -225,6 +227,7 @@
     exited_gateways: list[int] = attrs.field(factory=list)
     events: int = 0
     serving: list[ServingTime] = attrs.field(factory=list)
+    longest_stall_s: float = 0.0
 
     def runs_of(self, request_id: str) -> list[Run]:
         """:return: runs of one request."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,6 +40,7 @@
     :param requests: number of requests sent
     :param served: number of complete responses with status 200
     :param take_ups: streams that callers took up
+    :param longest_stall_s: longest time for which the soak's own event loop stood still
     :param folder: directory of the gateway logs, kept if a promise was broken
     """
 
@@ -48,6 +49,7 @@
     requests: int
     served: int
     take_ups: TakeUps
+    longest_stall_s: float
     folder: Path
 
 
@@ -136,7 +138,9 @@
 
 async def _monitor_gateways(world: World) -> None:
     while True:
+        due = time.monotonic() + MONITOR_INTERVAL_S
         await asyncio.sleep(MONITOR_INTERVAL_S)
+        world.record.longest_stall_s = max(world.record.longest_stall_s, time.monotonic() - due)
         for gateway in world.gateways:
             if gateway.has_exited and gateway.number not in world.record.exited_gateways:
                 world.record.exited_gateways.append(gateway.number)
@@ -150,6 +154,7 @@
         len(record.requests),
         sum(r.whole and r.status == 200 for r in record.requests.values()),
         TakeUps.measure(record),
+        record.longest_stall_s,
         folder,
     )
 
