Count streams that are taken up only while the store serves their gateway

The users' rule counts streams that are taken up at machines in touch, where the store has been without disturbance for the contact time; the check counted all.

New streams are counted by the same condition. A gateway that has just started still counts, though the rule excuses it.

--- a/soak/records.py
+++ b/soak/records.py
@@ -13,15 +13,19 @@
 from soak.schedule import (
     ENDPOINT_LINK,
     PLANNED,
+    STORE_LINK,
     AskForPause,
     CorruptResponses,
+    DelayLink,
     Fault,
     HoldLink,
     KillGateway,
     NameLimit,
     PauseGateway,
     ResetLink,
+    RestoreStore,
     StopGateway,
+    StoreOutage,
 )
 from soak.settings import APPLY_S, CONTACT_S, DEADLINE_S
 
@@ -272,6 +276,18 @@
         )
         return any(one.began <= end and one.ended >= begin for one in faults)
 
+    def is_store_stable(self, gateway: int, begin: float, end: float) -> bool:
+        """:return: whether no fault of the store or of a gateway's link to it met a time span."""
+        return not any(
+            one.began <= end and one.ended >= begin - CONTACT_S
+            for one in self.injected_faults
+            if isinstance(one.fault, StoreOutage | RestoreStore)
+            or (
+                isinstance(one.fault, DelayLink | HoldLink | ResetLink)
+                and (one.fault.link, one.fault.target) == (STORE_LINK, gateway)
+            )
+        )
+
     def count_serving(self, version: str, begin: float, end: float) -> int:
         """Count the engines of a software version that serve all through a time span.
 
--- a/soak/streampromises.py
+++ b/soak/streampromises.py
@@ -65,7 +65,8 @@
     """How many streams go on when they are taken up, beside how many new ones begin.
 
     Only tries count during which ``MIN_ENDPOINTS`` sound endpoints of the version of the stream
-    serve, and only new streams that were sent within ``WINDOW_S`` of one of these.
+    serve, and only new streams that were sent within ``WINDOW_S`` of one of these, all of them at
+    gateways that the store serves, as the platform specifies.
 
     :param taken_up: streams that were taken up
     :param went_on: those of them that brought more events
@@ -129,9 +130,11 @@
 
 
 def _is_answered(record: Record, request: Request) -> bool:
-    """:return: whether a request must have an answer, or has one; revoked keys excuse."""
+    """:return: whether a request must have an answer, or has one; faults of the store excuse."""
     if request.aborted or request.key in record.key_revoked_at:
         return False
+    if not record.is_store_stable(request.gateway, request.sent_at, request.ended_at):
+        return False
     if request.status:
         return True
     interrupted = record.is_interrupted(request.gateway, request.sent_at, request.ended_at)
--- a/tests/soak/test_streampromises.py
+++ b/tests/soak/test_streampromises.py
@@ -8,7 +8,17 @@
 from basilroad.standin.streamevents import StreamEvent
 from soak.records import InjectedFault, Kind, Record, Request, ServingTime
 from soak.releaseschedule import KillAllGateways, RestartEndpoint
-from soak.schedule import ENDPOINT_LINK, AskForPause, Fault, HoldLink, KillGateway
+from soak.schedule import (
+    ENDPOINT_LINK,
+    STORE_LINK,
+    AskForPause,
+    DropStoreHistory,
+    Fault,
+    HoldLink,
+    KillGateway,
+    RestoreStore,
+    StoreOutage,
+)
 from soak.settings import APPLY_S, CONTACT_S
 from soak.streampromises import StreamsKeepTheirVersion, TakenUpStreamsGoOn, TakeUps
 
@@ -159,6 +169,26 @@
         assert (TakeUps.measure(record).taken_up == 0) is excused
 
 
+@pytest.mark.parametrize(
+    ("fault", "excuses"),
+    [
+        (StoreOutage(0.0, 0, 0.1, True), True),
+        (RestoreStore(0.0, 0, 0.1, True, 1.0, 0.1), True),
+        (HoldLink(0.0, 1, 0.1, STORE_LINK, True, False), True),
+        (HoldLink(0.0, 2, 0.1, STORE_LINK, True, False), False),
+        (DropStoreHistory(0.0, 0, 0.0), False),
+        (KillGateway(0.0, 1, 0.1), False),
+    ],
+)
+def test_tries_at_a_gateway_that_the_store_does_not_serve_are_not_counted(
+    fault: Fault, excuses: bool
+) -> None:
+    record = build_taken_up(0, 12)
+    for ago_s, excused in ((CONTACT_S + 0.1, False), (CONTACT_S - 0.2, excuses)):
+        record.injected_faults = [InjectedFault(fault, AT + 0.5 - ago_s, AT + 0.5 - ago_s)]
+        assert (TakeUps.measure(record).taken_up == 0) is excused
+
+
 def test_a_restart_under_the_same_name_cuts_what_the_name_had_asked_for() -> None:
     record = build_taken_up(0, 12)
     for keeps_name in (False, True):
