Wait out a short outage of the version that a stream is bound to

Callers that took up a stream were refused, and streams that had begun were broken off, within a second or two after all endpoints of their version had gone down together, though those came back. A call gives up after six rejections, and each refused connection counted as one. A new stream tries each endpoint once and then waits; a bound one goes on to try the few endpoints of its version in turn.

An attempt of a bound stream that sent nothing doesn't count any more. The backoff of the endpoints spaces such attempts out, and the time limits of the stream end them.

Both tests failed before.

--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -225,7 +225,7 @@
         self._tracker.running = None
         if not attempt.sent:
             self._tracker.record_unsent()
-        self._record_outcome(outcome, endpoint, backup, used_backup=kv_cache_source)
+        self._record_outcome(outcome, attempt, backup, used_backup=kv_cache_source)
         took_s = time.monotonic() - started
         self._gateway.record_attempt(
             AttemptRecord(
@@ -500,13 +500,15 @@
             await self._responder.write(data)
 
     def _record_outcome(
-        self, outcome: Outcome, endpoint: Endpoint, backup: Reservation | None, *, used_backup: bool
+        self, outcome: Outcome, attempt: Attempt, backup: Reservation | None, *, used_backup: bool
     ) -> None:
         tracker, now = self._tracker, time.monotonic()
+        endpoint = attempt.endpoint
         if isinstance(outcome, NotRun):
             if not used_backup:
                 tracker.tried.add(endpoint.id)
-                tracker.refused += 1
+                # a version may have few endpoints, whose backoff spaces out the next tries
+                tracker.refused += attempt.sent or self._pin.version is None
             tracker.last_detail = outcome.detail
             return
         tracker.sent += 1
--- a/tests/gateway/test_version_takeups.py
+++ b/tests/gateway/test_version_takeups.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 import attrs
@@ -12,7 +13,8 @@
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.streaming import StreamBrokenError
-from builders import RecordingResponder, build_call, build_stream_route
+from basilroad.standin.appserver import AppServerStandin
+from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
 REFUSED_AT_ONCE_S = 0.5
@@ -152,3 +154,53 @@
         await take_up(gateway)
     versions = [r.version for r in caplog.records if r.message == "attempt"]
     assert versions == ["v1"]
+
+
+async def restart(gateway: Gateway, stopped: list[AppServerStandin]) -> list[AppServerStandin]:
+    """:return: sound servers under the ids of stopped ones, which are listed."""
+    servers = []
+    for previous in stopped:
+        server = AppServerStandin(previous.id, events=20)
+        await server.start()
+        servers.append(server)
+        options = {"service": "llm", "data_centre": "kurzeme-a", "slots": 48, "version": "v1"}
+        entry = build_entry(server.id, port=server.port, started_ms=server.born, **options)
+        gateway.directory.put(entry)
+    return servers
+
+
+# a take-up waits for 2.5 s at most with this target, like a new stream
+@pytest.mark.parametrize(("begun", "outage_s"), [("elsewhere", 1.5), ("here", 2.5)])
+async def test_a_stream_outlives_a_short_outage_of_its_version(
+    gateway, start_server, begun, outage_s
+) -> None:
+    # fault: it ended within a second, after a few connections that its endpoints refused
+    near, far = await start_both(start_server)
+    options = {"service": "llm", "events": 20, "data_centre": "kurzeme-a"}
+    last = await start_server("i-3", **options)
+    responder, changes = RecordingResponder(), {"id": "c2", "resumes": "c1", "resume_after": "7"}
+    if begun == "here":
+        gateway.directory.get("i-1").full_until = float("inf")
+        far.event_interval_s = last.event_interval_s = 0.03
+        changes = {"id": "c1"}
+    else:
+        await begin(gateway, "v1")
+        await far.stop()
+        await last.stop()
+    call = build_call(ROUTE, **changes)
+    task = asyncio.ensure_future(CallHandler(gateway).handle(call, responder))
+    if begun == "here":
+        async with asyncio.timeout(5):
+            while not responder.numbers:
+                await asyncio.sleep(0.005)
+        gateway.directory.get("i-1").full_until = 0.0
+        await far.stop()
+        await last.stop()
+    await asyncio.sleep(outage_s)
+    assert not task.done()
+    servers = await restart(gateway, [far, last])
+    await asyncio.wait_for(task, 4)
+    assert responder.numbers == list(range(1 if begun == "here" else 8, 21))
+    assert not near.seen
+    for server in servers:
+        await server.stop()
