--- a/soak/run.py
+++ b/soak/run.py
@@ -15,9 +15,11 @@
 from soak.callers import Caller
 from soak.faults import run_fault
 from soak.promises import PROMISES
-from soak.records import InjectedFault, Record
-from soak.schedule import Fault, Schedule
+from soak.records import InjectedFault, Kind, Record
+from soak.releaseschedule import draw_faults
+from soak.schedule import Fault
 from soak.settings import RECOVERY_S, SoakSettings
+from soak.streampromises import TakeUps
 from soak.world import World
 
 READY_TIMEOUT_S = 20.0
@@ -37,6 +39,8 @@
     :param breaches: one line for each violation, by name of the promise
     :param requests: number of requests sent
     :param served: number of complete responses with status 200
+    :param take_ups: streams that callers took up
+    :param longest_stall_s: longest time for which the soak's own event loop stood still
     :param folder: directory of the gateway logs, kept if a promise was broken
     """
 
@@ -44,6 +48,8 @@
     breaches: dict[str, list[str]]
     requests: int
     served: int
+    take_ups: TakeUps
+    longest_stall_s: float
     folder: Path
 
 
@@ -63,7 +69,7 @@
     await world.start()
     try:
         await _wait_ready(world)
-        await _drive(world, Schedule(settings).draw())
+        await _drive(world, draw_faults(settings))
     finally:
         await world.close()
     result = _evaluate(settings, world.record, folder)
@@ -76,6 +82,10 @@
     stop = asyncio.Event()
     seeds = random.Random(world.settings.seed + 1)
     callers = [Caller(world, random.Random(seeds.random())) for _ in range(world.settings.callers)]
+    callers += [
+        Caller(world, random.Random(seeds.random()), (Kind.STREAM,))
+        for _ in range(world.settings.stream_callers)
+    ]
     caller_tasks = [asyncio.ensure_future(caller.run(stop)) for caller in callers]
     monitor_task = asyncio.ensure_future(_monitor_gateways(world))
     try:
@@ -128,7 +138,9 @@
 
 async def _monitor_gateways(world: World) -> None:
     while True:
+        due = time.monotonic() + MONITOR_INTERVAL_S
         await asyncio.sleep(MONITOR_INTERVAL_S)
+        world.record.longest_stall_s = max(world.record.longest_stall_s, time.monotonic() - due)
         for gateway in world.gateways:
             if gateway.has_exited and gateway.number not in world.record.exited_gateways:
                 world.record.exited_gateways.append(gateway.number)
@@ -141,6 +153,8 @@
         {name: lines for name, lines in found.items() if lines},
         len(record.requests),
         sum(r.whole and r.status == 200 for r in record.requests.values()),
+        TakeUps.measure(record),
+        record.longest_stall_s,
         folder,
     )
 
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -43,11 +43,13 @@
 
     :param down: whether calls are refused
     :param mute: whether calls get no response; writes may be applied all the same
+    :param loses_writes: whether only writes get no response
     :param late_s: seconds after which a write without response is applied; ``None`` for never
     """
 
     down: bool = False
     mute: bool = False
+    loses_writes: bool = False
     late_s: float | None = None
     rows: dict[tuple[str, str], ArchiveRow] = attrs.field(factory=dict)
     revision: int = 0
@@ -119,7 +121,7 @@
         if self.cut:
             await asyncio.sleep(TIMEOUT_S)
             return MayCommit("no way to the store")
-        if self.store.mute:
+        if self.store.mute or self.store.loses_writes:
             if self.store.late_s is not None:
                 loop = asyncio.get_running_loop()
                 loop.call_later(self.store.late_s, self.store.apply, service, list(changes))
@@ -148,7 +150,7 @@
         self._listed: set[str] | None = None
         self.versions = StreamVersions(self.directory, self.metrics, loop.time, random.Random(seed))
         self.archive = SimArchive(fleet.store)
-        self.versions.attach(self.archive, lambda: len(fleet.hosts))
+        self.versions.keeper.attach(self.archive, lambda: len(fleet.hosts))
         self.apply_listing()
         self._tasks = [loop.create_task(self._observe()), loop.create_task(self._work())]
 
@@ -164,13 +166,13 @@
         while True:
             self.apply_listing()
             self.directory.expire()
-            self.versions.observe()
+            self.versions.keeper.observe()
             await asyncio.sleep(OBSERVE_INTERVAL_S)
 
     async def _work(self) -> None:
         while True:
-            await self.versions.wait_work()
-            await self.versions.work()
+            await self.versions.keeper.wait_work()
+            await self.versions.keeper.work()
 
     @property
     def unrecorded(self) -> float:
@@ -301,7 +303,7 @@
         self.store.rows, self.store.revision = dict(rows), revision
         self.store.restores += 1
         for host in self.hosts:
-            host.versions.repeat()
+            host.versions.keeper.repeat()
 
 
 def build_stream_call(call_id: str, resumes: str = "", workspace: str = "w") -> Call:
