Let a gateway rest while the store is away and no record is due

A gateway whose write of a record had failed went on without a pause, with all of a processor's time, while only the removal of another record was to come, for up to 15 s. wait_work returned at once because the time of the next try had come, and work tried nothing because a removal was planned for later.

Both now ask the same: only a write that is due now takes the place of the check whether the store is reached again.

The test failed before: 100 turns within 5 s, its bound is 50.

--- a/src/basilroad/gateway/streamversions.py
+++ b/src/basilroad/gateway/streamversions.py
@@ -359,7 +359,7 @@
             due = min(due, max(service.cleans_at, self._pace.next_at))
             if not service.base.is_trusted(now):
                 due = min(due, max(now + CHECK_INTERVAL_S, self._pace.retry_at))
-        if self._pace.is_away:
+        if self._pace.is_away and not self._is_write_due(now):
             due = min(due, self._pace.retry_at)
         try:
             async with asyncio.timeout(max(0.0, due - now) if due < math.inf else None):
@@ -380,12 +380,14 @@
             await self._check_reached()
 
     async def _check_reached(self) -> None:
-        services = list(self._services.values())
-        if any(service.records.due_at() < math.inf for service in services):
+        if self._is_write_due(self._clock()):
             return
-        if await self._refresh_base(services[0]):
+        if await self._refresh_base(next(iter(self._services.values()))):
             self._pace.record_success()
 
+    def _is_write_due(self, now: float) -> bool:
+        return any(service.records.due_at() <= now for service in self._services.values())
+
     async def _keep_base(self, service: _Service) -> None:
         assert self._archive is not None
         change = service.base.find_change(self._clock())
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -212,6 +212,32 @@
     assert await host.find(stream) == "v1"
 
 
+# fault: after a failed write, a host tried again without a pause while only a removal was to come
+@virtually
+async def test_a_host_is_idle_while_the_store_is_away_and_only_a_removal_waits(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    host = fleet.hosts[0]
+    fleet.end(await fleet.begin(host, "v2"))
+    await asyncio.sleep(RESUME_WINDOW_S + 1.0)
+    work, turns = host.versions.work, 0
+
+    async def count_turn() -> None:
+        nonlocal turns
+        turns += 1
+        assert turns < 100
+        await work()
+
+    host.versions.work = count_turn
+    fleet.store.down = True
+    # the write fails, then the stream begins at the version that needs none
+    stream = await fleet.begin(host, "v2", "v1", wait_s=0.5)
+    assert stream.version == "v1"
+    await asyncio.sleep(SETTLE_S)
+    assert turns < 50
+
+
 # fault: while the store is away, streams begin whose versions no other host can know
 @virtually
 async def test_new_streams_go_to_the_base_version_while_the_store_is_away(
