Pass no stream on unrecorded while the base version is in doubt

Callers could get a stream joined of two versions after its gateway had died, if that gateway had never reached the store: it passed the first event on after a second without a record, as it knew no base version that needs none. Any other gateway takes a stream without a record for one of the base version.

While another version takes calls, a stream is now passed on without a record only by a gateway that knows the base version and relies on it, and then only if that version takes no calls. While one version takes calls alone, streams begin as before.

The test failed before: a stream begun at v2 was found at v1 by another host.

--- a/src/basilroad/gateway/streamversions.py
+++ b/src/basilroad/gateway/streamversions.py
@@ -310,8 +310,13 @@
         return records.is_settled(call)
 
     def _may_pass_unrecorded(self, call: Call, version: str) -> bool:
-        records = self._open(call.service).records
-        if records.may_differ(call, version) or self._has_other(call.service, version):
+        service = self._open(call.service)
+        if service.records.may_differ(call, version) or self._has_other(call.service, version):
+            return False
+        others = self._listing.count_ready(call.service)
+        del others[version]
+        if others and not service.base.is_trusted(self._clock()):
+            # another host would take it up at the base version, which may be one of these
             return False
         _LOGGER.warning("stream not recorded", extra={"request": call.id, "version": version})
         if self._metrics is not None:
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -238,6 +238,26 @@
     assert turns < 50
 
 
+# fault: a stream was joined of two versions; the host that began it did not know the base version
+@virtually
+async def test_no_stream_begins_unrecorded_while_any_of_two_versions_may_be_the_base(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    late = fleet.start_host()
+    late.archive.cut = True
+    # other hosts pass the listing on
+    late.directory.replace(fleet.list_entries())
+    await asyncio.sleep(SETTLE_S)
+    stream = await fleet.begin(late, "v2")
+    if stream.version is not None:
+        assert await fleet.hosts[0].find(stream) in (None, stream.version)
+    fleet.serve("v2")
+    late.directory.replace(fleet.list_entries())
+    await asyncio.sleep(SETTLE_S)
+    assert (await fleet.begin(late, "v2")).version == "v2", "no other host can take it up elsewhere"
+
+
 # fault: while the store is away, streams begin whose versions no other host can know
 @virtually
 async def test_new_streams_go_to_the_base_version_while_the_store_is_away(
