Take no transaction for refused unless the store says so

A response with a server error other than 503 and 507, or with an epoch that can't be read, counted as a refusal that rules out a later effect. A record of a stream's version that was in fact written could then be withdrawn, so that the store told another version than the one that had begun the stream. Seen in tests only, by reading.

Such a response now counts as lost: the transaction may have been applied.

The four tests failed before. The tests of the store's client, of the archive of versions and of that of crashes pass (22).

--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -26,6 +26,12 @@
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
+STATUS_UNAVAILABLE = 503
+STATUS_FULL = 507
+SERVER_ERROR = 500
+
+NOT_APPLIED = (STATUS_UNAVAILABLE, STATUS_FULL)
+"""Responses of the range of server errors that state that nothing was done."""
 READ_TIMEOUT_S = 0.8
 """Longest silence in a read: many times the store's usual latency, and short enough for a retry
 within the time in which a config version has to be in force."""
@@ -276,7 +282,10 @@
         """
         answer = await self._post(transaction)
         if answer.status not in (STATUS_OK, STATUS_CONFLICT):
-            raise StoreError(f"responded with status {answer.status}, expected {STATUS_OK}")
+            message = f"responded with status {answer.status}, expected {STATUS_OK}"
+            if answer.status < SERVER_ERROR or answer.status in NOT_APPLIED:
+                raise StoreError(message)
+            raise ResponseLostError(message)
         try:
             page = _RESULT_DECODER.decode(answer.body)
         except DecodeError as error:
@@ -293,7 +302,10 @@
             raise StoreError(str(error)) from error
         except HttpError as error:
             raise ResponseLostError(str(error)) from error
-        self._observe_epoch(answer)
+        try:
+            self._observe_epoch(answer)
+        except StoreError as error:
+            raise ResponseLostError(str(error)) from error
         return answer
 
     async def close(self) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -72,3 +72,23 @@
     with pytest.raises(StoreError) as unreached:
         await client.transact(transaction)
     assert not isinstance(unreached.value, ResponseLostError)
+
+
+# fault: as above, for responses that don't tell what became of the transaction
+@pytest.mark.parametrize("status", [500, 502, 504])
+async def test_a_server_error_does_not_tell_that_nothing_was_done(
+    store: RowStoreStandin, client: StoreClient, status: int
+) -> None:
+    store.refusing = status
+    with pytest.raises(ResponseLostError):
+        await client.transact(Transaction("p", "t", {"a": 0}, {"a": b"one"}))
+
+
+# fault: as above, where the transaction was applied
+async def test_an_applied_transaction_with_an_unreadable_epoch_is_not_refused(
+    store: RowStoreStandin, client: StoreClient
+) -> None:
+    store.era = "x"
+    with pytest.raises(ResponseLostError):
+        await client.transact(Transaction("p", "t", {"a": 0}, {"a": b"one"}))
+    assert store.get("t", "a", "p") == b"one"
