--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/earliersend.py
@@ -11,6 +11,7 @@
 from basilroad.coordination.claim import ClaimState, build_path
 from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.table import TableError
+from basilroad.entry.callhosts import GONE_AGENT_WINDOW_S
 from basilroad.entry.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
@@ -21,6 +22,7 @@
 
     from basilroad.coordination.claim import Claim
     from basilroad.coordination.claims import Claims
+    from basilroad.entry.callhosts import CallHosts
     from basilroad.entry.keyedcall import KeyedCall
     from basilroad.entry.link import AgentLink
 
@@ -30,8 +32,8 @@
 POLL_INTERVAL_S = 0.5
 """Seconds between queries about a running call."""
 
-LOST_AGENT_WINDOW_S = 600.0
-"""Seconds after an agent disconnected or restarted in which it may have run an earlier call."""
+SILENT_AGENT_TIMEOUT_S = 3.0
+"""Seconds for which agents that do not reply are asked again; reconnecting takes up to 2 s."""
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,9 +42,11 @@
     """Reads claims and asks agents about them.
 
     :param claims: client of the claims table; ``None`` without a table
+    :param hosts: hosts that may have run calls; ``None`` without a table
     """
 
     claims: Claims | None
+    hosts: CallHosts | None
 
     def links(self) -> Sequence[AgentLink]:
         """:return: links to all known agents."""
@@ -111,38 +115,53 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _ask_agents(self, keyed_call: KeyedCall, error: RefusedError) -> ServiceAnswer:
+        give_up_s = time.monotonic() + SILENT_AGENT_TIMEOUT_S
         while True:
-            replies = await asyncio.gather(
-                *(self._ask(link, keyed_call) for link in self._list_links(keyed_call))
-            )
+            links = self._list_links(keyed_call)
+            replies = await asyncio.gather(*(self._ask(link, keyed_call) for link in links))
             known = [reply for reply in replies if reply is not None]
             for reply in known:
                 if reply.HasField("answer"):
                     return read_answer(reply.answer)
             states = {CallState(reply.state) for reply in known}
-            if CallState.RUNNING not in states:
+            if CallState.RUNNING in states:
+                running = next(r for r in known if r.state == CallState.RUNNING.value)
+                self._check_may_wait(keyed_call, running)
+            elif time.monotonic() >= give_up_s or not any(
+                _may_reply(link)
+                for link, reply in zip(links, replies, strict=True)
+                if reply is None
+            ):
                 break
-            running = next(r for r in known if r.state == CallState.RUNNING.value)
-            self._check_may_wait(keyed_call, running)
             await asyncio.sleep(POLL_INTERVAL_S)
-        if len(known) < len(replies) or states - {CallState.NOT_STARTED}:
+        if (
+            len(known) < len(replies)
+            or not self._knows_all_agents()
+            or states - {CallState.NOT_STARTED}
+        ):
             raise refuse(
                 ErrorKind.MAY_HAVE_RUN, "it is not known whether an earlier call with this key ran"
             )
         raise error
 
+    def _knows_all_agents(self) -> bool:
+        hosts = self._reader.hosts
+        return bool(self._reader.links()) and hosts is not None and hosts.are_linked()
+
     def _list_links(self, keyed_call: KeyedCall) -> list[AgentLink]:
-        links = self._reader.links()
-        return [link for link in links if link.may_run_service(keyed_call.call.service)]
+        hosts = self._reader.hosts
+        return [
+            link
+            for link in self._reader.links()
+            if link.may_run_service(keyed_call.call.service)
+            or hosts is None
+            or hosts.may_have_run(link)
+        ]
 
     async def _ask(self, link: AgentLink, keyed_call: KeyedCall) -> wire.CallSettled | None:
         if not link.is_up:
-            return (
-                None
-                if time.monotonic() - link.connection_changed_s < LOST_AGENT_WINDOW_S
-                else _build_not_started()
-            )
-        if time.monotonic() - link.restarted_s < LOST_AGENT_WINDOW_S:
+            return _build_not_started() if link.is_gone(GONE_AGENT_WINDOW_S) else None
+        if time.monotonic() - link.restarted_s < GONE_AGENT_WINDOW_S:
             return None
         number = link.next_call_number()
         question = wire.FindCall(call=number, key=build_key(keyed_call))
@@ -165,6 +184,14 @@
     return build_path(identity.workspace, identity.caller, identity.idempotency_key)
 
 
+def _may_reply(link: AgentLink) -> bool:
+    """:return: whether an agent that did not reply may do so soon."""
+    now = time.monotonic()
+    if now - link.restarted_s < GONE_AGENT_WINDOW_S:
+        return False
+    return link.is_up or now - link.connection_changed_s < SILENT_AGENT_TIMEOUT_S
+
+
 def _build_not_started() -> wire.CallSettled:
     return wire.CallSettled(state=CallState.NOT_STARTED.value)
 
--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -54,8 +54,8 @@
     :param expires_at: monotonic seconds of its deadline
     :param size: tokens of a generation; zero for other calls
     :param resume_after: id of the last event that the caller received; empty for a new stream
-    :param resumes: id of the caller's request that brought the first event of a stream that it takes
-        up again; empty if not given
+    :param resumes: id of the caller's request that brought the first event of the stream that it
+        takes up again; empty if not given
     :param prompt_key: key of the prompt of a generation; empty without one
     :param prompt_parts: keys of the parts of its prompt that other calls may share
     """
@@ -104,10 +104,7 @@
     @property
     def events_received(self) -> int:
         """:return: number of events that the caller has received, from the last event id."""
-        text = self.resume_after
-        if not text.isascii() or not text.isdigit() or len(text) > MAX_ID_DIGITS:
-            return 0
-        return int(text)
+        return read_events_received(self.resume_after)
 
 
 @attrs.frozen
@@ -124,6 +121,18 @@
     body: bytes
 
 
+def read_events_received(last_event_id: str) -> int:
+    """Read how many events a caller has received.
+
+    :param last_event_id: id of the last one, as the caller sent it
+    :return: their number; 0 if it is empty or malformed
+    """
+    text = last_event_id
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_ID_DIGITS:
+        return 0
+    return int(text)
+
+
 class Responder(Protocol):
     """Sends the response of one call to its caller."""
 
@@ -141,4 +150,12 @@
         """
 
 
-__all__ = ["CONTENT_KEY_MARK", "Call", "Headers", "PromptSize", "Reply", "Responder"]
+__all__ = [
+    "CONTENT_KEY_MARK",
+    "Call",
+    "Headers",
+    "PromptSize",
+    "Reply",
+    "Responder",
+    "read_events_received",
+]
--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
@@ -23,6 +24,10 @@
 """Time for which removed lifetimes of endpoints are remembered, longer than the age of a copy from
 which the listing may be restored."""
 
+VERSIONS_MEMORY_S = 30.0
+"""Time for which a service counts as served by several versions after the listing shows one: a
+release is over then, or its next endpoint follows."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -41,7 +46,8 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._absent: dict[str, float] = {}
         self._removed: dict[tuple[str, int], float] = {}
-        self._unreliable_until = 0.0
+        self._unreliable_until = -math.inf
+        self._versions_differed_at: dict[str, float] = {}
 
     def __iter__(self) -> Iterator[Endpoint]:
         return iter(self._endpoints.values())
@@ -54,6 +60,19 @@
         """:return: the listed endpoints of a service."""
         return [e for e in self._endpoints.values() if e.entry.service == service]
 
+    def list_staying(self, service: str, version: str) -> list[Endpoint]:
+        """:return: the listed endpoints of one software version of a service that don't leave."""
+        return [
+            endpoint
+            for endpoint in self.list_by_service(service)
+            if endpoint.entry.version == version and not endpoint.is_leaving
+        ]
+
+    @property
+    def is_reliable(self) -> bool:
+        """:return: whether endpoints that are not listed are gone."""
+        return bool(self._endpoints) and self._clock() >= self._unreliable_until
+
     def list_passed_over(self, service: str) -> list[dict[str, object]]:
         """:return: why endpoints of a service get no calls by their own notice, for the log."""
         if not self.notices.has_any:
@@ -65,15 +84,14 @@
             if now < endpoint.notices.no_calls_until or endpoint.notices.limit.is_refused(now)
         ]
 
+    def was_unreadable_within(self, limit_s: float) -> bool:
+        """:return: whether a read of the listing failed that many seconds ago or later."""
+        return self._clock() < self._unreliable_until - ABSENCE_LIMIT_S + limit_s
+
     def mark_listing_unreliable(self) -> None:
         """Record that the listing could not be read: entries may be missing from the next ones."""
         self._unreliable_until = self._clock() + ABSENCE_LIMIT_S
 
-    @property
-    def is_listing_reliable(self) -> bool:
-        """:return: whether the listing could be read lately."""
-        return self._clock() >= self._unreliable_until
-
     def put(self, entry: EndpointEntry) -> None:
         """Add or update one entry.
 
@@ -84,12 +102,16 @@
         known = self._endpoints.get(entry.id)
         if known is None:
             self._endpoints[entry.id] = Endpoint(entry, self.notices)
+            self._note_versions(entry.service)
             _LOGGER.info("endpoint listed", extra=_describe(entry))
             return
         previous = known.entry
         if previous == entry:
             return
-        if previous.started_ms != entry.started_ms or previous.address != entry.address:
+        if _is_other_start(previous, entry):
+            if previous.version != entry.version:
+                self._versions_differed_at[entry.service] = self._clock()
+            self._note_versions(previous.service)
             known.restart(entry)
             _LOGGER.info("endpoint restarted", extra=_describe(entry))
             return
@@ -174,7 +196,18 @@
         for endpoint_id in [known for known, until in self._absent.items() if now >= until]:
             self._drop(endpoint_id)
 
+    def has_versions(self, service: str) -> bool:
+        """:return: whether endpoints of several software versions of a service serve, or did."""
+        self._note_versions(service)
+        differed_at = self._versions_differed_at.get(service)
+        return differed_at is not None and self._clock() - differed_at < VERSIONS_MEMORY_S
+
+    def _note_versions(self, service: str) -> None:
+        if len({endpoint.entry.version for endpoint in self.list_by_service(service)}) > 1:
+            self._versions_differed_at[service] = self._clock()
+
     def _drop(self, endpoint_id: str) -> None:
+        self._note_versions(self._endpoints[endpoint_id].entry.service)
         self._absent.pop(endpoint_id, None)
         endpoint = self._endpoints.pop(endpoint_id)
         self._removed[(endpoint_id, endpoint.entry.started_ms)] = self._clock()
@@ -183,12 +216,17 @@
         _LOGGER.info("endpoint gone", extra=_describe(endpoint.entry))
 
 
+def _is_other_start(previous: EndpointEntry, entry: EndpointEntry) -> bool:
+    return previous.lifetime != entry.lifetime or previous.version != entry.version
+
+
 def _describe(entry: EndpointEntry) -> dict[str, str]:
     return {
         "endpoint": entry.id,
         "service": entry.service,
         "address": str(entry.address),
         "state": entry.state.value,
+        "version": entry.version,
     }
 
 
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -13,6 +13,7 @@
 from basilroad.coordination.fairpolicy import FairSettings, Flow
 from basilroad.coordination.fairqueue import FairQueue
 from basilroad.gateway.availability import find_service_pause
+from basilroad.gateway.candidates import Candidates, Wanted
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.promptlocations import PromptLocations
 from basilroad.gateway.selection import estimate_wait
@@ -57,12 +58,14 @@
     :param avoid: excluded endpoints
     :param wait_until: monotonic seconds until which it may wait
     :param placed: future of the reservation; ``None`` if waiting is of no use
+    :param version: the only version that may run it; ``None`` for any
     """
 
     call: Call
     avoid: Collection[str]
     wait_until: float
     placed: asyncio.Future[Reservation | None]
+    version: str | None = None
 
     @property
     def flow(self) -> Flow:
@@ -84,6 +87,7 @@
     :param reports: reads the load reports of engines
     :param permits: asks for permits of endpoints that named a limit; without it none are had
     :param clock: monotonic seconds
+    :param may_begin: checks whether new streams of a service may be placed at a version
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         reports: ReportReader | None = None,
         permits: PermitExchange | None = None,
         clock: Callable[[], float] = time.monotonic,
+        may_begin: Callable[[str, str], bool] = lambda _service, _version: True,
     ) -> None:
         self.directory = directory
         self.chooser = chooser
@@ -104,6 +109,9 @@
         self._permit_requests: dict[str, asyncio.Task[None]] = {}
         self.prompt_locations = PromptLocations(clock)
         self._clock = clock
+        self._candidates = Candidates(
+            directory, chooser, find_engine, self.prompt_locations, may_begin, clock
+        )
         self._queues: dict[str, FairQueue[Ticket]] = {}
 
     @property
@@ -112,28 +120,36 @@
         return sum(len(queue) for queue in self._queues.values())
 
     async def place(
-        self, call: Call, wait_until: float, avoid: Collection[str] = ()
+        self,
+        call: Call,
+        wait_until: float,
+        avoid: Collection[str] = (),
+        version: str | None = None,
     ) -> Reservation | None:
         """Wait for an endpoint with capacity, unless none takes calls in time.
 
         :param call: the call
         :param wait_until: monotonic seconds until which it may wait
         :param avoid: excluded endpoints
+        :param version: the only version that may run it; ``None`` for any
         :return: reserved capacity; ``None`` if there was none in time
         """
-        if not self._is_blocked(call):
-            endpoint = await self._choose_by_reports(call, avoid)
+        if not self._is_blocked(call, version):
+            endpoint = await self._choose_by_reports(call, self._find_wanted(call, avoid, version))
             if endpoint is None:
-                endpoint = await self._choose_permitted(call, avoid)
+                endpoint = await self._choose_permitted(
+                    call, self._find_wanted(call, avoid, version)
+                )
             if endpoint is not None:
                 return self.reserve(endpoint, call.size)
         left_s = wait_until - self._clock()
         if left_s <= 0:
             return None
-        pause = self.find_turn(call, avoid)
-        if pause is not None and pause.outlasts(wait_until):
+        ticket = Ticket(call, avoid, wait_until, _create_future(), version)
+        pause = self.find_turn(call, avoid, version)
+        if self._is_wait_useless(ticket, pause, self._list_staying(call, version)):
             return None
-        return await self._wait(Ticket(call, avoid, wait_until, _create_future()), left_s)
+        return await self._wait(ticket, left_s)
 
     async def acquire_permit(self, endpoint: Endpoint) -> bool:
         """Get a permit for a request to an endpoint, unless there is one in hand or none is needed.
@@ -176,25 +192,29 @@
         endpoint.notices.limit.take_permit(self._clock())
         return Reservation(endpoint, size, needs_prefill=needs_prefill)
 
-    def find_pause(self, call: Call, avoid: Collection[str] = ()) -> ServicePause | None:
-        """:return: the pause of a call's service, if all its endpoints want no requests."""
-        endpoints = self.directory.list_by_service(call.service)
+    def find_pause(
+        self, call: Call, avoid: Collection[str] = (), version: str | None = None
+    ) -> ServicePause | None:
+        """:return: the pause of a call's service, if all endpoints for it want no requests."""
+        endpoints = self._candidates.list_all(call, Wanted(avoid, version))
         return find_service_pause(endpoints, self._clock(), avoid)
 
-    def find_turn(self, call: Call, avoid: Collection[str] = ()) -> ServicePause | None:
+    def find_turn(
+        self, call: Call, avoid: Collection[str] = (), version: str | None = None
+    ) -> ServicePause | None:
         """:return: the same, until the turn of a call that comes after those that wait."""
-        pause = self.find_pause(call, avoid)
+        pause = self.find_pause(call, avoid, version)
         return None if pause is None else pause.after(self._count_ahead(call))
 
-    def has_room(self, call: Call, avoid: Collection[str]) -> bool:
+    def has_room(self, call: Call, avoid: Collection[str], version: str | None = None) -> bool:
         """:return: whether another endpoint could take the call at once."""
-        return not self._is_blocked(call) and self._choose_at_once(call, avoid) is not None
+        return self._choose_unblocked(call, avoid, version) is not None
 
-    def reserve_at_once(self, call: Call, avoid: Collection[str]) -> Reservation | None:
+    def reserve_at_once(
+        self, call: Call, avoid: Collection[str], version: str | None = None
+    ) -> Reservation | None:
         """:return: capacity of another endpoint, if one could take the call at once."""
-        if self._is_blocked(call):
-            return None
-        endpoint = self._choose_at_once(call, avoid)
+        endpoint = self._choose_unblocked(call, avoid, version)
         return None if endpoint is None else self.reserve(endpoint, call.size)
 
     def release(self, reservation: Reservation) -> None:
@@ -210,9 +230,21 @@
         for queue in list(self._queues.values()):
             self._dispatch_queue(queue)
 
-    def _is_blocked(self, call: Call) -> bool:
+    def _list_ahead(self, call: Call) -> list[Ticket]:
         queue = self._queues.get(call.service)
-        return queue is not None and any(rank <= call.rank for rank in queue.ranks())
+        if queue is None or not any(rank <= call.rank for rank in queue.ranks()):
+            return []
+        return [ticket for ticket in queue.items() if ticket.call.rank <= call.rank]
+
+    def _is_blocked(self, call: Call, version: str | None) -> bool:
+        return any(ticket.version in (None, version) for ticket in self._list_ahead(call))
+
+    def _choose_unblocked(
+        self, call: Call, avoid: Collection[str], version: str | None
+    ) -> Endpoint | None:
+        if self._is_blocked(call, version):
+            return None
+        return self._choose_at_once(call, self._find_wanted(call, avoid, version))
 
     async def _wait(self, ticket: Ticket, left_s: float) -> Reservation | None:
         placed, service = ticket.placed, ticket.call.service
@@ -238,59 +270,90 @@
     def _dispatch_queue(self, queue: FairQueue[Ticket]) -> None:
         self._end_useless_waits(queue)
         held: list[Ticket] = []
+        claimed: set[str] = set()
         while (ticket := queue.peek()) is not None:
             if ticket.placed.done():
                 queue.remove(ticket)
                 continue
-            endpoint = self._choose_at_once(ticket.call, ticket.avoid)
-            if endpoint is None:
-                endpoint = self._choose(ticket.call, ticket.avoid)
-            if endpoint is None and not ticket.avoid:
+            endpoint = self._choose_for(ticket, claimed)
+            if endpoint is not None and not endpoint.notices.limit.has_permit(self._clock()):
+                self.request_permit(endpoint)
+                if ticket.version is None:
+                    break
+                endpoint = None
+            if endpoint is None and not ticket.avoid and ticket.version is None:
                 break
             if endpoint is None:
                 # later calls may use the endpoints that this one excludes
                 queue.remove(ticket)
-                pause = self.find_pause(ticket.call, ticket.avoid)
-                if pause is not None and pause.outlasts(ticket.wait_until):
+                if ticket.avoid and self._is_wait_useless(
+                    ticket,
+                    self.find_pause(ticket.call, ticket.avoid, ticket.version),
+                    self._list_staying(ticket.call, ticket.version),
+                ):
                     ticket.placed.set_result(None)
-                else:
-                    held.append(ticket)
+                    continue
+                held.append(ticket)
+                if ticket.version is not None and not ticket.avoid:
+                    claimed.add(ticket.version)
                 continue
-            if not endpoint.notices.limit.has_permit(self._clock()):
-                self.request_permit(endpoint)
-                break
             queue.pop()
             ticket.placed.set_result(self.reserve(endpoint, ticket.call.size))
         for ticket in reversed(held):
             queue.push_front(ticket, ticket.flow, ticket.cost)
 
+    def _choose_for(self, ticket: Ticket, claimed: Collection[str]) -> Endpoint | None:
+        if ticket.version in claimed:
+            return None
+        wanted = Wanted(ticket.avoid, ticket.version, claimed)
+        endpoint = self._choose_at_once(ticket.call, wanted)
+        return endpoint or self._candidates.choose(ticket.call, wanted)
+
     def _end_useless_waits(self, queue: FairQueue[Ticket]) -> None:
-        head = queue.peek()
-        pause = self.find_pause(head.call) if head is not None else None
-        if pause is None:
-            return
+        by_version: dict[str | None, list[Ticket]] = {}
         for ticket in queue.items():
-            if pause.outlasts(ticket.wait_until) and not ticket.placed.done():
-                queue.remove(ticket)
-                ticket.placed.set_result(None)
+            by_version.setdefault(ticket.version, []).append(ticket)
+        for version, tickets in by_version.items():
+            call = tickets[0].call
+            pause = self.find_pause(call, version=version)
+            staying = self._list_staying(call, version)
+            if pause is None and staying is None:
+                continue
+            for ticket in tickets:
+                if not ticket.placed.done() and self._is_wait_useless(ticket, pause, staying):
+                    queue.remove(ticket)
+                    ticket.placed.set_result(None)
 
-    async def _choose_by_reports(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
+    def _list_staying(self, call: Call, version: str | None) -> list[Endpoint] | None:
+        """:return: the endpoints that a bound call can wait for; ``None`` if others may come."""
+        if version is None or not self.directory.is_reliable:
+            return None
+        return self.directory.list_staying(call.service, version)
+
+    def _is_wait_useless(
+        self, ticket: Ticket, pause: ServicePause | None, staying: list[Endpoint] | None
+    ) -> bool:
+        if pause is not None and pause.outlasts(ticket.wait_until):
+            return True
+        return staying is not None and all(endpoint.id in ticket.avoid for endpoint in staying)
+
+    async def _choose_by_reports(self, call: Call, wanted: Wanted) -> Endpoint | None:
         """Choose an engine by the reports of a few candidates.
 
         :param call: the call
-        :param avoid: excluded endpoints
+        :param wanted: the endpoints that it may use
         :return: an engine that reported; ``None`` if engines are not asked or none has room
         """
         engine = self.find_engine(call.service)
-        cached = self.prompt_locations.find(call.prompt_key)
+        cached = self._candidates.find_prompt(call, wanted)
         if self._reports is None or engine is None or not self.asks_engines or cached is not None:
             return None
-        excluded, known = set(avoid), []
+        excluded, known = set(wanted.avoid), []
         for _ in range(MAX_REPORT_ROUNDS):
             # requests for reports would use up the permits of limited engines
             endpoints = [
                 endpoint
-                for endpoint in self.directory.list_by_service(call.service)
+                for endpoint in self._candidates.list_preferred(call, wanted)
                 if not endpoint.notices.limit.is_in_force(self._clock())
             ]
             scored = self.chooser.list_scored(endpoints, call, engine, self._clock(), excluded)
@@ -298,25 +361,31 @@
             candidates = [endpoint for _, endpoint in scored[:REPORT_CANDIDATES]]
             excluded.update(endpoint.id for endpoint in candidates)
             known += await self._reports.refresh(candidates)
-            best = self.chooser.choose(known, call, engine, self._clock(), avoid)
+            best = self.chooser.choose(known, call, engine, self._clock(), wanted.avoid)
             if best is not None and estimate_wait(best, call.size, self._clock()) < CROWDED_WAIT_S:
                 break
         return best
 
-    async def _choose_permitted(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
-        endpoint = self._choose(call, avoid)
+    async def _choose_permitted(self, call: Call, wanted: Wanted) -> Endpoint | None:
+        endpoint = self._candidates.choose(call, wanted)
         for _ in range(MAX_PERMIT_ROUNDS):
             if endpoint is None:
                 return None
             # it may have announced its exit while the permit was asked for
             if await self.acquire_permit(endpoint) and endpoint.is_available(self._clock()):
                 return endpoint
+            # calls may have queued meanwhile
+            wanted = self._find_wanted(call, wanted.avoid, wanted.version)
             # one round trip is enough while others need no permit
-            endpoint = self._choose_at_once(call, avoid) or self._choose(call, avoid)
-        return self._choose_at_once(call, avoid)
+            endpoint = self._choose_at_once(call, wanted) or self._candidates.choose(call, wanted)
+        return self._choose_at_once(call, self._find_wanted(call, wanted.avoid, wanted.version))
+
+    def _choose_at_once(self, call: Call, wanted: Wanted) -> Endpoint | None:
+        return self._candidates.choose(call, wanted, at_once=True)
 
-    def _choose_at_once(self, call: Call, avoid: Collection[str]) -> Endpoint | None:
-        return self._choose(call, avoid, at_once=True)
+    def _find_wanted(self, call: Call, avoid: Collection[str], version: str | None) -> Wanted:
+        ahead = self._list_ahead(call)
+        return Wanted(avoid, version, {t.version for t in ahead if t.version is not None})
 
     def _count_ahead(self, call: Call) -> int:
         queue = self._queues.get(call.service)
@@ -324,17 +393,6 @@
             return 0
         return sum(queue.count(rank) for rank in queue.ranks() if rank <= call.rank)
 
-    def _choose(
-        self, call: Call, avoid: Collection[str], *, at_once: bool = False
-    ) -> Endpoint | None:
-        endpoints = self.directory.list_by_service(call.service)
-        if at_once:
-            now = self._clock()
-            endpoints = [e for e in endpoints if e.notices.limit.has_permit(now)]
-        engine = self.find_engine(call.service)
-        cached_prompt = self.prompt_locations.find(call.prompt_key)
-        return self.chooser.choose(endpoints, call, engine, self._clock(), avoid, cached_prompt)
-
 
 def _create_future() -> asyncio.Future[Reservation | None]:
     return asyncio.get_running_loop().create_future()
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -49,7 +49,8 @@
 MAX_START_MS = 2**53
 
 MAX_NAME_CHARS = 200
-"""Longest id, service, data centre and version of an entry; other gateways are told of it in a datagram."""
+"""Longest id, service, data centre and version of an entry; other gateways are told of it in a
+datagram."""
 
 FAILURE_WEIGHT = 0.3
 """Weight of one outcome in the failure rate; three failures in a row raise it above one half."""
@@ -182,6 +183,7 @@
         self.last_received_at = -math.inf
         self.last_failed_at = -math.inf
         self.lost_at = -math.inf
+        self.cut_at = -math.inf
         self.full_until = -math.inf
         self.backoff_until = -math.inf
         self.removed = False
@@ -197,6 +199,12 @@
         """:return: the endpoint's id."""
         return self.entry.id
 
+    @property
+    def is_leaving(self) -> bool:
+        """:return: whether it takes no further calls in this lifetime."""
+        drains = self.entry.state is not EndpointState.READY
+        return self.removed or drains or self.notices.leaving_since is not None
+
     def is_available(self, now: float) -> bool:
         """Check whether a call may be sent to it, with a permit if it named a limit.
 
@@ -331,6 +339,13 @@
         """
         self.last_failed_at = now
 
+    def record_cut(self, now: float) -> None:
+        """Record that it refused or ended a connection, as one that restarts does.
+
+        :param now: monotonic seconds
+        """
+        self.cut_at = now
+
     def record_full(self, now: float) -> None:
         """Record that it rejected a call for lack of capacity.
 
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -33,6 +33,7 @@
     ShutdownSchedule,
     refuse_at_shutdown,
 )
+from basilroad.gateway.startcheck import StartCheck
 from basilroad.gateway.streamdurations import StreamDurations
 from basilroad.gateway.streamversions import StreamVersions
 from basilroad.stopsignal import StopSignal
@@ -136,9 +137,15 @@
             settings.host, settings.place, self.directory, generator=self.random
         )
         self.dispatcher = Dispatcher(
-            self.directory, chooser, self.find_engine, reports, self.permits
+            self.directory,
+            chooser,
+            self.find_engine,
+            reports,
+            self.permits,
+            may_begin=lambda service, version: self.stream_versions.may_begin(service, version),
         )
         self.liveness = Liveness(self.dispatcher, reports)
+        self.start_check = StartCheck(self.directory, protocol, reports)
         self.shutdown = Shutdown(signal=stop_signal or StopSignal())
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
@@ -328,14 +335,15 @@
         log_attempt(attempt, self.directory.list_passed_over(attempt.call.service))
         self.metrics.count_attempt(attempt.call, attempt.outcome)
 
-    def build_refusal(self, tracker: AttemptTracker) -> Refusal:
+    def build_refusal(self, tracker: AttemptTracker, version: str | None = None) -> Refusal:
         """Build the error for a call without a response.
 
         :param tracker: its attempts
+        :param version: the only version that may run it; ``None`` for any
         :return: the error
         """
         call = tracker.call
-        pause = None if tracker.sent else self.dispatcher.find_turn(call)
+        pause = None if tracker.sent else self.dispatcher.find_turn(call, version=version)
         if pause is not None:
             log_service_pause(call, self.directory.list_passed_over(call.service))
         return tracker.build_refusal(pause)
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/test_streamversions.py
@@ -228,7 +228,7 @@
     host = fleet.hosts[0]
     fleet.end(await fleet.begin(host, "v2"))
     await asyncio.sleep(RESUME_WINDOW_S + 1.0)
-    work, turns = host.versions.work, 0
+    work, turns = host.versions.keeper.work, 0
 
     async def count_turn() -> None:
         nonlocal turns
@@ -236,7 +236,7 @@
         assert turns < 100
         await work()
 
-    host.versions.work = count_turn
+    host.versions.keeper.work = count_turn
     fleet.store.down = True
     # the write fails, then the stream begins at the version that needs none
     stream = await fleet.begin(host, "v2", "v1", wait_s=0.5)
@@ -289,7 +289,7 @@
     @virtually
     async def begin(fleet: SimFleet) -> None:
         await start_with_two_versions(fleet)
-        fleet.hosts[0].versions.attach(fleet.hosts[0].archive, lambda: 410)
+        fleet.hosts[0].versions.keeper.attach(fleet.hosts[0].archive, lambda: 410)
         streams = await begin_where_preferred(fleet, 60, per_s)
         passed = [stream.version for stream in streams if stream.version is not None]
         assert len(passed) >= 0.9 * len(streams)
@@ -479,7 +479,7 @@
     for _ in range(15):
         fleet.end(await fleet.begin(first, "v2"))
         await asyncio.sleep(10.0)
-    assert not second.versions._is_base(second.versions._open(SERVICE), "v1")
+    assert not second.versions._is_base(second.versions.keeper.open(SERVICE), "v1")
     second.archive.cut = False
     fleet.serve("v1", "v2")
     await asyncio.sleep(2 * SETTLE_S)
@@ -510,3 +510,13 @@
         assert await versions.find(build_stream_call("b", "c")) is None
 
     asyncio.run(check())
+
+
+# fault: callers whose requests had no id went on with each other's streams
+def test_a_take_up_that_names_no_stream_is_not_one_without_an_id() -> None:
+    async def check() -> None:
+        versions = StreamVersions(Directory())
+        assert await versions.confirm(build_stream_call(""), "v2")
+        assert await versions.find(build_stream_call("b")) is None
+
+    asyncio.run(check())
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -108,6 +108,12 @@
     assert (entry.id, entry.service, str(entry.address)) == ("i-1", "s1", "10.128.0.9:8080")
     assert (entry.data_centre, entry.slots, entry.state) == ("riga-a", 48, EndpointState.READY)
     assert entry.started_ms == 1700000000000
+    assert entry.version == "v1"
+
+
+def test_a_software_version_that_is_a_whole_number_is_taken_as_its_text() -> None:
+    entry = decode_server("i-1", msgspec.json.encode({**SERVER, "version": 12}))
+    assert entry.version == "12"
 
 
 @pytest.mark.parametrize(
@@ -120,6 +126,11 @@
         {"zone": None},
         {"service": 3},
         {"born": 1.5},
+        {"version": None},
+        {"version": True},
+        {"version": 1.5},
+        {"version": ["v1"]},
+        {"version": "v" * 201},
     ],
 )
 def test_a_malformed_entry_is_an_error(change: dict[str, object]) -> None:
@@ -127,6 +138,14 @@
         decode_server("i-1", msgspec.json.encode({**SERVER, **change}))
 
 
+@pytest.mark.parametrize("missing", ["service", "address", "zone", "slots", "state", "version"])
+def test_an_entry_without_a_field_names_no_server(missing: str) -> None:
+    # fault: streams went on at servers of which nobody knew the version
+    fields = {name: value for name, value in SERVER.items() if name != missing}
+    with pytest.raises(ConfigError):
+        decode_server("i-1", msgspec.json.encode(fields))
+
+
 @given(st.binary(max_size=200))
 def test_any_bytes_are_an_entry_or_an_error(data: bytes) -> None:
     try:
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -19,6 +19,8 @@
 from basilroad.standin.appserver import AppServerStandin
 from support.gatewayrig import HEADERS, GatewayRig, build_config
 
+pytestmark = pytest.mark.by_turns
+
 Config = dict[str, Any]
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -79,7 +81,7 @@
                 await asyncio.sleep(0.01)
 
     def _list(self, server: AppServerStandin, service: str, slots: int = 30) -> None:
-        entry = {"service": service, "zone": "a", "slots": slots, "state": "ready"}
+        entry = {"service": service, "zone": "a", "slots": slots, "state": "ready", "version": "v1"}
         self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
 
     def send_change(self, change: Callable[[Config], None]) -> int:
--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -19,6 +19,8 @@
 from basilroad.standin.rowstore import RowStoreStandin
 from support.addresses import name_ip
 
+pytestmark = pytest.mark.by_turns
+
 GATEWAYS, SERVERS = 3, 3
 WINDOW_S = 4.0
 TOLD_S = 0.5
@@ -63,7 +65,14 @@
         self.store.put("op", "config", CONFIG)
         for server in self.servers:
             await server.start()
-            entry = {"service": "app", "zone": "a", "slots": 6, "state": "ready", "born": 7}
+            entry = {
+                "service": "app",
+                "zone": "a",
+                "slots": 6,
+                "state": "ready",
+                "version": "v1",
+                "born": 7,
+            }
             self.store.put("servers", server.id, {**entry, "address": f"{server.ip}:{server.port}"})
         for number in range(GATEWAYS):
             service = PlatformService(self._build_settings(number), Path("absent"))
