--- a/src/basilroad/gateway/versionkeeper.py
+++ b/src/basilroad/gateway/versionkeeper.py
@@ -93,6 +93,10 @@
         """:return: whether the archive could not be reached lately."""
         return self._pace.is_away
 
+    def estimate_write(self) -> float:
+        """:return: seconds that a record is likely to take that is requested now."""
+        return self._pace.estimate_write(self._clock())
+
     def attach(self, archive: VersionArchive, count_hosts: Callable[[], int]) -> None:
         """Use an archive from now on.
 
@@ -155,7 +159,7 @@
             due = min(due, max(service.cleans_at, self._pace.next_at))
             if not service.base.is_trusted(now):
                 due = min(due, max(now + CHECK_INTERVAL_S, self._pace.retry_at))
-        if self._pace.is_away:
+        if self._pace.is_away and not self._is_write_due(now):
             due = min(due, self._pace.retry_at)
         try:
             async with asyncio.timeout(max(0.0, due - now) if due < math.inf else None):
@@ -176,12 +180,14 @@
             await self._check_reached()
 
     async def _check_reached(self) -> None:
-        services = list(self._services.values())
-        if any(service.records.due_at() < math.inf for service in services):
+        if self._is_write_due(self._clock()):
             return
-        if await self._refresh_base(services[0]):
+        if await self._refresh_base(next(iter(self._services.values()))):
             self._pace.record_success()
 
+    def _is_write_due(self, now: float) -> bool:
+        return any(service.records.due_at() <= now for service in self._services.values())
+
     async def _keep_base(self, service: ServiceVersions) -> None:
         assert self.archive is not None
         change = service.base.find_change(self._clock())
@@ -260,6 +266,7 @@
             service.cleans_from = rows[-1][0] + "\0"
 
     def _record_outcome(self, outcome: Outcome) -> None:
+        self._pace.record_response(self._clock())
         if isinstance(outcome, Committed | Conflict):
             self._pace.record_success()
         else:
