--- a/tests/gateway/test_startcheck.py
+++ b/tests/gateway/test_startcheck.py
@@ -185,3 +185,21 @@
     gateway.directory.mark_listing_unreliable()
     assert (await run(gateway)).numbers == ALL_EVENTS
     assert not engine.seen
+
+
+async def test_a_resumed_stream_is_not_sent_to_a_restart_that_cut_no_connection_here(
+    gateway, engine, start_server
+) -> None:
+    # fault: only the hosts with a call at an endpoint knew that it had restarted
+    first = await start_server("i-2", service="llm", events=20, reset_at_event=8, software="v1")
+    engine.start_ms = 2
+    gateway.directory.get("i-1").full_until = float("inf")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: len(first.seen) == 1)
+    gateway.directory.get("i-1").full_until = 0.0
+    await wait_for(lambda: gateway.directory.get("i-2").last_failed_at > 0)
+    first.reset_at_event = 0
+    await asyncio.wait_for(task, 5)
+    assert responder.numbers == ALL_EVENTS
+    assert not engine.seen
