--- a/src/basilroad/gateway/baseversion.py
+++ b/src/basilroad/gateway/baseversion.py
@@ -105,12 +105,12 @@
     """
 
     def __init__(self, service: str, listing: VersionListing, generator: random.Random) -> None:
-        self._service = service
+        self.service = service
         self._listing = listing
         self._random = generator
         self._state: _State | None = None
         self._best: _StoredBase | None = None
-        self._leased = False
+        self.is_leased = False
         self._write_at: float | None = None
         self._announced_at: float | None = None
         self._settles_at = -math.inf
@@ -119,10 +119,15 @@
         self._epoch = 0
         self._epoch_seen_at = -math.inf
 
+    @property
+    def stored(self) -> _StoredBase | None:
+        """:return: the row as it was last read or written; ``None`` without one."""
+        return self._state.base if self._state is not None else None
+
     @property
     def version(self) -> str | None:
         """:return: the base version as it was last known; ``None`` if it isn't."""
-        known = self._state.base if self._state is not None else None
+        known = self.stored
         if known is None or (self._best and self._best.generation > known.generation):
             known = self._best
         return known.version if known is not None else None
@@ -130,7 +135,7 @@
     @property
     def is_in_doubt(self) -> bool:
         """:return: whether the store was restored from a copy that may lack records."""
-        base = self._state.base if self._state is not None else None
+        base = self.stored
         return base is not None and base.epoch < self._epoch
 
     def is_trusted(self, now: float) -> bool:
@@ -139,17 +144,17 @@
         :param now: boot clock in seconds
         :return: whether streams of the base version need no record
         """
-        if self._leased and self._is_absent(now, LEASE_S):
-            self._leased = False
-            _LOGGER.info("base version in doubt", extra=self._describe())
-        return self._leased
+        if self.is_leased and self._is_absent(now, LEASE_S):
+            self.is_leased = False
+            _LOGGER.info("base version in doubt", extra=_describe(self))
+        return self.is_leased
 
     def doubt(self, now: float) -> None:
         """Read the row again, as the store was restored.
 
         :param now: boot clock in seconds
         """
-        self._leased, self._state, self._write_at, self._announced_at = False, None, None, None
+        self.is_leased, self._state, self._write_at, self._announced_at = False, None, None, None
         self._settles_at = now + RESTORE_SETTLE_S
 
     def needs_read(self, now: float) -> bool:
@@ -169,11 +174,11 @@
         if now < self._settles_at:
             return False
         is_listed = state.base is not None and self._listing.is_listed(
-            self._service, state.base.version
+            self.service, state.base.version
         )
         if is_listed and not self.is_in_doubt:
             return True
-        is_served = bool(self._listing.count_listed(self._service))
+        is_served = bool(self._listing.count_listed(self.service))
         return is_served and now - state.read_at >= REREAD_INTERVAL_S
 
     def apply_read(
@@ -204,7 +209,7 @@
             self._announced_at = requested_at
         self._renew(requested_at)
         if previous is None or previous.revision != revision:
-            _LOGGER.info("base version read", extra=self._describe())
+            _LOGGER.info("base version read", extra=_describe(self))
 
     def find_change(self, now: float) -> RowChange | None:
         """Find the change of the row that this host has to send now.
@@ -228,7 +233,7 @@
 
     def _is_withdrawal(self, target: _StoredBase) -> bool:
         # sent at once, as streams need records until then
-        base = self._state.base if self._state is not None else None
+        base = self.stored
         if base is None or base.successor is None:
             return False
         return base.version == target.version and target.successor is None
@@ -243,12 +248,12 @@
             return _StoredBase(best.version, best.generation + 1, epoch=best.epoch)
         if now < self._settles_at:
             return None
-        candidates = self._listing.count_ready(self._service) or self._listing.count_listed(
-            self._service
+        candidates = self._listing.count_ready(self.service) or self._listing.count_listed(
+            self.service
         )
         if base is None:
             return self._create(candidates) if candidates else None
-        if self._listing.is_listed(self._service, base.version):
+        if self._listing.is_listed(self.service, base.version):
             return self._find_correction(base, now)
         return self._find_successor(base, candidates, now)
 
@@ -270,7 +275,7 @@
     ) -> _StoredBase | None:
         since = now - VERSION_MEMORY_S
         # an endpoint may have come back since the last observation
-        is_back = base.version in self._listing.count_listed(self._service)
+        is_back = base.version in self._listing.count_listed(self.service)
         if is_back or not candidates or not self._listing.is_complete_since(since):
             return None
         if not self._is_absent(now, VERSION_MEMORY_S):
@@ -306,7 +311,7 @@
         self._best = sent
         self._write_at = None
         self._announced_at = now if sent.successor is not None else None
-        _LOGGER.info("base version written", extra=self._describe())
+        _LOGGER.info("base version written", extra=_describe(self))
         self._renew(now)
 
     @_apply.register
@@ -328,28 +333,29 @@
     def _renew(self, read_at: float) -> None:
         state = self._state
         base = state.base if state is not None else None
-        self._leased = (
+        self.is_leased = (
             base is not None
             and base.successor is None
             and not self.is_in_doubt
             and (self._best is None or self._best.generation <= base.generation)
             and read_at >= self._settles_at
-            and self._listing.is_listed(self._service, base.version)
+            and self._listing.is_listed(self.service, base.version)
         )
 
     def _is_absent(self, now: float, limit_s: float) -> bool:
         version = self.version
-        return version is None or now - self._listing.seen_at(self._service, version) > limit_s
-
-    def _describe(self) -> dict[str, object]:
-        base = self._state.base if self._state is not None else None
-        return {
-            "service": self._service,
-            "version": base.version if base else None,
-            "generation": base.generation if base else None,
-            "successor": base.successor if base else None,
-            "trusted": self._leased,
-        }
+        return version is None or now - self._listing.seen_at(self.service, version) > limit_s
+
+
+def _describe(known: BaseVersion) -> dict[str, object]:
+    base = known.stored
+    return {
+        "service": known.service,
+        "version": base.version if base else None,
+        "generation": base.generation if base else None,
+        "successor": base.successor if base else None,
+        "trusted": known.is_leased,
+    }
 
 
 def _decode(row: ArchiveRow) -> _StoredBase | None:
