Take up streams that callers don't name while only the base version is known

Cause: such a take-up needed a host that had watched the listing for 90 s without a gap. Change: it also goes on where the base version is the only one that the host knows of. A stream of another version would have a record, so one of these can't have begun it unless that version came and left unseen.

--- a/src/basilroad/gateway/streamversions.py
+++ b/src/basilroad/gateway/streamversions.py
@@ -202,10 +202,10 @@
         sole = self._find_sole(service)
         if sole is not None and (not call.resumes or self._is_base(service, sole)):
             return "sole", sole
-        if not call.resumes:
-            return "unknown", None
         try:
             async with asyncio.timeout(FIND_LIMIT_S):
+                if not call.resumes:
+                    return await self._search_unnamed(service)
                 return await self._search_archive(service, call, archive)
         except TimeoutError as error:
             raise ArchiveUnavailableError(f"not read within {FIND_LIMIT_S} s") from error
@@ -220,9 +220,7 @@
             version = decode_version(row)
             return ("record" if version is not None else "unknown"), version
         # a stream without a record was begun by the base version that was in force then
-        if not service.base.is_trusted(self._clock()):
-            await _read_twice(service.base_read.read)
-        base = service.base.version
+        base = await self._read_base(service)
         if base is None:
             return self._find_sole_listed(service.name)
         if service.base.is_in_doubt and self._list_known(service) != {base}:
@@ -230,6 +228,16 @@
             return "unknown", None
         return "base", base
 
+    async def _search_unnamed(self, service: ServiceVersions) -> tuple[str, str | None]:
+        # it may have a record, unless no other version than the base is known
+        base = await self._read_base(service)
+        return ("base", base) if self._list_known(service) == {base} else ("unknown", None)
+
+    async def _read_base(self, service: ServiceVersions) -> str | None:
+        if not service.base.is_trusted(self._clock()):
+            await _read_twice(service.base_read.read)
+        return service.base.version
+
     def _list_known(self, service: ServiceVersions) -> set[str]:
         """:return: versions of which this host knows that streams may be taken up."""
         versions = self._listing.list_since(service.name, self._clock() - VERSION_MEMORY_S)
