--- a/tests/gateway/test_startcheck.py
+++ b/tests/gateway/test_startcheck.py
@@ -157,21 +157,30 @@
     assert engine.reports == 0
 
 
-async def test_a_stream_goes_on_at_no_unlisted_restart_while_the_listing_is_stale(
-    gateway, engine, start_server
-) -> None:
-    # fault: the store was away, so that no listing told of a restart with other software
+async def run_beside_unlisted_restart(gateway, engine, start_server, *, is_listing_read: bool):
+    """:return: response to a stream that breaks off while an engine has restarted unlisted."""
     first = await start_server("i-2", service="llm", events=20, reset_at_event=8, software="v1")
     engine.start_ms = 2
     gateway.directory.get("i-1").full_until = float("inf")
     responder = RecordingResponder()
     task = asyncio.ensure_future(run(gateway, responder))
     await wait_for(lambda: len(first.seen) == 1)
-    gateway.directory.mark_listing_unreliable()
+    if not is_listing_read:
+        gateway.directory.mark_listing_unreliable()
     gateway.directory.get("i-1").full_until = 0.0
     await wait_for(lambda: gateway.directory.get("i-2").last_failed_at > 0)
     first.reset_at_event = 0
     await asyncio.wait_for(task, 5)
+    return responder
+
+
+async def test_a_stream_goes_on_at_no_unlisted_restart_while_the_listing_is_stale(
+    gateway, engine, start_server
+) -> None:
+    # fault: the store was away, so that no listing told of a restart with other software
+    responder = await run_beside_unlisted_restart(
+        gateway, engine, start_server, is_listing_read=False
+    )
     assert responder.numbers == ALL_EVENTS
     assert not engine.seen
 
@@ -191,15 +200,8 @@
     gateway, engine, start_server
 ) -> None:
     # fault: only the hosts with a call at an endpoint knew that it had restarted
-    first = await start_server("i-2", service="llm", events=20, reset_at_event=8, software="v1")
-    engine.start_ms = 2
-    gateway.directory.get("i-1").full_until = float("inf")
-    responder = RecordingResponder()
-    task = asyncio.ensure_future(run(gateway, responder))
-    await wait_for(lambda: len(first.seen) == 1)
-    gateway.directory.get("i-1").full_until = 0.0
-    await wait_for(lambda: gateway.directory.get("i-2").last_failed_at > 0)
-    first.reset_at_event = 0
-    await asyncio.wait_for(task, 5)
+    responder = await run_beside_unlisted_restart(
+        gateway, engine, start_server, is_listing_read=True
+    )
     assert responder.numbers == ALL_EVENTS
     assert not engine.seen
