Give the HTTP client, listener and idle connections a folder

Cause: three files of HTTP lay in the root of the package, so that a newcomer took them for unrelated parts.

Change: http.py, idleconnections.py and listener.py become http/client.py, http/idleconnections.py and http/listener.py, with their tests in tests/http. The check of log lines reads the whole folder, as it did the two files before, and the client too.

--- a/bench/lag.py
+++ b/bench/lag.py
@@ -13,7 +13,7 @@
 
 from basilroad.endpoints.engine import HttpEngine
 from basilroad.endpoints.messages import EngineLoad
-from basilroad.http import HttpClient, HttpRequest
+from basilroad.http.client import HttpClient, HttpRequest
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.peers.wire.peer_grpc import PeerStub
 from bench.traffic import find_quantile
--- a/bench/settings_watch.py
+++ b/bench/settings_watch.py
@@ -14,7 +14,7 @@
 
 from basilroad.backing.table import HttpTable
 from basilroad.coordination.table import TableError, Write
-from basilroad.http import HttpClient, HttpRequest
+from basilroad.http.client import HttpClient, HttpRequest
 from basilroad.settings.store import SettingsStore
 from basilroad.settings.watch import SettingsWatch, WatchSettings
 
--- a/src/basilroad/backing/hosts.py
+++ b/src/basilroad/backing/hosts.py
@@ -7,7 +7,7 @@
 import attrs
 
 from basilroad.coordination.decoding import DecodeError, decode_json
-from basilroad.http import HttpClient, HttpError, HttpRequest
+from basilroad.http.client import HttpClient, HttpError, HttpRequest
 
 OK = 200
 
--- a/src/basilroad/backing/objects.py
+++ b/src/basilroad/backing/objects.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 from urllib.parse import quote
 
-from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse
+from basilroad.http.client import HttpClient, HttpError, HttpRequest, HttpResponse
 
 OK = 200
 NOT_FOUND = 404
--- a/src/basilroad/backing/table.py
+++ b/src/basilroad/backing/table.py
@@ -25,7 +25,13 @@
     Write,
     WriteResult,
 )
-from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse, RequestNotSentError
+from basilroad.http.client import (
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    RequestNotSentError,
+)
 
 OK = 200
 SERVER_ERROR = 500
--- a/src/basilroad/backing/weights.py
+++ b/src/basilroad/backing/weights.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 from urllib.parse import quote
 
-from basilroad.http import HttpClient, HttpError, HttpRequest
+from basilroad.http.client import HttpClient, HttpError, HttpRequest
 
 OK = 200
 TOO_MANY_REQUESTS = 429
--- a/src/basilroad/endpoints/engine.py
+++ b/src/basilroad/endpoints/engine.py
@@ -27,7 +27,7 @@
     GenerateRequest,
 )
 from basilroad.endpoints.stream import OK, EventStreamReader, decode
-from basilroad.http import HttpClient, HttpError, HttpRequest, RequestNotSentError
+from basilroad.http.client import HttpClient, HttpError, HttpRequest, RequestNotSentError
 
 CACHE_EVENTS_WAIT_S = 10.0
 """Long-poll timeout of a read of cache events."""
--- a/src/basilroad/endpoints/plainservice.py
+++ b/src/basilroad/endpoints/plainservice.py
@@ -9,7 +9,13 @@
 import attrs
 from yarl import URL
 
-from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse, RequestNotSentError
+from basilroad.http.client import (
+    HttpClient,
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    RequestNotSentError,
+)
 from basilroad.timelimit import TimeLimit
 
 REACHABILITY_TIMEOUT_S = 1.0
--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -16,8 +16,8 @@
 from basilroad.entry.identity import KEY_HEADER, read_identity
 from basilroad.entry.request import read_request
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
-from basilroad.idleconnections import close_idle_connections
-from basilroad.listener import CallerListener
+from basilroad.http.idleconnections import close_idle_connections
+from basilroad.http.listener import CallerListener
 from basilroad.peers.address import parse_address
 
 if TYPE_CHECKING:
--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/configexchange.py
@@ -13,9 +13,9 @@
 from mode import Service
 
 from basilroad.gateway.freshness import read_boot_clock
-from basilroad.http import HttpClient, HttpError, HttpRequest, HttpResponse
-from basilroad.idleconnections import close_idle_connections
-from basilroad.listener import CallerListener
+from basilroad.http.client import HttpClient, HttpError, HttpRequest, HttpResponse
+from basilroad.http.idleconnections import close_idle_connections
+from basilroad.http.listener import CallerListener
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
-from basilroad.idleconnections import (
+from basilroad.http.idleconnections import (
     awaits_request,
     close_connection,
     close_idle_connections,
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -19,7 +19,7 @@
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streaming import StreamBrokenError
-from basilroad.listener import LISTEN_BACKLOG, CallerListener
+from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
 from basilroad.platform.connections import CallerServer, EndCause, list_unread_requests
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -13,7 +13,7 @@
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.gateway.revision import Revision
-from basilroad.http import (
+from basilroad.http.client import (
     HttpClient,
     HttpError,
     HttpRequest,
--- a/tests/docs/test_log_lines.py
+++ b/tests/docs/test_log_lines.py
@@ -11,15 +11,13 @@
 
 SOURCE = Path(basilroad.__file__).parent
 PAGE = Path(__file__).parents[2] / "docs" / "reference" / "logs.md"
-FOLDERS = ("gateway", "platform", "endpoints")
-SHARED = ("idleconnections.py", "listener.py")
+FOLDERS = ("gateway", "platform", "endpoints", "http")
 LEVELS = {"info", "warning", "error"}
 
 
 def read_lines() -> Iterator[tuple[str, str, set[str]]]:
     """:return: location, message and fields of each log call in the code."""
     paths = [path for folder in FOLDERS for path in (SOURCE / folder).rglob("*.py")]
-    paths += [SOURCE / name for name in SHARED]
     for path in [*paths, SOURCE / "cli" / "gateway.py"]:
         tree = ast.parse(path.read_text())
         for node in ast.walk(tree):
--- a/tests/test_http.py
+++ b/tests/http/test_client.py
@@ -13,7 +13,7 @@
 import attrs
 import pytest
 
-from basilroad.http import (
+from basilroad.http.client import (
     HttpClient,
     HttpRequest,
     KeepAlive,
--- a/tests/test_listener.py
+++ b/tests/http/test_listener.py
@@ -13,8 +13,8 @@
 import pytest
 from aiohttp import web
 
-from basilroad import listener as listener_module
-from basilroad.listener import CallerListener
+from basilroad.http import listener as listener_module
+from basilroad.http.listener import CallerListener
 from basilroad.peers.address import Address
 from support.addresses import find_free_port
 from support.gatewayrig import GatewayRig, block_event_loop, build_order, shorten_grace
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -12,7 +12,7 @@
 from basilroad.gateway.endpoint import EndpointState
 from basilroad.gateway.gossip import GOSSIP_INTERVAL_S
 from basilroad.gateway.relay import Update, Withdrawal
-from basilroad.http import KeepAlive
+from basilroad.http.client import KeepAlive
 from basilroad.platform.configwatch import CONFIG_LONG_POLL_S
 from basilroad.platform.serverswatch import SERVERS_LONG_POLL_S, SERVERS_PAUSE_S
 from basilroad.platform.staleness import (
