Give the versions of streams a folder of their own

Cause: ten of the 48 files of gateway/ belong to one concept, the software versions of streams, and lay among the others under names that don't show it.

Change: gateway/versions/ holds them; versionkeeper, streamrecords, versionlisting, versionarchive and versionpin lose the prefix that the folder says. The tests move to tests/gateway/versions.

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -33,9 +33,9 @@
     ShutdownSchedule,
     refuse_at_shutdown,
 )
-from basilroad.gateway.startcheck import StartCheck
 from basilroad.gateway.streamdurations import StreamDurations
-from basilroad.gateway.streamversions import StreamVersions
+from basilroad.gateway.versions.startcheck import StartCheck
+from basilroad.gateway.versions.streamversions import StreamVersions
 from basilroad.stopsignal import StopSignal
 
 if TYPE_CHECKING:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -21,7 +21,7 @@
 from basilroad.gateway.latecrashes import LateBreak, LateBreaks
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.runs import Run
-from basilroad.gateway.versionpin import VersionPin
+from basilroad.gateway.versions.pin import VersionPin
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/src/basilroad/gateway/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -12,8 +12,7 @@
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
-from basilroad.gateway.streamrecords import RESUME_WINDOW_S
-from basilroad.gateway.versionarchive import (
+from basilroad.gateway.versions.archive import (
     ArchiveRow,
     Committed,
     Conflict,
@@ -22,11 +21,12 @@
     Outcome,
     RowChange,
 )
+from basilroad.gateway.versions.records import RESUME_WINDOW_S
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from basilroad.gateway.versionlisting import VersionListing
+    from basilroad.gateway.versions.listing import VersionListing
 
 BASE_KEY = "base"
 
--- a/src/basilroad/gateway/versionkeeper.py
+++ b/src/basilroad/gateway/versions/keeper.py
@@ -9,9 +9,15 @@
 
 import attrs
 
-from basilroad.gateway.baseversion import BASE_KEY, BaseVersion
-from basilroad.gateway.sharedread import SharedRead
-from basilroad.gateway.streamrecords import (
+from basilroad.gateway.versions.archive import (
+    ArchiveRow,
+    ArchiveUnavailableError,
+    Committed,
+    Conflict,
+    RowChange,
+)
+from basilroad.gateway.versions.baseversion import BASE_KEY, BaseVersion
+from basilroad.gateway.versions.records import (
     BATCH_ENTRIES,
     KEY_END,
     KEY_PREFIX,
@@ -19,22 +25,16 @@
     StreamRecords,
     is_orphaned,
 )
-from basilroad.gateway.versionarchive import (
-    ArchiveRow,
-    ArchiveUnavailableError,
-    Committed,
-    Conflict,
-    RowChange,
-)
-from basilroad.gateway.writepace import WritePace
+from basilroad.gateway.versions.sharedread import SharedRead
+from basilroad.gateway.versions.writepace import WritePace
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
     from basilroad.gateway.metrics import GatewayMetrics
-    from basilroad.gateway.versionarchive import Outcome, VersionArchive
-    from basilroad.gateway.versionlisting import VersionListing
+    from basilroad.gateway.versions.archive import Outcome, VersionArchive
+    from basilroad.gateway.versions.listing import VersionListing
 
 CHECK_INTERVAL_S = 0.25
 """Interval of checks while the base version is not trusted."""
--- a/src/basilroad/gateway/versionpin.py
+++ b/src/basilroad/gateway/versions/pin.py
@@ -10,7 +10,7 @@
     from basilroad.gateway.call import Call
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.streamversions import StreamVersions
+    from basilroad.gateway.versions.streamversions import StreamVersions
 
 
 class VersionPin:
--- a/src/basilroad/gateway/streamrecords.py
+++ b/src/basilroad/gateway/versions/records.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
-from basilroad.gateway.versionarchive import (
+from basilroad.gateway.versions.archive import (
     ArchiveRow,
     Committed,
     Conflict,
--- a/src/basilroad/gateway/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -12,12 +12,12 @@
 import attrs
 
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.baseversion import VERSION_MEMORY_S
 from basilroad.gateway.freshness import read_boot_clock
-from basilroad.gateway.streamrecords import RESUME_WINDOW_S, build_key, decode_version
-from basilroad.gateway.versionarchive import ArchiveUnavailableError
-from basilroad.gateway.versionkeeper import VersionKeeper
-from basilroad.gateway.versionlisting import VersionListing
+from basilroad.gateway.versions.archive import ArchiveUnavailableError
+from basilroad.gateway.versions.baseversion import VERSION_MEMORY_S
+from basilroad.gateway.versions.keeper import VersionKeeper
+from basilroad.gateway.versions.listing import VersionListing
+from basilroad.gateway.versions.records import RESUME_WINDOW_S, build_key, decode_version
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -25,8 +25,8 @@
     from basilroad.gateway.call import Call
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.metrics import GatewayMetrics
-    from basilroad.gateway.versionarchive import VersionArchive
-    from basilroad.gateway.versionkeeper import ServiceVersions
+    from basilroad.gateway.versions.archive import VersionArchive
+    from basilroad.gateway.versions.keeper import ServiceVersions
 
 MAX_REMEMBERED = 4096
 """Streams whose version is remembered; the oldest leave first."""
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -19,7 +19,7 @@
 from basilroad.gateway.gossip import GOSSIP_INTERVAL_S, Gossip
 from basilroad.gateway.liveness import LIVENESS_CHECK_INTERVAL_S
 from basilroad.gateway.relay import Relay
-from basilroad.gateway.versionlisting import OBSERVE_INTERVAL_S
+from basilroad.gateway.versions.listing import OBSERVE_INTERVAL_S
 from basilroad.platform.configwatch import ConfigWatch
 from basilroad.platform.crasharchive import CrashArchive
 from basilroad.platform.frontend import PlatformFrontend
--- a/src/basilroad/platform/streamarchive.py
+++ b/src/basilroad/platform/streamarchive.py
@@ -8,7 +8,7 @@
 from mode import Service
 
 from basilroad.gateway.freshness import read_boot_clock
-from basilroad.gateway.versionarchive import (
+from basilroad.gateway.versions.archive import (
     ArchiveRow,
     ArchiveUnavailableError,
     Committed,
--- a/tests/gateway/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -9,10 +9,10 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.baseversion import BASE_KEY, VERSION_MEMORY_S
 from basilroad.gateway.directory import Directory
-from basilroad.gateway.streamrecords import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
-from basilroad.gateway.streamversions import StreamVersions
+from basilroad.gateway.versions.baseversion import BASE_KEY, VERSION_MEMORY_S
+from basilroad.gateway.versions.records import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
+from basilroad.gateway.versions.streamversions import StreamVersions
 from support.versionrig import (
     SERVICE,
     SimArchive,
--- a/tests/platform/test_streamarchive.py
+++ b/tests/platform/test_streamarchive.py
@@ -8,10 +8,10 @@
 import attrs
 import pytest
 
-from basilroad.gateway.baseversion import BASE_KEY
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.selection import Locality
-from basilroad.gateway.streamrecords import build_key
+from basilroad.gateway.versions.baseversion import BASE_KEY
+from basilroad.gateway.versions.records import build_key
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.platform.store import StoreClient
 from basilroad.platform.streamarchive import STREAMS_TABLE, StreamArchive
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -13,8 +13,7 @@
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import EndpointEntry
 from basilroad.gateway.metrics import GatewayMetrics
-from basilroad.gateway.streamversions import StreamVersions
-from basilroad.gateway.versionarchive import (
+from basilroad.gateway.versions.archive import (
     ArchiveRow,
     ArchiveUnavailableError,
     Committed,
@@ -24,7 +23,8 @@
     Outcome,
     RowChange,
 )
-from basilroad.gateway.versionlisting import OBSERVE_INTERVAL_S
+from basilroad.gateway.versions.listing import OBSERVE_INTERVAL_S
+from basilroad.gateway.versions.streamversions import StreamVersions
 from basilroad.peers.address import Address
 from builders import build_call, build_stream_route
 
