Give what gateways send each other a folder

Cause: the messages between gateways, their exchange and what is decided by them alone were seven files among the parts that serve calls.

Change: gateway/exchange/ holds gossip, its state, the relay of the listing, loans of retries, permits, crash reports and the exchange of the config, with their tests. notices and limits stay, as endpoints state them and calls read them.

Result: only paths and imports change; mypy, tests/gateway, tests/docs and tests/test_imports.py pass with the one known red test.

--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -18,8 +18,8 @@
 )
 from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.crashreports import CrashExchange
 from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.exchange.crashreports import CrashExchange
 from basilroad.gateway.runs import Run
 
 if TYPE_CHECKING:
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -23,7 +23,7 @@
     from basilroad.gateway.call import Call, PromptSize
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.permits import PermitExchange
+    from basilroad.gateway.exchange.permits import PermitExchange
     from basilroad.gateway.reports import ReportReader
     from basilroad.gateway.route import EngineLimits
     from basilroad.gateway.selection import Chooser
--- a/src/basilroad/gateway/configexchange.py
+++ b/src/basilroad/gateway/exchange/configexchange.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from basilroad.gateway.relay import Confirmation
+    from basilroad.gateway.exchange.relay import Confirmation
     from basilroad.peers.address import Address
 
 PATH = "/config"
--- a/src/basilroad/gateway/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -15,10 +15,9 @@
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, MsgpackDecoder
-from basilroad.gateway.crashreports import Crashes, CrashExchange
-from basilroad.gateway.gossipstate import LoadReport, StateMessage
-from basilroad.gateway.loans import Loan, LoanRequest
-from basilroad.gateway.permits import (
+from basilroad.gateway.exchange.crashreports import Crashes, CrashExchange
+from basilroad.gateway.exchange.loans import Loan, LoanRequest
+from basilroad.gateway.exchange.permits import (
     LimitReport,
     Peer,
     PermitExchange,
@@ -27,16 +26,17 @@
     build_limit_report,
     read_limit_report,
 )
+from basilroad.gateway.exchange.relay import Update, Withdrawal
+from basilroad.gateway.exchange.state import LoadReport, StateMessage
 from basilroad.gateway.promptlocations import PromptReport
-from basilroad.gateway.relay import Update, Withdrawal
 from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.loans import RetryLoans
+    from basilroad.gateway.exchange.loans import RetryLoans
+    from basilroad.gateway.exchange.relay import Relay
     from basilroad.gateway.promptlocations import PromptLocations
-    from basilroad.gateway.relay import Relay
 
 GOSSIP_INTERVAL_S = 0.05
 """Interval of checks for changed state; prefill of a prompt takes about twenty times as long."""
--- a/src/basilroad/gateway/permits.py
+++ b/src/basilroad/gateway/exchange/permits.py
@@ -24,7 +24,7 @@
 
 from basilroad.coordination.permits import MAX_WAIT_S, PermitSource
 from basilroad.coordination.rendezvous import choose_hosts
-from basilroad.gateway.gossipstate import Count, StartTime
+from basilroad.gateway.exchange.state import Count, StartTime
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Source
 
--- a/src/basilroad/gateway/relay.py
+++ b/src/basilroad/gateway/exchange/relay.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from basilroad.gateway.endpoint import EndpointEntry, EndpointState
-from basilroad.gateway.gossipstate import Count
+from basilroad.gateway.exchange.state import Count
 from basilroad.gateway.revision import Revision
 from basilroad.peers.address import parse_remote_address
 
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -17,12 +17,12 @@
 from basilroad.gateway.containment import Containment
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.exchange.loans import RetryLoans
+from basilroad.gateway.exchange.permits import PermitExchange
 from basilroad.gateway.freshness import Freshness
 from basilroad.gateway.liveness import Liveness
-from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
 from basilroad.gateway.notices import NoticeRegister
-from basilroad.gateway.permits import PermitExchange
 from basilroad.gateway.preference import EnginePreference
 from basilroad.gateway.reports import ReportReader
 from basilroad.gateway.selection import Chooser
--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -7,15 +7,15 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from basilroad.gateway.exchange.relay import Confirmation
 from basilroad.gateway.freshness import read_boot_clock
-from basilroad.gateway.relay import Confirmation
 from basilroad.platform.config import ConfigError, decode_config
 from basilroad.platform.watch import TableWatch
 
 if TYPE_CHECKING:
-    from basilroad.gateway.configexchange import ConfigExchange, FetchedConfig
+    from basilroad.gateway.exchange.configexchange import ConfigExchange, FetchedConfig
+    from basilroad.gateway.exchange.relay import Relay, Update
     from basilroad.gateway.gateway import Gateway
-    from basilroad.gateway.relay import Relay, Update
     from basilroad.gateway.revision import Revision
     from basilroad.platform.staleness import StalenessBudget
     from basilroad.platform.store import StoreClient, StoreRow
--- a/src/basilroad/platform/crasharchive.py
+++ b/src/basilroad/platform/crasharchive.py
@@ -10,7 +10,7 @@
 from mode import Service
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
-from basilroad.gateway.crashreports import (
+from basilroad.gateway.exchange.crashreports import (
     MAX_REFUSED_RECORDS,
     CrashReport,
     pack_record,
--- a/src/basilroad/platform/peerdiscovery.py
+++ b/src/basilroad/platform/peerdiscovery.py
@@ -13,7 +13,7 @@
 from basilroad.platform.store import StoreError
 
 if TYPE_CHECKING:
-    from basilroad.gateway.gossip import Gossip
+    from basilroad.gateway.exchange.gossip import Gossip
     from basilroad.peers.address import Address
     from basilroad.platform.store import StoreClient
 
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -13,8 +13,8 @@
 from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.attempt import AttemptOptions, ResponseVerdict
 from basilroad.gateway.call import CONTENT_KEY_MARK, Headers, PromptSize
-from basilroad.gateway.crashreports import MAX_KEY_CHARS, MAX_PARTS
 from basilroad.gateway.endpoint import EngineReport
+from basilroad.gateway.exchange.crashreports import MAX_KEY_CHARS, MAX_PARTS
 from basilroad.platform.notices import STATUS_MISDIRECTED, read_limit, read_notice
 
 if TYPE_CHECKING:
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -12,13 +12,13 @@
 
 from basilroad.coordination.budget import RetrySettings
 from basilroad.coordination.timer import Timer
-from basilroad.gateway.configexchange import ConfigExchange
 from basilroad.gateway.dispatch import SWEEP_INTERVAL_S
+from basilroad.gateway.exchange.configexchange import ConfigExchange
+from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S, Gossip
+from basilroad.gateway.exchange.relay import Relay
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.gossip import GOSSIP_INTERVAL_S, Gossip
 from basilroad.gateway.liveness import LIVENESS_CHECK_INTERVAL_S
-from basilroad.gateway.relay import Relay
 from basilroad.gateway.versions.listing import OBSERVE_INTERVAL_S
 from basilroad.platform.configwatch import ConfigWatch
 from basilroad.platform.crasharchive import CrashArchive
--- a/src/basilroad/platform/serverswatch.py
+++ b/src/basilroad/platform/serverswatch.py
@@ -6,14 +6,14 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.relay import ListedChange, unpack_changes
+from basilroad.gateway.exchange.relay import ListedChange, unpack_changes
 from basilroad.platform.config import ConfigError, decode_server
 from basilroad.platform.watch import TableWatch
 
 if TYPE_CHECKING:
     from basilroad.gateway.endpoint import EndpointEntry
+    from basilroad.gateway.exchange.relay import Relay, Update
     from basilroad.gateway.gateway import Gateway
-    from basilroad.gateway.relay import Relay, Update
     from basilroad.gateway.revision import Revision
     from basilroad.platform.staleness import StalenessBudget
     from basilroad.platform.store import StoreClient, StoreRow
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -18,7 +18,7 @@
 from basilroad.platform.storeclock import StoreClock
 
 if TYPE_CHECKING:
-    from basilroad.gateway.relay import Relay, Update
+    from basilroad.gateway.exchange.relay import Relay, Update
     from basilroad.gateway.revision import Revision
     from basilroad.platform.staleness import StalenessBudget
     from basilroad.platform.store import Changes, StoreClient, StoreRow
--- a/tests/coordination/test_decoding.py
+++ b/tests/coordination/test_decoding.py
@@ -16,8 +16,8 @@
 from basilroad.endpoints.messages import EngineToken
 from basilroad.endpoints.stream import EventStreamReader
 from basilroad.errors import RefusedError
-from basilroad.gateway.gossipstate import StateMessage
-from basilroad.gateway.relay import Update
+from basilroad.gateway.exchange.relay import Update
+from basilroad.gateway.exchange.state import StateMessage
 from basilroad.settings.status import HostStatus
 
 DEPTH = 3000
--- a/tests/gateway/test_configexchange.py
+++ b/tests/gateway/exchange/test_configexchange.py
@@ -12,7 +12,7 @@
 import pytest
 from aiohttp import web
 
-from basilroad.gateway.configexchange import (
+from basilroad.gateway.exchange.configexchange import (
     MAX_BODY_BYTES,
     MAX_DOCUMENT_BYTES,
     PATH,
--- a/tests/gateway/test_crashreports.py
+++ b/tests/gateway/exchange/test_crashreports.py
@@ -13,7 +13,7 @@
     CrashRecord,
     CrashSettings,
 )
-from basilroad.gateway.crashreports import (
+from basilroad.gateway.exchange.crashreports import (
     COLLECT_S,
     MAX_PARTS,
     MAX_REPORTS,
@@ -21,7 +21,7 @@
     Crashes,
     CrashExchange,
 )
-from basilroad.gateway.gossip import _DECODER, MAX_DATAGRAM_BYTES
+from basilroad.gateway.exchange.gossip import _DECODER, MAX_DATAGRAM_BYTES
 from basilroad.peers.address import Address
 
 DEADLY = "1bad1bad1bad"
--- a/tests/gateway/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -13,7 +13,7 @@
 from basilroad.gateway.call import PromptSize
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Reservation
-from basilroad.gateway.gossip import (
+from basilroad.gateway.exchange.gossip import (
     FANOUT,
     GOSSIP_INTERVAL_S,
     MAX_DATAGRAM_BYTES,
@@ -23,11 +23,11 @@
     REGISTERED_S,
     Gossip,
 )
+from basilroad.gateway.exchange.loans import RetryLoans
+from basilroad.gateway.exchange.relay import Relay
 from basilroad.gateway.limits import NamedLimit
-from basilroad.gateway.loans import RetryLoans
 from basilroad.gateway.notices import Notice, Source
 from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
-from basilroad.gateway.relay import Relay
 from basilroad.gateway.selection import (
     Chooser,
     estimate_prefill_savings,
--- a/tests/gateway/test_loans.py
+++ b/tests/gateway/exchange/test_loans.py
@@ -12,8 +12,8 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.attempttracker import AttemptTracker
+from basilroad.gateway.exchange.loans import Loan, LoanRequest, RetryLoans
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.loans import Loan, LoanRequest, RetryLoans
 from basilroad.peers.address import Address
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_stream_route
--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/exchange/test_permits.py
@@ -16,9 +16,15 @@
 from basilroad.coordination.permits import MAX_WAIT_S
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.endpoint import Endpoint
+from basilroad.gateway.exchange.permits import (
+    LimitReport,
+    Peer,
+    PermitExchange,
+    PermitReply,
+    PermitRequest,
+)
 from basilroad.gateway.limits import RETURN_SPREAD_S, NamedLimit
 from basilroad.gateway.notices import NoticeRegister, Source
-from basilroad.gateway.permits import LimitReport, Peer, PermitExchange, PermitReply, PermitRequest
 from basilroad.peers.address import Address
 from builders import PLACE, build_entry
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/exchange/test_relay.py
@@ -11,7 +11,7 @@
 import attrs
 import pytest
 
-from basilroad.gateway.relay import (
+from basilroad.gateway.exchange.relay import (
     GROUP_HOSTS,
     MAX_CHANGES_SENT,
     MAX_CONFIRMATION_AGE_S,
--- a/tests/platform/test_protocol.py
+++ b/tests/platform/test_protocol.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from basilroad.gateway.crashreports import MAX_KEY_CHARS, MAX_PARTS
+from basilroad.gateway.exchange.crashreports import MAX_KEY_CHARS, MAX_PARTS
 from basilroad.platform.protocol import read_prompt_key, read_prompt_parts
 
 
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -10,8 +10,8 @@
 from hypothesis import given, strategies as st
 
 from basilroad.gateway.endpoint import EndpointState
-from basilroad.gateway.gossip import GOSSIP_INTERVAL_S
-from basilroad.gateway.relay import Update, Withdrawal
+from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S
+from basilroad.gateway.exchange.relay import Update, Withdrawal
 from basilroad.http.client import KeepAlive
 from basilroad.platform.configwatch import CONFIG_LONG_POLL_S
 from basilroad.platform.serverswatch import SERVERS_LONG_POLL_S, SERVERS_PAUSE_S
--- a/tests/platform/test_stop_retry.py
+++ b/tests/platform/test_stop_retry.py
@@ -9,7 +9,7 @@
 import pytest
 
 from basilroad.errors import RefusedError
-from basilroad.gateway.gossipstate import StateMessage
+from basilroad.gateway.exchange.state import StateMessage
 from basilroad.gateway.shutdown import OTHER_HOST_RETRY_S
 from basilroad.peers.address import Address
 from basilroad.platform.run import PlatformService
--- a/tests/platform/test_unreadable_rows.py
+++ b/tests/platform/test_unreadable_rows.py
@@ -10,7 +10,13 @@
 from hypothesis import given, strategies as st
 
 from basilroad.gateway.endpoint import EndpointEntry, EndpointState
-from basilroad.gateway.relay import EntryRecord, ListedChange, Update, pack_change, unpack_changes
+from basilroad.gateway.exchange.relay import (
+    EntryRecord,
+    ListedChange,
+    Update,
+    pack_change,
+    unpack_changes,
+)
 from basilroad.gateway.revision import Revision
 from basilroad.platform.config import ConfigError, decode_config, decode_server
 from basilroad.platform.peerdiscovery import GATEWAYS_TABLE, PeerDiscovery
