Split the placement, backups and crashes of streams from their calls

StreamCall took the whole gateway and held, beside the attempts, the claims of places elsewhere, the choice of backups, the reports of crashes and silences, the time limit between events and the measurements of the output. STALL_TIMEOUT_S is in stalltimer.py, where two tests shorten it.

--- /dev/null
+++ b/src/basilroad/gateway/streambackup.py
@@ -0,0 +1,106 @@
+"""Backups of the KV cache of one stream, from which it may resume."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from basilroad.gateway.calllog import log_resume_from_backup
+from basilroad.gateway.endpoint import Reservation
+
+if TYPE_CHECKING:
+    from basilroad.gateway.call import Call
+    from basilroad.gateway.dispatch import Dispatcher
+    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.versions.pin import VersionPin
+
+
+class StreamBackup:
+    """Chooses the endpoints that keep backups of one stream, and resumes it there.
+
+    :param call: the call of the stream
+    :param dispatcher: reserves capacity
+    :param pin: version of the stream
+    """
+
+    def __init__(self, call: Call, dispatcher: Dispatcher, pin: VersionPin) -> None:
+        self._call = call
+        self._dispatcher = dispatcher
+        self._pin = pin
+        self._current: Reservation | None = None
+        self._holder: Endpoint | None = None
+
+    def reserve(self, endpoint: Endpoint) -> Reservation | None:
+        """Reserve memory for the backup of a new attempt.
+
+        :param endpoint: endpoint of the attempt
+        :return: the reservation; ``None`` without a backup
+        """
+        self._current = self._reserve(endpoint)
+        return self._current
+
+    def _reserve(self, endpoint: Endpoint) -> Reservation | None:
+        call, dispatcher = self._call, self._dispatcher
+        engine = dispatcher.find_engine(call.service)
+        if engine is None or not engine.supports_kv_backup or not call.route.repeatable:
+            return None
+        holder = dispatcher.chooser.choose_backup_endpoint(
+            dispatcher.directory.list_by_service(call.service),
+            endpoint,
+            call.size,
+            engine,
+            time.monotonic(),
+        )
+        if holder is None:
+            return None
+        return Reservation(holder, call.size, needs_prefill=False)
+
+    def keep(self, last_event: int) -> None:
+        """Keep the backup of the attempt that has failed, for the next one.
+
+        :param last_event: last event forwarded; a backup is usable from the first event on
+        """
+        self._holder = self._find_current_holder(last_event)
+
+    def discard(self) -> None:
+        """Discard the backup of the attempt that has failed."""
+        self._holder = None
+
+    async def resume(self, last_event: int) -> Reservation | None:
+        """Reserve the endpoint that keeps the backup of the failed attempt.
+
+        :param last_event: last event forwarded
+        :return: the reservation; ``None`` without a usable backup
+        """
+        holder, self._holder = self._holder, None
+        if holder is None or not self._is_usable(holder):
+            return None
+        if not await self._dispatcher.acquire_permit(holder):
+            return None
+        return self._resume_at(holder, last_event)
+
+    def resume_at_once(self, last_event: int) -> Reservation | None:
+        """Reserve the endpoint that keeps the backup of the running attempt.
+
+        :param last_event: last event forwarded
+        :return: the reservation; ``None`` without a backup that is usable now
+        """
+        holder = self._find_current_holder(last_event)
+        if holder is None or not self._is_usable(holder):
+            return None
+        if not holder.notices.limit.has_permit(time.monotonic()):
+            return None
+        return self._resume_at(holder, last_event)
+
+    def _find_current_holder(self, last_event: int) -> Endpoint | None:
+        return self._current.endpoint if self._current is not None and last_event else None
+
+    def _is_usable(self, holder: Endpoint) -> bool:
+        return holder.is_available(time.monotonic()) and self._pin.admits(holder)
+
+    def _resume_at(self, holder: Endpoint, last_event: int) -> Reservation:
+        log_resume_from_backup(self._call, holder, last_event)
+        return self._dispatcher.reserve(holder, self._call.size, needs_prefill=False)
+
+
+__all__ = ["StreamBackup"]
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -13,14 +13,17 @@
 from basilroad.gateway.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun, OpenReply
 from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.call import Reply
-from basilroad.gateway.calllog import AttemptRecord, log_resume_from_backup
+from basilroad.gateway.calllog import AttemptRecord
 from basilroad.gateway.containment import REFUSED_MESSAGE
-from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.events import EventOrderError, EventSequence
 from basilroad.gateway.firstevent import FirstEventWait
-from basilroad.gateway.latecrashes import LateBreak, LateBreaks
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.runs import Run
+from basilroad.gateway.stalltimer import StallTimer
+from basilroad.gateway.streambackup import StreamBackup
+from basilroad.gateway.streamcrashes import StreamCrashes
+from basilroad.gateway.streamoutput import StreamOutput
+from basilroad.gateway.streamplacement import StreamPlace, StreamPlacement
 from basilroad.gateway.versions.pin import VersionPin
 
 if TYPE_CHECKING:
@@ -28,16 +31,11 @@
 
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Responder
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.endpoint import Endpoint, Reservation
     from basilroad.gateway.gateway import Gateway
 
 OK = 200
 
-STALL_TIMEOUT_S = 1.5
-"""Time without an event after which a started stream is resumed elsewhere though its endpoint is
-alive; twice the gap specified for the fleets. It doubles with each stall of a stream, so that one
-that is slow everywhere runs on to its end."""
-
 LOAN_WAIT_S = 0.25
 """Time for which a stream waits for retries that other gateways lend; it still resumes within the
 allowed gap between events."""
@@ -45,10 +43,6 @@
 LOAN_POLL_INTERVAL_S = 0.01
 """Interval of checks for them."""
 
-AVOID_TRIED_S = 1.0
-"""Time for which a stream that is bound to a version waits only for endpoints at which it hasn't
-failed; a version may have few."""
-
 PREFILL_RESERVE_S = 1.5
 """Part of the target reserved for prefill: 1.5 times that of a mean prompt."""
 
@@ -79,22 +73,21 @@
     def __init__(self, gateway: Gateway, call: Call, responder: Responder) -> None:
         self._gateway = gateway
         self._call = call
-        self._responder = responder
         self._tracker = AttemptTracker(call, gateway.budget_of(call.service))
         self._pin = VersionPin(call, gateway.stream_versions, gateway.directory)
         self._events = EventSequence(call.events_received)
-        self._first_at = 0.0
-        self._first_event = 0
-        self._started = False
-        self._passed = False
-        self._late_breaks = LateBreaks()
-        self._backup_endpoint: Endpoint | None = None
-        self._backup: Reservation | None = None
-        self._claimed: tuple[Reservation, bool] | None = None
+        self._backup = StreamBackup(call, gateway.dispatcher, self._pin)
+        self._placement = StreamPlacement(
+            self._tracker, gateway.dispatcher, self._pin, self._backup, gateway.request_retries
+        )
+        self._crashes = StreamCrashes(call, gateway.containment)
+        self._output = StreamOutput(
+            responder,
+            partial(gateway.record_first_event, call),
+            gateway.metrics.gap_s.labels(name_rank(call.rank)).observe,
+        )
+        self._stall_timer = StallTimer()
         self._failed_reply: Reply | None = None
-        self._last_forwarded_at = 0.0
-        self._stall_timeout_s = STALL_TIMEOUT_S
-        self._gaps = gateway.metrics.gap_s.labels(name_rank(call.rank))
 
     async def run(self) -> Reply | None:
         """Run the call.
@@ -107,7 +100,7 @@
             await self._pin.find()
             return await self._run()
         finally:
-            self._release_claim()
+            self._placement.release()
             self._pin.end()
 
     async def _run(self) -> Reply | None:
@@ -120,9 +113,9 @@
                 return None
             if isinstance(outcome, Reply):
                 self._failed_reply = outcome
-                if self._started or self._is_final(outcome):
+                if self._output.has_started or self._is_final(outcome):
                     break
-        if self._started:
+        if self._output.has_started:
             lost = self._pin.describe_loss() if self._pin.is_lost else ""
             detail = lost or self._tracker.last_detail or "no endpoint to resume the stream"
             raise StreamBrokenError(detail)
@@ -141,7 +134,7 @@
         :raises RefusedError: there is none
         :raises StreamBrokenError: a part of the stream was sent to the caller
         """
-        if self._started:
+        if self._output.has_started:
             raise StreamBrokenError("this host shut down")
         if self._failed_reply is not None:
             return self._failed_reply
@@ -149,7 +142,7 @@
 
     async def _start_attempt(self) -> bool:
         tracker, service = self._tracker, self._call.service
-        if self._is_refused():
+        if self._crashes.is_refused:
             tracker.last_detail = REFUSED_MESSAGE
             return False
         allowed = tracker.try_start_attempt()
@@ -164,28 +157,21 @@
             allowed = tracker.try_start_attempt()
         return allowed
 
-    def _is_refused(self) -> bool:
-        containment = self._gateway.containment
-        if self._passed:
-            return containment.refuses_content(self._call)
-        return containment.find_refusal(self._call) is not None
-
     def _record_duration(self) -> None:
         now = time.monotonic()
-        later = self._events.last - self._first_event
-        event_s = (now - self._first_at) / later if later > 0 else None
-        self._gateway.stream_durations.record(
-            now - self._call.arrived_at, self._events.last, event_s
-        )
+        last = self._events.last
+        event_s = self._output.measure_event_s(now, last)
+        self._gateway.stream_durations.record(now - self._call.arrived_at, last, event_s)
 
     def _is_final(self, reply: Reply) -> bool:
         return reply.status < SERVER_ERROR or not self._call.route.repeatable
 
     async def _try_once(self) -> Outcome | None:
         queued_at = time.monotonic()
-        reservation, kv_cache_source = await self._place()
-        if reservation is None:
+        place = await self._place()
+        if place is None:
             return None
+        reservation = place.reservation
         if not self._pin.admits(reservation.endpoint):
             # it was listed anew while the reservation was handed over
             self._gateway.dispatcher.release(reservation)
@@ -194,9 +180,9 @@
         self._gateway.record_placed(self._call, time.monotonic() - queued_at)
         self._check_time_before_shutdown(reservation)
         if self._tracker.sent:
-            self._gateway.metrics.resumes.labels("copy" if kv_cache_source else "none").inc()
+            self._gateway.metrics.resumes.labels("copy" if place.from_backup else "none").inc()
         endpoint = reservation.endpoint
-        backup = self._backup = self._reserve_backup(endpoint)
+        backup = self._backup.reserve(endpoint)
         started = time.monotonic()
         attempt = self._tracker.running = Attempt(
             self._call,
@@ -207,9 +193,9 @@
                 self._call.expires_at - started,
                 resume_after=str(self._events.last) if self._events.last else "",
                 copy_at=backup.endpoint.entry.address if backup else None,
-                kv_cache_source=endpoint.entry.address if kv_cache_source else None,
+                kv_cache_source=endpoint.entry.address if place.from_backup else None,
             ),
-            self._claim_move,
+            self._claim_place,
             self._may_send,
             self._find_start_check(endpoint),
         )
@@ -225,7 +211,7 @@
         self._tracker.running = None
         if not attempt.sent:
             self._tracker.record_unsent()
-        self._record_outcome(outcome, attempt, backup, used_backup=kv_cache_source)
+        self._record_outcome(outcome, attempt, used_backup=place.from_backup)
         took_s = time.monotonic() - started
         self._gateway.record_attempt(
             AttemptRecord(
@@ -263,90 +249,37 @@
         sent, route = self._tracker.sent, self._call.route
         return bool(sent) or self._gateway.has_time_before_shutdown(route)
 
-    async def _place(self) -> tuple[Reservation | None, bool]:
+    async def _place(self) -> StreamPlace | None:
         call, now = self._call, time.monotonic()
-        holder, self._backup_endpoint = self._backup_endpoint, None
-        if self._claimed is not None:
-            claimed, self._claimed = self._claimed, None
-            endpoint = claimed[0].endpoint
-            if endpoint.is_available(now) and self._pin.admits(endpoint):
-                return claimed
-            self._gateway.dispatcher.release(claimed[0])
-        dispatcher = self._gateway.dispatcher
-        usable = holder is not None and holder.is_available(now) and self._pin.admits(holder)
-        if holder is not None and usable and await dispatcher.acquire_permit(holder):
-            log_resume_from_backup(call, holder, self._events.last)
-            return dispatcher.reserve(holder, call.size, needs_prefill=False), True
-        if self._started:
+        known = await self._placement.find_known(self._events.last)
+        if known is not None:
+            return known
+        if self._output.has_started:
             wait_until = call.expires_at
         else:
             reserve_s = min(PREFILL_RESERVE_S, call.route.latency_target_s / 2)
             wait_until = max(now, call.on_time_until - reserve_s)
-        if self._passed:
-            return await self._wait_for_endpoint(wait_until), False
+        if self._crashes.has_passed:
+            return await self._placement.wait(wait_until)
         try:
             async with self._gateway.containment.watch_queued(call):
-                return await self._wait_for_endpoint(wait_until), False
+                return await self._placement.wait(wait_until)
         except TimeoutError:
             # refused while it waited
-            return None, False
-
-    async def _wait_for_endpoint(self, wait_until: float) -> Reservation | None:
-        tracker, now = self._tracker, time.monotonic()
-        dispatcher, version = self._gateway.dispatcher, self._pin.version
-        avoid_until = wait_until if version is None else min(wait_until, now + AVOID_TRIED_S)
-        reservation = None
-        if version is None or tracker.tried:
-            reservation = await dispatcher.place(self._call, avoid_until, tracker.tried, version)
-        if reservation is None and not self._pin.is_lost:
-            tracker.tried.clear()
-            again_until = now if version is None else wait_until
-            reservation = await dispatcher.place(self._call, again_until, version=version)
-        return reservation
-
-    def _reserve_backup(self, endpoint: Endpoint) -> Reservation | None:
-        call, dispatcher = self._call, self._gateway.dispatcher
-        engine = dispatcher.find_engine(call.service)
-        if engine is None or not engine.supports_kv_backup or not call.route.repeatable:
-            return None
-        holder = dispatcher.chooser.choose_backup_endpoint(
-            dispatcher.directory.list_by_service(call.service),
-            endpoint,
-            call.size,
-            engine,
-            time.monotonic(),
-        )
-        if holder is None:
             return None
-        return Reservation(holder, call.size, needs_prefill=False)
 
     async def _run_watched(self, attempt: Attempt, reservation: Reservation) -> Outcome:
-        containment = self._gateway.containment
         run = Run(self._call, attempt.endpoint, resumed_after=self._events.last)
-        with containment.watch(run):
+        with self._gateway.containment.watch(run):
             outcome = await self._exchange(attempt, reservation, run)
-        if isinstance(outcome, Ended) and run.first_event_at is not None:
-            containment.record_whole(run)
-        elif isinstance(outcome, MayHaveRun) and attempt.is_cut_off:
-            await self._record_break(run)
-        elif isinstance(outcome, MayHaveRun) and self._fell_silent(run):
-            containment.record_silence(run)
-        self._passed = self._passed or run.passed
+        if isinstance(outcome, Ended):
+            self._crashes.record_whole(run)
+        elif isinstance(outcome, MayHaveRun):
+            await self._crashes.record_failure(
+                run, self._events.last, is_cut_off=attempt.is_cut_off
+            )
         return outcome
 
-    def _fell_silent(self, run: Run) -> bool:
-        endpoint = run.endpoint
-        return not self._passed and endpoint is not None and endpoint.lost_at >= run.started_at
-
-    async def _record_break(self, run: Run) -> None:
-        containment = self._gateway.containment
-        if not self._passed and run.is_at_beginning(time.monotonic()):
-            await containment.record_break(run)
-            return
-        progress = self._events.last - run.resumed_after
-        found = LateBreak(run, progress, self._events.last)
-        await containment.record_late_break(found, self._late_breaks)
-
     async def _exchange(self, attempt: Attempt, reservation: Reservation, run: Run) -> Outcome:
         now = time.monotonic()
         first = asyncio.timeout(None)
@@ -354,10 +287,10 @@
             self._call,
             attempt.endpoint,
             now,
-            lambda: self._claim_move(True),
+            self._claim_free_place,
             lambda: first.reschedule(asyncio.get_running_loop().time()),
         )
-        if not self._passed:
+        if not self._crashes.has_passed:
             run.cancel = wait.cancel_attempt
         try:
             async with asyncio.timeout(max(0.0, self._call.expires_at - now)), first:
@@ -382,46 +315,11 @@
         except EventOrderError as error:
             return MayHaveRun(str(error))
 
-    def _claim_move(self, needs_room: bool) -> bool:
-        """Claim a retry and a place at another endpoint, so that the running attempt may end.
-
-        :param needs_room: whether a place must be free at once
-        :return: whether the stream can go on elsewhere
-        """
-        attempt = self._tracker.running
-        if attempt is None or not attempt.sent or not self._pin.may_leave(attempt.endpoint):
-            return False
-        if self._claimed is not None and not self._pin.admits(self._claimed[0].endpoint):
-            # claimed before the first event
-            self._gateway.dispatcher.release(self._claimed[0])
-            self._claimed = None
-        if not self._tracker.claim_retry():
-            if self._call.route.repeatable:
-                self._gateway.request_retries(self._call.service)
-            return False
-        if self._claimed is None:
-            self._claimed = self._reserve_elsewhere(attempt.endpoint)
-        if self._claimed is None and needs_room:
-            self._tracker.release_claim()
-            return False
-        return True
+    def _claim_place(self, needs_room: bool) -> bool:
+        return self._placement.claim(self._events.last, needs_room=needs_room)
 
-    def _reserve_elsewhere(self, endpoint: Endpoint) -> tuple[Reservation, bool] | None:
-        dispatcher, now = self._gateway.dispatcher, time.monotonic()
-        holder = self._backup.endpoint if self._backup is not None and self._events.last else None
-        is_free = holder is not None and holder.is_available(now) and self._pin.admits(holder)
-        if holder is not None and is_free and holder.notices.limit.has_permit(now):
-            log_resume_from_backup(self._call, holder, self._events.last)
-            return dispatcher.reserve(holder, self._call.size, needs_prefill=False), True
-        avoid = self._tracker.tried | {endpoint.id}
-        reservation = dispatcher.reserve_at_once(self._call, avoid, self._pin.version)
-        return None if reservation is None else (reservation, False)
-
-    def _release_claim(self) -> None:
-        self._tracker.release_claim()
-        if self._claimed is not None:
-            self._gateway.dispatcher.release(self._claimed[0])
-            self._claimed = None
+    def _claim_free_place(self) -> bool:
+        return self._claim_place(needs_room=True)
 
     async def _relay(
         self,
@@ -431,18 +329,19 @@
         run: Run,
     ) -> Outcome:
         self._events.start_run()
-        stalls_at: float | None = None
+        self._stall_timer.start_run()
         while True:
             try:
-                async with asyncio.timeout_at(stalls_at):
+                async with asyncio.timeout_at(self._stall_timer.expires_at):
                     data = await opened.read()
             except TimeoutError:
-                if stalls_at is None or time.monotonic() >= self._call.expires_at:
+                is_timed = self._stall_timer.expires_at is not None
+                if not is_timed or time.monotonic() >= self._call.expires_at:
                     raise
-                if not self._claim_move(True):
-                    stalls_at += self._stall_timeout_s
+                if not self._claim_free_place():
+                    self._stall_timer.extend()
                     continue
-                self._stall_timeout_s *= 2
+                self._stall_timer.record_stall()
                 return MayHaveRun("the stream stalled")
             if data is None:
                 break
@@ -454,18 +353,18 @@
                 reservation.record_started()
                 self._gateway.liveness.mark_started(wait)
                 self._gateway.containment.record_event(run)
-                stalls_at = asyncio.get_running_loop().time() + self._stall_timeout_s
+                self._stall_timer.restart(asyncio.get_running_loop().time())
         truncation = self._find_truncation(opened, run)
         if truncation:
             return MayHaveRun(truncation)
-        if not self._started:
-            await self._forward(opened, b"")
+        if not self._output.has_started:
+            await self._output.forward(opened, b"", self._events.last)
         return Ended()
 
     async def _pass_on(self, opened: OpenReply, due: bytes, run: Run, wait: FirstEventWait) -> bool:
-        if not self._started and not await self._confirm_version(run, wait):
+        if not self._output.has_started and not await self._confirm_version(run, wait):
             return False
-        await self._forward(opened, due)
+        await self._output.forward(opened, due, self._events.last)
         return True
 
     async def _confirm_version(self, run: Run, wait: FirstEventWait) -> bool:
@@ -486,22 +385,7 @@
             return "the connection was closed before the first event"
         return ""
 
-    async def _forward(self, opened: OpenReply, data: bytes) -> None:
-        if not self._started:
-            self._started = True
-            self._first_at, self._first_event = time.monotonic(), self._events.last
-            self._gateway.record_first_event(self._call)
-            await self._responder.begin(opened.status, opened.headers)
-        now = time.monotonic()
-        if self._last_forwarded_at:
-            self._gaps.observe(now - self._last_forwarded_at)
-        self._last_forwarded_at = now
-        if data:
-            await self._responder.write(data)
-
-    def _record_outcome(
-        self, outcome: Outcome, attempt: Attempt, backup: Reservation | None, *, used_backup: bool
-    ) -> None:
+    def _record_outcome(self, outcome: Outcome, attempt: Attempt, *, used_backup: bool) -> None:
         tracker, now = self._tracker, time.monotonic()
         endpoint = attempt.endpoint
         if isinstance(outcome, NotRun):
@@ -518,10 +402,7 @@
         tracker.tried = {endpoint.id}
         failed = isinstance(outcome, MayHaveRun) or outcome.status >= SERVER_ERROR
         endpoint.record_outcome(now, failed=failed)
-        # a backup is usable from the first event on
-        self._backup_endpoint = (
-            backup.endpoint if backup is not None and self._events.last else None
-        )
+        self._backup.keep(self._events.last)
         if isinstance(outcome, MayHaveRun):
             tracker.last_detail = outcome.detail
             tracker.timed_out = outcome.timed_out
--- a/tests/gateway/test_silent_engines.py
+++ b/tests/gateway/test_silent_engines.py
@@ -9,7 +9,7 @@
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.endpoints import channels
 from basilroad.errors import RefusedError
-from basilroad.gateway import streaming
+from basilroad.gateway import stalltimer
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.streaming import StreamBrokenError
 from builders import RecordingResponder, build_call, build_route, build_stream_route
@@ -109,7 +109,7 @@
 async def test_no_more_stalled_streams_leave_than_retries_are_left(
     gateway, start_server, monkeypatch: pytest.MonkeyPatch, retries: int
 ) -> None:
-    monkeypatch.setattr(streaming, "STALL_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(stalltimer, "STALL_TIMEOUT_S", 0.3)
     limit_retries(gateway, retries)
     servers = await start_engines(start_server, 2)
     for server in servers:
--- a/tests/gateway/test_slow_streams.py
+++ b/tests/gateway/test_slow_streams.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from basilroad.gateway import streaming
+from basilroad.gateway import stalltimer
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
 from builders import RecordingResponder, build_call, build_stream_route
@@ -23,7 +23,7 @@
 
 @pytest.fixture(autouse=True)
 def short_stall(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(streaming, "STALL_TIMEOUT_S", STALL_S)
+    monkeypatch.setattr(stalltimer, "STALL_TIMEOUT_S", STALL_S)
 
 
 async def run(gateway, route=ROUTE) -> RecordingResponder:
