Ask an endpoint for its start before a stream goes on there

What callers saw: a stream of v1 went on at an endpoint that had restarted as v2 under its id and address, while the listing showed the former start, on hosts that had no call there when it restarted. Cause: the start was asked for only after a connection had been cut here, while several versions were listed or the listing could not be read. The first restart of a release shows none of these to a host with idle connections or none. Change: each connection is checked before the first stream that has begun goes on there. A connection leads to one start as long as it lasts, so once is enough. Endpoints that name a limit are not asked, as before. test_a_resumed_stream_is_not_blamed_for_a_silent_engine waited for an engine that was silent on reports too, which is not sent a stream any more. Its engines now tell their start and fall silent on the request; without the check for streams that have passed it fails as before.

--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -253,8 +253,8 @@
     def _find_start_check(
         self, endpoint: Endpoint
     ) -> Callable[[Channel], Coroutine[Any, Any, bool]] | None:
-        check = self._gateway.start_check
-        if not self._call.route.repeatable or not check.is_due(endpoint):
+        check, is_bound = self._gateway.start_check, self._pin.version is not None
+        if not self._call.route.repeatable or not check.is_due(endpoint, is_bound=is_bound):
             return None
         return partial(check.confirm, endpoint)
 
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -32,7 +32,7 @@
     """Asks endpoints for their start on connections that are to carry streams.
 
     An endpoint may start again with other software under its id and address. Until the listing
-    shows it, only its report tells the start.
+    shows it, only its report tells the start. A connection leads to one start as long as it lasts.
 
     :param directory: the listed endpoints
     :param protocol: reads the start from reports
@@ -46,17 +46,21 @@
         self._protocol = protocol
         self._reports = reports
 
-    def is_due(self, endpoint: Endpoint) -> bool:
+    def is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
         """Check whether an endpoint may have started again with another version.
 
+        Streams that go on are few, and hosts without a call at an endpoint see no sign of its
+        restart, so each connection is checked before the first of them.
+
         :param endpoint: the endpoint
+        :param is_bound: whether the stream has begun, so that it may go on at its version only
         :return: whether connections to it have to be checked; never while it names a limit, which
             reports would use up
         """
         now = time.monotonic()
         if not endpoint.entry.started_ms or endpoint.notices.limit.is_in_force(now):
             return False
-        if now - endpoint.cut_at < RESTART_LISTED_S:
+        if is_bound or now - endpoint.cut_at < RESTART_LISTED_S:
             return True
         if self._directory.was_unreadable_within(RESTART_LISTED_S):
             return True
--- a/tests/gateway/test_silent_crashes.py
+++ b/tests/gateway/test_silent_crashes.py
@@ -82,15 +82,17 @@
 async def test_a_resumed_stream_is_not_blamed_for_a_silent_engine(gateway, start_server) -> None:
     options = {"events": 30, "event_interval_s": 0.03}
     first = await start_server("i-1", service="llm", **options)
+    # they tell their start, and fall silent on the request
+    options |= {"crash_body": DEADLY, "crash_point": CrashPoint.SILENT, "down_s": 60.0}
     second = await start_server("i-2", service="llm", data_centre="kurzeme-a", **options)
     third = await start_server("i-3", service="llm", data_centre="kurzeme-a", **options)
-    call, responder = build_call(build_stream_route()), RecordingResponder()
+    call, responder = build_call(build_stream_route(), body=DEADLY), RecordingResponder()
     running = asyncio.ensure_future(CallHandler(gateway).handle(call, responder))
     await asyncio.sleep(BEGINNING_S + 0.2)
-    second.silent = third.silent = True
     await first.stop()
     lost = await wait_for_lost(gateway)
-    second.silent = third.silent = False
+    for server in (second, third):
+        server.crash_body, server.silent = b"", False
     await running
     assert responder.numbers == list(range(1, 31))
     gateway.directory.remove(lost)
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -205,3 +205,23 @@
     )
     assert responder.numbers == ALL_EVENTS
     assert not engine.seen
+
+
+async def test_an_engine_is_asked_once_on_a_connection_on_which_streams_go_on(
+    gateway, engine, start_server
+) -> None:
+    # fault: each resume cost a report, on connections whose start was known too
+    first = await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    first.reset_at_event = 8
+    gateway.directory.get("i-1").full_until = float("inf")
+    for number in range(3):
+        responder = RecordingResponder()
+        task = asyncio.ensure_future(run(gateway, responder, id=f"c{number}"))
+        await wait_for(lambda seen=number + 1: len(first.seen) == seen)
+        gateway.directory.get("i-1").full_until = 0.0
+        await asyncio.wait_for(task, 5)
+        assert responder.numbers == ALL_EVENTS
+        gateway.directory.get("i-1").full_until = float("inf")
+        gateway.directory.get("i-2").backoff_until = 0.0
+    assert len(engine.seen) == 3
+    assert (engine.connections, engine.reports) == (1, 1)
