Refuse streams of lost records while the restored listing may lack versions

What callers saw: after a kill of all gateways and a restore of the store from a copy that was older than the entries of v2, a stream of v2 could go on at v1. Cause: a gateway that starts then lists v1 alone until the endpoints of v2 have written their entries again, and a gateway that knows of one version took a stream without a record for one of it. Where the copy was older than the row of the base version too, the stream counted as one of the only listed version, and a gateway that had survived still relied on the base version that it remembered. Evidence: test_a_lost_record_is_unknown_until_the_listing_is_complete_again, ..._while_the_base_version_is_lost_too and ..._at_a_host_that_was_left failed before, each with v1 for a stream of v2. Change: a row that is missing after a restore is in doubt like an older epoch. There, a gateway that knows of one version relies on it only when its listing has had no gap for 5 s; until then the take-up gets 503 and Retry-After.

--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -136,7 +136,8 @@
     def is_in_doubt(self) -> bool:
         """:return: whether the store was restored from a copy that may lack records."""
         base = self.stored
-        return base is not None and base.epoch < self._epoch
+        # a row that is missing after a restore may have been lost, with records
+        return self._was_restored if base is None else base.epoch < self._epoch
 
     def is_trusted(self, now: float) -> bool:
         """Check whether the base version is known and can't have changed since.
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -47,6 +47,10 @@
 MAX_READS = 8
 """Reads of records at once; each takes a few milliseconds, also when all streams have broken."""
 
+RELIST_S = 5.0
+"""Time after a restore of the store within which all endpoints are listed again: three missed
+check-ins and a pause of the watch."""
+
 ResultT = TypeVar("ResultT")
 
 _LOGGER = logging.getLogger(__name__)
@@ -221,12 +225,20 @@
             return ("record" if version is not None else "unknown"), version
         # a stream without a record was begun by the base version that was in force then
         base = await self._read_base(service)
-        if base is None:
-            return self._find_sole_listed(service.name)
-        if service.base.is_in_doubt and self._list_known(service) != {base}:
-            # the record may be one that a restored store has lost
+        if service.base.is_in_doubt:
+            return self._find_despite_loss(service, base)
+        return ("base", base) if base is not None else self._find_sole_listed(service.name)
+
+    def _find_despite_loss(
+        self, service: ServiceVersions, base: str | None
+    ) -> tuple[str, str | None]:
+        # the record may be one that a restored store has lost
+        known = self._list_known(service)
+        if len(known) > 1 or (known and base not in (None, *known)):
             return "unknown", None
-        return "base", base
+        if not self._listing.is_complete_since(self._clock() - RELIST_S):
+            raise ArchiveUnavailableError("the listing may lack versions since a restore")
+        return ("base", known.pop()) if known else ("unknown", None)
 
     async def _search_unnamed(self, service: ServiceVersions) -> tuple[str, str | None]:
         # it may have a record, unless no other version than the base is known
@@ -317,4 +329,4 @@
     return await read()
 
 
-__all__ = ["CONFIRM_LIMIT_S", "FIND_LIMIT_S", "MAX_REMEMBERED", "StreamVersions"]
+__all__ = ["CONFIRM_LIMIT_S", "FIND_LIMIT_S", "MAX_REMEMBERED", "RELIST_S", "StreamVersions"]
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -10,9 +10,12 @@
 
 from basilroad.errors import ErrorKind, RefusedError
 from basilroad.gateway.directory import Directory
-from basilroad.gateway.versions.baseversion import BASE_KEY, VERSION_MEMORY_S
+from basilroad.gateway.versions.baseversion import (
+    BASE_KEY,
+    VERSION_MEMORY_S,
+)
 from basilroad.gateway.versions.records import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
-from basilroad.gateway.versions.streamversions import StreamVersions
+from basilroad.gateway.versions.streamversions import RELIST_S, StreamVersions
 from support.versionrig import (
     SERVICE,
     SimArchive,
@@ -542,6 +545,67 @@
     assert await second.find(later) == "v1"
 
 
+# fault: the restored listing lacked a version, so its streams counted as ones of the base version
+@virtually
+async def test_a_lost_record_is_unknown_until_the_listing_is_complete_again(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    copy = dict(fleet.store.rows), fleet.store.revision
+    stream = await fleet.begin(fleet.hosts[0], "v2")
+    fleet.kill_all()
+    fleet.restore(*copy)
+    fleet.serve("v1")
+    host = await restart_all(fleet)
+    assert await host.find(stream) is None
+    fleet.serve("v1", "v2")
+    await asyncio.sleep(RELIST_S)
+    assert await host.find(stream) is None
+
+
+# fault: as above, where the base version had no row yet when the copy was made
+@virtually
+async def test_a_lost_record_is_unknown_while_the_base_version_is_lost_too(
+    fleet: SimFleet,
+) -> None:
+    copy = dict(fleet.store.rows), fleet.store.revision
+    await start_with_two_versions(fleet)
+    stream = await fleet.begin(fleet.hosts[0], "v2")
+    fleet.kill_all()
+    fleet.restore(*copy)
+    fleet.serve("v1")
+    host = await restart_all(fleet)
+    assert await host.find(stream) is None
+
+
+# fault: as above, where a host that was left knew the base version
+@virtually
+async def test_a_lost_record_is_unknown_at_a_host_that_was_left(fleet: SimFleet) -> None:
+    copy = dict(fleet.store.rows), fleet.store.revision
+    await start_with_two_versions(fleet)
+    first, second = fleet.hosts
+    stream = await fleet.begin(first, "v2")
+    fleet.kill(first)
+    fleet.restore(*copy)
+    assert await second.find(stream) is None
+
+
+# fault: while one version served, no stream without a record was found for long after a restore
+@virtually
+async def test_streams_of_the_only_version_are_found_once_the_listing_is_complete(
+    fleet: SimFleet,
+) -> None:
+    fleet.serve("v1")
+    host = fleet.start_host()
+    await asyncio.sleep(SETTLE_S)
+    stream = await fleet.begin(host, "v1")
+    fleet.kill_all()
+    fleet.restore(dict(fleet.store.rows), fleet.store.revision)
+    host = await restart_all(fleet)
+    await asyncio.sleep(RELIST_S)
+    assert await host.find(stream) == "v1"
+
+
 def test_without_an_archive_the_own_streams_are_known() -> None:
     async def check() -> None:
         versions = StreamVersions(Directory())
