Log a request whose handler is cancelled before it begins

Cause: the HTTP library makes a task for each request it takes from the queue of a connection. If the connection is lost in the turn in which the task is made, the task is cancelled before its first step and the context that logs and counts an end without an answer is never entered; the request is no longer in the queue either, where the loss of the connection looks for unread ones. Callers saw nothing of it, as they had left; the operator had neither line nor count.

Change: the server for callers makes the requests itself (the library's request_factory), remembers the one that was taken until its handler begins, and logs it when the connection is lost before.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -21,6 +21,8 @@
 from basilroad.platform.protocol import HEADER_REQUEST_ID
 
 if TYPE_CHECKING:
+    from aiohttp import StreamReader
+    from aiohttp.abc import AbstractStreamWriter
     from prometheus_client import Counter
 
 _HAS_ENDED = web.RequestKey("has_ended", bool)
@@ -48,8 +50,9 @@
     """
 
     def __init__(self, handler: Any, ends: Counter, **options: Any) -> None:
-        super().__init__(handler, **options)
+        super().__init__(handler, request_factory=self._take_request, **options)
         self._ends = ends
+        self._taken: dict[web.RequestHandler, tuple[web.BaseRequest, float]] = {}
         self._busy: set[web.RequestHandler] = set()
         self._is_exiting = False
         self.crossed = 0
@@ -77,12 +80,12 @@
         :param arrived_at: monotonic seconds
         """
         connection = request.protocol
+        self._taken.pop(connection, None)
         self._busy.add(connection)
         try:
             yield
         except asyncio.CancelledError:
-            cause = EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
-            self.record_end(request, cause, arrived_at)
+            self.record_end(request, self._find_cancel_cause(), arrived_at)
             raise
         except Exception as error:
             if request.transport is None or request.transport.is_closing():
@@ -121,11 +124,15 @@
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
     ) -> None:
-        """Log the requests that nobody will answer; called by the HTTP library.
+        """Log the requests that get no answer any more; called by the HTTP library.
 
         :param handler: the connection
         :param exc: why it was lost; ``None`` if either side closed it
         """
+        request, arrived_at = self._taken.pop(handler, (None, 0.0))
+        if request is not None and not request.writer.output_size:
+            detail = "cancelled before its handler began"
+            self.record_end(request, self._find_cancel_cause(), arrived_at, detail)
         for request_id in list_unread_requests(handler):
             self._ends.labels(EndCause.UNREAD_REQUEST.value).inc()
             _LOGGER.info(
@@ -149,6 +156,22 @@
         """Tell that handlers are cancelled from now on because the process exits."""
         self._is_exiting = True
 
+    def _take_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        # its handler may be cancelled before its first step, and can't log that
+        request = web.BaseRequest(message, payload, protocol, writer, task, self._loop)
+        self._taken[protocol] = request, time.monotonic()
+        return request
+
+    def _find_cancel_cause(self) -> EndCause:
+        return EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
+
     def _count_crossed(self) -> None:
         self.crossed += 1
 
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -12,12 +12,18 @@
 
 import attrs
 import pytest
-from aiohttp import web
 
 from basilroad.gateway.call import Reply
 from basilroad.gateway.handler import CallHandler
 from basilroad.platform.connections import EndCause
 from basilroad.platform.run import PlatformService
+from support.ends import (
+    count_ends,
+    find_connection,
+    list_ends,
+    open_connection,
+    wait_for_end,
+)
 from support.gatewayrig import (
     GatewayRig,
     build_order,
@@ -36,29 +42,6 @@
     await rig.stop()
 
 
-def count_ends(rig: GatewayRig, cause: EndCause) -> float:
-    """:return: connections that ended for a cause, by the gateway's metrics."""
-    name = "basilroad_connections_ended_total"
-    value = rig.service.gateway.metrics.registry.get_sample_value(name, {"cause": cause.value})
-    return value or 0.0
-
-
-async def wait_for_end(rig: GatewayRig, cause: EndCause, number: int = 1) -> None:
-    """Wait until that many connections ended for a cause."""
-    async with asyncio.timeout(5):
-        while count_ends(rig, cause) < number:
-            await asyncio.sleep(0.01)
-
-
-def list_ends(caplog: pytest.LogCaptureFixture) -> list[tuple[str, str]]:
-    """:return: request and cause of each line about the end of a connection."""
-    return [
-        (vars(line)["request"], vars(line)["cause"])
-        for line in caplog.records
-        if line.message == "connection ended"
-    ]
-
-
 async def test_a_caller_that_leaves_is_logged_with_its_request(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture
 ) -> None:
@@ -73,18 +56,6 @@
     assert list_ends(caplog) == [("leaves", "caller_left")]
 
 
-async def open_connection(
-    rig: GatewayRig,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    """Open a connection without a request on it.
-
-    :param rig: the gateway
-    :return: the connection
-    """
-    front = rig.service.settings.front
-    return await asyncio.open_connection(front.ip, front.port)
-
-
 async def test_a_stream_that_a_stop_cuts_off_is_logged_with_its_request(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture
 ) -> None:
@@ -225,17 +196,6 @@
     assert vars(stopped)["unsent"] == 0
 
 
-async def find_connection(rig: GatewayRig) -> web.RequestHandler:
-    """:return: the only connection of a caller."""
-    server = rig.service.front._connections
-    assert server is not None
-    async with asyncio.timeout(5):
-        while not server.connections:
-            await asyncio.sleep(0.01)
-    (connection,) = server.connections
-    return connection
-
-
 async def test_an_error_before_the_head_is_not_logged_as_an_end_without_an_answer(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
