Refuse at the end of admission without waiting for the config

Cause: each request first waits up to 0.3 s for a confirmation of the config in an outage of under a second, and only then is refused because the host stops. A request behind one that the limit of the stop ends has 0.1 s until the exit cancels its handler: its caller got a closed connection, neither an answer nor a refusal.

Change: the wait ends once the planned shutdown admits no call any more; the request is refused as not run.

Measured: test_a_stop_does_not_wait_for_the_config_past_its_end_of_admission failed before (the first of two requests got 502, the second nothing) and passes now (502 and 503, no end by shutdown).

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -227,10 +227,16 @@
         return self.freshness.is_within(limit_s) or self.freshness.is_heard_within(limit_s)
 
     async def wait_until_fresh(self) -> None:
-        """Wait for the configuration or its confirmation at startup or in a short outage."""
+        """Wait for the configuration or its confirmation at startup or in a short outage.
+
+        A planned shutdown refuses calls after its end of admission, so none waits longer than that.
+        """
         limit_s = self.settings.key_age_limit_s or math.inf
         until = time.monotonic() + CONFIG_WAIT_LIMIT_S
         while not self.freshness.is_within(limit_s) and time.monotonic() < until:
+            schedule = self.shutdown_schedule
+            if schedule is not None and time.monotonic() >= schedule.admits_until:
+                return
             age_s = self.freshness.age_s()
             outage_s = self._uptime_s() if age_s is None else age_s - limit_s
             if outage_s > SHORT_OUTAGE_LIMIT_S:
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -19,7 +19,7 @@
     open_connection,
     wait_for_end,
 )
-from support.gatewayrig import GatewayRig, build_order
+from support.gatewayrig import GatewayRig, build_order, shorten_grace
 
 
 @pytest.fixture
@@ -54,3 +54,27 @@
     assert begun == ["first"]
     assert list_ends(caplog) == [("second", "caller_left")]
     assert count_ends(rig, EndCause.CALLER_LEFT) == 1
+
+
+# fault: a request that was read behind the last answer of a stop waited for a confirmation of the
+# config until the process exited, in an outage of the store of under a second
+async def test_a_stop_does_not_wait_for_the_config_past_its_end_of_admission(
+    rig: GatewayRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    shorten_grace(rig)
+    gateway = rig.service.gateway
+    limit_s = gateway.settings.key_age_limit_s
+    assert limit_s is not None
+    rig.app.response_delay_s = 30.0
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("first") + build_order("second"))
+    while "first" not in rig.app.ran:
+        await asyncio.sleep(0.01)
+    monkeypatch.setattr(gateway.freshness, "age_s", lambda: limit_s + 0.1)
+    stopping = asyncio.ensure_future(rig.service.stop())
+    received = await reader.read()
+    writer.close()
+    await stopping
+    assert received.count(b"HTTP/1.1 502 ") == 1, "the first may have run"
+    assert received.count(b"HTTP/1.1 503 ") == 1, "the second has not run"
+    assert count_ends(rig, EndCause.SHUTDOWN) == 0
