Request the body of a caller that expects 100 Continue

Cause: the low-level server of the HTTP library leaves `Expect: 100-continue` to its user, and gateways ignored it. A caller that sends its body only after the interim response waited for that, the gateway for the body, without a limit: neither an answer nor a refusal until the caller gave up.

Change: a gateway sends `100 Continue` when it begins to wait for the body of such a request: after route, key and shutdown were checked, so that a refusal comes without the body, and not if the body is there or empty.

Measured: test_a_caller_that_awaits_the_request_for_its_body_gets_it_and_an_answer failed before (nothing within 5 s) and passes now, with the order run once.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
 
@@ -62,6 +62,9 @@
 }
 """Options of the HTTP servers."""
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Interim response to a caller that sends its body only when it is requested."""
+
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -230,6 +233,7 @@
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         assert self._gateway.table is not None
         limit = self._gateway.table.limits.body_bytes
+        await _request_body(request)
         parts, size = [], 0
         async for part in request.content.iter_any():
             size += len(part)
@@ -338,6 +342,15 @@
     }
 
 
+async def _request_body(request: web.BaseRequest) -> None:
+    awaits = request.headers.get("Expect", "").lower() == "100-continue"
+    if not awaits or request.version < HttpVersion11 or request.content.is_eof():
+        return
+    await request.writer.write(CONTINUE)
+    # an error before the head of the response can still be answered
+    request.writer.output_size = 0
+
+
 def _strip_port(host: str) -> str:
     return host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
 
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -17,9 +17,10 @@
     find_connection,
     list_ends,
     open_connection,
+    read_response,
     wait_for_end,
 )
-from support.gatewayrig import GatewayRig, build_order, shorten_grace
+from support.gatewayrig import HEADERS, GatewayRig, build_order, shorten_grace
 
 
 @pytest.fixture
@@ -78,3 +79,41 @@
     assert received.count(b"HTTP/1.1 502 ") == 1, "the first may have run"
     assert received.count(b"HTTP/1.1 503 ") == 1, "the second has not run"
     assert count_ends(rig, EndCause.SHUTDOWN) == 0
+
+
+def build_head(path: str, request_id: str, *lines: str) -> bytes:
+    """:return: the head of a request as bytes, with these further header lines."""
+    headers = {**HEADERS, "X-Attempt-Id": request_id}
+    named = [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([f"POST {path} HTTP/1.1", *named, *lines, "", ""]).encode()
+
+
+# fault: a caller that sends `Expect: 100-continue` waited for a line that never came, and the
+# gateway for the body, until the caller gave up
+async def test_a_caller_that_awaits_the_request_for_its_body_gets_it_and_an_answer(
+    rig: GatewayRig,
+) -> None:
+    reader, writer = await open_connection(rig)
+    writer.write(build_head("/o/1", "asks", "Content-Length: 4", "Expect: 100-continue"))
+    async with asyncio.timeout(5):
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    writer.write(b"body")
+    status, body = await read_response(reader)
+    writer.close()
+    assert (status, body) == (200, b"answer of i-app to asks")
+    assert rig.app.ran == ["asks"]
+
+
+# guards against a request for a body that is refused anyway, or that is there already
+@pytest.mark.parametrize(
+    ("path", "length", "body", "status"),
+    [("/none/1", 4, b"", 404), ("/o/1", 0, b"", 200), ("/o/1", 4, b"body", 200)],
+)
+async def test_a_body_that_is_of_no_use_or_there_is_not_requested(
+    rig: GatewayRig, path: str, length: int, body: bytes, status: int
+) -> None:
+    reader, writer = await open_connection(rig)
+    lines = f"Content-Length: {length}", "Expect: 100-continue"
+    writer.write(build_head(path, "asks", *lines) + body)
+    assert (await read_response(reader))[0] == status
+    writer.close()
