Refuse a body that is malformed in the middle

Cause: when a part of a body is not valid HTTP, the HTTP library queues an error answer behind the request, but does not end the body that its handler reads, so the handler waits for the rest until the caller leaves: neither an answer nor a refusal, and the error answer is never sent. Only a body whose malformed part came in one segment with its head was answered.

Change: the connection of a caller ends the last body that is incomplete when the library reports such an error, drops the queued answer and reads nothing more; the request is refused with 400 and `Connection: close`. Requests ahead of it on the connection are answered first.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -164,6 +164,8 @@
         writer: AbstractStreamWriter,
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
+        assert isinstance(protocol, _CallerConnection)
+        protocol.record_taken(payload)
         # its handler may be cancelled before its first step, and can't log that
         request = web.BaseRequest(message, payload, protocol, writer, task, self._loop)
         self._taken[protocol] = request, time.monotonic()
@@ -177,12 +179,41 @@
 
 
 class _CallerConnection(web.RequestHandler):
-    """A connection that sends the last response when its keep-alive time ends."""
+    """A connection that answers what the HTTP library would leave unanswered."""
 
-    __slots__ = ()
+    __slots__ = ("_is_malformed", "_last_body")
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._is_malformed = False
+        self._last_body: StreamReader | None = None
+
+    def record_taken(self, body: StreamReader) -> None:
+        """Record the body of the request that is answered next.
+
+        :param body: the body
+        """
+        self._last_body = body
+
+    def data_received(self, data: bytes) -> None:
+        """End a body that is not valid HTTP; the library leaves its handler waiting for the rest.
+
+        :param data: bytes that were received
+        """
+        if self._is_malformed:
+            return
+        super().data_received(data)
+        if not self._messages or isinstance(self._messages[-1][0], RawRequestMessage):
+            return
+        body = self._messages[-2][1] if len(self._messages) > 1 else self._last_body
+        if body is not None and not body.is_eof():
+            self._is_malformed = True
+            self._messages.pop()
+            body.set_exception(web.RequestPayloadError("the body is not valid HTTP"))
+            body.feed_eof()
 
     def _process_keepalive(self) -> None:
-        # the HTTP library would close it with a request on its way, which the kernel resets
+        # the HTTP library would close it beside a request in flight, which the kernel resets
         is_due = self._loop.time() >= self._next_keepalive_close_time
         if is_due and self._keepalive and awaits_request(self):
             close_connection(self)
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -235,11 +235,14 @@
         limit = self._gateway.table.limits.body_bytes
         await _request_body(request)
         parts, size = [], 0
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                raise refuse(ErrorKind.BODY_TOO_LARGE, f"request body exceeds {limit} bytes")
-            parts.append(part)
+        try:
+            async for part in request.content.iter_any():
+                size += len(part)
+                if size > limit:
+                    raise refuse(ErrorKind.BODY_TOO_LARGE, f"request body exceeds {limit} bytes")
+                parts.append(part)
+        except web.RequestPayloadError as error:
+            raise refuse(ErrorKind.BAD_REQUEST, f"malformed request body: {error}") from error
         return b"".join(parts)
 
     def _build_response(self, request: web.BaseRequest, reply: Reply) -> web.Response:
@@ -247,12 +250,15 @@
         response.headers.popall("Content-Type", None)
         for name, value in reply.headers:
             response.headers.add(name, value)
-        self._close_if_stopping(request, response)
+        self._close_if_last(request, response)
         return response
 
-    def _close_if_stopping(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
-        # a request that was received behind this one gets its response on the same connection
-        if self._gateway.shutdown.is_requested and not list_unread_requests(request.protocol):
+    def _close_if_last(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        # nothing is read behind a malformed body; a request that was received behind this one gets
+        # its response on the same connection
+        is_malformed = request.content.exception() is not None
+        is_stopping = self._gateway.shutdown.is_requested
+        if is_malformed or (is_stopping and not list_unread_requests(request.protocol)):
             response.force_close()
             response.headers["Connection"] = "close"
 
@@ -282,7 +288,7 @@
         retry_after = refusal.retry_after or answer.retry_after
         if retry_after is not None:
             response.headers["Retry-After"] = str(retry_after)
-        self._close_if_stopping(request, response)
+        self._close_if_last(request, response)
         return response
 
 
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -117,3 +117,44 @@
     writer.write(build_head(path, "asks", *lines) + body)
     assert (await read_response(reader))[0] == status
     writer.close()
+
+
+# fault: a chunk that is not valid HTTP, behind the first bytes of a body, left the handler waiting
+# for the rest, and its caller without an answer
+async def test_a_malformed_chunk_in_the_middle_of_a_body_is_refused(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    reader, writer = await open_connection(rig)
+    connection = await find_connection(rig)
+    writer.write(build_order("whole"))
+    assert (await read_response(reader))[0] == 200
+    writer.write(build_head("/o/1", "broken", "Transfer-Encoding: chunked") + b"4\r\nbody\r\n")
+    async with asyncio.timeout(5):
+        while connection._current_request is None:
+            await asyncio.sleep(0.001)
+        writer.write(b"no chunk\r\n")
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert b"connection: close" in received.lower()
+    assert received.count(b"HTTP/1.") == 1, received
+    assert rig.app.ran == ["whole"]
+    assert list_ends(caplog) == []
+
+
+# fault: the same for a body that waits behind requests that are still being answered
+async def test_requests_ahead_of_a_malformed_body_are_answered(rig: GatewayRig) -> None:
+    rig.app.response_delay_s = 0.3
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("first") + build_order("second"))
+    writer.write(build_head("/o/1", "broken", "Transfer-Encoding: chunked") + b"4\r\nbody\r\n")
+    while "first" not in rig.app.ran:
+        await asyncio.sleep(0.001)
+    writer.write(b"no chunk\r\n")
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.count(b"HTTP/1.1 200 ") == 2, received
+    assert received.count(b"HTTP/1.1 400 ") == 1, received
+    assert rig.app.ran == ["first", "second"]
