Answer unexpected errors of calls by the gateway itself

Cause: an unexpected error before the head of an answer was left to the HTTP library. It answers 500, but logs the caller's address in place of the request, so that `basilroad explain` shows nothing of it, and closes the connection after the answer: a whole request behind it on the connection got neither an answer nor a refusal.

Change: the gateway logs `call failed` with the request and the stack, counts the refusal and answers 500 (`internal`, may have run). The connection ends with it unless another request was received behind. Errors after the head are as before.

Measured: test_a_request_behind_one_that_fails_unexpectedly_is_answered failed before (the library's 500, no id) and passes now; test_connections.py, test_frontend.py, test_config_changes.py, test_stop_connections.py pass.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -153,6 +153,15 @@
             return await self._serve_call(request, arrived_at)
         except RefusedError as error:
             return self._refuse(request, error.refusal, arrived_at)
+        except ConnectionError:
+            raise
+        except Exception:
+            if request.writer.output_size:
+                # a part of the response was sent
+                raise
+            request_id = request.headers.get(HEADER_REQUEST_ID, "")
+            _LOGGER.error("call failed", extra={"request": request_id}, exc_info=True)
+            return self._refuse(request, Refusal(ErrorKind.INTERNAL, "internal error"), arrived_at)
 
     async def _complete_response(
         self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
@@ -253,12 +262,14 @@
         self._close_if_last(request, response)
         return response
 
-    def _close_if_last(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+    def _close_if_last(
+        self, request: web.BaseRequest, response: web.StreamResponse, *, has_failed: bool = False
+    ) -> None:
         # nothing is read behind a malformed body; a request that was received behind this one gets
         # its response on the same connection
         is_malformed = request.content.exception() is not None
-        is_stopping = self._gateway.shutdown.is_requested
-        if is_malformed or (is_stopping and not list_unread_requests(request.protocol)):
+        is_ending = has_failed or self._gateway.shutdown.is_requested
+        if is_malformed or (is_ending and not list_unread_requests(request.protocol)):
             response.force_close()
             response.headers["Connection"] = "close"
 
@@ -288,7 +299,8 @@
         retry_after = refusal.retry_after or answer.retry_after
         if retry_after is not None:
             response.headers["Retry-After"] = str(retry_after)
-        self._close_if_last(request, response)
+        has_failed = refusal.kind is ErrorKind.INTERNAL
+        self._close_if_last(request, response, has_failed=has_failed)
         return response
 
 
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from basilroad.gateway.call import Call, Reply
+from basilroad.gateway.call import Call, Reply, Responder
 from basilroad.gateway.handler import CallHandler
 from basilroad.platform.connections import EndCause
 from support.ends import (
@@ -158,3 +158,29 @@
     assert received.count(b"HTTP/1.1 200 ") == 2, received
     assert received.count(b"HTTP/1.1 400 ") == 1, received
     assert rig.app.ran == ["first", "second"]
+
+
+# fault: after an unexpected error the HTTP library answered 500, named no request in the log and
+# closed the connection, so that a request behind it got nothing
+async def test_a_request_behind_one_that_fails_unexpectedly_is_answered(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle = CallHandler.handle
+
+    async def fail_once(handler: CallHandler, call: Call, responder: Responder) -> Reply | None:
+        if call.id == "fails":
+            raise RuntimeError("unexpected")
+        return await handle(handler, call, responder)
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", fail_once)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("fails") + build_order("behind"))
+    status, body = await read_response(reader)
+    assert status == 500
+    assert b'"internal"' in body
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
+    (line,) = [line for line in caplog.records if line.levelno >= logging.ERROR]
+    assert (line.message, vars(line)["request"]) == ("call failed", "fails")
+    assert list_ends(caplog) == []
