--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
 
@@ -62,6 +62,9 @@
 }
 """Options of the HTTP servers."""
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+"""Interim response to a caller that sends its body only when it is requested."""
+
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -150,6 +153,15 @@
             return await self._serve_call(request, arrived_at)
         except RefusedError as error:
             return self._refuse(request, error.refusal, arrived_at)
+        except ConnectionError:
+            raise
+        except Exception:
+            if request.writer.output_size:
+                # a part of the response was sent
+                raise
+            request_id = request.headers.get(HEADER_REQUEST_ID, "")
+            _LOGGER.error("call failed", extra={"request": request_id}, exc_info=True)
+            return self._refuse(request, Refusal(ErrorKind.INTERNAL, "internal error"), arrived_at)
 
     async def _complete_response(
         self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
@@ -230,12 +242,16 @@
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         assert self._gateway.table is not None
         limit = self._gateway.table.limits.body_bytes
+        await _request_body(request)
         parts, size = [], 0
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                raise refuse(ErrorKind.BODY_TOO_LARGE, f"request body exceeds {limit} bytes")
-            parts.append(part)
+        try:
+            async for part in request.content.iter_any():
+                size += len(part)
+                if size > limit:
+                    raise refuse(ErrorKind.BODY_TOO_LARGE, f"request body exceeds {limit} bytes")
+                parts.append(part)
+        except web.RequestPayloadError as error:
+            raise refuse(ErrorKind.BAD_REQUEST, f"malformed request body: {error}") from error
         return b"".join(parts)
 
     def _build_response(self, request: web.BaseRequest, reply: Reply) -> web.Response:
@@ -243,12 +259,17 @@
         response.headers.popall("Content-Type", None)
         for name, value in reply.headers:
             response.headers.add(name, value)
-        self._close_if_stopping(request, response)
+        self._close_if_last(request, response)
         return response
 
-    def _close_if_stopping(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
-        # a request that was received behind this one gets its response on the same connection
-        if self._gateway.shutdown.is_requested and not list_unread_requests(request.protocol):
+    def _close_if_last(
+        self, request: web.BaseRequest, response: web.StreamResponse, *, has_failed: bool = False
+    ) -> None:
+        # nothing is read behind a malformed body; a request that was received behind this one gets
+        # its response on the same connection
+        is_malformed = request.content.exception() is not None
+        is_ending = has_failed or self._gateway.shutdown.is_requested
+        if is_malformed or (is_ending and not list_unread_requests(request.protocol)):
             response.force_close()
             response.headers["Connection"] = "close"
 
@@ -278,7 +299,8 @@
         retry_after = refusal.retry_after or answer.retry_after
         if retry_after is not None:
             response.headers["Retry-After"] = str(retry_after)
-        self._close_if_stopping(request, response)
+        has_failed = refusal.kind is ErrorKind.INTERNAL
+        self._close_if_last(request, response, has_failed=has_failed)
         return response
 
 
@@ -338,6 +360,15 @@
     }
 
 
+async def _request_body(request: web.BaseRequest) -> None:
+    awaits = request.headers.get("Expect", "").lower() == "100-continue"
+    if not awaits or request.version < HttpVersion11 or request.content.is_eof():
+        return
+    await request.writer.write(CONTINUE)
+    # an error before the head of the response can still be answered
+    request.writer.output_size = 0
+
+
 def _strip_port(host: str) -> str:
     return host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
 
