Refuse a body that does not arrive in time

Cause: reading the body of a request had no time limit but that of a stop. A request whose body did not become whole was held, without an answer, past the time limit of its route and the time of its caller, until the caller left.

Change: at the lesser of both the request is refused with 503 (`time_too_short`), as not run. The rest of the body is read past, so the connection stays of use.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -32,6 +32,7 @@
     read_prompt_size,
     read_resumes,
 )
+from basilroad.timelimit import TimeLimit
 
 if TYPE_CHECKING:
     import random
@@ -208,14 +209,10 @@
         route = gateway.resolve_route(_strip_port(request.headers.get("Host", "")), path)
         workspace = gateway.authenticate(route, request.headers.get(HEADER_API_KEY, ""))
         gateway.check_draining(route)
-        try:
-            async with gateway.shutdown.limit_call():
-                body = await self._read_body(request)
-        except ShutdownError:
-            raise refuse_at_shutdown() from None
+        expires_at = arrived_at + max(0.0, _read_time_limit(request, route))
+        body = await self._read_body_in_time(request, expires_at)
         # the body may have arrived after the end of admission
         gateway.check_draining(route)
-        time_limit_s = _read_time_limit(request, route)
         workspace_rank = workspace.rank if workspace else None
         resume_after = request.headers.get(HEADER_LAST_EVENT_ID, "")
         is_taken_up = route.streams and read_events_received(resume_after) > 0
@@ -231,7 +228,7 @@
             workspace=workspace.name if workspace else "",
             rank=route.rank if workspace_rank is None else workspace_rank,
             arrived_at=arrived_at,
-            expires_at=arrived_at + max(0.0, time_limit_s),
+            expires_at=expires_at,
             size=read_prompt_size(request.headers) if route.streams else read_prompt_size({}),
             resume_after=resume_after,
             resumes=resumes,
@@ -239,6 +236,17 @@
             prompt_parts=read_prompt_parts(request.headers) if route.streams else (),
         )
 
+    async def _read_body_in_time(self, request: web.BaseRequest, expires_at: float) -> bytes:
+        limit = TimeLimit(max(0.0, expires_at - time.monotonic()))
+        try:
+            async with self._gateway.shutdown.limit_call(), limit:
+                return await self._read_body(request)
+        except ShutdownError:
+            raise refuse_at_shutdown() from None
+        except TimeoutError:
+            message = "the request body did not arrive in time"
+            raise refuse(ErrorKind.TIME_TOO_SHORT, message) from None
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         assert self._gateway.table is not None
         limit = self._gateway.table.limits.body_bytes
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -184,3 +184,24 @@
     (line,) = [line for line in caplog.records if line.levelno >= logging.ERROR]
     assert (line.message, vars(line)["request"]) == ("call failed", "fails")
     assert list_ends(caplog) == []
+
+
+# fault: a request whose body did not become whole was held without an answer past the time limit of
+# its route and the time of its caller
+@pytest.mark.parametrize("left_ms", ["300", "60000"])
+async def test_a_body_that_does_not_arrive_in_time_is_refused(
+    rig: GatewayRig, left_ms: str
+) -> None:
+    await rig.configure(2, "key", timeout_ms=400)
+    reader, writer = await open_connection(rig)
+    head = build_head("/o/1", "partial", "Content-Length: 4")
+    writer.write(head.replace(b"X-Deadline-Ms: 2000", b"X-Deadline-Ms: " + left_ms.encode()))
+    writer.write(b"bo")
+    status, body = await read_response(reader)
+    assert status == 503
+    assert b'"time_too_short"' in body
+    # the connection is of use again once the rest has arrived
+    writer.write(b"dy" + build_order("next"))
+    assert await read_response(reader) == (200, b"answer of i-app to next")
+    writer.close()
+    assert rig.app.ran == ["next"]
