Close the connection behind an unknown upgrade

Cause: after the head of a request with `Connection: Upgrade` and a protocol that it doesn't know (such as `h2c`), the HTTP library drops the bytes that came in the same segment behind the request. A whole request there got neither an answer nor a refusal and no line, and its connection stayed open.

Change: the answer to such a request closes the connection, so that its caller knows that what it sent behind is not run and can send it again. Requests behind `websocket` and `tcp`, which the library reads, are answered as before.

Measured: test_a_connection_ends_behind_a_request_to_upgrade_it failed before (the connection stayed open for 5 s) and passes now for an order and a stream.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -66,6 +66,9 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to a caller that sends its body only when it is requested."""
 
+KNOWN_UPGRADES = ("tcp", "websocket")
+"""Values of ``Upgrade`` behind which the HTTP library reads on once a request was answered."""
+
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -273,13 +276,11 @@
     def _close_if_last(
         self, request: web.BaseRequest, response: web.StreamResponse, *, has_failed: bool = False
     ) -> None:
-        # nothing is read behind a malformed body; a request that was received behind this one gets
-        # its response on the same connection
-        is_malformed = request.content.exception() is not None
+        # a request that was received behind this one gets its response on the same connection
         is_ending = has_failed or self._gateway.shutdown.is_requested
-        if is_malformed or (is_ending and not list_unread_requests(request.protocol)):
-            response.force_close()
-            response.headers["Connection"] = "close"
+        is_last = is_ending and not list_unread_requests(request.protocol)
+        if is_last or _is_rest_lost(request):
+            _close_after(response)
 
     def _refuse(
         self, request: web.BaseRequest, refusal: Refusal, arrived_at: float
@@ -332,6 +333,8 @@
         for name, value in headers:
             self.response.headers.add(name, value)
         self.response.enable_chunked_encoding()
+        if _is_rest_lost(self._request):
+            _close_after(self.response)
         await self.response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
@@ -368,6 +371,18 @@
     }
 
 
+def _is_rest_lost(request: web.BaseRequest) -> bool:
+    # nothing is read behind a malformed body, and the HTTP library drops what it has received behind
+    # a request for another protocol that it doesn't know
+    upgrade = request.headers.get("Upgrade", "").lower()
+    return request.content.exception() is not None or upgrade not in ("", *KNOWN_UPGRADES)
+
+
+def _close_after(response: web.StreamResponse) -> None:
+    response.force_close()
+    response.headers["Connection"] = "close"
+
+
 async def _request_body(request: web.BaseRequest) -> None:
     awaits = request.headers.get("Expect", "").lower() == "100-continue"
     if not awaits or request.version < HttpVersion11 or request.content.is_eof():
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -57,8 +57,7 @@
     assert count_ends(rig, EndCause.CALLER_LEFT) == 1
 
 
-# fault: a request that was read behind the last answer of a stop waited for a confirmation of the
-# config until the process exited, in an outage of the store of under a second
+# fault: a request read at the end of a stop waited for the config until the exit cut it off
 async def test_a_stop_does_not_wait_for_the_config_past_its_end_of_admission(
     rig: GatewayRig, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -88,8 +87,7 @@
     return "\r\n".join([f"POST {path} HTTP/1.1", *named, *lines, "", ""]).encode()
 
 
-# fault: a caller that sends `Expect: 100-continue` waited for a line that never came, and the
-# gateway for the body, until the caller gave up
+# fault: a caller that sends `Expect: 100-continue` and its gateway waited for each other
 async def test_a_caller_that_awaits_the_request_for_its_body_gets_it_and_an_answer(
     rig: GatewayRig,
 ) -> None:
@@ -104,7 +102,7 @@
     assert rig.app.ran == ["asks"]
 
 
-# guards against a request for a body that is refused anyway, or that is there already
+# fault: a body is requested though it is refused anyway, or there already
 @pytest.mark.parametrize(
     ("path", "length", "body", "status"),
     [("/none/1", 4, b"", 404), ("/o/1", 0, b"", 200), ("/o/1", 4, b"body", 200)],
@@ -119,8 +117,7 @@
     writer.close()
 
 
-# fault: a chunk that is not valid HTTP, behind the first bytes of a body, left the handler waiting
-# for the rest, and its caller without an answer
+# fault: the handler of a body with a malformed chunk waited for the rest, and never answered
 async def test_a_malformed_chunk_in_the_middle_of_a_body_is_refused(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture
 ) -> None:
@@ -160,8 +157,7 @@
     assert rig.app.ran == ["first", "second"]
 
 
-# fault: after an unexpected error the HTTP library answered 500, named no request in the log and
-# closed the connection, so that a request behind it got nothing
+# fault: an unexpected error was logged without its request, and the request behind got no answer
 async def test_a_request_behind_one_that_fails_unexpectedly_is_answered(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -186,8 +182,7 @@
     assert list_ends(caplog) == []
 
 
-# fault: a request whose body did not become whole was held without an answer past the time limit of
-# its route and the time of its caller
+# fault: a request whose body did not become whole was held without an answer past its time
 @pytest.mark.parametrize("left_ms", ["300", "60000"])
 async def test_a_body_that_does_not_arrive_in_time_is_refused(
     rig: GatewayRig, left_ms: str
@@ -205,3 +200,27 @@
     assert await read_response(reader) == (200, b"answer of i-app to next")
     writer.close()
     assert rig.app.ran == ["next"]
+
+
+# fault: a request behind one with an unknown `Upgrade` was dropped, and its connection stayed open
+@pytest.mark.parametrize("path", ["/o/1", "/s/1"])
+async def test_a_connection_ends_behind_a_request_to_upgrade_it(rig: GatewayRig, path: str) -> None:
+    reader, writer = await open_connection(rig)
+    lines = "Content-Length: 4", "Connection: Upgrade", "Upgrade: h2c"
+    writer.write(build_head(path, "upgrades", *lines) + b"body" + build_order("behind"))
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.count(b"HTTP/1.1 200 ") == 1, received
+    assert b"connection: close" in received.lower(), "its caller knows that the rest is not run"
+    assert rig.app.ran + rig.llm.ran == ["upgrades"]
+
+
+# fault: a connection is closed though the library reads on behind such a request
+async def test_a_request_behind_one_for_a_known_upgrade_is_answered(rig: GatewayRig) -> None:
+    reader, writer = await open_connection(rig)
+    lines = "Content-Length: 4", "Connection: Upgrade", "Upgrade: websocket"
+    writer.write(build_head("/o/1", "upgrades", *lines) + b"body" + build_order("behind"))
+    assert await read_response(reader) == (200, b"answer of i-app to upgrades")
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
