--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -372,7 +372,7 @@
 
 
 def _is_rest_lost(request: web.BaseRequest) -> bool:
-    # nothing is read behind a malformed body, and the HTTP library drops what it has received behind
+    # nothing is read behind a malformed body, and the HTTP library drops what it received behind
     # a request for another protocol that it doesn't know
     upgrade = request.headers.get("Upgrade", "").lower()
     return request.content.exception() is not None or upgrade not in ("", *KNOWN_UPGRADES)
--- /dev/null
+++ b/tests/platform/test_process_signals.py
@@ -0,0 +1,153 @@
+"""Signals to a gateway process, observed by callers whose requests are under way."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+
+from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.rowstore import RowStoreStandin
+from soak.process import FRONT_PORT, GatewayProcess
+from support.addresses import name_ip
+from support.gatewayrig import build_config, build_order
+from support.tries import TryEnd, read_end
+
+IP_NUMBER = 90
+START_LIMIT_S = 30.0
+EXIT_LIMIT_S = 15.0
+CALLERS = 4
+
+
+class ProcessRig:
+    """One gateway process with its store and a server, all on loopback."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = RowStoreStandin()
+        self.app = AppServerStandin("i-app")
+        self._folder = folder
+        self._ids = itertools.count()
+
+    async def start(self) -> None:
+        await self.store.start()
+        await self.app.start()
+        self.store.put("servers", self.app.id, self.app.build_entry("app"))
+        self.store.put("op", "config", build_config(1, "key"))
+        link = SimpleNamespace(ip="127.0.0.1", port=self.store.port)
+        self.process = GatewayProcess(1, name_ip(IP_NUMBER), self._folder, cast("Any", link))
+        self.process.start()
+
+    @property
+    def has_exited(self) -> bool:
+        child = self.process._process
+        return child is not None and child.poll() is not None
+
+    def signal(self, *numbers: signal.Signals) -> None:
+        for number in numbers:
+            self.process._signal(number)
+
+    async def exchange(self) -> TryEnd:
+        """:return: how the try of an order on a connection of its own ends."""
+        request = build_order(f"order-{next(self._ids)}")
+        try:
+            reader, writer = await asyncio.open_connection(self.process.ip, FRONT_PORT)
+        except OSError:
+            return TryEnd.NO_CONNECTION
+        try:
+            writer.write(request)
+            async with asyncio.timeout(EXIT_LIMIT_S):
+                return read_end(await reader.read(65536))
+        except ConnectionError:
+            return TryEnd.NO_ANSWER
+        finally:
+            writer.close()
+
+    async def wait_until_served(self) -> None:
+        async with asyncio.timeout(START_LIMIT_S):
+            while await self.exchange() is not TryEnd.ANSWERED:
+                await asyncio.sleep(0.01)
+
+    async def wait_exit(self) -> int:
+        """:return: exit code of the process."""
+        child = self.process._process
+        assert child is not None
+        async with asyncio.timeout(EXIT_LIMIT_S):
+            while child.poll() is None:
+                await asyncio.sleep(0.01)
+        return cast("int", child.returncode)
+
+    async def stop(self) -> None:
+        await self.process.end()
+        await self.app.stop()
+        await self.store.stop()
+
+
+@pytest.fixture
+async def rig(tmp_path: Path) -> AsyncIterator[ProcessRig]:
+    rig = ProcessRig(tmp_path)
+    await rig.start()
+    yield rig
+    await rig.stop()
+
+
+async def call_until_exit(rig: ProcessRig) -> Counter[TryEnd]:
+    """Send orders one after another until the process has exited.
+
+    :param rig: the gateway
+    :return: how the tries ended
+    """
+    ends: Counter[TryEnd] = Counter()
+    while not rig.has_exited:
+        ends[await rig.exchange()] += 1
+        await asyncio.sleep(0.001)
+    return ends
+
+
+# fault: a stop that is requested while the process starts would leave a listener that nothing ends,
+# and cut off the requests that came in between
+@pytest.mark.holds_stop
+@pytest.mark.parametrize("listens", [False, True])
+async def test_a_stop_during_the_start_answers_each_request(rig: ProcessRig, listens: bool) -> None:
+    callers = [asyncio.ensure_future(call_until_exit(rig)) for _ in range(CALLERS)]
+    async with asyncio.timeout(START_LIMIT_S):
+        if listens:
+            while await rig.exchange() is TryEnd.NO_CONNECTION:
+                await asyncio.sleep(0)
+        else:
+            while "start" not in rig.process.log.read_text():
+                await asyncio.sleep(0.001)
+    rig.signal(signal.SIGTERM)
+    code = await rig.wait_exit()
+    ends = sum(await asyncio.gather(*callers), Counter[TryEnd]())
+    print(ends, code)
+    assert ends[TryEnd.NO_ANSWER] == 0, ends
+    assert code == 0
+
+
+# fault: a second SIGTERM, or a SIGHUP beside it, would end the process at once
+@pytest.mark.holds_stop
+async def test_further_signals_during_a_stop_cut_off_no_request(rig: ProcessRig) -> None:
+    await rig.wait_until_served()
+    rig.app.response_delay_s = 0.5
+    callers = [asyncio.ensure_future(call_until_exit(rig)) for _ in range(CALLERS)]
+    ran = len(rig.app.ran)
+    while len(rig.app.ran) < ran + CALLERS:
+        await asyncio.sleep(0.01)
+    rig.signal(signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+    began_at = time.monotonic()
+    while not rig.has_exited and time.monotonic() < began_at + EXIT_LIMIT_S:
+        rig.signal(signal.SIGTERM, signal.SIGHUP)
+        await asyncio.sleep(0.1)
+    assert await rig.wait_exit() == 0
+    ends = sum(await asyncio.gather(*callers), Counter[TryEnd]())
+    print(ends)
+    assert ends[TryEnd.NO_ANSWER] == 0, ends
+    assert ends[TryEnd.ANSWERED] >= CALLERS
