Cut off a stream of an entry that fails after its head

Cause: the middleware of entries answers each unexpected error with 500, also when the head of a stream was sent. The HTTP library then writes the second head into the chunked body of the first one and keeps the connection: a caller got `HTTP/1.1 500` where the size of a chunk is due, and no end of its stream.

Change: after the head the error is passed on to the library, which closes the connection, so that the stream looks cut.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -304,6 +304,9 @@
         raise
     except Exception:
         _LOGGER.exception("request failed")
+        if request.writer.output_size:
+            # a second answer would look like a part of the first; the HTTP library cuts it off
+            raise
         return _build_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
 
 
--- /dev/null
+++ b/tests/entry/test_unanswered_paths.py
@@ -0,0 +1,131 @@
+"""Paths on which a request that an entry has read could end without an answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from aiohttp import web
+
+from basilroad.entry.http import HttpServer
+from basilroad.entry.service import EntryService
+from basilroad.settings.daemon import DaemonSettings, EntrySettings
+from support.addresses import find_free_port
+
+LIMIT_S = 10.0
+COMPLETION = b'{"model": "m", "prompt": "a", "max_tokens": 5}'
+
+
+@pytest.fixture
+async def entry() -> AsyncIterator[EntryService]:
+    settings = DaemonSettings(
+        host="h",
+        address="127.0.0.1",
+        region="r",
+        data_centre="d",
+        entry=EntrySettings(
+            listen=f"127.0.0.1:{find_free_port()}", drain_limit_s=0.3, max_body_bytes=10_000
+        ),
+    )
+    entry = EntryService(settings)
+    await entry.start()
+    entry.models_seen.add("m")
+    yield entry
+    await entry.stop()
+
+
+async def connect(entry: EntryService) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """:return: a connection to an entry."""
+    ip, _, port = entry.options.listen.rpartition(":")
+    return await asyncio.open_connection(ip, int(port))
+
+
+def build_request(body: bytes = COMPLETION, length: int | None = None, *lines: str) -> bytes:
+    """Build a request for a completion.
+
+    :param body: its body, or the beginning of it
+    :param length: length of the whole body
+    :param lines: further header lines
+    :return: the request as bytes
+    """
+    length_line = f"Content-Length: {len(body) if length is None else length}"
+    head = ["POST /v1/completions HTTP/1.1", "Host: x", length_line, *lines, "", ""]
+    return "\r\n".join(head).encode() + body
+
+
+async def read_status(reader: asyncio.StreamReader) -> int:
+    """:return: status of one response with a length."""
+    async with asyncio.timeout(LIMIT_S):
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+        await reader.readexactly(int(length or b"0"))
+        return int(head.split(b" ", 2)[1])
+
+
+# fault: a second head and a second answer were written into a stream that failed after its head
+async def test_a_stream_that_fails_after_its_head_is_cut_off(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(_: HttpServer, http: web.Request, **__: Any) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(http)
+        await response.write(b"data: a\n\n")
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(HttpServer, "_generate", fail)
+    reader, writer = await connect(entry)
+    writer.write(build_request())
+    async with asyncio.timeout(LIMIT_S):
+        received = await reader.read()
+    writer.close()
+    assert received.count(b"HTTP/1.1 ") == 1, received
+    assert not received.endswith(b"0\r\n\r\n"), "it must not look complete"
+
+
+# fault: a request behind one that fails before its head gets no answer
+async def test_a_request_behind_one_that_fails_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(*_: Any, **__: Any) -> web.StreamResponse:
+        raise RuntimeError("unexpected")
+
+    monkeypatch.setattr(HttpServer, "_generate", fail)
+    reader, writer = await connect(entry)
+    writer.write(build_request() + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await read_status(reader) == 500
+    assert await read_status(reader) == 200
+    writer.close()
+
+
+# fault: a request behind one that the limit of a stop ends gets no answer
+@pytest.mark.holds_stop
+async def test_a_request_behind_one_that_a_stop_ends_is_answered(entry: EntryService) -> None:
+    reader, writer = await connect(entry)
+    writer.write(build_request() + build_request())
+    while not entry.flights:
+        await asyncio.sleep(0.01)
+    stopping = asyncio.ensure_future(entry.stop())
+    assert await read_status(reader) == 503
+    assert await read_status(reader) == 503
+    writer.close()
+    await stopping
+
+
+# fault: a caller that sends `Expect: 100-continue` and its entry wait for each other
+async def test_a_caller_that_awaits_the_request_for_its_body_gets_it(entry: EntryService) -> None:
+    reader, writer = await connect(entry)
+    writer.write(build_request(b"", 3, "Expect: 100-continue"))
+    assert await read_status(reader) == 100
+    writer.write(b"not")
+    assert await read_status(reader) == 400
+    writer.close()
+
+
+# fault: a caller that still sends a body that is too large gets no answer
+async def test_a_body_that_is_refused_midway_is_answered(entry: EntryService) -> None:
+    reader, writer = await connect(entry)
+    writer.write(build_request(bytes(20_000), 1_000_000))
+    assert await read_status(reader) == 413
+    writer.close()
