Refuse streams for callers of HTTP/1.0

Cause: events are sent in chunks, which HTTP/1.0 doesn't have. The call was sent to an engine, and the head of the answer failed when the first event came: 500, with a run in vain. The end of such a stream couldn't be told from a cut either.

Change: such a call is refused with 400 before it is sent.

--- a/soak/process.py
+++ b/soak/process.py
@@ -30,12 +30,14 @@
     :param ip: loopback address, used by this gateway alone
     :param folder: directory of its settings and log
     :param store: link over which it reaches the store
+    :param arguments: arguments of the interpreter that run a gateway
     """
 
     number: int
     ip: str
     folder: Path
     store: Link
+    arguments: tuple[str, ...] = ("-m", "basilroad", "gateway")
     starts: list[float] = attrs.field(factory=list)
     paused: bool = False
     _process: subprocess.Popen[bytes] | None = None
@@ -69,7 +71,7 @@
         settings.write_text(yaml.safe_dump(self._build_settings()))
         environment = {**os.environ, "BASILROAD_SETTINGS": str(settings)}
         with self.log.open("ab") as log:
-            command = [sys.executable, "-m", "basilroad", "gateway"]
+            command = [sys.executable, *self.arguments]
             self._process = subprocess.Popen(command, env=environment, stdout=log, stderr=log)
         self.starts.append(time.monotonic())
 
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -212,6 +212,8 @@
         route = gateway.resolve_route(_strip_port(request.headers.get("Host", "")), path)
         workspace = gateway.authenticate(route, request.headers.get(HEADER_API_KEY, ""))
         gateway.check_draining(route)
+        if route.streams and request.version < HttpVersion11:
+            raise refuse(ErrorKind.BAD_REQUEST, "event streams need HTTP/1.1")
         expires_at = arrived_at + max(0.0, _read_time_limit(request, route))
         body = await self._read_body_in_time(request, expires_at)
         # the body may have arrived after the end of admission
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -224,3 +224,113 @@
     assert await read_response(reader) == (200, b"answer of i-app to upgrades")
     assert await read_response(reader) == (200, b"answer of i-app to behind")
     writer.close()
+
+
+# fault: a request whose head the HTTP library can't read gets no answer
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"NONSENSE\r\n\r\n",
+        b"POST /o/" + b"a" * 70000 + b" HTTP/1.1\r\nHost: h.example\r\n\r\n",
+        b"POST /o/1 HTTP/1.1\r\nX-Long: " + b"a" * 70000 + b"\r\n\r\n",
+        b"POST /o/1 HTTP/1.1\r\n" + b"X-More: a\r\n" * 300 + b"\r\n",
+        b"POST /o/1 HTTP/1.1\r\nX-Bad: a\x01b\r\n\r\n",
+        b"POST /o/\xe9 HTTP/1.1\r\nHost: h.example\r\n\r\n",
+        b"POST /o/1 HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ],
+    ids=["line", "long-line", "long-field", "fields", "control", "not-ascii", "two-lengths"],
+)
+async def test_a_malformed_head_is_refused(rig: GatewayRig, request_bytes: bytes) -> None:
+    reader, writer = await open_connection(rig)
+    writer.write(request_bytes)
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.0 400 "), received[:100]
+    assert rig.app.ran == []
+
+
+# fault: a whole request in one segment with bytes that may not follow it gets no answer
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        build_order("whole") + b"NONSENSE\r\n\r\n",
+        build_order("whole").replace(b"Host:", b"Connection: close\r\nHost:") + b"more\r\n\r\n",
+    ],
+    ids=["malformed", "behind-close"],
+)
+async def test_a_request_in_one_segment_with_what_may_not_follow_it_is_refused(
+    rig: GatewayRig, request_bytes: bytes
+) -> None:
+    reader, writer = await open_connection(rig)
+    writer.write(request_bytes)
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.0 400 "), received
+    assert rig.app.ran == [], "the answer says that it has not run"
+
+
+# fault: a request behind one that closes the connection is run, or leaves no line
+async def test_a_request_behind_one_that_closes_the_connection_is_logged_and_not_run(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    rig.app.response_delay_s = 0.3
+    reader, writer = await open_connection(rig)
+    closing = build_head("/o/1", "closes", "Content-Length: 4", "Connection: close") + b"body"
+    writer.write(closing)
+    while "closes" not in rig.app.ran:
+        await asyncio.sleep(0.001)
+    writer.write(build_order("behind"))
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 200 "), received
+    assert received.count(b"HTTP/1.") == 1, received
+    assert b"connection: close" in received.lower()
+    await wait_for_end(rig, EndCause.UNREAD_REQUEST)
+    # the HTTP library reads nothing behind such a request, so its id is not known
+    assert list_ends(caplog) == [("", "unread_request")]
+    assert rig.app.ran == ["closes"]
+
+
+# fault: a stream for a caller of HTTP/1.0, which has no chunks, ran and then failed with 500
+async def test_a_stream_for_a_caller_of_an_older_protocol_is_refused(rig: GatewayRig) -> None:
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("old").replace(b"/o/1 HTTP/1.1", b"/s/1 HTTP/1.0"))
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.0 400 "), received
+    assert rig.llm.ran == []
+
+
+# fault: the calls in flight end when the reader of the store withdraws and the keys get too old
+@pytest.mark.parametrize("path", ["/o/1", "/s/1"])
+async def test_a_call_in_flight_outlasts_the_confirmation_of_its_key(
+    rig: GatewayRig, path: str
+) -> None:
+    gateway = rig.service.gateway
+    await rig.configure(2, "key", timeout_ms=20_000)
+    limit_s = gateway.settings.key_age_limit_s
+    assert limit_s is not None
+    rig.app.response_delay_s, rig.llm.event_interval_s = limit_s + 1.0, (limit_s + 1.0) / 10
+    reader, writer = await open_connection(rig)
+    order = build_order("lasts").replace(b"/o/1", path.encode())
+    writer.write(order.replace(b"X-Deadline-Ms: 2000", b"X-Deadline-Ms: 20000"))
+    while "lasts" not in rig.app.ran + rig.llm.ran:
+        await asyncio.sleep(0.01)
+    rig.store.refusing = 503
+    late, late_writer = await open_connection(rig)
+    async with asyncio.timeout(10):
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 ")
+        end = b"0\r\n\r\n" if path == "/s/1" else b"answer of i-app to lasts"
+        await reader.readuntil(end)
+        while gateway.freshness.is_within(limit_s):
+            await asyncio.sleep(0.01)
+    late_writer.write(build_order("late"))
+    assert (await read_response(late))[0] == 503
+    for each in (writer, late_writer):
+        each.close()
