Test further paths without an answer

Handlers that never began at the exit, errors of other kinds, requests that cross the last answer of a stop, many requests on one connection, and a reload with another listen address in a real process.

--- a/tests/platform/test_process_signals.py
+++ b/tests/platform/test_process_signals.py
@@ -120,6 +120,21 @@
     await rig.stop()
 
 
+# fault: a change of the listen address ends the listener, and the requests on its connections
+async def test_a_reload_with_another_address_leaves_the_listener(rig: ProcessRig) -> None:
+    await rig.wait_until_served()
+    rig.app.response_delay_s = 0.2
+    calls = [asyncio.ensure_future(rig.exchange()) for _ in range(CALLERS)]
+    path = rig.process.folder / "gateway-1.yaml"
+    path.write_text(path.read_text().replace(str(FRONT_PORT), str(FRONT_PORT + 1)))
+    rig.signal(signal.SIGHUP)
+    async with asyncio.timeout(START_LIMIT_S):
+        while '"message":"reload"' not in rig.process.log.read_text():
+            await asyncio.sleep(0.01)
+    calls += [asyncio.ensure_future(rig.exchange()) for _ in range(CALLERS)]
+    assert set(await asyncio.gather(*calls)) == {TryEnd.ANSWERED}
+
+
 # fault: a service that fails ends the process, and the calls in flight with it
 @pytest.mark.holds_stop
 async def test_an_unexpected_end_of_a_service_answers_the_calls_in_flight(tmp_path: Path) -> None:
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -12,6 +13,7 @@
 from basilroad.gateway.call import Call, Reply, Responder
 from basilroad.gateway.handler import CallHandler
 from basilroad.platform.connections import EndCause
+from basilroad.platform.frontend import PlatformFrontend
 from support.ends import (
     count_ends,
     find_connection,
@@ -33,8 +35,12 @@
 
 
 # fault: a request whose handler was cancelled before its first step left no line and no count
+@pytest.mark.parametrize("cause", [EndCause.CALLER_LEFT, EndCause.SHUTDOWN])
 async def test_a_request_whose_handler_never_began_is_logged(
-    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+    rig: GatewayRig,
+    cause: EndCause,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     begun = []
 
@@ -49,12 +55,15 @@
     monkeypatch.setattr(CallHandler, "handle", answer)
     _, writer = await open_connection(rig)
     connection = await find_connection(rig)
+    server = rig.service.front._connections
+    if cause is EndCause.SHUTDOWN and server is not None:
+        server.mark_exiting()
     writer.write(build_order("first") + build_order("second"))
-    await wait_for_end(rig, EndCause.CALLER_LEFT)
+    await wait_for_end(rig, cause)
     writer.close()
     assert begun == ["first"]
-    assert list_ends(caplog) == [("second", "caller_left")]
-    assert count_ends(rig, EndCause.CALLER_LEFT) == 1
+    assert list_ends(caplog) == [("second", cause.value)]
+    assert count_ends(rig, cause) == 1
 
 
 # fault: a request read at the end of a stop waited for the config until the exit cut it off
@@ -158,14 +167,18 @@
 
 
 # fault: an unexpected error was logged without its request, and the request behind got no answer
+@pytest.mark.parametrize("error", [RuntimeError, MemoryError, TimeoutError, RecursionError])
 async def test_a_request_behind_one_that_fails_unexpectedly_is_answered(
-    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+    rig: GatewayRig,
+    error: type[Exception],
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     handle = CallHandler.handle
 
     async def fail_once(handler: CallHandler, call: Call, responder: Responder) -> Reply | None:
         if call.id == "fails":
-            raise RuntimeError("unexpected")
+            raise error("unexpected")
         return await handle(handler, call, responder)
 
     caplog.set_level(logging.INFO)
@@ -334,3 +347,37 @@
     assert (await read_response(late))[0] == 503
     for each in (writer, late_writer):
         each.close()
+
+
+# fault: a request that crosses the last answer of a stop, unread, takes that answer along with it
+async def test_an_answer_outlasts_a_request_that_crosses_the_close_behind_it(
+    rig: GatewayRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    close_if_last = PlatformFrontend._close_if_last
+
+    def send_another(front: PlatformFrontend, *arguments: Any, **options: Any) -> None:
+        close_if_last(front, *arguments, **options)
+        caller.sendall(build_order("crosses"))
+
+    monkeypatch.setattr(PlatformFrontend, "_close_if_last", send_another)
+    rig.app.response_delay_s = 0.3
+    front = rig.service.settings.front
+    with socket.create_connection((front.ip, front.port), timeout=10) as caller:
+        caller.sendall(build_order("last"))
+        while "last" not in rig.app.ran:
+            await asyncio.sleep(0.01)
+        await rig.service.stop()
+        received = await asyncio.to_thread(caller.recv, 65536)
+        assert received.startswith(b"HTTP/1.1 200 ")
+        assert received.endswith(b"answer of i-app to last")
+    assert rig.app.ran == ["last"]
+
+
+# fault: of many requests that are sent at once on a connection, some get no answer
+async def test_many_requests_on_one_connection_are_answered_in_order(rig: GatewayRig) -> None:
+    reader, writer = await open_connection(rig)
+    writer.write(b"".join(build_order(f"order-{number}") for number in range(200)))
+    for number in range(200):
+        answer = await read_response(reader)
+        assert answer == (200, f"answer of i-app to order-{number}".encode())
+    writer.close()
