Limit the time in which an entry awaits a body

Cause: entries read the body of a request without a time limit, and the HTTP library doesn't end a body that is malformed in the middle. Such a request was held until its caller left or the entry stopped: neither an answer nor a refusal.

Change: the body must arrive within 60 s; else the request is refused with 400, as not run.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -19,6 +19,7 @@
 from basilroad.http.idleconnections import close_idle_connections
 from basilroad.http.listener import CallerListener
 from basilroad.peers.address import parse_address
+from basilroad.timelimit import TimeLimit
 
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager, AbstractContextManager
@@ -39,6 +40,9 @@
 CANCEL_TIMEOUT_S = 0.1
 """Seconds that the handlers which are left after that are given to end."""
 
+BODY_TIMEOUT_S = 60.0
+"""Seconds in which the whole body of a request must arrive."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -255,7 +259,10 @@
 
 async def _read_body(http: web.Request) -> bytes:
     try:
-        return await http.read()
+        async with TimeLimit(BODY_TIMEOUT_S):
+            return await http.read()
+    except TimeoutError as error:
+        raise refuse(ErrorKind.BAD_REQUEST, "the request body did not arrive in time") from error
     except web.HTTPRequestEntityTooLarge as error:
         raise refuse(ErrorKind.BODY_TOO_LARGE, "the request body is too large") from error
 
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -123,6 +123,22 @@
     writer.close()
 
 
+# fault: a request whose body does not become whole, or is malformed midway, is held without an end
+@pytest.mark.parametrize("rest", [b"", b"no chunk\r\n"], ids=["partial", "malformed"])
+async def test_a_body_that_does_not_arrive_in_time_is_refused(
+    entry: EntryService, rest: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("basilroad.entry.http.BODY_TIMEOUT_S", 0.5)
+    reader, writer = await connect(entry)
+    head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    writer.write(head + b"4\r\nbody\r\n")
+    while not entry._preparations:
+        await asyncio.sleep(0.001)
+    writer.write(rest)
+    assert await read_status(reader) == 400
+    writer.close()
+
+
 # fault: a caller that still sends a body that is too large gets no answer
 async def test_a_body_that_is_refused_midway_is_answered(entry: EntryService) -> None:
     reader, writer = await connect(entry)
