--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -242,6 +242,9 @@
         )
 
     async def _read_body_in_time(self, request: web.BaseRequest, expires_at: float) -> bytes:
+        if request.content.is_eof():
+            # all of it was received, as for nearly all requests
+            return await self._read_body(request)
         limit = TimeLimit(max(0.0, expires_at - time.monotonic()))
         try:
             async with self._gateway.shutdown.limit_call(), limit:
