--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -209,6 +209,7 @@
     assert status == 503
     assert b'"time_too_short"' in body
     # the connection is of use again once the rest has arrived
+    await rig.configure(3, "key")
     writer.write(b"dy" + build_order("next"))
     assert await read_response(reader) == (200, b"answer of i-app to next")
     writer.close()
