--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -67,7 +67,7 @@
 """Interim response to a caller that sends its body only when it is requested."""
 
 KNOWN_UPGRADES = ("tcp", "websocket")
-"""Values of ``Upgrade`` behind which the HTTP library reads on once a request was answered."""
+"""Values of ``Upgrade`` behind which the HTTP library continues to read requests."""
 
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
