--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -32,6 +32,7 @@
     read_prompt_size,
     read_resumes,
 )
+from basilroad.timelimit import TimeLimit
 
 if TYPE_CHECKING:
     import random
@@ -65,6 +66,9 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to a caller that sends its body only when it is requested."""
 
+KNOWN_UPGRADES = ("tcp", "websocket")
+"""Values of ``Upgrade`` behind which the HTTP library continues to read requests."""
+
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -208,14 +212,12 @@
         route = gateway.resolve_route(_strip_port(request.headers.get("Host", "")), path)
         workspace = gateway.authenticate(route, request.headers.get(HEADER_API_KEY, ""))
         gateway.check_draining(route)
-        try:
-            async with gateway.shutdown.limit_call():
-                body = await self._read_body(request)
-        except ShutdownError:
-            raise refuse_at_shutdown() from None
+        if route.streams and request.version < HttpVersion11:
+            raise refuse(ErrorKind.BAD_REQUEST, "event streams need HTTP/1.1")
+        expires_at = arrived_at + max(0.0, _read_time_limit(request, route))
+        body = await self._read_body_in_time(request, expires_at)
         # the body may have arrived after the end of admission
         gateway.check_draining(route)
-        time_limit_s = _read_time_limit(request, route)
         workspace_rank = workspace.rank if workspace else None
         resume_after = request.headers.get(HEADER_LAST_EVENT_ID, "")
         is_taken_up = route.streams and read_events_received(resume_after) > 0
@@ -231,7 +233,7 @@
             workspace=workspace.name if workspace else "",
             rank=route.rank if workspace_rank is None else workspace_rank,
             arrived_at=arrived_at,
-            expires_at=arrived_at + max(0.0, time_limit_s),
+            expires_at=expires_at,
             size=read_prompt_size(request.headers) if route.streams else read_prompt_size({}),
             resume_after=resume_after,
             resumes=resumes,
@@ -239,6 +241,20 @@
             prompt_parts=read_prompt_parts(request.headers) if route.streams else (),
         )
 
+    async def _read_body_in_time(self, request: web.BaseRequest, expires_at: float) -> bytes:
+        if request.content.is_eof():
+            # all of it was received, as for nearly all requests
+            return await self._read_body(request)
+        limit = TimeLimit(max(0.0, expires_at - time.monotonic()))
+        try:
+            async with self._gateway.shutdown.limit_call(), limit:
+                return await self._read_body(request)
+        except ShutdownError:
+            raise refuse_at_shutdown() from None
+        except TimeoutError:
+            message = "the request body did not arrive in time"
+            raise refuse(ErrorKind.TIME_TOO_SHORT, message) from None
+
     async def _read_body(self, request: web.BaseRequest) -> bytes:
         assert self._gateway.table is not None
         limit = self._gateway.table.limits.body_bytes
@@ -265,13 +281,11 @@
     def _close_if_last(
         self, request: web.BaseRequest, response: web.StreamResponse, *, has_failed: bool = False
     ) -> None:
-        # nothing is read behind a malformed body; a request that was received behind this one gets
-        # its response on the same connection
-        is_malformed = request.content.exception() is not None
+        # a request that was received behind this one gets its response on the same connection
         is_ending = has_failed or self._gateway.shutdown.is_requested
-        if is_malformed or (is_ending and not list_unread_requests(request.protocol)):
-            response.force_close()
-            response.headers["Connection"] = "close"
+        is_last = is_ending and not list_unread_requests(request.protocol)
+        if is_last or _is_rest_lost(request):
+            _close_after(response)
 
     def _refuse(
         self, request: web.BaseRequest, refusal: Refusal, arrived_at: float
@@ -324,6 +338,8 @@
         for name, value in headers:
             self.response.headers.add(name, value)
         self.response.enable_chunked_encoding()
+        if _is_rest_lost(self._request):
+            _close_after(self.response)
         await self.response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
@@ -360,6 +376,18 @@
     }
 
 
+def _is_rest_lost(request: web.BaseRequest) -> bool:
+    # nothing is read behind a malformed body, and the HTTP library drops what it received behind
+    # a request for another protocol that it doesn't know
+    upgrade = request.headers.get("Upgrade", "").lower()
+    return request.content.exception() is not None or upgrade not in ("", *KNOWN_UPGRADES)
+
+
+def _close_after(response: web.StreamResponse) -> None:
+    response.force_close()
+    response.headers["Connection"] = "close"
+
+
 async def _request_body(request: web.BaseRequest) -> None:
     awaits = request.headers.get("Expect", "").lower() == "100-continue"
     if not awaits or request.version < HttpVersion11 or request.content.is_eof():
