Take no stream from before a restore for one of the base version chosen after it

What callers saw: a stream of v1 went on at v2, after a restore from a copy without the row of the base version, a kill of its gateway and a change to v2. Cause: gateways chose v2 as the base version of the restored store, and one that had started since knew of no other version.

--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -56,6 +56,9 @@
 
 MAX_GENERATION = 2**63 - 1
 
+LOST_EPOCH = 0
+"""Epoch of a row that was created after a restore, before those of all stores."""
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -139,6 +142,12 @@
         # a row that is missing after a restore may have been lost, with records
         return self._was_restored if base is None else base.epoch < self._epoch
 
+    @property
+    def is_lost(self) -> bool:
+        """:return: whether a restored store has no row from before the restore."""
+        base = self.stored
+        return self.is_in_doubt and (base is None or base.epoch == LOST_EPOCH)
+
     def is_trusted(self, now: float) -> bool:
         """Check whether the base version is known and can't have changed since.
 
@@ -260,7 +269,7 @@
 
     def _create(self, candidates: Mapping[str, int]) -> _StoredBase:
         # a row that is missing after a restore may have been lost, with records
-        epoch = 0 if self._was_restored else self._epoch
+        epoch = LOST_EPOCH if self._was_restored else self._epoch
         return _StoredBase(_choose(candidates), 1, epoch=epoch)
 
     def _find_correction(self, base: _StoredBase, now: float) -> _StoredBase | None:
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -236,7 +236,9 @@
         known = self._list_known(service)
         if len(known) > 1 or (known and base not in (None, *known)):
             return "unknown", None
-        if not self._listing.is_complete_since(self._clock() - RELIST_S):
+        # any version may have left since a base version that was lost
+        limit_s = VERSION_MEMORY_S if service.base.is_lost else RELIST_S
+        if not self._listing.is_complete_since(self._clock() - limit_s):
             raise ArchiveUnavailableError("the listing may lack versions since a restore")
         return ("base", known.pop()) if known else ("unknown", None)
 
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -12,6 +12,7 @@
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.versions.baseversion import (
     BASE_KEY,
+    RESTORE_SETTLE_S,
     VERSION_MEMORY_S,
 )
 from basilroad.gateway.versions.records import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
@@ -578,6 +579,26 @@
     assert await host.find(stream) is None
 
 
+# fault: a base version that was chosen after a restore counted as that of streams from before
+@virtually
+async def test_a_base_version_that_replaces_a_lost_one_began_no_earlier_stream(
+    fleet: SimFleet,
+) -> None:
+    copy = dict(fleet.store.rows), fleet.store.revision
+    fleet.serve("v1")
+    stream = await fleet.begin(fleet.start_host(), "v1")
+    fleet.kill_all()
+    fleet.restore(*copy)
+    fleet.serve("v2")
+    host = await restart_all(fleet)
+    assert await host.find(stream) is None
+    await asyncio.sleep(RESTORE_SETTLE_S + SETTLE_S)
+    assert host.versions.keeper.open(SERVICE).base.version == "v2"
+    assert await host.find(stream) is None
+    await asyncio.sleep(VERSION_MEMORY_S)
+    assert (await host.find(await fleet.begin(host, "v2"))) == "v2"
+
+
 # fault: as above, where a host that was left knew the base version
 @virtually
 async def test_a_lost_record_is_unknown_at_a_host_that_was_left(fleet: SimFleet) -> None:
