Give tests 30 s for a count from a process of their fleet

Seen: "TimeoutError of a caller" in test_no_order_runs_twice[7], at load 36 to 60. Cause: the test measured the machine. After each response it asks all services for the runs they counted, around the proxies, and a question had the 1 s of a readiness probe. Time-outs of the orders themselves are caught and recorded. Change: questions have a limit of their own; probes keep theirs. What is counted and compared is the same.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -26,6 +26,9 @@
 POLL_INTERVAL_S = 0.02
 PROBE_TIMEOUT_S = 1.0
 
+ASK_TIMEOUT_S = 30.0
+"""Time limit of a question of a test to a process; what it tells is checked, not how fast."""
+
 ENTRY_PORT = 8080
 AGENT_PORT = 8090
 ENDPOINT_PORT = 9000
@@ -175,7 +178,7 @@
         :return: decoded JSON of the response
         """
         raw = b"" if body is None else msgspec.json.encode(body)
-        status, answer = _fetch(self.address, path, method, raw)
+        status, answer = _fetch(self.address, path, method, raw, ASK_TIMEOUT_S)
         assert status < 300, f"{method} {path}: {status} {answer!r}"
         return msgspec.json.decode(answer)
 
@@ -467,8 +470,14 @@
     raise AssertionError
 
 
-def _fetch(address: str, path: str, method: str = "GET", body: bytes = b"") -> tuple[int, bytes]:
-    connection = http.client.HTTPConnection(address, timeout=PROBE_TIMEOUT_S)
+def _fetch(
+    address: str,
+    path: str,
+    method: str = "GET",
+    body: bytes = b"",
+    timeout_s: float = PROBE_TIMEOUT_S,
+) -> tuple[int, bytes]:
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
     try:
         headers = {"Content-Type": "application/json"}
         connection.request(method, path, body or None, headers)
