--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -174,9 +174,8 @@
         now = time.monotonic()
         later = self._events.last - self._first_event
         event_s = (now - self._first_at) / later if later > 0 else None
-        self._gateway.stream_durations.record(
-            now - self._call.arrived_at, self._events.last, event_s
-        )
+        took_s = None if self._call.events_received else now - self._call.arrived_at
+        self._gateway.stream_durations.record(took_s, self._events.last, event_s)
 
     def _is_final(self, reply: Reply) -> bool:
         return reply.status < SERVER_ERROR or not self._call.route.repeatable
