--- a/tests/gateway/test_streamdurations.py
+++ b/tests/gateway/test_streamdurations.py
@@ -81,7 +81,7 @@
     assert server.ran == []
 
 
-# fault: hosts that had taken up streams admitted new ones in their own stop, which were then cut off
+# fault: hosts that had taken up streams admitted new ones in their own stop, which it then cut off
 async def test_a_taken_up_stream_does_not_count_as_a_short_one(gateway, start_server) -> None:
     await start_server("i-1", service="llm", events=30)
     typical_max_s = gateway.stream_durations.typical_max_s
