Let refused streams come back when the first of the stopping hosts is back

What callers saw: in a wave of stops, a stream that was refused waited for the host that had refused it, and had its first event 9.8 s later on average, though other hosts had started again. Cause: the delay was the time until the own restart, also where others had stopped seconds before. Change: a gateway remembers when it first received that another one stops, until that one has started again; the delay lasts until the first restart that is still due. Why it works: the hosts stop for the same grace period, so the first to stop is the first to be back; a host that is overdue, and may have been removed, isn't waited for. Test: test_a_stream_that_is_refused_while_most_hosts_stop_comes_back_to_the_first_host failed before.

--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -61,6 +61,9 @@
 """Time for which a registered gateway counts as near without having been heard; all are heard by
 then, also in fleets of hundreds."""
 
+STOP_MEMORY_S = 60.0
+"""Time for which a gateway that stops is expected back; longer than any grace period."""
+
 MAX_PEERS = 1024
 """Maximum number of known peers; planned fleets have hundreds of hosts."""
 
@@ -151,6 +154,7 @@
         self._sequence = 0
         self._peers: set[Address] = set()
         self._peer_states: dict[str, _PeerState] = {}
+        self._stopping_since: dict[str, float] = {}
         self._registered: dict[str, Address] = {}
         self._registered_at = -math.inf
         self._transport: asyncio.DatagramTransport | None = None
@@ -176,6 +180,10 @@
         running = len(self._peer_states) - stopping
         return running < stopping + self._is_stopping()
 
+    def list_stops(self) -> list[float]:
+        """:return: monotonic seconds at which each other gateway that stops was first seen to."""
+        return list(self._stopping_since.values())
+
     def _list_addressed_peers(self) -> dict[str, Peer]:
         return {
             host: Peer(view.address, view.data_centre) for host, view in self._peer_states.items()
@@ -345,6 +353,10 @@
         self._peer_states[message.host] = _PeerState(
             *order, now, message.loads, address, message.data_centre, message.stopping
         )
+        if message.stopping:
+            self._stopping_since.setdefault(message.host, now)
+        else:
+            self._stopping_since.pop(message.host, None)
         self.add_peers([address, *others])
         self._prompt_locations.merge_reported(message.runs)
         self._update_remote_load({*message.loads, *(known.loads if known else ())})
@@ -382,6 +394,8 @@
             view = self._peer_states.pop(host)
             self._update_remote_load(view.loads)
             _LOGGER.info("peer silent", extra={"peer": host})
+        for host in [h for h, since in self._stopping_since.items() if now - since > STOP_MEMORY_S]:
+            del self._stopping_since[host]
 
     def _update_remote_load(self, endpoint_ids: Iterable[str]) -> None:
         for endpoint_id in endpoint_ids:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -128,6 +128,7 @@
         self.table: RoutingTable | None = None
         self.known_hosts = 1
         self.are_most_hosts_stopping: Callable[[], bool] = lambda: False
+        self.list_other_stops: Callable[[], list[float]] = list
         self.preference = EnginePreference()
         chooser = Chooser(
             settings.place, self.random, lambda: self.known_hosts, lambda: self.preference
@@ -307,7 +308,13 @@
         if schedule is None or not route.streams or not self.are_most_hosts_stopping():
             return refuse_at_shutdown()
         # a retry at once would come to this host, or to one that refuses it too
-        return refuse_at_shutdown(schedule.restarted_at - time.monotonic())
+        return refuse_at_shutdown(self._find_first_restart(schedule) - time.monotonic())
+
+    def _find_first_restart(self, schedule: ShutdownSchedule) -> float:
+        now, grace_s = time.monotonic(), self.settings.grace_s
+        others = (ShutdownSchedule.plan(at, grace_s).restarted_at for at in self.list_other_stops())
+        # a host that is overdue may have been removed
+        return min(schedule.restarted_at, *(at for at in others if at > now), math.inf)
 
     def has_time_before_shutdown(self, route: Route) -> bool:
         """Check whether a call that is sent now is likely to end before this host shuts down.
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -95,6 +95,7 @@
                 is_stopping=lambda: self.gateway.shutdown.is_requested,
             )
             self.gateway.are_most_hosts_stopping = self.gossip.are_most_stopping
+            self.gateway.list_other_stops = self.gossip.list_stops
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: the child services, in their start order."""
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -21,6 +21,7 @@
     PEER_TIMEOUT_S,
     REFRESH_INTERVAL_S,
     REGISTERED_S,
+    STOP_MEMORY_S,
     Gossip,
 )
 from basilroad.gateway.exchange.loans import RetryLoans
@@ -145,6 +146,40 @@
     assert not net.gateways[0].are_most_stopping()
 
 
+def test_a_gateway_remembers_when_others_stopped_until_they_have_started_again() -> None:
+    # fault: a stopping gateway knew neither which host had stopped first nor when
+    net = Net()
+    stopped_at = net.now
+    net.stopping = {1}
+    for _ in range(2):
+        net.gateways[1].tick()
+        net.deliver()
+        net.now += 2.0
+    assert net.gateways[0].list_stops() == [stopped_at]
+
+    net.now += PEER_TIMEOUT_S + 1.0
+    net.gateways[0].tick()
+    assert not net.gateways[0].list_live_peers()
+    assert net.gateways[0].list_stops() == [stopped_at], "it sends nothing until it is back"
+
+    net.stopping = set()
+    net.gateways[1] = net._build(1, 3)
+    net.gateways[1]._started_ms += 1000
+    net.gateways[1].tick()
+    net.deliver()
+    assert net.gateways[0].list_stops() == []
+
+
+def test_a_gateway_that_does_not_come_back_is_forgotten() -> None:
+    net = Net()
+    net.stopping = {1}
+    net.gateways[1].tick()
+    net.deliver()
+    net.now += STOP_MEMORY_S + 1.0
+    net.gateways[0].tick()
+    assert net.gateways[0].list_stops() == []
+
+
 def test_a_reordered_older_datagram_is_ignored() -> None:
     net = Net()
     reservation = Reservation(get(net.gateways[0], "e1"), SIZE)
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -53,6 +53,19 @@
     assert refusal.retry_after == pytest.approx(expected_s, abs=0.1)
 
 
+# fault: where hosts stopped one after the other, refused streams waited for the host that had
+# refused them though others had started again seconds before
+def test_a_stream_that_is_refused_while_most_hosts_stop_comes_back_to_the_first_host() -> None:
+    gateway = build_gateway(1.8)
+    gateway.are_most_hosts_stopping = lambda: True
+    now = time.monotonic()
+    gateway.list_other_stops = lambda: [now - 40.0, now - 5.0, now - 1.0]
+    with pytest.raises(RefusedError) as caught:
+        gateway.check_draining(build_stream_route())
+    expected_s = gateway.settings.grace_s - SHUTDOWN_RESERVE_S + RESTART_S - 5.0
+    assert caught.value.refusal.retry_after == pytest.approx(expected_s, abs=0.1)
+
+
 def test_a_short_call_that_is_refused_while_most_hosts_stop_has_a_short_retry_delay() -> None:
     # a longer delay would use up its time limit
     gateway = build_gateway(2.5)
