--- a/src/basilroad/gateway/streamdurations.py
+++ b/src/basilroad/gateway/streamdurations.py
@@ -55,13 +55,12 @@
     event_s: float = INITIAL_EVENT_S
     clock: Callable[[], float] = time.monotonic
     _ended: int = 0
-    _timed: int = 0
     _ended_at: float = -math.inf
 
-    def record(self, took_s: float | None, events: int, event_s: float | None) -> None:
+    def record(self, took_s: float, events: int, event_s: float | None) -> None:
         """Add a completed stream.
 
-        :param took_s: seconds from its arrival; ``None`` if its caller already had some events
+        :param took_s: seconds from its arrival
         :param events: number of its last event
         :param event_s: seconds per event after the first; ``None`` for a single event
         """
@@ -69,17 +68,11 @@
         self._ended_at = self.clock()
         # the first streams replace the initial values
         weight = max(AVERAGE_WEIGHT, 1 / self._ended)
+        self.spread_s += AVERAGE_WEIGHT * (abs(took_s - self.mean_s) - self.spread_s)
+        self.mean_s += weight * (took_s - self.mean_s)
         self.events += weight * (events - self.events)
         if event_s is not None:
             self.event_s += weight * (event_s - self.event_s)
-        if took_s is not None:
-            self._record_duration(took_s)
-
-    def _record_duration(self, took_s: float) -> None:
-        self._timed += 1
-        weight = max(AVERAGE_WEIGHT, 1 / self._timed)
-        self.spread_s += AVERAGE_WEIGHT * (abs(took_s - self.mean_s) - self.spread_s)
-        self.mean_s += weight * (took_s - self.mean_s)
 
     @property
     def typical_max_s(self) -> float:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -161,8 +161,7 @@
         now = time.monotonic()
         last = self._events.last
         event_s = self._output.measure_event_s(now, last)
-        took_s = None if self._call.events_received else now - self._call.arrived_at
-        self._gateway.stream_durations.record(took_s, last, event_s)
+        self._gateway.stream_durations.record(now - self._call.arrived_at, last, event_s)
 
     def _is_final(self, reply: Reply) -> bool:
         return reply.status < SERVER_ERROR or not self._call.route.repeatable
