--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -41,7 +41,7 @@
     take_ups = result.take_ups
     print(
         f"seed {result.settings.seed}: {state}; {result.served} of {result.requests} served; "
-        f"{take_ups.went_on} of {take_ups.taken_up} streams went on, "
+        f"{take_ups.resumed} of {take_ups.taken_up} streams resumed, "
         f"{take_ups.began} of {take_ups.new} began beside them; "
         f"longest stall of the soak {result.longest_stall_s:.2f} s"
         + (f"; logs in {result.folder}" if result.breaches else ""),
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -126,9 +126,9 @@
 
     async def _send(self, session: aiohttp.ClientSession, request: Request) -> None:
         aborts = self._random.random() < ABORT_SHARE
-        patience_s = self._random.uniform(0.01, 0.4) if aborts else None
+        abort_after_s = self._random.uniform(0.01, 0.4) if aborts else None
         try:
-            async with asyncio.timeout(patience_s):
+            async with asyncio.timeout(abort_after_s):
                 await self._exchange(session, request)
         except TimeoutError:
             request.aborted = aborts
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,7 +10,7 @@
 from soak.records import Kind, Limit, Record
 from soak.schedule import StopGateway
 from soak.settings import APPLY_S, DRAIN_S, GRACE_S, RECOVERY_S, REVOKE_S
-from soak.streampromises import StreamsKeepTheirVersion, TakenUpStreamsGoOn
+from soak.streampromises import StreamsKeepTheirVersion, TakenUpStreamsResume
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Status codes that state that a request did not run."""
@@ -131,10 +131,10 @@
                 passed_on[key] = min(passed_on.get(key, request.answered_at), request.answered_at)
         for run in record.reached:
             late = record.requests.get(run.request.id)
-            told_at = passed_on.get((late.gateway, run.endpoint)) if late else None
-            if late is None or told_at is None or late.sent_at <= told_at + DRAIN_S:
+            reported_at = passed_on.get((late.gateway, run.endpoint)) if late else None
+            if late is None or reported_at is None or late.sent_at <= reported_at + DRAIN_S:
                 continue
-            if not record.is_interrupted(late.gateway, told_at, run.request.at):
+            if not record.is_interrupted(late.gateway, reported_at, run.request.at):
                 yield f"{late.id} reached {run.endpoint}, which had said that it leaves"
 
 
@@ -185,16 +185,16 @@
 
     def _list_counted(self, record: Record, limit: Limit) -> Iterator[float]:
         """:return: times of the requests of gateways that knew of the limit."""
-        told_at: dict[int, float] = {}
+        reported_at: dict[int, float] = {}
         for request in record.requests.values():
             if not request.limited or request.seal != limit.endpoint:
                 continue
             if limit.began <= request.answered_at <= limit.ended:
-                known = told_at.get(request.gateway, request.answered_at)
-                told_at[request.gateway] = min(known, request.answered_at)
+                known = reported_at.get(request.gateway, request.answered_at)
+                reported_at[request.gateway] = min(known, request.answered_at)
         for run in record.reached:
             sent = record.requests.get(run.request.id)
-            known_at = told_at.get(sent.gateway) if sent is not None else None
+            known_at = reported_at.get(sent.gateway) if sent is not None else None
             if run.endpoint != limit.endpoint or sent is None or known_at is None:
                 continue
             if not known_at + self.MARGIN_S < run.request.at < limit.ended:
@@ -368,7 +368,7 @@
     GatewaysLive(),
     CalmIsServed(),
     StreamsKeepTheirVersion(),
-    TakenUpStreamsGoOn(),
+    TakenUpStreamsResume(),
 )
 
 __all__ = ["PROMISES", "Promise"]
--- a/soak/streampromises.py
+++ b/soak/streampromises.py
@@ -62,14 +62,14 @@
 
 @attrs.frozen
 class TakeUps:
-    """How many streams go on when they are taken up, beside how many new ones begin.
+    """How many streams resume when they are taken up, beside how many new ones begin.
 
     Only tries count during which ``MIN_ENDPOINTS`` sound endpoints of the version of the stream
     serve, and only new streams that were sent within ``WINDOW_S`` of one of these, all of them at
     gateways that the store serves, as the platform specifies.
 
     :param taken_up: streams that were taken up
-    :param went_on: those of them that brought more events
+    :param resumed: those of them that brought more events
     :param new: new streams
     :param began: those of them that brought events
     """
@@ -78,7 +78,7 @@
     WINDOW_S: ClassVar[float] = 1.0
 
     taken_up: int
-    went_on: int
+    resumed: int
     new: int
     began: int
 
@@ -99,12 +99,12 @@
             and _is_answered(record, request)
             and any(abs(request.sent_at - at) <= cls.WINDOW_S for at in moments)
         ]
-        went_on = sum(any(_brings_events(one) for one in tries) for tries in counted)
-        return cls(len(counted), went_on, len(new), sum(_brings_events(one) for one in new))
+        resumed = sum(any(_brings_events(one) for one in tries) for tries in counted)
+        return cls(len(counted), resumed, len(new), sum(_brings_events(one) for one in new))
 
     @classmethod
     def _pick(cls, record: Record, stream: Stream) -> list[Request]:
-        """:return: tries to go on with a stream that count."""
+        """:return: tries to resume a stream that count."""
         return [
             request
             for request in stream.later
@@ -114,19 +114,19 @@
         ]
 
 
-class TakenUpStreamsGoOn(Promise):
-    """Of ``MIN_STREAMS`` or more that are taken up, at least half the share of new ones go on."""
+class TakenUpStreamsResume(Promise):
+    """Of ``MIN_STREAMS`` or more that are taken up, at least half the share of new ones resume."""
 
     MIN_STREAMS = 12
 
     def find_breaches(self, record: Record) -> Iterator[str]:
-        """:return: one line if too few streams went on."""
+        """:return: one line if too few streams resumed."""
         found = TakeUps.measure(record)
         if found.taken_up < self.MIN_STREAMS:
             return
-        if 2 * found.went_on * found.new < found.began * found.taken_up:
-            went_on = f"{found.went_on} of {found.taken_up} went on"
-            yield f"{went_on}, {found.began} of {found.new} new ones began"
+        if 2 * found.resumed * found.new < found.began * found.taken_up:
+            resumed = f"{found.resumed} of {found.taken_up} resumed"
+            yield f"{resumed}, {found.began} of {found.new} new ones began"
 
 
 def _is_answered(record: Record, request: Request) -> bool:
@@ -145,4 +145,4 @@
     return request.status == OK and (request.whole or bool(decode_events(request.answer)))
 
 
-__all__ = ["StreamsKeepTheirVersion", "TakeUps", "TakenUpStreamsGoOn"]
+__all__ = ["StreamsKeepTheirVersion", "TakeUps", "TakenUpStreamsResume"]
--- a/src/basilroad/coordination/claimpoller.py
+++ b/src/basilroad/coordination/claimpoller.py
@@ -43,14 +43,14 @@
         self._settings = settings
         self._clock = clock
 
-    async def wait(self, claim: Claim, patience_s: float) -> Claim | None:
+    async def wait(self, claim: Claim, timeout_s: float) -> Claim | None:
         """Wait until a claim has an outcome, is taken over or is deleted.
 
         :param claim: the claim as last read
-        :param patience_s: maximum seconds to wait
+        :param timeout_s: maximum seconds to wait
         :return: the current claim, unchanged after a timeout; ``None`` if its key is free
         """
-        deadline = self._clock() + patience_s
+        deadline = self._clock() + timeout_s
         wait_s = self._settings.first_s
         current: Claim | None = claim
         while current is not None and not _has_changed(claim, current):
--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls.py
@@ -118,7 +118,7 @@
             views = self._find_views(call.service, avoided)
             if views:
                 return self._choose_least_loaded(call, views)
-            if call.patience_s <= 0:
+            if call.remaining_wait_s <= 0:
                 raise refuse(ErrorKind.NO_ENDPOINT, "no endpoint of the service accepts calls")
             await asyncio.sleep(POLL_INTERVAL_S)
 
@@ -152,11 +152,11 @@
             idempotent=call.idempotent,
             claim=claim,
             incarnation=incarnation,
-            patience=call.patience_s,
+            patience=call.remaining_wait_s,
             timeout=call.contract.timeout_s,
             key=key,
         )
-        timeout_s = call.contract.timeout_s + call.patience_s
+        timeout_s = call.contract.timeout_s + call.remaining_wait_s
         if running := self._running.get(id(call)):
             running.sent = True
         # agents don't report each start and end of a call, so the entry counts it as load itself
--- a/src/basilroad/entry/keyedcallrunner.py
+++ b/src/basilroad/entry/keyedcallrunner.py
@@ -102,7 +102,7 @@
     async def _send(self, keyed_call: KeyedCall, claimed: Claimed) -> ServiceAnswer | ClaimOutcome:
         record = claimed.claim.record
         view = self._find_view(keyed_call, record.agent, record.agent_incarnation)
-        if view is None or keyed_call.call.patience_s <= 0:
+        if view is None or keyed_call.call.remaining_wait_s <= 0:
             return await self._reassign(
                 keyed_call, claimed.claim, "its agent was lost before the call was sent"
             )
@@ -174,12 +174,12 @@
             return await self._claim_again(keyed_call)
         if newest.record.nonce != claim.record.nonce or newest.record.state is ClaimState.RAN:
             return AlreadyClaimed(newest)
-        return await self._settle(keyed_call, newest, keyed_call.call.patience_s)
+        return await self._settle(keyed_call, newest, keyed_call.call.remaining_wait_s)
 
     async def _settle(
-        self, keyed_call: KeyedCall, claim: Claim, patience_s: float
+        self, keyed_call: KeyedCall, claim: Claim, timeout_s: float
     ) -> ServiceAnswer | ClaimOutcome:
-        deadline_s = time.monotonic() + max(patience_s, REPLY_TIMEOUT_S)
+        deadline_s = time.monotonic() + max(timeout_s, REPLY_TIMEOUT_S)
         wait_s = POLL_MIN_INTERVAL_S
         while time.monotonic() < deadline_s:
             settled = await self.ask(claim)
@@ -232,7 +232,7 @@
     async def _reassign(self, keyed_call: KeyedCall, claim: Claim, why: str) -> ClaimOutcome:
         # safe only if the agent refuses the old ticket for good, or if nothing was sent under it
         try:
-            if keyed_call.call.patience_s <= 0:
+            if keyed_call.call.remaining_wait_s <= 0:
                 raise refuse(ErrorKind.NO_ENDPOINT, f"the call did not run: {why}")
             view = await self._caller.choose(keyed_call.call, set())
         except RefusedError:
--- a/src/basilroad/entry/servicecall.py
+++ b/src/basilroad/entry/servicecall.py
@@ -66,7 +66,7 @@
         return self.contract.is_idempotent(self.method, self.path.partition("?")[0])
 
     @property
-    def patience_s(self) -> float:
+    def remaining_wait_s(self) -> float:
         """:return: seconds left in which the call may start."""
         return max(0.0, self.deadline_s - time.monotonic())
 
--- a/src/basilroad/gateway/candidates.py
+++ b/src/basilroad/gateway/candidates.py
@@ -17,7 +17,7 @@
 
 
 @attrs.frozen
-class Wanted:
+class EndpointCriteria:
     """Endpoints that a call may use.
 
     :param avoid: ids of excluded endpoints
@@ -49,62 +49,64 @@
     may_begin: Callable[[str, str], bool]
     clock: Callable[[], float]
 
-    def list_all(self, call: Call, wanted: Wanted) -> list[Endpoint]:
+    def list_all(self, call: Call, criteria: EndpointCriteria) -> list[Endpoint]:
         """:return: endpoints of a call's service and of the versions that it may use."""
         endpoints = self.directory.list_by_service(call.service)
-        if wanted.version is not None:
-            return [e for e in endpoints if e.entry.version == wanted.version]
-        return [e for e in endpoints if e.entry.version not in wanted.claimed]
+        if criteria.version is not None:
+            return [e for e in endpoints if e.entry.version == criteria.version]
+        return [e for e in endpoints if e.entry.version not in criteria.claimed]
 
-    def list_preferred(self, call: Call, wanted: Wanted) -> list[Endpoint]:
+    def list_preferred(self, call: Call, criteria: EndpointCriteria) -> list[Endpoint]:
         """:return: the same, without those at which a new stream had better not begin."""
-        return self._filter_preferred(call, wanted, self.list_all(call, wanted))
+        return self._filter_preferred(call, criteria, self.list_all(call, criteria))
 
-    def choose(self, call: Call, wanted: Wanted, *, at_once: bool = False) -> Endpoint | None:
+    def choose(
+        self, call: Call, criteria: EndpointCriteria, *, at_once: bool = False
+    ) -> Endpoint | None:
         """Choose an endpoint with capacity.
 
         :param call: the call
-        :param wanted: the endpoints that it may use
+        :param criteria: the endpoints that it may use
         :param at_once: whether only those count for which there is a permit, if they need one
         :return: the endpoint, if there is one
         """
-        endpoints = self.list_all(call, wanted)
+        endpoints = self.list_all(call, criteria)
         if at_once:
             now = self.clock()
             endpoints = [e for e in endpoints if e.notices.limit.has_permit(now)]
-        preferred = self._filter_preferred(call, wanted, endpoints)
-        found = self._choose_among(preferred, call, wanted)
+        preferred = self._filter_preferred(call, criteria, endpoints)
+        found = self._choose_among(preferred, call, criteria)
         if found is None and len(preferred) < len(endpoints):
-            found = self._choose_among(endpoints, call, wanted)
+            found = self._choose_among(endpoints, call, criteria)
         return found
 
-    def find_prompt(self, call: Call, wanted: Wanted) -> PromptLocation | None:
+    def find_prompt(self, call: Call, criteria: EndpointCriteria) -> PromptLocation | None:
         """:return: where the prompt of a call was processed, unless it may not use that."""
         found = self.prompt_locations.find(call.prompt_key)
-        if found is None or wanted.version is None:
+        if found is None or criteria.version is None:
             return found
         endpoint = self.directory.get(found.endpoint_id)
-        is_usable = endpoint is not None and endpoint.entry.version == wanted.version
+        is_usable = endpoint is not None and endpoint.entry.version == criteria.version
         return found if is_usable else None
 
     def _filter_preferred(
-        self, call: Call, wanted: Wanted, endpoints: list[Endpoint]
+        self, call: Call, criteria: EndpointCriteria, endpoints: list[Endpoint]
     ) -> list[Endpoint]:
-        if wanted.version is not None or not (call.route.streams and call.route.repeatable):
+        if criteria.version is not None or not (call.route.streams and call.route.repeatable):
             return endpoints
         return [e for e in endpoints if self.may_begin(call.service, e.entry.version)]
 
     def _choose_among(
-        self, endpoints: Collection[Endpoint], call: Call, wanted: Wanted
+        self, endpoints: Collection[Endpoint], call: Call, criteria: EndpointCriteria
     ) -> Endpoint | None:
         return self.chooser.choose(
             endpoints,
             call,
             self.find_engine(call.service),
             self.clock(),
-            wanted.avoid,
-            self.find_prompt(call, wanted),
+            criteria.avoid,
+            self.find_prompt(call, criteria),
         )
 
 
-__all__ = ["Candidates", "Wanted"]
+__all__ = ["Candidates", "EndpointCriteria"]
--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -70,7 +70,7 @@
 
     def __init__(self, host: str, metrics: GatewayMetrics) -> None:
         self.ledger = CrashLedger(CrashSettings())
-        self.exchange = CrashExchange(host, self.ledger, self._apply_heard)
+        self.exchange = CrashExchange(host, self.ledger, self._apply_reports)
         self._metrics = metrics
         self._runs: set[Run] = set()
         self._silent: deque[tuple[Run, float]] = deque(maxlen=MAX_SILENT_RUNS)
@@ -95,7 +95,7 @@
 
         :param records: the crashes
         """
-        self._apply_heard(self.ledger.merge(records))
+        self._apply_reports(self.ledger.merge(records))
 
     def find_refusal(self, call: Call) -> RefusedKeys | None:
         """:return: why a call is refused; ``None`` if it may run."""
@@ -269,7 +269,7 @@
             check.add_done_callback(lambda _: self._checks.pop(endpoint.id, None))
         return await asyncio.shield(check)
 
-    def _apply_heard(self, records: Sequence[CrashRecord]) -> None:
+    def _apply_reports(self, records: Sequence[CrashRecord]) -> None:
         for record in records:
             _log_crash(record)
             self._metrics.crashes.labels("heard").inc()
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -13,7 +13,7 @@
 from basilroad.coordination.fairpolicy import FairSettings, Flow
 from basilroad.coordination.fairqueue import FairQueue
 from basilroad.gateway.availability import find_service_pause
-from basilroad.gateway.candidates import Candidates, Wanted
+from basilroad.gateway.candidates import Candidates, EndpointCriteria
 from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.promptlocations import PromptLocations
 from basilroad.gateway.selection import estimate_wait
@@ -135,10 +135,12 @@
         :return: reserved capacity; ``None`` if there was none in time
         """
         if not self._is_blocked(call, version):
-            endpoint = await self._choose_by_reports(call, self._find_wanted(call, avoid, version))
+            endpoint = await self._choose_by_reports(
+                call, self._build_criteria(call, avoid, version)
+            )
             if endpoint is None:
                 endpoint = await self._choose_permitted(
-                    call, self._find_wanted(call, avoid, version)
+                    call, self._build_criteria(call, avoid, version)
                 )
             if endpoint is not None:
                 return self.reserve(endpoint, call.size)
@@ -196,7 +198,7 @@
         self, call: Call, avoid: Collection[str] = (), version: str | None = None
     ) -> ServicePause | None:
         """:return: the pause of a call's service, if all endpoints for it want no requests."""
-        endpoints = self._candidates.list_all(call, Wanted(avoid, version))
+        endpoints = self._candidates.list_all(call, EndpointCriteria(avoid, version))
         return find_service_pause(endpoints, self._clock(), avoid)
 
     def find_turn(
@@ -244,7 +246,7 @@
     ) -> Endpoint | None:
         if self._is_blocked(call, version):
             return None
-        return self._choose_at_once(call, self._find_wanted(call, avoid, version))
+        return self._choose_at_once(call, self._build_criteria(call, avoid, version))
 
     async def _wait(self, ticket: Ticket, left_s: float) -> Reservation | None:
         placed, service = ticket.placed, ticket.call.service
@@ -305,9 +307,9 @@
     def _choose_for(self, ticket: Ticket, claimed: Collection[str]) -> Endpoint | None:
         if ticket.version in claimed:
             return None
-        wanted = Wanted(ticket.avoid, ticket.version, claimed)
-        endpoint = self._choose_at_once(ticket.call, wanted)
-        return endpoint or self._candidates.choose(ticket.call, wanted)
+        criteria = EndpointCriteria(ticket.avoid, ticket.version, claimed)
+        endpoint = self._choose_at_once(ticket.call, criteria)
+        return endpoint or self._candidates.choose(ticket.call, criteria)
 
     def _end_useless_waits(self, queue: FairQueue[Ticket]) -> None:
         by_version: dict[str | None, list[Ticket]] = {}
@@ -337,23 +339,23 @@
             return True
         return staying is not None and all(endpoint.id in ticket.avoid for endpoint in staying)
 
-    async def _choose_by_reports(self, call: Call, wanted: Wanted) -> Endpoint | None:
+    async def _choose_by_reports(self, call: Call, criteria: EndpointCriteria) -> Endpoint | None:
         """Choose an engine by the reports of a few candidates.
 
         :param call: the call
-        :param wanted: the endpoints that it may use
+        :param criteria: the endpoints that it may use
         :return: an engine that reported; ``None`` if engines are not asked or none has room
         """
         engine = self.find_engine(call.service)
-        cached = self._candidates.find_prompt(call, wanted)
+        cached = self._candidates.find_prompt(call, criteria)
         if self._reports is None or engine is None or not self.asks_engines or cached is not None:
             return None
-        excluded, known = set(wanted.avoid), []
+        excluded, known = set(criteria.avoid), []
         for _ in range(MAX_REPORT_ROUNDS):
             # requests for reports would use up the permits of limited engines
             endpoints = [
                 endpoint
-                for endpoint in self._candidates.list_preferred(call, wanted)
+                for endpoint in self._candidates.list_preferred(call, criteria)
                 if not endpoint.notices.limit.is_in_force(self._clock())
             ]
             scored = self.chooser.list_scored(endpoints, call, engine, self._clock(), excluded)
@@ -361,13 +363,13 @@
             candidates = [endpoint for _, endpoint in scored[:REPORT_CANDIDATES]]
             excluded.update(endpoint.id for endpoint in candidates)
             known += await self._reports.refresh(candidates)
-            best = self.chooser.choose(known, call, engine, self._clock(), wanted.avoid)
+            best = self.chooser.choose(known, call, engine, self._clock(), criteria.avoid)
             if best is not None and estimate_wait(best, call.size, self._clock()) < CROWDED_WAIT_S:
                 break
         return best
 
-    async def _choose_permitted(self, call: Call, wanted: Wanted) -> Endpoint | None:
-        endpoint = self._candidates.choose(call, wanted)
+    async def _choose_permitted(self, call: Call, criteria: EndpointCriteria) -> Endpoint | None:
+        endpoint = self._candidates.choose(call, criteria)
         for _ in range(MAX_PERMIT_ROUNDS):
             if endpoint is None:
                 return None
@@ -375,17 +377,23 @@
             if await self.acquire_permit(endpoint) and endpoint.is_available(self._clock()):
                 return endpoint
             # calls may have queued meanwhile
-            wanted = self._find_wanted(call, wanted.avoid, wanted.version)
+            criteria = self._build_criteria(call, criteria.avoid, criteria.version)
             # one round trip is enough while others need no permit
-            endpoint = self._choose_at_once(call, wanted) or self._candidates.choose(call, wanted)
-        return self._choose_at_once(call, self._find_wanted(call, wanted.avoid, wanted.version))
+            endpoint = self._choose_at_once(call, criteria) or self._candidates.choose(
+                call, criteria
+            )
+        return self._choose_at_once(
+            call, self._build_criteria(call, criteria.avoid, criteria.version)
+        )
 
-    def _choose_at_once(self, call: Call, wanted: Wanted) -> Endpoint | None:
-        return self._candidates.choose(call, wanted, at_once=True)
+    def _choose_at_once(self, call: Call, criteria: EndpointCriteria) -> Endpoint | None:
+        return self._candidates.choose(call, criteria, at_once=True)
 
-    def _find_wanted(self, call: Call, avoid: Collection[str], version: str | None) -> Wanted:
+    def _build_criteria(
+        self, call: Call, avoid: Collection[str], version: str | None
+    ) -> EndpointCriteria:
         ahead = self._list_ahead(call)
-        return Wanted(avoid, version, {t.version for t in ahead if t.version is not None})
+        return EndpointCriteria(avoid, version, {t.version for t in ahead if t.version is not None})
 
     def _count_ahead(self, call: Call) -> int:
         queue = self._queues.get(call.service)
--- a/src/basilroad/gateway/exchange/crashreports.py
+++ b/src/basilroad/gateway/exchange/crashreports.py
@@ -126,7 +126,7 @@
     generator: random.Random = attrs.field(factory=random.Random)
     clock: Callable[[], float] = time.monotonic
     _collected: list[tuple[CrashRecord, float]] = attrs.field(factory=list)
-    _told_at: float = -math.inf
+    _sent_at: float = -math.inf
     _repeated_at: float = -math.inf
     _rounds: int = 0
 
@@ -137,7 +137,7 @@
         """
         self._collected.append((record, self.clock()))
         is_refused = self.ledger.find_refusal(record.keys) is not None
-        if is_refused or self.clock() - self._told_at >= COLLECT_S:
+        if is_refused or self.clock() - self._sent_at >= COLLECT_S:
             self._send_collected()
 
     def announce_passed(self, passed: Mapping[str, float]) -> None:
@@ -152,7 +152,7 @@
 
         :param now: monotonic seconds
         """
-        if self._collected and now - self._told_at >= COLLECT_S:
+        if self._collected and now - self._sent_at >= COLLECT_S:
             self._send_collected()
         if not len(self.ledger) or now - self._repeated_at < REPEAT_INTERVAL_S:
             return
@@ -196,9 +196,9 @@
         return self.ledger.list_refused(MAX_REFUSED_REPEATED, RECORDS_PER_REFUSAL)
 
     def _send_collected(self) -> None:
-        self._told_at = self.clock()
+        self._sent_at = self.clock()
         records = [
-            attrs.evolve(record, age_s=record.age_s + self._told_at - at)
+            attrs.evolve(record, age_s=record.age_s + self._sent_at - at)
             for record, at in self._collected
         ]
         self._collected = []
--- a/src/basilroad/gateway/exchange/permits.py
+++ b/src/basilroad/gateway/exchange/permits.py
@@ -60,7 +60,7 @@
 MAX_ESTABLISHED_S = 10.0
 """Upper limit of that time in large fleets, in which it takes longer."""
 
-HEARD_AT_ONCE = 6
+QUICK_START_PEERS = 6
 """Number of other gateways up to which the shortest time is enough."""
 
 MAX_SOURCES = 256
@@ -172,14 +172,14 @@
         if not self.has_roster():
             return False
         known = {self.address, *self.list_known()}
-        needed_s = MIN_ESTABLISHED_S * max(1.0, (len(known) - 1) / HEARD_AT_ONCE)
+        needed_s = MIN_ESTABLISHED_S * max(1.0, (len(known) - 1) / QUICK_START_PEERS)
         if self.clock() - self._started_at < min(MAX_ESTABLISHED_S, needed_s):
             return False
-        heard = {self.address, *(peer.address for peer in self.list_peers().values())} & known
-        if 2 * len(heard) == len(known):
+        reachable = {self.address, *(peer.address for peer in self.list_peers().values())} & known
+        if 2 * len(reachable) == len(known):
             # of two halves that don't hear each other one grants permits
-            return min(known, key=str) in heard
-        return 2 * len(heard) > len(known)
+            return min(known, key=str) in reachable
+        return 2 * len(reachable) > len(known)
 
     def rank_grantors(self, endpoint: Endpoint) -> list[str]:
         """Rank the gateways that grant permits for an endpoint.
--- a/src/basilroad/gateway/freshness.py
+++ b/src/basilroad/gateway/freshness.py
@@ -20,7 +20,7 @@
     def __init__(self, clock: Callable[[], float] = read_boot_clock) -> None:
         self.clock = clock
         self._confirmed_at: float | None = None
-        self._heard_at: float | None = None
+        self._responded_at: float | None = None
 
     def confirm(self, at: float) -> None:
         """Record that the state was confirmed.
@@ -30,22 +30,22 @@
         if self._confirmed_at is None or at > self._confirmed_at:
             self._confirmed_at = at
 
-    def record_heard(self, at: float) -> None:
+    def record_response(self, at: float) -> None:
         """Record that the source responded, but can't confirm the state yet.
 
         :param at: clock reading
         """
-        self._heard_at = at
+        self._responded_at = at
 
-    def is_heard_within(self, limit_s: float) -> bool:
+    def has_responded_within(self, limit_s: float) -> bool:
         """Check whether the source of state that was confirmed before still responds.
 
         :param limit_s: seconds since its last response
         :return: whether it has responded within that time
         """
-        if self._confirmed_at is None or self._heard_at is None:
+        if self._confirmed_at is None or self._responded_at is None:
             return False
-        return self.clock() - self._heard_at <= limit_s
+        return self.clock() - self._responded_at <= limit_s
 
     def age_s(self) -> float | None:
         """:return: seconds since the last confirmation; ``None`` if there was none."""
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -154,14 +154,14 @@
         self._budgets: dict[str, RetryBudget] = {}
         self.loans = RetryLoans(settings.host, self.budget_of, generator=self.random)
 
-    def update_known_hosts(self, count: int, heard: Mapping[str, str]) -> None:
+    def update_known_hosts(self, count: int, peers: Mapping[str, str]) -> None:
         """Update the set of known gateways.
 
         :param count: number of known gateways, including this one
-        :param heard: data centre by host of each other gateway that sends gossip
+        :param peers: data centre by host of each other gateway that sends gossip
         """
         place = self.settings.place
-        near = [host for host, at in heard.items() if place.regions.get(at) == place.region]
+        near = [host for host, at in peers.items() if place.regions.get(at) == place.region]
         self.known_hosts = count
         self.dispatcher.asks_engines = count > MAX_GOSSIPING_HOSTS
         self.preference = EnginePreference.find(self.settings.host, near)
@@ -224,7 +224,7 @@
             return False
         limit_s = self.settings.ready_age_limit_s
         # a store that was just restored confirms the keys to no gateway yet
-        return self.freshness.is_within(limit_s) or self.freshness.is_heard_within(limit_s)
+        return self.freshness.is_within(limit_s) or self.freshness.has_responded_within(limit_s)
 
     async def wait_until_fresh(self) -> None:
         """Wait for the configuration or its confirmation at startup or in a short outage."""
--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -74,20 +74,20 @@
         super().__init__(store, CONFIG_TABLE, wait_s, relay, budget)
         self._gateway = gateway
         self._exchange = exchange
-        self._wanted_version = 0
-        self._wanted_epoch = 0
-        self._clock_doubted = False
+        self._required_version = 0
+        self._required_epoch = 0
+        self._is_clock_suspect = False
         self._clock_checked_at = -math.inf
 
     @property
     def poll_limit_s(self) -> float:
         """:return: maximum duration of a poll; one ends when a restored store has settled."""
         limit_s = super().poll_limit_s
-        if self._restore is None or not self._is_in_doubt(read_boot_clock()):
+        if self._restore is None or not self._is_settling(read_boot_clock()):
             return limit_s
         return min(limit_s, RESTORE_SETTLE_S - self._restore.age_s() + SETTLE_MARGIN_S)
 
-    def _is_in_doubt(self, at: float) -> bool:
+    def _is_settling(self, at: float) -> bool:
         """Check whether a restored store may have lacked the last config.
 
         :param at: boot clock reading in seconds
@@ -126,8 +126,8 @@
         table = self._gateway.table
         epoch = self._revision.epoch if self._revision is not None else update.epoch
         if table is None or update.epoch > epoch or update.config_version > table.version:
-            self._wanted_version = update.config_version
-            self._wanted_epoch = update.epoch
+            self._required_version = update.config_version
+            self._required_epoch = update.epoch
             self._request_read()
             return
         if (update.epoch, update.config_version) != (epoch, table.version):
@@ -139,7 +139,7 @@
         is_late = not self._gateway.freshness.is_within(age_s + CONFIRMATION_LAG_S)
         is_due = now - self._clock_checked_at >= CLOCK_CHECK_INTERVAL_S
         if is_late and is_due and self._clock.is_known:
-            self._clock_doubted = True
+            self._is_clock_suspect = True
             self._clock_checked_at = now
             self._request_read()
 
@@ -148,18 +148,18 @@
 
         A version that the reader tells of during the fetch is fetched after its next update.
         """
-        reader, wanted_version = self._relay.reader, self._wanted_version
+        reader, required_version = self._relay.reader, self._required_version
         if reader is not None:
             fetched = await self._exchange.fetch(reader)
             if fetched is not None:
                 self._apply_document(fetched.document)
                 self._confirm_fetched(fetched)
         table = self._gateway.table
-        is_restored = self._revision is not None and self._wanted_epoch > self._revision.epoch
-        is_outdated = table is None or is_restored or table.version < wanted_version
-        if is_outdated or self._clock_doubted:
+        is_restored = self._revision is not None and self._required_epoch > self._revision.epoch
+        is_outdated = table is None or is_restored or table.version < required_version
+        if is_outdated or self._is_clock_suspect:
             await self._read_snapshot()
-            self._clock_doubted = False
+            self._is_clock_suspect = False
 
     def _confirm_fetched(self, fetched: FetchedConfig) -> None:
         # no clock of the store is involved, so this also holds while its epoch isn't known here
@@ -180,10 +180,10 @@
         table = self._gateway.table
         if table is None:
             return
-        if self._is_in_doubt(at):
-            self._gateway.freshness.record_heard(at)
+        if self._is_settling(at):
+            self._gateway.freshness.record_response(at)
             # the response may have been on its way when the store settled
-            self._confirmation_due = not self._is_in_doubt(read_boot_clock())
+            self._confirmation_due = not self._is_settling(read_boot_clock())
             return
         self._gateway.freshness.confirm(at)
         if store_s is not None:
--- a/src/basilroad/platform/serverswatch.py
+++ b/src/basilroad/platform/serverswatch.py
@@ -56,17 +56,17 @@
     def poll_limit_s(self) -> float:
         """:return: maximum duration of a poll; one ends when held back rows of a copy count."""
         limit_s = super().poll_limit_s
-        if self._restore is None or not (self._held_back and self._is_copy_in_doubt):
+        if self._restore is None or not (self._held_back and self._is_copy_unconfirmed):
             return limit_s
         return min(limit_s, max(0.0, COPIED_ROWS_S - self._restore.age_s()))
 
     @property
     def is_snapshot_due(self) -> bool:
         """:return: whether all rows have to be read again, or those of a copy count by now."""
-        return super().is_snapshot_due or (bool(self._held_back) and not self._is_copy_in_doubt)
+        return super().is_snapshot_due or (bool(self._held_back) and not self._is_copy_unconfirmed)
 
     @property
-    def _is_copy_in_doubt(self) -> bool:
+    def _is_copy_unconfirmed(self) -> bool:
         return self._restore is not None and self._restore.age_s() < COPIED_ROWS_S
 
     def on_restored(self) -> None:
@@ -95,7 +95,7 @@
 
     def _is_outdated(self, row: StoreRow) -> bool:
         restore = self._restore
-        if restore is None or not self._is_copy_in_doubt or not restore.may_contain(row):
+        if restore is None or not self._is_copy_unconfirmed or not restore.may_contain(row):
             return False
         entry = _decode_entry(row)
         if entry is None or not self._directory.is_outdated(entry):
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -40,7 +40,7 @@
 OUTCOME = StoredOutcome(200, (StoredHeader("x", "y"),), b"\x00done")
 
 
-def _request(key: str = "k", patience_s: float = CLAIM_TIMEOUT_S, **changes) -> ClaimRequest:
+def _request(key: str = "k", timeout_s: float = CLAIM_TIMEOUT_S, **changes) -> ClaimRequest:
     fields = {
         "workspace": "w",
         "caller": "c",
@@ -49,7 +49,7 @@
         "holder": "entry-1",
         "agent": "agent-1",
         "agent_incarnation": "i",
-        "deadline": time.monotonic() + patience_s,
+        "deadline": time.monotonic() + timeout_s,
     }
     return ClaimRequest(**{**fields, **changes})
 
@@ -109,14 +109,14 @@
 async def test_claim_with_a_commit_in_flight_at_the_deadline_is_unsettled(table) -> None:
     async with Claims(table, SETTINGS) as claims:
         table.delay_s = 0.2
-        assert await claims.claim(_request(patience_s=0.05)) == Unavailable(settled=False)
+        assert await claims.claim(_request(timeout_s=0.05)) == Unavailable(settled=False)
 
 
 @pytest.mark.holds_not_run
 async def test_claim_applied_after_it_was_abandoned_is_deleted(claims, table) -> None:
     table.faults = [Fault.LOST_LATE] + [Fault.UNAVAILABLE] * 1000
     table.read_faults = [Fault.UNAVAILABLE] * 1000
-    assert await claims.claim(_request(patience_s=0.05)) == Unavailable(settled=False)
+    assert await claims.claim(_request(timeout_s=0.05)) == Unavailable(settled=False)
     table.faults.clear()
     table.read_faults.clear()
     table.apply_late_writes()
@@ -130,7 +130,7 @@
     async with Claims(table, slow) as claims:
         table.faults = [Fault.LOST_DONE] + [Fault.UNAVAILABLE] * 1000
         table.read_faults = [Fault.UNAVAILABLE] * 1000
-        assert await claims.claim(_request(patience_s=0.05)) == Unavailable(settled=False)
+        assert await claims.claim(_request(timeout_s=0.05)) == Unavailable(settled=False)
         table.faults.clear()
         table.read_faults.clear()
         abandoned = await claims.read("w", "c", "k")
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -214,10 +214,10 @@
     get(net.gateways[0], "e0").record_unreachable(net.now)
     net.gateways[0].tick()
     net.now += 1.0
-    heard = get(net.gateways[1], "e0")
-    heard.record_received(net.now)
+    endpoint = get(net.gateways[1], "e0")
+    endpoint.record_received(net.now)
     net.deliver()
-    assert heard.last_failed_at < net.now - 1.0
+    assert endpoint.last_failed_at < net.now - 1.0
 
 
 def test_malformed_datagrams_are_skipped() -> None:
--- a/tests/gateway/exchange/test_permits.py
+++ b/tests/gateway/exchange/test_permits.py
@@ -55,7 +55,7 @@
         """Start anew, without knowledge of anything."""
         fleet = self.fleet
         self.started_at, self.up = fleet.now, True
-        self.heard_at: dict[int, float] = {}
+        self.received_at: dict[int, float] = {}
         register = NoticeRegister(random.Random(self.number), clock=lambda: fleet.now)
         directory = Directory(lambda: fleet.now, register)
         directory.put(build_entry("e1"))
@@ -78,7 +78,7 @@
         hosts = self.fleet.hosts
         return {
             hosts[number].name: Peer(hosts[number].address, "riga-a")
-            for number, at in self.heard_at.items()
+            for number, at in self.received_at.items()
             if self.fleet.now - at < SILENT_PEER_S
         }
 
@@ -99,14 +99,14 @@
         self.hosts: list[Host] = []
         self.hosts += [Host(self, number) for number in range(hosts)]
         self.now += 12.0
-        self.hear()
+        self.exchange_gossip()
 
-    def hear(self) -> None:
+    def exchange_gossip(self) -> None:
         """Let all hosts hear each other; those that are up learn of the limit too."""
         for host in self.hosts:
             others = (n for n in range(len(self.hosts)) if n != host.number)
-            heard = [n for n in others if self.hosts[n].up and not self.is_cut(n, host.number)]
-            host.heard_at.update(dict.fromkeys(heard, self.now))
+            reachable = [n for n in others if self.hosts[n].up and not self.is_cut(n, host.number)]
+            host.received_at.update(dict.fromkeys(reachable, self.now))
             named = NamedLimit(self.per_s, self.now)
             host.endpoint.notices.record_limit(named, Source.ANSWER, self.now)
 
@@ -126,11 +126,11 @@
         :param seconds: length of the run
         :param demand: returns the host that has a call in this step, if any
         """
-        heard_at = self.now
+        received_at = self.now
         for _ in range(round(seconds / STEP_S)):
-            if self.now - heard_at >= 0.5:
-                self.hear()
-                heard_at = self.now
+            if self.now - received_at >= 0.5:
+                self.exchange_gossip()
+                received_at = self.now
             number = demand()
             if number is not None and self.hosts[number].up:
                 await self.send(self.hosts[number])
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -26,11 +26,11 @@
 def test_a_source_that_is_heard_keeps_state_that_was_confirmed_once() -> None:
     now = 100.0
     freshness = Freshness(lambda: now)
-    freshness.record_heard(now)
-    assert not freshness.is_heard_within(1.0), "nothing was ever confirmed"
+    freshness.record_response(now)
+    assert not freshness.has_responded_within(1.0), "nothing was ever confirmed"
     freshness.confirm(now)
     now += 5.0
-    assert not freshness.is_heard_within(1.0)
-    freshness.record_heard(now)
-    assert freshness.is_heard_within(1.0)
+    assert not freshness.has_responded_within(1.0)
+    freshness.record_response(now)
+    assert freshness.has_responded_within(1.0)
     assert not freshness.is_within(1.0), "what is heard confirms nothing"
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -50,7 +50,7 @@
         assert endpoint is not None
         return endpoint
 
-    def tell(self, endpoint: Endpoint, per_s: float, asked_at: float) -> None:
+    def report(self, endpoint: Endpoint, per_s: float, asked_at: float) -> None:
         endpoint.notices.record_limit(NamedLimit(per_s, asked_at), Source.ANSWER, self.now)
 
 
@@ -59,7 +59,7 @@
     endpoint = fleet.add()
     limit = endpoint.notices.limit
     assert limit.take_permit(NOW)
-    fleet.tell(endpoint, 2.0, NOW)
+    fleet.report(endpoint, 2.0, NOW)
     assert not limit.take_permit(NOW)
     limit.add_permit(NOW)
     assert limit.take_permit(NOW)
@@ -70,7 +70,7 @@
     # fault: permits that are kept are used with those of later seconds
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, 2.0, NOW)
+    fleet.report(endpoint, 2.0, NOW)
     for _ in range(3):
         endpoint.notices.limit.add_permit(NOW)
     assert not endpoint.notices.limit.has_permit(NOW + PERMIT_VALIDITY_S)
@@ -80,18 +80,18 @@
 def test_the_answer_to_an_older_request_brings_back_no_older_limit(first, older) -> None:
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, 2.0, NOW - 3.0)
-    fleet.tell(endpoint, first, NOW - 1.0)
-    fleet.tell(endpoint, older, NOW - 2.0)
+    fleet.report(endpoint, 2.0, NOW - 3.0)
+    fleet.report(endpoint, first, NOW - 1.0)
+    fleet.report(endpoint, older, NOW - 2.0)
     assert endpoint.notices.limit.named.per_s == first
 
 
 def test_a_limit_ends_with_an_answer_that_names_none() -> None:
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, 2.0, NOW)
+    fleet.report(endpoint, 2.0, NOW)
     assert endpoint.notices.limit.is_in_force(NOW + 3600.0)
-    fleet.tell(endpoint, math.inf, NOW + 1.0)
+    fleet.report(endpoint, math.inf, NOW + 1.0)
     assert not endpoint.notices.limit.is_in_force(NOW + RETURN_SPREAD_S)
 
 
@@ -101,8 +101,8 @@
     for seed in range(40):
         fleet = Fleet(seed)
         endpoint = fleet.add()
-        fleet.tell(endpoint, 2.0, NOW)
-        fleet.tell(endpoint, math.inf, NOW)
+        fleet.report(endpoint, 2.0, NOW)
+        fleet.report(endpoint, math.inf, NOW)
         ends.append(endpoint.notices.limit.ends_at - NOW)
     assert min(ends) < 0.2 * RETURN_SPREAD_S
     assert max(ends) > 0.8 * RETURN_SPREAD_S
@@ -111,7 +111,7 @@
 def test_a_limit_ends_with_the_lifetime_of_its_endpoint() -> None:
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, 2.0, NOW)
+    fleet.report(endpoint, 2.0, NOW)
     assert not fleet.add(started_ms=2).notices.limit.is_in_force(NOW)
     # an older entry again, as from a store that is behind
     assert fleet.add(started_ms=1).notices.limit.is_in_force(NOW)
@@ -119,7 +119,7 @@
 
 def test_a_limit_survives_an_entry_that_lapses_and_returns() -> None:
     fleet = Fleet()
-    fleet.tell(fleet.add(), 2.0, NOW)
+    fleet.report(fleet.add(), 2.0, NOW)
     fleet.directory.remove("e1")
     assert fleet.add().notices.limit.is_in_force(NOW)
 
@@ -128,7 +128,7 @@
     # fault: reports before each placement use up the limit of an engine
     fleet = Fleet()
     endpoint = fleet.add(service="llm")
-    fleet.tell(endpoint, 2.0, NOW)
+    fleet.report(endpoint, 2.0, NOW)
     notices = endpoint.notices
     assert not notices.permits(Purpose.PROBE, NOW)
     notices.limit.add_permit(NOW)
@@ -141,7 +141,7 @@
 def test_endpoints_with_room_come_before_those_that_need_a_permit() -> None:
     fleet = Fleet()
     limited, free = fleet.add("e1"), fleet.add("e2")
-    fleet.tell(limited, 2.0, NOW)
+    fleet.report(limited, 2.0, NOW)
     chosen = Chooser(PLACE).choose(fleet.directory, build_call(), None, NOW)
     assert chosen is free
     limited.notices.limit.record_refused(1.0, NOW)
@@ -156,11 +156,11 @@
         fleet.add(f"e{number}", service="llm", data_centre=at)
         for number, at in enumerate(("riga-a", "riga-b", "kurzeme-a"))
     ]
-    fleet.tell(engines[1], 2.0, NOW)
+    fleet.report(engines[1], 2.0, NOW)
     chooser = Chooser(PLACE)
     size = PromptSize(8000, 1000)
     assert chooser.choose_backup_endpoint(engines, engines[0], size, ENGINE, NOW) is engines[2]
-    fleet.tell(engines[2], 2.0, NOW)
+    fleet.report(engines[2], 2.0, NOW)
     assert chooser.choose_backup_endpoint(engines, engines[0], size, ENGINE, NOW) is None
 
 
@@ -180,7 +180,7 @@
     fleet = Fleet()
     endpoints = [fleet.add(f"e{number}") for number in range(3)]
     for number, endpoint in enumerate(endpoints):
-        fleet.tell(endpoint, 2.0, NOW)
+        fleet.report(endpoint, 2.0, NOW)
         assert find_service_pause(endpoints, NOW) is None
         endpoint.notices.limit.record_refused(1.0 + number, NOW)
     pause = find_service_pause(endpoints, NOW)
@@ -194,8 +194,8 @@
 def test_limits_are_reported_to_other_gateways_with_their_age() -> None:
     fleet = Fleet()
     for number in range(2 * MAX_LIMITS_SENT):
-        fleet.tell(fleet.add(f"e{number}"), 2.0, NOW)
-    fleet.tell(fleet.add("unknown", started_ms=0), 2.0, NOW)
+        fleet.report(fleet.add(f"e{number}"), 2.0, NOW)
+    fleet.report(fleet.add("unknown", started_ms=0), 2.0, NOW)
     listed = [n.lifetime.id for n in fleet.directory.notices.list_limited(NOW + 1.0)]
     assert listed == [f"e{n}" for n in range(MAX_LIMITS_SENT, 2 * MAX_LIMITS_SENT)]
     assert not fleet.directory.notices.list_limited(NOW + LIMIT_REPORT_S + 1.0)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -47,14 +47,14 @@
         assert endpoint is not None
         return endpoint
 
-    def tell(self, endpoint: Endpoint, notice: Notice, source: Source = Source.ANSWER) -> None:
+    def report(self, endpoint: Endpoint, notice: Notice, source: Source = Source.ANSWER) -> None:
         endpoint.notices.record(notice, source, self.now)
 
 
 def test_an_endpoint_that_leaves_gets_probes_only() -> None:
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, LEAVING)
+    fleet.report(endpoint, LEAVING)
     assert not endpoint.is_available(NOW)
     allowed = {purpose for purpose in Purpose if endpoint.notices.permits(purpose, NOW)}
     assert allowed == {Purpose.PROBE}
@@ -64,8 +64,8 @@
     # fault: the answer to an earlier request makes a leaving endpoint usable again
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, LEAVING)
-    fleet.tell(endpoint, Notice())
+    fleet.report(endpoint, LEAVING)
+    fleet.report(endpoint, Notice())
     assert not endpoint.is_available(NOW + 1000)
 
 
@@ -73,7 +73,7 @@
     # fault: a store that is behind makes a leaving endpoint usable again
     fleet = Fleet()
     endpoint = fleet.add(slots=6)
-    fleet.tell(endpoint, LEAVING)
+    fleet.report(endpoint, LEAVING)
     assert fleet.add(slots=7) is endpoint
     assert not endpoint.is_available(NOW)
 
@@ -81,7 +81,7 @@
 def test_leaving_survives_an_entry_that_lapses_and_returns() -> None:
     # fault: a leaving endpoint whose entry expired while the store was away is used again
     fleet = Fleet()
-    fleet.tell(fleet.add(), LEAVING)
+    fleet.report(fleet.add(), LEAVING)
     fleet.directory.remove("e1")
     assert not fleet.add().is_available(NOW)
 
@@ -92,14 +92,14 @@
     endpoint = fleet.add()
     fleet.directory.remove("e1")
     returned = fleet.add()
-    fleet.tell(endpoint, LEAVING)
+    fleet.report(endpoint, LEAVING)
     assert not returned.is_available(NOW)
 
 
 def test_leaving_ends_with_the_lifetime() -> None:
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, LEAVING)
+    fleet.report(endpoint, LEAVING)
     assert fleet.add(started_ms=2).is_available(NOW)
     # an older entry again, as from a store that is behind
     assert not fleet.add(started_ms=1).is_available(NOW)
@@ -107,14 +107,14 @@
 
 def test_leaving_ends_at_another_address_when_the_start_is_unknown() -> None:
     fleet = Fleet()
-    fleet.tell(fleet.add(started_ms=0), LEAVING)
+    fleet.report(fleet.add(started_ms=0), LEAVING)
     assert fleet.add(started_ms=0, port=2).is_available(NOW)
 
 
 def test_an_endpoint_without_known_start_is_not_lost_for_good() -> None:
     # fault: a restart at the same address can't be told from the leaving lifetime
     fleet = Fleet()
-    fleet.tell(fleet.add(started_ms=0), LEAVING)
+    fleet.report(fleet.add(started_ms=0), LEAVING)
     fleet.directory.remove("e1")
     assert not fleet.add(started_ms=0).is_available(NOW)
     fleet.directory.remove("e1")
@@ -135,9 +135,9 @@
 def test_the_memory_of_unlisted_endpoints_is_bounded() -> None:
     fleet = Fleet()
     listed = fleet.add("listed")
-    fleet.tell(listed, LEAVING)
+    fleet.report(listed, LEAVING)
     for number in range(MAX_REMEMBERED + 10):
-        fleet.tell(fleet.add(f"e{number}"), LEAVING)
+        fleet.report(fleet.add(f"e{number}"), LEAVING)
         fleet.directory.remove(f"e{number}")
     assert len(fleet.directory.notices._kept) == MAX_REMEMBERED
     assert fleet.add("e0").is_available(NOW)
@@ -149,7 +149,7 @@
     # fault: probes of a silent engine exceed what it still takes from this gateway
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, Notice(pause_s=5.0))
+    fleet.report(endpoint, Notice(pause_s=5.0))
     notices = endpoint.notices
     assert not endpoint.is_available(NOW + 4.9)
     assert not notices.permits(Purpose.REPORT, NOW + 4.9)
@@ -157,28 +157,28 @@
     notices.record_probe()
     assert not notices.permits(Purpose.PROBE, NOW + 2)
     fleet.now = NOW + 3
-    fleet.tell(endpoint, Notice(pause_s=5.0))
+    fleet.report(endpoint, Notice(pause_s=5.0))
     assert not notices.permits(Purpose.PROBE, NOW + 4)
     assert endpoint.is_available(NOW + 9)
     fleet.now = NOW + 20
-    fleet.tell(endpoint, Notice(pause_s=5.0))
+    fleet.report(endpoint, Notice(pause_s=5.0))
     assert notices.permits(Purpose.PROBE, NOW + 21)
 
 
 def test_of_several_pauses_the_latest_end_counts() -> None:
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, Notice(pause_s=10.0))
-    fleet.tell(endpoint, Notice(pause_s=1.0))
+    fleet.report(endpoint, Notice(pause_s=10.0))
+    fleet.report(endpoint, Notice(pause_s=1.0))
     assert not endpoint.is_available(NOW + 9.9)
     fleet.now = NOW + 5
-    fleet.tell(endpoint, Notice(pause_s=10.0))
+    fleet.report(endpoint, Notice(pause_s=10.0))
     assert not endpoint.is_available(NOW + 14.9)
 
 
 def test_a_pause_survives_an_entry_that_returns_and_ends_with_the_lifetime() -> None:
     fleet = Fleet()
-    fleet.tell(fleet.add(), Notice(pause_s=10.0))
+    fleet.report(fleet.add(), Notice(pause_s=10.0))
     fleet.directory.remove("e1")
     assert not fleet.add().is_available(NOW + 1)
     assert fleet.add(started_ms=2).is_available(NOW + 1)
@@ -188,7 +188,7 @@
     # fault: a mistaken value loses a sound endpoint for good
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, Notice(pause_s=1e9))
+    fleet.report(endpoint, Notice(pause_s=1e9))
     assert endpoint.is_available(NOW + MAX_PAUSE_S + RETURN_SPREAD_MAX_S)
 
 
@@ -199,7 +199,7 @@
         for seed in range(50):
             fleet = Fleet(seed)
             endpoint = fleet.add()
-            fleet.tell(endpoint, Notice(pause_s=pause_s))
+            fleet.report(endpoint, Notice(pause_s=pause_s))
             ends.append(endpoint.notices.paused_until - NOW - pause_s)
         spread_s = min(RETURN_SPREAD_MAX_S, RETURN_SPREAD_SHARE * pause_s)
         assert min(ends) >= 0
@@ -211,8 +211,8 @@
     fleet = Fleet()
     endpoint = fleet.add()
     for source in (Source.PROBE, Source.ANSWER):
-        fleet.tell(endpoint, LEAVING, source)
-    fleet.tell(endpoint, Notice(pause_s=1.0))
+        fleet.report(endpoint, LEAVING, source)
+    fleet.report(endpoint, Notice(pause_s=1.0))
     assert fleet.counted == [("leaving", Source.PROBE), ("pause", Source.ANSWER)]
 
 
@@ -221,8 +221,8 @@
     leaving, paused = fleet.add("e1"), fleet.add("e2")
     fleet.add("e3")
     assert fleet.directory.list_passed_over("app") == []
-    fleet.tell(leaving, LEAVING, Source.PROBE)
-    fleet.tell(paused, Notice(pause_s=1e3))
+    fleet.report(leaving, LEAVING, Source.PROBE)
+    fleet.report(paused, Notice(pause_s=1e3))
     fleet.now += 2
     first, second = fleet.directory.list_passed_over("app")
     assert first == {"endpoint": "e1", "reason": "leaving", "source": "probe", "age_ms": 2000}
@@ -249,7 +249,7 @@
     first, second = Fleet(), Fleet()
     endpoint = first.add()
     second.add()
-    first.tell(endpoint, LEAVING)
+    first.report(endpoint, LEAVING)
     second.directory.apply_reported_leaving({"e1": (1, 900)}, NOW)
     first.now = second.now = NOW + 1
     assert first.directory.notices.list_leaving(first.now) == {"e1": (1, 1000)}
@@ -260,7 +260,7 @@
 def test_only_the_newest_reports_are_sent() -> None:
     fleet = Fleet()
     for number in range(MAX_LEAVING_SENT + 4):
-        fleet.tell(fleet.add(f"e{number}"), LEAVING)
+        fleet.report(fleet.add(f"e{number}"), LEAVING)
     sent = fleet.directory.notices.list_leaving(NOW)
     assert len(sent) == MAX_LEAVING_SENT
     assert "e0" not in sent
@@ -268,7 +268,7 @@
 
 def test_pauses_are_not_told_to_others() -> None:
     fleet = Fleet()
-    fleet.tell(fleet.add(), Notice(pause_s=9.0))
+    fleet.report(fleet.add(), Notice(pause_s=9.0))
     assert fleet.directory.notices.list_leaving(NOW) == {}
 
 
@@ -278,12 +278,12 @@
 def test_a_service_is_paused_when_all_its_endpoints_are() -> None:
     fleet = Fleet()
     endpoints = [fleet.add(f"e{number}") for number in range(4)]
-    fleet.tell(endpoints[0], LEAVING)
+    fleet.report(endpoints[0], LEAVING)
     fleet.add("e1", state=EndpointState.DRAINING)
-    fleet.tell(endpoints[2], Notice(pause_s=9.0))
+    fleet.report(endpoints[2], Notice(pause_s=9.0))
     assert find_service_pause(endpoints, NOW) is None
     assert find_service_pause(endpoints, NOW, {"e3"}) is not None
-    fleet.tell(endpoints[3], Notice(pause_s=5.0))
+    fleet.report(endpoints[3], Notice(pause_s=5.0))
     pause = find_service_pause(endpoints, NOW)
     assert pause is not None
     assert (pause.until, pause.paused, pause.leaving) == (endpoints[3].notices.paused_until, 2, 2)
@@ -297,7 +297,7 @@
     # a new endpoint may be listed at any time, so there is no time to name
     fleet = Fleet()
     endpoint = fleet.add()
-    fleet.tell(endpoint, LEAVING)
+    fleet.report(endpoint, LEAVING)
     assert find_service_pause([endpoint], NOW) is None
     assert find_service_pause([], NOW) is None
 
@@ -310,8 +310,8 @@
     first, second, third = (
         fleet.add(name, service="llm", slots=48, data_centre="riga-b") for name in names
     )
-    fleet.tell(first, LEAVING)
-    fleet.tell(second, Notice(pause_s=5.0))
+    fleet.report(first, LEAVING)
+    fleet.report(second, Notice(pause_s=5.0))
     chooser = Chooser(PLACE, random.Random(1))
     endpoints = list(fleet.directory)
     chosen = {
--- a/tests/gateway/versions/test_pin.py
+++ b/tests/gateway/versions/test_pin.py
@@ -207,12 +207,12 @@
 
 async def test_the_memory_of_versions_is_told_of_begin_and_end(gateway, start_server) -> None:
     await start_engine(start_server, "i-1", "riga-a", "v1")
-    told: list[tuple[str, ...]] = []
+    recorded: list[tuple[str, ...]] = []
     versions = gateway.stream_versions
-    versions.begin = lambda call, version: told.append(("begin", call.id, version))
-    versions.end = lambda call: told.append(("end", call.id))
+    versions.begin = lambda call, version: recorded.append(("begin", call.id, version))
+    versions.end = lambda call: recorded.append(("end", call.id))
     await run(gateway)
-    assert told == [("begin", "c1", "v1"), ("end", "c1")]
+    assert recorded == [("begin", "c1", "v1"), ("end", "c1")]
 
 
 async def test_an_endpoint_that_restarts_while_its_connection_opens_is_sent_nothing(
--- a/tests/gateway/versions/test_queue.py
+++ b/tests/gateway/versions/test_queue.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from basilroad.gateway.candidates import Wanted
+from basilroad.gateway.candidates import EndpointCriteria
 from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.notices import Notice, Source
@@ -125,9 +125,9 @@
 async def test_a_cached_prompt_of_another_version_saves_nothing(dispatcher: Dispatcher) -> None:
     dispatcher.prompt_locations.record("p", "e2")
     call, candidates = build_call(ROUTE, prompt_key="p"), dispatcher._candidates
-    assert candidates.find_prompt(call, Wanted(version="v1")) is None
-    assert candidates.find_prompt(call, Wanted(version="v2")) is not None
-    assert candidates.find_prompt(call, Wanted()) is not None
+    assert candidates.find_prompt(call, EndpointCriteria(version="v1")) is None
+    assert candidates.find_prompt(call, EndpointCriteria(version="v2")) is not None
+    assert candidates.find_prompt(call, EndpointCriteria()) is not None
 
 
 @pytest.mark.parametrize("version", [None, "v1"])
--- a/tests/platform/test_confirmation_age.py
+++ b/tests/platform/test_confirmation_age.py
@@ -40,16 +40,16 @@
     await rig.stop()
 
 
-def tell(rig: Rig) -> Sequence[Update | Withdrawal]:
+def list_sent(rig: Rig) -> Sequence[Update | Withdrawal]:
     """:return: what a reader sends now."""
     rig.relay._sent_at = 0.0
     return rig.relay.list_due()[0]
 
 
-def find_told_at(rig: Rig) -> list[float]:
+def list_confirmation_times(rig: Rig) -> list[float]:
     """:return: times of the confirmations that a reader tells of now."""
     now = read_boot_clock()
-    return [now - u.age_ms / 1000 for u in tell(rig) if isinstance(u, Update)]
+    return [now - u.age_ms / 1000 for u in list_sent(rig) if isinstance(u, Update)]
 
 
 async def test_a_reader_that_reads_again_confirms_nothing_meanwhile(reader: Rig) -> None:
@@ -59,12 +59,12 @@
     reader.store.put("op", "config", build_config(2))
     reader.store.break_off()
     cut_at = read_boot_clock()
-    told = []
+    confirmed = []
     while read_boot_clock() < cut_at + BUDGET.reread_s - 0.3:
-        told += find_told_at(reader)
+        confirmed += list_confirmation_times(reader)
         await asyncio.sleep(0.05)
-    assert told
-    assert max(told) <= cut_at + 0.01
+    assert confirmed
+    assert max(confirmed) <= cut_at + 0.01
     age_s = reader.gateway.freshness.age_s()
     assert age_s is not None
     assert age_s >= read_boot_clock() - cut_at - 0.01
@@ -74,7 +74,7 @@
     reader.store.silent = True
     reader.store.break_off()
     cut_at = time.monotonic()
-    await wait_until(lambda: any(isinstance(m, Withdrawal) for m in tell(reader)))
+    await wait_until(lambda: any(isinstance(m, Withdrawal) for m in list_sent(reader)))
     assert time.monotonic() - cut_at <= BUDGET.reread_s + 0.3
 
 
@@ -85,7 +85,7 @@
     restored_at = read_boot_clock()
     reader.store.restore(copy)
     while read_boot_clock() < restored_at + configwatch.RESTORE_SETTLE_S - 0.1:
-        assert all(at <= restored_at + 0.01 for at in find_told_at(reader))
+        assert all(at <= restored_at + 0.01 for at in list_confirmation_times(reader))
         await asyncio.sleep(0.05)
 
 
@@ -101,7 +101,7 @@
     monkeypatch.setattr(reader.watches[1], "apply_changes", fail)
     reader.store.put("servers", "i-1", {**SERVER, "state": "draining"})
     failed_at = time.monotonic()
-    await wait_until(lambda: any(isinstance(m, Withdrawal) for m in tell(reader)))
+    await wait_until(lambda: any(isinstance(m, Withdrawal) for m in list_sent(reader)))
     assert time.monotonic() - failed_at <= BUDGET.reread_s + 0.5
 
 
@@ -161,7 +161,9 @@
         await asyncio.sleep(0.1)
     reader.store.refusing = 503
     reader.relay._updated_at = 0.0
-    assert all(at <= read_at + configwatch.CONFIG_LONG_POLL_S for at in find_told_at(reader))
+    assert all(
+        at <= read_at + configwatch.CONFIG_LONG_POLL_S for at in list_confirmation_times(reader)
+    )
 
 
 def test_a_version_without_a_sound_age_confirms_nothing() -> None:
@@ -179,8 +181,8 @@
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             revision = rig.store.revision
-            told_s = time.monotonic() - CONFIRMATION_LAG_S - 6.0
-            update = Update("a", 1, told_s, 0, revision, revision, epoch=rig.store.era)
+            store_s = time.monotonic() - CONFIRMATION_LAG_S - 6.0
+            update = Update("a", 1, store_s, 0, revision, revision, epoch=rig.store.era)
             rig.relay.take(update, NOBODY)
             rig.gateway.freshness._confirmed_at = read_boot_clock() - CONFIRMATION_LAG_S - 5.0
             await asyncio.sleep(0.05)
--- a/tests/platform/test_crasharchive.py
+++ b/tests/platform/test_crasharchive.py
@@ -113,12 +113,12 @@
 async def test_only_gateways_that_saw_a_crash_write_it(
     store: RowStoreStandin, start_host: StartHost
 ) -> None:
-    saw, heard = await start_host("saw"), await start_host("heard")
-    heard.record_crashes(own=False)
+    saw, other = await start_host("saw"), await start_host("other")
+    other.record_crashes(own=False)
     saw.record_crashes()
     await wait_until(lambda: bool(read_row(store, "saw")))
     await asyncio.sleep(0.3)
-    assert store.get(CRASHES_TABLE, "heard") is None
+    assert store.get(CRASHES_TABLE, "other") is None
     # two reads and one write
     assert store.calls == 3
 
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -85,8 +85,8 @@
                 await asyncio.sleep(0.02)
 
     def _know_each_other(self) -> bool:
-        heard = [service.gossip.list_live_peers() for service in self.gateways if service.gossip]
-        return all(len(peers) == len(self.gateways) - 1 for peers in heard)
+        known = [service.gossip.list_live_peers() for service in self.gateways if service.gossip]
+        return all(len(peers) == len(self.gateways) - 1 for peers in known)
 
     def _introduce(self) -> None:
         addresses = [s.settings.peers for s in self.gateways if s.settings.peers is not None]
--- a/tests/platform/test_restore_doubt.py
+++ b/tests/platform/test_restore_doubt.py
@@ -148,12 +148,12 @@
     rig.store.refusing = 0
     updates: list[Update] = []
 
-    def is_told() -> bool:
+    def is_reported() -> bool:
         # a reader that has lost the store tells its followers so first
         updates[:] = [each for each in rig.relay.list_due()[0] if isinstance(each, Update)]
         return bool(updates) and updates[-1].complete_to > known
 
-    await wait_until(is_told)
+    await wait_until(is_reported)
     assert updates[0].complete_from <= known
     assert [record.id for update in updates for record in update.changes] == ["i-1"]
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -131,28 +131,28 @@
     assert find(record) == {"LeavingEndpointsRest"}
 
 
-def build_told_record(gap_s: float) -> Record:
+def build_leaving_record(gap_s: float) -> Record:
     """:return: a record in which an endpoint gets a call some time after it said that it leaves."""
-    told, late = build_request(Kind.LOOK), build_request(Kind.LOOK, FAULT_FREE_AT + gap_s)
-    told.id, told.leaving, told.answered_at = "r0", True, FAULT_FREE_AT
-    told.answer = b"answer of i-1 to r0"
+    first, late = build_request(Kind.LOOK), build_request(Kind.LOOK, FAULT_FREE_AT + gap_s)
+    first.id, first.leaving, first.answered_at = "r0", True, FAULT_FREE_AT
+    first.answer = b"answer of i-1 to r0"
     record = build_record(late, build_run(late.sent_at))
-    record.requests["r0"] = told
+    record.requests["r0"] = first
     record.reached = record.runs
     return record
 
 
 def test_a_call_at_an_endpoint_that_said_that_it_leaves() -> None:
-    assert find(build_told_record(DRAIN_S + 0.1)) == {"AnnouncedLeavingCounts"}
-    assert find(build_told_record(DRAIN_S - 0.1)) == set()
-    other_gateway = build_told_record(DRAIN_S + 0.1)
+    assert find(build_leaving_record(DRAIN_S + 0.1)) == {"AnnouncedLeavingCounts"}
+    assert find(build_leaving_record(DRAIN_S - 0.1)) == set()
+    other_gateway = build_leaving_record(DRAIN_S + 0.1)
     other_gateway.requests["r0"].gateway = 1
     assert find(other_gateway) == set()
 
 
 @pytest.mark.parametrize("kind", [KillGateway, PauseGateway])
 def test_a_restart_or_pause_of_the_gateway_excuses_a_call_at_a_leaving_endpoint(kind) -> None:
-    record = build_told_record(DRAIN_S + 0.5)
+    record = build_leaving_record(DRAIN_S + 0.5)
     at = FAULT_FREE_AT + 0.5
     for number, excused in ((1, False), (0, True)):
         record.injected_faults.append(InjectedFault(kind(0.0, number, 0.1), at, at + 0.1))
--- a/tests/soak/test_streampromises.py
+++ b/tests/soak/test_streampromises.py
@@ -20,11 +20,11 @@
     StoreOutage,
 )
 from soak.settings import APPLY_S, CONTACT_S
-from soak.streampromises import StreamsKeepTheirVersion, TakenUpStreamsGoOn, TakeUps
+from soak.streampromises import StreamsKeepTheirVersion, TakenUpStreamsResume, TakeUps
 
 AT = 100.0
 EVENTS = 3
-STREAMS = TakenUpStreamsGoOn.MIN_STREAMS
+STREAMS = TakenUpStreamsResume.MIN_STREAMS
 UNSERVED = Request("new", Kind.STREAM, 0, "/s/x", "k", "w", b"b", AT, AT + 0.1, status=503)
 
 
@@ -75,9 +75,9 @@
     assert find(build_record(*build_stream("s", write_events(2, 3)), *other)) == []
 
 
-def build_taken_up(went_on: int, began: int, new: int = STREAMS) -> Record:
+def build_taken_up(resumed: int, began: int, new: int = STREAMS) -> Record:
     """:return: a record of streams that were taken up, and new ones beside them."""
-    later = [write_events(2, 3) if n < went_on else None for n in range(STREAMS)]
+    later = [write_events(2, 3) if n < resumed else None for n in range(STREAMS)]
     streams = [request for n, data in enumerate(later) for request in build_stream(f"s{n}", data)]
     news = [build_new(f"n{n}", served=n < began) for n in range(new)]
     record = build_record(*streams, *news)
@@ -88,23 +88,23 @@
     return record
 
 
-def goes_on(record: Record) -> bool:
-    return not list(TakenUpStreamsGoOn().find_breaches(record))
+def is_kept(record: Record) -> bool:
+    return not list(TakenUpStreamsResume().find_breaches(record))
 
 
 @pytest.mark.parametrize(
-    ("went_on", "began", "kept"), [(6, 12, True), (5, 12, False), (3, 6, True), (2, 6, False)]
+    ("resumed", "began", "kept"), [(6, 12, True), (5, 12, False), (3, 6, True), (2, 6, False)]
 )
-def test_half_as_many_streams_go_on_as_new_ones_begin(went_on: int, began: int, kept: bool) -> None:
-    assert goes_on(build_taken_up(went_on, began)) is kept
+def test_half_as_many_streams_go_on_as_new_ones_begin(resumed: int, began: int, kept: bool) -> None:
+    assert is_kept(build_taken_up(resumed, began)) is kept
 
 
 def test_a_few_streams_that_do_not_go_on_are_no_breach() -> None:
     record = build_taken_up(0, 12)
-    assert not goes_on(record)
+    assert not is_kept(record)
     del record.requests["s0-2"]
     assert TakeUps.measure(record) == TakeUps(STREAMS - 1, 0, STREAMS, STREAMS)
-    assert goes_on(record)
+    assert is_kept(record)
 
 
 def test_new_streams_of_another_time_are_not_counted() -> None:
@@ -112,7 +112,7 @@
     for number in range(STREAMS):
         record.requests[f"n{number}"].sent_at = AT + 10.0
     assert TakeUps.measure(record).new == 0
-    assert goes_on(record)
+    assert is_kept(record)
 
 
 @pytest.mark.parametrize("status", [0, 503])
