Use the terms of the field in the comments of the gateway

Notices and crashes are sent, reported or received, streams resume, and optional results are None. The help of two metrics says so too: attempts by outcome, streams that resumed.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -101,7 +101,7 @@
         """Read from the response to a probe when the endpoint started.
 
         :param body: its body
-        :return: Unix milliseconds; ``None`` if it doesn't tell
+        :return: Unix milliseconds; ``None`` if it doesn't report it
         """
 
     def read_request_id(self, head: ReplyHead) -> str:
@@ -185,7 +185,7 @@
 
     @property
     def ends_with_connection(self) -> bool:
-        """:return: whether only the end of the connection tells the end of the body."""
+        """:return: whether the body ends with the connection."""
         return not (self._head.get("content-length") or self._head.get("transfer-encoding"))
 
     async def read(self) -> bytes | None:
@@ -223,7 +223,7 @@
     :param endpoint: destination
     :param protocol: encoding of the call
     :param options: per-attempt data
-    :param claim_move: claims what the call needs to go on at another endpoint
+    :param claim_move: claims what the call needs to continue at another endpoint
     :param may_send: checks whether there is still time to send the call
     :param confirm_start: checks a connection before the call is sent on it; ``None`` for no check
     """
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -29,7 +29,7 @@
 are faster."""
 
 LEAVE_CHECK_INTERVAL_S = 0.05
-"""Interval of checks whether a call that takes long can go on at another endpoint."""
+"""Interval of checks whether a slow call can continue at another endpoint."""
 
 Outcome = Reply | NotRun | MayHaveRun
 
@@ -123,7 +123,7 @@
         """Claim a retry, so that the running attempt may end.
 
         :param needs_room: whether another endpoint must have room at once
-        :return: whether the call can go on elsewhere
+        :return: whether the call can continue elsewhere
         """
         attempt = self._tracker.running
         if attempt is None or not attempt.sent:
@@ -172,7 +172,7 @@
 
     @contextlib.asynccontextmanager
     async def _leave_early(self, limit: asyncio.Timeout) -> AsyncIterator[None]:
-        """End an attempt that takes long, once the call can go on at another endpoint.
+        """End a slow attempt once the call can continue at another endpoint.
 
         :param limit: time limit of the attempt
         """
--- a/src/basilroad/gateway/candidates.py
+++ b/src/basilroad/gateway/candidates.py
@@ -68,7 +68,7 @@
         :param call: the call
         :param criteria: the endpoints that it may use
         :param at_once: whether only those count for which there is a permit, if they need one
-        :return: the endpoint, if there is one
+        :return: the endpoint; ``None`` if there is none
         """
         endpoints = self.list_all(call, criteria)
         if at_once:
--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -184,7 +184,7 @@
             return
         crash, number = run.crash, 1
         while self.ledger.has_crash(crash, time.monotonic() - broken_at + SAME_CRASH_S):
-            # its listing does not tell its starts apart
+            # its entry does not distinguish its starts
             number += 1
             crash = f"{run.crash}#{number}"
         self._record_own(self._build_record(run, crash, broken_at), run.call)
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -49,7 +49,7 @@
 MAX_START_MS = 2**53
 
 MAX_NAME_CHARS = 200
-"""Longest id, service, data centre and version of an entry; other gateways are told of it in a
+"""Longest id, service, data centre and version of an entry; other gateways get it in a
 datagram."""
 
 FAILURE_WEIGHT = 0.3
@@ -61,8 +61,8 @@
 silent for a second or so."""
 
 ClaimMove = Callable[[bool], bool]
-"""Claims what a call needs to go on at another endpoint: an attempt, a retry and, if asked for, a
-place. Returns whether it was claimed; the attempt must end then."""
+"""Claims what a call needs to continue at another endpoint: an attempt, a retry and, if asked for,
+a place. Returns whether it was claimed; the attempt must end then."""
 
 
 def never_move(_needs_room: bool) -> bool:
@@ -82,7 +82,7 @@
     """A call whose response is pending.
 
     :param rank: its rank; lower ones are more urgent
-    :param claim_move: claims what it needs to go on at another endpoint
+    :param claim_move: claims what it needs to continue at another endpoint
     """
 
     rank: int
@@ -113,8 +113,8 @@
     :param state: whether it accepts new calls
     :param started_ms: start time in Unix milliseconds, 0 if unknown; another value means that it
         restarted and lost its state
-    :param version: version of its software; streams go on only at the version that began them
-    :raises ValueError: calls can't name the endpoint, or other gateways can't be told of it
+    :param version: version of its software; streams resume only at the version that began them
+    :raises ValueError: calls can't name the endpoint, or it exceeds a message to other gateways
     """
 
     id: str = attrs.field(validator=_check_id)
@@ -371,7 +371,7 @@
     def mark_lost(self, now: float) -> None:
         """Start a backoff for an endpoint that does not respond, and move its calls.
 
-        Those that can't go on elsewhere stay, the most urgent ones move first: the endpoint may
+        Those that can't resume elsewhere stay, the most urgent ones move first: the endpoint may
         only be late.
 
         :param now: monotonic seconds
--- a/src/basilroad/gateway/exchange/configexchange.py
+++ b/src/basilroad/gateway/exchange/configexchange.py
@@ -78,7 +78,7 @@
 class ConfigExchange(Service):
     """Serves the last configuration document to other gateways, and fetches theirs.
 
-    :param address: listening address; ``None`` to serve nobody
+    :param address: listening address; ``None`` to serve no other gateway
     """
 
     def __init__(self, address: Address | None) -> None:
@@ -113,7 +113,7 @@
     async def fetch(self, address: Address) -> FetchedConfig | None:
         """Fetch the document of another gateway.
 
-        The age of its confirmation is told after the request was sent. Counted from before that, a
+        The age of its confirmation is read after the request was sent. Counted from before that, a
         delay on either way only makes the confirmation look older.
 
         :param address: its listening address
@@ -181,7 +181,7 @@
 def _decompress(body: bytes) -> bytes:
     stream = zlib.decompressobj()
     try:
-        # the byte beyond the limit tells that there are more
+        # the byte beyond the limit shows that there are more
         document = stream.decompress(body, MAX_DOCUMENT_BYTES + 1)
     except zlib.error as error:
         raise DocumentError(str(error)) from error
--- a/src/basilroad/gateway/exchange/crashreports.py
+++ b/src/basilroad/gateway/exchange/crashreports.py
@@ -33,20 +33,20 @@
 """Size beyond which a message is sent in two, below the usual MTU."""
 
 MAX_PASSED = 32
-"""Keys per datagram of which a peer is told that they passed."""
+"""Passed keys per datagram."""
 
 REPEAT_INTERVAL_S = 1.0
 """Interval at which known crashes are repeated: datagrams get lost, and gateways restart."""
 
 REPEAT_FANOUT = 2
-"""Peers per repetition: a gateway that has restarted hears what is refused about twice a second."""
+"""Peers per repetition: a restarted gateway receives what is refused about twice a second."""
 
 COLLECT_S = 0.1
-"""Time after a crash for which further ones are collected before they are told; a broken connection
+"""Time after a crash for which further ones are collected before they are sent; a broken connection
 is checked for as long."""
 
 MAX_CRASHES_ANNOUNCED = 2
-"""Crashes within that time of which all gateways are told at once. More of them are the failure of
+"""Crashes within that time that are sent to all gateways at once. More of them are the failure of
 a data centre, unless they show what is refused: each gateway has many, and they would hold up the
 reports of load."""
 
@@ -96,7 +96,7 @@
     :param host: name of the sender
     :param reports: the crashes
     :param passed: milliseconds since a request with a key passed
-    :param reply: whether only one gateway is told, which tells the others
+    :param reply: whether it is for one gateway only, which informs the others
     """
 
     host: str
@@ -131,7 +131,7 @@
     _rounds: int = 0
 
     def announce_crash(self, record: CrashRecord) -> None:
-        """Tell all other gateways of a crash, at once unless it follows others.
+        """Report a crash to all other gateways, at once unless it follows others.
 
         :param record: the crash
         """
@@ -141,14 +141,14 @@
             self._send_collected()
 
     def announce_passed(self, passed: Mapping[str, float]) -> None:
-        """Tell all other gateways what passed.
+        """Report to all other gateways what passed.
 
         :param passed: seconds since a request with a key passed
         """
         self._send([], passed, self.list_peers())
 
     def tick(self, now: float) -> None:
-        """Tell new crashes; repeat recent ones, and those that show what is refused.
+        """Send new crashes; repeat recent ones, and those that show what is refused.
 
         :param now: monotonic seconds
         """
@@ -171,7 +171,7 @@
         self._send(chosen, passed, self.generator.sample(peers, min(REPEAT_FANOUT, len(peers))))
 
     def take(self, message: Crashes, address: Address) -> None:
-        """Apply a message of another gateway, and tell it which of the parts passed here.
+        """Apply a message of another gateway, and reply which of its parts passed here.
 
         :param message: the message
         :param address: address of the gateway
--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -58,7 +58,7 @@
 """Time for which a failure is reported; failed endpoints are unlisted by then."""
 
 REGISTERED_S = 15.0
-"""Time for which a registered gateway counts as near without having been heard; all are heard by
+"""Time for which a registered gateway counts as near before its first message; all have sent one by
 then, also in fleets of hundreds."""
 
 MAX_PEERS = 1024
--- a/src/basilroad/gateway/exchange/permits.py
+++ b/src/basilroad/gateway/exchange/permits.py
@@ -1,11 +1,12 @@
 """Division of the limits that endpoints name among gateways.
 
 Each limit has a grantor, the gateway that rendezvous hashing chooses for the endpoint among those
-that hear each other, in the endpoint's region if there is one. The others ask it for a permit
-before each request. If it does not reply, they ask the second one, which gives a smaller rate; both
-together stay below what endpoints tolerate. A gateway may be wrong about who the grantors are if it
-hears less than half of those that it knows, has not read which are registered, or has just started.
-It gives a small share of the limit to itself, and only while it can ask no other.
+that receive each other's messages, in the endpoint's region if possible. The others ask it for a
+permit before each request. If it does not reply, they ask the second one, which gives a smaller
+rate; both together stay below what endpoints tolerate. A gateway may be wrong about who the
+grantors are if it receives messages of less than half of those that it knows, has not read which
+are registered, or has just started. It gives a small share of the limit to itself, and only while
+it can ask no other.
 """
 
 from __future__ import annotations
@@ -55,7 +56,7 @@
 """Time after which a gateway asks again that could ask no other."""
 
 MIN_ESTABLISHED_S = 3.0
-"""Time after its start from which a gateway grants permits: it has heard the others by then."""
+"""Time after its start from which a gateway grants permits; by then it knows the others."""
 
 MAX_ESTABLISHED_S = 10.0
 """Upper limit of that time in large fleets, in which it takes longer."""
@@ -117,7 +118,7 @@
 
 @attrs.frozen
 class Peer:
-    """Another gateway that is heard.
+    """Another gateway whose messages arrive.
 
     :param address: its listening address
     :param data_centre: its data centre
@@ -135,7 +136,7 @@
     :param place: its location
     :param directory: known endpoints
     :param address: listening address of this gateway
-    :param list_peers: returns the other gateways that are heard, by name
+    :param list_peers: returns the other gateways whose messages arrive, by name
     :param list_known: returns the addresses of all other gateways that are known
     :param has_roster: returns whether the registered gateways have been read
     :param send: sends a message to a gateway
@@ -177,7 +178,7 @@
             return False
         reachable = {self.address, *(peer.address for peer in self.list_peers().values())} & known
         if 2 * len(reachable) == len(known):
-            # of two halves that don't hear each other one grants permits
+            # of two halves of a partition one grants permits
             return min(known, key=str) in reachable
         return 2 * len(reachable) > len(known)
 
@@ -300,7 +301,7 @@
             return None
         per_s = endpoint.notices.limit.per_s
         if math.isinf(per_s):
-            # responses to later requests named no limit, which the reply tells
+            # responses to later requests named no limit, as the reply reports
             return 0.0
         share = GRANTED_SHARES[ranked.index(self.host)]
         return self._find_source(self._granted, endpoint, 1.0).take(host, share * per_s)
--- a/src/basilroad/gateway/exchange/relay.py
+++ b/src/basilroad/gateway/exchange/relay.py
@@ -1,7 +1,7 @@
 """Relay of the platform's listing between the gateways of a data centre.
 
 One gateway of a group reads the store; the others apply its updates and read the store themselves
-only while they hear from no reader, or when an update doesn't follow on from what they know.
+only while no reader sends updates, or when an update leaves a gap after what they know.
 """
 
 from __future__ import annotations
@@ -70,7 +70,7 @@
     :param revision: number of the change's revision, in the epoch of its update
     :param id: id of the endpoint
     :param service: its service; empty if the entry was removed
-    :param version: version of its software; ``None`` from older gateways, which don't tell it
+    :param version: version of its software; ``None`` from older gateways, which don't send it
     """
 
     revision: RevisionNumber
@@ -247,7 +247,7 @@
 
     @property
     def follows(self) -> bool:
-        """:return: whether a reader that precedes this gateway is heard."""
+        """:return: whether a reader that precedes this gateway sends updates."""
         return self._clock() < self._updated_at + self._timeout_s
 
     @property
@@ -294,7 +294,7 @@
             self._updated_at = -math.inf
 
     def update_peers(self, peers: Iterable[tuple[str, Address]]) -> None:
-        """Update the set of gateways in this data centre that are heard.
+        """Update the set of live gateways in this data centre.
 
         :param peers: name and address of each other one
         """
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -30,7 +30,7 @@
         self.registry = CollectorRegistry()
         self.attempts = Counter(
             "basilroad_attempts",
-            "Attempts at endpoints by what became of them.",
+            "Attempts at endpoints by outcome.",
             ["form", "outcome"],
             registry=self.registry,
         )
@@ -54,7 +54,7 @@
         )
         self.resumes = Counter(
             "basilroad_resumes",
-            "Streams that went on at another endpoint.",
+            "Streams that resumed at another endpoint.",
             ["memory"],
             registry=self.registry,
         )
@@ -134,7 +134,7 @@
         """Count a new notice of an endpoint.
 
         :param kind: what it says
-        :param source: how it was learnt
+        :param source: origin of the notice
         """
         self.notices.labels(kind, source.value).inc()
 
--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/notices.py
@@ -35,16 +35,16 @@
 
 UNKNOWN_START_MEMORY_S = 120.0
 """Time for which an unlisted endpoint without a known start is remembered as leaving: a restart at
-the same address can't be told from it."""
+the same address can't be distinguished from it."""
 
 LEAVING_REPORT_S = 30.0
-"""Time for which other gateways are told that an endpoint leaves; by then most have exited."""
+"""Time for which a notice of leaving is sent to other gateways; most endpoints exit earlier."""
 
 MAX_LEAVING_SENT = 16
 """Leaving endpoints per datagram, about a third of its size."""
 
 LIMIT_REPORT_S = 30.0
-"""Time after a response for which other gateways are told what it said of a limit."""
+"""Time after a response for which its limit is sent to other gateways."""
 
 MAX_LIMITS_SENT = 8
 """Limits per datagram, about a sixth of its size."""
@@ -61,7 +61,7 @@
 
 
 class Source(enum.Enum):
-    """How a notice was learnt: from a response to a request of this gateway, or by gossip."""
+    """Origin of a notice: from a response to a request of this gateway, or by gossip."""
 
     ANSWER = Purpose.CALL.value
     REPORT = Purpose.REPORT.value
@@ -102,10 +102,10 @@
     :param lifetime: the lifetime
     :param register: register that keeps them while the endpoint is not listed
     :param leaving_since: monotonic seconds at which it was first known to leave; ``None`` if not
-    :param leaving_source: how that was learnt
+    :param leaving_source: origin of that notice
     :param paused_until: monotonic seconds until which it wants no requests
     :param paused_since: monotonic seconds at which the current pause was last asked for
-    :param pause_source: how that was learnt
+    :param pause_source: origin of that notice
     :param no_calls_until: monotonic seconds until which it wants no calls for either reason
     :param probed: whether a probe was sent during the current pause
     :param limit: limit that it named for all gateways together
@@ -127,7 +127,7 @@
 
         ``Endpoint.is_available``, which choosers ask for each endpoint, reads ``no_calls_until``.
         A leaving endpoint that still runs streams may be probed. During a pause one probe is
-        allowed, so that the streams of an endpoint that died meanwhile go on elsewhere. Calls to
+        allowed, so that the streams of an endpoint that died meanwhile resume elsewhere. Calls to
         an endpoint that named a limit have their permit when they are placed; a probe needs one,
         and reports leave them to calls.
 
@@ -152,7 +152,7 @@
         """Record what a response said of the limit of the endpoint.
 
         :param named: what it said
-        :param source: how it was learnt
+        :param source: its origin
         :param now: monotonic seconds
         """
         if not self.limit.record(named, now, self.register.generator):
@@ -180,7 +180,7 @@
     def record_leaving(self, source: Source, since: float) -> None:
         """Record that the endpoint leaves; this holds to the end of its lifetime.
 
-        :param source: how it was learnt
+        :param source: its origin
         :param since: monotonic seconds at which it was known first
         """
         if self.leaving_since is not None:
@@ -220,7 +220,7 @@
         )
 
     def describe(self, now: float) -> dict[str, object]:
-        """:return: why it gets no calls, how that was learnt and how old it is, for the log."""
+        """:return: why it gets no calls, with the origin and age of the notice, for the log."""
         if self.leaving_since is not None:
             return {
                 "endpoint": self.lifetime.id,
@@ -259,7 +259,7 @@
     """Notices by lifetime, which outlast the listing of an endpoint.
 
     :param generator: random number generator
-    :param count: called with the kind of each new notice and how it was learnt
+    :param count: called with the kind and origin of each new notice
     :param clock: monotonic seconds
     """
 
@@ -307,7 +307,7 @@
 
         :param notices: notices of one lifetime
         :param kind: kind of the new one
-        :param source: how it was learnt
+        :param source: its origin
         """
         self._count(kind, source)
         self._kept[notices.lifetime] = notices
@@ -337,7 +337,7 @@
             self._limited.popitem(last=False)
 
     def list_limited(self, now: float) -> list[EndpointNotices]:
-        """List the notices whose limit other gateways are told.
+        """List the notices whose limit is sent to other gateways.
 
         :param now: monotonic seconds
         :return: those of endpoints whose limit began, changed or ended last
@@ -351,11 +351,11 @@
         return pause_s + self.generator.uniform(0, spread_s)
 
     def list_leaving(self, now: float) -> dict[str, tuple[int, int]]:
-        """List what other gateways are told.
+        """List the notices that are sent to other gateways.
 
         :param now: monotonic seconds
         :return: start time and age of the notice, both in milliseconds, by id of the endpoints that
-            leave; those learnt last, if there are many
+            leave; the newest, if there are many
         """
         return {
             lifetime.id: (lifetime.started_ms, max(0, round(1000 * (now - since))))
--- a/src/basilroad/gateway/route.py
+++ b/src/basilroad/gateway/route.py
@@ -184,7 +184,7 @@
 
         :param host: requested host, without port
         :param path: path without query
-        :return: the route, if there is one
+        :return: the route; ``None`` if there is none
         """
         routes = self._routes.get(host)
         if routes is None:
