Use the terms of the field in the other comments of the sources

Requests in flight, reports that are received, and results that are None were described by what hosts tell, hear or learn. A row without an author is shown as written by an unknown author.

--- a/src/basilroad/agent/copyguard.py
+++ b/src/basilroad/agent/copyguard.py
@@ -1,4 +1,4 @@
-"""Tells entries which copies of a suspect content run here, so that no further one is started."""
+"""Reports to entries which copies of a suspect content run here, so that none is added."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
         :param request: has the key of a lookup of copies
         :param known: deaths that the entry knows; those sent to it before the answer are added
-        :return: where a copy runs, if there is one
+        :return: where a copy runs; ``None`` without one
         """
         fingerprint = read_copies_key(request.key)
         known.put(fingerprint, self._list_deaths(fingerprint, float("inf")))
--- a/src/basilroad/agent/registration.py
+++ b/src/basilroad/agent/registration.py
@@ -20,7 +20,7 @@
 
 
 class AgentRegistration(Service):
-    """Records the host, and tells whether an earlier agent there may have run calls.
+    """Records the host, and reports whether an earlier agent there may have run calls.
 
     :param records: records of all hosts; ``None`` without a table, where calls are not claimed
     :param host: name of this host
--- a/src/basilroad/cli/exits.py
+++ b/src/basilroad/cli/exits.py
@@ -65,9 +65,9 @@
     row = outcome.row
     found = "there is none"
     if row is not None and row.value is None:
-        found = f"{row.author or 'nobody'} deleted it at revision {row.revision}"
+        found = f"{row.author or 'an unknown author'} deleted it at revision {row.revision}"
     elif row is not None:
-        found = f"{row.author or 'nobody'} wrote revision {row.revision}"
+        found = f"{row.author or 'an unknown author'} wrote revision {row.revision}"
     expected = f"revision {outcome.expected}" if outcome.expected else "no row"
     return ExitResult(
         Exit.CONFLICT, f"{outcome.path}: not in force, expected {expected} but {found}"
--- a/src/basilroad/cli/show.py
+++ b/src/basilroad/cli/show.py
@@ -23,7 +23,7 @@
 
 def format_row(row: Row) -> str:
     """:return: a row as YAML that ``put`` accepts, preceded by a comment with its revision."""
-    author = row.author or "nobody"
+    author = row.author or "an unknown author"
     if row.value is None:
         return f"# revision {row.revision} by {author}: deleted\n"
     return f"# revision {row.revision} by {author}\n{show_settings({row.key: decode_value(row)})}"
--- a/src/basilroad/coordination/claim.py
+++ b/src/basilroad/coordination/claim.py
@@ -189,7 +189,7 @@
 def read_claim(row: Row | None) -> Claim | None:
     """Decode a claim's row.
 
-    :param row: the row, if there is one
+    :param row: the row; ``None`` if there is none
     :return: the claim; ``None`` if there is no row
     :raises DecodeError: the row holds no claim
     """
--- a/src/basilroad/coordination/crashledger.py
+++ b/src/basilroad/coordination/crashledger.py
@@ -18,7 +18,7 @@
 earlier crash: a data centre that fails takes several endpoints at one moment."""
 
 TRANSIT_VARIATION_S = 0.05
-"""Error of the order of events that peers report, by how long their messages were on the way."""
+"""Error of the order of events that peers report, by the transit time of their messages."""
 
 SOUND_S = 60.0
 """Time for which a part that passed is not held responsible for crashes; parts that are shared
@@ -164,7 +164,7 @@
         return changed
 
     def record_passed(self, key: str, age_s: float = 0.0) -> bool:
-        """Record that an endpoint went on after the beginning of an answer.
+        """Record that an endpoint continued after the beginning of an answer.
 
         :param key: key of the content or of a part
         :param age_s: seconds since then
--- a/src/basilroad/coordination/lease.py
+++ b/src/basilroad/coordination/lease.py
@@ -49,7 +49,7 @@
 class _Observation:
     """Write of another holder and the time at which its row was first observed.
 
-    The write is told by tenure and serial: a table that was restored from an older copy gives
+    The write is identified by tenure and serial: a table that was restored from an older copy gives
     revisions out again.
     """
 
--- a/src/basilroad/coordination/leaserow.py
+++ b/src/basilroad/coordination/leaserow.py
@@ -36,7 +36,7 @@
 def read_lease(row: Row | None) -> LeaseRow | None:
     """Decode the value of a lease's row.
 
-    :param row: the row, if there is one
+    :param row: the row; ``None`` if there is none
     :return: its value; ``None`` if it is absent or malformed
     """
     if row is None or row.value is None:
--- a/src/basilroad/coordination/permits.py
+++ b/src/basilroad/coordination/permits.py
@@ -17,10 +17,10 @@
 """Time for which a process that was refused counts as waiting."""
 
 MIN_WAIT_S = 0.05
-"""Shortest wait that a process is told; a round trip between regions is as long."""
+"""Shortest wait that is sent to a process; a round trip between regions is as long."""
 
 MAX_WAIT_S = 5.0
-"""Longest wait that a process is told; the rate may rise meanwhile."""
+"""Longest wait that is sent to a process; the rate may rise meanwhile."""
 
 
 @attrs.define(eq=False)
--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -166,7 +166,7 @@
         return not self._busy and not self._ended and self._transport is not None
 
     def has_carried(self, request_id: str) -> bool:
-        """Check whether a response to an earlier request can't be told from one to this request.
+        """Check whether a response may belong to an earlier request rather than to this one.
 
         :param request_id: id of the request; empty for one without an id
         :return: whether a request with this id was sent before
@@ -268,7 +268,7 @@
             raise ChannelError(f"expected the end of a response, got {type(event).__name__}")
         assert self._request_head is not None
         self._http.start_next_cycle()
-        # the request is on its way already; only the parser has to expect its response
+        # the request was sent already; only the parser has to expect its response
         self._http.send(self._request_head)
         length = int(dict(self._request_head.headers).get(b"content-length", b"0"))
         if length:
--- a/src/basilroad/entry/callhosts.py
+++ b/src/basilroad/entry/callhosts.py
@@ -25,7 +25,7 @@
 
 
 class CallHosts:
-    """Tells which hosts may have run a keyed call, beside those that are linked.
+    """Finds which hosts may have run a keyed call, beside those that are linked.
 
     :param records: records of all hosts
     :param list_links: returns the links to all known agents
--- a/src/basilroad/entry/context.py
+++ b/src/basilroad/entry/context.py
@@ -27,7 +27,7 @@
     :param incarnation: identifier of this run of the process
     :param meter: counts bytes between regions
     :param store: current settings
-    :param table: the platform's table, if there is one
+    :param table: the platform's table; ``None`` without one
     :param links: streams to agents
     :param containment: tracks requests that were running when endpoints failed
     :param link_costs: cost of sending work to other regions
@@ -104,7 +104,7 @@
         """
 
     def choose_other(self, call: ServiceCall, avoided: set[str]) -> EndpointView | None:
-        """:return: another endpoint of the service, if there is one."""
+        """:return: another endpoint of the service; ``None`` if there is none."""
 
 
 __all__ = ["CallSender", "EntryContext"]
--- a/src/basilroad/entry/dispatch.py
+++ b/src/basilroad/entry/dispatch.py
@@ -304,7 +304,7 @@
     async def _await_duplicate(self, flight: Flight) -> None:
         """Wait while the endpoint that a request is to share accepts no further request.
 
-        It may have crashed, which the end of the duplicate's attempt will tell.
+        It may have crashed, which the end of the duplicate's attempt will show.
         """
         while self.entry.duplicates.must_share(flight):
             shared_endpoint = self.entry.duplicates.find_endpoint(flight)
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -357,7 +357,7 @@
             self.link_costs.record_received(link.region, size, tokens)
 
     def may_serve_model(self, model: str) -> bool:
-        """Tell whether a model may be served.
+        """Check whether a model may be served.
 
         :param model: name of the model
         :return: whether it was seen or is configured, or an unreachable agent might run it
--- a/src/basilroad/entry/spillover.py
+++ b/src/basilroad/entry/spillover.py
@@ -65,7 +65,7 @@
         views: Sequence[EndpointView],
         view: EndpointView,
     ) -> bool:
-        """Tell whether queued work should be offered to an endpoint.
+        """Check whether queued work should be offered to an endpoint.
 
         :param flight: generation of its rank that has been queued longest
         :param age_s: seconds since it was queued
--- a/src/basilroad/http/idleconnections.py
+++ b/src/basilroad/http/idleconnections.py
@@ -107,7 +107,7 @@
             self._on_crossed = None
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell the server that the caller has closed its half too."""
+        """Report to the server that the caller has closed its half too."""
         self._connection.connection_lost(exc)
 
 
--- a/src/basilroad/placement/service.py
+++ b/src/basilroad/placement/service.py
@@ -144,7 +144,7 @@
         await asyncio.gather(*(self._send_change(views, change) for change in granted))
 
     def _reset_trackers(self, fence: int) -> None:
-        # also after a suspension in which nobody else took the lease: earlier reports are outdated
+        # also after a suspension in which the lease was not taken: earlier reports are outdated
         self._fence = fence
         self._gained_s = time.monotonic()
         self._engine_tracker = EngineTracker()
--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -82,7 +82,7 @@
 
 
 class _Config(msgspec.Struct, rename="camel"):
-    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]  # other gateways are told of it
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]  # sent to other gateways
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -36,7 +36,7 @@
 the copy may still hold a key that was taken away."""
 
 SETTLE_MARGIN_S = 0.02
-"""Time by which a poll goes on after that, as its wait is rounded."""
+"""Time by which a poll exceeds that, as its wait is rounded."""
 
 CONFIRMATION_LAG_S = 2.0
 """Time by which a follower's keys may be older than its reader's before it reads the store, whose
@@ -146,7 +146,7 @@
     async def read_missing(self) -> None:
         """Read the config itself from the reader, or else from the store.
 
-        A version that the reader tells of during the fetch is fetched after its next update.
+        A version that the reader announces during the fetch is fetched after its next update.
         """
         reader, required_version = self._relay.reader, self._required_version
         if reader is not None:
@@ -182,7 +182,7 @@
             return
         if self._is_settling(at):
             self._gateway.freshness.record_response(at)
-            # the response may have been on its way when the store settled
+            # the response may have been in flight when the store settled
             self._confirmation_due = not self._is_settling(read_boot_clock())
             return
         self._gateway.freshness.confirm(at)
--- a/src/basilroad/platform/crasharchive.py
+++ b/src/basilroad/platform/crasharchive.py
@@ -55,7 +55,7 @@
 class CrashArchive(Service):
     """Keeps crashes that show what is refused in the store, and reads them at the start.
 
-    Gateways tell each other of crashes, so this matters when all of them end at once. One row for
+    Gateways report crashes to each other, so this matters when all of them end at once. One row for
     each gateway: it is written when crashes that this gateway saw change what is refused.
 
     :param store: the platform's store
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -140,7 +140,7 @@
         """Read from a server's status report when the server started.
 
         :param body: body of the response
-        :return: Unix milliseconds; ``None`` if it doesn't tell
+        :return: Unix milliseconds; ``None`` if it doesn't report it
         """
         try:
             return _START_DECODER.decode(body).born
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -48,7 +48,7 @@
 """Interval of checks of the settings file, which may change without a SIGHUP."""
 
 REVOKE_RESERVE_S = 0.7
-"""Part of the revocation limit that is left for a call already on its way to a server."""
+"""Part of the revocation limit that is left for a call already in flight to a server."""
 
 RETRY_RATIO_SHARE = 0.8
 """Share of the allowed retry ratio that is used, as the platform counts over other windows."""
--- a/src/basilroad/platform/staleness.py
+++ b/src/basilroad/platform/staleness.py
@@ -1,6 +1,6 @@
 """Time after which what a gateway knows of the store counts as out of date, and how it is spent.
 
-A gateway that has heard nothing of a change can't tell whether there was none or whether its
+A gateway that received no change can't know whether there was none or whether its
 connection to the store fell silent. The steps from a silent connection to a change that is known
 add up to the bounds of the platform:
 
@@ -22,8 +22,8 @@
 import attrs
 
 REREAD_RESERVE_S = 0.5
-"""Part of the contact limit that is left to read again and to tell followers: a connection between
-regions, a full read and a datagram take about 0.2 s."""
+"""Part of the contact limit that is left to read again and to inform followers: a connection
+between regions, a full read and a datagram take about 0.2 s."""
 
 RESPONSE_ALLOWANCE_S = 0.6
 """Time allowed for the response to a long poll beyond the requested wait."""
@@ -33,12 +33,12 @@
 
 DRAIN_PAUSE_SHARE = 0.4
 """Maximum share of the drain limit that a pause may take; the rest is left for a read and for
-calls on their way."""
+calls in flight."""
 
 
 DRAIN_REREAD_SHARE = 0.4
 """Share of the drain limit that a reader may take to read again; the rest is left for the read of
-its followers after a withdrawal and for calls on their way."""
+its followers after a withdrawal and for calls in flight."""
 
 
 @attrs.frozen
--- a/src/basilroad/platform/store.py
+++ b/src/basilroad/platform/store.py
@@ -314,7 +314,7 @@
 
     def _observe_epoch(self, answer: HttpResponse) -> int:
         known = self.epoch
-        # without the header, responses can only be told apart by their revisions
+        # without the header, responses can only be distinguished by their revisions
         epoch = _read_epoch(answer, known or 0)
         if known is None or epoch > known:
             self.epoch = epoch
--- a/src/basilroad/platform/storeclock.py
+++ b/src/basilroad/platform/storeclock.py
@@ -15,7 +15,7 @@
 class StoreClock:
     """Estimates the offset between the store's monotonic clock and this host's boot clock.
 
-    A long poll alone doesn't tell when its response was made; the offset from a shorter call does.
+    A long poll alone doesn't show when its response was made; the offset from a shorter call does.
     """
 
     def __init__(self) -> None:
@@ -49,7 +49,7 @@
     def convert(self, store_s: float, now: float) -> float | None:
         """Convert a reading of the store clock to the boot clock.
 
-        :param store_s: store clock in seconds, as told by another host
+        :param store_s: store clock in seconds, as reported by another host
         :param now: boot clock in seconds
         :return: lower bound of the same moment by the boot clock; ``None`` if no offset is known,
             or it is that of another clock
@@ -57,7 +57,7 @@
         if not self.is_known:
             return None
         if store_s - now > self._bound_offset(now) + CLOCK_TOLERANCE_S:
-            # another clock, as no host can tell a reading from the future
+            # another clock, as no host reports a time in the future
             return None
         return min(now, store_s - self._bound_offset(now))
 
--- a/src/basilroad/platform/streamarchive.py
+++ b/src/basilroad/platform/streamarchive.py
@@ -107,7 +107,7 @@
 
         :param service: service of the rows
         :param changes: the changes
-        :return: what became of them
+        :return: their outcome
         """
         transaction = Transaction(
             service,
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -29,8 +29,8 @@
 seconds."""
 
 FOLLOW_CHECK_INTERVAL_S = 0.1
-"""Interval of checks whether a reader is still heard; a fraction of the time after which this host
-takes over."""
+"""Interval of checks whether a reader still sends updates; a fraction of the time after which this
+host takes over."""
 
 FIRST_EPOCH = 1
 """Epoch of a store that was never restored."""
@@ -65,7 +65,7 @@
 class TableWatch(Service):
     """Watches a table: reads a snapshot, then polls for changes.
 
-    While the relay hears a reader, its updates take the place of the polls.
+    While the relay receives updates of a reader, these take the place of the polls.
 
     :param store: the platform's store
     :param table: name of the table
@@ -236,7 +236,7 @@
                 self._schedule_withdrawal()
             else:
                 self._relay.suspend(self._table)
-            # a new connection tells whether the store is lost or only the last one
+            # a new connection shows whether the store is lost or only the last connection
             requested_at, wait_s = read_boot_clock(), 0.0
             changes = await self._store.wait_changes(self._table, self._revision, wait_s)
         self._responded_at = read_boot_clock()
@@ -252,7 +252,7 @@
         self._check_current(changes)
         known, self._revision = self._revision, changes.revision
         # the revision is forgotten when a watch fails, the epoch isn't; at its first read, a host
-        # can't tell how long ago a restore was
+        # can't know how long ago a restore was
         previous, self._epoch = self._epoch, changes.revision.epoch
         if self._epoch > previous:
             self._restore = Restore(changes.revision, read_boot_clock())
@@ -266,7 +266,7 @@
         self.apply_changes([row for row in changes.rows if known is None or row.revision > known])
 
     def _check_current(self, changes: Changes) -> None:
-        # a read may lag, and updates of a reader may have come while the response was on its way
+        # a read may lag, and updates of a reader may have come while the response was in flight
         if self._revision is not None and changes.revision < self._revision:
             raise OutdatedResponseError("the response is older than the known state")
 
--- a/src/basilroad/settings/history.py
+++ b/src/basilroad/settings/history.py
@@ -84,7 +84,7 @@
         forbidden = self._forbidden
         if forbidden and (malformed is None or forbidden.position > malformed.position):
             row = forbidden.row
-            reason = f"{row.author or 'nobody'} does not own this path"
+            reason = f"{row.author or 'an unknown author'} does not own this path"
         elif malformed and (self.in_force is None or malformed.position > self.in_force.position):
             row, reason = malformed.row, malformed.reason
         else:
--- a/src/basilroad/settings/view.py
+++ b/src/basilroad/settings/view.py
@@ -52,7 +52,7 @@
         return tuple(sorted(ranks.values(), key=lambda rank: (rank.order, rank.name)))
 
     def rank(self, name: str) -> Rank | None:
-        """:return: the rank with this name, if there is one."""
+        """:return: the rank with this name; ``None`` if there is none."""
         return next((rank for rank in self.ranks if rank.name == name), None)
 
     def rank_by_order(self, order: int) -> Rank:
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -43,7 +43,7 @@
     ``OTHER_ID`` and ``NO_SEAL`` alter the headers, ``CUT`` omits the last bytes, and ``UNFRAMED``
     sends no length. ``LATE_COPY`` sends the response again before that of the connection's next
     request, and ``TURN_AWAY_COPY`` a rejection; with ``copies_reports`` reports are sent so too.
-    The endless ones go on until the client closes the connection.
+    The endless ones continue until the client closes the connection.
     """
 
     NONE = "none"
@@ -145,7 +145,7 @@
     :param trickle_at_event: number of the event before which streams stall; 0 for never
     :param trickle: bytes that a stalled stream sends now and then
     :param ip: its loopback address
-    :param version: version of its software, which its events tell
+    :param version: version of its software, which its events name
     :param silent: whether all responses are withheld
     :param crash_on: prompt part on which the server crashes before the first event; empty for none
     :param crash_body: body of the requests that crash it at ``crash_point``; empty for none
@@ -162,7 +162,7 @@
     :param seen: received requests except those for reports
     :param paused: requests that were answered with ``Retry-After``, and its value
     :param starts: number of starts
-    :param streams: number of streams that it began or went on with
+    :param streams: number of streams that it began or resumed
     :param reported_at: times of the received requests for reports, in monotonic seconds
     """
 
@@ -245,7 +245,7 @@
         await self.start(self.port)
 
     async def fall_silent(self, length_s: float) -> None:
-        """Send nothing for a time, then go on with all responses.
+        """Send nothing for a time, then continue all responses.
 
         :param length_s: seconds
         """
--- a/src/basilroad/standin/streamevents.py
+++ b/src/basilroad/standin/streamevents.py
@@ -1,4 +1,4 @@
-"""Events of the application server stand-in, which tell who made them."""
+"""Events of the application server stand-in, which name their maker."""
 
 from __future__ import annotations
 
--- a/src/basilroad/stopsignal.py
+++ b/src/basilroad/stopsignal.py
@@ -26,10 +26,10 @@
     clock: Callable[[], float] = time.monotonic
 
     def watch(self) -> None:
-        """Record the signal; the event loop must handle it already, and goes on to do so."""
+        """Record the signal; the event loop must handle it already, and continues to do so."""
         if not callable(signal.getsignal(signal.SIGTERM)):
             return
-        # the event loop learns of signals from the interpreter, whatever their handler does
+        # the interpreter notifies the event loop of signals, whatever their handler does
         signal.signal(signal.SIGTERM, self._handle)
         signal.siginterrupt(signal.SIGTERM, False)
 
