Call versions in pending transactions unconfirmed

doubtful, is_in_doubt and doubt are unconfirmed, is_unconfirmed and record_restore in the memory of versions. The log text "base version in doubt" stays.

--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -133,7 +133,7 @@
         return known.version if known is not None else None
 
     @property
-    def is_in_doubt(self) -> bool:
+    def is_unconfirmed(self) -> bool:
         """:return: whether the store was restored from a copy that may lack records."""
         base = self.stored
         return base is not None and base.epoch < self._epoch
@@ -149,8 +149,8 @@
             _LOGGER.info("base version in doubt", extra=_describe(self))
         return self.is_leased
 
-    def doubt(self, now: float) -> None:
-        """Read the row again, as the store was restored.
+    def record_restore(self, now: float) -> None:
+        """Record a restore of the store, after which the row has to be read again.
 
         :param now: boot clock in seconds
         """
@@ -176,7 +176,7 @@
         is_listed = state.base is not None and self._listing.is_listed(
             self.service, state.base.version
         )
-        if is_listed and not self.is_in_doubt:
+        if is_listed and not self.is_unconfirmed:
             return True
         is_served = bool(self._listing.count_listed(self.service))
         return is_served and now - state.read_at >= REREAD_INTERVAL_S
@@ -265,7 +265,7 @@
     def _find_correction(self, base: _StoredBase, now: float) -> _StoredBase | None:
         if base.successor is not None:
             return _StoredBase(base.version, base.generation, epoch=base.epoch)
-        if self.is_in_doubt and now - self._epoch_seen_at >= VERSION_MEMORY_S:
+        if self.is_unconfirmed and now - self._epoch_seen_at >= VERSION_MEMORY_S:
             # streams whose records were lost can't be taken up any more
             return _StoredBase(base.version, base.generation, epoch=self._epoch)
         return None
@@ -336,7 +336,7 @@
         self.is_leased = (
             base is not None
             and base.successor is None
-            and not self.is_in_doubt
+            and not self.is_unconfirmed
             and (self._best is None or self._best.generation <= base.generation)
             and read_at >= self._settles_at
             and self._listing.is_listed(self.service, base.version)
--- a/src/basilroad/gateway/versions/keeper.py
+++ b/src/basilroad/gateway/versions/keeper.py
@@ -147,7 +147,7 @@
         """Write again what a restored store may lack."""
         for service in self._services.values():
             service.records.repeat()
-            service.base.doubt(self._clock())
+            service.base.record_restore(self._clock())
         self.request_work()
 
     async def wait_work(self) -> None:
--- a/src/basilroad/gateway/versions/records.py
+++ b/src/basilroad/gateway/versions/records.py
@@ -108,7 +108,7 @@
     :param stored: version that the store was last known to hold
     :param revision: revision of the stored row, as far as known; 0 without a row
     :param sent: whether it was ever sent to the store
-    :param doubtful: versions in transactions that may still be applied, one for each transaction
+    :param unconfirmed: versions in transactions that may still be applied, one for each transaction
     """
 
     wanted: str
@@ -117,12 +117,12 @@
     stored: str | None = None
     revision: int = 0
     sent: bool = False
-    doubtful: list[str] = attrs.field(factory=list)
+    unconfirmed: list[str] = attrs.field(factory=list)
 
     @property
     def is_settled(self) -> bool:
         """:return: whether the store holds the wanted version, and no other can take its place."""
-        return self.stored == self.wanted and not self.doubtful
+        return self.stored == self.wanted and not self.unconfirmed
 
 
 @attrs.frozen
@@ -234,7 +234,7 @@
         record = self._records.get(build_key(call.workspace, call.id))
         if record is None:
             return False
-        possible = {*record.doubtful, record.stored}
+        possible = {*record.unconfirmed, record.stored}
         return not possible <= {version, None}
 
     def keep(self, call: Call, until: float = math.inf) -> None:
@@ -282,7 +282,7 @@
         for _, key, record in sorted(due, key=lambda item: item[0])[: BATCH_ENTRIES // 2]:
             writes[key] = (record.wanted, record.revision)
             record.sent = True
-            record.doubtful.append(record.wanted)
+            record.unconfirmed.append(record.wanted)
         room = BATCH_ENTRIES - 2 * len(writes)
         return Batch(writes, tuple(self._removals)[:room], self._restores)
 
@@ -306,7 +306,7 @@
     def _(self, outcome: Committed, batch: Batch) -> int:
         for record, (version, _) in self._list_written(batch):
             record.stored, record.revision = version, outcome.revision
-            record.doubtful.clear()
+            record.unconfirmed.clear()
         for key in batch.removals:
             self._removals.pop(key, None)
         return len(batch.writes)
@@ -320,7 +320,7 @@
             if record is None or revision == expected:
                 continue
             # whatever expects the former revision can't be applied any more
-            record.doubtful.clear()
+            record.unconfirmed.clear()
             record.revision = revision
             record.stored = None if row is None else decode_version(row)
         return 0
@@ -338,9 +338,9 @@
 
     def _take_back(self, batch: Batch) -> None:
         for record, (version, _) in self._list_written(batch):
-            if version in record.doubtful:
-                record.doubtful.remove(version)
-            record.sent = bool(record.doubtful or record.revision)
+            if version in record.unconfirmed:
+                record.unconfirmed.remove(version)
+            record.sent = bool(record.unconfirmed or record.revision)
 
     def _list_written(self, batch: Batch) -> Iterator[tuple[_Record, tuple[str, int]]]:
         for key, write in batch.writes.items():
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -223,7 +223,7 @@
         base = await self._read_base(service)
         if base is None:
             return self._find_sole_listed(service.name)
-        if service.base.is_in_doubt and self._list_known(service) != {base}:
+        if service.base.is_unconfirmed and self._list_known(service) != {base}:
             # the record may be one that a restored store has lost
             return "unknown", None
         return "base", base
