--- a/src/basilroad/gateway/versions/archive.py
+++ b/src/basilroad/gateway/versions/archive.py
@@ -123,7 +123,7 @@
 
         :param service: service of the rows
         :param changes: the changes
-        :return: what became of them
+        :return: their outcome
         """
 
 
--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -31,7 +31,7 @@
 BASE_KEY = "base"
 
 LINGER_S = 30.0
-"""Time for which an endpoint may go on with its streams after its entry is gone."""
+"""Time for which an endpoint may continue its streams after its entry is gone."""
 
 VERSION_MEMORY_S = RESUME_WINDOW_S + LINGER_S
 """Time after a version was last listed in which one of its streams may be taken up again."""
@@ -292,7 +292,7 @@
     def apply(self, outcome: Outcome, now: float) -> None:
         """Apply the outcome of a change.
 
-        :param outcome: what became of it
+        :param outcome: its outcome
         :param now: boot clock in seconds at which the change was sent
         """
         self._apply(outcome, now)
--- a/src/basilroad/gateway/versions/pin.py
+++ b/src/basilroad/gateway/versions/pin.py
@@ -14,7 +14,7 @@
 
 
 class VersionPin:
-    """Version at which one stream goes on.
+    """Version at which one stream runs.
 
     :param call: the call of the stream
     :param versions: memory of the versions of streams
@@ -30,17 +30,17 @@
 
     @property
     def is_lost(self) -> bool:
-        """:return: whether no endpoint is left at which the stream may go on."""
+        """:return: whether no endpoint is left at which the stream may resume."""
         if self.version is None or not self._directory.is_reliable:
             return False
         return not self._list_staying()
 
     def admits(self, endpoint: Endpoint) -> bool:
-        """:return: whether the stream may go on at an endpoint."""
+        """:return: whether the stream may run at an endpoint."""
         return self.version is None or endpoint.entry.version == self.version
 
     def may_leave(self, endpoint: Endpoint) -> bool:
-        """:return: whether there may be another endpoint at which the stream can go on."""
+        """:return: whether there may be another endpoint at which the stream can resume."""
         if self.version is None or not self._directory.is_reliable:
             return True
         return any(other is not endpoint for other in self._list_staying())
@@ -92,7 +92,7 @@
         return Refusal(ErrorKind.VERSION_GONE, self.describe_loss())
 
     def describe_loss(self) -> str:
-        """:return: why the stream can't go on, for the caller and the log."""
+        """:return: why the stream can't resume, for the caller and the log."""
         return f"no endpoint of software version {self.version} is left, which began this stream"
 
     def _list_staying(self) -> list[Endpoint]:
--- a/src/basilroad/gateway/versions/records.py
+++ b/src/basilroad/gateway/versions/records.py
@@ -67,7 +67,7 @@
 
 
 def build_key(workspace: str, stream_id: str) -> str:
-    """:return: key of the record of a stream, which tells neither its workspace nor its id."""
+    """:return: key of the record of a stream, which reveals neither its workspace nor its id."""
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
     for field in (workspace.encode(), stream_id.encode()):
         digest.update(len(field).to_bytes(8, "big"))
@@ -225,7 +225,7 @@
                 del self._records[key]
 
     def is_settled(self, call: Call) -> bool:
-        """:return: whether the store holds the requested version, and will go on to do so."""
+        """:return: whether the store holds the requested version, and will keep it."""
         record = self._records.get(build_key(call.workspace, call.id))
         return record is not None and record.is_settled
 
@@ -290,7 +290,7 @@
         """Apply the outcome of a transaction.
 
         :param batch: its changes
-        :param outcome: what became of them
+        :param outcome: their outcome
         :return: number of records that were written
         """
         if batch.restores != self._restores and not isinstance(outcome, NotCommitted):
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -1,4 +1,4 @@
-"""Software versions of streams, which go on only at endpoints of the version that began them."""
+"""Software versions of streams, which resume only at endpoints of the version that began them."""
 
 from __future__ import annotations
 
@@ -165,7 +165,7 @@
         """Find the version of the stream that a caller takes up again.
 
         :param call: the call, which names it in ``resumes``
-        :return: the version; ``None`` if it isn't known, so that the stream may not go on
+        :return: the version; ``None`` if it isn't known, so that the stream may not resume
         :raises RefusedError: the records can't be read now
         """
         try:
--- a/src/basilroad/gateway/versions/writepace.py
+++ b/src/basilroad/gateway/versions/writepace.py
@@ -16,7 +16,7 @@
 """Transactions that a host may make at once after a pause."""
 
 DURATION_VALIDITY_S = 5.0
-"""Time for which the duration of a transaction tells how long the next one takes."""
+"""Time for which the duration of a transaction serves as an estimate for the next one."""
 
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
@@ -86,7 +86,7 @@
         return max(0.0, self.next_at - now) + max(running_s, recent_s)
 
     def record_read(self) -> None:
-        """Record a successful read, which doesn't tell whether writes are possible."""
+        """Record a successful read, which doesn't show whether writes are possible."""
         if not self._write_failed:
             self.record_success()
 
