Word test names and comments in the terms of the field

Streams resume, notices are announced, crashes are sent, requests are in flight; they went on, were told or were on their way.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -83,7 +83,7 @@
         for run in record.runs:
             seen, request = run.request, record.requests.get(run.request.id)
             if request is None:
-                yield f"{run.endpoint} ran {seen.id!r} {seen.target!r}, which nobody sent"
+                yield f"{run.endpoint} ran {seen.id!r} {seen.target!r}, which no caller sent"
             elif (seen.target, seen.body) != (request.target, request.body):
                 yield f"{run.endpoint} ran {seen.id} as {seen.target} {seen.body!r}"
             elif seen.headers.get("x-tenant") != request.workspace or "x-key" in seen.headers:
--- a/soak/releaseschedule.py
+++ b/soak/releaseschedule.py
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class SilenceEndpoint(Fault):
-    """An endpoint sends nothing for the duration, and then goes on."""
+    """An endpoint sends nothing for the duration, and then continues."""
 
 
 class Extent(enum.Enum):
--- a/soak/world.py
+++ b/soak/world.py
@@ -33,7 +33,7 @@
 """Seconds after the drain time at which an endpoint stops."""
 
 UNLISTED_LEAVING_S = 2.0
-"""Seconds for which an endpoint that leaves without changing its entry goes on after that."""
+"""Seconds for which an endpoint that leaves without changing its entry continues after that."""
 
 BACKENDS = 200
 """Number of the address of store, endpoints and links, beyond those of gateways. With an address of
@@ -238,7 +238,7 @@
 
     async def _start_instance(self, endpoint: Endpoint, port: int, name: str = "") -> None:
         name = name or f"i-{endpoint.number}-{len(endpoint.instances)}"
-        # it goes on with the count of starts, by which gateways tell it from the one before it
+        # it continues the count of starts, by which gateways distinguish it from the one before it
         starts = len(endpoint.instances)
         version = f"v{endpoint.version}"
         instance = AppServerStandin(name, ip=self._ip, version=version, starts=starts)
--- a/tests/agent/test_registration.py
+++ b/tests/agent/test_registration.py
@@ -30,7 +30,7 @@
     return AgentRegistration(HostRecords(table), "h", incarnation, clock)
 
 
-# fault: a new agent told "never" of what the one before it had run
+# fault: a new agent reported "never" for what the one before it had run
 @pytest.mark.holds_not_run
 async def test_an_agent_after_another_knows_all_calls_only_once_those_are_old() -> None:
     table, clock = FakeTable(), Clock()
--- a/tests/agent/test_stop.py
+++ b/tests/agent/test_stop.py
@@ -74,7 +74,7 @@
         await self.greeted.wait()
         while not self.agent.should_stop:
             await asyncio.sleep(0.005)
-        # the news of the drain and this message are on their way at once
+        # the notice of the drain and this message are in flight at once
         await asyncio.sleep(DELAY_S)
         await stream.send_message(wire.EntryFrame(messages=[message]))  # type: ignore[attr-defined]
 
@@ -93,14 +93,14 @@
     return entry
 
 
-# fault: an idle agent closed its streams before it had told of its drain, and a call on its way
+# fault: an idle agent closed its streams before it had announced its drain, and a call in flight
 # counted as one that may have run
 async def test_a_call_that_crosses_the_stop_of_its_agent_is_refused(agent: AgentService) -> None:
     entry = await stop_with(agent, CALL)
     assert [(a.call, a.kind) for a in entry.find("answer")] == [(7, ErrorKind.DRAINING.value)]
 
 
-# fault: an idle agent closed its streams, and a generation on its way was neither run nor refused
+# fault: an idle agent closed its streams, and a generation in flight was neither run nor refused
 async def test_a_generation_that_crosses_the_stop_of_its_agent_is_refused(
     agent: AgentService,
 ) -> None:
@@ -108,7 +108,7 @@
     assert [f.reason for f in entry.find("failed")] == [FailReason.DRAINING.value]
 
 
-# fault: an idle agent closed its streams before the task that tells of its drain had run
-async def test_an_idle_agent_tells_of_its_drain_before_it_closes(agent: AgentService) -> None:
+# fault: an idle agent closed its streams before the task that announces its drain had run
+async def test_an_idle_agent_announces_its_drain_before_it_closes(agent: AgentService) -> None:
     entry = await stop_with(agent, wire.EntryMessage(demand=wire.Demand()))
     assert [state.draining for state in entry.find("endpoint")] == [True, True]
--- a/tests/coordination/test_crashledger.py
+++ b/tests/coordination/test_crashledger.py
@@ -70,7 +70,7 @@
     for number in range(CRASHES_TO_REFUSE):
         peer.crash(f"e{number}", "shared", "deadly")
     assert peer.ledger.record_passed("shared")
-    assert not peer.ledger.record_passed("shared"), "it is told once"
+    assert not peer.ledger.record_passed("shared"), "it is reported once"
     assert peer.is_refused("deadly")
     assert not peer.is_refused("shared")
 
--- a/tests/coordination/test_permits.py
+++ b/tests/coordination/test_permits.py
@@ -26,7 +26,7 @@
     assert given_out <= per_s * now + max(1.0, BURST_S * per_s) + 1e-6
 
 
-def test_a_process_that_waits_as_told_gets_a_permit(clock) -> None:
+def test_a_process_that_waits_as_requested_gets_a_permit(clock) -> None:
     source = PermitSource(clock, random.Random(1))
     for _ in range(20):
         wait_s = source.take("p", 0.7)
--- a/tests/entry/test_earliersend.py
+++ b/tests/entry/test_earliersend.py
@@ -1,4 +1,4 @@
-"""Check what is told of a keyed call while the store is away."""
+"""Check the reported effect of a keyed call while the store is away."""
 
 from __future__ import annotations
 
@@ -100,7 +100,7 @@
 
 
 async def read_effect(links: Sequence[AgentLink], hosts: CallHosts) -> Effect:
-    """:return: effect told of a call that could not be claimed."""
+    """:return: reported effect of a call that could not be claimed."""
     reader = SimpleNamespace(claims=object(), links=lambda: links, hosts=hosts)
     unclaimed = refuse(ErrorKind.STORE_UNAVAILABLE, "the call could not be claimed")
     with pytest.raises(RefusedError) as caught:
@@ -109,12 +109,12 @@
 
 
 @pytest.mark.holds_not_run
-async def test_a_call_that_no_agent_ran_is_told_as_not_run() -> None:
+async def test_a_call_that_no_agent_ran_is_reported_as_not_run() -> None:
     links = [Agent("h").connect("i0", SERVICE)]
     assert await read_effect(links, await build_hosts(links, "h")) is Effect.NOT_RUN
 
 
-# fault: one late reply of an agent on a busy host made a fresh order doubtful
+# fault: one late reply of an agent on a busy host made the outcome of a fresh order uncertain
 @pytest.mark.holds_not_run
 async def test_an_agent_that_does_not_reply_is_asked_again() -> None:
     agent = Agent("h")
@@ -126,9 +126,9 @@
     assert await read_effect(links, hosts) is Effect.MAY_HAVE_RUN
 
 
-# fault: an entry that knew no agent asked none, and told "not run" of an order that had run
+# fault: an entry that knew no agent asked none, and reported "not run" for an order that had run
 @pytest.mark.holds_not_run
-async def test_an_entry_without_agents_does_not_tell_that_a_call_was_not_run() -> None:
+async def test_an_entry_without_agents_does_not_report_a_call_as_not_run() -> None:
     assert await read_effect([], await build_hosts([])) is Effect.MAY_HAVE_RUN
 
 
@@ -143,7 +143,7 @@
 
 
 @pytest.mark.holds_not_run
-async def test_an_entry_that_never_read_the_hosts_does_not_tell_that_a_call_was_not_run() -> None:
+async def test_an_entry_that_never_read_the_hosts_does_not_report_a_call_as_not_run() -> None:
     links = [Agent("h").connect("i0", SERVICE)]
     table = FakeTable()
     table.unavailable = True
--- a/tests/entry/test_flight.py
+++ b/tests/entry/test_flight.py
@@ -180,9 +180,9 @@
     assert dispatcher.endpoints == ["", ""]
 
 
-# fault: a stream went on at the version of an attempt that had died before its first token
+# fault: a stream resumed at the version of an attempt that had died before its first token
 @pytest.mark.holds_generations
-async def test_a_stream_goes_on_at_the_version_that_its_tokens_are_of() -> None:
+async def test_a_stream_resumes_at_the_version_of_its_tokens() -> None:
     dispatcher = RollDispatcher()
     flight = _build_flight(dispatcher, Containment(lambda _: False, lambda _: None))
     await flight.run()
--- a/tests/entry/test_linkcost.py
+++ b/tests/entry/test_linkcost.py
@@ -105,7 +105,7 @@
     assert not costs.estimate("x", 10, view).fits
 
 
-def test_the_size_of_a_token_is_learned(clock: FakeClock) -> None:
+def test_the_size_of_a_token_is_measured(clock: FakeClock) -> None:
     link = RegionLink(LINK, 1, clock)
     before = link.estimate(0, 1_000, 20.0).size
     for _ in range(100):
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -19,7 +19,7 @@
 
 
 class Locations:
-    """Directory whose agents run a copy until told otherwise."""
+    """Directory whose agents run a copy until set otherwise."""
 
     def __init__(self) -> None:
         self.has_copy = True
@@ -107,7 +107,7 @@
     assert locations.attempt % 2 == 0
 
 
-async def test_a_content_that_is_cleared_while_a_copy_runs_goes_on(
+async def test_a_content_that_is_cleared_while_a_copy_runs_continues(
     lock: Quarantine, locations: Locations, containment: Containment
 ) -> None:
     containment.record_death("r", PoisonMark(CONTENT, "d1"))
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -66,7 +66,7 @@
 
 @pytest.mark.holds_stop
 async def test_the_limit_of_a_planned_stop_counts_from_its_signal() -> None:
-    # fault: a host that handled the signal late went on past the time at which it is killed
+    # fault: a host that handled the signal late continued past the time at which it is killed
     port = find_free_port()
     stop_signal = StopSignal(received_at=time.monotonic() - 5.0)
     entry = EntryService(build_settings(port, drain_limit_s=5.2), stop_signal)
--- a/tests/entry/test_stop_connections.py
+++ b/tests/entry/test_stop_connections.py
@@ -59,7 +59,7 @@
 async def test_a_request_that_crosses_the_end_of_its_idle_connection_is_answered(
     entry: EntryService,
 ) -> None:
-    # fault: a stopping entry closed idle connections, and requests on their way to it got neither
+    # fault: a stopping entry closed idle connections, and requests in flight to it got neither
     # an answer nor a refusal
     with connect(entry) as caller:
         await asyncio.sleep(0.1)
--- a/tests/gateway/exchange/test_crashreports.py
+++ b/tests/gateway/exchange/test_crashreports.py
@@ -85,7 +85,7 @@
     assert [net.refused(number) for number in range(3)] == [[[DEADLY]]] * 3
 
 
-# fault: a gateway where a part passes refuses it, as crashes are told and what passed is not
+# fault: a gateway where a part passes refuses it, as crashes are sent and what passed is not
 def test_a_part_that_passed_at_one_gateway_is_left_out_at_all() -> None:
     net = Net(3)
     net.gateways[2].ledger.record_passed("shared")
@@ -109,7 +109,7 @@
 
 
 # fault: after a restart a gateway sends what all others refuse
-def test_a_restarted_gateway_hears_what_is_refused_within_the_limit_of_contact() -> None:
+def test_a_restarted_gateway_receives_what_is_refused_within_the_limit_of_contact() -> None:
     net = Net(28)
     for number in range(CRASHES_TO_REFUSE + 1):
         net.crash(number, f"e{number}/1", f"own{number % 2}", DEADLY)
@@ -121,7 +121,7 @@
 
 
 # fault: the crashes of a whole data centre hold up the reports of load of all gateways
-def test_the_failure_of_a_data_centre_is_not_told_to_all_at_once() -> None:
+def test_the_failure_of_a_data_centre_is_not_sent_to_all_at_once() -> None:
     net = Net(10)
     for number in range(40):
         record = CrashRecord(f"e{number // 4}/1", f"={number}", frozenset([f"own{number}"]))
@@ -133,8 +133,8 @@
     assert all(len(gateway.ledger) for gateway in net.gateways)
 
 
-# fault: one request with a short prompt ends several endpoints before another gateway hears of it
-def test_crashes_that_show_what_is_refused_are_told_at_once() -> None:
+# fault: one request with a short prompt ends several endpoints before another gateway is informed
+def test_crashes_that_show_what_is_refused_are_sent_at_once() -> None:
     net = Net(10)
     for number in range(CRASHES_TO_REFUSE):
         net.now += 0.02
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -209,7 +209,7 @@
     assert get(net.gateways[1], "e0").last_failed_at == net.now
 
 
-def test_a_failure_is_ignored_for_an_endpoint_heard_from_since() -> None:
+def test_a_failure_is_ignored_for_an_endpoint_that_has_responded_since() -> None:
     net = Net()
     get(net.gateways[0], "e0").record_unreachable(net.now)
     net.gateways[0].tick()
@@ -313,7 +313,7 @@
     assert estimate_prefill_savings(endpoint, SIZE, found) == 0.0
 
 
-def test_registered_gateways_are_near_until_they_are_heard() -> None:
+def test_registered_gateways_are_near_until_their_first_message() -> None:
     net = Net(3)
     first = net.gateways[0]
     other = Address("127.0.0.1", 9100)
@@ -323,8 +323,8 @@
     assert first.list_near_peers() == []
 
 
-def test_a_leaving_endpoint_is_told_to_others_with_its_age() -> None:
-    # fault: each gateway sends a leaving server requests until that tells it so itself
+def test_a_notice_of_leaving_is_sent_to_others_with_its_age() -> None:
+    # fault: each gateway sends a leaving server requests until the server announces it itself
     net = Net()
     first, second = (get(gossip, "e1") for gossip in net.gateways)
     first.notices.record(Notice(leaving=True), Source.ANSWER, net.now)
@@ -349,8 +349,8 @@
     assert get(net.gateways[1], "e1").remote.calls == 1
 
 
-def test_a_limit_and_its_end_are_told_to_others_with_their_age() -> None:
-    # fault: each gateway sends as before until a response of the endpoint tells it of its limit
+def test_a_limit_and_its_end_are_sent_to_others_with_their_age() -> None:
+    # fault: each gateway sends as before until a response of the endpoint names its limit
     net = Net()
     first, second = (get(gossip, "e1") for gossip in net.gateways)
     for per_s, is_named in ((2.5, True), (math.inf, False)):
--- a/tests/gateway/exchange/test_permits.py
+++ b/tests/gateway/exchange/test_permits.py
@@ -31,7 +31,7 @@
 WINDOW_S = 4.0
 STEP_S = 0.02
 SILENT_PEER_S = 3.0
-"""Time after which a peer that is not heard is dropped."""
+"""Time after which a silent peer is dropped."""
 
 
 def count_allowed(per_s: float) -> float:
@@ -84,7 +84,7 @@
 
 
 class Fleet:
-    """Gateways that hear each other unless a link is cut, and send to one endpoint.
+    """Gateways that receive gossip of each other unless a link is cut, and send to one endpoint.
 
     :param hosts: number of gateways
     :param per_s: limit of the endpoint
@@ -102,7 +102,7 @@
         self.exchange_gossip()
 
     def exchange_gossip(self) -> None:
-        """Let all hosts hear each other; those that are up learn of the limit too."""
+        """Deliver gossip among all hosts; those that are up also get the limit."""
         for host in self.hosts:
             others = (n for n in range(len(self.hosts)) if n != host.number)
             reachable = [n for n in others if self.hosts[n].up and not self.is_cut(n, host.number)]
@@ -195,10 +195,10 @@
     assert fleet.find_most() <= count_allowed(per_s)
 
 
-# fault: hosts that don't hear the others take themselves for all that there are
+# fault: isolated hosts take themselves for all that there are
 @LIMITS
 @pytest.mark.parametrize("apart", [1, 2, 14])
-async def test_a_limit_holds_while_hosts_do_not_hear_each_other(apart: int, per_s: float) -> None:
+async def test_a_limit_holds_during_a_partition_of_the_hosts(apart: int, per_s: float) -> None:
     fleet = Fleet(28, per_s)
     await fleet.run(4.0, lambda: fleet.random.randrange(28))
     fleet.is_cut = lambda a, b: (a < apart) is not (b < apart)
@@ -211,7 +211,7 @@
 
 # fault: hosts that started while the store was away know no other one, and each takes the limit
 @pytest.mark.parametrize("is_known", [True, False])
-async def test_a_limit_holds_while_no_host_hears_another(is_known: bool) -> None:
+async def test_a_limit_holds_while_all_hosts_are_isolated(is_known: bool) -> None:
     fleet = Fleet(28, 1.0)
     fleet.is_cut = lambda _a, _b: True
     if not is_known:
@@ -253,8 +253,8 @@
     assert not asker.endpoint.notices.limit.is_refused(fleet.now + MAX_WAIT_S)
 
 
-# fault: a host goes on asking for permits after the limit has ended, as others know
-async def test_a_grantor_that_knows_of_the_end_tells_so() -> None:
+# fault: a host continues to ask for permits after the limit has ended, as others know
+async def test_a_grantor_reports_the_end_of_a_limit() -> None:
     fleet = Fleet(4, 1.0)
     first = fleet.hosts[0].permits.rank_grantors(fleet.hosts[0].endpoint)[0]
     asker = next(host for host in fleet.hosts if host.name != first)
--- a/tests/gateway/exchange/test_relay.py
+++ b/tests/gateway/exchange/test_relay.py
@@ -211,7 +211,7 @@
 
 
 @pytest.mark.parametrize("served", range(6))
-def test_gateways_that_the_store_refuses_learn_from_one_that_it_serves(served: int) -> None:
+def test_gateways_that_the_store_refuses_follow_one_that_it_serves(served: int) -> None:
     fleet = DataCentre(6)
     fleet.pass_time(3.0)
     for member in fleet.members:
@@ -223,8 +223,8 @@
     assert all(fleet.now - m.confirmed_at < POLL_S + UPDATE_INTERVAL_S + 0.1 for m in fleet.members)
 
 
-# followers went on for seconds by a reader that heard nothing of the store
-def test_followers_read_at_once_when_their_reader_may_hear_nothing() -> None:
+# followers relied for seconds on a reader that had lost the store
+def test_followers_read_at_once_when_their_reader_may_have_lost_the_store() -> None:
     fleet = DataCentre(11)
     fleet.pass_time(3.0)
     fleet.members[0].reachable = False
@@ -269,7 +269,7 @@
     assert follower.follows
 
 
-def test_a_follower_withdraws_from_nobody() -> None:
+def test_a_follower_sends_no_withdrawal() -> None:
     fleet = DataCentre(3)
     fleet.pass_time(3.0)
     fleet.members[1].relay.suspend(TABLE)
--- a/tests/gateway/test_containment.py
+++ b/tests/gateway/test_containment.py
@@ -56,9 +56,7 @@
     await server.stop()
 
 
-async def test_a_refused_part_is_told_when_to_come_back_and_is_not_sent(
-    gateway, start_server
-) -> None:
+async def test_a_refused_part_gets_a_retry_delay_and_is_not_sent(gateway, start_server) -> None:
     server = await start_server("i-1", service="llm", events=5)
     record_crashes(gateway, DEADLY)
     with pytest.raises(RefusedError) as caught:
@@ -227,7 +225,7 @@
     assert len(server.seen) == 1
 
 
-async def test_a_started_stream_goes_on_when_its_part_is_refused(gateway, start_server) -> None:
+async def test_a_started_stream_continues_when_its_part_is_refused(gateway, start_server) -> None:
     server = await start_server("i-1", service="llm", events=10, event_interval_s=0.02)
     running = asyncio.ensure_future(generate(gateway, "shared", "late"))
     while not server.ran:
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -78,7 +78,7 @@
 
 
 @pytest.mark.parametrize("fault", [*ENDLESS_HEADS, WireFault.ENDLESS_EVENT])
-async def test_a_stream_goes_on_elsewhere_after_an_endless_response(
+async def test_a_stream_resumes_elsewhere_after_an_endless_response(
     gateway, start_server, fault
 ) -> None:
     first = await start_server("i-1", service="llm", events=10)
--- a/tests/gateway/test_freshness.py
+++ b/tests/gateway/test_freshness.py
@@ -23,7 +23,7 @@
 
 
 # a store that was restored made all gateways unready at once, though each of them read it
-def test_a_source_that_is_heard_keeps_state_that_was_confirmed_once() -> None:
+def test_a_source_that_responds_keeps_state_that_was_confirmed_once() -> None:
     now = 100.0
     freshness = Freshness(lambda: now)
     freshness.record_response(now)
@@ -33,4 +33,4 @@
     assert not freshness.has_responded_within(1.0)
     freshness.record_response(now)
     assert freshness.has_responded_within(1.0)
-    assert not freshness.is_within(1.0), "what is heard confirms nothing"
+    assert not freshness.is_within(1.0), "a response alone confirms nothing"
--- a/tests/gateway/test_leaving_endpoints.py
+++ b/tests/gateway/test_leaving_endpoints.py
@@ -37,7 +37,9 @@
 # leaving
 
 
-async def test_an_answer_that_tells_of_leaving_is_the_last_one_there(gateway, start_server) -> None:
+async def test_an_answer_that_announces_leaving_is_the_last_one_there(
+    gateway, start_server
+) -> None:
     # fault: calls reach a server that leaves until its entry changes
     first = await start_server("i-1", leaving_in=ALL_RESPONSES)
     second = await start_server("i-2", data_centre="riga-b")
@@ -46,7 +48,7 @@
     assert (first.ran, second.ran) == (["c0"], ["c1", "c2", "c3", "c4"])
 
 
-async def test_a_rejection_tells_of_leaving_too(gateway, start_server) -> None:
+async def test_a_rejection_announces_leaving_too(gateway, start_server) -> None:
     # fault: the header is read from complete answers only
     first = await start_server("i-1", leaving_in=frozenset({ResponseKind.REJECTION}))
     await start_server("i-2", data_centre="riga-b")
@@ -57,7 +59,7 @@
     assert len(first.seen) == 1
 
 
-async def test_a_failed_answer_tells_of_leaving_too(gateway, start_server) -> None:
+async def test_a_failed_answer_announces_leaving_too(gateway, start_server) -> None:
     first = await start_server("i-1", leaving_in=ALL_RESPONSES)
     await start_server("i-2", data_centre="riga-b")
     first.schedule_faults([WireFault.FAIL])
@@ -75,7 +77,7 @@
     assert gateway.directory.get("i-1").notices.leaving_since is None
 
 
-async def test_the_head_of_a_stream_tells_of_leaving_before_its_end(gateway, start_server) -> None:
+async def test_the_head_of_a_stream_announces_leaving_before_its_end(gateway, start_server) -> None:
     # fault: a stream of minutes makes its notice known at its end
     options = {"service": "llm", "events": 40, "event_interval_s": 0.02}
     first = await start_server("i-1", leaving_in=ALL_RESPONSES, **options)
@@ -88,7 +90,7 @@
     assert (first.ran, second.ran) == (["c0"], ["c1"])
 
 
-async def test_the_answer_to_a_probe_tells_of_leaving(gateway, start_server) -> None:
+async def test_the_answer_to_a_probe_announces_leaving(gateway, start_server) -> None:
     # fault: only answers to calls are read
     first = await start_server(
         "i-1",
@@ -107,7 +109,7 @@
     assert (first.ran, second.ran) == (["c0"], ["c1"])
 
 
-async def test_a_report_before_a_placement_tells_of_leaving(gateway, start_server) -> None:
+async def test_a_report_before_a_placement_announces_leaving(gateway, start_server) -> None:
     first = await start_server(
         "i-1", service="llm", events=3, leaving_in=frozenset({ResponseKind.REPORT})
     )
@@ -119,7 +121,7 @@
     assert first.reports == 1
 
 
-async def test_a_late_second_copy_tells_of_leaving(gateway, start_server) -> None:
+async def test_a_late_second_copy_announces_leaving(gateway, start_server) -> None:
     # fault: a copy that is skipped is not read at all
     first = await start_server("i-1")
     first.schedule_faults([WireFault.LATE_COPY])
@@ -149,7 +151,7 @@
     assert (first.ran, second.ran) == (["c0"], ["c1"])
 
 
-async def test_a_stream_does_not_go_on_at_a_leaving_holder_of_its_backup(
+async def test_a_stream_does_not_resume_at_a_leaving_holder_of_its_backup(
     gateway, start_server
 ) -> None:
     # fault: a resumed stream goes to a server that leaves, since that has the copy
@@ -302,7 +304,7 @@
 
 
 async def test_a_silent_engine_that_wants_nothing_is_probed_once(gateway, start_server) -> None:
-    # fault: probes count as requests too, and go on every half second
+    # fault: probes count as requests too, and repeat every half second
     server = await start_server("i-1", service="llm", events=3, response_delay_s=2.0)
     running = asyncio.ensure_future(run(gateway, STREAM))
     await wait_for(lambda: server.ran)
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -87,7 +87,7 @@
 
 
 def test_an_answer_after_the_entry_lapsed_counts_when_it_returns() -> None:
-    # fault: a stream that outlasts the entry learns of the leaving for a forgotten object
+    # fault: a stream that outlasts the entry records the leaving at a discarded object
     fleet = Fleet()
     endpoint = fleet.add()
     fleet.directory.remove("e1")
@@ -112,7 +112,7 @@
 
 
 def test_an_endpoint_without_known_start_is_not_lost_for_good() -> None:
-    # fault: a restart at the same address can't be told from the leaving lifetime
+    # fault: a restart at the same address can't be distinguished from the leaving lifetime
     fleet = Fleet()
     fleet.report(fleet.add(started_ms=0), LEAVING)
     fleet.directory.remove("e1")
@@ -231,7 +231,7 @@
     assert 58_000 <= left_ms <= 58_400
 
 
-# what other gateways are told
+# what is sent to other gateways
 
 
 def test_the_report_of_a_leaving_endpoint_binds_in_the_same_lifetime_only() -> None:
@@ -245,7 +245,7 @@
 
 
 def test_a_passed_on_report_keeps_its_age_and_ends() -> None:
-    # fault: gateways tell each other of a leaving endpoint without end
+    # fault: gateways repeat the notice of a leaving endpoint to each other without end
     first, second = Fleet(), Fleet()
     endpoint = first.add()
     second.add()
@@ -266,7 +266,7 @@
     assert "e0" not in sent
 
 
-def test_pauses_are_not_told_to_others() -> None:
+def test_pauses_are_not_sent_to_others() -> None:
     fleet = Fleet()
     fleet.report(fleet.add(), Notice(pause_s=9.0))
     assert fleet.directory.notices.list_leaving(NOW) == {}
@@ -303,7 +303,7 @@
 
 
 def test_no_backup_is_kept_by_an_endpoint_that_leaves_or_wants_nothing() -> None:
-    # fault: a stream keeps its copy where it can't go on
+    # fault: a stream keeps its backup where it can't resume
     fleet = Fleet()
     runs_at = fleet.add("e0", service="llm", slots=48)
     names = ("e1", "e2", "e3")
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -87,7 +87,7 @@
     assert holder.entry.data_centre == "riga-a", "a suspect backup endpoint is better than none"
 
 
-def test_an_endpoint_heard_from_since_the_failure_is_not_suspect() -> None:
+def test_an_endpoint_that_has_responded_since_the_failure_is_not_suspect() -> None:
     engines = build_engines(["riga-a"] * 2 + ["kurzeme-a"])
     for engine in engines:
         engine.listed_at = 0.0
@@ -107,7 +107,7 @@
 
 
 def test_a_backup_is_kept_only_at_the_version_of_its_run() -> None:
-    # fault: a stream went on from the memory of another software version
+    # fault: a stream resumed from the memory of another software version
     engines = [
         Endpoint(build_entry("e1", service="llm", slots=48)),
         Endpoint(build_entry("e2", service="llm", slots=48, data_centre="riga-b", version="v2")),
--- a/tests/gateway/test_silent_engines.py
+++ b/tests/gateway/test_silent_engines.py
@@ -1,4 +1,4 @@
-"""Engines that fall silent for a second and go on: what can't go on elsewhere waits for them."""
+"""Engines that are silent for a second: streams that can't resume elsewhere wait for them."""
 
 from __future__ import annotations
 
@@ -71,7 +71,7 @@
     ]
 
 
-# all streams of an engine were cut though none could go on elsewhere
+# all streams of an engine were cut though none could resume elsewhere
 async def test_streams_without_a_further_attempt_wait_for_a_silent_engine(
     gateway, start_server
 ) -> None:
@@ -81,7 +81,7 @@
     assert sum(len(server.ran) for server in servers) == STREAMS
 
 
-# streams were cut that found no engine to go on at
+# streams were cut that found no engine to resume at
 async def test_streams_without_another_engine_wait_for_a_silent_one(gateway, start_server) -> None:
     servers = await start_engines(start_server, 1)
     assert await run_streams(gateway, servers, streams=8) == ["whole"] * 8
@@ -146,7 +146,7 @@
     assert len(again) == 4
 
 
-# a repeatable call was cut at a fraction of its target though it had no retry to go on with
+# a repeatable call was cut at a fraction of its target though it had no retry left
 async def test_a_slow_call_without_a_retry_waits_for_its_answer(gateway, start_server) -> None:
     limit_retries(gateway, 0, "app")
     for number in range(2):
--- a/tests/gateway/test_unopened_attempts.py
+++ b/tests/gateway/test_unopened_attempts.py
@@ -13,7 +13,7 @@
 ERRORS = [OverflowError("port"), UnicodeError("label"), ValueError("null byte"), OSError("no way")]
 
 
-# an address to which nobody can connect made the gateway answer 500 beside sound servers
+# an address that accepts no connection made the gateway answer 500 beside sound servers
 @pytest.mark.parametrize("error", ERRORS, ids=lambda error: type(error).__name__)
 async def test_a_connection_that_fails_with_any_error_leads_to_another_endpoint(
     gateway, start_server, monkeypatch: pytest.MonkeyPatch, error: Exception
--- a/tests/gateway/versions/test_pin.py
+++ b/tests/gateway/versions/test_pin.py
@@ -1,4 +1,4 @@
-"""Streams go on only at the software version that began them."""
+"""Streams resume only at the software version that began them."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
 
 @pytest.mark.parametrize("leaves", ["removed", "draining"])
 async def test_a_stream_whose_version_has_left_ends_at_once(gateway, start_server, leaves) -> None:
-    # fault: it went on at another version, or waited up to its deadline
+    # fault: it resumed at another version, or waited up to its deadline
     first = await start_engine(start_server, "i-1", "riga-a", "v1", event_interval_s=0.02)
     other = await start_engine(start_server, "i-2", "riga-b", "v2")
     responder = RecordingResponder()
@@ -105,7 +105,7 @@
     assert not other.seen
 
 
-async def test_a_stream_goes_on_at_the_same_endpoint_if_its_version_has_no_other(
+async def test_a_stream_resumes_at_the_same_endpoint_if_its_version_has_no_other(
     gateway, start_server
 ) -> None:
     first = await start_engine(
@@ -181,7 +181,7 @@
 async def test_an_event_whose_version_can_not_be_recorded_is_not_passed_on(
     gateway, start_server
 ) -> None:
-    # fault: nobody could tell later which version had begun the stream
+    # fault: the version that had begun the stream was not known later
     first = await start_engine(start_server, "i-1", "riga-a", "v1")
     await start_engine(start_server, "i-2", "riga-b", "v2")
 
@@ -205,7 +205,7 @@
     assert len(second.seen) == 1
 
 
-async def test_the_memory_of_versions_is_told_of_begin_and_end(gateway, start_server) -> None:
+async def test_the_memory_of_versions_records_begin_and_end(gateway, start_server) -> None:
     await start_engine(start_server, "i-1", "riga-a", "v1")
     recorded: list[tuple[str, ...]] = []
     versions = gateway.stream_versions
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -177,7 +177,7 @@
 
 # fault: as above, where the version that was left is wanted again and the store still holds it
 @virtually
-async def test_a_late_write_does_not_replace_a_version_that_is_wanted_again(
+async def test_a_late_write_does_not_replace_a_version_that_is_requested_again(
     fleet: SimFleet,
 ) -> None:
     await start_with_two_versions(fleet)
@@ -378,13 +378,13 @@
         assert refused.value.refusal.kind is ErrorKind.STORE_UNAVAILABLE
         assert refused.value.refusal.retry_after is not None
         assert asyncio.get_running_loop().time() - begun_at <= 1.6
-        # a host's own streams go on
+        # a host's own streams resume
         assert await first.find(stream) == "v2"
 
     take_up()
 
 
-# fault: a caller learns of the streams of another workspace
+# fault: a caller can find out about streams of another workspace
 @virtually
 async def test_a_stream_of_another_workspace_is_unknown(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet)
@@ -398,7 +398,7 @@
 
 # fault: callers that don't name their stream were refused by each host that had started lately
 @virtually
-async def test_a_take_up_that_names_no_stream_goes_on_while_only_the_base_is_known(
+async def test_a_take_up_that_names_no_stream_resumes_while_only_the_base_is_known(
     fleet: SimFleet,
 ) -> None:
     fleet.serve("v1")
@@ -411,7 +411,7 @@
     assert await restarted.versions.find(build_stream_call("a")) == "v1"
 
 
-# fault: such a stream could go on at another version than the one that began it
+# fault: such a stream could resume at another version than the one that began it
 @virtually
 async def test_a_take_up_that_names_no_stream_is_refused_beside_a_release(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet)
@@ -555,7 +555,7 @@
     asyncio.run(check())
 
 
-# fault: callers whose requests had no id went on with each other's streams
+# fault: callers whose requests had no id resumed each other's streams
 def test_a_take_up_that_names_no_stream_is_not_one_without_an_id() -> None:
     async def check() -> None:
         versions = StreamVersions(Directory())
--- a/tests/gateway/versions/test_takeups.py
+++ b/tests/gateway/versions/test_takeups.py
@@ -1,4 +1,4 @@
-"""Streams that callers take up again go on at the software version that began them."""
+"""Streams that callers take up again resume at the software version that began them."""
 
 from __future__ import annotations
 
@@ -77,7 +77,7 @@
 
 
 async def test_a_stream_of_unknown_version_is_not_taken_up(gateway, start_server) -> None:
-    # fault: it went on at any version
+    # fault: it resumed at any version
     near, far = await start_both(start_server)
     await expect_refusal(gateway, ErrorKind.VERSION_UNKNOWN)
     await expect_refusal(gateway, ErrorKind.VERSION_UNKNOWN, resumes="")
@@ -125,7 +125,7 @@
 async def test_the_stream_of_another_workspace_is_as_unknown_as_one_that_never_was(
     gateway, start_server
 ) -> None:
-    # fault: the refusal told which ids another workspace had used
+    # fault: the refusal revealed which ids another workspace had used
     await start_both(start_server)
     await begin(gateway, "v1", workspace="other")
     known = await expect_refusal(gateway, ErrorKind.VERSION_UNKNOWN)
@@ -147,7 +147,9 @@
     assert near.seen
 
 
-async def test_the_log_tells_at_which_version_an_attempt_ran(gateway, start_server, caplog) -> None:
+async def test_the_log_names_the_version_at_which_an_attempt_ran(
+    gateway, start_server, caplog
+) -> None:
     await start_both(start_server)
     await begin(gateway, "v1")
     with caplog.at_level("INFO", logger="basilroad"):
--- a/tests/harness/test_known_red.py
+++ b/tests/harness/test_known_red.py
@@ -93,14 +93,14 @@
 
 
 @pytest.mark.parametrize("text", ["test_it.py::test_red\n", f"test_gone.py::test_red{NOTES}"])
-def test_bad_entry_is_told(pytester: pytest.Pytester, text: str) -> None:
+def test_bad_entry_is_reported(pytester: pytest.Pytester, text: str) -> None:
     (pytester.path / "KNOWN-RED.txt").write_text(text)
     result = pytester.runpytest_subprocess()
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines(["*no notes, or no such file*"])
 
 
-# fault: a listed test fails for another reason than its entry names, and nothing tells so
+# fault: a listed test fails for another reason than its entry names, and no message says so
 def test_what_failed_this_time_is_printed(pytester: pytest.Pytester, workers: str) -> None:
     result = run(pytester, workers, "test_red", "test_setup", select="red or setup")
     result.stdout.fnmatch_lines(["*test_it.py::test_red", "*E * assert False*"])
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -79,7 +79,7 @@
     assert len(server.requests) == 1
 
 
-# fault: a response cut in its body told nothing of a server that responds
+# fault: a response cut in its body did not count as a sign of life of the server
 @pytest.mark.parametrize("answer", [b"", OK[:-1]], ids=["none", "body"])
 async def test_the_error_tells_that_the_server_closed_the_connection(answer: bytes) -> None:
     async with run_server(answer) as server:
--- a/tests/settings/test_restored_table.py
+++ b/tests/settings/test_restored_table.py
@@ -112,7 +112,7 @@
 
 
 # Guards against: a setting that a peer passed on first counts as known from before the restore.
-async def test_setting_heard_from_a_peer_after_a_restore_replaces_the_lost_one() -> None:
+async def test_setting_received_from_a_peer_after_a_restore_replaces_the_lost_one() -> None:
     table, store, watch = await make_restored(written=0)
     copy = table.store.revision
     table.put("status/host", "1")
--- a/tests/soak/test_streampromises.py
+++ b/tests/soak/test_streampromises.py
@@ -95,11 +95,13 @@
 @pytest.mark.parametrize(
     ("resumed", "began", "kept"), [(6, 12, True), (5, 12, False), (3, 6, True), (2, 6, False)]
 )
-def test_half_as_many_streams_go_on_as_new_ones_begin(resumed: int, began: int, kept: bool) -> None:
+def test_half_as_many_streams_resume_as_new_ones_begin(
+    resumed: int, began: int, kept: bool
+) -> None:
     assert is_kept(build_taken_up(resumed, began)) is kept
 
 
-def test_a_few_streams_that_do_not_go_on_are_no_breach() -> None:
+def test_a_few_streams_that_do_not_resume_are_no_breach() -> None:
     record = build_taken_up(0, 12)
     assert not is_kept(record)
     del record.requests["s0-2"]
--- a/tests/standin/test_appserver.py
+++ b/tests/standin/test_appserver.py
@@ -1,4 +1,4 @@
-"""The application server stand-in tells its software version."""
+"""The application server stand-in reports its software version."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
         return decode_events(await response.read())
 
 
-async def test_events_tell_the_version_and_the_run(server: AppServerStandin) -> None:
+async def test_events_name_the_version_and_the_run(server: AppServerStandin) -> None:
     runs = [await read_events(server) for _ in range(2)]
     for events in runs:
         assert [event.number for event in events] == [1, 2, 3]
@@ -52,7 +52,7 @@
     assert {event.version for event in await read_events(server)} == {"v8"}
 
 
-async def test_a_server_that_fell_silent_goes_on(server: AppServerStandin) -> None:
+async def test_a_server_continues_after_a_silence(server: AppServerStandin) -> None:
     began = time.monotonic()
     events, _ = await asyncio.gather(read_events(server), server.fall_silent(SILENT_S))
     assert len(events) == EVENTS
--- a/tests/standin/test_rowstore.py
+++ b/tests/standin/test_rowstore.py
@@ -227,9 +227,7 @@
     assert (await caller.poll(1)).era == "2"
 
 
-async def test_calls_that_are_broken_off_learn_of_no_write(
-    store: RowStoreStandin, caller: Caller
-) -> None:
+async def test_aborted_calls_return_no_write(store: RowStoreStandin, caller: Caller) -> None:
     poll = asyncio.ensure_future(poll_bytes(store, 0))
     await asyncio.sleep(SETTLE_S)
     store.break_off()
