--- a/src/basilroad/coordination/budget.py
+++ b/src/basilroad/coordination/budget.py
@@ -76,7 +76,7 @@
         self._retries.add(retries)
 
     def borrow(self, retries: int) -> None:
-        """Add retries that another process has lent; they lapse as the lender's come back.
+        """Add retries that another process has lent; they expire as the lender regains them.
 
         :param retries: number of retries
         """
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -108,10 +108,10 @@
         """:return: id of the call to which a response belongs; empty if it names none."""
 
     def read_notice(self, head: ReplyHead, endpoint_id: str) -> Notice:
-        """Read what a response says of its endpoint.
+        """Read the notice of the endpoint in a response.
 
         :param head: head of the response
-        :param endpoint_id: id of the endpoint that was asked
+        :param endpoint_id: id of the endpoint to which the request was sent
         :return: the notice; an empty one for the response of another endpoint at the address
         """
 
@@ -119,7 +119,7 @@
         """Read the limit that a response names for the requests of all gateways together.
 
         :param head: head of the response
-        :param endpoint_id: id of the endpoint that was asked
+        :param endpoint_id: id of the endpoint to which the request was sent
         :return: requests a second, infinite if it names none; ``None`` for the response of another
             endpoint at the address
         """
@@ -248,7 +248,7 @@
         self._claim_move = claim_move
         self._may_send = may_send
         self._confirm_start = confirm_start
-        # a response may arrive after a restart; it speaks for the lifetime that was asked
+        # a response may arrive after a restart; its notice is about the lifetime before
         self._notices = endpoint.notices
         self._pool = endpoint.pool
         self._channel: Channel | None = None
@@ -355,7 +355,7 @@
                 "previous": channel.previous_id,
             },
         )
-        # one copy is read past; the connection is given up at another
+        # one copy is skipped; a second one closes the connection
         channel.previous_id = ""
         try:
             await channel.skip_response()
--- a/src/basilroad/gateway/attempttracker.py
+++ b/src/basilroad/gateway/attempttracker.py
@@ -22,7 +22,7 @@
 SERVER_ERROR = 500
 
 MIN_RETRY_AFTER_S = 0.01
-"""Shortest retry delay sent to callers, as 0 stands for the default of the error kind."""
+"""Shortest retry delay sent to callers; 0 means the default of the error kind."""
 
 
 @attrs.define
--- a/src/basilroad/gateway/candidates.py
+++ b/src/basilroad/gateway/candidates.py
@@ -57,7 +57,7 @@
         return [e for e in endpoints if e.entry.version not in criteria.claimed]
 
     def list_preferred(self, call: Call, criteria: EndpointCriteria) -> list[Endpoint]:
-        """:return: the same, without those at which a new stream had better not begin."""
+        """:return: the same, without versions that take no new streams."""
         return self._filter_preferred(call, criteria, self.list_all(call, criteria))
 
     def choose(
--- a/src/basilroad/gateway/exchange/state.py
+++ b/src/basilroad/gateway/exchange/state.py
@@ -30,7 +30,7 @@
     :param peers: addresses of some gateways that it knows
     :param runs: prompts that it sent and the endpoints that have them
     :param data_centre: its data centre
-    :param leaving: start time of each leaving endpoint and milliseconds since it said so
+    :param leaving: start time of each leaving endpoint and milliseconds since its notice
     :param limits: start time of endpoints that named a limit, requests per 1000 seconds (0 if it
         has ended), and milliseconds since that was known
     :param stopping: whether its shutdown was requested
--- a/src/basilroad/gateway/limits.py
+++ b/src/basilroad/gateway/limits.py
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class NamedLimit:
-    """What a response said of the limit of its endpoint.
+    """Limit of an endpoint that one of its responses named.
 
     :param per_s: requests a second of all gateways together; infinite if none was named
     :param asked_at: monotonic seconds at which the request of the response was sent
@@ -36,7 +36,7 @@
 class EndpointLimit:
     """Limit of one lifetime of an endpoint, and the permits of this gateway for requests to it.
 
-    :param named: what the response to the newest request said
+    :param named: the limit in the response to the newest request
     :param per_s: the last limit, in force until ``ends_at``; infinite without one
     :param ends_at: monotonic seconds at which this gateway returns after the end of the limit
     :param refused_until: monotonic seconds until which no permit is to be had
@@ -95,9 +95,9 @@
         self.refused_until, self.interval_s = now + wait_s, wait_s
 
     def record(self, named: NamedLimit, now: float, generator: random.Random) -> bool:
-        """Record what a response said, unless a response to a later request is known.
+        """Record the limit that a response named, unless a response to a later request is known.
 
-        :param named: what it said
+        :param named: the limit
         :param now: monotonic seconds
         :param generator: random number generator
         :return: whether a limit began, changed or ended
--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/notices.py
@@ -71,7 +71,7 @@
 
 @attrs.frozen
 class Notice:
-    """What one response says of its endpoint.
+    """Notice of an endpoint in one of its responses.
 
     :param leaving: whether it will exit and wants no further calls
     :param pause_s: seconds for which it wants no requests of this gateway; ``None`` without a pause
@@ -149,9 +149,9 @@
         self.limit.take_permit(self.register.clock())
 
     def record_limit(self, named: NamedLimit, source: Source, now: float) -> None:
-        """Record what a response said of the limit of the endpoint.
+        """Record the limit of the endpoint that a response named.
 
-        :param named: what it said
+        :param named: the limit
         :param source: its origin
         :param now: monotonic seconds
         """
@@ -166,7 +166,7 @@
             _LOGGER.info("limit ended", extra=_describe_limit(self, source, now))
 
     def record(self, notice: Notice, source: Source, now: float) -> None:
-        """Record what a response says; a response without a notice takes nothing back.
+        """Record the notice of a response; a response without one revokes nothing.
 
         :param notice: the notice
         :param source: which response it was
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -173,7 +173,7 @@
             return None
         reservation = place.reservation
         if not self._pin.admits(reservation.endpoint):
-            # it was listed anew while the reservation was handed over
+            # its entry changed while the reservation was handed over
             self._gateway.dispatcher.release(reservation)
             self._tracker.record_unsent()
             return NotRun("the endpoint has changed")
--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -274,7 +274,7 @@
         self, base: _StoredBase, candidates: Mapping[str, int], now: float
     ) -> _StoredBase | None:
         since = now - VERSION_MEMORY_S
-        # an endpoint may have come back since the last observation
+        # an endpoint may have been listed again since the last observation
         is_back = base.version in self._listing.count_listed(self.service)
         if is_back or not candidates or not self._listing.is_complete_since(since):
             return None
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -133,7 +133,7 @@
         return True
 
     def end(self, call: Call) -> None:
-        """Record that the response to a call has ended, so that its caller may come back.
+        """Record the end of the response to a call, which its caller may take up again.
 
         :param call: the call
         """
--- a/src/basilroad/platform/notices.py
+++ b/src/basilroad/platform/notices.py
@@ -1,4 +1,4 @@
-"""Decodes what the servers' responses say of the server itself."""
+"""Decodes the notices of servers in their responses."""
 
 from __future__ import annotations
 
@@ -40,10 +40,10 @@
 
 
 def read_notice(head: ReplyHead, endpoint_id: str) -> Notice:
-    """Read what a response says of its server.
+    """Read the notice of the server in a response.
 
     :param head: status and headers of the response
-    :param endpoint_id: id of the server that was asked
+    :param endpoint_id: id of the server to which the request was sent
     :return: the notice; an empty one for the response of another server at the address
     """
     if _is_from_other(head, endpoint_id):
@@ -59,7 +59,7 @@
     """Read the limit that a response names.
 
     :param head: status and headers of the response
-    :param endpoint_id: id of the server that was asked
+    :param endpoint_id: id of the server to which the request was sent
     :return: requests a second, the lowest of several values; infinite if it names none; ``None``
         for the response of another server at the address
     """
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -152,10 +152,10 @@
         return head.get(HEADER_REQUEST_ID.lower())
 
     def read_notice(self, head: ReplyHead, endpoint_id: str) -> Notice:
-        """Read what a response says of its server.
+        """Read the notice of the server in a response.
 
         :param head: status and headers of the response
-        :param endpoint_id: id of the server that was asked
+        :param endpoint_id: id of the server to which the request was sent
         :return: the notice
         """
         return read_notice(head, endpoint_id)
@@ -164,7 +164,7 @@
         """Read the limit that a response names for the requests of all gateways together.
 
         :param head: status and headers of the response
-        :param endpoint_id: id of the server that was asked
+        :param endpoint_id: id of the server to which the request was sent
         :return: requests a second, infinite if it names none; ``None`` for another server
         """
         return read_limit(head, endpoint_id)
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -275,7 +275,7 @@
         self._relay.resume(self._table)
         received_at = read_boot_clock()
         if self._clock.is_other(earliest, received_at, changes.store_s):
-            # it may also have come back at once, without a read that failed
+            # the store may have restarted without a failed read
             self._clock.reset()
             _LOGGER.warning("store clock changed", extra={"table": self._table})
         at = self._clock.estimate_time(earliest, received_at, changes.store_s)
