--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -18,7 +18,7 @@
     from basilroad.gateway.reports import ReportReader
 
 START_TIMEOUT_S = 0.5
-"""Time limit of the report that tells the start; sound engines fall silent for a second or so, and
+"""Time limit of the report of the start; sound engines fall silent for a second or so, and
 a backoff and further checks follow."""
 
 RESTART_LISTED_S = 5.0
@@ -32,7 +32,7 @@
     """Asks endpoints for their start on connections that are to carry streams.
 
     An endpoint may start again with other software under its id and address. Until the listing
-    shows it, only its report tells the start. A connection leads to one start as long as it lasts.
+    shows it, only its report names the start. A connection leads to one start as long as it lasts.
 
     :param directory: the listed endpoints
     :param protocol: reads the start from reports
@@ -49,11 +49,11 @@
     def is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
         """Check whether an endpoint may have started again with another version.
 
-        Streams that go on are few, and hosts without a call at an endpoint see no sign of its
+        Resumed streams are few, and hosts without a call at an endpoint see no sign of its
         restart, so each connection is checked before the first of them.
 
         :param endpoint: the endpoint
-        :param is_bound: whether the stream has begun, so that it may go on at its version only
+        :param is_bound: whether the stream has begun, so that it may resume at its version only
         :return: whether connections to it have to be checked; never while it names a limit, which
             reports would use up
         """
