--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -101,17 +101,17 @@
         """Read from the response to a probe when the endpoint started.
 
         :param body: its body
-        :return: Unix milliseconds; ``None`` if it doesn't tell
+        :return: Unix milliseconds; ``None`` if it doesn't report it
         """
 
     def read_request_id(self, head: ReplyHead) -> str:
         """:return: id of the call to which a response belongs; empty if it names none."""
 
     def read_notice(self, head: ReplyHead, endpoint_id: str) -> Notice:
-        """Read what a response says of its endpoint.
+        """Read the notice of the endpoint in a response.
 
         :param head: head of the response
-        :param endpoint_id: id of the endpoint that was asked
+        :param endpoint_id: id of the endpoint to which the request was sent
         :return: the notice; an empty one for the response of another endpoint at the address
         """
 
@@ -119,7 +119,7 @@
         """Read the limit that a response names for the requests of all gateways together.
 
         :param head: head of the response
-        :param endpoint_id: id of the endpoint that was asked
+        :param endpoint_id: id of the endpoint to which the request was sent
         :return: requests a second, infinite if it names none; ``None`` for the response of another
             endpoint at the address
         """
@@ -185,7 +185,7 @@
 
     @property
     def ends_with_connection(self) -> bool:
-        """:return: whether only the end of the connection tells the end of the body."""
+        """:return: whether the body ends with the connection."""
         return not (self._head.get("content-length") or self._head.get("transfer-encoding"))
 
     async def read(self) -> bytes | None:
@@ -223,7 +223,7 @@
     :param endpoint: destination
     :param protocol: encoding of the call
     :param options: per-attempt data
-    :param claim_move: claims what the call needs to go on at another endpoint
+    :param claim_move: claims what the call needs to continue at another endpoint
     :param may_send: checks whether there is still time to send the call
     :param confirm_start: checks a connection before the call is sent on it; ``None`` for no check
     """
@@ -248,7 +248,7 @@
         self._claim_move = claim_move
         self._may_send = may_send
         self._confirm_start = confirm_start
-        # a response may arrive after a restart; it speaks for the lifetime that was asked
+        # a response may arrive after a restart; its notice is about the lifetime before
         self._notices = endpoint.notices
         self._pool = endpoint.pool
         self._channel: Channel | None = None
@@ -355,7 +355,7 @@
                 "previous": channel.previous_id,
             },
         )
-        # one copy is read past; the connection is given up at another
+        # one copy is skipped; a second one closes the connection
         channel.previous_id = ""
         try:
             await channel.skip_response()
--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -31,7 +31,7 @@
 BASE_KEY = "base"
 
 LINGER_S = 30.0
-"""Time for which an endpoint may go on with its streams after its entry is gone."""
+"""Time for which an endpoint may continue its streams after its entry is gone."""
 
 VERSION_MEMORY_S = RESUME_WINDOW_S + LINGER_S
 """Time after a version was last listed in which one of its streams may be taken up again."""
@@ -136,7 +136,7 @@
         return known.version if known is not None else None
 
     @property
-    def is_in_doubt(self) -> bool:
+    def is_unconfirmed(self) -> bool:
         """:return: whether the store was restored from a copy that may lack records."""
         base = self.stored
         # a row that is missing after a restore may have been lost, with records
@@ -159,8 +159,8 @@
             _LOGGER.info("base version in doubt", extra=_describe(self))
         return self.is_leased
 
-    def doubt(self, now: float) -> None:
-        """Read the row again, as the store was restored.
+    def record_restore(self, now: float) -> None:
+        """Record a restore of the store, after which the row has to be read again.
 
         :param now: boot clock in seconds
         """
@@ -186,7 +186,7 @@
         is_listed = state.base is not None and self._listing.is_listed(
             self.service, state.base.version
         )
-        if is_listed and not self.is_in_doubt:
+        if is_listed and not self.is_unconfirmed:
             return True
         is_served = bool(self._listing.count_listed(self.service))
         return is_served and now - state.read_at >= REREAD_INTERVAL_S
@@ -290,7 +290,7 @@
         self, base: _StoredBase, candidates: Mapping[str, int], now: float
     ) -> _StoredBase | None:
         since = now - VERSION_MEMORY_S
-        # an endpoint may have come back since the last observation
+        # an endpoint may have been listed again since the last observation
         is_back = base.version in self._listing.count_listed(self.service)
         if is_back or not candidates or not self._listing.is_complete_since(since):
             return None
@@ -308,7 +308,7 @@
     def apply(self, outcome: Outcome, now: float) -> None:
         """Apply the outcome of a change.
 
-        :param outcome: what became of it
+        :param outcome: its outcome
         :param now: boot clock in seconds at which the change was sent
         """
         self._apply(outcome, now)
@@ -352,7 +352,7 @@
         self.is_leased = (
             base is not None
             and base.successor is None
-            and not self.is_in_doubt
+            and not self.is_unconfirmed
             and (self._best is None or self._best.generation <= base.generation)
             and read_at >= self._settles_at
             and self._listing.is_listed(self.service, base.version)
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -1,4 +1,4 @@
-"""Software versions of streams, which go on only at endpoints of the version that began them."""
+"""Software versions of streams, which resume only at endpoints of the version that began them."""
 
 from __future__ import annotations
 
@@ -137,7 +137,7 @@
         return True
 
     def end(self, call: Call) -> None:
-        """Record that the response to a call has ended, so that its caller may come back.
+        """Record the end of the response to a call, which its caller may take up again.
 
         :param call: the call
         """
@@ -169,7 +169,7 @@
         """Find the version of the stream that a caller takes up again.
 
         :param call: the call, which names it in ``resumes``
-        :return: the version; ``None`` if it isn't known, so that the stream may not go on
+        :return: the version; ``None`` if it isn't known, so that the stream may not resume
         :raises RefusedError: the records can't be read now
         """
         try:
@@ -225,7 +225,7 @@
             return ("record" if version is not None else "unknown"), version
         # a stream without a record was begun by the base version that was in force then
         base = await self._read_base(service)
-        if service.base.is_in_doubt:
+        if service.base.is_unconfirmed:
             return self._find_despite_loss(service, base)
         return ("base", base) if base is not None else self._find_sole_listed(service.name)
 
--- a/tests/gateway/exchange/test_permits.py
+++ b/tests/gateway/exchange/test_permits.py
@@ -31,7 +31,7 @@
 WINDOW_S = 4.0
 STEP_S = 0.02
 SILENT_PEER_S = 3.0
-"""Time after which a peer that is not heard is dropped."""
+"""Time after which a silent peer is dropped."""
 
 
 def count_allowed(per_s: float) -> float:
@@ -55,7 +55,7 @@
         """Start anew, without knowledge of anything."""
         fleet = self.fleet
         self.started_at, self.up = fleet.now, True
-        self.heard_at: dict[int, float] = {}
+        self.received_at: dict[int, float] = {}
         register = NoticeRegister(random.Random(self.number), clock=lambda: fleet.now)
         directory = Directory(lambda: fleet.now, register)
         directory.put(build_entry("e1"))
@@ -78,13 +78,13 @@
         hosts = self.fleet.hosts
         return {
             hosts[number].name: Peer(hosts[number].address, "riga-a")
-            for number, at in self.heard_at.items()
+            for number, at in self.received_at.items()
             if self.fleet.now - at < SILENT_PEER_S
         }
 
 
 class Fleet:
-    """Gateways that hear each other unless a link is cut, and send to one endpoint.
+    """Gateways that receive gossip of each other unless a link is cut, and send to one endpoint.
 
     :param hosts: number of gateways
     :param per_s: limit of the endpoint
@@ -99,14 +99,14 @@
         self.hosts: list[Host] = []
         self.hosts += [Host(self, number) for number in range(hosts)]
         self.now += 12.0
-        self.hear()
+        self.exchange_gossip()
 
-    def hear(self) -> None:
-        """Let all hosts hear each other; those that are up learn of the limit too."""
+    def exchange_gossip(self) -> None:
+        """Deliver gossip among all hosts; those that are up also get the limit."""
         for host in self.hosts:
             others = (n for n in range(len(self.hosts)) if n != host.number)
-            heard = [n for n in others if self.hosts[n].up and not self.is_cut(n, host.number)]
-            host.heard_at.update(dict.fromkeys(heard, self.now))
+            reachable = [n for n in others if self.hosts[n].up and not self.is_cut(n, host.number)]
+            host.received_at.update(dict.fromkeys(reachable, self.now))
             named = NamedLimit(self.per_s, self.now)
             host.endpoint.notices.record_limit(named, Source.ANSWER, self.now)
 
@@ -126,11 +126,11 @@
         :param seconds: length of the run
         :param demand: returns the host that has a call in this step, if any
         """
-        heard_at = self.now
+        received_at = self.now
         for _ in range(round(seconds / STEP_S)):
-            if self.now - heard_at >= 0.5:
-                self.hear()
-                heard_at = self.now
+            if self.now - received_at >= 0.5:
+                self.exchange_gossip()
+                received_at = self.now
             number = demand()
             if number is not None and self.hosts[number].up:
                 await self.send(self.hosts[number])
@@ -195,10 +195,10 @@
     assert fleet.find_most() <= count_allowed(per_s)
 
 
-# fault: hosts that don't hear the others take themselves for all that there are
+# fault: isolated hosts take themselves for all that there are
 @LIMITS
 @pytest.mark.parametrize("apart", [1, 2, 14])
-async def test_a_limit_holds_while_hosts_do_not_hear_each_other(apart: int, per_s: float) -> None:
+async def test_a_limit_holds_during_a_partition_of_the_hosts(apart: int, per_s: float) -> None:
     fleet = Fleet(28, per_s)
     await fleet.run(4.0, lambda: fleet.random.randrange(28))
     fleet.is_cut = lambda a, b: (a < apart) is not (b < apart)
@@ -211,7 +211,7 @@
 
 # fault: hosts that started while the store was away know no other one, and each takes the limit
 @pytest.mark.parametrize("is_known", [True, False])
-async def test_a_limit_holds_while_no_host_hears_another(is_known: bool) -> None:
+async def test_a_limit_holds_while_all_hosts_are_isolated(is_known: bool) -> None:
     fleet = Fleet(28, 1.0)
     fleet.is_cut = lambda _a, _b: True
     if not is_known:
@@ -253,8 +253,8 @@
     assert not asker.endpoint.notices.limit.is_refused(fleet.now + MAX_WAIT_S)
 
 
-# fault: a host goes on asking for permits after the limit has ended, as others know
-async def test_a_grantor_that_knows_of_the_end_tells_so() -> None:
+# fault: a host continues to ask for permits after the limit has ended, as others know
+async def test_a_grantor_reports_the_end_of_a_limit() -> None:
     fleet = Fleet(4, 1.0)
     first = fleet.hosts[0].permits.rank_grantors(fleet.hosts[0].endpoint)[0]
     asker = next(host for host in fleet.hosts if host.name != first)
