Wait for the polls that a store closes before it falls silent

test_a_reader_whose_store_does_not_return_withdraws took 2.0 s once, limit 1.05 s. Its limit holds for a store that closes the polls it holds. The test closed them right after the first listing, when the watch on the entries makes its pause and the next poll of the config may still be in transit. Nothing is closed then, and the reader notices the silent connection at silence_s = 2.0 s, which is the limit for that case. The product keeps both limits.

The test now waits until the store holds the poll of each watch, which the stand-in counts, and keeps its limit. The case in transit has a test of its own with the limit silence_s. Both go by turns of the event loop.

--- a/src/basilroad/standin/rowstore.py
+++ b/src/basilroad/standin/rowstore.py
@@ -48,6 +48,7 @@
     :param era: sent in the header ``Store-Era``; rises by one with each restore
     :param sends_era: whether that header is sent
     :param clock_offset_s: seconds by which the clock of the responses differs from ours
+    :param polls: number of long polls that wait for a change
     """
 
     ip: str = "127.0.0.1"
@@ -60,6 +61,7 @@
     port: int = 0
     revision: int = 0
     calls: int = 0
+    polls: int = 0
     _rows: dict[RowName, tuple[int, bytes | None]] = attrs.field(factory=dict)
     _changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _break_count: int = 0
@@ -233,10 +235,13 @@
             left_s = limit - loop.time()
             if rows or left_s <= 0:
                 return self._answer(sorted(rows, key=lambda row: row["ver"]))
+            self.polls += 1
             try:
                 await asyncio.wait_for(changed.wait(), left_s)
             except TimeoutError:
                 continue
+            finally:
+                self.polls -= 1
         return web.Response(status=503)
 
     def _list(self, table: str, *, removed: bool = False) -> list[dict[str, Any]]:
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -148,6 +148,15 @@
     assert any(isinstance(message, Update) for message in seen), "it went on as the reader"
 
 
+async def measure_withdrawal(rig: Rig) -> float:
+    """:return: seconds from now until a reader withdraws."""
+    began_at = time.monotonic()
+    await wait_until(lambda: any(isinstance(m, Withdrawal) for m in rig.relay.list_due()[0]))
+    return time.monotonic() - began_at
+
+
+# fault: a reader whose store closed its polls and was gone kept its followers without a limit
+@pytest.mark.by_turns
 @pytest.mark.parametrize("silent", [True, False])
 async def test_a_reader_whose_store_does_not_return_withdraws(
     silent_rig: Rig, silent: bool
@@ -155,11 +164,31 @@
     rig = silent_rig
     rig.relay.update_peers([("i", NOBODY)])
     await wait_until(lambda: bool(rig.relay.list_due()[0]))
+    # the store closes the polls that it holds, not one that is still in transit
+    await wait_until(lambda: rig.store.polls == len(rig.watches))
     rig.store.silent, rig.store.refusing = silent, 0 if silent else 503
     rig.store.break_off()
-    closed_at = time.monotonic()
-    await wait_until(lambda: any(isinstance(m, Withdrawal) for m in rig.relay.list_due()[0]))
-    assert time.monotonic() - closed_at <= rig.budget.reread_s + GOSSIP_INTERVAL_S
+    assert await measure_withdrawal(rig) <= rig.budget.reread_s + GOSSIP_INTERVAL_S
+
+
+# fault: a reader whose poll was in transit when its store fell silent kept its followers beyond
+# the time within which a silent connection has to be noticed
+@pytest.mark.by_turns
+async def test_a_reader_whose_polls_are_in_transit_when_the_store_falls_silent_withdraws(
+    silent_rig: Rig,
+) -> None:
+    rig = silent_rig
+    rig.relay.update_peers([("i", NOBODY)])
+    await wait_until(lambda: bool(rig.relay.list_due()[0]))
+    await wait_until(lambda: rig.store.polls == len(rig.watches))
+    rig.store.put("op", "config", build_config(2))
+    rig.store.put("servers", "i-2", SERVER)
+    while rig.version == 1:
+        await asyncio.sleep(0)
+    assert rig.store.polls == 0
+    rig.store.silent = True
+    rig.store.break_off()
+    assert await measure_withdrawal(rig) <= rig.budget.silence_s + GOSSIP_INTERVAL_S
 
 
 @pytest.mark.parametrize(("drain_s", "config_apply_s"), [(2.5, 2.5), (4.0, 4.0), (5.0, 5.0)])
