Measure turns by the processor time of the event loop's thread

Within a turn the clock of the tests by turns followed the clock of the machine, and only the next turn left out what the machine had taken: a reading after a hold-up was ahead of those of later turns. A lag measured there counted the hold-up in full. test_hosts_keep_their_reader_when_the_history_is_dropped failed so with 1.68 s, limit 1.5 s.

A turn now counts its wait, up to what was asked for, and its processor time, together up to 10 ms as before, and each reading goes by that. On an idle machine both are the same. A test that blocks the event loop on purpose lets that time pass by block_event_loop, which skips it by turns.

--- a/tests/support/gatewayrig.py
+++ b/tests/support/gatewayrig.py
@@ -20,6 +20,7 @@
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.rowstore import RowStoreStandin
 from support.addresses import find_free_port
+from support.turnclock import TurnLoop
 
 CONFIGURE_TURN_S = 0.01
 CONFIGURE_TURNS = 300
@@ -188,7 +189,11 @@
 
 def block_event_loop(length_s: float) -> None:
     """Do nothing else for a while, as on a host without processor time."""
-    time.sleep(length_s)
+    loop = asyncio.get_running_loop()
+    if isinstance(loop, TurnLoop):
+        loop.skip(length_s)
+    else:
+        time.sleep(length_s)
 
 
 __all__ = [
--- a/tests/support/turnclock.py
+++ b/tests/support/turnclock.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import selectors
 import time
 
@@ -16,24 +17,50 @@
 TURN_S = 0.01
 """Time that a turn counts for at most."""
 
+MILLISECOND_S = 0.001
+"""Resolution of a wait."""
+
 _read_monotonic = time.monotonic
 _read_clock = time.clock_gettime
+_read_thread_clock = time.thread_time
 
 
 class _TurnSelector(selectors.DefaultSelector):
-    """Ends a turn of its event loop at each call, and adds up what turns took beyond their time."""
+    """Ends a turn of its event loop at each call, and adds up what turns ran and waited.
+
+    A wait counts for as long as was asked at most. Work counts by the processor time of the thread,
+    also within a turn: a reading that the machine held up would be ahead of those of later turns.
+    """
 
     def __init__(self) -> None:
         super().__init__()
-        self.lost_s = 0.0
-        self._turn_at = _read_monotonic()
+        self._turned_s = _read_monotonic()
+        self._turn_limit_s = TURN_S
+        self._worked_at = _read_thread_clock()
+
+    def read_clock(self) -> float:
+        """:return: seconds that all turns until now count for."""
+        worked_s = _read_thread_clock() - self._worked_at
+        return self._turned_s + min(self._turn_limit_s, worked_s)
+
+    def skip(self, length_s: float) -> None:
+        """Let time pass in which nothing runs.
+
+        :param length_s: seconds
+        """
+        self._turned_s += length_s
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """:return: what is ready, after a shorter wait than asked for."""
-        ready = super().select(WAIT_S if timeout is None else min(timeout, WAIT_S))
-        ended_at = _read_monotonic()
-        self.lost_s += max(0.0, ended_at - self._turn_at - TURN_S)
-        self._turn_at = ended_at
+        self._turned_s = self.read_clock()
+        wait_s = WAIT_S if timeout is None else min(timeout, WAIT_S)
+        asked_s = math.ceil(max(0.0, wait_s) / MILLISECOND_S) * MILLISECOND_S
+        began_at = _read_monotonic()
+        ready = super().select(wait_s)
+        waited_s = min(asked_s, _read_monotonic() - began_at)
+        self._turned_s += waited_s
+        self._turn_limit_s = TURN_S - waited_s
+        self._worked_at = _read_thread_clock()
         return ready
 
 
@@ -46,12 +73,19 @@
 
     def time(self) -> float:
         """:return: seconds in which this event loop ran or waited."""
-        return _read_monotonic() - self._turns.lost_s
+        return self._turns.read_clock()
 
     @property
     def lost_s(self) -> float:
-        """:return: seconds that turns took beyond their time."""
-        return self._turns.lost_s
+        """:return: seconds by which this clock is behind that of the machine."""
+        return _read_monotonic() - self._turns.read_clock()
+
+    def skip(self, length_s: float) -> None:
+        """Let time pass in which this event loop does nothing, as on a host without processor time.
+
+        :param length_s: seconds
+        """
+        self._turns.skip(length_s)
 
 
 def read_monotonic() -> float:
