Send requests through a stop by turns of the event loop

test_each_request_on_a_kept_connection_is_answered_through_a_whole_stop found no request in transit at the close at times. Its 700 callers, the gateway and the server share an event loop. Each caller looks whether its connection is closed and sends 40 ms later; where the machine holds the event loop up, all of them have sent, and their requests are read, before the gateway closes what is idle.

The test goes by turns of the event loop; the hold-ups of its busy cases are skipped time, in which nothing runs, as before. Its limits and checks are the same. With the fault put back on a scratch copy, which closes idle connections without a last response, the new one fails in all 4 cases.

--- a/tests/platform/test_stop_connections.py
+++ b/tests/platform/test_stop_connections.py
@@ -88,6 +88,7 @@
 
 # fault: requests on their way to a stopping gateway got neither an answer nor a refusal, as it
 # closed the idle connections that they were sent on
+@pytest.mark.by_turns
 @pytest.mark.parametrize("is_busy", [False, True], ids=["calm", "busy"])
 @pytest.mark.parametrize("seed", [1, 2])
 async def test_each_request_on_a_kept_connection_is_answered_through_a_whole_stop(
