Follow a reader by turns while the store refuses

test_a_host_that_the_store_refuses_gets_the_config_from_its_reader wants keys that were confirmed within 0.4 s. The time of a confirmation is a lower bound: a read that takes longer leaves the clock of the store as uncertain as it was, and updates that the event loop makes late are older. Store, reader and host share the event loop, so what the machine takes from it counted against the 0.4 s.

The test goes by turns of the event loop, with the same checks. With no fetch from the reader it fails, version 1 instead of 2.

--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -260,6 +260,8 @@
     await wait_until(lambda: rig.version == 2 and rig.gateway.directory.get("i-1") is not None)
 
 
+# fault: a host whose own reads the store refused kept the last config beside a newer reader
+@pytest.mark.by_turns
 async def test_a_host_that_the_store_refuses_gets_the_config_from_its_reader(rig: Rig) -> None:
     rig.store.put("op", "config", build_config(1, "k"))
     await wait_until(lambda: rig.version == 1)
