Write again by turns what the soak's store has lost

test_what_was_written_since_the_copy_is_written_again compares what the store holds with what is written again 0 to 2 s after its return, by the clock of the machine; store and writer share the event loop. The tests of the writer go by turns of the event loop, with the same limits and checks.

--- a/tests/soak/test_storewriter.py
+++ b/tests/soak/test_storewriter.py
@@ -12,6 +12,8 @@
 from basilroad.standin.rowstore import RowStoreStandin
 from soak.storewriter import CONFIG_ROW, COPY_INTERVAL_S, WRITTEN_AGAIN_S, StoreWriter
 
+pytestmark = pytest.mark.by_turns
+
 MARGIN_S = 1.0
 
 
