Say that a restored store may lack records where it did not follow a rename

Change: the property of the base version is may_lack_records, which says what it reports, in all five uses.

--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -136,7 +136,7 @@
         return known.version if known is not None else None
 
     @property
-    def is_unconfirmed(self) -> bool:
+    def may_lack_records(self) -> bool:
         """:return: whether the store was restored from a copy that may lack records."""
         base = self.stored
         # a row that is missing after a restore may have been lost, with records
@@ -146,7 +146,7 @@
     def is_lost(self) -> bool:
         """:return: whether a restored store has no row from before the restore."""
         base = self.stored
-        return self.is_in_doubt and (base is None or base.epoch == LOST_EPOCH)
+        return self.may_lack_records and (base is None or base.epoch == LOST_EPOCH)
 
     def is_trusted(self, now: float) -> bool:
         """Check whether the base version is known and can't have changed since.
@@ -186,7 +186,7 @@
         is_listed = state.base is not None and self._listing.is_listed(
             self.service, state.base.version
         )
-        if is_listed and not self.is_unconfirmed:
+        if is_listed and not self.may_lack_records:
             return True
         is_served = bool(self._listing.count_listed(self.service))
         return is_served and now - state.read_at >= REREAD_INTERVAL_S
@@ -352,7 +352,7 @@
         self.is_leased = (
             base is not None
             and base.successor is None
-            and not self.is_unconfirmed
+            and not self.may_lack_records
             and (self._best is None or self._best.generation <= base.generation)
             and read_at >= self._settles_at
             and self._listing.is_listed(self.service, base.version)
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -225,7 +225,7 @@
             return ("record" if version is not None else "unknown"), version
         # a stream without a record was begun by the base version that was in force then
         base = await self._read_base(service)
-        if service.base.is_unconfirmed:
+        if service.base.may_lack_records:
             return self._find_despite_loss(service, base)
         return ("base", base) if base is not None else self._find_sole_listed(service.name)
 
@@ -245,7 +245,7 @@
     async def _search_unnamed(self, service: ServiceVersions) -> tuple[str, str | None]:
         # it may have a record, unless no other version than the base is known
         base = await self._read_base(service)
-        if service.base.is_in_doubt:
+        if service.base.may_lack_records:
             return self._find_despite_loss(service, base)
         now = self._clock()
         if not (service.base.is_trusted(now) or self._listing.is_complete_since(now)):
