Word platform and scenario tests in the terms of the field

Streams resume, requests are in flight, readers report or announce. Texts of steps, names of tests and comments change, nothing else; names in KNOWN-RED.txt and the message that it quotes stay.

--- a/tests/features/not_run.feature
+++ b/tests/features/not_run.feature
@@ -3,7 +3,7 @@
 
   Scenario: No engine serves the model
     Given a fleet of 2 engines and 1 entry
-    When a caller asks for 20 tokens of a model that nobody serves
+    When a caller asks for 20 tokens of a model that is not served
     Then it is refused and was not run
     And the engines have generated 0 tokens
 
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -71,7 +71,7 @@
     Then the last effect is may_have_run
     And order 1 has run 1 time
 
-  # fault: a new agent told "never" of what the one before it had run
+  # fault: a new agent reported "never" for what the one before it had run
   Scenario: An entry starts after the agent that ran an order was replaced, and the store goes away
     Given a fleet of 1 order service and 2 entries
     When order 1 is sent at entry 0
@@ -174,7 +174,7 @@
     Then the last effect is done
     And the service saw the path /orders
 
-  Scenario: Stock lookups go on while one service is stuck
+  Scenario: Stock lookups continue while one service is stuck
     Given a fleet of 2 order services and 1 entry
     And stock lookups are idempotent and hedged
     When a stock lookup is sent while the first service is stuck
--- a/tests/features/tokens.feature
+++ b/tests/features/tokens.feature
@@ -21,7 +21,7 @@
       | the agent's link to its engine is cut  |
       | the agent's link to its engine freezes |
 
-  Scenario Outline: A lost link comes back while the answer goes on elsewhere
+  Scenario Outline: A lost link comes back while the answer continues elsewhere
     Given a fleet of 3 engines and 1 entry
     When a caller asks for 400 tokens
     And 40 tokens have been received
@@ -60,7 +60,7 @@
     And the engine that runs it is killed
     Then the caller has all 200 tokens once
 
-  Scenario Outline: The entry is lost and the caller goes on at another one
+  Scenario Outline: The entry is lost and the caller resumes at another one
     Given a fleet of 3 engines and 2 entries
     When a caller asks for 300 tokens
     And 40 tokens have been received
--- a/tests/gateway/test_silent_crashes.py
+++ b/tests/gateway/test_silent_crashes.py
@@ -82,7 +82,7 @@
 async def test_a_resumed_stream_is_not_blamed_for_a_silent_engine(gateway, start_server) -> None:
     options = {"events": 30, "event_interval_s": 0.03}
     first = await start_server("i-1", service="llm", **options)
-    # they tell their start, and fall silent on the request
+    # they report their start, and fall silent on the request
     options |= {"crash_body": DEADLY, "crash_point": CrashPoint.SILENT, "down_s": 60.0}
     second = await start_server("i-2", service="llm", data_centre="kurzeme-a", **options)
     third = await start_server("i-3", service="llm", data_centre="kurzeme-a", **options)
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -19,9 +19,9 @@
 
 @attrs.define
 class ReportingServer(AppServerStandin):
-    """Tells its start in reports.
+    """Reports its start.
 
-    :param start_ms: the start; ``None`` to tell none
+    :param start_ms: the start; ``None`` to report none
     """
 
     start_ms: int | None = 1
@@ -61,7 +61,7 @@
 
 
 @pytest.mark.parametrize("listed", [1, 2])
-async def test_a_stream_does_not_go_on_at_a_restart_that_is_not_listed_yet(
+async def test_a_stream_does_not_resume_at_a_restart_that_is_not_listed_yet(
     gateway, engine, start_server, listed
 ) -> None:
     # fault: the engine was back with other software before the listing showed it
@@ -83,7 +83,7 @@
     assert len(engine.seen) == 1
 
 
-async def test_a_stream_goes_on_at_a_listed_restart_of_its_version(gateway, engine) -> None:
+async def test_a_stream_resumes_at_a_listed_restart_of_its_version(gateway, engine) -> None:
     engine.reset_at_event = 8
     responder = RecordingResponder()
     task = asyncio.ensure_future(run(gateway, responder))
@@ -98,7 +98,7 @@
 async def test_a_new_stream_is_not_begun_at_a_restart_that_is_not_listed_yet(
     gateway, engine, start_server
 ) -> None:
-    # fault: it was recorded with the version that the listing told, not the one that began it
+    # fault: it was recorded with the version that was listed, not the one that began it
     await start_server("i-2", service="llm", events=20, software="v2", data_centre="kurzeme-a")
     engine.start_ms = 2
     responder = await run(gateway)
@@ -120,7 +120,7 @@
     assert engine.reports == 0
 
 
-async def test_an_engine_that_does_not_tell_its_start_is_used(gateway, engine) -> None:
+async def test_an_engine_that_does_not_report_its_start_is_used(gateway, engine) -> None:
     engine.start_ms = None
     put(gateway, engine, version="v2")
     assert (await run(gateway)).numbers == ALL_EVENTS
@@ -151,7 +151,7 @@
 
 
 async def test_an_engine_that_was_only_silent_is_not_checked(gateway, engine) -> None:
-    # fault: streams were refused at an engine that fell silent, though it went on
+    # fault: streams were refused at an engine that fell silent, though it had not ended
     gateway.directory.get("i-1").mark_lost(0.0)
     assert (await run(gateway)).numbers == ALL_EVENTS
     assert engine.reports == 0
@@ -174,10 +174,10 @@
     return responder
 
 
-async def test_a_stream_goes_on_at_no_unlisted_restart_while_the_listing_is_stale(
+async def test_a_stream_resumes_at_no_unlisted_restart_while_the_listing_is_stale(
     gateway, engine, start_server
 ) -> None:
-    # fault: the store was away, so that no listing told of a restart with other software
+    # fault: the store was away, so that no listing showed a restart with other software
     responder = await run_beside_unlisted_restart(
         gateway, engine, start_server, is_listing_read=False
     )
--- a/tests/gateway/versions/test_streamversions_schedules.py
+++ b/tests/gateway/versions/test_streamversions_schedules.py
@@ -16,7 +16,7 @@
 VERSIONS = ("v1", "v2", "v3")
 PAUSES_S = (0.0, 0.1, 0.3, 1.0, 4.0, 20.0, 70.0, 130.0)
 LINGER_S = 20.0
-"""Time for which streams go on at endpoints whose version is not listed any more."""
+"""Time for which streams continue at endpoints whose version is not listed any more."""
 
 MAX_HOSTS = 3
 LATE_S = (None, 0.3, 2.0, 8.0)
@@ -101,7 +101,7 @@
     async def _run(self, host: SimHost, path: list[str], wait_s: float) -> None:
         stream = await self.fleet.begin(host, *path, wait_s=wait_s)
         while stream.ended_at is None and stream.version not in self.fleet.versions:
-            # its endpoints go on for a while after their entries have left
+            # its endpoints continue for a while after their entries have left
             left_s = self.unlisted_at[stream.version or ""] + LINGER_S
             if asyncio.get_running_loop().time() >= left_s:
                 self.fleet.end(stream)
--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -201,7 +201,7 @@
 
 
 @pytest.mark.holds_answers
-def test_what_is_loaded_goes_on_serving_while_the_table_is_away(
+def test_what_is_loaded_continues_to_serve_while_the_table_is_away(
     fleet: Fleet, background: Background
 ) -> None:
     platform = fleet.add_platform(proxied=True)
@@ -223,7 +223,7 @@
     wait_loaded(fleet, f"{MODEL}@2", 3)
 
 
-def test_a_restarted_agent_obeys_nobody_until_it_knows_the_fence(
+def test_a_restarted_agent_obeys_no_planner_until_it_knows_the_fence(
     fleet: Fleet, background: Background
 ) -> None:
     platform = fleet.add_platform(proxied=True)
@@ -279,7 +279,7 @@
     wait_loaded(fleet, f"{MODEL}@1", 1)
 
 
-def test_status_tells_what_is_loaded_and_what_falls_short(fleet: Fleet) -> None:
+def test_status_shows_what_is_loaded_and_what_falls_short(fleet: Fleet) -> None:
     platform = fleet.add_platform()
     add_engines(fleet, 1)
     fleet.add_entry("entry-1")
--- a/tests/integration/test_settings.py
+++ b/tests/integration/test_settings.py
@@ -77,7 +77,7 @@
     assert read_history(platform) == []
 
 
-def test_of_two_racing_operators_one_is_told(platform: Process, file: Path) -> None:
+def test_of_two_racing_operators_one_gets_a_conflict(platform: Process, file: Path) -> None:
     assert run_command(platform, "put", file, "--expect", 0).returncode == 0
     result = run_command(platform, "put", file, "--expect", 0)
     assert result.returncode == 3
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -140,7 +140,7 @@
 
 @pytest.mark.parametrize("missing", ["service", "address", "zone", "slots", "state", "version"])
 def test_an_entry_without_a_field_names_no_server(missing: str) -> None:
-    # fault: streams went on at servers of which nobody knew the version
+    # fault: streams resumed at servers of unknown version
     fields = {name: value for name, value in SERVER.items() if name != missing}
     with pytest.raises(ConfigError):
         decode_server("i-1", msgspec.json.encode(fields))
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -382,7 +382,7 @@
 
 
 @change_kinds
-async def test_streams_go_on_when_their_engine_breaks_beside_a_change(
+async def test_streams_resume_when_their_engine_breaks_beside_a_change(
     rig: ChangingRig, change: Callable[[Config], None]
 ) -> None:
     calls = await start_calls(rig)
@@ -393,7 +393,7 @@
 
 
 @change_kinds
-async def test_streams_go_on_at_new_servers_when_all_old_ones_end_beside_a_change(
+async def test_streams_resume_at_new_servers_when_all_old_ones_end_beside_a_change(
     rig: ChangingRig, change: Callable[[Config], None]
 ) -> None:
     calls = await start_calls(rig)
@@ -424,7 +424,7 @@
 async def test_streams_with_one_attempt_outlast_a_silent_second_beside_a_change(
     rig: ChangingRig, change: Callable[[Config], None]
 ) -> None:
-    # fault: all streams of a silent engine were cut, though none could go on elsewhere
+    # fault: all streams of a silent engine were cut, though none could resume elsewhere
     await rig.change(allow_one_attempt)
     calls = await start_calls(rig)
     rig.llm.silent = True
@@ -434,7 +434,7 @@
     await calls.check(rig)
 
 
-async def test_a_stream_that_can_go_on_nowhere_is_cut_with_a_line(
+async def test_a_stream_that_can_resume_nowhere_is_cut_with_a_line(
     rig: ChangingRig, caplog: pytest.LogCaptureFixture
 ) -> None:
     caplog.set_level("INFO")
--- a/tests/platform/test_confirmation_age.py
+++ b/tests/platform/test_confirmation_age.py
@@ -47,7 +47,7 @@
 
 
 def list_confirmation_times(rig: Rig) -> list[float]:
-    """:return: times of the confirmations that a reader tells of now."""
+    """:return: times of the confirmations that a reader sends now."""
     now = read_boot_clock()
     return [now - u.age_ms / 1000 for u in list_sent(rig) if isinstance(u, Update)]
 
@@ -89,7 +89,7 @@
         await asyncio.sleep(0.05)
 
 
-# fault: a reader whose watch failed went on telling its followers of a listing that it no longer
+# fault: a reader whose watch failed continued to send its followers a listing that it no longer
 # kept
 async def test_a_reader_whose_watch_fails_withdraws(
     reader: Rig, monkeypatch: pytest.MonkeyPatch
@@ -130,7 +130,7 @@
     serve = exchange._serve
 
     async def serve_late(request: object) -> object:
-        # either host is suspended while the fetch or its response is on the way
+        # either host is suspended while the fetch or its response is in flight
         if pause == "before":
             await asyncio.sleep(0.3)
         response = await serve(request)  # type: ignore[arg-type]
@@ -147,7 +147,7 @@
     assert confirmed_at - 0.5 <= fetched.confirmed_at <= confirmed_at
 
 
-async def test_a_host_that_takes_over_tells_of_no_confirmation_of_its_followers_time(
+async def test_a_host_that_takes_over_sends_no_confirmation_from_its_time_as_a_follower(
     reader: Rig,
 ) -> None:
     # it follows another reader for a while, and then takes over without a read
@@ -172,7 +172,7 @@
 
 
 # fault: a follower whose clock of the store stays uncertain read the whole config at each update
-async def test_a_follower_that_doubts_its_clock_reads_the_store_once(rig: Rig) -> None:
+async def test_a_follower_whose_clock_is_suspect_reads_the_store_once(rig: Rig) -> None:
     rig.store.put("op", "config", build_config(1, "key"))
     await wait_until(lambda: rig.version == 1)
     # the poll from before it follows ends
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -109,7 +109,7 @@
     assert list_ends(caplog) == [("hangs", "shutdown")]
 
 
-async def test_requests_that_nobody_reads_any_more_are_logged_with_their_ids(
+async def test_requests_left_unread_are_logged_with_their_ids(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture
 ) -> None:
     caplog.set_level(logging.INFO)
--- a/tests/platform/test_crasharchive.py
+++ b/tests/platform/test_crasharchive.py
@@ -109,7 +109,7 @@
     assert oldest_s - 2.0 <= left_s <= oldest_s
 
 
-# fault: each gateway that hears of a crash writes it, and writes to the store are billed
+# fault: each gateway that is informed of a crash writes it, and writes to the store are billed
 async def test_only_gateways_that_saw_a_crash_write_it(
     store: RowStoreStandin, start_host: StartHost
 ) -> None:
@@ -192,7 +192,7 @@
 
 
 # fault: the clock of a store that was replaced dates crashes into the future
-async def test_a_store_clock_that_is_behind_makes_no_crash_younger_than_told(
+async def test_a_store_clock_that_is_behind_makes_no_crash_younger_than_reported(
     store: RowStoreStandin, start_host: StartHost
 ) -> None:
     first = await start_host("h1")
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -194,7 +194,7 @@
 
 
 # pattern: a gateway that has restarted sends what all others refuse
-async def test_a_gateway_that_starts_later_hears_what_is_refused(fleet: Fleet) -> None:
+async def test_a_gateway_that_starts_later_receives_what_is_refused(fleet: Fleet) -> None:
     await fleet.generate([SHARED], 0)
     for number in range(3):
         await fleet.generate([SHARED, DEADLY], number % 2)
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -111,7 +111,9 @@
         await rig.send_request("/s/1", X_Deadline_Ms="600")
 
 
-async def test_a_caller_is_told_when_the_only_server_takes_calls_again(rig: GatewayRig) -> None:
+async def test_a_caller_gets_the_time_from_which_the_only_server_takes_calls(
+    rig: GatewayRig,
+) -> None:
     # fault: callers come back after a fixed second to a server that still wants nothing
     await rig.configure(1, "key")
     rig.app.retry_after = "7.5"
@@ -318,7 +320,7 @@
 
 @pytest.fixture
 async def own_clock_app(rig: GatewayRig) -> AsyncIterator[AppServerStandin]:
-    """A server that goes on while the event loop of the gateway is blocked."""
+    """A server that continues while the event loop of the gateway is blocked."""
     background, server = Background(), AppServerStandin("i-own-clock")
     await asyncio.to_thread(background.run, server.start())
     entry = {"service": "app", "zone": "a", "slots": 4, "state": "ready", "version": "v1"}
@@ -444,7 +446,7 @@
 
 
 async def upload_slowly(rig: GatewayRig, request_id: str) -> bytes:
-    """Send an order that exceeds the size limit, and go on sending after the response.
+    """Send an order that exceeds the size limit, and continue to send after the response.
 
     :param rig: the gateway
     :param request_id: id of the order
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -200,7 +200,7 @@
     await exchange.stop()
 
 
-# fault: a follower that heard of a newer version during a fetch read the store as well
+# fault: a follower that received a newer version during a fetch read the store as well
 async def test_a_follower_reads_only_from_its_reader_in_a_storm(
     rig: Rig, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -172,7 +172,7 @@
 
 
 # fault: calls that no server takes in time wait, and are sent in spite of all limits in the end
-async def test_calls_beyond_all_limits_are_told_when_to_come_back(fleet: Fleet) -> None:
+async def test_calls_beyond_all_limits_get_a_retry_delay(fleet: Fleet) -> None:
     await fleet.send(0.5, 40.0)
     for server in fleet.servers:
         server.limit = "0.5"
@@ -188,7 +188,7 @@
     assert refused[len(refused) // 2] < 0.15
 
 
-# fault: the end of a limit is never learnt, as nothing is sent that would show it
+# fault: the end of a limit is never noticed, as nothing is sent that would show it
 async def test_servers_are_used_again_after_their_limit(fleet: Fleet) -> None:
     for server in fleet.servers[:2]:
         server.limit = "1.0"
--- a/tests/platform/test_peerdiscovery.py
+++ b/tests/platform/test_peerdiscovery.py
@@ -17,7 +17,7 @@
 
 
 class KnownPeers:
-    """Records what a gateway learns of its peers."""
+    """Records the peers that a gateway discovers."""
 
     def __init__(self) -> None:
         self.addresses: set[Address] = set()
--- a/tests/platform/test_restore_doubt.py
+++ b/tests/platform/test_restore_doubt.py
@@ -44,7 +44,7 @@
 
 
 async def test_a_response_made_before_the_store_has_settled_confirms_no_key(rig: Rig) -> None:
-    # fault: only the time of arrival was compared, and a response may be on its way for a second
+    # fault: only the time of arrival was compared, and a response may be in flight for a second
     await restore_before_a_revocation(rig)
     config = rig.watches[0]
     await wait_until(lambda: config._restore is not None)
@@ -127,7 +127,7 @@
     await wait_until(lambda: rig.version == 2 and rig.gateway.freshness.is_within(0.2))
 
 
-async def test_a_reader_tells_that_an_entry_has_gone_that_it_held_back(rig: Rig) -> None:
+async def test_a_reader_reports_the_removal_of_an_entry_that_it_held_back(rig: Rig) -> None:
     # fault: followers that had read the copy kept an endpoint that only the reader knew had ended
     rig.store.put("op", "config", build_config(1, "k"))
     rig.store.put("servers", "i-1", STARTED)
@@ -149,7 +149,7 @@
     updates: list[Update] = []
 
     def is_reported() -> bool:
-        # a reader that has lost the store tells its followers so first
+        # a reader that has lost the store sends its followers a withdrawal first
         updates[:] = [each for each in rig.relay.list_due()[0] if isinstance(each, Update)]
         return bool(updates) and updates[-1].complete_to > known
 
--- a/tests/platform/test_restore_open.py
+++ b/tests/platform/test_restore_open.py
@@ -64,7 +64,7 @@
 
 
 class DelayingExchange(ConfigExchange):
-    """Keeps each response on its way for a while.
+    """Delays each response for a while.
 
     :param address: listening address
     """
@@ -110,7 +110,7 @@
 
 
 async def test_an_update_of_another_epoch_alone_confirms_no_key(rig: Rig) -> None:
-    # neither the arrival of an update nor the clock of another epoch tells how long it was delayed
+    # neither the arrival of an update nor the clock of another epoch shows how long it was delayed
     refused_at = await restore_unseen(rig)
     late = build_restored_update(rig)
     for _ in range(15):
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -53,7 +53,7 @@
 CONTACT_S = 2.5
 
 FOLLOWER_READ_S = 0.25
-"""A read by a follower on a new connection between regions, and calls on their way."""
+"""A read by a follower on a new connection between regions, and calls in flight."""
 
 
 @pytest.fixture
@@ -145,7 +145,7 @@
         seen.extend(rig.relay.list_due()[0])
         await asyncio.sleep(0.01)
         assert time.monotonic() - dropped_at <= rig.budget.reread_s + GOSSIP_INTERVAL_S + 0.2
-    assert any(isinstance(message, Update) for message in seen), "it went on as the reader"
+    assert any(isinstance(message, Update) for message in seen), "it is the reader still"
 
 
 @pytest.mark.parametrize("silent", [True, False])
--- a/tests/platform/test_stop_connections.py
+++ b/tests/platform/test_stop_connections.py
@@ -86,7 +86,7 @@
     await rig.stop()
 
 
-# fault: requests on their way to a stopping gateway got neither an answer nor a refusal, as it
+# fault: requests in flight to a stopping gateway got neither an answer nor a refusal, as it
 # closed the idle connections that they were sent on
 @pytest.mark.parametrize("is_busy", [False, True], ids=["calm", "busy"])
 @pytest.mark.parametrize("seed", [1, 2])
@@ -118,7 +118,7 @@
 
 
 async def test_a_request_that_crosses_the_last_response_is_not_run(rig: GatewayRig) -> None:
-    # guards against work for a caller that has been told that its request was not run
+    # guards against work for a caller that got the refusal "not run"
     front = rig.service.settings.front
     reader, writer = await asyncio.open_connection(front.ip, front.port)
     server = rig.service.front._connections
--- a/tests/platform/test_stop_retry.py
+++ b/tests/platform/test_stop_retry.py
@@ -1,4 +1,4 @@
-"""Retry delay of refused streams by what other gateways tell of their stops; no network."""
+"""Retry delay of refused streams by the stops that other gateways announce; no network."""
 
 from __future__ import annotations
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -74,9 +74,9 @@
     assert not isinstance(unreached.value, ResponseLostError)
 
 
-# fault: as above, for responses that don't tell what became of the transaction
+# fault: as above, for responses that don't show the outcome of the transaction
 @pytest.mark.parametrize("status", [500, 502, 504])
-async def test_a_server_error_does_not_tell_that_nothing_was_done(
+async def test_a_server_error_does_not_show_that_nothing_was_done(
     store: RowStoreStandin, client: StoreClient, status: int
 ) -> None:
     store.refusing = status
--- a/tests/platform/test_storeclock.py
+++ b/tests/platform/test_storeclock.py
@@ -53,7 +53,7 @@
 
 
 # fault: the readings of another clock dated a response as late as it was received, so keys that
-# were taken away while it was on its way counted as confirmed
+# were taken away while it was in flight counted as confirmed
 @pytest.mark.parametrize("step_s", [-5000.0, -3.5, 3.5, 5000.0])
 def test_another_clock_dates_no_response_too_late(step_s: float) -> None:
     clock = StoreClock()
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -1,4 +1,4 @@
-"""Streams go on only at servers of the software version that began them."""
+"""Streams resume only at servers of the software version that began them."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
 """Time from the return of the store from a copy to the kill."""
 
 AT_ONCE_S = 2.0
-"""Time within which a stream ends that can't go on; one that waits has a deadline of 10 s."""
+"""Time within which a stream ends that can't resume; one that waits has a deadline of 10 s."""
 
 REFUSED = 503
 
@@ -198,8 +198,8 @@
     return begun and not any(caller.is_whole for caller in callers)
 
 
-# fault: a stream whose server had crashed went on at one of another software version
-async def test_a_stream_goes_on_at_a_server_of_its_version(fleet: Fleet) -> None:
+# fault: a stream whose server had crashed resumed at one of another software version
+async def test_a_stream_resumes_at_a_server_of_its_version(fleet: Fleet) -> None:
     for version in (OLD, NEW):
         await fleet.add_servers(version)
     await fleet.wait_ready()
@@ -211,7 +211,7 @@
     assert all(caller.is_whole for caller in callers)
 
 
-# fault: streams whose software version had left went on at servers of another one
+# fault: streams whose software version had left resumed at servers of another one
 async def test_streams_without_a_server_of_their_version_end_at_once(fleet: Fleet) -> None:
     for version in (OLD, NEW):
         await fleet.add_servers(version)
@@ -228,7 +228,7 @@
     assert all(caller.is_whole for caller in new)
 
 
-# fault: once all gateways had been killed, streams went on at servers of any software version
+# fault: once all gateways had been killed, streams resumed at servers of any software version
 @pytest.mark.parametrize("joins_later", [False, True], ids=["together", "joined"])
 async def test_streams_are_taken_up_at_their_version_after_the_end_of_all_gateways(
     fleet: Fleet, joins_later: bool
@@ -249,7 +249,7 @@
     assert all(caller.is_whole for caller in callers)
 
 
-# fault: streams of the release before went on at servers of the one after it
+# fault: streams of the release before resumed at servers of the one after it
 async def test_streams_are_taken_up_at_their_version_beside_a_second_release(fleet: Fleet) -> None:
     await fleet.add_servers(OLD)
     await fleet.wait_ready()
@@ -267,7 +267,7 @@
     assert all(caller.is_whole for caller in callers)
 
 
-# fault: streams of a software version that had left went on at another one after such an end
+# fault: streams of a software version that had left resumed at another one after such an end
 async def test_streams_of_a_version_that_has_left_are_refused_at_once(fleet: Fleet) -> None:
     await fleet.add_servers(OLD)
     await fleet.wait_ready()
@@ -287,7 +287,7 @@
     assert all(caller.is_whole for caller in new)
 
 
-# fault: gateways that came back beside a silent store let streams go on at any version
+# fault: gateways that came back beside a silent store let streams resume at any version
 async def test_streams_are_taken_up_at_their_version_after_a_silent_store(fleet: Fleet) -> None:
     await fleet.add_servers(OLD)
     await fleet.wait_ready()
@@ -304,7 +304,7 @@
     assert all(caller.is_whole for caller in callers)
 
 
-# fault: streams that began while the store was silent went on at any version after such an end
+# fault: streams that began while the store was silent resumed at any version after such an end
 async def test_streams_that_begin_beside_a_silent_store_are_not_joined(fleet: Fleet) -> None:
     await fleet.add_servers(OLD)
     await fleet.wait_ready()
@@ -322,7 +322,7 @@
     assert 2 * sum(caller.is_whole for caller in begun) >= len(begun)
 
 
-# fault: streams whose records a restored store had lost went on at any version after such an end
+# fault: streams whose records a restored store had lost resumed at any version after such an end
 @pytest.mark.parametrize("moment", ["before", "meanwhile", "after"])
 async def test_streams_are_not_joined_after_a_restore_of_the_store(
     fleet: Fleet, moment: str
@@ -346,11 +346,11 @@
     await fleet.take_up(callers)
     assert list_joined(callers) == []
     if moment == "before":
-        # later nobody is left who could write the records again
+        # later no gateway is left that could write the records again
         assert 2 * sum(caller.is_whole for caller in callers) >= len(callers)
 
 
-# fault: a server that came back at its address with other software went on with its old streams
+# fault: a server that came back at its address with other software resumed its old streams
 @pytest.mark.parametrize("name", ["", "i-after"], ids=["same-id", "new-id"])
 @pytest.mark.parametrize("listed_after_s", [0.0, 0.3], ids=["listed-at-once", "listed-later"])
 async def test_a_release_in_place_ends_streams_of_the_version_before(
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -306,7 +306,7 @@
     assert rig.gateway.directory.get("i-2") is not None
 
 
-async def test_a_follower_reads_versions_that_an_older_gateway_does_not_tell(rig: Rig) -> None:
+async def test_a_follower_reads_versions_that_an_older_gateway_does_not_send(rig: Rig) -> None:
     # fault: the entry lost its version, which also counted as a restart of its endpoint
     rig.store.put("op", "config", build_config(1))
     rig.store.put("servers", "i-1", {**SERVER, "version": "v1"})
--- a/tests/standin/test_engine_standin.py
+++ b/tests/standin/test_engine_standin.py
@@ -277,7 +277,7 @@
         assert response.status == 400
 
 
-# fault: a changed interval reaches only later generations, so a scenario cannot let slow ones go on
+# fault: a changed interval reaches only later generations, so a scenario cannot speed up slow ones
 async def test_a_changed_token_interval_applies_to_a_running_generation(
     client: aiohttp.ClientSession,
 ) -> None:
--- a/tests/support/addresses.py
+++ b/tests/support/addresses.py
@@ -23,7 +23,7 @@
 
 
 def find_free_port() -> int:
-    """:return: a port of 127.0.0.1 that nothing else takes, also while nobody listens on it."""
+    """:return: a port of 127.0.0.1 that nothing else takes, also while no process listens on it."""
     while True:
         port = random.SystemRandom().choice(LISTEN_PORTS)
         reservation = socket.socket()
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -63,7 +63,7 @@
 
     @property
     def public_address(self) -> str:
-        """:return: "ip:port" that other processes use, the proxy's if there is one."""
+        """:return: "ip:port" that other processes use, that of the proxy, unless there is none."""
         return self.proxy.listen if self.proxy else self.address
 
     @property
--- a/tests/support/steps/answers.py
+++ b/tests/support/steps/answers.py
@@ -21,7 +21,7 @@
     context.send_request(CompletionRequest("anna", count, seed=seed))
 
 
-@when(parsers.parse("a caller asks for {count:d} tokens of a model that nobody serves"))
+@when(parsers.parse("a caller asks for {count:d} tokens of a model that is not served"))
 def ask_unknown(context: ScenarioContext, count: int) -> None:
     context.send_request(CompletionRequest("anna", count, model="nobody"))
 
--- a/tests/support/tries.py
+++ b/tests/support/tries.py
@@ -21,7 +21,7 @@
 
 
 def read_end(received: bytes) -> TryEnd:
-    """:return: how a try ended, by the first bytes of its answer; 408 and 503 tell "not run"."""
+    """:return: how a try ended, by the first bytes of its answer; 408 and 503 mean "not run"."""
     if not received:
         return TryEnd.NO_ANSWER
     status = received.split(b" ", 2)[1]
--- a/tests/support/turnclock.py
+++ b/tests/support/turnclock.py
@@ -11,7 +11,8 @@
 import time
 
 WAIT_S = 0.005
-"""Longest wait of a turn, so that a turn that the machine held up is told from one that waited."""
+"""Longest wait of a turn, which distinguishes turns that waited from those that the machine held
+up."""
 
 TURN_S = 0.01
 """Time that a turn counts for at most."""
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -184,7 +184,7 @@
         return self.metrics.unrecorded_streams._value.get()
 
     def kill(self) -> None:
-        """End without a trace; what is on its way to the store goes on."""
+        """End without a trace; what is in flight to the store arrives."""
         for task in self._tasks:
             task.cancel()
 
--- a/tests/support/watchrig.py
+++ b/tests/support/watchrig.py
@@ -34,7 +34,7 @@
 BUDGET = StalenessBudget(CONTACT_S, DRAIN_S)
 
 STARTED = {**SERVER, "born": 1000}
-"""Entry of a server that tells when it started."""
+"""Entry of a server that reports when it started."""
 
 NOBODY = Address("127.0.0.1", 1)
 """Address at which no gateway listens."""
@@ -56,7 +56,7 @@
 
     :param budget: time limits of its watches
     :param host: its name, by which readers are ordered
-    :param address: address at which others fetch its config; ``None`` to serve nobody
+    :param address: address at which others fetch its config; ``None`` to serve no other gateway
     """
 
     def __init__(
