--- a/tests/coordination/test_permits.py
+++ b/tests/coordination/test_permits.py
@@ -35,7 +35,7 @@
             assert source.take("p", 0.7) == 0
 
 
-# fault: all processes that were refused come back for the next permit at the same moment
+# fault: all processes that were refused ask for the next permit at the same moment
 def test_more_processes_wait_longer_and_at_different_times(clock) -> None:
     source = PermitSource(clock, random.Random(1))
     source.take("first", 1.0)
--- a/tests/entry/test_earliersend.py
+++ b/tests/entry/test_earliersend.py
@@ -152,7 +152,7 @@
     assert await read_effect(links, hosts) is Effect.MAY_HAVE_RUN
 
 
-# fault: an agent that came back without the service was not asked about what ran before
+# fault: an agent that restarted without the service was not asked about what ran before
 @pytest.mark.holds_not_run
 async def test_an_agent_replaced_by_one_without_the_service_may_have_run_a_call() -> None:
     agent = Agent("h")
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -38,7 +38,7 @@
 
 
 @pytest.mark.parametrize("fault", ENDLESS_HEADS + ENDLESS_BODIES)
-async def test_an_endless_response_is_given_up_long_before_the_deadline(
+async def test_an_endless_response_is_aborted_long_before_the_deadline(
     gateway, start_server, fault
 ) -> None:
     server = await start_server("i-1")
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -41,7 +41,9 @@
 
 
 # fault: where all hosts stopped, refused streams were retried at once, refused again and lost
-def test_a_stream_that_is_refused_while_most_hosts_stop_comes_back_when_they_have_started() -> None:
+def test_a_stream_that_is_refused_while_most_hosts_stop_has_a_retry_delay_up_to_their_start() -> (
+    None
+):
     gateway = build_gateway(1.8)
     gateway.are_most_hosts_stopping = lambda: True
     with pytest.raises(RefusedError) as caught:
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -207,7 +207,7 @@
     assert not engine.seen
 
 
-async def test_an_engine_is_asked_once_on_a_connection_on_which_streams_go_on(
+async def test_an_engine_is_asked_once_on_a_connection_on_which_streams_resume(
     gateway, engine, start_server
 ) -> None:
     # fault: each resume cost a report, on connections whose start was known too
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -118,7 +118,7 @@
 
 
 @virtually
-async def test_records_leave_after_the_time_for_a_take_up(fleet: SimFleet) -> None:
+async def test_records_are_removed_after_the_time_for_a_take_up(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet)
     streams = [await fleet.begin(fleet.hosts[0], "v2") for _ in range(5)]
     assert len(fleet.store.rows) == 6
@@ -197,7 +197,7 @@
     assert await fleet.hosts[1].find(stream) == "v2"
 
 
-# fault: a change of the base version is applied after that version has come back
+# fault: a change of the base version is applied after that version was listed again
 @virtually
 async def test_a_late_change_of_the_base_version(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet)
@@ -428,7 +428,7 @@
     assert await restarted.versions.find(build_stream_call("a")) is None
 
 
-# fault: all streams need a record for ever after a release
+# fault: all streams need a record permanently after a release
 @virtually
 async def test_the_base_version_follows_a_release(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet, hosts=3)
@@ -445,7 +445,7 @@
     assert (await host.find(early), await host.find(late)) == ("v2", "v2")
 
 
-# fault: records of hosts that died stay in the store for ever
+# fault: records of hosts that died stay in the store permanently
 @virtually
 async def test_records_of_hosts_that_died_are_removed_after_a_release(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet)
@@ -467,9 +467,9 @@
     assert fleet.store.reads - reads <= 5
 
 
-# fault: a base version that is about to change is relied on when it comes back
+# fault: a base version that is about to change is relied on when it is listed again
 @virtually
-async def test_a_base_version_that_comes_back_stays(fleet: SimFleet) -> None:
+async def test_a_base_version_that_is_listed_again_stays(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet)
     host = fleet.hosts[0]
     fleet.serve("v2")
@@ -529,7 +529,7 @@
     assert await host.find(stream) is None
 
 
-# fault: no stream could be taken up for ever after a restore, or each needed a record
+# fault: no stream could be taken up any more after a restore, or each needed a record
 @virtually
 async def test_records_are_complete_again_after_a_restore(fleet: SimFleet) -> None:
     await start_with_two_versions(fleet)
--- a/tests/platform/test_crasharchive.py
+++ b/tests/platform/test_crasharchive.py
@@ -123,7 +123,7 @@
     assert store.calls == 3
 
 
-# fault: a refusal that was wrong comes back after the end of all gateways
+# fault: a wrong refusal is restored after the end of all gateways
 async def test_a_part_that_is_cleared_is_taken_out_of_the_store(
     store: RowStoreStandin, start_host: StartHost
 ) -> None:
@@ -178,7 +178,7 @@
     await wait_until(lambda: second.is_refusing)
 
 
-# fault: crashes are refused for ever, as each start takes them for new ones
+# fault: refusals never end, as each start takes the crashes for new ones
 async def test_crashes_of_long_ago_are_not_read(
     store: RowStoreStandin, start_host: StartHost
 ) -> None:
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -114,7 +114,7 @@
 async def test_a_caller_gets_the_time_from_which_the_only_server_takes_calls(
     rig: GatewayRig,
 ) -> None:
-    # fault: callers come back after a fixed second to a server that still wants nothing
+    # fault: callers retry after a fixed second to a server that still wants nothing
     await rig.configure(1, "key")
     rig.app.retry_after = "7.5"
     rig.app.schedule_faults([WireFault.PAUSE])
@@ -393,7 +393,7 @@
 async def test_a_body_that_is_complete_too_late_in_a_planned_stop_is_not_sent_on(
     rig: GatewayRig,
 ) -> None:
-    # fault: the time left was compared when the head arrived, and the call was sent and given up
+    # fault: the time left was compared when the head arrived, and the call was sent and aborted
     await rig.configure(1, "key")
     limit_s = shorten_grace(rig)
     rig.app.response_delay_s = 0.3
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -267,7 +267,7 @@
     await runner.cleanup()
 
 
-# fault: a reader kept its followers when its store came back with another clock, by which they
+# fault: a reader kept its followers when its store restarted with another clock, by which they
 # took no confirmation of their keys any more
 @pytest.mark.by_turns
 @pytest.mark.parametrize("step_s", [-1000.0, 1000.0])
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -287,7 +287,7 @@
     assert all(caller.is_whole for caller in new)
 
 
-# fault: gateways that came back beside a silent store let streams resume at any version
+# fault: gateways that restarted beside a silent store let streams resume at any version
 async def test_streams_are_taken_up_at_their_version_after_a_silent_store(fleet: Fleet) -> None:
     await fleet.add_servers(OLD)
     await fleet.wait_ready()
@@ -350,7 +350,7 @@
         assert 2 * sum(caller.is_whole for caller in callers) >= len(callers)
 
 
-# fault: a server that came back at its address with other software resumed its old streams
+# fault: a server that restarted at its address with other software resumed its old streams
 @pytest.mark.parametrize("name", ["", "i-after"], ids=["same-id", "new-id"])
 @pytest.mark.parametrize("listed_after_s", [0.0, 0.3], ids=["listed-at-once", "listed-later"])
 async def test_a_release_in_place_ends_streams_of_the_version_before(
--- a/tests/soak/test_releaseschedule.py
+++ b/tests/soak/test_releaseschedule.py
@@ -33,7 +33,7 @@
     assert {one.target for one in releases} <= set(settings.list_engines())
 
 
-def test_versions_serve_side_by_side_and_come_back() -> None:
+def test_versions_serve_side_by_side_and_return() -> None:
     side_by_side = returned = at_same_name = False
     for seed in SEEDS:
         versions = dict.fromkeys(SoakSettings(seed).list_engines(), FIRST_VERSION)
