--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -115,8 +115,10 @@
         await rig.send_request("/s/1", X_Deadline_Ms="600")
 
 
-async def test_a_caller_is_told_when_the_only_server_takes_calls_again(rig: GatewayRig) -> None:
-    # fault: callers come back after a fixed second to a server that still wants nothing
+async def test_a_caller_gets_the_time_from_which_the_only_server_takes_calls(
+    rig: GatewayRig,
+) -> None:
+    # fault: callers retry after a fixed second to a server that still wants nothing
     await rig.configure(1, "key")
     rig.app.retry_after = "7.5"
     rig.app.schedule_faults([WireFault.PAUSE])
@@ -353,7 +355,7 @@
 
 @pytest.fixture
 async def own_clock_app(rig: GatewayRig) -> AsyncIterator[AppServerStandin]:
-    """A server that goes on while the event loop of the gateway is blocked."""
+    """A server that continues while the event loop of the gateway is blocked."""
     background, server = Background(), AppServerStandin("i-own-clock")
     await asyncio.to_thread(background.run, server.start())
     entry = {"service": "app", "zone": "a", "slots": 4, "state": "ready", "version": "v1"}
@@ -426,7 +428,7 @@
 async def test_a_body_that_is_complete_too_late_in_a_planned_stop_is_not_sent_on(
     rig: GatewayRig,
 ) -> None:
-    # fault: the time left was compared when the head arrived, and the call was sent and given up
+    # fault: the time left was compared when the head arrived, and the call was sent and aborted
     await rig.configure(1, "key")
     limit_s = shorten_grace(rig)
     rig.app.response_delay_s = 0.3
