Leave out of waits for processes what these wait for a processor

Tests with real processes, and the soak, gave up waits by the clock of the machine: a gateway not ready within 20 s, an engine not ready within 30 s, time- outs of waits of 60 s. Nothing in such a report showed whether the process hung or the machine did not let it run.

Linux counts for each thread how long it was ready to run and waited for a processor. Limits of waits leave out that time, of the test and of the processes it waits for, and a report says how much it was. A process that hangs, sleeps or is suspended has none of it, so that on an idle machine the limits are the same; the limit of each test still goes by the clock of the machine.

--- a/soak/run.py
+++ b/soak/run.py
@@ -17,13 +17,15 @@
 from soak.promises import PROMISES
 from soak.records import InjectedFault, Kind, Record
 from soak.releaseschedule import draw_faults
+from soak.rundelay import RunLimit
 from soak.schedule import Fault
 from soak.settings import RECOVERY_S, SoakSettings
 from soak.streampromises import TakeUps
 from soak.world import World
 
 READY_TIMEOUT_S = 20.0
-"""Seconds for all gateways to become ready; a start takes about 1 s."""
+"""Seconds for all gateways to become ready; a start takes about 1 s. Time in which the machine
+keeps them or the soak from running doesn't count."""
 
 FAULT_FREE_S = RECOVERY_S + 2.0
 """Seconds of traffic after the last fault."""
@@ -116,14 +118,14 @@
 
 
 async def _wait_ready(world: World) -> None:
-    until = time.monotonic() + READY_TIMEOUT_S
+    limit = RunLimit(READY_TIMEOUT_S, lambda: [gateway.pid for gateway in world.gateways])
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session:
         for gateway in world.gateways:
             while not await _is_ready(session, gateway.readiness):
-                if time.monotonic() > until:
+                if limit.is_over():
                     raise GatewaysNotReadyError(
-                        f"gateway {gateway.number} not ready within {READY_TIMEOUT_S:g} s; "
-                        f"see {gateway.log}"
+                        f"gateway {gateway.number} not ready within {READY_TIMEOUT_S:g} s, "
+                        f"{limit.describe()}; see {gateway.log}"
                     )
                 await asyncio.sleep(0.05)
 
--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -15,6 +15,7 @@
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.peers.wire.peer_grpc import PeerStub
 from basilroad.standin.tokens import expect_tokens
+from soak.rundelay import RunLimit
 from support.background import Background
 from support.callers import StreamedAnswer, stream_completion
 from support.fleet import Endpoint, Fleet, Process
@@ -26,10 +27,10 @@
 LOAD_S = 0.3
 
 
-def wait_until(condition: Callable[[], Any], what: str, timeout_s: float = WAIT_S) -> Any:
-    deadline = time.monotonic() + timeout_s
+def wait_until(condition: Callable[[], Any], what: str, fleet: Fleet) -> Any:
+    limit = RunLimit(WAIT_S, fleet.list_pids)
     while not (found := condition()):
-        assert time.monotonic() < deadline, what
+        assert not limit.is_over(), f"{what} within {WAIT_S:g} s, {limit.describe()}"
         time.sleep(POLL_S)
     return found
 
@@ -45,7 +46,7 @@
 
 
 def wait_loaded(fleet: Fleet, loaded: str, count: int) -> None:
-    wait_until(lambda: count_loaded(fleet, loaded) >= count, f"{count} of {loaded}")
+    wait_until(lambda: count_loaded(fleet, loaded) >= count, f"{count} of {loaded}", fleet)
 
 
 def put_model(fleet: Fleet, least: int, most: int = 0, *versions: str) -> None:
@@ -65,7 +66,7 @@
         holder = read_lease(fleet)["holder"].partition("/")[0]
         return fleet.processes[holder] if holder and holder != but else None
 
-    planner: Process = wait_until(find, "no entry holds the planner lease")
+    planner: Process = wait_until(find, "no entry holds the planner lease", fleet)
     return planner
 
 
@@ -103,7 +104,7 @@
 
 
 async def stream_while(
-    entry: str, streams: int, loaded: Callable[[], bool]
+    fleet: Fleet, entry: str, streams: int, loaded: Callable[[], bool]
 ) -> dict[str, StreamedAnswer]:
     """Keep a number of streams running until a condition holds."""
     answers: dict[str, StreamedAnswer] = {}
@@ -121,7 +122,7 @@
 
     tasks = [asyncio.ensure_future(run(number)) for number in range(streams)]
     await asyncio.get_running_loop().run_in_executor(
-        None, wait_until, loaded, "condition not met while streaming"
+        None, wait_until, loaded, "condition not met while streaming", fleet
     )
     ended.set()
     await asyncio.gather(*tasks)
@@ -161,12 +162,13 @@
     victim = find_planner(fleet)
     entry = next(each for each in planners if each is not victim)
     rolled = background.spawn(
-        stream_while(entry.url, 8, lambda: count_loaded(fleet, f"{MODEL}@2") == 4)
+        stream_while(fleet, entry.url, 8, lambda: count_loaded(fleet, f"{MODEL}@2") == 4)
     )
     put_model(fleet, 3, 0, "2", "1")
     wait_loaded(fleet, f"{MODEL}@2", 1)
     victim.kill()
-    answers = rolled.result(WAIT_S)
+    wait_until(rolled.done, "the streams have not ended", fleet)
+    answers = rolled.result()
     assert find_planner(fleet) is not victim
     check_whole(answers, "1", "2")
 
@@ -216,7 +218,7 @@
     platform.proxy.cut()
     put_model(fleet, 1, 0, "2", "1")
     entry.wait_logged("this entry plans no longer")
-    answers = background.run(stream_while(entry.url, 4, lambda: True))
+    answers = background.run(stream_while(fleet, entry.url, 4, lambda: True))
     check_whole(answers, "1")
     assert count_loaded(fleet, f"{MODEL}@1") == 3
     platform.proxy.heal()
@@ -246,7 +248,7 @@
         placed = background.run(send_command(agent, fence=fence - 1, **command))
         return placed.kind == "stale_order"
 
-    wait_until(is_refused, "the agent did not read the fence")
+    wait_until(is_refused, "the agent did not read the fence", fleet)
     assert read_loaded(fleet.endpoints[0]) == f"{MODEL}@1"
 
 
@@ -293,8 +295,11 @@
     wait_until(
         lambda: f"{MODEL} in riga: no engine is free" in read_state("entry-1").get("shortages", ()),
         "no shortage is reported",
+        fleet,
+    )
+    (load,) = wait_until(
+        lambda: read_state("engine-0-agent").get("loads"), "no load is reported", fleet
     )
-    (load,) = wait_until(lambda: read_state("engine-0-agent").get("loads"), "no load is reported")
     assert (load["loaded"], load["state"]) == (f"{MODEL}@1", "ready")
 
 
@@ -311,5 +316,5 @@
     assert count_loaded(fleet, f"{MODEL}@1") == 2
     fleet.put_setting(f"limits/{MODEL}", {"placement": True})
     wait_loaded(fleet, f"{MODEL}@2", 1)
-    wait_until(lambda: count_loaded(fleet, f"{MODEL}@1") == 0, "the surplus is still loaded")
+    wait_until(lambda: count_loaded(fleet, f"{MODEL}@1") == 0, "the surplus is still loaded", fleet)
     assert count_loaded(fleet, f"{MODEL}@2") == 1
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -18,6 +18,7 @@
 import msgspec
 import yaml
 
+from soak.rundelay import RunLimit
 from support.background import Background
 from support.proxy import FaultProxy
 
@@ -103,12 +104,13 @@
         :param timeout: seconds
         :raises RuntimeError: it exited or was not ready in time
         """
-        deadline = time.monotonic() + timeout
+        limit = RunLimit(timeout, self._list_pids)
         while not self._is_ready():
-            if not self.running or time.monotonic() > deadline:
+            if not self.running or limit.is_over():
                 status = self._child.poll() if self._child else None
                 raise RuntimeError(
-                    f"{self.name} is not ready (exit status {status}):\n{self.read_tail()}"
+                    f"{self.name} is not ready within {timeout:g} s, {limit.describe()} "
+                    f"(exit status {status}):\n{self.read_tail()}"
                 )
             time.sleep(POLL_INTERVAL_S)
 
@@ -118,10 +120,12 @@
         :param timeout: seconds
         :raises RuntimeError: it is still ready
         """
-        deadline = time.monotonic() + timeout
+        limit = RunLimit(timeout, self._list_pids)
         while self._is_ready():
-            if time.monotonic() > deadline:
-                raise RuntimeError(f"{self.name} is still ready after {timeout} s")
+            if limit.is_over():
+                raise RuntimeError(
+                    f"{self.name} is still ready after {timeout:g} s, {limit.describe()}"
+                )
             time.sleep(POLL_INTERVAL_S)
 
     @property
@@ -190,14 +194,18 @@
         :param timeout: seconds
         :raises RuntimeError: the text did not appear in time
         """
-        deadline = time.monotonic() + timeout
+        limit = RunLimit(timeout, self._list_pids)
         while text not in self.logs.read_text(errors="replace"):
-            if time.monotonic() > deadline:
+            if limit.is_over():
                 raise RuntimeError(
-                    f"{self.name} did not log {text!r} within {timeout} s:\n{self.read_tail()}"
+                    f"{self.name} did not log {text!r} within {timeout:g} s, {limit.describe()}:\n"
+                    f"{self.read_tail()}"
                 )
             time.sleep(POLL_INTERVAL_S)
 
+    def _list_pids(self) -> list[int]:
+        return [self._child.pid] if self._child is not None else []
+
     def _send(self, number: signal.Signals) -> None:
         assert self._child is not None
         self._child.send_signal(number)
@@ -383,6 +391,10 @@
             if process.running:
                 process.wait_ready()
 
+    def list_pids(self) -> list[int]:
+        """:return: ids of the processes that are running."""
+        return [process.pid for process in self.processes.values() if process.running]
+
     def close(self) -> None:
         """Kill every process and close every proxy."""
         for process in self.processes.values():
--- a/tests/support/steps/context.py
+++ b/tests/support/steps/context.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from concurrent.futures import Future
+from concurrent.futures import Future, wait
+from typing import Any
 
 import attrs
 
+from soak.rundelay import RunLimit
 from support.background import Background
 from support.callers import OrderAnswer, StreamedAnswer, attach_generation, stream_completion
 from support.fleet import Endpoint, Fleet, Process
@@ -13,6 +15,7 @@
 MODEL = "spec-llm"
 SERVICE = "order-app"
 ANSWER_TIMEOUT_S = 60.0
+POLL_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -111,13 +114,22 @@
         :param count: number of tokens
         """
         for request in self.requests:
-            self.background.run(request.answer.wait_tokens(count), ANSWER_TIMEOUT_S)
+            self._wait(self.background.spawn(request.answer.wait_tokens(count)))
 
     def wait_answers(self) -> None:
         """Wait until every stream has ended."""
         for request in self.requests:
             assert request.future is not None
-            request.future.result(ANSWER_TIMEOUT_S)
+            self._wait(request.future)
+
+    def _wait(self, future: Future[Any]) -> None:
+        limit = RunLimit(ANSWER_TIMEOUT_S, self.fleet.list_pids)
+        while not future.done():
+            if limit.is_over():
+                future.cancel()
+                raise TimeoutError(f"no end within {ANSWER_TIMEOUT_S:g} s, {limit.describe()}")
+            wait([future], POLL_S)
+        future.result()
 
     def find_busiest(self) -> Endpoint:
         """:return: the endpoint whose engine runs the most generations, at least one."""
