Suspend a planner after it knows that it holds its lease

test_a_planner_that_slept_past_its_lease_is_refused waits for the former planner to log that it plans no longer. It suspended the planner once the table named it as the holder, which can be before the planner has its response. Woken past the lease, it finds that it never held it, plans nothing, and has nothing to log.

With a link to the table that takes 0.15 s each way, on scratch copies, the old test failed so in both cases, not logged within 30 s, and the new one passed in both, twice. The test now waits for "this entry plans" first, as its neighbour for a cut table does; its checks are the same. Both cases passed 6 of 6 times beside 6 to 8 busy processes, load 21 to 38.

--- a/tests/integration/test_placement.py
+++ b/tests/integration/test_placement.py
@@ -184,6 +184,9 @@
     fleet.wait_ready()
     put_model(fleet, 1)
     former = find_planner(fleet)
+    # the row shows the holder before the holder gets its response; suspended in between, it would
+    # never plan
+    former.wait_logged("this entry plans")
     old = read_lease(fleet)["fence"]
     former.freeze()
     find_planner(fleet, but=former.name)
