Answer requests behind one that names an upgrade without asking for it

What callers saw: a request that was sent behind one with `Upgrade: h2c`, but without `Connection: Upgrade`, got no answer; the answer ahead of it said `Connection: close`.

Cause: the connection was closed by the value of `Upgrade` alone. The HTTP library drops what follows only if `Connection` names the upgrade; else it reads on, and the requests behind were read and then left unanswered.

Evidence: the new test fails before the change for the first case (no byte behind the first answer). The case of an empty `Upgrade` and the request behind a `CONNECT` were answered before too; their tests keep it so.

Change: the connection is closed only where the parser has seen a request to upgrade, to a protocol that the library doesn't know.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -378,9 +378,10 @@
 
 def _is_rest_lost(request: web.BaseRequest) -> bool:
     # nothing is read behind a malformed body, and the HTTP library drops what it received behind
-    # a request for another protocol that it doesn't know
-    upgrade = request.headers.get("Upgrade", "").lower()
-    return request.content.exception() is not None or upgrade not in ("", *KNOWN_UPGRADES)
+    # a request for another protocol that it doesn't know; it has no public name for these requests
+    is_upgrade = request._message.upgrade and request.method != "CONNECT"
+    is_known = request.headers.get("Upgrade", "").lower() in KNOWN_UPGRADES
+    return request.content.exception() is not None or (is_upgrade and not is_known)
 
 
 def _close_after(response: web.StreamResponse) -> None:
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -240,6 +240,29 @@
     writer.close()
 
 
+# fault: an `Upgrade` that `Connection` doesn't name closed the connection before the next answer
+@pytest.mark.parametrize("lines", [("Upgrade: h2c",), ("Connection: Upgrade", "Upgrade:")])
+async def test_a_request_behind_one_that_asks_for_no_upgrade_is_answered(
+    rig: GatewayRig, lines: tuple[str, ...]
+) -> None:
+    reader, writer = await open_connection(rig)
+    head = build_head("/o/1", "names", "Content-Length: 4", *lines)
+    writer.write(head + b"body" + build_order("behind"))
+    assert await read_response(reader) == (200, b"answer of i-app to names")
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
+
+
+# fault: a request behind one for a tunnel gets no answer, though the library reads on
+async def test_a_request_behind_one_for_a_tunnel_is_answered(rig: GatewayRig) -> None:
+    reader, writer = await open_connection(rig)
+    head = build_head("/o/1", "tunnel").replace(b"POST /o/1 ", b"CONNECT h.example:80 ")
+    writer.write(head + build_order("behind"))
+    assert (await read_response(reader))[0] == 404
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
+
+
 # fault: a request whose head the HTTP library can't read gets no answer
 @pytest.mark.parametrize(
     "request_bytes",
