Give streams that are refused before a restart a least delay

What callers saw: in a wave of stops, a stream that was refused just before the first stopping host was due back got a `Retry-After` of microseconds (below 0.0001 s it is written with an exponent), and came back at once to hosts that still refused it.

Cause: the delay is the time left until that moment, however short.

Evidence: the new test fails before the change: 0.0005 instead of 0.05 s.

Change: the delay is at least the one that other refusals of a stopping host name.

Result: tests/gateway/test_stopping.py, 16 passed.

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -308,7 +308,8 @@
         if schedule is None or not route.streams or not self.are_most_hosts_stopping():
             return refuse_at_shutdown()
         # a retry at once would come to this host, or to one that refuses it too
-        return refuse_at_shutdown(self._find_first_restart(schedule) - time.monotonic())
+        left_s = self._find_first_restart(schedule) - time.monotonic()
+        return refuse_at_shutdown(max(left_s, OTHER_HOST_RETRY_S))
 
     def _find_first_restart(self, schedule: ShutdownSchedule) -> float:
         now, grace_s = time.monotonic(), self.settings.grace_s
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -66,6 +66,17 @@
     assert caught.value.refusal.retry_after == pytest.approx(expected_s, abs=0.1)
 
 
+# fault: just before another host was due back, streams were to come back within microseconds
+def test_a_stream_that_is_refused_just_before_the_first_host_is_due_has_a_retry_delay() -> None:
+    gateway = build_gateway(1.8)
+    gateway.are_most_hosts_stopping = lambda: True
+    due_s = gateway.settings.grace_s - SHUTDOWN_RESERVE_S + RESTART_S
+    gateway.list_other_stops = lambda: [time.monotonic() - due_s + 0.0005]
+    with pytest.raises(RefusedError) as caught:
+        gateway.check_draining(build_stream_route())
+    assert caught.value.refusal.retry_after == OTHER_HOST_RETRY_S
+
+
 def test_a_short_call_that_is_refused_while_most_hosts_stop_has_a_short_retry_delay() -> None:
     # a longer delay would use up its time limit
     gateway = build_gateway(2.5)
