Generate fast for readers that are slow

test_slow_readers_use_bounded_memory lets an engine generate 8 x 4000 tokens that are not read, one each 5 ms: 20 s of waits, each of which starts engine, agent and entry once more. Where the machine holds these up, each wait grows: it was seen at 28 to 37 s, and once beyond 120 s.

The engine of the test now generates one token each 0.5 ms.

--- a/tests/entry/test_http.py
+++ b/tests/entry/test_http.py
@@ -15,6 +15,8 @@
 from support.callers import StreamedAnswer, stream_completion
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from support.background import Background
     from support.fleet import Fleet, Process
 
@@ -22,6 +24,8 @@
 GOOD = {"model": MODEL, "prompt": "check the taper", "max_tokens": 5, "temperature": 0}
 ORDERS = "/v1/services/order-app"
 MEBIBYTE = 1024 * 1024
+TOKEN_INTERVAL_S, FAST_INTERVAL_S = 0.005, 0.0005
+"""Seconds between two tokens of the shared engine, as it starts and as fast as it can."""
 
 
 def _post(
@@ -176,10 +180,20 @@
         await asyncio.sleep(0.05)
 
 
+@pytest.fixture
+def fast_engine(shared: Fleet) -> Iterator[Process]:
+    """:return: the engine of the shared fleet, which generates as fast as it can meanwhile."""
+    engine = shared.endpoints[0].backend
+    engine.ask("POST", "/control", {"token_interval_s": FAST_INTERVAL_S})
+    yield engine
+    engine.ask("POST", "/control", {"token_interval_s": TOKEN_INTERVAL_S})
+
+
+# fault: an entry kept all that its callers had not read yet
 def test_slow_readers_use_bounded_memory(
-    shared: Fleet, entry: Process, background: Background
+    fast_engine: Process, entry: Process, background: Background
 ) -> None:
-    engine = shared.endpoints[0].backend
+    engine = fast_engine
     decoded = engine.ask("GET", "/control/counters")["decoded_tokens"]
     before = psutil.Process(entry.pid).memory_info().rss
     ip, _, port = entry.address.rpartition(":")
