--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -170,7 +170,7 @@
     assert net.gateways[0].list_stops() == []
 
 
-def test_a_gateway_that_does_not_come_back_is_forgotten() -> None:
+def test_a_gateway_that_does_not_return_is_forgotten() -> None:
     net = Net()
     net.stopping = {1}
     net.gateways[1].tick()
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -41,9 +41,7 @@
 
 
 # fault: where all hosts stopped, refused streams were retried at once, refused again and lost
-def test_a_stream_that_is_refused_while_most_hosts_stop_has_a_retry_delay_up_to_their_start() -> (
-    None
-):
+def test_a_stream_refused_while_most_hosts_stop_is_retried_after_their_start() -> None:
     gateway = build_gateway(1.8)
     gateway.are_most_hosts_stopping = lambda: True
     with pytest.raises(RefusedError) as caught:
@@ -57,7 +55,7 @@
 
 # fault: where hosts stopped one after the other, refused streams waited for the host that had
 # refused them though others had started again seconds before
-def test_a_stream_that_is_refused_while_most_hosts_stop_comes_back_to_the_first_host() -> None:
+def test_a_stream_refused_while_most_hosts_stop_is_retried_at_the_first_host() -> None:
     gateway = build_gateway(1.8)
     gateway.are_most_hosts_stopping = lambda: True
     now = time.monotonic()
--- a/tests/platform/test_unanswered_stages.py
+++ b/tests/platform/test_unanswered_stages.py
@@ -201,7 +201,7 @@
     writer.close()
 
 
-# fault: a caller that closes its sending half leaves no line; it can't be told from one that left
+# fault: a caller that closes its sending half leaves no line; it looks like one that left
 async def test_a_caller_that_closes_its_sending_half_is_logged(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -27,7 +27,7 @@
 PROBE_TIMEOUT_S = 1.0
 
 ASK_TIMEOUT_S = 30.0
-"""Time limit of a question of a test to a process; what it tells is checked, not how fast."""
+"""Time limit of a question of a test to a process; the answer is checked, not its speed."""
 
 ENTRY_PORT = 8080
 AGENT_PORT = 8090
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -89,7 +89,7 @@
 
     :param store: the store
     :param cut: whether this host can't reach it
-    :param on_restored: called when a response tells of a restore
+    :param on_restored: called when a response shows a restore
     :param known_epoch: epoch of the last response; 0 without one
     """
 
