Answer an error in the head of a stream in the length that it names

What callers saw: where the head of a stream failed before any of it was sent, a 500 with `Content-Length: 56` whose body was sent in chunks: bytes of the framing in the body, and the rest of it ahead of the next response on the connection.

Cause: the head sets the writer of the connection to chunks before it is checked, and the 500 that follows is written by the same writer.

Evidence: the new test fails before the change: the body begins with the size of a chunk.

Change: the 500 is written without chunks.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -163,6 +163,9 @@
             if request.writer.output_size:
                 # a part of the response was sent
                 raise
+            # the head of a stream may have failed after this was set
+            writer: Any = request.writer
+            writer.chunked = False
             request_id = request.headers.get(HEADER_REQUEST_ID, "")
             _LOGGER.error("call failed", extra={"request": request_id}, exc_info=True)
             return self._refuse(request, Refusal(ErrorKind.INTERNAL, "internal error"), arrived_at)
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -195,6 +195,27 @@
     assert list_ends(caplog) == []
 
 
+# fault: an error in the head of a stream left a 500 with chunks beside its `Content-Length`
+async def test_a_stream_whose_head_fails_is_answered_in_its_length(
+    rig: GatewayRig, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle = CallHandler.handle
+
+    async def fail_once(handler: CallHandler, call: Call, responder: Responder) -> Reply | None:
+        if call.id == "fails":
+            await responder.begin(200, (("X-Broken", "a\nb"),))
+        return await handle(handler, call, responder)
+
+    monkeypatch.setattr(CallHandler, "handle", fail_once)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("fails") + build_order("behind"))
+    status, body = await read_response(reader)
+    assert status == 500
+    assert body.startswith(b'{"error":{"kind":"internal"'), body
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
+
+
 # fault: a request whose body did not become whole was held without an answer past its time
 @pytest.mark.parametrize("left_ms", ["300", "60000"])
 async def test_a_body_that_does_not_arrive_in_time_is_refused(
