List a stream that resumes at a restart whose report was refused

Cause: an endpoint that restarted under its id, not listed yet, answers the report by which its start is asked with a refusal for its limit. The body names no start, and StartCheck.confirm takes that for the listed one. Evidence: the log of gateway 0: 'endpoint limited', source report, 4 ms after 'resume from copy'.

--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -22,12 +22,17 @@
     """Reports its start.
 
     :param start_ms: the start; ``None`` to report none
+    :param refuses_reports: whether it wants no reports for a while
     """
 
     start_ms: int | None = 1
+    refuses_reports: bool = False
 
     async def _report(self, writer: asyncio.StreamWriter) -> None:
         self.reported_at.append(0.0)
+        if self.refuses_reports:
+            writer.write(b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
+            return
         body = b"{}" if self.start_ms is None else b'{"born": %d}' % self.start_ms
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
 
@@ -207,6 +212,18 @@
     assert not engine.seen
 
 
+# fault: a report that an endpoint refused passed for one that names the listed start
+async def test_a_resumed_stream_is_not_sent_to_a_restart_that_refuses_its_report(
+    gateway, engine, start_server
+) -> None:
+    engine.refuses_reports = True
+    responder = await run_beside_unlisted_restart(
+        gateway, engine, start_server, is_listing_read=True
+    )
+    assert responder.numbers == ALL_EVENTS
+    assert not engine.seen
+
+
 async def test_an_engine_is_asked_once_on_a_connection_on_which_streams_resume(
     gateway, engine, start_server
 ) -> None:
