Close test servers in the thread that serves them

Cause: the test closed the server from its own thread. asyncio's servers are not thread-safe: close() and the end of the last connection, which runs in the thread of the loop, both wake the waiters, and the second of them finds None.

Change: close_server() closes a server in its loop; the two tests that closed theirs directly (test_fleet, test_proxy) use it. The seven other calls in tests run in the loop already.

--- a/tests/harness/test_fleet.py
+++ b/tests/harness/test_fleet.py
@@ -5,7 +5,7 @@
 import asyncio
 from pathlib import Path
 
-from support.background import Background
+from support.background import Background, close_server
 from support.fleet import PROBE_TIMEOUT_S, Process
 
 
@@ -22,4 +22,4 @@
     address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
     process = Process("orders-0", ("service",), {}, address, "", tmp_path)
     assert process.ask("GET", "/control/counts") == {"s1-0": 1}
-    server.close()
+    background.run(close_server(server))
--- a/tests/harness/test_proxy.py
+++ b/tests/harness/test_proxy.py
@@ -10,7 +10,7 @@
 import pytest
 
 from support.addresses import find_free_port
-from support.background import Background
+from support.background import Background, close_server
 from support.proxy import FaultProxy
 
 Connect = Callable[[], socket.socket]
@@ -29,7 +29,7 @@
     proxy = FaultProxy(background, f"127.0.0.1:{find_free_port()}", f"127.0.0.1:{target}")
     yield proxy
     proxy.close()
-    server.close()
+    background.run(close_server(server))
 
 
 @pytest.fixture
--- a/tests/support/background.py
+++ b/tests/support/background.py
@@ -47,6 +47,14 @@
         self._loop.close()
 
 
+async def close_server(server: asyncio.Server) -> None:
+    """Close a server in the loop that serves it, since its methods are not thread-safe.
+
+    :param server: accepts no connections afterwards
+    """
+    server.close()
+
+
 async def _cancel_others() -> None:
     others = asyncio.all_tasks() - {asyncio.current_task()}
     for task in others:
@@ -54,4 +62,4 @@
     await asyncio.gather(*others, return_exceptions=True)
 
 
-__all__ = ["Background"]
+__all__ = ["Background", "close_server"]
