Confirm the start of an endpoint also where it limits requests

Cause: before a resume, a gateway asks the endpoint for its start on the connection. A response without a start counted as a confirmation, so that engines that do not report one can be used; but a refusal (429) has no start either. And an endpoint with a limit in force was not asked at all, to leave its requests to calls.

Change: a report with a status other than 200 confirms nothing. Endpoints with a limit are asked with the permit of the stream; the stream then gets another permit, or waits for one while the checked connection is kept. A try that lacks only this permit does not count as refused and does not rule the endpoint out.

Why it holds: there is no path left on which a stream that is_due() selects is sent on a connection without a 200 report on it. The endpoint receives as many requests as it granted permits.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -146,10 +146,12 @@
 
     :param detail: description of the failure
     :param full: whether the endpoint rejected it for lack of capacity
+    :param lacks_permit: whether only a permit of the endpoint was missing
     """
 
     detail: str
     full: bool = False
+    lacks_permit: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,7 +227,8 @@
     :param options: per-attempt data
     :param claim_move: claims what the call needs to continue at another endpoint
     :param may_send: checks whether there is still time to send the call
-    :param confirm_start: checks a connection before the call is sent on it; ``None`` for no check
+    :param confirm_start: checks a connection before the call is sent on it; if it must not be, the
+        result says why, and the connection is closed or kept for others; ``None`` for no check
     """
 
     def __init__(
@@ -236,7 +239,7 @@
         options: AttemptOptions,
         claim_move: ClaimMove = never_move,
         may_send: Callable[[], bool] = lambda: True,
-        confirm_start: Callable[[Channel], Awaitable[bool]] | None = None,
+        confirm_start: Callable[[Channel], Awaitable[NotRun | None]] | None = None,
     ) -> None:
         self.call = call
         self.endpoint = endpoint
@@ -274,9 +277,10 @@
             self.endpoint.record_unreachable(time.monotonic())
             self.endpoint.record_cut(time.monotonic())
             return NotRun(f"no connection: {error}")
-        if self._confirm_start is not None and not await self._confirm_start(channel):
-            channel.close()
-            return NotRun("the start of the endpoint was not confirmed")
+        if self._confirm_start is not None:
+            unsent = await self._confirm_start(channel)
+            if unsent is not None:
+                return unsent
         if time.monotonic() >= self.call.expires_at or not self._may_send():
             # the connection took time, and a busy host runs the timers before this too late
             channel.close()
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -146,7 +146,9 @@
             may_begin=lambda service, version: self.stream_versions.may_begin(service, version),
         )
         self.liveness = Liveness(self.dispatcher, reports)
-        self.start_check = StartCheck(self.directory, protocol, reports)
+        self.start_check = StartCheck(
+            self.directory, protocol, reports, self.dispatcher.acquire_permit
+        )
         self.shutdown = Shutdown(signal=stop_signal or StopSignal())
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/notices.py
@@ -58,6 +58,7 @@
     CALL = "answer"
     REPORT = "report"
     PROBE = "probe"
+    START = "start"
 
 
 class Source(enum.Enum):
@@ -66,6 +67,7 @@
     ANSWER = Purpose.CALL.value
     REPORT = Purpose.REPORT.value
     PROBE = Purpose.PROBE.value
+    START = Purpose.START.value
     GOSSIP = "gossip"
 
 
@@ -128,8 +130,8 @@
         ``Endpoint.is_available``, which choosers ask for each endpoint, reads ``no_calls_until``.
         A leaving endpoint that still runs streams may be probed. During a pause one probe is
         allowed, so that the streams of an endpoint that died meanwhile resume elsewhere. Calls to
-        an endpoint that named a limit have their permit when they are placed; a probe needs one,
-        and reports leave them to calls.
+        an endpoint that named a limit have their permit when they are placed, and a check of its
+        start uses that of its call; a probe needs one, and reports leave them to calls.
 
         :param purpose: what the request is for
         :param now: monotonic seconds
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -27,9 +27,28 @@
 """Time limit of a report before a placement, beyond the round trip; a sound engine answers within a
 few milliseconds, and the call waits meanwhile."""
 
+STATUS_OK = 200
+
 _LOGGER = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class Report:
+    """Response of an engine to a request for its report.
+
+    :param status: HTTP status
+    :param body: complete body
+    """
+
+    status: int
+    body: bytes
+
+    @property
+    def is_refused(self) -> bool:
+        """:return: whether the engine answered without a report, as under a limit."""
+        return self.status != STATUS_OK
+
+
 @attrs.define
 class ReportReader:
     """Asks engines for their reports, on kept connections.
@@ -67,48 +86,48 @@
         self.requests += 1
         try:
             async with asyncio.timeout(limit_s):
-                body = await self._ask(endpoint, purpose)
+                response = await self._ask(endpoint, purpose)
         except (ChannelError, TimeoutError):
             return False
-        report = self.protocol.decode_report(body)
+        report = self.protocol.decode_report(response.body)
         if report is None:
             _LOGGER.debug("report not understood", extra={"endpoint": endpoint.id})
         else:
             endpoint.record_report(report, time.monotonic())
         return True
 
-    async def _ask(self, endpoint: Endpoint, purpose: Purpose) -> bytes:
+    async def _ask(self, endpoint: Endpoint, purpose: Purpose) -> Report:
         notices = endpoint.notices
         # a late copy of an earlier report would pass for a sign of life
         request_id = NO_REQUEST_ID if purpose is Purpose.PROBE else None
         channel = await endpoint.pool.open(request_id=request_id)
         reused = channel.requests > 0
         try:
-            body = await self.exchange(endpoint, channel, notices, purpose)
+            report = await self.exchange(endpoint, channel, notices, purpose)
         except ChannelError:
             # an idle connection may have been closed by a live endpoint
             if not reused:
                 raise
             channel = await endpoint.pool.open(0)
-            body = await self.exchange(endpoint, channel, notices, purpose)
+            report = await self.exchange(endpoint, channel, notices, purpose)
         endpoint.pool.keep(channel)
-        return body
+        return report
 
     async def exchange(
         self, endpoint: Endpoint, channel: Channel, notices: EndpointNotices, purpose: Purpose
-    ) -> bytes:
+    ) -> Report:
         """Read a report on a given connection.
 
         :param endpoint: the engine
         :param channel: a connection to it, which is closed on a failure
         :param notices: notices of the lifetime that is asked
         :param purpose: what the report is read for
-        :return: its body
+        :return: the response
         :raises ChannelError: there is no report
         """
         try:
             # Liveness checks the permission of probes itself, and counts them
-            if purpose is Purpose.REPORT and not notices.permits(purpose, time.monotonic()):
+            if purpose is not Purpose.PROBE and not notices.permits(purpose, time.monotonic()):
                 raise ChannelError("the engine leaves or wants no requests")
             asked_at = time.monotonic()
             channel.send(self.protocol.encode_probe(endpoint.entry.address))
@@ -124,7 +143,7 @@
         except BaseException:
             channel.close()
             raise
-        return body
+        return Report(head.status, body)
 
 
-__all__ = ["REPORT_TIMEOUT_S", "EngineReport", "ReportReader"]
+__all__ = ["REPORT_TIMEOUT_S", "EngineReport", "Report", "ReportReader"]
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -238,7 +238,7 @@
 
     def _find_start_check(
         self, endpoint: Endpoint
-    ) -> Callable[[Channel], Coroutine[Any, Any, bool]] | None:
+    ) -> Callable[[Channel], Coroutine[Any, Any, NotRun | None]] | None:
         check, is_bound = self._gateway.start_check, self._pin.version is not None
         if not self._call.route.repeatable or not check.is_due(endpoint, is_bound=is_bound):
             return None
@@ -389,7 +389,7 @@
         tracker, now = self._tracker, time.monotonic()
         endpoint = attempt.endpoint
         if isinstance(outcome, NotRun):
-            if not used_backup:
+            if not used_backup and not outcome.lacks_permit:
                 tracker.tried.add(endpoint.id)
                 # a version may have few endpoints, whose backoff spaces out the next tries
                 tracker.refused += attempt.sent or self._pin.version is None
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -8,9 +8,12 @@
 from typing import TYPE_CHECKING
 
 from basilroad.endpoints.channels import ChannelError
+from basilroad.gateway.attempt import NotRun
 from basilroad.gateway.notices import Purpose
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.attempt import EndpointProtocol
     from basilroad.gateway.directory import Directory
@@ -37,14 +40,20 @@
     :param directory: the listed endpoints
     :param protocol: reads the start from reports
     :param reports: reads the reports
+    :param acquire_permit: gets a permit for a request to an endpoint that named a limit
     """
 
     def __init__(
-        self, directory: Directory, protocol: EndpointProtocol, reports: ReportReader
+        self,
+        directory: Directory,
+        protocol: EndpointProtocol,
+        reports: ReportReader,
+        acquire_permit: Callable[[Endpoint], Awaitable[bool]],
     ) -> None:
         self._directory = directory
         self._protocol = protocol
         self._reports = reports
+        self._acquire_permit = acquire_permit
 
     def is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
         """Check whether an endpoint may have started again with another version.
@@ -54,44 +63,58 @@
 
         :param endpoint: the endpoint
         :param is_bound: whether the stream has begun, so that it may resume at its version only
-        :return: whether connections to it have to be checked; never while it names a limit, which
-            reports would use up
+        :return: whether connections to it have to be checked
         """
-        now = time.monotonic()
-        if not endpoint.entry.started_ms or endpoint.notices.limit.is_in_force(now):
+        if not endpoint.entry.started_ms:
             return False
-        if is_bound or now - endpoint.cut_at < RESTART_LISTED_S:
+        if is_bound or time.monotonic() - endpoint.cut_at < RESTART_LISTED_S:
             return True
         if self._directory.was_unreadable_within(RESTART_LISTED_S):
             return True
         return self._directory.has_versions(endpoint.entry.service)
 
-    async def confirm(self, endpoint: Endpoint, channel: Channel) -> bool:
+    async def confirm(self, endpoint: Endpoint, channel: Channel) -> NotRun | None:
         """Check the start at the other end of a connection, once for each connection.
 
+        The report uses the permit of the stream if the endpoint named a limit.
+
         :param endpoint: the endpoint
         :param channel: a connection to it, which is closed if the check fails
-        :return: whether a stream may be sent on the connection
+        :return: why no stream may be sent on the connection, ``None`` if it may; if it only lacks
+            a permit, the connection is kept for the next one
         """
+        if channel.confirmed_start_ms == endpoint.entry.started_ms:
+            return None
+        needs_permit = endpoint.notices.limit.is_in_force(time.monotonic())
+        if not await self._has_listed_start(endpoint, channel):
+            channel.close()
+            endpoint.record_unreachable(time.monotonic())
+            return NotRun("the start of the endpoint was not confirmed")
+        if needs_permit and not await self._take_permit(endpoint):
+            self._keep(endpoint, channel)
+            return NotRun("the check of the start used the permit", lacks_permit=True)
+        return None if channel.usable else NotRun("the endpoint closed the connection")
+
+    async def _has_listed_start(self, endpoint: Endpoint, channel: Channel) -> bool:
         expected_ms = endpoint.entry.started_ms
-        if channel.confirmed_start_ms == expected_ms:
-            return True
         try:
             async with asyncio.timeout(START_TIMEOUT_S):
-                body = await self._reports.exchange(
-                    endpoint, channel, endpoint.notices, Purpose.REPORT
+                report = await self._reports.exchange(
+                    endpoint, channel, endpoint.notices, Purpose.START
                 )
         except (ChannelError, TimeoutError) as error:
-            channel.close()
-            endpoint.record_unreachable(time.monotonic())
             _LOGGER.info(
                 "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
             )
             return False
-        started_ms = self._protocol.decode_start(body)
+        if report.is_refused:
+            _LOGGER.info(
+                "start not confirmed",
+                extra={"endpoint": endpoint.id, "detail": f"status {report.status}"},
+            )
+            return False
+        started_ms = self._protocol.decode_start(report.body)
         if started_ms is not None and started_ms != expected_ms:
-            channel.close()
-            endpoint.record_unreachable(time.monotonic())
             _LOGGER.warning(
                 "endpoint restarted before it was listed",
                 extra={
@@ -102,7 +125,19 @@
             )
             return False
         channel.confirmed_start_ms = expected_ms
-        return channel.usable
+        return True
+
+    def _keep(self, endpoint: Endpoint, channel: Channel) -> None:
+        if channel.confirmed_start_ms == endpoint.entry.started_ms:
+            endpoint.pool.keep(channel)
+        else:
+            # its restart was listed meanwhile
+            channel.close()
+
+    async def _take_permit(self, endpoint: Endpoint) -> bool:
+        if not await self._acquire_permit(endpoint):
+            return False
+        return endpoint.notices.limit.take_permit(time.monotonic())
 
 
 __all__ = ["StartCheck"]
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 
 import attrs
 import pytest
 
+from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.limits import NamedLimit
+from basilroad.gateway.notices import Source
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
@@ -34,7 +38,9 @@
             writer.write(b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
             return
         body = b"{}" if self.start_ms is None else b'{"born": %d}' % self.start_ms
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        limit = f"Server-Limit: {self.limit}\r\n".encode() if self.limit else b""
+        head = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (limit, len(body))
+        writer.write(head + body)
 
 
 @pytest.fixture
@@ -224,6 +230,72 @@
     assert not engine.seen
 
 
+def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
+    engine.limit, now = limit, time.monotonic()
+    notices = gateway.directory.get(engine.id).notices
+    notices.record_limit(NamedLimit(float(limit), now), Source.ANSWER, now)
+
+
+# fault: an endpoint with a limit in force was not asked for its start
+async def test_a_resumed_stream_is_not_sent_to_a_restart_that_named_a_limit(
+    gateway, engine, start_server
+) -> None:
+    name_limit(gateway, engine, "1000")
+    responder = await run_beside_unlisted_restart(
+        gateway, engine, start_server, is_listing_read=True
+    )
+    assert responder.numbers == ALL_EVENTS
+    assert engine.reports == 1
+    assert not engine.seen
+
+
+@attrs.define
+class Grantor:
+    """Grants permits in place of other gateways.
+
+    :param left: permits that it still grants
+    :param granted: number of permits that it granted
+    """
+
+    left: int
+    granted: int = 0
+
+    async def acquire(self, endpoint: Endpoint) -> bool:
+        """:return: whether it grants a permit for a request to the endpoint."""
+        if not self.left:
+            return False
+        self.left -= 1
+        self.granted += 1
+        endpoint.notices.limit.add_permit(time.monotonic())
+        return True
+
+
+# fault: the report of a start was sent beside the requests that an endpoint allows
+async def test_a_check_and_its_stream_use_a_permit_each(gateway, engine) -> None:
+    put(gateway, engine, version="v2")
+    name_limit(gateway, engine, "2")
+    grantor = gateway.dispatcher._permits = Grantor(left=5)
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 2)
+    assert (await run(gateway, id="c2")).numbers == ALL_EVENTS
+    assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 3)
+
+
+async def test_a_stream_waits_for_its_permit_on_a_connection_that_is_checked(
+    gateway, engine
+) -> None:
+    put(gateway, engine, version="v2")
+    name_limit(gateway, engine, "2")
+    grantor = gateway.dispatcher._permits = Grantor(left=1)
+    task = asyncio.ensure_future(run(gateway))
+    await wait_for(lambda: engine.reports == 1)
+    await asyncio.sleep(0.1)
+    assert not engine.seen
+    grantor.left = 1
+    assert (await asyncio.wait_for(task, 5)).numbers == ALL_EVENTS
+    assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 2)
+
+
 async def test_an_engine_is_asked_once_on_a_connection_on_which_streams_resume(
     gateway, engine, start_server
 ) -> None:
