Visit only the stream records that are due in a wake-up

What callers saw: nothing by itself; a host with many streams of another version than the base took milliseconds of its event loop, in which no event of any stream is passed on, whenever one of these streams began or ended.

Cause: each wake-up of the keeper searched all records of the host five times: for those that leave, for requests to withdraw, for the next due time, for the next that leaves, and for the next batch.

Evidence: a wake-up with one new stream took 0.3 to 0.8 ms beside 1,600 records and 4 to 9 ms beside 16,000.

Change: records are kept in two keyed heaps, by the time at which they are to be written and by that at which they leave, and those that were never sent in a set. The keyed heap can list its first keys.

Why it works: a record changes its place only when it is requested, kept, sent or answered, and each of these knows its key. A restore still visits all records, since all are written again.

--- a/src/basilroad/coordination/keyedheap.py
+++ b/src/basilroad/coordination/keyedheap.py
@@ -70,6 +70,19 @@
             heapq.heappop(self._heap)
         return None
 
+    def list_first(self, count: int) -> list[Key]:
+        """List the keys with the lowest priorities, which stay in the heap.
+
+        :param count: maximum number of keys
+        :return: the keys, lowest priority first
+        """
+        first: list[tuple[float, int, Key]] = []
+        while len(first) < count and self.head() is not None:
+            first.append(heapq.heappop(self._heap))
+        for entry in first:
+            heapq.heappush(self._heap, entry)
+        return [key for _, _, key in first]
+
     def _compact(self) -> None:
         self._heap = [(priority, serial, key) for key, (priority, serial) in self._current.items()]
         heapq.heapify(self._heap)
--- a/src/basilroad/gateway/versions/records.py
+++ b/src/basilroad/gateway/versions/records.py
@@ -6,12 +6,14 @@
 import logging
 import math
 from functools import singledispatchmethod
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import attrs
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
+from basilroad.coordination.keyedheap import KeyedHeap
 from basilroad.gateway.versions.archive import (
     ArchiveRow,
     Committed,
@@ -104,7 +106,6 @@
 
     :param wanted: version that the store has to hold
     :param due_at: when it is to be written
-    :param leaves_at: when it is to be removed
     :param stored: version that the store was last known to hold
     :param revision: revision of the stored row, as far as known; 0 without a row
     :param sent: whether it was ever sent to the store
@@ -113,7 +114,6 @@
 
     wanted: str
     due_at: float
-    leaves_at: float
     stored: str | None = None
     revision: int = 0
     sent: bool = False
@@ -125,6 +125,11 @@
         return self.stored == self.wanted and not self.unconfirmed
 
 
+def _find_first(heap: KeyedHeap[str]) -> float:
+    key = heap.head()
+    return math.inf if key is None else heap.priority(key)
+
+
 @attrs.frozen
 class Batch:
     """Changes for one transaction.
@@ -156,10 +161,15 @@
 
     A transaction without a response may be applied later if its conditions still hold, so a record
     is settled only after a response to a transaction that was sent later.
+
+    Records are ordered by when they are due, so that none is visited before.
     """
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._unsettled: KeyedHeap[str] = KeyedHeap()
+        self._leaving: KeyedHeap[str] = KeyedHeap()
+        self._unsent: set[str] = set()
         self._removals: dict[str, float] = {}
         self._restores = 0
 
@@ -175,12 +185,13 @@
         record = self._records.get(key)
         if record is None:
             leaves_at = now + (call.expires_at - call.arrived_at) + RESUME_WINDOW_S
-            record = self._records[key] = _Record(version, now + delay_s, leaves_at)
-            self._removals.pop(key, None)
-        elif record.is_settled and record.wanted != version:
+            self._insert(key, _Record(version, now + delay_s), leaves_at)
+            return
+        if record.is_settled and record.wanted != version:
             record.due_at = now + delay_s
         record.wanted = version
         record.due_at = min(record.due_at, now + delay_s)
+        self._schedule(key, record)
 
     def add(
         self, workspace: str, stream_id: str, version: str, now: float, leaves_at: float
@@ -195,8 +206,7 @@
         """
         key = build_key(workspace, stream_id)
         if key not in self._records:
-            self._records[key] = _Record(version, now, leaves_at)
-            self._removals.pop(key, None)
+            self._insert(key, _Record(version, now), leaves_at)
 
     def withdraw(self, call: Call) -> bool:
         """Withdraw the request for a stream unless it was sent to the store.
@@ -208,7 +218,8 @@
         record = self._records.get(key)
         if record is not None and record.sent:
             return False
-        self._records.pop(key, None)
+        if record is not None:
+            self._discard(key)
         return True
 
     def has(self, key: str) -> bool:
@@ -220,9 +231,8 @@
 
         :param version: the version
         """
-        for key, record in list(self._records.items()):
-            if record.wanted == version and not record.sent:
-                del self._records[key]
+        for key in [key for key in self._unsent if self._records[key].wanted == version]:
+            self._discard(key)
 
     def is_settled(self, call: Call) -> bool:
         """:return: whether the store holds the requested version, and will keep it."""
@@ -243,48 +253,52 @@
         :param call: the stream's call
         :param until: seconds
         """
-        record = self._records.get(build_key(call.workspace, call.id))
-        if record is not None:
-            record.leaves_at = until
+        key = build_key(call.workspace, call.id)
+        if key in self._records:
+            self._leaving.put(key, until)
 
     def repeat(self) -> None:
         """Write all records again, as the store was restored from a copy."""
         self._restores += 1
-        for record in self._records.values():
+        for key, record in self._records.items():
             record.stored, record.revision = None, 0
+            self._schedule(key, record)
 
     def expire(self, now: float) -> None:
         """Let the records leave whose streams can't be taken up any more.
 
         :param now: seconds
         """
-        for key in [key for key, r in self._records.items() if now >= r.leaves_at]:
-            if self._records.pop(key).sent:
+        while self.next_leaving() <= now:
+            key = self._leaving.head()
+            assert key is not None
+            if self._discard(key).sent:
                 self._removals[key] = now
 
     def due_at(self) -> float:
         """:return: when the next transaction is due in seconds; infinity for none."""
-        due = [r.due_at for r in self._records.values() if not r.is_settled]
         if len(self._removals) >= BATCH_ENTRIES:
-            due.append(-math.inf)
-        due.extend(at + REMOVE_DELAY_S for at in self._removals.values())
-        return min(due, default=math.inf)
+            return -math.inf
+        # removals are in the order of their times
+        oldest = next(iter(self._removals.values()), math.inf)
+        return min(_find_first(self._unsettled), oldest + REMOVE_DELAY_S)
 
     def next_leaving(self) -> float:
         """:return: when the next record leaves in seconds; infinity for none."""
-        return min((record.leaves_at for record in self._records.values()), default=math.inf)
+        return _find_first(self._leaving)
 
     def take_batch(self) -> Batch:
         """:return: the changes of the next transaction, whose outcome has to be applied."""
         writes: dict[str, tuple[str, int]] = {}
-        due = [(r.due_at, key, r) for key, r in self._records.items() if not r.is_settled]
         # each write has a condition, which counts as an entry too
-        for _, key, record in sorted(due, key=lambda item: item[0])[: BATCH_ENTRIES // 2]:
+        for key in self._unsettled.list_first(BATCH_ENTRIES // 2):
+            record = self._records[key]
             writes[key] = (record.wanted, record.revision)
             record.sent = True
             record.unconfirmed.append(record.wanted)
+            self._unsent.discard(key)
         room = BATCH_ENTRIES - 2 * len(writes)
-        return Batch(writes, tuple(self._removals)[:room], self._restores)
+        return Batch(writes, tuple(islice(self._removals, room)), self._restores)
 
     def apply(self, batch: Batch, outcome: Outcome) -> int:
         """Apply the outcome of a transaction.
@@ -296,7 +310,34 @@
         if batch.restores != self._restores and not isinstance(outcome, NotCommitted):
             # it may have been applied before the restore, so that the store has lost it
             return 0
-        return self._apply(outcome, batch)
+        written = self._apply(outcome, batch)
+        for key in batch.writes:
+            record = self._records.get(key)
+            if record is not None:
+                self._schedule(key, record)
+        return written
+
+    def _insert(self, key: str, record: _Record, leaves_at: float) -> None:
+        self._records[key] = record
+        self._removals.pop(key, None)
+        self._leaving.put(key, leaves_at)
+        self._schedule(key, record)
+
+    def _discard(self, key: str) -> _Record:
+        self._unsettled.pop(key)
+        self._leaving.pop(key)
+        self._unsent.discard(key)
+        return self._records.pop(key)
+
+    def _schedule(self, key: str, record: _Record) -> None:
+        if record.is_settled:
+            self._unsettled.pop(key)
+        elif key not in self._unsettled or self._unsettled.priority(key) != record.due_at:
+            self._unsettled.put(key, record.due_at)
+        if record.sent:
+            self._unsent.discard(key)
+        else:
+            self._unsent.add(key)
 
     @singledispatchmethod
     def _apply(self, outcome: object, batch: Batch) -> int:
