Get a permit for a stream whose check of the start names a limit

What callers saw: nothing by itself; an endpoint that had just named a limit received one request more than it allowed for each stream whose connection was checked, and could refuse it.

Cause: whether the stream needs a permit was decided before the report of the start, which may be the response that names the limit.

Change: it is decided after the report.

--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -85,12 +85,12 @@
         """
         if channel.confirmed_start_ms == endpoint.entry.started_ms:
             return None
-        needs_permit = endpoint.notices.limit.is_in_force(time.monotonic())
         if not await self._has_listed_start(endpoint, channel):
             channel.close()
             endpoint.record_unreachable(time.monotonic())
             return NotRun("the start of the endpoint was not confirmed")
-        if needs_permit and not await self._take_permit(endpoint):
+        # the report may have named a limit
+        if not await self._take_permit(endpoint):
             self._keep(endpoint, channel)
             return NotRun("the check of the start used the permit", lacks_permit=True)
         return None if channel.usable else NotRun("the endpoint closed the connection")
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -281,6 +281,15 @@
     assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 3)
 
 
+# fault: a stream was sent without a permit when the report of the start had just named a limit
+async def test_a_stream_needs_a_permit_when_its_check_names_a_limit(gateway, engine) -> None:
+    put(gateway, engine, version="v2")
+    engine.limit = "2"
+    grantor = gateway.dispatcher._permits = Grantor(left=5)
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 1)
+
+
 async def test_a_stream_waits_for_its_permit_on_a_connection_that_is_checked(
     gateway, engine
 ) -> None:
