Confirm no start by a report that can't be read or no longer names one

What callers saw: a stream of one version could continue with events of another, at an endpoint that had restarted before the listing showed it.

Cause: a report without a start counts as a confirmation, so that engines that do not report one can be used. A report that could not be decoded was read as one without a start, and so was the report of a restart with software that names none, where the software before had named one.

Change: a report that can't be decoded confirms nothing and leaves a log line. Once an endpoint has reported a start, a report without one confirms nothing either.

Why it holds: what is left are endpoints that never reported a start to this gateway since they were listed.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -102,6 +102,7 @@
 
         :param body: its body
         :return: Unix milliseconds; ``None`` if it doesn't report it
+        :raises DecodeError: the report can't be read
         """
 
     def read_request_id(self, head: ReplyHead) -> str:
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -187,6 +187,7 @@
         self.full_until = -math.inf
         self.backoff_until = -math.inf
         self.removed = False
+        self.reports_start = False
         self._backoff_s = UNREACHABLE_BACKOFF_S
         self._failure_rate = 0.0
         self._failure_rate_at = 0.0
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from basilroad.coordination.decoding import DecodeError
 from basilroad.endpoints.channels import ChannelError
 from basilroad.gateway.attempt import NotRun
 from basilroad.gateway.notices import Purpose
@@ -113,8 +114,16 @@
                 extra={"endpoint": endpoint.id, "detail": f"status {report.status}"},
             )
             return False
-        started_ms = self._protocol.decode_start(report.body)
-        if started_ms is not None and started_ms != expected_ms:
+        try:
+            started_ms = self._protocol.decode_start(report.body)
+        except DecodeError as error:
+            _LOGGER.warning(
+                "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
+            )
+            return False
+        # an endpoint that has reported one and now reports none runs other software
+        never_reports = started_ms is None and not endpoint.reports_start
+        if started_ms != expected_ms and not never_reports:
             _LOGGER.warning(
                 "endpoint restarted before it was listed",
                 extra={
@@ -124,6 +133,7 @@
                 },
             )
             return False
+        endpoint.reports_start = started_ms is not None
         channel.confirmed_start_ms = expected_ms
         return True
 
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -141,11 +141,9 @@
 
         :param body: body of the response
         :return: Unix milliseconds; ``None`` if it doesn't report it
+        :raises DecodeError: the report can't be read
         """
-        try:
-            return _START_DECODER.decode(body).born
-        except DecodeError:
-            return None
+        return _START_DECODER.decode(body).born
 
     def read_request_id(self, head: ReplyHead) -> str:
         """:return: id of the call to which a response belongs; empty if it names none."""
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -27,10 +27,12 @@
 
     :param start_ms: the start; ``None`` to report none
     :param refuses_reports: whether it wants no reports for a while
+    :param spoiled_report: body of its reports in place of a sound one
     """
 
     start_ms: int | None = 1
     refuses_reports: bool = False
+    spoiled_report: bytes = b""
 
     async def _report(self, writer: asyncio.StreamWriter) -> None:
         self.reported_at.append(0.0)
@@ -38,6 +40,7 @@
             writer.write(b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
             return
         body = b"{}" if self.start_ms is None else b'{"born": %d}' % self.start_ms
+        body = self.spoiled_report or body
         limit = f"Server-Limit: {self.limit}\r\n".encode() if self.limit else b""
         head = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (limit, len(body))
         writer.write(head + body)
@@ -230,6 +233,32 @@
     assert not engine.seen
 
 
+# fault: a report that could not be read passed for one that names the listed start
+@pytest.mark.parametrize("spoiled", [b'{"bor', b'{"born": "2"}', b'{"born": 2.5}', b"\xff"])
+async def test_a_resumed_stream_is_not_sent_to_a_restart_whose_report_is_spoiled(
+    gateway, engine, start_server, spoiled
+) -> None:
+    engine.spoiled_report = spoiled
+    responder = await run_beside_unlisted_restart(
+        gateway, engine, start_server, is_listing_read=True
+    )
+    assert responder.numbers == ALL_EVENTS
+    assert not engine.seen
+
+
+# fault: a restart whose software reports no start passed for the listed one, which reported its own
+async def test_a_stream_is_not_sent_to_a_restart_that_no_longer_reports_its_start(
+    gateway, engine, start_server
+) -> None:
+    put(gateway, engine, version="v2")
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    await start_server("i-2", service="llm", events=20, software="v2", data_centre="kurzeme-a")
+    gateway.directory.get("i-1").pool.close()
+    engine.start_ms = None
+    assert (await run(gateway, id="c2")).numbers == ALL_EVENTS
+    assert len(engine.seen) == 1
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
