Confirm the start for streams that are taken up on each route

What callers saw: events of another version, where a caller took up a stream on a route that does not allow resumes, or does not any more.

Cause: connections were checked for routes with resumes only. A stream that its caller takes up is bound to a version on each route.

Change: each stream that is bound to a version is checked.

--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -240,7 +240,8 @@
         self, endpoint: Endpoint
     ) -> Callable[[Channel], Coroutine[Any, Any, NotRun | None]] | None:
         check, is_bound = self._gateway.start_check, self._pin.version is not None
-        if not self._call.route.repeatable or not check.is_due(endpoint, is_bound=is_bound):
+        may_resume = is_bound or self._call.route.repeatable
+        if not may_resume or not check.is_due(endpoint, is_bound=is_bound):
             return None
         return partial(check.confirm, endpoint)
 
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -13,6 +13,7 @@
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Source
+from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
@@ -259,6 +260,19 @@
     assert len(engine.seen) == 1
 
 
+# fault: a stream that its caller takes up was not checked on routes whose streams run only once
+async def test_a_stream_that_is_taken_up_is_checked_on_each_route(
+    gateway, engine, start_server
+) -> None:
+    route = build_stream_route(prefix="/s/", retry_safety=RetrySafety.FORBIDDEN)
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms = 2
+    responder = RecordingResponder()
+    await CallHandler(gateway).handle(build_call(route, resume_after="8"), responder)
+    assert responder.numbers == ALL_EVENTS[8:]
+    assert not engine.seen
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
