Decide whether a start has to be confirmed once the connection is open

By reading, a new stream could be sent to a restart that was not listed yet, and count as one of the listed version.

Cause: whether a check was due was decided before the connection was opened. A connection takes up to 0.35 s, within which the listing may become unreadable, another call be cut, or a second version be listed.

Change: StartCheck.confirm decides it on the open connection.

--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -239,11 +239,10 @@
     def _find_start_check(
         self, endpoint: Endpoint
     ) -> Callable[[Channel], Coroutine[Any, Any, NotRun | None]] | None:
-        check, is_bound = self._gateway.start_check, self._pin.version is not None
-        may_resume = is_bound or self._call.route.repeatable
-        if not may_resume or not check.is_due(endpoint, is_bound=is_bound):
+        is_bound = self._pin.version is not None
+        if not (is_bound or self._call.route.repeatable):
             return None
-        return partial(check.confirm, endpoint)
+        return partial(self._gateway.start_check.confirm, endpoint, is_bound=is_bound)
 
     def _may_send(self) -> bool:
         # a shutdown may have left too little time while the connection was opened
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -56,35 +56,22 @@
         self._reports = reports
         self._acquire_permit = acquire_permit
 
-    def is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
-        """Check whether an endpoint may have started again with another version.
-
-        Resumed streams are few, and hosts without a call at an endpoint see no sign of its
-        restart, so each connection is checked before the first of them.
-
-        :param endpoint: the endpoint
-        :param is_bound: whether the stream has begun, so that it may resume at its version only
-        :return: whether connections to it have to be checked
-        """
-        if not endpoint.entry.started_ms:
-            return False
-        if is_bound or time.monotonic() - endpoint.cut_at < RESTART_LISTED_S:
-            return True
-        if self._directory.was_unreadable_within(RESTART_LISTED_S):
-            return True
-        return self._directory.has_versions(endpoint.entry.service)
-
-    async def confirm(self, endpoint: Endpoint, channel: Channel) -> NotRun | None:
+    async def confirm(
+        self, endpoint: Endpoint, channel: Channel, *, is_bound: bool
+    ) -> NotRun | None:
         """Check the start at the other end of a connection, once for each connection.
 
-        The report uses the permit of the stream if the endpoint named a limit.
+        It is checked if the endpoint may have started again with another version. The report uses
+        the permit of the stream if the endpoint named a limit.
 
         :param endpoint: the endpoint
         :param channel: a connection to it, which is closed if the check fails
+        :param is_bound: whether the stream has begun, so that it may resume at its version only
         :return: why no stream may be sent on the connection, ``None`` if it may; if it only lacks
             a permit, the connection is kept for the next one
         """
-        if channel.confirmed_start_ms == endpoint.entry.started_ms:
+        is_confirmed = channel.confirmed_start_ms == endpoint.entry.started_ms
+        if is_confirmed or not self._is_due(endpoint, is_bound=is_bound):
             return None
         if not await self._has_listed_start(endpoint, channel):
             channel.close()
@@ -96,6 +83,17 @@
             return NotRun("the check of the start used the permit", lacks_permit=True)
         return None if channel.usable else NotRun("the endpoint closed the connection")
 
+    def _is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
+        # resumed streams are few, and hosts without a call at an endpoint see no sign of its
+        # restart, so each connection is checked before the first of them
+        if not endpoint.entry.started_ms:
+            return False
+        if is_bound or time.monotonic() - endpoint.cut_at < RESTART_LISTED_S:
+            return True
+        if self._directory.was_unreadable_within(RESTART_LISTED_S):
+            return True
+        return self._directory.has_versions(endpoint.entry.service)
+
     async def _has_listed_start(self, endpoint: Endpoint, channel: Channel) -> bool:
         expected_ms = endpoint.entry.started_ms
         try:
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -9,6 +9,7 @@
 import attrs
 import pytest
 
+from basilroad.endpoints.channels import Channel
 from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.limits import NamedLimit
@@ -273,6 +274,30 @@
     assert not engine.seen
 
 
+def change_while_connecting(gateway, monkeypatch, change) -> None:
+    pool = gateway.directory.get("i-1").pool
+    connect = pool._connect
+
+    async def connect_beside_change() -> Channel:
+        channel = await connect()
+        change()
+        return channel
+
+    monkeypatch.setattr(pool, "_connect", connect_beside_change)
+
+
+# fault: whether a check was due was decided before the connection was open
+async def test_a_new_stream_is_checked_if_the_listing_gets_stale_while_it_connects(
+    gateway, engine, start_server, monkeypatch
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms = 2
+    change_while_connecting(gateway, monkeypatch, gateway.directory.mark_listing_unreliable)
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert engine.reports == 1
+    assert not engine.seen
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
