Send no call to an endpoint that leaves the listing while it connects

By reading, a new stream could be sent to an endpoint that was removed and listed again with other software, and count as one of the version before.

Cause: a restart that is listed as such gives the endpoint another pool, which an attempt notices; an entry that is removed and comes back is a new object, and the old one stays as it was.

Change: an attempt at an endpoint that was removed is not sent.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -292,6 +292,9 @@
         if self.endpoint.pool is not self._pool:
             channel.close()
             return NotRun("the endpoint restarted")
+        if self.endpoint.removed:
+            channel.close()
+            return NotRun("the endpoint is no longer listed")
         self._channel = channel
         pending = PendingCall(self.call.rank, self._claim_move)
         self.endpoint.add_pending(channel, time.monotonic(), pending)
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -298,6 +298,16 @@
     assert not engine.seen
 
 
+# fault: a stream was sent by an entry that had left the listing while it connected
+async def test_a_stream_is_not_sent_to_an_endpoint_that_is_removed_while_it_connects(
+    gateway, engine, start_server, monkeypatch
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    change_while_connecting(gateway, monkeypatch, lambda: gateway.directory.remove("i-1"))
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert not engine.seen
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
