Count a report that is cut off as a sign of a restart

What callers saw: a new stream could begin at a restart that was not listed yet, count as one of the listed version, and later continue with events of that one.

Cause: new streams are checked for 5 s after an endpoint cut or refused a connection. Only calls recorded that. An endpoint that went down during a report (before a placement, as a probe or as the check of a start), or that refused its connection, looked as if it had stayed.

Change: ReportReader records both.

Tests that failed before: test_a_new_stream_is_checked_after_a_report_that_ was_cut_off (the stream was sent to the restart) and test_a_report_that_ gets_no_connection_counts_as_a_sign_of_a_restart.

--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from basilroad.endpoints.channels import NO_REQUEST_ID, SHORT_BODY_BYTES, ChannelError
+from basilroad.endpoints.channels import NO_REQUEST_ID, SHORT_BODY_BYTES, ChannelError, ConnectError
 from basilroad.gateway.endpoint import EngineReport
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Purpose, Source
@@ -87,6 +87,9 @@
         try:
             async with asyncio.timeout(limit_s):
                 response = await self._ask(endpoint, purpose)
+        except ConnectError:
+            endpoint.record_cut(time.monotonic())
+            return False
         except (ChannelError, TimeoutError):
             return False
         report = self.protocol.decode_report(response.body)
@@ -142,6 +145,8 @@
             body = await channel.read_body(SHORT_BODY_BYTES)
         except BaseException:
             channel.close()
+            if channel.is_cut_off:
+                endpoint.record_cut(time.monotonic())
             raise
         return Report(head.status, body)
 
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/test_reports.py
@@ -148,6 +148,17 @@
     assert PlatformProtocol().decode_report(body) == expected
 
 
+# fault: hosts whose reports alone met the end of an engine sent new streams to it unchecked
+async def test_a_report_that_gets_no_connection_counts_as_a_sign_of_a_restart(
+    gateway, start_server
+) -> None:
+    server = await start_server("i-1", service="llm")
+    await server.stop()
+    endpoint, asked_at = gateway.directory.get("i-1"), time.monotonic()
+    assert not await gateway.liveness._reports.refresh([endpoint])
+    assert endpoint.cut_at >= asked_at
+
+
 async def test_an_engine_that_hangs_delays_a_placement_only_briefly(gateway, start_server) -> None:
     hanging = await start_server("i-1", service="llm", events=3)
     hanging.silent = True
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -30,13 +30,18 @@
     :param start_ms: the start; ``None`` to report none
     :param refuses_reports: whether it wants no reports for a while
     :param spoiled_report: body of its reports in place of a sound one
+    :param cuts_reports: number of requests for reports at which it ends the connection
     """
 
     start_ms: int | None = 1
     refuses_reports: bool = False
     spoiled_report: bytes = b""
+    cuts_reports: int = 0
 
     async def _report(self, writer: asyncio.StreamWriter) -> None:
+        if self.cuts_reports:
+            self.cuts_reports -= 1
+            raise ConnectionResetError
         self.reported_at.append(0.0)
         if self.refuses_reports:
             writer.write(b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
@@ -308,6 +313,24 @@
     assert not engine.seen
 
 
+# fault: an engine that crashed at the report of a resumed stream was not checked for new streams
+async def test_a_new_stream_is_checked_after_a_report_that_was_cut_off(
+    gateway, engine, start_server
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.cuts_reports = 2
+    assert (await run(gateway, resume_after="8")).numbers == ALL_EVENTS[8:]
+    assert not engine.seen
+    engine.cuts_reports, engine.start_ms = 0, 2
+    gateway.directory.get("i-1").backoff_until = 0.0
+    gateway.directory.get("i-2").full_until = float("inf")
+    task = asyncio.ensure_future(run(gateway, id="c2"))
+    await wait_for(lambda: engine.reports or engine.seen)
+    gateway.directory.get("i-2").full_until = 0.0
+    assert (await asyncio.wait_for(task, 5)).numbers == ALL_EVENTS
+    assert not engine.seen
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
