Ask for a start again if the endpoint had closed the idle connection

What callers saw: a longer gap in a resumed stream: its endpoint was left out for 0.25 s or more, though it was sound, and its idle connections were closed.

Cause: a connection that is kept for 1.5 s may have been closed by the endpoint meanwhile. The check of its start took that for an endpoint that can't be reached. ReportReader makes a second try in this case.

Change: so does the check, on a new connection, within the same 0.5 s. Under a limit it does not, as the permit is for one request.

Test that failed before: test_a_start_is_asked_for_again_on_a_new_ connection_if_a_kept_one_has_ended (a backoff had begun).

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -228,8 +228,8 @@
     :param options: per-attempt data
     :param claim_move: claims what the call needs to continue at another endpoint
     :param may_send: checks whether there is still time to send the call
-    :param confirm_start: checks a connection before the call is sent on it; if it must not be, the
-        result says why, and the connection is closed or kept for others; ``None`` for no check
+    :param confirm_start: checks a connection before the call is sent on it, and returns the one to
+        use, or why the call must not be sent; ``None`` for no check
     """
 
     def __init__(
@@ -240,7 +240,7 @@
         options: AttemptOptions,
         claim_move: ClaimMove = never_move,
         may_send: Callable[[], bool] = lambda: True,
-        confirm_start: Callable[[Channel], Awaitable[NotRun | None]] | None = None,
+        confirm_start: Callable[[Channel], Awaitable[Channel | NotRun]] | None = None,
     ) -> None:
         self.call = call
         self.endpoint = endpoint
@@ -279,9 +279,10 @@
             self.endpoint.record_cut(time.monotonic())
             return NotRun(f"no connection: {error}")
         if self._confirm_start is not None:
-            unsent = await self._confirm_start(channel)
-            if unsent is not None:
-                return unsent
+            confirmed = await self._confirm_start(channel)
+            if isinstance(confirmed, NotRun):
+                return confirmed
+            channel = confirmed
         if time.monotonic() >= self.call.expires_at or not self._may_send():
             # the connection took time, and a busy host runs the timers before this too late
             channel.close()
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -238,7 +238,7 @@
 
     def _find_start_check(
         self, endpoint: Endpoint
-    ) -> Callable[[Channel], Coroutine[Any, Any, NotRun | None]] | None:
+    ) -> Callable[[Channel], Coroutine[Any, Any, Channel | NotRun]] | None:
         is_bound = self._pin.version is not None
         if not (is_bound or self._call.route.repeatable):
             return None
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -19,7 +19,7 @@
     from basilroad.gateway.attempt import EndpointProtocol
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.reports import ReportReader
+    from basilroad.gateway.reports import Report, ReportReader
 
 START_TIMEOUT_S = 0.5
 """Time limit of the report of the start; sound engines fall silent for a second or so, and
@@ -58,7 +58,7 @@
 
     async def confirm(
         self, endpoint: Endpoint, channel: Channel, *, is_bound: bool
-    ) -> NotRun | None:
+    ) -> Channel | NotRun:
         """Check the start at the other end of a connection, once for each connection.
 
         It is checked if the endpoint may have started again with another version. The report uses
@@ -67,21 +67,21 @@
         :param endpoint: the endpoint
         :param channel: a connection to it, which is closed if the check fails
         :param is_bound: whether the stream has begun, so that it may resume at its version only
-        :return: why no stream may be sent on the connection, ``None`` if it may; if it only lacks
-            a permit, the connection is kept for the next one
+        :return: the connection to use, a new one if the endpoint had closed the given one; or why
+            no stream may be sent: if it only lacks a permit, the connection is kept for the next
         """
         is_confirmed = channel.confirmed_start_ms == endpoint.entry.started_ms
         if is_confirmed or not self._is_due(endpoint, is_bound=is_bound):
-            return None
-        if not await self._has_listed_start(endpoint, channel):
-            channel.close()
+            return channel
+        confirmed = await self._confirm_listed(endpoint, channel)
+        if confirmed is None:
             endpoint.record_unreachable(time.monotonic())
             return NotRun("the start of the endpoint was not confirmed")
         # the report may have named a limit
         if not await self._take_permit(endpoint):
-            self._keep(endpoint, channel)
+            self._keep(endpoint, confirmed)
             return NotRun("the check of the start used the permit", lacks_permit=True)
-        return None if channel.usable else NotRun("the endpoint closed the connection")
+        return confirmed if confirmed.usable else NotRun("the endpoint closed the connection")
 
     def _is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
         # resumed streams are few, and hosts without a call at an endpoint see no sign of its
@@ -94,18 +94,36 @@
             return True
         return self._directory.has_versions(endpoint.entry.service)
 
-    async def _has_listed_start(self, endpoint: Endpoint, channel: Channel) -> bool:
+    async def _confirm_listed(self, endpoint: Endpoint, channel: Channel) -> Channel | None:
+        """:return: the connection on which the endpoint confirmed its start; ``None`` if closed."""
         expected_ms = endpoint.entry.started_ms
         try:
             async with asyncio.timeout(START_TIMEOUT_S):
-                report = await self._reports.exchange(
-                    endpoint, channel, endpoint.notices, Purpose.START
-                )
+                channel, report = await self._read_report(endpoint, channel)
         except (ChannelError, TimeoutError) as error:
             _LOGGER.info(
                 "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
             )
-            return False
+            return None
+        if not self._is_confirmed(endpoint, report, expected_ms):
+            channel.close()
+            return None
+        channel.confirmed_start_ms = expected_ms
+        return channel
+
+    async def _read_report(self, endpoint: Endpoint, channel: Channel) -> tuple[Channel, Report]:
+        is_reused, notices = channel.requests > 0, endpoint.notices
+        try:
+            return channel, await self._reports.exchange(endpoint, channel, notices, Purpose.START)
+        except ChannelError:
+            # a live endpoint may have closed an idle connection; a permit is for one request
+            is_limited = notices.limit.is_in_force(time.monotonic())
+            if not (is_reused and channel.is_cut_off) or is_limited:
+                raise
+        channel = await endpoint.pool.open(0)
+        return channel, await self._reports.exchange(endpoint, channel, notices, Purpose.START)
+
+    def _is_confirmed(self, endpoint: Endpoint, report: Report, expected_ms: int) -> bool:
         if report.is_refused:
             _LOGGER.info(
                 "start not confirmed",
@@ -132,7 +150,6 @@
             )
             return False
         endpoint.reports_start = started_ms is not None
-        channel.confirmed_start_ms = expected_ms
         return True
 
     def _keep(self, endpoint: Endpoint, channel: Channel) -> None:
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -331,6 +331,19 @@
     assert not engine.seen
 
 
+# fault: an idle connection that an engine had closed counted as an engine that can't be reached
+async def test_a_start_is_asked_for_again_on_a_new_connection_if_a_kept_one_has_ended(
+    gateway, engine
+) -> None:
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    put(gateway, engine, version="v1")
+    engine.cuts_reports = 1
+    assert (await run(gateway, id="c2", resume_after="8")).numbers == ALL_EVENTS[8:]
+    assert (engine.connections, engine.reports, len(engine.seen)) == (2, 1, 2)
+    assert gateway.directory.get("i-1").backoff_until < time.monotonic()
+    assert gateway.directory.get("i-1").last_failed_at < 0
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
