Close a checked connection whose stream ends while it waits for a permit

What callers saw: nothing; the gateway and the endpoint held a connection that no call used, until the endpoint closed it.

Cause: while the check waits for the permit of a stream, the connection belongs neither to the pool nor to the attempt, which closes its own.

Change: the check closes it when it is cancelled.

--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -78,7 +78,12 @@
             endpoint.record_unreachable(time.monotonic())
             return NotRun("the start of the endpoint was not confirmed")
         # the report may have named a limit
-        if not await self._take_permit(endpoint):
+        try:
+            has_permit = await self._take_permit(endpoint)
+        except BaseException:
+            confirmed.close()
+            raise
+        if not has_permit:
             self._keep(endpoint, confirmed)
             return NotRun("the check of the start used the permit", lacks_permit=True)
         return confirmed if confirmed.usable else NotRun("the endpoint closed the connection")
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -419,6 +419,24 @@
     assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 2)
 
 
+# fault: a checked connection stayed open when its stream ended while it waited for a permit
+async def test_a_connection_is_closed_if_its_caller_leaves_while_it_waits_for_a_permit(
+    gateway, engine, monkeypatch
+) -> None:
+    async def wait_for_grant(_: Endpoint) -> bool:
+        await asyncio.Event().wait()
+        return False
+
+    put(gateway, engine, version="v2")
+    engine.limit = "2"
+    monkeypatch.setattr(gateway.start_check, "_acquire_permit", wait_for_grant)
+    task = asyncio.ensure_future(run(gateway))
+    await wait_for(lambda: engine.reports == 1)
+    await asyncio.sleep(0.05)
+    task.cancel()
+    await wait_for(lambda: not engine._tasks)
+
+
 async def test_an_engine_is_asked_once_on_a_connection_on_which_streams_resume(
     gateway, engine, start_server
 ) -> None:
