--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from basilroad.coordination.decoding import DecodeError
 from basilroad.endpoints.channels import ChannelError
 from basilroad.gateway.attempt import NotRun
 from basilroad.gateway.notices import Purpose
@@ -18,7 +19,7 @@
     from basilroad.gateway.attempt import EndpointProtocol
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.reports import ReportReader
+    from basilroad.gateway.reports import Report, ReportReader
 
 START_TIMEOUT_S = 0.5
 """Time limit of the report of the start; sound engines fall silent for a second or so, and
@@ -55,16 +56,41 @@
         self._reports = reports
         self._acquire_permit = acquire_permit
 
-    def is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
-        """Check whether an endpoint may have started again with another version.
+    async def confirm(
+        self, endpoint: Endpoint, channel: Channel, *, is_bound: bool
+    ) -> Channel | NotRun:
+        """Check the start at the other end of a connection, once for each connection.
 
-        Resumed streams are few, and hosts without a call at an endpoint see no sign of its
-        restart, so each connection is checked before the first of them.
+        It is checked if the endpoint may have started again with another version. The report uses
+        the permit of the stream if the endpoint named a limit.
 
         :param endpoint: the endpoint
+        :param channel: a connection to it, which is closed if the check fails
         :param is_bound: whether the stream has begun, so that it may resume at its version only
-        :return: whether connections to it have to be checked
+        :return: the connection to use, a new one if the endpoint had closed the given one; or why
+            no stream may be sent: if it only lacks a permit, the connection is kept for the next
         """
+        is_confirmed = channel.confirmed_start_ms == endpoint.entry.started_ms
+        if is_confirmed or not self._is_due(endpoint, is_bound=is_bound):
+            return channel
+        confirmed = await self._confirm_listed(endpoint, channel)
+        if confirmed is None:
+            endpoint.record_unreachable(time.monotonic())
+            return NotRun("the start of the endpoint was not confirmed")
+        # the report may have named a limit
+        try:
+            has_permit = await self._take_permit(endpoint)
+        except BaseException:
+            confirmed.close()
+            raise
+        if not has_permit:
+            self._keep(endpoint, confirmed)
+            return NotRun("the check of the start used the permit", lacks_permit=True)
+        return confirmed if confirmed.usable else NotRun("the endpoint closed the connection")
+
+    def _is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
+        # resumed streams are few, and hosts without a call at an endpoint see no sign of its
+        # restart, so each connection is checked before the first of them
         if not endpoint.entry.started_ms:
             return False
         if is_bound or time.monotonic() - endpoint.cut_at < RESTART_LISTED_S:
@@ -73,48 +99,52 @@
             return True
         return self._directory.has_versions(endpoint.entry.service)
 
-    async def confirm(self, endpoint: Endpoint, channel: Channel) -> NotRun | None:
-        """Check the start at the other end of a connection, once for each connection.
-
-        The report uses the permit of the stream if the endpoint named a limit.
-
-        :param endpoint: the endpoint
-        :param channel: a connection to it, which is closed if the check fails
-        :return: why no stream may be sent on the connection, ``None`` if it may; if it only lacks
-            a permit, the connection is kept for the next one
-        """
-        if channel.confirmed_start_ms == endpoint.entry.started_ms:
-            return None
-        needs_permit = endpoint.notices.limit.is_in_force(time.monotonic())
-        if not await self._has_listed_start(endpoint, channel):
-            channel.close()
-            endpoint.record_unreachable(time.monotonic())
-            return NotRun("the start of the endpoint was not confirmed")
-        if needs_permit and not await self._take_permit(endpoint):
-            self._keep(endpoint, channel)
-            return NotRun("the check of the start used the permit", lacks_permit=True)
-        return None if channel.usable else NotRun("the endpoint closed the connection")
-
-    async def _has_listed_start(self, endpoint: Endpoint, channel: Channel) -> bool:
+    async def _confirm_listed(self, endpoint: Endpoint, channel: Channel) -> Channel | None:
+        """:return: the connection on which the endpoint confirmed its start; ``None`` if closed."""
         expected_ms = endpoint.entry.started_ms
         try:
             async with asyncio.timeout(START_TIMEOUT_S):
-                report = await self._reports.exchange(
-                    endpoint, channel, endpoint.notices, Purpose.START
-                )
+                channel, report = await self._read_report(endpoint, channel)
         except (ChannelError, TimeoutError) as error:
             _LOGGER.info(
                 "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
             )
-            return False
+            return None
+        if not self._is_confirmed(endpoint, report, expected_ms):
+            channel.close()
+            return None
+        channel.confirmed_start_ms = expected_ms
+        return channel
+
+    async def _read_report(self, endpoint: Endpoint, channel: Channel) -> tuple[Channel, Report]:
+        is_reused, notices = channel.requests > 0, endpoint.notices
+        try:
+            return channel, await self._reports.exchange(endpoint, channel, notices, Purpose.START)
+        except ChannelError:
+            # a live endpoint may have closed an idle connection; a permit is for one request
+            is_limited = notices.limit.is_in_force(time.monotonic())
+            if not (is_reused and channel.is_cut_off) or is_limited:
+                raise
+        channel = await endpoint.pool.open(0)
+        return channel, await self._reports.exchange(endpoint, channel, notices, Purpose.START)
+
+    def _is_confirmed(self, endpoint: Endpoint, report: Report, expected_ms: int) -> bool:
         if report.is_refused:
             _LOGGER.info(
                 "start not confirmed",
                 extra={"endpoint": endpoint.id, "detail": f"status {report.status}"},
             )
             return False
-        started_ms = self._protocol.decode_start(report.body)
-        if started_ms is not None and started_ms != expected_ms:
+        try:
+            started_ms = self._protocol.decode_start(report.body)
+        except DecodeError as error:
+            _LOGGER.warning(
+                "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
+            )
+            return False
+        # an endpoint that has reported one and now reports none runs other software
+        never_reports = started_ms is None and not endpoint.reports_start
+        if started_ms != expected_ms and not never_reports:
             _LOGGER.warning(
                 "endpoint restarted before it was listed",
                 extra={
@@ -124,7 +154,7 @@
                 },
             )
             return False
-        channel.confirmed_start_ms = expected_ms
+        endpoint.reports_start = started_ms is not None
         return True
 
     def _keep(self, endpoint: Endpoint, channel: Channel) -> None:
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -9,10 +9,12 @@
 import attrs
 import pytest
 
+from basilroad.endpoints.channels import Channel
 from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Source
+from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
@@ -27,17 +29,25 @@
 
     :param start_ms: the start; ``None`` to report none
     :param refuses_reports: whether it wants no reports for a while
+    :param spoiled_report: body of its reports in place of a sound one
+    :param cuts_reports: number of requests for reports at which it ends the connection
     """
 
     start_ms: int | None = 1
     refuses_reports: bool = False
+    spoiled_report: bytes = b""
+    cuts_reports: int = 0
 
     async def _report(self, writer: asyncio.StreamWriter) -> None:
+        if self.cuts_reports:
+            self.cuts_reports -= 1
+            raise ConnectionResetError
         self.reported_at.append(0.0)
         if self.refuses_reports:
             writer.write(b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n")
             return
         body = b"{}" if self.start_ms is None else b'{"born": %d}' % self.start_ms
+        body = self.spoiled_report or body
         limit = f"Server-Limit: {self.limit}\r\n".encode() if self.limit else b""
         head = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (limit, len(body))
         writer.write(head + body)
@@ -230,6 +240,110 @@
     assert not engine.seen
 
 
+# fault: a report that could not be read passed for one that names the listed start
+@pytest.mark.parametrize("spoiled", [b'{"bor', b'{"born": "2"}', b'{"born": 2.5}', b"\xff"])
+async def test_a_resumed_stream_is_not_sent_to_a_restart_whose_report_is_spoiled(
+    gateway, engine, start_server, spoiled
+) -> None:
+    engine.spoiled_report = spoiled
+    responder = await run_beside_unlisted_restart(
+        gateway, engine, start_server, is_listing_read=True
+    )
+    assert responder.numbers == ALL_EVENTS
+    assert not engine.seen
+
+
+# fault: a restart whose software reports no start passed for the listed one, which reported its own
+async def test_a_stream_is_not_sent_to_a_restart_that_no_longer_reports_its_start(
+    gateway, engine, start_server
+) -> None:
+    put(gateway, engine, version="v2")
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    await start_server("i-2", service="llm", events=20, software="v2", data_centre="kurzeme-a")
+    gateway.directory.get("i-1").pool.close()
+    engine.start_ms = None
+    assert (await run(gateway, id="c2")).numbers == ALL_EVENTS
+    assert len(engine.seen) == 1
+
+
+# fault: a stream that its caller takes up was not checked on routes whose streams run only once
+async def test_a_stream_that_is_taken_up_is_checked_on_each_route(
+    gateway, engine, start_server
+) -> None:
+    route = build_stream_route(prefix="/s/", retry_safety=RetrySafety.FORBIDDEN)
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms = 2
+    responder = RecordingResponder()
+    await CallHandler(gateway).handle(build_call(route, resume_after="8"), responder)
+    assert responder.numbers == ALL_EVENTS[8:]
+    assert not engine.seen
+
+
+def change_while_connecting(gateway, monkeypatch, change) -> None:
+    pool = gateway.directory.get("i-1").pool
+    connect = pool._connect
+
+    async def connect_beside_change() -> Channel:
+        channel = await connect()
+        change()
+        return channel
+
+    monkeypatch.setattr(pool, "_connect", connect_beside_change)
+
+
+# fault: whether a check was due was decided before the connection was open
+async def test_a_new_stream_is_checked_if_the_listing_gets_stale_while_it_connects(
+    gateway, engine, start_server, monkeypatch
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms = 2
+    change_while_connecting(gateway, monkeypatch, gateway.directory.mark_listing_unreliable)
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert engine.reports == 1
+    assert not engine.seen
+
+
+# fault: a stream was sent by an entry that had left the listing while it connected
+async def test_a_stream_is_not_sent_to_an_endpoint_that_is_removed_while_it_connects(
+    gateway, engine, start_server, monkeypatch
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    change_while_connecting(gateway, monkeypatch, lambda: gateway.directory.remove("i-1"))
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert not engine.seen
+
+
+# fault: an engine that crashed at the report of a resumed stream was not checked for new streams
+async def test_a_new_stream_is_checked_after_a_report_that_was_cut_off(
+    gateway, engine, start_server
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.cuts_reports = 2
+    assert (await run(gateway, resume_after="8")).numbers == ALL_EVENTS[8:]
+    assert not engine.seen
+    engine.cuts_reports, engine.start_ms = 0, 2
+    gateway.directory.get("i-1").backoff_until = 0.0
+    gateway.directory.get("i-2").full_until = float("inf")
+    task = asyncio.ensure_future(run(gateway, id="c2"))
+    await wait_for(lambda: engine.reports or engine.seen)
+    gateway.directory.get("i-2").full_until = 0.0
+    assert (await asyncio.wait_for(task, 5)).numbers == ALL_EVENTS
+    assert not engine.seen
+
+
+# fault: an idle connection that an engine had closed counted as an engine that can't be reached
+async def test_a_start_is_asked_for_again_on_a_new_connection_if_a_kept_one_has_ended(
+    gateway, engine
+) -> None:
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    put(gateway, engine, version="v1")
+    engine.cuts_reports = 1
+    assert (await run(gateway, id="c2", resume_after="8")).numbers == ALL_EVENTS[8:]
+    assert (engine.connections, engine.reports, len(engine.seen)) == (2, 1, 2)
+    assert gateway.directory.get("i-1").backoff_until < time.monotonic()
+    assert gateway.directory.get("i-1").last_failed_at < 0
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
@@ -281,6 +395,15 @@
     assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 3)
 
 
+# fault: a stream was sent without a permit when the report of the start had just named a limit
+async def test_a_stream_needs_a_permit_when_its_check_names_a_limit(gateway, engine) -> None:
+    put(gateway, engine, version="v2")
+    engine.limit = "2"
+    grantor = gateway.dispatcher._permits = Grantor(left=5)
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 1)
+
+
 async def test_a_stream_waits_for_its_permit_on_a_connection_that_is_checked(
     gateway, engine
 ) -> None:
@@ -296,6 +419,24 @@
     assert (engine.connections, engine.reports, grantor.granted) == (1, 1, 2)
 
 
+# fault: a checked connection stayed open when its stream ended while it waited for a permit
+async def test_a_connection_is_closed_if_its_caller_leaves_while_it_waits_for_a_permit(
+    gateway, engine, monkeypatch
+) -> None:
+    async def wait_for_grant(_: Endpoint) -> bool:
+        await asyncio.Event().wait()
+        return False
+
+    put(gateway, engine, version="v2")
+    engine.limit = "2"
+    monkeypatch.setattr(gateway.start_check, "_acquire_permit", wait_for_grant)
+    task = asyncio.ensure_future(run(gateway))
+    await wait_for(lambda: engine.reports == 1)
+    await asyncio.sleep(0.05)
+    task.cancel()
+    await wait_for(lambda: not engine._tasks)
+
+
 async def test_an_engine_is_asked_once_on_a_connection_on_which_streams_resume(
     gateway, engine, start_server
 ) -> None:
