Answer the requests behind an answer whose head can't be written

What callers saw: a 500 without a body in JSON, and no answer to requests that they had sent behind it on the connection (line unread_request).

Cause: a response is sent after the handler of its call. An error there, such as a control character in a field of the endpoint's response, went to the HTTP library, which answers it and closes the connection.

Change: it is answered and logged like an error in the call, and the connection stays open for the requests behind it.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -149,8 +149,7 @@
         assert self._connections is not None
         with self._connections.track(request, arrived_at):
             response = await self._respond(request, arrived_at)
-            await self._complete_response(request, response, arrived_at)
-            return response
+            return await self._complete_response(request, response, arrived_at)
 
     async def _respond(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         try:
@@ -159,31 +158,42 @@
             return self._refuse(request, error.refusal, arrived_at)
         except ConnectionError:
             raise
-        except Exception:
-            if request.writer.output_size:
-                # a part of the response was sent
-                raise
-            # the head of a stream may have failed after this was set
-            writer: Any = request.writer
-            writer.chunked = False
-            request_id = request.headers.get(HEADER_REQUEST_ID, "")
-            _LOGGER.error("call failed", extra={"request": request_id}, exc_info=True)
-            return self._refuse(request, Refusal(ErrorKind.INTERNAL, "internal error"), arrived_at)
+        except Exception as error:
+            return self._refuse_failed(request, error, arrived_at)
+
+    def _refuse_failed(
+        self, request: web.BaseRequest, error: Exception, arrived_at: float
+    ) -> web.Response:
+        if request.writer.output_size:
+            # a part of the response was sent
+            raise error
+        # the head of a response may have failed after this was set
+        writer: Any = request.writer
+        writer.chunked = False
+        request_id = request.headers.get(HEADER_REQUEST_ID, "")
+        _LOGGER.error("call failed", extra={"request": request_id}, exc_info=error)
+        return self._refuse(request, Refusal(ErrorKind.INTERNAL, "internal error"), arrived_at)
 
     async def _complete_response(
         self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
-    ) -> None:
+    ) -> web.StreamResponse:
         # aiohttp sends it after the handler has returned, when the connection would count as idle
         assert self._connections is not None
         if request.transport is None or request.transport.is_closing():
             detail = f"status {response.status} not sent"
             self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, detail)
-            return
+            return response
         try:
-            await response.prepare(request)
-            await response.write_eof()
+            try:
+                await _send(request, response)
+            except ConnectionError:
+                raise
+            except Exception as error:
+                response = self._refuse_failed(request, error, arrived_at)
+                await _send(request, response)
         except ConnectionError as error:
             self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+        return response
 
     async def _serve_call(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
         call = await self._read_call(request, arrived_at)
@@ -387,6 +397,11 @@
     return request.content.exception() is not None or (is_upgrade and not is_known)
 
 
+async def _send(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    await response.prepare(request)
+    await response.write_eof()
+
+
 def _close_after(response: web.StreamResponse) -> None:
     response.force_close()
     response.headers["Connection"] = "close"
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -216,6 +216,31 @@
     writer.close()
 
 
+# fault: an error in the head of a whole answer closed the connection, with the request behind it
+async def test_a_request_behind_an_answer_whose_head_fails_is_answered(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle = CallHandler.handle
+
+    async def fail_once(handler: CallHandler, call: Call, responder: Responder) -> Reply | None:
+        if call.id == "fails":
+            return Reply(200, (("X-Broken", "a\x01b"),), b"whole")
+        return await handle(handler, call, responder)
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", fail_once)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("fails") + build_order("behind"))
+    status, body = await read_response(reader)
+    assert status == 500
+    assert body.startswith(b'{"error":{"kind":"internal"'), body
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
+    (line,) = [line for line in caplog.records if line.levelno >= logging.ERROR]
+    assert (line.message, vars(line)["request"]) == ("call failed", "fails")
+    assert list_ends(caplog) == []
+
+
 # fault: a request whose body did not become whole was held without an answer past its time
 @pytest.mark.parametrize("left_ms", ["300", "60000"])
 async def test_a_body_that_does_not_arrive_in_time_is_refused(
