Run nothing that follows a CONNECT request with a body

What callers saw: the body of a CONNECT was read as the next request on the connection. A body that is itself a request was run, and its answer taken for that of the request behind it; any other body brought a 400 there.

Cause: the HTTP library reads no body of a CONNECT, which has none by RFC 9110, and continues behind its head, since no tunnel is opened.

Change: the answer to a CONNECT that announces a body says `Connection: close`, and nothing is read behind it. Without a body it is as before.

Test that failed before: test_the_body_of_a_request_for_a_tunnel_is_not_run, with a length and in chunks.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -392,7 +392,11 @@
 def _is_rest_lost(request: web.BaseRequest) -> bool:
     # nothing is read behind a malformed body, and the HTTP library drops what it received behind
     # a request for another protocol that it doesn't know; it has no public name for these requests
-    is_upgrade = request._message.upgrade and request.method != "CONNECT"
+    if request.method == "CONNECT":
+        # the library would read its body as the next request
+        length = request.headers.get("Content-Length", "0")
+        return length != "0" or "Transfer-Encoding" in request.headers
+    is_upgrade = request._message.upgrade
     is_known = request.headers.get("Upgrade", "").lower() in KNOWN_UPGRADES
     return request.content.exception() is not None or (is_upgrade and not is_known)
 
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -309,6 +309,25 @@
     writer.close()
 
 
+# fault: the body of a request for a tunnel was read as the next request, and run
+@pytest.mark.parametrize("is_chunked", [False, True])
+async def test_the_body_of_a_request_for_a_tunnel_is_not_run(
+    rig: GatewayRig, is_chunked: bool
+) -> None:
+    body = build_order("inside")
+    line = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {len(body)}"
+    head = build_head("/o/1", "tunnel", line).replace(b"POST /o/1 ", b"CONNECT h.example:80 ")
+    reader, writer = await open_connection(rig)
+    writer.write(head + body + build_order("behind"))
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 404 "), received
+    assert received.count(b"HTTP/1.") == 1, received
+    assert b"connection: close" in received.lower(), "its caller knows that the rest is not run"
+    assert rig.app.ran == []
+
+
 # fault: a request whose head the HTTP library can't read gets no answer
 @pytest.mark.parametrize(
     "request_bytes",
