Log at entries why a request got no whole answer

What callers saw: nothing new. Operators found no line for a request whose caller left, that the exit of the process ended, or whose stream an unexpected error cut.

Cause: entries logged the error only, without its request, and nothing of the other two.

Change: they log `connection ended` as gateways do, with the idempotency key and the cause. The line and its causes move to http/ends.py.

Open: a request that waits behind the one being answered, and a whole answer that its caller doesn't await, leave no line yet.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -16,6 +16,7 @@
 from basilroad.entry.identity import KEY_HEADER, read_identity
 from basilroad.entry.request import read_request
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
+from basilroad.http.ends import EndCause, log_end
 from basilroad.http.idleconnections import close_idle_connections
 from basilroad.http.listener import CallerListener
 from basilroad.peers.address import parse_address
@@ -80,12 +81,13 @@
         self.entry = entry
         self._runner: web.AppRunner | None = None
         self._listener: CallerListener | None = None
+        self._is_exiting = False
 
     async def on_start(self) -> None:
         """Start listening for callers."""
         options = self.entry.options
         app = web.Application(
-            client_max_size=options.max_body_bytes, middlewares=[_answer_refusals]
+            client_max_size=options.max_body_bytes, middlewares=[self._log_ends, _answer_refusals]
         )
         app.add_routes(self._list_routes())
         self._runner = web.AppRunner(
@@ -105,6 +107,7 @@
             return
         if self._runner.server is not None:
             await close_idle_connections(self._runner.server, limit)
+        self._is_exiting = True
         await self._runner.cleanup()
 
     def _list_routes(self) -> list[web.RouteDef]:
@@ -118,6 +121,22 @@
             web.get("/ready", self._show_ready),
         ]
 
+    @web.middleware
+    async def _log_ends(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        arrived_at, request_id = time.monotonic(), request.headers.get(KEY_HEADER, "")
+        try:
+            return await handler(request)
+        except asyncio.CancelledError:
+            cause = EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
+            log_end(request_id, cause, arrived_at)
+            raise
+        except ConnectionError as error:
+            log_end(request_id, EndCause.CALLER_LEFT, arrived_at, repr(error))
+            raise
+        except Exception as error:
+            log_end(request_id, EndCause.ERROR, arrived_at, repr(error))
+            raise
+
     async def _complete(self, http: web.Request) -> web.StreamResponse:
         return await self._generate(http, chat=False)
 
--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -7,12 +7,12 @@
 import logging
 import time
 from collections.abc import Iterator
-from enum import StrEnum
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
+from basilroad.http.ends import EndCause, log_end
 from basilroad.http.idleconnections import (
     awaits_request,
     close_connection,
@@ -30,16 +30,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class EndCause(StrEnum):
-    """Why a connection ended before a request that was read on it had its whole answer."""
-
-    CALLER_LEFT = "caller_left"
-    STREAM_BROKEN = "stream_broken"
-    SHUTDOWN = "shutdown"
-    ERROR = "error"
-    UNREAD_REQUEST = "unread_request"
-
-
 class CallerServer(web.Server):
     """Keeps track of the connections of callers and of the requests on them.
 
@@ -111,15 +101,7 @@
             return
         request[_HAS_ENDED] = True
         self._ends.labels(cause.value).inc()
-        _LOGGER.info(
-            "connection ended",
-            extra={
-                "request": request.headers.get(HEADER_REQUEST_ID, ""),
-                "cause": cause.value,
-                "detail": detail,
-                "waited_ms": round(1000 * (time.monotonic() - arrived_at)),
-            },
-        )
+        log_end(request.headers.get(HEADER_REQUEST_ID, ""), cause, arrived_at, detail)
 
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -84,6 +85,77 @@
     assert not received.endswith(b"0\r\n\r\n"), "it must not look complete"
 
 
+def list_ends(caplog: pytest.LogCaptureFixture) -> list[tuple[str, str]]:
+    """:return: request and cause of each line about the end of a connection."""
+    return [
+        (vars(line)["request"], vars(line)["cause"])
+        for line in caplog.records
+        if line.message == "connection ended"
+    ]
+
+
+async def wait_for_end(caplog: pytest.LogCaptureFixture) -> None:
+    async with asyncio.timeout(LIMIT_S):
+        while not list_ends(caplog):
+            await asyncio.sleep(0.01)
+
+
+# fault: no line said that a caller had left before its answer
+async def test_a_caller_that_leaves_is_logged(
+    entry: EntryService, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    _, writer = await connect(entry)
+    writer.write(build_request(COMPLETION, None, "Idempotency-Key: k-1"))
+    while not entry.flights:
+        await asyncio.sleep(0.01)
+    writer.transport.abort()
+    await wait_for_end(caplog)
+    assert list_ends(caplog) == [("k-1", "caller_left")]
+
+
+# fault: no line said that the exit of the process had left a request without an answer
+@pytest.mark.holds_stop
+async def test_a_request_that_the_exit_ends_is_logged(
+    entry: EntryService, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    begun = asyncio.Event()
+
+    async def hang(*_: Any, **__: Any) -> web.StreamResponse:
+        begun.set()
+        await asyncio.Event().wait()
+        raise AssertionError
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(HttpServer, "_generate", hang)
+    _, writer = await connect(entry)
+    writer.write(build_request(COMPLETION, None, "Idempotency-Key: k-1"))
+    await begun.wait()
+    await entry.stop()
+    writer.close()
+    assert list_ends(caplog) == [("k-1", "shutdown")]
+
+
+# fault: no line named the request whose stream an unexpected error had cut
+async def test_a_stream_that_fails_after_its_head_is_logged(
+    entry: EntryService, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(_: HttpServer, http: web.Request, **__: Any) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(http)
+        await response.write(b"data: a\n\n")
+        raise RuntimeError("unexpected")
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(HttpServer, "_generate", fail)
+    reader, writer = await connect(entry)
+    writer.write(build_request(COMPLETION, None, "Idempotency-Key: k-1"))
+    async with asyncio.timeout(LIMIT_S):
+        await reader.read()
+    writer.close()
+    assert list_ends(caplog) == [("k-1", "error")]
+
+
 # fault: a request behind one that fails before its head gets no answer
 async def test_a_request_behind_one_that_fails_is_answered(
     entry: EntryService, monkeypatch: pytest.MonkeyPatch
