--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -216,6 +216,31 @@
     writer.close()
 
 
+# fault: an error in the head of a whole answer closed the connection, with the request behind it
+async def test_a_request_behind_an_answer_whose_head_fails_is_answered(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle = CallHandler.handle
+
+    async def fail_once(handler: CallHandler, call: Call, responder: Responder) -> Reply | None:
+        if call.id == "fails":
+            return Reply(200, (("X-Broken", "a\x01b"),), b"whole")
+        return await handle(handler, call, responder)
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", fail_once)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("fails") + build_order("behind"))
+    status, body = await read_response(reader)
+    assert status == 500
+    assert body.startswith(b'{"error":{"kind":"internal"'), body
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
+    (line,) = [line for line in caplog.records if line.levelno >= logging.ERROR]
+    assert (line.message, vars(line)["request"]) == ("call failed", "fails")
+    assert list_ends(caplog) == []
+
+
 # fault: a request whose body did not become whole was held without an answer past its time
 @pytest.mark.parametrize("left_ms", ["300", "60000"])
 async def test_a_body_that_does_not_arrive_in_time_is_refused(
@@ -284,6 +309,25 @@
     writer.close()
 
 
+# fault: the body of a request for a tunnel was read as the next request, and run
+@pytest.mark.parametrize("is_chunked", [False, True])
+async def test_the_body_of_a_request_for_a_tunnel_is_not_run(
+    rig: GatewayRig, is_chunked: bool
+) -> None:
+    body = build_order("inside")
+    line = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {len(body)}"
+    head = build_head("/o/1", "tunnel", line).replace(b"POST /o/1 ", b"CONNECT h.example:80 ")
+    reader, writer = await open_connection(rig)
+    writer.write(head + body + build_order("behind"))
+    async with asyncio.timeout(5):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 404 "), received
+    assert received.count(b"HTTP/1.") == 1, received
+    assert b"connection: close" in received.lower(), "its caller knows that the rest is not run"
+    assert rig.app.ran == []
+
+
 # fault: a request whose head the HTTP library can't read gets no answer
 @pytest.mark.parametrize(
     "request_bytes",
