Run nothing that follows a CONNECT request with a body at entries either

What callers saw: as at gateways: the body was read as the next request on the connection, and run if it was one.

Cause: the same behaviour of the HTTP library.

Change: entries close the connection after the answer, by the check that gateways make, which moves to http/tunnels.py.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -19,6 +19,7 @@
 from basilroad.http.ends import EndCause, log_end
 from basilroad.http.idleconnections import close_idle_connections
 from basilroad.http.listener import CallerListener
+from basilroad.http.tunnels import has_tunnel_body
 from basilroad.peers.address import parse_address
 from basilroad.timelimit import TimeLimit
 
@@ -87,7 +88,8 @@
         """Start listening for callers."""
         options = self.entry.options
         app = web.Application(
-            client_max_size=options.max_body_bytes, middlewares=[self._log_ends, _answer_refusals]
+            client_max_size=options.max_body_bytes,
+            middlewares=[self._log_ends, _close_behind_tunnels, _answer_refusals],
         )
         app.add_routes(self._list_routes())
         self._runner = web.AppRunner(
@@ -318,6 +320,14 @@
     await response.write_eof()
 
 
+@web.middleware
+async def _close_behind_tunnels(request: web.Request, handler: Handler) -> web.StreamResponse:
+    response = await handler(request)
+    if has_tunnel_body(request):
+        response.force_close()
+    return response
+
+
 @web.middleware
 async def _answer_refusals(request: web.Request, handler: Handler) -> web.StreamResponse:
     try:
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -20,6 +20,7 @@
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
+from basilroad.http.tunnels import has_tunnel_body
 from basilroad.platform.connections import CallerServer, EndCause, list_unread_requests
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
@@ -393,9 +394,7 @@
     # nothing is read behind a malformed body, and the HTTP library drops what it received behind
     # a request for another protocol that it doesn't know; it has no public name for these requests
     if request.method == "CONNECT":
-        # the library would read its body as the next request
-        length = request.headers.get("Content-Length", "0")
-        return length != "0" or "Transfer-Encoding" in request.headers
+        return has_tunnel_body(request)
     is_upgrade = request._message.upgrade
     is_known = request.headers.get("Upgrade", "").lower() in KNOWN_UPGRADES
     return request.content.exception() is not None or (is_upgrade and not is_known)
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -195,6 +195,20 @@
     writer.close()
 
 
+# fault: the body of a request for a tunnel was read as the next request, and run
+async def test_the_body_of_a_request_for_a_tunnel_is_not_run(entry: EntryService) -> None:
+    body = build_request()
+    head = f"CONNECT h.example:80 HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    reader, writer = await connect(entry)
+    writer.write(head.encode() + body)
+    async with asyncio.timeout(LIMIT_S):
+        received = await reader.read()
+    writer.close()
+    assert received.count(b"HTTP/1.") == 1, received
+    assert b"connection: close" in received.lower()
+    assert not entry.flights
+
+
 # fault: a request whose body does not become whole, or is malformed midway, is held without an end
 @pytest.mark.parametrize("rest", [b"", b"no chunk\r\n"], ids=["partial", "malformed"])
 async def test_a_body_that_does_not_arrive_in_time_is_refused(
