Answer a call whose awaited work was cancelled

A call that awaits a task or future which another call or a service cancels would get no answer, nor would the requests behind it, and the log would say that its caller had left.

Cause: a cancellation that does not come from the connection looked like one that does.

Change: it is answered with 500, may have run, and logged as `call failed`, unless the handler itself was cancelled or the process exits.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -36,6 +36,7 @@
     :param handler: answers a request
     :param ends: counts connections that end without a whole answer, by cause
     :param options: options of the HTTP server
+    :ivar is_exiting: whether handlers are cancelled because the process exits
     :ivar crossed: number of connections on which data came after their last response
     """
 
@@ -44,7 +45,7 @@
         self._ends = ends
         self._taken: dict[web.RequestHandler, tuple[web.BaseRequest, float]] = {}
         self._busy: set[web.RequestHandler] = set()
-        self._is_exiting = False
+        self.is_exiting = False
         self.crossed = 0
 
     def __call__(self) -> web.RequestHandler:
@@ -136,7 +137,7 @@
 
     def mark_exiting(self) -> None:
         """Record that handlers are cancelled from now on because the process exits."""
-        self._is_exiting = True
+        self.is_exiting = True
 
     def _take_request(
         self,
@@ -154,7 +155,7 @@
         return request
 
     def _find_cancel_cause(self) -> EndCause:
-        return EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
+        return EndCause.SHUTDOWN if self.is_exiting else EndCause.CALLER_LEFT
 
     def _count_crossed(self) -> None:
         self.crossed += 1
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -159,11 +159,18 @@
             return self._refuse(request, error.refusal, arrived_at)
         except ConnectionError:
             raise
+        except asyncio.CancelledError as error:
+            assert self._connections is not None
+            # the library cancels the body of a request at the exit
+            if _is_cancelled() or self._connections.is_exiting:
+                raise
+            # what the call awaited was cancelled, not the call
+            return self._refuse_failed(request, error, arrived_at)
         except Exception as error:
             return self._refuse_failed(request, error, arrived_at)
 
     def _refuse_failed(
-        self, request: web.BaseRequest, error: Exception, arrived_at: float
+        self, request: web.BaseRequest, error: BaseException, arrived_at: float
     ) -> web.Response:
         if request.writer.output_size:
             # a part of the response was sent
@@ -400,6 +407,11 @@
     return request.content.exception() is not None or (is_upgrade and not is_known)
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is None or task.cancelling() > 0
+
+
 async def _send(request: web.BaseRequest, response: web.StreamResponse) -> None:
     await response.prepare(request)
     await response.write_eof()
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -216,6 +216,29 @@
     writer.close()
 
 
+# fault: a call that awaited work which another one cancelled got no answer, nor the request behind
+async def test_a_call_whose_awaited_work_is_cancelled_is_answered(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    handle = CallHandler.handle
+
+    async def await_cancelled(handler: CallHandler, call: Call, responder: Responder) -> Any:
+        if call.id == "fails":
+            shared = asyncio.ensure_future(asyncio.Event().wait())
+            asyncio.get_running_loop().call_soon(shared.cancel)
+            await shared
+        return await handle(handler, call, responder)
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(CallHandler, "handle", await_cancelled)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("fails") + build_order("behind"))
+    assert (await read_response(reader))[0] == 500
+    assert await read_response(reader) == (200, b"answer of i-app to behind")
+    writer.close()
+    assert list_ends(caplog) == []
+
+
 # fault: an error in the head of a whole answer closed the connection, with the request behind it
 async def test_a_request_behind_an_answer_whose_head_fails_is_answered(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
