--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -20,6 +20,7 @@
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
+from basilroad.http.tunnels import has_tunnel_body
 from basilroad.platform.connections import CallerServer, EndCause, list_unread_requests
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
@@ -158,11 +159,18 @@
             return self._refuse(request, error.refusal, arrived_at)
         except ConnectionError:
             raise
+        except asyncio.CancelledError as error:
+            assert self._connections is not None
+            # the library cancels the body of a request at the exit
+            if _is_cancelled() or self._connections.is_exiting:
+                raise
+            # what the call awaited was cancelled, not the call
+            return self._refuse_failed(request, error, arrived_at)
         except Exception as error:
             return self._refuse_failed(request, error, arrived_at)
 
     def _refuse_failed(
-        self, request: web.BaseRequest, error: Exception, arrived_at: float
+        self, request: web.BaseRequest, error: BaseException, arrived_at: float
     ) -> web.Response:
         if request.writer.output_size:
             # a part of the response was sent
@@ -393,14 +401,17 @@
     # nothing is read behind a malformed body, and the HTTP library drops what it received behind
     # a request for another protocol that it doesn't know; it has no public name for these requests
     if request.method == "CONNECT":
-        # the library would read its body as the next request
-        length = request.headers.get("Content-Length", "0")
-        return length != "0" or "Transfer-Encoding" in request.headers
+        return has_tunnel_body(request)
     is_upgrade = request._message.upgrade
     is_known = request.headers.get("Upgrade", "").lower() in KNOWN_UPGRADES
     return request.content.exception() is not None or (is_upgrade and not is_known)
 
 
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is None or task.cancelling() > 0
+
+
 async def _send(request: web.BaseRequest, response: web.StreamResponse) -> None:
     await response.prepare(request)
     await response.write_eof()
