Leave out of waits for an end what a process waits for a processor

What was seen: test_an_agent_is_stopped_during_answers ended once with a time- out of a wait, load 36 to 60. Which wait it was isn't known.

Cause: waits for a process that is ready, has logged or streams leave out the time in which it waits for a processor; the wait for its end went by the clock of the machine.

Why it is as strict: a process that sleeps or hangs waits for no processor, so that all of its time counts.

Test that failed before: test_waits_for_a_processor_do_not_count_for_an_end, with a time-out after 0.3 s of a process that waited for a processor all the time. test_a_process_that_does_not_end_is_reported holds the other side; before, it failed for the type of the error only.

--- a/tests/harness/test_fleet.py
+++ b/tests/harness/test_fleet.py
@@ -3,11 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 
+import pytest
+
+from soak.rundelay import RunLimit
 from support.background import Background, close_server
 from support.fleet import PROBE_TIMEOUT_S, Process
 
+END_S = 1.0
+"""Time after which a process ends."""
+
+END_LIMIT_S = 0.3
+
 
 async def respond_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     await reader.readuntil(b"\r\n\r\n")
@@ -23,3 +36,27 @@
     process = Process("orders-0", ("service",), {}, address, "", tmp_path)
     assert process.ask("GET", "/control/counts") == {"s1-0": 1}
     background.run(close_server(server))
+
+
+@pytest.fixture
+def ending(tmp_path: Path) -> Iterator[Process]:
+    process = Process("ending", (), {}, "", "", tmp_path)
+    command = [sys.executable, "-c", f"import time; time.sleep({END_S})"]
+    process._child = subprocess.Popen(command)
+    yield process
+    process.kill()
+
+
+# fault: a process that the machine kept from running had not ended in time
+def test_waits_for_a_processor_do_not_count_for_an_end(
+    ending: Process, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # all of its time is spent waiting for a processor
+    limit = partial(RunLimit, read_delay=lambda _pid: time.monotonic())
+    monkeypatch.setattr("support.fleet.RunLimit", limit)
+    assert ending.wait_ended(END_LIMIT_S) == 0
+
+
+def test_a_process_that_does_not_end_is_reported(ending: Process) -> None:
+    with pytest.raises(RuntimeError, match="ending is still running"):
+        ending.wait_ended(END_LIMIT_S)
