Wait for streams of a version at gateways that know each other

Cause of the first: wait_listed sent one stream after another and cancelled each. Gateways that know each other prefer different servers, so that gateway 0 chose i-v1-0 for each of 200 streams while i-v2-0 and i-v2-1 were listed. Only before the gateways had met did it choose among all; a busy machine starts them late.

Cause of the second: streams have a deadline of 10 s, and their events take 7.2 s. The log of each of the eight says "no end in time". In a run that passed, load 28, they took 9.78 s, and gateways and test had waited 6.5 and 9.7 s for a processor.

Change: wait_listed keeps its streams until one begins at the version, since busy servers are passed over. First tries have a deadline of 40 s, and the test fails when they last for 10 s besides waits for a processor. The other waits of the file leave out these too.

Why it is as strict: of gateways and test that get a processor all time counts, by the limits that were there before.

Test that failed before: test_a_version_is_waited_for_at_gateways_that_know_ each_other, two of two runs with the former wait, after 20 s.

Result: the three tests passed in 5 of 5 runs, four of them beside 6 busy processes, load 20 to 24. The whole file: 16 passed, load 14.

--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 from pathlib import Path
 
 import aiohttp
@@ -14,6 +14,7 @@
 from basilroad.standin.rowstore import RowStoreStandin
 from soak.link import Link
 from soak.process import GatewayProcess
+from soak.rundelay import RunLimit
 from support.addresses import name_ip
 from support.gatewayrig import GatewayRig, build_config
 from support.streamcaller import StreamCaller, Try
@@ -28,7 +29,17 @@
 EVENTS = 240
 EVENT_INTERVAL_S = 0.03
 STREAM_TIMEOUT_S = 15.0
+FIRST_TRY_TIMEOUT_S = 40.0
+"""Time limit of the tries that begin streams; ``STREAM_END_S`` ends the test before."""
+
+STREAM_END_S = 10.0
+"""Time within which these tries end, without the time that gateways or test wait for a
+processor; their events take 7.2 s."""
+
 WAIT_TIMEOUT_S = 20.0
+"""Time limit of other waits, without that time too."""
+
+POLL_S = 0.01
 UNLISTED_S = 1.0
 """Time in which gateways read that entries were removed."""
 
@@ -45,8 +56,9 @@
 """Time from the return of the store from a copy to the kill."""
 
 AT_ONCE_S = 2.0
-"""Time within which a stream ends that can't resume; one that waits has a deadline of 10 s."""
+"""Time within which a stream ends that can't resume; one that waits has a deadline beyond it."""
 
+PEER_LOGGED = "peer heard"
 REFUSED = 503
 
 
@@ -59,11 +71,12 @@
         self.servers: list[AppServerStandin] = []
         self.gateways: list[GatewayProcess] = []
         self.sent: dict[StreamCaller, asyncio.Future[Try]] = {}
+        self._ends: dict[StreamCaller, RunLimit] = {}
         self._numbers = itertools.count(1)
 
     async def start(self) -> None:
         await self.store.start()
-        config = build_config(1, "key", timeout_ms=round(1000 * STREAM_TIMEOUT_S))
+        config = build_config(1, "key", timeout_ms=round(1000 * FIRST_TRY_TIMEOUT_S))
         self.store.put("op", "config", config)
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
         for number in range(GATEWAYS):
@@ -103,51 +116,99 @@
         await asyncio.sleep(UNLISTED_S)
         await self.end_servers(version)
 
+    def limit(self, limit_s: float) -> RunLimit:
+        """:return: a time limit in which only the time counts that gateways and test can use."""
+        return RunLimit(limit_s, lambda: [gateway.pid for gateway in self.gateways])
+
+    async def _wait(
+        self, awaitable: Awaitable[object], what: str, limit: RunLimit | None = None
+    ) -> None:
+        limit = limit or self.limit(WAIT_TIMEOUT_S)
+        task = asyncio.ensure_future(awaitable)
+        while not (await asyncio.wait([task], timeout=POLL_S))[0]:
+            if limit.is_over():
+                task.cancel()
+                pytest.fail(f"{what} in time, {limit.describe()}")
+        await task
+
     async def wait_listed(self, version: str) -> None:
         """Wait until each gateway places streams at servers of a version."""
-        async with asyncio.timeout(WAIT_TIMEOUT_S):
-            for gateway in self.gateways:
-                while not await self._places_at(gateway, version):
-                    await asyncio.sleep(0.05)
+        await self._wait(
+            self._all_place_at(version), f"no stream of {version} begins at each gateway"
+        )
 
-    async def _places_at(self, gateway: GatewayProcess, version: str) -> bool:
+    async def _all_place_at(self, version: str) -> None:
+        for gateway in self.gateways:
+            tasks: list[asyncio.Future[Try]] = []
+            try:
+                # gateways that know each other prefer different servers, unless these are busy
+                while await self._begin_stream(gateway, tasks) != {version}:
+                    await asyncio.sleep(0.05)
+            finally:
+                for task in tasks:
+                    task.cancel()
+
+    async def _begin_stream(
+        self, gateway: GatewayProcess, tasks: list[asyncio.Future[Try]]
+    ) -> set[str]:
+        """:return: version of a stream that continues."""
         caller = StreamCaller(self.session, next(self._numbers), EVENTS)
         task = asyncio.ensure_future(caller.send(gateway.front))
+        tasks.append(task)
         while not caller.events and not task.done():
-            await asyncio.sleep(0.01)
-        task.cancel()
-        return caller.versions == {version}
+            await asyncio.sleep(POLL_S)
+        return caller.versions
 
     def send_streams(self, count: int = STREAMS) -> list[StreamCaller]:
         """:return: callers that have each sent a request to a gateway."""
         numbers = itertools.islice(self._numbers, count)
-        callers = [StreamCaller(self.session, number, EVENTS) for number in numbers]
+        callers = [
+            StreamCaller(self.session, number, EVENTS, deadline_s=FIRST_TRY_TIMEOUT_S)
+            for number in numbers
+        ]
+        limit = self.limit(STREAM_END_S)
         for caller in callers:
             sending = caller.send(self.find_front(caller))
             self.sent[caller] = asyncio.ensure_future(sending)
+            self._ends[caller] = limit
         return callers
 
     async def begin_streams(self) -> list[StreamCaller]:
         """:return: callers that have received some events."""
         callers = self.send_streams()
-        async with asyncio.timeout(WAIT_TIMEOUT_S):
-            while not all(len(caller.events) > 2 for caller in callers):
-                await asyncio.sleep(0.01)
+        await self._wait(self._have_events(callers), "streams without events")
         return callers
 
+    async def _have_events(self, callers: list[StreamCaller]) -> None:
+        while not all(len(caller.events) > 2 for caller in callers):
+            await asyncio.sleep(POLL_S)
+
     async def wait_ended(self, callers: list[StreamCaller]) -> None:
-        """Wait until the requests that callers sent first have ended."""
-        await asyncio.gather(*(self.sent[caller] for caller in callers))
+        """Wait until the requests that callers sent first, and together, have ended."""
+        await self._wait(
+            asyncio.gather(*(self.sent[caller] for caller in callers)),
+            "streams without an end",
+            self._ends[callers[0]],
+        )
+
+    async def list_late(self, callers: list[StreamCaller], limit_s: float) -> list[int]:
+        """:return: numbers of the callers whose first request does not end within a time."""
+        limit, sent = self.limit(limit_s), [self.sent[caller] for caller in callers]
+        while not all(task.done() for task in sent) and not limit.is_over():
+            await asyncio.wait(sent, timeout=POLL_S)
+        return [caller.number for caller in callers if not self.sent[caller].done()]
 
     def find_front(self, caller: StreamCaller, shift: int = 0) -> str:
         """:return: URL of a gateway for a caller."""
         return self.gateways[(caller.number + shift) % len(self.gateways)].front
 
     async def wait_ready(self) -> None:
-        async with asyncio.timeout(WAIT_TIMEOUT_S):
-            for gateway in self.gateways:
-                while not await self._is_ready(gateway):
-                    await asyncio.sleep(0.05)
+        await self._wait(self._all_are_ready(), "a gateway not ready")
+
+    async def _all_are_ready(self) -> None:
+        for gateway in self.gateways:
+            while not await self._is_ready(gateway):
+                await asyncio.sleep(0.05)
 
     async def _is_ready(self, gateway: GatewayProcess) -> bool:
         try:
@@ -156,6 +217,14 @@
         except aiohttp.ClientError:
             return False
 
+    async def wait_known(self) -> None:
+        """Wait until the gateways know each other."""
+        await self._wait(self._all_have_peers(), "a gateway without peers")
+
+    async def _all_have_peers(self) -> None:
+        while not all(PEER_LOGGED in gateway.log.read_text() for gateway in self.gateways):
+            await asyncio.sleep(POLL_S)
+
     async def kill_gateways(self) -> None:
         """Kill all gateways at once and wait until they are back."""
         await asyncio.gather(*(gateway.kill(DOWN_S) for gateway in self.gateways))
@@ -163,6 +232,8 @@
 
     async def take_up(self, callers: list[StreamCaller]) -> None:
         """Let callers take up their streams at another gateway."""
+        for caller in callers:
+            caller.deadline_s = STREAM_END_S
         await asyncio.gather(*(c.take_up(self.find_front(c, shift=1)) for c in callers))
 
     async def stop(self) -> None:
@@ -220,8 +291,7 @@
     assert have_begun(callers, OLD, NEW)
     old, new = select(callers, OLD), select(callers, NEW)
     await fleet.remove_servers(OLD)
-    await asyncio.wait([fleet.sent[caller] for caller in old], timeout=AT_ONCE_S)
-    late = [caller.number for caller in old if not fleet.sent[caller].done()]
+    late = await fleet.list_late(old, AT_ONCE_S)
     await fleet.wait_ended(callers)
     assert list_joined(callers) == []
     assert late == []
@@ -249,6 +319,15 @@
     assert all(caller.is_whole for caller in callers)
 
 
+# fault: a wait for a version did not end where gateways that know each other prefer other servers
+async def test_a_version_is_waited_for_at_gateways_that_know_each_other(fleet: Fleet) -> None:
+    await fleet.add_servers(OLD)
+    await fleet.wait_ready()
+    await fleet.wait_known()
+    await fleet.add_servers(NEW)
+    await fleet.wait_listed(NEW)
+
+
 # fault: streams of the release before resumed at servers of the one after it
 async def test_streams_are_taken_up_at_their_version_beside_a_second_release(fleet: Fleet) -> None:
     await fleet.add_servers(OLD)
