Leave out of stops in the soak what a gateway waits for a processor

Cause of a part: the grace of 4 s went by the clock of the machine.

Change: SIGKILL in a stop follows after 4 s in which neither the gateway nor the soak waited for a processor, and StopsEndInTime leaves out the same time.

Why it is as strict: a gateway that hangs, sleeps or is suspended waits for no processor, so that all of its time counts, which test_a_stop_of_a_suspended_gateway_ends_with_its_grace holds.

Tests that can't pass before, as waits were not measured there: test_a_stop_is_not_ended_while_the_gateway_waits_for_a_processor, test_waits_for_a_processor_do_not_count_for_a_stop, test_the_time_that_did_not_count_is_measured.

--- a/soak/process.py
+++ b/soak/process.py
@@ -15,9 +15,13 @@
 
 from soak.link import Link
 from soak.records import StopTimes
+from soak.rundelay import RunLimit
 from soak.settings import APPLY_S, CONTACT_S, DRAIN_S, GRACE_S, REVOKE_S
 
 FRONT_PORT, READY_PORT, PEER_PORT = 8227, 8220, 7340
+EXIT_S = 10.0
+"""Seconds within which a process exits after SIGKILL."""
+
 POLL_S = 0.02
 SIGNAL_MASK_FIELDS = ("SigIgn", "SigCgt")
 
@@ -104,15 +108,18 @@
     async def stop(self) -> StopTimes:
         """Send SIGTERM, then start the gateway again.
 
-        SIGKILL follows if it has not exited within the grace period.
+        SIGKILL follows if it has not exited within the grace period, in which the time does not
+        count that it or the soak waits for a processor.
 
         :return: how long the exit took
         """
         async with self._lock:
             signalled_at = time.monotonic()
+            limit = RunLimit(GRACE_S, self._list_pids)
             self._signal(signal.SIGTERM)
-            running_at = await self._wait_exit(GRACE_S)
-            times = StopTimes(running_at - signalled_at, time.monotonic() - signalled_at)
+            running_at = await self._wait_exit(limit)
+            took_s = time.monotonic() - signalled_at
+            times = StopTimes(running_at - signalled_at, took_s, limit.measure_lost())
             self._signal(signal.SIGKILL)
             await self._wait_exit()
             self.start()
@@ -152,18 +159,21 @@
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
-    async def _wait_exit(self, limit_s: float = 10.0) -> float:
+    async def _wait_exit(self, limit: RunLimit | None = None) -> float:
         """:return: monotonic seconds at which the process was last seen running."""
+        limit = limit or RunLimit(EXIT_S, self._list_pids)
         running_at = asked_at = time.monotonic()
-        until = asked_at + limit_s
         while self._process is not None and self._process.poll() is None:
             running_at = asked_at
-            if time.monotonic() > until:
+            if limit.is_over():
                 break
             await asyncio.sleep(POLL_S)
             asked_at = time.monotonic()
         return running_at
 
+    def _list_pids(self) -> list[int]:
+        return [self._process.pid] if self._process is not None else []
+
     def _build_settings(self) -> dict[str, object]:
         return {
             "node": f"gateway-{self.number}",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -293,14 +293,15 @@
 
 
 class StopsEndInTime(Promise):
-    """A planned stop completes within the grace period."""
+    """A planned stop completes within the grace period, besides waits for a processor."""
 
     def find_breaches(self, record: Record) -> Iterator[str]:
         """:return: stops that reached the grace period and needed SIGKILL."""
         for stop in record.stops:
-            if stop.took_s >= GRACE_S:
+            if stop.took_s - stop.lost_s >= GRACE_S:
                 running = f"last seen running after {stop.running_s:.2f} s"
-                yield f"a stop took {stop.took_s:.2f} s, {running}"
+                lost = f"{stop.lost_s:.2f} s of waits for a processor"
+                yield f"a stop took {stop.took_s:.2f} s with {lost}, {running}"
 
 
 class NothingIsHeld(Promise):
--- a/soak/records.py
+++ b/soak/records.py
@@ -191,10 +191,12 @@
 
     :param running_s: seconds from the signal until the process was last seen running
     :param took_s: seconds from the signal until its exit was seen, or until it was given up
+    :param lost_s: seconds of them in which the process or the soak waited for a processor
     """
 
     running_s: float
     took_s: float
+    lost_s: float = 0.0
 
 
 @attrs.define
--- a/soak/rundelay.py
+++ b/soak/rundelay.py
@@ -54,6 +54,19 @@
 
     def is_over(self) -> bool:
         """:return: whether the time limit has passed."""
+        self._check()
+        return self._left_s < 0
+
+    def measure_lost(self) -> float:
+        """:return: seconds since the start that did not count."""
+        self._check()
+        return self._lost_s
+
+    def describe(self) -> str:
+        """:return: the time that did not count."""
+        return f"besides {self._lost_s:.1f} s of waits for a processor"
+
+    def _check(self) -> None:
         now, delays_s = self._clock(), self._read_delays()
         # one that was started since then has waited since its start
         lost_s = sum(
@@ -64,11 +77,6 @@
         self._left_s -= passed_s - lost_s
         self._lost_s += lost_s
         self._checked_at, self._delays_s = now, delays_s
-        return self._left_s < 0
-
-    def describe(self) -> str:
-        """:return: the time that did not count."""
-        return f"besides {self._lost_s:.1f} s of waits for a processor"
 
     def _read_delays(self) -> dict[int, float]:
         return {pid: self._read_delay(pid) for pid in (os.getpid(), *self._list_pids())}
--- a/tests/soak/test_process.py
+++ b/tests/soak/test_process.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import signal
 import time
 from collections.abc import AsyncIterator
+from functools import partial
 from pathlib import Path
 
 import aiohttp
 import pytest
 
 from soak.process import GatewayProcess
+from soak.rundelay import RunLimit
 from soak.settings import GRACE_S, SoakSettings
 from soak.world import World
 
@@ -66,3 +70,31 @@
     times = await stop
     assert times.took_s >= BLOCKED_S
     assert SEEN_RUNNING_S / 2 < times.running_s < SEEN_RUNNING_S + BLOCKED_S - EXIT_S
+
+
+# fault: a gateway that the machine had kept from running was killed in its stop
+async def test_a_stop_is_not_ended_while_the_gateway_waits_for_a_processor(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway = world.gateways[0]
+    await wait_ready(gateway)
+    # all of its time counts as a wait for a processor
+    limit = partial(RunLimit, read_delay=lambda _pid: time.monotonic())
+    monkeypatch.setattr("soak.process.RunLimit", limit)
+    pid = gateway.pid
+    os.kill(pid, signal.SIGSTOP)
+    stop = asyncio.ensure_future(gateway.stop())
+    await asyncio.sleep(GRACE_S + SEEN_RUNNING_S)
+    os.kill(pid, signal.SIGCONT)
+    times = await stop
+    assert GRACE_S < times.running_s <= times.took_s
+    assert times.took_s - times.lost_s < EXIT_S
+
+
+async def test_a_stop_of_a_suspended_gateway_ends_with_its_grace(world: World) -> None:
+    gateway = world.gateways[0]
+    await wait_ready(gateway)
+    os.kill(gateway.pid, signal.SIGSTOP)
+    times = await gateway.stop()
+    assert times.running_s <= times.took_s < GRACE_S + times.lost_s + EXIT_S
+    assert times.took_s - times.lost_s >= GRACE_S
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -367,6 +367,14 @@
     assert find(record) == {"StopsEndInTime", "GatewaysLive"}
 
 
+# fault: a stop was too late because the machine had not let the gateway run
+@pytest.mark.parametrize(("lost_s", "names"), [(1.1, set()), (0.9, {"StopsEndInTime"})])
+def test_waits_for_a_processor_do_not_count_for_a_stop(lost_s: float, names: set[str]) -> None:
+    record = build_record(build_request(), build_run())
+    record.stops.append(StopTimes(GRACE_S, GRACE_S + 1.0, lost_s))
+    assert find(record) == names
+
+
 def test_a_request_that_ended_after_its_deadline() -> None:
     request = build_request()
     request.ended_at = request.sent_at + DEADLINE_S + 1.0
--- a/tests/soak/test_rundelay.py
+++ b/tests/soak/test_rundelay.py
@@ -59,6 +59,16 @@
     assert machine.pass_time(LIMIT_S + 0.1)
 
 
+def test_the_time_that_did_not_count_is_measured() -> None:
+    machine = Machine()
+    machine.pass_time(5.0, own=1.0)
+    machine.now_s += 3.0
+    machine.delays_s[OTHER] += 2.0
+    assert machine.limit.measure_lost() == pytest.approx(3.0)
+    assert not machine.pass_time(LIMIT_S - 5.1)
+    assert machine.pass_time(0.2)
+
+
 # fault: the waits of a process that was started anew counted against its former one
 def test_a_process_that_was_started_since_then_has_waited_since_its_start() -> None:
     machine = Machine()
