--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 
@@ -279,6 +280,20 @@
     assert not engine.seen
 
 
+# fault: a stream that began at an unlisted restart, while one version served, resumed at that one
+async def test_a_stream_that_began_at_an_unlisted_restart_does_not_resume_at_the_listed_version(
+    gateway, engine, start_server
+) -> None:
+    second = await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms, engine.reset_at_event = 2, 8
+    task = asyncio.ensure_future(run(gateway))
+    await wait_for(lambda: engine.seen)
+    put(gateway, engine, started_ms=2, version="v2")
+    with contextlib.suppress(StreamBrokenError):
+        await asyncio.wait_for(task, 5)
+    assert not second.seen
+
+
 def change_while_connecting(gateway, monkeypatch, change) -> None:
     pool = gateway.directory.get("i-1").pool
     connect = pool._connect
