Resume no stream that may have begun at a restart before it was listed

Cause: a new stream is checked for the start of its endpoint only where a connection was cut, several versions are listed or the listing can't be read. An endpoint that came back with the first v2 of its service, before any listing showed it, began streams that counted as ones of v1. When the listing showed the restart, the gateway ended their connections and resumed them at endpoints of v1.

Change: an attempt knows whether the start was confirmed on its connection. If one without that is cut off within RESTART_LISTED_S after it was sent, and its endpoint is listed with another version by then, the version of the stream counts as unknown: the stream ends, and the record "unknown" makes other gateways refuse its take-up.

Why it works: the listing shows a restart within RESTART_LISTED_S, so that an older attempt began at the start that was listed. A stream whose endpoint crashes is cut before the listing shows anything and resumes as before; so do streams on confirmed connections.

Open: a stream that such an endpoint cuts off before the listing shows its restart.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -230,6 +230,8 @@
     :param may_send: checks whether there is still time to send the call
     :param confirm_start: checks a connection before the call is sent on it, and returns the one to
         use, or why the call must not be sent; ``None`` for no check
+    :ivar sent: whether the call was sent
+    :ivar is_start_confirmed: whether the endpoint named its listed start on the connection before
     """
 
     def __init__(
@@ -246,6 +248,7 @@
         self.endpoint = endpoint
         self.version = endpoint.entry.version
         self.sent = False
+        self.is_start_confirmed = False
         self._sent_at = -math.inf
         self._protocol = protocol
         self._options = options
@@ -257,6 +260,10 @@
         self._pool = endpoint.pool
         self._channel: Channel | None = None
 
+    def age_s(self, now: float) -> float:
+        """:return: seconds since the call was sent."""
+        return now - self._sent_at
+
     @property
     def is_cut_off(self) -> bool:
         """:return: whether its connection was ended by the endpoint or the network."""
@@ -305,6 +312,7 @@
         except RequestEncodingError as error:
             raise refuse(ErrorKind.BAD_REQUEST, f"the request can't be sent: {error}") from error
         self.sent, self._sent_at = True, time.monotonic()
+        self.is_start_confirmed = channel.confirmed_start_ms == self.endpoint.entry.started_ms
         try:
             head = await channel.read_head()
         except ChannelError as error:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -404,6 +404,7 @@
         endpoint.record_outcome(now, failed=failed)
         self._backup.keep(self._events.last)
         if isinstance(outcome, MayHaveRun):
+            self._pin.record_cut(attempt)
             tracker.last_detail = outcome.detail
             tracker.timed_out = outcome.timed_out
 
--- a/src/basilroad/gateway/versions/pin.py
+++ b/src/basilroad/gateway/versions/pin.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
+from basilroad.gateway.versions.startcheck import RESTART_LISTED_S
+from basilroad.gateway.versions.streamversions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
+    from basilroad.gateway.attempt import Attempt
     from basilroad.gateway.call import Call
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.versions.streamversions import StreamVersions
 
+UNKNOWN_MESSAGE = "the software version that began this stream is not known"
+
 
 class VersionPin:
     """Version at which one stream runs.
@@ -31,6 +37,8 @@
     @property
     def is_lost(self) -> bool:
         """:return: whether no endpoint is left at which the stream may resume."""
+        if self.version == UNKNOWN_VERSION:
+            return True
         if self.version is None or not self._directory.is_reliable:
             return False
         return not self._list_staying()
@@ -54,8 +62,7 @@
             return
         self.version = await self._versions.find(self._call)
         if self.version is None:
-            message = "the software version that began this stream is not known"
-            raise refuse(ErrorKind.VERSION_UNKNOWN, message)
+            raise refuse(ErrorKind.VERSION_UNKNOWN, UNKNOWN_MESSAGE)
         if self.is_lost:
             raise RefusedError(self.build_refusal())
 
@@ -82,6 +89,19 @@
         self.version = version
         return True
 
+    def record_cut(self, attempt: Attempt) -> None:
+        """Give up the version of a stream that may have begun at a restart that was not listed.
+
+        :param attempt: the attempt that was cut off
+        """
+        if self.version is None or attempt.is_start_confirmed:
+            return
+        # the restart was listed while the attempt ran, and may be older than the attempt
+        is_recent = attempt.age_s(time.monotonic()) < RESTART_LISTED_S
+        if is_recent and attempt.endpoint.entry.version != self.version:
+            self.version = UNKNOWN_VERSION
+            self._versions.record_unknown(self._call)
+
     def end(self) -> None:
         """Record that the response has ended."""
         if self._has_begun:
@@ -93,6 +113,8 @@
 
     def describe_loss(self) -> str:
         """:return: why the stream can't resume, for the caller and the log."""
+        if self.version == UNKNOWN_VERSION:
+            return UNKNOWN_MESSAGE
         return f"no endpoint of software version {self.version} is left, which began this stream"
 
     def _list_staying(self) -> list[Endpoint]:
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -170,4 +170,4 @@
         return endpoint.notices.limit.take_permit(time.monotonic())
 
 
-__all__ = ["StartCheck"]
+__all__ = ["RESTART_LISTED_S", "StartCheck"]
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -51,6 +51,10 @@
 """Time after a restore of the store within which all endpoints are listed again: three missed
 check-ins and a pause of the watch."""
 
+UNKNOWN_VERSION = "unknown"
+"""Version in the record of a stream that may have been begun by one of two, so that it may not
+resume."""
+
 ResultT = TypeVar("ResultT")
 
 _LOGGER = logging.getLogger(__name__)
@@ -136,6 +140,20 @@
             self._known.popitem(last=False)
         return True
 
+    def record_unknown(self, call: Call) -> None:
+        """Record that no version is known to have begun a stream, so that nothing resumes it.
+
+        :param call: the call of the stream, of which events were passed on
+        """
+        _LOGGER.warning("stream version unknown", extra={"request": call.id})
+        known = self._known.get((call.service, call.workspace, call.id))
+        if known is not None:
+            known.version = UNKNOWN_VERSION
+        if self.keeper.archive is not None:
+            records = self.keeper.open(call.service).records
+            records.request(call, UNKNOWN_VERSION, self._clock(), delay_s=0.0)
+            self.keeper.request_work()
+
     def end(self, call: Call) -> None:
         """Record the end of the response to a call, which its caller may take up again.
 
@@ -181,6 +199,8 @@
                 "stream version not read", extra={"request": call.id, "detail": str(error)}
             )
             raise refuse(ErrorKind.STORE_UNAVAILABLE, message, FIND_RETRY_S) from error
+        if version == UNKNOWN_VERSION:
+            source, version = "unknown", None
         self._count_takeup(source)
         _LOGGER.info(
             "stream version found",
@@ -336,4 +356,11 @@
     return await read()
 
 
-__all__ = ["CONFIRM_LIMIT_S", "FIND_LIMIT_S", "MAX_REMEMBERED", "RELIST_S", "StreamVersions"]
+__all__ = [
+    "CONFIRM_LIMIT_S",
+    "FIND_LIMIT_S",
+    "MAX_REMEMBERED",
+    "RELIST_S",
+    "UNKNOWN_VERSION",
+    "StreamVersions",
+]
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from collections.abc import AsyncIterator
 
@@ -11,6 +10,7 @@
 import pytest
 
 from basilroad.endpoints.channels import Channel
+from basilroad.errors import RefusedError
 from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.limits import NamedLimit
@@ -280,20 +280,48 @@
     assert not engine.seen
 
 
+async def run_over_restart(gateway, engine, responder: RecordingResponder) -> None:
+    """Begin a stream at an engine that is listed as restarted with other software meanwhile."""
+    engine.reset_at_event = 8
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: engine.seen)
+    put(gateway, engine, started_ms=2, version="v2")
+    await asyncio.wait_for(task, 5)
+
+
 # fault: a stream that began at an unlisted restart, while one version served, resumed at that one
 async def test_a_stream_that_began_at_an_unlisted_restart_does_not_resume_at_the_listed_version(
     gateway, engine, start_server
 ) -> None:
     second = await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
-    engine.start_ms, engine.reset_at_event = 2, 8
-    task = asyncio.ensure_future(run(gateway))
-    await wait_for(lambda: engine.seen)
-    put(gateway, engine, started_ms=2, version="v2")
-    with contextlib.suppress(StreamBrokenError):
-        await asyncio.wait_for(task, 5)
+    engine.start_ms = 2
+    with pytest.raises(StreamBrokenError, match="is not known"):
+        await run_over_restart(gateway, engine, RecordingResponder())
+    with pytest.raises(RefusedError, match="is not known"):
+        await run(gateway, id="c2", resumes="c1", resume_after="7")
     assert not second.seen
 
 
+async def test_a_stream_that_began_long_before_a_restart_resumes_at_its_version(
+    gateway, engine, start_server, monkeypatch
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    monkeypatch.setattr("basilroad.gateway.versions.pin.RESTART_LISTED_S", 0.0)
+    responder = RecordingResponder()
+    await run_over_restart(gateway, engine, responder)
+    assert responder.numbers == ALL_EVENTS
+
+
+async def test_a_stream_that_began_at_a_confirmed_start_resumes_at_its_version(
+    gateway, engine, start_server
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    gateway.directory.get("i-1").record_cut(time.monotonic())
+    responder = RecordingResponder()
+    await run_over_restart(gateway, engine, responder)
+    assert (responder.numbers, engine.reports) == (ALL_EVENTS, 1)
+
+
 def change_while_connecting(gateway, monkeypatch, change) -> None:
     pool = gateway.directory.get("i-1").pool
     connect = pool._connect
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -98,6 +98,20 @@
     assert [await second.find(stream) for stream in streams] == ["v1", "v2"]
 
 
+# fault: other hosts resumed a stream of the base version that may have been begun by another one
+@virtually
+async def test_a_stream_whose_version_is_in_doubt_is_not_known_to_any_host(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    first, second = fleet.hosts
+    stream = await fleet.begin(first, "v1")
+    first.versions.record_unknown(stream.call)
+    fleet.end(stream)
+    assert await first.find(stream) is None
+    await asyncio.sleep(1.0)
+    first.kill()
+    assert await second.find(stream) is None
+
+
 # fault: calls to the store are billed, and most of the time one version serves
 @virtually
 async def test_nothing_is_read_or_written_while_one_version_serves(fleet: SimFleet) -> None:
