Show that a stream which begins at an unlisted restart is joined

Cause: a new stream is sent unchecked where one version is listed and no connection was cut. An engine that is back in place with other software, and not listed yet, begins it; it counts as one of the listed version. The listing then shows the restart, the gateway closes the connection, and the stream resumes from its copy at an endpoint of the version before.

Evidence: the new test fails always, with events 1 to 7 of v2 and 8 to 20 of v1.

Change: none of the product.

--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 
@@ -15,6 +16,7 @@
 from basilroad.gateway.notices import Source
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.streamevents import decode_events
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
@@ -230,6 +232,23 @@
     assert not engine.seen
 
 
+# fault: its version was that of the listing, which showed neither the restart nor another version
+async def test_a_stream_that_began_at_an_unlisted_restart_keeps_its_version(
+    gateway, engine, start_server
+) -> None:
+    await start_server("i-2", service="llm", events=20, software="v1")
+    gateway.directory.get("i-2").full_until = float("inf")
+    engine.version, engine.start_ms, engine.reset_at_event = "v2", 2, 8
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: engine.seen or gateway.directory.get("i-1").last_failed_at > 0)
+    gateway.directory.get("i-2").full_until = 0.0
+    with contextlib.suppress(StreamBrokenError):
+        await asyncio.wait_for(task, 5)
+    assert responder.numbers
+    assert len({event.version for event in decode_events(responder.data)}) == 1
+
+
 def name_limit(gateway, engine: ReportingServer, limit: str) -> None:
     engine.limit, now = limit, time.monotonic()
     notices = gateway.directory.get(engine.id).notices
