Leave out of requests in the soak what callers wait for a processor

Callers, endpoints and store run in the process of the soak, which had no processor meanwhile.

Change: a request has the time in which the soak or its gateway waited for a processor, and NothingIsHeld leaves it out.

Why it is as strict: a request that a gateway holds makes nobody wait for a processor, so that all of its time counts. The limit is the same.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,6 +11,7 @@
 from basilroad.standin.streamevents import decode_events
 from soak.promise import OK, UNCONNECTED
 from soak.records import Kind, Request
+from soak.rundelay import RunLimit
 from soak.settings import CALLER_TIMEOUT_MARGIN_S, DEADLINE_S, STREAM_TIME_S
 from soak.world import HOST, World
 
@@ -127,6 +128,8 @@
     async def _send(self, session: aiohttp.ClientSession, request: Request) -> None:
         aborts = self._random.random() < ABORT_SHARE
         abort_after_s = self._random.uniform(0.01, 0.4) if aborts else None
+        gateway = self._world.gateways[request.gateway]
+        limit = RunLimit(request.deadline_s, lambda: [gateway.pid])
         try:
             async with asyncio.timeout(abort_after_s):
                 await self._exchange(session, request)
@@ -137,6 +140,7 @@
             request.detail = type(error).__name__
         finally:
             request.ended_at = time.monotonic()
+            request.lost_s = limit.measure_lost()
 
     async def _exchange(self, session: aiohttp.ClientSession, request: Request) -> None:
         headers = {
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -305,16 +305,20 @@
 
 
 class NothingIsHeld(Promise):
-    """In fault-free periods each request ends within ``RESPONSE_MARGIN_S`` after its deadline."""
+    """In fault-free periods each request ends within ``RESPONSE_MARGIN_S`` after its deadline.
+
+    Time does not count in which the soak or the gateway waits for a processor.
+    """
 
     def find_breaches(self, record: Record) -> Iterator[str]:
         """:return: requests that ended after their deadline."""
         for request in record.requests.values():
-            took_s = request.ended_at - request.sent_at
+            took_s = request.ended_at - request.sent_at - request.lost_s
             if request.aborted or took_s <= request.deadline_s + RESPONSE_MARGIN_S:
                 continue
             if record.is_fault_free(request.sent_at - RECOVERY_S, request.ended_at):
-                yield f"{request.id} waited {took_s:.2f} s, answered {request.status}"
+                lost = f"besides {request.lost_s:.2f} s of waits for a processor"
+                yield f"{request.id} waited {took_s:.2f} s {lost}, answered {request.status}"
 
 
 class GatewaysLive(Promise):
--- a/soak/records.py
+++ b/soak/records.py
@@ -73,6 +73,7 @@
         one takes up; empty for a new request
     :param last_event: number of the last event received before; 0 for a new request
     :param retry_after_s: seconds that the response asks to wait; 0 if it does not
+    :param lost_s: seconds in which the soak or the gateway waited for a processor
     """
 
     id: str
@@ -97,6 +98,7 @@
     resumes: str = ""
     last_event: int = 0
     retry_after_s: float = 0.0
+    lost_s: float = 0.0
 
 
 @attrs.frozen
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -381,6 +381,15 @@
     assert find(build_record(request, build_run())) == {"NothingIsHeld"}
 
 
+# fault: a request ended too late as the machine had not let the soak read its response
+@pytest.mark.parametrize(("lost_s", "names"), [(0.6, set()), (0.4, {"NothingIsHeld"})])
+def test_waits_for_a_processor_do_not_count_for_a_request(lost_s: float, names: set[str]) -> None:
+    request = build_request()
+    request.ended_at = request.sent_at + DEADLINE_S + 1.0
+    request.lost_s = lost_s
+    assert find(build_record(request, build_run())) == names
+
+
 def test_requests_not_served_after_the_last_fault() -> None:
     request = build_request(Kind.LOOK)
     request.status = 503
