--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 
@@ -18,6 +19,7 @@
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.streamevents import decode_events
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
@@ -241,6 +243,23 @@
     assert not engine.seen
 
 
+# fault: its version was that of the listing, which showed neither the restart nor another version
+async def test_a_stream_that_an_unlisted_restart_cuts_off_keeps_its_version(
+    gateway, engine, start_server
+) -> None:
+    await start_server("i-2", service="llm", events=20, software="v1")
+    gateway.directory.get("i-2").full_until = float("inf")
+    engine.version, engine.start_ms, engine.reset_at_event = "v2", 2, 8
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: engine.seen or gateway.directory.get("i-1").last_failed_at > 0)
+    gateway.directory.get("i-2").full_until = 0.0
+    with contextlib.suppress(StreamBrokenError):
+        await asyncio.wait_for(task, 5)
+    assert responder.numbers
+    assert len({event.version for event in decode_events(responder.data)}) == 1
+
+
 # fault: a report that could not be read passed for one that names the listed start
 @pytest.mark.parametrize("spoiled", [b'{"bor', b'{"born": "2"}', b'{"born": 2.5}', b"\xff"])
 async def test_a_resumed_stream_is_not_sent_to_a_restart_whose_report_is_spoiled(
@@ -282,9 +301,9 @@
 
 async def run_over_restart(gateway, engine, responder: RecordingResponder) -> None:
     """Begin a stream at an engine that is listed as restarted with other software meanwhile."""
-    engine.reset_at_event = 8
+    engine.event_interval_s = 0.1
     task = asyncio.ensure_future(run(gateway, responder))
-    await wait_for(lambda: engine.seen)
+    await wait_for(lambda: responder.numbers)
     put(gateway, engine, started_ms=2, version="v2")
     await asyncio.wait_for(task, 5)
 
