Give the streams of a gateway a folder

Cause: six modules named stream* and three that only streams use stood among the other parts of the gateway.

Change: gateway/streams/ holds them with their tests; the prefix stream goes from the names that it repeats. Only paths and imports change.

Result: tests/test_imports.py, tests/docs and the test of streams/output.py, which names a module in a patch, pass.

--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from basilroad.gateway.events import MAX_ID_DIGITS
 from basilroad.gateway.route import Route
+from basilroad.gateway.streams.events import MAX_ID_DIGITS
 
 CONTENT_KEY_BYTES = 8
 """Size of the hash of a call's content; the calls of one hour differ in it."""
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -33,7 +33,7 @@
     ShutdownSchedule,
     refuse_at_shutdown,
 )
-from basilroad.gateway.streamdurations import StreamDurations
+from basilroad.gateway.streams.durations import StreamDurations
 from basilroad.gateway.versions.startcheck import StartCheck
 from basilroad.gateway.versions.streamversions import StreamVersions
 from basilroad.stopsignal import StopSignal
--- a/src/basilroad/gateway/handler.py
+++ b/src/basilroad/gateway/handler.py
@@ -9,7 +9,7 @@
 from basilroad.gateway.buffered import BufferedCall
 from basilroad.gateway.metrics import name_form
 from basilroad.gateway.shutdown import ShutdownError
-from basilroad.gateway.streaming import StreamBrokenError, StreamCall
+from basilroad.gateway.streams.streaming import StreamBrokenError, StreamCall
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, Reply, Responder
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/liveness.py
@@ -16,8 +16,8 @@
     from basilroad.gateway.directory import Directory
     from basilroad.gateway.dispatch import Dispatcher
     from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.firstevent import FirstEventWait
     from basilroad.gateway.reports import ReportReader
+    from basilroad.gateway.streams.firstevent import FirstEventWait
 
 LIVENESS_CHECK_INTERVAL_S = 0.05
 """Interval of checks for silent endpoints."""
--- a/src/basilroad/gateway/streamplacement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -15,7 +15,7 @@
     from basilroad.gateway.attempttracker import AttemptTracker
     from basilroad.gateway.dispatch import Dispatcher
     from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.streambackup import StreamBackup
+    from basilroad.gateway.streams.backup import StreamBackup
     from basilroad.gateway.versions.pin import VersionPin
 
 AVOID_TRIED_S = 1.0
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -15,15 +15,15 @@
 from basilroad.gateway.call import Reply
 from basilroad.gateway.calllog import AttemptRecord
 from basilroad.gateway.containment import REFUSED_MESSAGE
-from basilroad.gateway.events import EventOrderError, EventSequence
-from basilroad.gateway.firstevent import FirstEventWait
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.runs import Run
-from basilroad.gateway.stalltimer import StallTimer
-from basilroad.gateway.streambackup import StreamBackup
-from basilroad.gateway.streamcrashes import StreamCrashes
-from basilroad.gateway.streamoutput import StreamOutput
-from basilroad.gateway.streamplacement import StreamPlace, StreamPlacement
+from basilroad.gateway.streams.backup import StreamBackup
+from basilroad.gateway.streams.crashes import StreamCrashes
+from basilroad.gateway.streams.events import EventOrderError, EventSequence
+from basilroad.gateway.streams.firstevent import FirstEventWait
+from basilroad.gateway.streams.output import StreamOutput
+from basilroad.gateway.streams.placement import StreamPlace, StreamPlacement
+from basilroad.gateway.streams.stalltimer import StallTimer
 from basilroad.gateway.versions.pin import VersionPin
 
 if TYPE_CHECKING:
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -18,7 +18,7 @@
 from basilroad.gateway.calllog import log_refusal
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
-from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
 from basilroad.http.tunnels import has_tunnel_body
 from basilroad.platform.connections import CallerServer, EndCause, list_unread_requests
--- a/tests/gateway/test_streamcrashes.py
+++ b/tests/gateway/streams/test_crashes.py
@@ -9,7 +9,7 @@
 
 from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.runs import BEGINNING_S, Run
-from basilroad.gateway.streamcrashes import StreamCrashes
+from basilroad.gateway.streams.crashes import StreamCrashes
 from builders import build_call, build_entry, build_stream_route
 
 
--- a/tests/gateway/test_streamdurations.py
+++ b/tests/gateway/streams/test_durations.py
@@ -10,7 +10,7 @@
 from basilroad.errors import Effect, ErrorKind, RefusedError
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.streamdurations import SAMPLE_VALIDITY_S, StreamDurations
+from basilroad.gateway.streams.durations import SAMPLE_VALIDITY_S, StreamDurations
 from basilroad.platform.protocol import PlatformProtocol
 from builders import PLACE, RecordingResponder, build_call, build_stream_route, build_table
 
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/streams/test_events.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from basilroad.gateway.events import EventOrderError, EventSequence
+from basilroad.gateway.streams.events import EventOrderError, EventSequence
 
 
 def write_events(first: int, last: int) -> bytes:
--- a/tests/gateway/test_firstevent.py
+++ b/tests/gateway/streams/test_firstevent.py
@@ -6,13 +6,13 @@
 
 from basilroad.gateway.call import PromptSize
 from basilroad.gateway.endpoint import Endpoint, Reservation
-from basilroad.gateway.firstevent import (
+from basilroad.gateway.selection import PREFILL_TOKENS_PER_S
+from basilroad.gateway.streams.firstevent import (
     CONCURRENT_CALL_DELAY_S,
     FIRST_EVENT_MARGIN_S,
     PREFILL_FACTOR,
     FirstEventWait,
 )
-from basilroad.gateway.selection import PREFILL_TOKENS_PER_S
 from builders import build_call, build_entry, build_stream_route
 
 PROMPT = PromptSize(8000, 1000)
--- a/tests/gateway/test_streamoutput.py
+++ b/tests/gateway/streams/test_output.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from basilroad.gateway import streamoutput
-from basilroad.gateway.streamoutput import StreamOutput
+from basilroad.gateway.streams.output import StreamOutput
 from builders import RecordingResponder
 
 
@@ -30,7 +29,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     clock, responder = Clock(), RecordingResponder()
-    monkeypatch.setattr(streamoutput, "time", clock)
+    monkeypatch.setattr("basilroad.gateway.streams.output.time", clock)
     firsts: list[float] = []
     gaps: list[float] = []
     output = StreamOutput(responder, lambda: firsts.append(clock.now), gaps.append)
--- a/tests/gateway/test_streamplacement.py
+++ b/tests/gateway/streams/test_placement.py
@@ -14,8 +14,8 @@
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.endpoint import Endpoint, EndpointEntry, EndpointState
 from basilroad.gateway.selection import Chooser
-from basilroad.gateway.streambackup import StreamBackup
-from basilroad.gateway.streamplacement import StreamPlacement
+from basilroad.gateway.streams.backup import StreamBackup
+from basilroad.gateway.streams.placement import StreamPlacement
 from basilroad.gateway.versions.pin import VersionPin
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
--- a/tests/gateway/test_slow_streams.py
+++ b/tests/gateway/streams/test_slow_streams.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from basilroad.gateway import stalltimer
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
+from basilroad.gateway.streams import stalltimer
 from builders import RecordingResponder, build_call, build_stream_route
 
 STALL_S = 0.2
--- a/tests/gateway/test_stalltimer.py
+++ b/tests/gateway/streams/test_stalltimer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from basilroad.gateway.stalltimer import StallTimer
+from basilroad.gateway.streams.stalltimer import StallTimer
 
 
 def test_a_run_without_an_event_does_not_stall() -> None:
--- a/tests/gateway/test_streaming.py
+++ b/tests/gateway/streams/test_streaming.py
@@ -11,7 +11,7 @@
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
-from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
--- a/tests/gateway/test_containment.py
+++ b/tests/gateway/test_containment.py
@@ -17,7 +17,7 @@
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.notices import Source
 from basilroad.gateway.runs import BEGINNING_S, Run
-from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin, WireFault
 from builders import RecordingResponder, build_call, build_entry, build_route, build_stream_route
 
--- a/tests/gateway/test_crashing_contents.py
+++ b/tests/gateway/test_crashing_contents.py
@@ -11,7 +11,7 @@
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety, Route
-from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin, CrashPoint
 from builders import RecordingResponder, build_call, build_route, build_stream_route
 
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -17,7 +17,7 @@
 from basilroad.gateway.limits import NamedLimit
 from basilroad.gateway.notices import Source
 from basilroad.gateway.route import RetrySafety
-from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.streamevents import decode_events
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -11,7 +11,7 @@
 import pytest
 
 from basilroad.gateway.selection import Locality
-from basilroad.gateway.streamdurations import StreamDurations
+from basilroad.gateway.streams.durations import StreamDurations
 from basilroad.peers.address import Address
 from basilroad.platform.run import PlatformService
 from basilroad.platform.settings import Bounds, ProcessSettings, StoreAccess
--- a/tests/support/gatewayrig.py
+++ b/tests/support/gatewayrig.py
@@ -13,7 +13,7 @@
 
 from basilroad.gateway.selection import Locality
 from basilroad.gateway.shutdown import SHUTDOWN_RESERVE_S
-from basilroad.gateway.streamdurations import StreamDurations
+from basilroad.gateway.streams.durations import StreamDurations
 from basilroad.peers.address import Address
 from basilroad.platform.run import PlatformService
 from basilroad.platform.settings import Bounds, ProcessSettings, StoreAccess
