Give what a gateway knows of endpoints a folder

Cause: the list of endpoints, their state and what they say about themselves were six files among the parts that serve calls.

Change: gateway/registry/ holds the directory, the state of an endpoint, its notices, limits and reports, and the probes, with their tests. Only paths and imports change. The package basilroad.endpoints keeps the clients.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -6,8 +6,8 @@
 import time
 
 from basilroad.gateway.call import Call, PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import EndpointEntry
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import EndpointEntry
 from basilroad.gateway.route import EngineLimits, Route, WeightedService
 from basilroad.gateway.selection import Chooser, Locality
 from basilroad.peers.address import Address
--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -12,7 +12,7 @@
 
 from basilroad.gateway.call import Reply
 from basilroad.gateway.calllog import AttemptRecord, log_attempt
-from basilroad.gateway.endpoint import Endpoint
+from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.logs import configure_logs
 from basilroad.logwriter import LogWriter
 from builders import build_call, build_entry, build_route
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -23,15 +23,15 @@
     RequestEncodingError,
 )
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.endpoint import PendingCall, never_move
-from basilroad.gateway.limits import NamedLimit
-from basilroad.gateway.notices import Purpose, Source
+from basilroad.gateway.registry.endpoint import PendingCall, never_move
+from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.notices import Purpose, Source
 
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Headers
-    from basilroad.gateway.endpoint import ClaimMove, Endpoint, EngineReport
-    from basilroad.gateway.notices import Notice
+    from basilroad.gateway.registry.endpoint import ClaimMove, Endpoint, EngineReport
+    from basilroad.gateway.registry.notices import Notice
     from basilroad.peers.address import Address
 
 NON_REPEATABLE_IDLE_LIMIT_S = 0.5
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -18,8 +18,8 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
-    from basilroad.gateway.endpoint import Endpoint, Reservation
     from basilroad.gateway.gateway import Gateway
+    from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 
 DISPATCH_WAIT_SHARE = 0.5
 """Fraction of the target for which a call may be queued; the rest is left for its processing."""
--- a/src/basilroad/gateway/calllog.py
+++ b/src/basilroad/gateway/calllog.py
@@ -17,7 +17,7 @@
 
     from basilroad.errors import Refusal
     from basilroad.gateway.call import Call
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.registry.endpoint import Endpoint
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1000
--- a/src/basilroad/gateway/candidates.py
+++ b/src/basilroad/gateway/candidates.py
@@ -9,9 +9,9 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
-    from basilroad.gateway.directory import Directory
-    from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.promptlocations import PromptLocation, PromptLocations
+    from basilroad.gateway.registry.directory import Directory
+    from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.route import EngineLimits
     from basilroad.gateway.selection import Chooser
 
--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/containment.py
@@ -18,8 +18,8 @@
 )
 from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.endpoint import EndpointState
 from basilroad.gateway.exchange.crashreports import CrashExchange
+from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.runs import Run
 
 if TYPE_CHECKING:
@@ -27,9 +27,9 @@
 
     from basilroad.coordination.crashledger import RefusedKeys
     from basilroad.gateway.call import Call
-    from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.latecrashes import LateBreak, LateBreaks
     from basilroad.gateway.metrics import GatewayMetrics
+    from basilroad.gateway.registry.endpoint import Endpoint
 
 RECONNECT_DELAY_S = 0.05
 """Time after which a new connection to an endpoint that broke others shows whether it is up: a
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch.py
@@ -14,17 +14,17 @@
 from basilroad.coordination.fairqueue import FairQueue
 from basilroad.gateway.availability import find_service_pause
 from basilroad.gateway.candidates import Candidates, EndpointCriteria
-from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.promptlocations import PromptLocations
+from basilroad.gateway.registry.endpoint import Reservation
 from basilroad.gateway.selection import estimate_wait
 
 if TYPE_CHECKING:
     from basilroad.gateway.availability import ServicePause
     from basilroad.gateway.call import Call, PromptSize
-    from basilroad.gateway.directory import Directory
-    from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.exchange.permits import PermitExchange
-    from basilroad.gateway.reports import ReportReader
+    from basilroad.gateway.registry.directory import Directory
+    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.registry.reports import ReportReader
     from basilroad.gateway.route import EngineLimits
     from basilroad.gateway.selection import Chooser
 
--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -32,11 +32,11 @@
 from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
-    from basilroad.gateway.directory import Directory
-    from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.exchange.loans import RetryLoans
     from basilroad.gateway.exchange.relay import Relay
     from basilroad.gateway.promptlocations import PromptLocations
+    from basilroad.gateway.registry.directory import Directory
+    from basilroad.gateway.registry.endpoint import Endpoint
 
 GOSSIP_INTERVAL_S = 0.05
 """Interval of checks for changed state; prefill of a prompt takes about twenty times as long."""
--- a/src/basilroad/gateway/exchange/permits.py
+++ b/src/basilroad/gateway/exchange/permits.py
@@ -26,12 +26,12 @@
 from basilroad.coordination.permits import MAX_WAIT_S, PermitSource
 from basilroad.coordination.rendezvous import choose_hosts
 from basilroad.gateway.exchange.state import Count, StartTime
-from basilroad.gateway.limits import NamedLimit
-from basilroad.gateway.notices import Source
+from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.notices import Source
 
 if TYPE_CHECKING:
-    from basilroad.gateway.directory import Directory
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.registry.directory import Directory
+    from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.selection import Locality
     from basilroad.peers.address import Address
 
--- a/src/basilroad/gateway/exchange/relay.py
+++ b/src/basilroad/gateway/exchange/relay.py
@@ -16,8 +16,8 @@
 import attrs
 import msgspec
 
-from basilroad.gateway.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.exchange.state import Count
+from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.revision import Revision
 from basilroad.peers.address import parse_remote_address
 
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -15,16 +15,16 @@
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.gateway.calllog import AttemptRecord, log_attempt, log_service_pause
 from basilroad.gateway.containment import Containment
-from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.permits import PermitExchange
 from basilroad.gateway.freshness import Freshness
-from basilroad.gateway.liveness import Liveness
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
-from basilroad.gateway.notices import NoticeRegister
 from basilroad.gateway.preference import EnginePreference
-from basilroad.gateway.reports import ReportReader
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.liveness import Liveness
+from basilroad.gateway.registry.notices import NoticeRegister
+from basilroad.gateway.registry.reports import ReportReader
 from basilroad.gateway.selection import Chooser
 from basilroad.gateway.shutdown import (
     OTHER_HOST_RETRY_S,
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from basilroad.errors import Refusal
     from basilroad.gateway.call import Call
-    from basilroad.gateway.notices import Source
+    from basilroad.gateway.registry.notices import Source
 
 RANK_MAX = 9
 """Highest rank with its own label value; bounds the number of label values."""
--- a/src/basilroad/gateway/preference.py
+++ b/src/basilroad/gateway/preference.py
@@ -9,7 +9,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.registry.endpoint import Endpoint
 
 
 @attrs.frozen
--- a/src/basilroad/gateway/directory.py
+++ b/src/basilroad/gateway/registry/directory.py
@@ -8,13 +8,13 @@
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.endpoint import Endpoint, EndpointEntry, EndpointState
-from basilroad.gateway.notices import NoticeRegister, Source
+from basilroad.gateway.registry.endpoint import Endpoint, EndpointEntry, EndpointState
+from basilroad.gateway.registry.notices import NoticeRegister, Source
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from basilroad.gateway.limits import NamedLimit
+    from basilroad.gateway.registry.limits import NamedLimit
 
 ABSENCE_LIMIT_S = 2.0
 """Time after a failure to read the listing for which missing entries are kept; live endpoints write
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -13,7 +13,7 @@
 from attrs.validators import ge, le, max_len
 
 from basilroad.endpoints.channels import ChannelPool
-from basilroad.gateway.notices import Lifetime, NoticeRegister
+from basilroad.gateway.registry.notices import Lifetime, NoticeRegister
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/basilroad/gateway/liveness.py
+++ b/src/basilroad/gateway/registry/liveness.py
@@ -8,15 +8,15 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.notices import Purpose
+from basilroad.gateway.registry.notices import Purpose
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from basilroad.gateway.directory import Directory
     from basilroad.gateway.dispatch import Dispatcher
-    from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.reports import ReportReader
+    from basilroad.gateway.registry.directory import Directory
+    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.registry.reports import ReportReader
     from basilroad.gateway.streams.firstevent import FirstEventWait
 
 LIVENESS_CHECK_INTERVAL_S = 0.05
--- a/src/basilroad/gateway/notices.py
+++ b/src/basilroad/gateway/registry/notices.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from basilroad.gateway.limits import EndpointLimit, NamedLimit
+from basilroad.gateway.registry.limits import EndpointLimit, NamedLimit
 
 if TYPE_CHECKING:
     from basilroad.peers.address import Address
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/registry/reports.py
@@ -10,17 +10,17 @@
 import attrs
 
 from basilroad.endpoints.channels import NO_REQUEST_ID, SHORT_BODY_BYTES, ChannelError, ConnectError
-from basilroad.gateway.endpoint import EngineReport
-from basilroad.gateway.limits import NamedLimit
-from basilroad.gateway.notices import Purpose, Source
+from basilroad.gateway.registry.endpoint import EngineReport
+from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.notices import Purpose, Source
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.attempt import EndpointProtocol
-    from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.notices import EndpointNotices
+    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.registry.notices import EndpointNotices
     from basilroad.gateway.selection import Locality
 
 REPORT_TIMEOUT_S = 0.06
--- a/src/basilroad/gateway/runs.py
+++ b/src/basilroad/gateway/runs.py
@@ -8,12 +8,12 @@
 
 import attrs
 
-from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.registry.endpoint import EndpointState
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
-    from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.notices import EndpointNotices
+    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.registry.notices import EndpointNotices
 
 BEGINNING_S = 0.3
 """Time after the first event of a stream up to which its endpoint may crash on it; several steps of
--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/selection.py
@@ -14,8 +14,8 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, PromptSize
-    from basilroad.gateway.endpoint import Endpoint
     from basilroad.gateway.promptlocations import PromptLocation
+    from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.route import EngineLimits
 
 PREFILL_TOKENS_PER_S = 8000.0
--- a/src/basilroad/gateway/streams/backup.py
+++ b/src/basilroad/gateway/streams/backup.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from basilroad.gateway.calllog import log_resume_from_backup
-from basilroad.gateway.endpoint import Reservation
+from basilroad.gateway.registry.endpoint import Reservation
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
     from basilroad.gateway.dispatch import Dispatcher
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.versions.pin import VersionPin
 
 
--- a/src/basilroad/gateway/streams/firstevent.py
+++ b/src/basilroad/gateway/streams/firstevent.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.registry.endpoint import Endpoint
 
 FIRST_EVENT_MARGIN_S = 1.0
 """Allowance for the first event beyond prefill: one more prompt of mean size, sent by a gateway
--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -7,14 +7,14 @@
 
 import attrs
 
-from basilroad.gateway.endpoint import Reservation
+from basilroad.gateway.registry.endpoint import Reservation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from basilroad.gateway.attempttracker import AttemptTracker
     from basilroad.gateway.dispatch import Dispatcher
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.streams.backup import StreamBackup
     from basilroad.gateway.versions.pin import VersionPin
 
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -31,8 +31,8 @@
 
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Responder
-    from basilroad.gateway.endpoint import Endpoint, Reservation
     from basilroad.gateway.gateway import Gateway
+    from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 
 OK = 200
 
--- a/src/basilroad/gateway/versions/listing.py
+++ b/src/basilroad/gateway/versions/listing.py
@@ -6,10 +6,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.registry.endpoint import EndpointState
 
 if TYPE_CHECKING:
-    from basilroad.gateway.directory import Directory
+    from basilroad.gateway.registry.directory import Directory
 
 OBSERVE_INTERVAL_S = 0.5
 """Interval at which the listing is observed; a listed endpoint stays listed for longer."""
--- a/src/basilroad/gateway/versions/pin.py
+++ b/src/basilroad/gateway/versions/pin.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from basilroad.gateway.attempt import Attempt
     from basilroad.gateway.call import Call
-    from basilroad.gateway.directory import Directory
-    from basilroad.gateway.endpoint import Endpoint
+    from basilroad.gateway.registry.directory import Directory
+    from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.versions.streamversions import StreamVersions
 
 UNKNOWN_MESSAGE = "the software version that began this stream is not known"
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -10,16 +10,16 @@
 from basilroad.coordination.decoding import DecodeError
 from basilroad.endpoints.channels import ChannelError
 from basilroad.gateway.attempt import NotRun
-from basilroad.gateway.notices import Purpose
+from basilroad.gateway.registry.notices import Purpose
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.attempt import EndpointProtocol
-    from basilroad.gateway.directory import Directory
-    from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.reports import Report, ReportReader
+    from basilroad.gateway.registry.directory import Directory
+    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.registry.reports import Report, ReportReader
 
 START_TIMEOUT_S = 0.5
 """Time limit of the report of the start; sound engines fall silent for a second or so, and
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -23,8 +23,8 @@
     from collections.abc import Awaitable, Callable
 
     from basilroad.gateway.call import Call
-    from basilroad.gateway.directory import Directory
     from basilroad.gateway.metrics import GatewayMetrics
+    from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.versions.archive import VersionArchive
     from basilroad.gateway.versions.keeper import ServiceVersions
 
--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from basilroad.coordination.decoding import JsonDecoder
-from basilroad.gateway.endpoint import EndpointEntry, EndpointState
+from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.route import (
     CallerLimits,
     EngineLimits,
--- a/src/basilroad/platform/notices.py
+++ b/src/basilroad/platform/notices.py
@@ -7,7 +7,7 @@
 import re
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.notices import MAX_PAUSE_S, Notice
+from basilroad.gateway.registry.notices import MAX_PAUSE_S, Notice
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -18,7 +18,7 @@
 from basilroad.gateway.exchange.relay import Relay
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.liveness import LIVENESS_CHECK_INTERVAL_S
+from basilroad.gateway.registry.liveness import LIVENESS_CHECK_INTERVAL_S
 from basilroad.gateway.versions.listing import OBSERVE_INTERVAL_S
 from basilroad.platform.configwatch import ConfigWatch
 from basilroad.platform.crasharchive import CrashArchive
--- a/src/basilroad/platform/serverswatch.py
+++ b/src/basilroad/platform/serverswatch.py
@@ -11,9 +11,9 @@
 from basilroad.platform.watch import TableWatch
 
 if TYPE_CHECKING:
-    from basilroad.gateway.endpoint import EndpointEntry
     from basilroad.gateway.exchange.relay import Relay, Update
     from basilroad.gateway.gateway import Gateway
+    from basilroad.gateway.registry.endpoint import EndpointEntry
     from basilroad.gateway.revision import Revision
     from basilroad.platform.staleness import StalenessBudget
     from basilroad.platform.store import StoreClient, StoreRow
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from basilroad.gateway.call import Call, PromptSize
-from basilroad.gateway.endpoint import EndpointEntry, EndpointState
+from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.route import (
     EngineLimits,
     RetrySafety,
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -11,8 +11,6 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import Reservation
 from basilroad.gateway.exchange.gossip import (
     FANOUT,
     GOSSIP_INTERVAL_S,
@@ -26,9 +24,11 @@
 )
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.relay import Relay
-from basilroad.gateway.limits import NamedLimit
-from basilroad.gateway.notices import Notice, Source
 from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import Reservation
+from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.notices import Notice, Source
 from basilroad.gateway.selection import (
     Chooser,
     estimate_prefill_savings,
--- a/tests/gateway/exchange/test_permits.py
+++ b/tests/gateway/exchange/test_permits.py
@@ -14,8 +14,6 @@
 import pytest
 
 from basilroad.coordination.permits import MAX_WAIT_S
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.exchange.permits import (
     LimitReport,
     Peer,
@@ -23,8 +21,10 @@
     PermitReply,
     PermitRequest,
 )
-from basilroad.gateway.limits import RETURN_SPREAD_S, NamedLimit
-from basilroad.gateway.notices import NoticeRegister, Source
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.limits import RETURN_SPREAD_S, NamedLimit
+from basilroad.gateway.registry.notices import NoticeRegister, Source
 from basilroad.peers.address import Address
 from builders import PLACE, build_entry
 
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/registry/test_directory.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from basilroad.gateway.directory import ABSENCE_LIMIT_S, REMOVED_MEMORY_S, Directory
-from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.registry.directory import ABSENCE_LIMIT_S, REMOVED_MEMORY_S, Directory
+from basilroad.gateway.registry.endpoint import EndpointState
 from builders import build_entry
 
 
--- a/tests/gateway/test_leaving_endpoints.py
+++ b/tests/gateway/registry/test_leaving_endpoints.py
@@ -11,7 +11,7 @@
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.notices import Notice, Purpose, Source
+from basilroad.gateway.registry.notices import Notice, Purpose, Source
 from basilroad.gateway.route import RetrySafety
 from basilroad.standin.appserver import ALL_RESPONSES, ResponseKind, WireFault
 from builders import RecordingResponder, build_call, build_entry, build_route, build_stream_route
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/registry/test_limits.py
@@ -11,11 +11,11 @@
 from basilroad.errors import ErrorKind, RefusedError
 from basilroad.gateway.availability import find_service_pause
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.limits import PERMIT_VALIDITY_S, RETURN_SPREAD_S, NamedLimit
-from basilroad.gateway.notices import (
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.limits import PERMIT_VALIDITY_S, RETURN_SPREAD_S, NamedLimit
+from basilroad.gateway.registry.notices import (
     LIMIT_REPORT_S,
     MAX_LIMITS_SENT,
     NoticeRegister,
--- a/tests/gateway/test_liveness.py
+++ b/tests/gateway/registry/test_liveness.py
@@ -8,9 +8,9 @@
 import asyncio
 
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.liveness import PREFILL_SILENCE_LIMIT_S
-from basilroad.gateway.notices import Purpose
-from basilroad.gateway.reports import ReportReader
+from basilroad.gateway.registry.liveness import PREFILL_SILENCE_LIMIT_S
+from basilroad.gateway.registry.notices import Purpose
+from basilroad.gateway.registry.reports import ReportReader
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.standin.appserver import AppServerStandin
 from builders import PLACE, RecordingResponder, build_call, build_entry, build_stream_route
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/registry/test_notices.py
@@ -6,9 +6,9 @@
 
 from basilroad.gateway.availability import find_service_pause
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import Endpoint, EndpointState
-from basilroad.gateway.notices import (
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import Endpoint, EndpointState
+from basilroad.gateway.registry.notices import (
     LEAVING_REPORT_S,
     MAX_LEAVING_SENT,
     MAX_PAUSE_S,
--- a/tests/gateway/test_reports.py
+++ b/tests/gateway/registry/test_reports.py
@@ -14,15 +14,15 @@
 import pytest
 
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import REPORT_CANDIDATES, Dispatcher
-from basilroad.gateway.endpoint import (
+from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import (
     REPORT_VALIDITY_S,
     Endpoint,
     EngineReport,
     Reservation,
 )
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.selection import Chooser
 from basilroad.platform.protocol import PlatformProtocol
 from builders import ENGINE, PLACE, RecordingResponder, build_call, build_entry, build_stream_route
--- a/tests/gateway/streams/test_crashes.py
+++ b/tests/gateway/streams/test_crashes.py
@@ -7,7 +7,7 @@
 import attrs
 import pytest
 
-from basilroad.gateway.endpoint import Endpoint
+from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.gateway.runs import BEGINNING_S, Run
 from basilroad.gateway.streams.crashes import StreamCrashes
 from builders import build_call, build_entry, build_stream_route
--- a/tests/gateway/streams/test_firstevent.py
+++ b/tests/gateway/streams/test_firstevent.py
@@ -5,7 +5,7 @@
 import pytest
 
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.endpoint import Endpoint, Reservation
+from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 from basilroad.gateway.selection import PREFILL_TOKENS_PER_S
 from basilroad.gateway.streams.firstevent import (
     CONCURRENT_CALL_DELAY_S,
--- a/tests/gateway/streams/test_placement.py
+++ b/tests/gateway/streams/test_placement.py
@@ -10,9 +10,9 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.attempttracker import AttemptTracker
-from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
-from basilroad.gateway.endpoint import Endpoint, EndpointEntry, EndpointState
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import Endpoint, EndpointEntry, EndpointState
 from basilroad.gateway.selection import Chooser
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.placement import StreamPlacement
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -9,9 +9,9 @@
 import pytest
 
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
 from basilroad.gateway.dispatch import Dispatcher
-from basilroad.gateway.notices import Notice, Source
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.notices import Notice, Source
 from basilroad.gateway.selection import Chooser
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -9,8 +9,8 @@
 
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.attempt import MAX_RESPONSE_BYTES
-from basilroad.gateway.endpoint import MAX_BUFFERED_BYTES
 from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.registry.endpoint import MAX_BUFFERED_BYTES
 from basilroad.gateway.route import RetrySafety
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_route, build_stream_route
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/test_selection.py
@@ -7,8 +7,8 @@
 from functools import partial
 
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.endpoint import Endpoint, Reservation
 from basilroad.gateway.preference import EnginePreference
+from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 from basilroad.gateway.selection import Chooser, has_room
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
--- a/tests/gateway/versions/test_pin.py
+++ b/tests/gateway/versions/test_pin.py
@@ -8,9 +8,9 @@
 import attrs
 import pytest
 
-from basilroad.gateway.endpoint import EndpointState
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_stream_route
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -12,10 +12,10 @@
 
 from basilroad.endpoints.channels import Channel
 from basilroad.errors import RefusedError
-from basilroad.gateway.endpoint import Endpoint
 from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.limits import NamedLimit
-from basilroad.gateway.notices import Source
+from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.notices import Source
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -10,7 +10,7 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.directory import Directory
+from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.versions.baseversion import (
     BASE_KEY,
     RESTORE_SETTLE_S,
--- a/tests/gateway/versions/test_takeups.py
+++ b/tests/gateway/versions/test_takeups.py
@@ -9,9 +9,9 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.endpoint import EndpointState
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.route import RetrySafety
 from basilroad.platform.config import ConfigError, decode_config, decode_server
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from basilroad.gateway.endpoint import EndpointState
+from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.platform import serverswatch
 from basilroad.standin.rowstore import StoreCopy
 from support.watchrig import SERVER, STARTED, Rig, build_config, wait_until
--- a/tests/platform/test_staleness.py
+++ b/tests/platform/test_staleness.py
@@ -9,9 +9,9 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from basilroad.gateway.endpoint import EndpointState
 from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S
 from basilroad.gateway.exchange.relay import Update, Withdrawal
+from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.http.client import KeepAlive
 from basilroad.platform.configwatch import CONFIG_LONG_POLL_S
 from basilroad.platform.serverswatch import SERVERS_LONG_POLL_S, SERVERS_PAUSE_S
--- a/tests/platform/test_unreadable_rows.py
+++ b/tests/platform/test_unreadable_rows.py
@@ -9,7 +9,6 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from basilroad.gateway.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.exchange.relay import (
     EntryRecord,
     ListedChange,
@@ -17,6 +16,7 @@
     pack_change,
     unpack_changes,
 )
+from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.revision import Revision
 from basilroad.platform.config import ConfigError, decode_config, decode_server
 from basilroad.platform.peerdiscovery import GATEWAYS_TABLE, PeerDiscovery
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -10,9 +10,9 @@
 
 from basilroad.errors import RefusedError
 from basilroad.gateway.call import Call
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import EndpointEntry
 from basilroad.gateway.metrics import GatewayMetrics
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import EndpointEntry
 from basilroad.gateway.versions.archive import (
     ArchiveRow,
     ArchiveUnavailableError,
