Give the assignment of calls to endpoints a folder

Cause: the dispatcher and the five modules by which it chooses were files among the parts that serve calls.

Change: gateway/dispatch/ holds the dispatcher, the candidates, selection, preference, prompt locations and the pauses of services, with their tests. dispatch.py becomes dispatch/dispatcher.py. Only paths and imports change.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -6,10 +6,10 @@
 import time
 
 from basilroad.gateway.call import Call, PromptSize
+from basilroad.gateway.dispatch.selection import Chooser, Locality
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import EndpointEntry
 from basilroad.gateway.route import EngineLimits, Route, WeightedService
-from basilroad.gateway.selection import Chooser, Locality
 from basilroad.peers.address import Address
 
 SERVICE = "spec-llm"
--- a/src/basilroad/gateway/attempttracker.py
+++ b/src/basilroad/gateway/attempttracker.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     from basilroad.coordination.budget import RetryBudget
     from basilroad.gateway.attempt import Attempt
-    from basilroad.gateway.availability import ServicePause
     from basilroad.gateway.call import Call
+    from basilroad.gateway.dispatch.availability import ServicePause
 
 MAX_REJECTIONS = 6
 """Rejections after which a call fails; each costs a round trip and a unit of the retry budget."""
--- a/src/basilroad/gateway/candidates.py
+++ b/src/basilroad/gateway/dispatch/candidates.py
@@ -9,11 +9,11 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
-    from basilroad.gateway.promptlocations import PromptLocation, PromptLocations
+    from basilroad.gateway.dispatch.promptlocations import PromptLocation, PromptLocations
+    from basilroad.gateway.dispatch.selection import Chooser
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.route import EngineLimits
-    from basilroad.gateway.selection import Chooser
 
 
 @attrs.frozen
--- a/src/basilroad/gateway/dispatch.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -12,21 +12,21 @@
 
 from basilroad.coordination.fairpolicy import FairSettings, Flow
 from basilroad.coordination.fairqueue import FairQueue
-from basilroad.gateway.availability import find_service_pause
-from basilroad.gateway.candidates import Candidates, EndpointCriteria
-from basilroad.gateway.promptlocations import PromptLocations
+from basilroad.gateway.dispatch.availability import find_service_pause
+from basilroad.gateway.dispatch.candidates import Candidates, EndpointCriteria
+from basilroad.gateway.dispatch.promptlocations import PromptLocations
+from basilroad.gateway.dispatch.selection import estimate_wait
 from basilroad.gateway.registry.endpoint import Reservation
-from basilroad.gateway.selection import estimate_wait
 
 if TYPE_CHECKING:
-    from basilroad.gateway.availability import ServicePause
     from basilroad.gateway.call import Call, PromptSize
+    from basilroad.gateway.dispatch.availability import ServicePause
+    from basilroad.gateway.dispatch.selection import Chooser
     from basilroad.gateway.exchange.permits import PermitExchange
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.reports import ReportReader
     from basilroad.gateway.route import EngineLimits
-    from basilroad.gateway.selection import Chooser
 
 SWEEP_INTERVAL_S = 0.02
 """Interval of dispatching queued calls: capacity can also become free without a call of this
--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/dispatch/selection.py
@@ -10,11 +10,11 @@
 
 import attrs
 
-from basilroad.gateway.preference import EnginePreference
+from basilroad.gateway.dispatch.preference import EnginePreference
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call, PromptSize
-    from basilroad.gateway.promptlocations import PromptLocation
+    from basilroad.gateway.dispatch.promptlocations import PromptLocation
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.route import EngineLimits
 
--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, MsgpackDecoder
+from basilroad.gateway.dispatch.promptlocations import PromptReport
 from basilroad.gateway.exchange.crashreports import Crashes, CrashExchange
 from basilroad.gateway.exchange.loans import Loan, LoanRequest
 from basilroad.gateway.exchange.permits import (
@@ -28,13 +29,12 @@
 )
 from basilroad.gateway.exchange.relay import Update, Withdrawal
 from basilroad.gateway.exchange.state import LoadReport, StateMessage
-from basilroad.gateway.promptlocations import PromptReport
 from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
+    from basilroad.gateway.dispatch.promptlocations import PromptLocations
     from basilroad.gateway.exchange.loans import RetryLoans
     from basilroad.gateway.exchange.relay import Relay
-    from basilroad.gateway.promptlocations import PromptLocations
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
 
--- a/src/basilroad/gateway/exchange/permits.py
+++ b/src/basilroad/gateway/exchange/permits.py
@@ -30,9 +30,9 @@
 from basilroad.gateway.registry.notices import Source
 
 if TYPE_CHECKING:
+    from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
-    from basilroad.gateway.selection import Locality
     from basilroad.peers.address import Address
 
 GRANTED_SHARES = (0.9, 0.3)
--- a/src/basilroad/gateway/exchange/state.py
+++ b/src/basilroad/gateway/exchange/state.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from basilroad.gateway.promptlocations import PromptReport
+from basilroad.gateway.dispatch.promptlocations import PromptReport
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
 """A number that a peer reports; others are rejected with their datagram."""
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -15,17 +15,17 @@
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.gateway.calllog import AttemptRecord, log_attempt, log_service_pause
 from basilroad.gateway.containment import Containment
-from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.dispatch.dispatcher import Dispatcher
+from basilroad.gateway.dispatch.preference import EnginePreference
+from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.permits import PermitExchange
 from basilroad.gateway.freshness import Freshness
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
-from basilroad.gateway.preference import EnginePreference
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.liveness import Liveness
 from basilroad.gateway.registry.notices import NoticeRegister
 from basilroad.gateway.registry.reports import ReportReader
-from basilroad.gateway.selection import Chooser
 from basilroad.gateway.shutdown import (
     OTHER_HOST_RETRY_S,
     SHORT_CALL_S,
@@ -45,8 +45,8 @@
     from basilroad.gateway.attempt import EndpointProtocol
     from basilroad.gateway.attempttracker import AttemptTracker
     from basilroad.gateway.call import Call
+    from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.route import EngineLimits, Route, RoutingTable, WorkspaceSpec
-    from basilroad.gateway.selection import Locality
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/basilroad/gateway/registry/liveness.py
+++ b/src/basilroad/gateway/registry/liveness.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from basilroad.gateway.dispatch import Dispatcher
+    from basilroad.gateway.dispatch.dispatcher import Dispatcher
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.reports import ReportReader
--- a/src/basilroad/gateway/registry/reports.py
+++ b/src/basilroad/gateway/registry/reports.py
@@ -19,9 +19,9 @@
 
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.attempt import EndpointProtocol
+    from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.notices import EndpointNotices
-    from basilroad.gateway.selection import Locality
 
 REPORT_TIMEOUT_S = 0.06
 """Time limit of a report before a placement, beyond the round trip; a sound engine answers within a
--- a/src/basilroad/gateway/streams/backup.py
+++ b/src/basilroad/gateway/streams/backup.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
-    from basilroad.gateway.dispatch import Dispatcher
+    from basilroad.gateway.dispatch.dispatcher import Dispatcher
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.versions.pin import VersionPin
 
--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable
 
     from basilroad.gateway.attempttracker import AttemptTracker
-    from basilroad.gateway.dispatch import Dispatcher
+    from basilroad.gateway.dispatch.dispatcher import Dispatcher
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.streams.backup import StreamBackup
     from basilroad.gateway.versions.pin import VersionPin
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -12,7 +12,7 @@
 
 from basilroad.coordination.budget import RetrySettings
 from basilroad.coordination.timer import Timer
-from basilroad.gateway.dispatch import SWEEP_INTERVAL_S
+from basilroad.gateway.dispatch.dispatcher import SWEEP_INTERVAL_S
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S, Gossip
 from basilroad.gateway.exchange.relay import Relay
--- a/src/basilroad/platform/settings.py
+++ b/src/basilroad/platform/settings.py
@@ -9,7 +9,7 @@
 import attrs
 import yaml
 
-from basilroad.gateway.selection import Locality
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.peers.address import Address, parse_address
 
 SETTINGS_VARIABLE = "BASILROAD_SETTINGS"
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from basilroad.gateway.call import Call, PromptSize
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.route import (
     EngineLimits,
@@ -16,7 +17,6 @@
     WeightedService,
     WorkspaceSpec,
 )
-from basilroad.gateway.selection import Locality
 from basilroad.peers.address import Address
 
 if TYPE_CHECKING:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from basilroad.gateway.dispatch import SWEEP_INTERVAL_S
+from basilroad.gateway.dispatch.dispatcher import SWEEP_INTERVAL_S
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.standin.appserver import AppServerStandin
--- a/tests/gateway/test_preference.py
+++ b/tests/gateway/dispatch/test_preference.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from basilroad.gateway.dispatch.preference import EnginePreference
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.preference import EnginePreference
 from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.platform.protocol import PlatformProtocol
 from builders import PLACE, build_entry
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/dispatch/test_selection.py
@@ -7,9 +7,9 @@
 from functools import partial
 
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.preference import EnginePreference
+from basilroad.gateway.dispatch.preference import EnginePreference
+from basilroad.gateway.dispatch.selection import Chooser, has_room
 from basilroad.gateway.registry.endpoint import Endpoint, Reservation
-from basilroad.gateway.selection import Chooser, has_room
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
 
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -11,6 +11,13 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.call import PromptSize
+from basilroad.gateway.dispatch.promptlocations import PROMPT_CACHE_S, PromptLocations
+from basilroad.gateway.dispatch.selection import (
+    Chooser,
+    estimate_prefill_savings,
+    estimate_suspicion_cost,
+    find_last_failures,
+)
 from basilroad.gateway.exchange.gossip import (
     FANOUT,
     GOSSIP_INTERVAL_S,
@@ -24,17 +31,10 @@
 )
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.relay import Relay
-from basilroad.gateway.promptlocations import PROMPT_CACHE_S, PromptLocations
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import Reservation
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Notice, Source
-from basilroad.gateway.selection import (
-    Chooser,
-    estimate_prefill_savings,
-    estimate_suspicion_cost,
-    find_last_failures,
-)
 from basilroad.peers.address import Address
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
--- a/tests/gateway/registry/test_limits.py
+++ b/tests/gateway/registry/test_limits.py
@@ -9,8 +9,9 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.availability import find_service_pause
 from basilroad.gateway.call import PromptSize
+from basilroad.gateway.dispatch.availability import find_service_pause
+from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import Endpoint
@@ -22,7 +23,6 @@
     Purpose,
     Source,
 )
-from basilroad.gateway.selection import Chooser
 from builders import (
     ENGINE,
     PLACE,
--- a/tests/gateway/registry/test_notices.py
+++ b/tests/gateway/registry/test_notices.py
@@ -4,8 +4,9 @@
 
 import random
 
-from basilroad.gateway.availability import find_service_pause
 from basilroad.gateway.call import PromptSize
+from basilroad.gateway.dispatch.availability import find_service_pause
+from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import Endpoint, EndpointState
 from basilroad.gateway.registry.notices import (
@@ -21,7 +22,6 @@
     Purpose,
     Source,
 )
-from basilroad.gateway.selection import Chooser
 from builders import ENGINE, PLACE, build_entry
 
 LEAVING = Notice(leaving=True)
--- a/tests/gateway/registry/test_reports.py
+++ b/tests/gateway/registry/test_reports.py
@@ -14,7 +14,8 @@
 import pytest
 
 from basilroad.gateway.call import PromptSize
-from basilroad.gateway.dispatch import REPORT_CANDIDATES, Dispatcher
+from basilroad.gateway.dispatch.dispatcher import REPORT_CANDIDATES, Dispatcher
+from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import (
@@ -23,7 +24,6 @@
     EngineReport,
     Reservation,
 )
-from basilroad.gateway.selection import Chooser
 from basilroad.platform.protocol import PlatformProtocol
 from builders import ENGINE, PLACE, RecordingResponder, build_call, build_entry, build_stream_route
 
--- a/tests/gateway/streams/test_firstevent.py
+++ b/tests/gateway/streams/test_firstevent.py
@@ -5,8 +5,8 @@
 import pytest
 
 from basilroad.gateway.call import PromptSize
+from basilroad.gateway.dispatch.selection import PREFILL_TOKENS_PER_S
 from basilroad.gateway.registry.endpoint import Endpoint, Reservation
-from basilroad.gateway.selection import PREFILL_TOKENS_PER_S
 from basilroad.gateway.streams.firstevent import (
     CONCURRENT_CALL_DELAY_S,
     FIRST_EVENT_MARGIN_S,
--- a/tests/gateway/streams/test_placement.py
+++ b/tests/gateway/streams/test_placement.py
@@ -10,10 +10,10 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.attempttracker import AttemptTracker
-from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.dispatch.dispatcher import Dispatcher
+from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import Endpoint, EndpointEntry, EndpointState
-from basilroad.gateway.selection import Chooser
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.placement import StreamPlacement
 from basilroad.gateway.versions.pin import VersionPin
--- a/tests/gateway/versions/test_queue.py
+++ b/tests/gateway/versions/test_queue.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from basilroad.gateway.candidates import EndpointCriteria
-from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.dispatch.candidates import EndpointCriteria
+from basilroad.gateway.dispatch.dispatcher import Dispatcher
+from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.notices import Notice, Source
-from basilroad.gateway.selection import Chooser
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
 ROUTE = build_stream_route()
--- a/tests/platform/test_crasharchive.py
+++ b/tests/platform/test_crasharchive.py
@@ -11,8 +11,8 @@
 import pytest
 
 from basilroad.coordination.crashledger import CRASHES_TO_REFUSE, CrashRecord, CrashSettings
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.selection import Locality
 from basilroad.platform import crasharchive
 from basilroad.platform.crasharchive import CRASHES_TABLE, CrashArchive
 from basilroad.platform.protocol import PlatformProtocol
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -10,7 +10,7 @@
 import aiohttp
 import pytest
 
-from basilroad.gateway.selection import Locality
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.streams.durations import StreamDurations
 from basilroad.peers.address import Address
 from basilroad.platform.run import PlatformService
--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -11,7 +11,7 @@
 import aiohttp
 import pytest
 
-from basilroad.gateway.selection import Locality
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.peers.address import Address
 from basilroad.platform.run import PlatformService
 from basilroad.platform.settings import Bounds, ProcessSettings, StoreAccess
--- a/tests/platform/test_streamarchive.py
+++ b/tests/platform/test_streamarchive.py
@@ -8,8 +8,8 @@
 import attrs
 import pytest
 
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.selection import Locality
 from basilroad.gateway.versions.baseversion import BASE_KEY
 from basilroad.gateway.versions.records import build_key
 from basilroad.platform.protocol import PlatformProtocol
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -8,11 +8,11 @@
 import msgspec
 import pytest
 
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.relay import EntryRecord, Relay, Update
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.selection import Locality
 from basilroad.peers.address import Address
 from basilroad.platform import configwatch, serverswatch
 from basilroad.platform.configwatch import ConfigWatch
--- a/tests/support/gatewayrig.py
+++ b/tests/support/gatewayrig.py
@@ -11,7 +11,7 @@
 import attrs
 from yarl import URL
 
-from basilroad.gateway.selection import Locality
+from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.shutdown import SHUTDOWN_RESERVE_S
 from basilroad.gateway.streams.durations import StreamDurations
 from basilroad.peers.address import Address
