Give the calls that crash endpoints a folder

Cause: containment, runs and late breaks were files among the parts that serve calls.

Change: gateway/crashes/ holds them with their tests. latecrashes.py becomes crashes/latebreaks.py, after the classes in it. Only paths and imports change.

--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/buffered.py
@@ -14,7 +14,7 @@
 from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.call import Reply
 from basilroad.gateway.calllog import AttemptRecord
-from basilroad.gateway.runs import Run
+from basilroad.gateway.crashes.runs import Run
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
--- a/src/basilroad/gateway/containment.py
+++ b/src/basilroad/gateway/crashes/containment.py
@@ -18,16 +18,16 @@
 )
 from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import ErrorKind, refuse
+from basilroad.gateway.crashes.runs import Run
 from basilroad.gateway.exchange.crashreports import CrashExchange
 from basilroad.gateway.registry.endpoint import EndpointState
-from basilroad.gateway.runs import Run
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Collection, Iterator, Sequence
 
     from basilroad.coordination.crashledger import RefusedKeys
     from basilroad.gateway.call import Call
-    from basilroad.gateway.latecrashes import LateBreak, LateBreaks
+    from basilroad.gateway.crashes.latebreaks import LateBreak, LateBreaks
     from basilroad.gateway.metrics import GatewayMetrics
     from basilroad.gateway.registry.endpoint import Endpoint
 
--- a/src/basilroad/gateway/latecrashes.py
+++ b/src/basilroad/gateway/crashes/latebreaks.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from basilroad.gateway.runs import Run
+from basilroad.gateway.crashes.runs import Run
 
 SIMILAR_EVENTS = 3
 """Maximum difference between similar positions, in events."""
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -14,7 +14,7 @@
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.gateway.calllog import AttemptRecord, log_attempt, log_service_pause
-from basilroad.gateway.containment import Containment
+from basilroad.gateway.crashes.containment import Containment
 from basilroad.gateway.dispatch.dispatcher import Dispatcher
 from basilroad.gateway.dispatch.preference import EnginePreference
 from basilroad.gateway.dispatch.selection import Chooser
--- a/src/basilroad/gateway/streams/crashes.py
+++ b/src/basilroad/gateway/streams/crashes.py
@@ -5,12 +5,12 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.latecrashes import LateBreak, LateBreaks
+from basilroad.gateway.crashes.latebreaks import LateBreak, LateBreaks
 
 if TYPE_CHECKING:
     from basilroad.gateway.call import Call
-    from basilroad.gateway.containment import Containment
-    from basilroad.gateway.runs import Run
+    from basilroad.gateway.crashes.containment import Containment
+    from basilroad.gateway.crashes.runs import Run
 
 
 class StreamCrashes:
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -14,9 +14,9 @@
 from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.call import Reply
 from basilroad.gateway.calllog import AttemptRecord
-from basilroad.gateway.containment import REFUSED_MESSAGE
+from basilroad.gateway.crashes.containment import REFUSED_MESSAGE
+from basilroad.gateway.crashes.runs import Run
 from basilroad.gateway.metrics import name_rank
-from basilroad.gateway.runs import Run
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.crashes import StreamCrashes
 from basilroad.gateway.streams.events import EventOrderError, EventSequence
--- a/src/basilroad/platform/crasharchive.py
+++ b/src/basilroad/platform/crasharchive.py
@@ -23,7 +23,7 @@
     from collections.abc import Iterator
 
     from basilroad.coordination.crashledger import CrashRecord
-    from basilroad.gateway.containment import Containment
+    from basilroad.gateway.crashes.containment import Containment
     from basilroad.platform.store import Changes, StoreClient
 
 CRASHES_TABLE = "crashes"
--- a/tests/gateway/test_containment.py
+++ b/tests/gateway/crashes/test_containment.py
@@ -12,11 +12,11 @@
 from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import Effect, ErrorKind, RefusedError
 from basilroad.gateway.call import Call
+from basilroad.gateway.crashes.runs import BEGINNING_S, Run
 from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.registry.notices import Source
-from basilroad.gateway.runs import BEGINNING_S, Run
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin, WireFault
 from builders import RecordingResponder, build_call, build_entry, build_route, build_stream_route
--- a/tests/gateway/streams/test_crashes.py
+++ b/tests/gateway/streams/test_crashes.py
@@ -7,8 +7,8 @@
 import attrs
 import pytest
 
+from basilroad.gateway.crashes.runs import BEGINNING_S, Run
 from basilroad.gateway.registry.endpoint import Endpoint
-from basilroad.gateway.runs import BEGINNING_S, Run
 from basilroad.gateway.streams.crashes import StreamCrashes
 from builders import build_call, build_entry, build_stream_route
 
