Give calls and their attempts a folder

Cause: calls, attempts and the handlers of buffered calls were files beside the state of the gateway.

Change: gateway/calls/ holds them with their tests; calllog.py becomes calls/log.py. Only paths and imports change.

Result: tests/test_imports.py, tests/docs and mypy pass.

--- a/bench/choice.py
+++ b/bench/choice.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from basilroad.gateway.call import Call, PromptSize
+from basilroad.gateway.calls.call import Call, PromptSize
 from basilroad.gateway.dispatch.selection import Chooser, Locality
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import EndpointEntry
--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -10,8 +10,8 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests" / "gateway"))
 
-from basilroad.gateway.call import Reply
-from basilroad.gateway.calllog import AttemptRecord, log_attempt
+from basilroad.gateway.calls.call import Reply
+from basilroad.gateway.calls.log import AttemptRecord, log_attempt
 from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.logs import configure_logs
 from basilroad.logwriter import LogWriter
--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/calls/attempt.py
@@ -29,7 +29,7 @@
 
 if TYPE_CHECKING:
     from basilroad.endpoints.channels import Channel
-    from basilroad.gateway.call import Call, Headers
+    from basilroad.gateway.calls.call import Call, Headers
     from basilroad.gateway.registry.endpoint import ClaimMove, Endpoint, EngineReport
     from basilroad.gateway.registry.notices import Notice
     from basilroad.peers.address import Address
--- a/src/basilroad/gateway/attempttracker.py
+++ b/src/basilroad/gateway/calls/attempttracker.py
@@ -12,8 +12,8 @@
 
 if TYPE_CHECKING:
     from basilroad.coordination.budget import RetryBudget
-    from basilroad.gateway.attempt import Attempt
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.attempt import Attempt
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.dispatch.availability import ServicePause
 
 MAX_REJECTIONS = 6
--- a/src/basilroad/gateway/buffered.py
+++ b/src/basilroad/gateway/calls/buffered.py
@@ -10,14 +10,14 @@
 
 from basilroad.endpoints.channels import ChannelError
 from basilroad.errors import RefusedError
-from basilroad.gateway.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun
-from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
-from basilroad.gateway.call import Reply
-from basilroad.gateway.calllog import AttemptRecord
+from basilroad.gateway.calls.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun
+from basilroad.gateway.calls.attempttracker import SERVER_ERROR, AttemptTracker
+from basilroad.gateway.calls.call import Reply
+from basilroad.gateway.calls.log import AttemptRecord
 from basilroad.gateway.crashes.runs import Run
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 
--- a/src/basilroad/gateway/handler.py
+++ b/src/basilroad/gateway/calls/handler.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING
 
 from basilroad.errors import ErrorKind, RefusedError, refuse
-from basilroad.gateway.buffered import BufferedCall
+from basilroad.gateway.calls.buffered import BufferedCall
 from basilroad.gateway.metrics import name_form
 from basilroad.gateway.shutdown import ShutdownError
 from basilroad.gateway.streams.streaming import StreamBrokenError, StreamCall
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call, Reply, Responder
+    from basilroad.gateway.calls.call import Call, Reply, Responder
     from basilroad.gateway.gateway import Gateway
 
 
--- a/src/basilroad/gateway/calllog.py
+++ b/src/basilroad/gateway/calls/log.py
@@ -9,14 +9,14 @@
 
 import attrs
 
-from basilroad.gateway.attempt import MayHaveRun, NotRun
-from basilroad.gateway.call import Reply
+from basilroad.gateway.calls.attempt import MayHaveRun, NotRun
+from basilroad.gateway.calls.call import Reply
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from basilroad.errors import Refusal
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.endpoint import Endpoint
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/basilroad/gateway/crashes/containment.py
+++ b/src/basilroad/gateway/crashes/containment.py
@@ -26,7 +26,7 @@
     from collections.abc import AsyncIterator, Callable, Collection, Iterator, Sequence
 
     from basilroad.coordination.crashledger import RefusedKeys
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.crashes.latebreaks import LateBreak, LateBreaks
     from basilroad.gateway.metrics import GatewayMetrics
     from basilroad.gateway.registry.endpoint import Endpoint
--- a/src/basilroad/gateway/crashes/runs.py
+++ b/src/basilroad/gateway/crashes/runs.py
@@ -11,7 +11,7 @@
 from basilroad.gateway.registry.endpoint import EndpointState
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.notices import EndpointNotices
 
--- a/src/basilroad/gateway/dispatch/candidates.py
+++ b/src/basilroad/gateway/dispatch/candidates.py
@@ -8,7 +8,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.dispatch.promptlocations import PromptLocation, PromptLocations
     from basilroad.gateway.dispatch.selection import Chooser
     from basilroad.gateway.registry.directory import Directory
--- a/src/basilroad/gateway/dispatch/dispatcher.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -19,7 +19,7 @@
 from basilroad.gateway.registry.endpoint import Reservation
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call, PromptSize
+    from basilroad.gateway.calls.call import Call, PromptSize
     from basilroad.gateway.dispatch.availability import ServicePause
     from basilroad.gateway.dispatch.selection import Chooser
     from basilroad.gateway.exchange.permits import PermitExchange
--- a/src/basilroad/gateway/dispatch/selection.py
+++ b/src/basilroad/gateway/dispatch/selection.py
@@ -13,7 +13,7 @@
 from basilroad.gateway.dispatch.preference import EnginePreference
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call, PromptSize
+    from basilroad.gateway.calls.call import Call, PromptSize
     from basilroad.gateway.dispatch.promptlocations import PromptLocation
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.route import EngineLimits
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -13,7 +13,7 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.errors import ErrorKind, RefusedError, refuse
-from basilroad.gateway.calllog import AttemptRecord, log_attempt, log_service_pause
+from basilroad.gateway.calls.log import AttemptRecord, log_attempt, log_service_pause
 from basilroad.gateway.crashes.containment import Containment
 from basilroad.gateway.dispatch.dispatcher import Dispatcher
 from basilroad.gateway.dispatch.preference import EnginePreference
@@ -42,9 +42,9 @@
     from collections.abc import Callable, Mapping
 
     from basilroad.errors import Refusal
-    from basilroad.gateway.attempt import EndpointProtocol
-    from basilroad.gateway.attempttracker import AttemptTracker
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.attempt import EndpointProtocol
+    from basilroad.gateway.calls.attempttracker import AttemptTracker
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.route import EngineLimits, Route, RoutingTable, WorkspaceSpec
 
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -8,12 +8,12 @@
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-from basilroad.gateway.attempt import MayHaveRun, NotRun
-from basilroad.gateway.call import Reply
+from basilroad.gateway.calls.attempt import MayHaveRun, NotRun
+from basilroad.gateway.calls.call import Reply
 
 if TYPE_CHECKING:
     from basilroad.errors import Refusal
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.notices import Source
 
 RANK_MAX = 9
--- a/src/basilroad/gateway/registry/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -19,7 +19,7 @@
     from collections.abc import Iterator
 
     from basilroad.endpoints.channels import Channel
-    from basilroad.gateway.call import PromptSize
+    from basilroad.gateway.calls.call import PromptSize
     from basilroad.peers.address import Address
 
 UNREACHABLE_BACKOFF_S = 0.25
--- a/src/basilroad/gateway/registry/reports.py
+++ b/src/basilroad/gateway/registry/reports.py
@@ -18,7 +18,7 @@
     from collections.abc import Iterable
 
     from basilroad.endpoints.channels import Channel
-    from basilroad.gateway.attempt import EndpointProtocol
+    from basilroad.gateway.calls.attempt import EndpointProtocol
     from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.notices import EndpointNotices
--- a/src/basilroad/gateway/streams/backup.py
+++ b/src/basilroad/gateway/streams/backup.py
@@ -5,11 +5,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.calllog import log_resume_from_backup
+from basilroad.gateway.calls.log import log_resume_from_backup
 from basilroad.gateway.registry.endpoint import Reservation
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.dispatch.dispatcher import Dispatcher
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.versions.pin import VersionPin
--- a/src/basilroad/gateway/streams/crashes.py
+++ b/src/basilroad/gateway/streams/crashes.py
@@ -8,7 +8,7 @@
 from basilroad.gateway.crashes.latebreaks import LateBreak, LateBreaks
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.crashes.containment import Containment
     from basilroad.gateway.crashes.runs import Run
 
--- a/src/basilroad/gateway/streams/firstevent.py
+++ b/src/basilroad/gateway/streams/firstevent.py
@@ -10,7 +10,7 @@
 from basilroad.gateway.dispatch.selection import PREFILL_TOKENS_PER_S
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.endpoint import Endpoint
 
 FIRST_EVENT_MARGIN_S = 1.0
--- a/src/basilroad/gateway/streams/output.py
+++ b/src/basilroad/gateway/streams/output.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from basilroad.gateway.attempt import OpenReply
-    from basilroad.gateway.call import Responder
+    from basilroad.gateway.calls.attempt import OpenReply
+    from basilroad.gateway.calls.call import Responder
 
 
 class StreamOutput:
--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from basilroad.gateway.attempttracker import AttemptTracker
+    from basilroad.gateway.calls.attempttracker import AttemptTracker
     from basilroad.gateway.dispatch.dispatcher import Dispatcher
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.streams.backup import StreamBackup
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -10,10 +10,10 @@
 
 from basilroad.endpoints.channels import ChannelError
 from basilroad.errors import RefusedError
-from basilroad.gateway.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun, OpenReply
-from basilroad.gateway.attempttracker import SERVER_ERROR, AttemptTracker
-from basilroad.gateway.call import Reply
-from basilroad.gateway.calllog import AttemptRecord
+from basilroad.gateway.calls.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun, OpenReply
+from basilroad.gateway.calls.attempttracker import SERVER_ERROR, AttemptTracker
+from basilroad.gateway.calls.call import Reply
+from basilroad.gateway.calls.log import AttemptRecord
 from basilroad.gateway.crashes.containment import REFUSED_MESSAGE
 from basilroad.gateway.crashes.runs import Run
 from basilroad.gateway.metrics import name_rank
@@ -30,7 +30,7 @@
     from collections.abc import Callable, Coroutine
 
     from basilroad.endpoints.channels import Channel
-    from basilroad.gateway.call import Call, Responder
+    from basilroad.gateway.calls.call import Call, Responder
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 
--- a/src/basilroad/gateway/versions/pin.py
+++ b/src/basilroad/gateway/versions/pin.py
@@ -10,8 +10,8 @@
 from basilroad.gateway.versions.streamversions import UNKNOWN_VERSION
 
 if TYPE_CHECKING:
-    from basilroad.gateway.attempt import Attempt
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.attempt import Attempt
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.versions.streamversions import StreamVersions
--- a/src/basilroad/gateway/versions/records.py
+++ b/src/basilroad/gateway/versions/records.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
 
 RESUME_WINDOW_S = 60.0
 """Longest time after the end of a response in which its caller may take the stream up again."""
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -9,14 +9,14 @@
 
 from basilroad.coordination.decoding import DecodeError
 from basilroad.endpoints.channels import ChannelError
-from basilroad.gateway.attempt import NotRun
+from basilroad.gateway.calls.attempt import NotRun
 from basilroad.gateway.registry.notices import Purpose
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from basilroad.endpoints.channels import Channel
-    from basilroad.gateway.attempt import EndpointProtocol
+    from basilroad.gateway.calls.attempt import EndpointProtocol
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.reports import Report, ReportReader
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
     from basilroad.gateway.metrics import GatewayMetrics
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.versions.archive import VersionArchive
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -14,9 +14,9 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
-from basilroad.gateway.call import Call, read_events_received
-from basilroad.gateway.calllog import log_refusal
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.call import Call, read_events_received
+from basilroad.gateway.calls.handler import CallHandler
+from basilroad.gateway.calls.log import log_refusal
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
@@ -38,7 +38,7 @@
 if TYPE_CHECKING:
     import random
 
-    from basilroad.gateway.call import Headers, Reply
+    from basilroad.gateway.calls.call import Headers, Reply
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.route import Route
     from basilroad.peers.address import Address
--- a/tests/gateway/builders.py
+++ b/tests/gateway/builders.py
@@ -5,7 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.gateway.call import Call, PromptSize
+from basilroad.gateway.calls.call import Call, PromptSize
 from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.route import (
@@ -20,7 +20,7 @@
 from basilroad.peers.address import Address
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Headers
+    from basilroad.gateway.calls.call import Headers
 
 PLACE = Locality("riga-a", "riga", {"riga-a": "riga", "riga-b": "riga", "kurzeme-a": "kurzeme"})
 ENGINE = EngineLimits(slots=48, memory_tokens=88_000, supports_kv_backup=True)
--- a/tests/gateway/test_buffered.py
+++ b/tests/gateway/calls/test_buffered.py
@@ -8,9 +8,9 @@
 import pytest
 
 from basilroad.errors import Effect, ErrorKind, RefusedError
-from basilroad.gateway.call import Reply
+from basilroad.gateway.calls.call import Reply
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_route
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/calls/test_endless_responses.py
@@ -8,8 +8,8 @@
 import pytest
 
 from basilroad.errors import Effect, RefusedError
-from basilroad.gateway.attempt import MAX_RESPONSE_BYTES
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.attempt import MAX_RESPONSE_BYTES
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.registry.endpoint import MAX_BUFFERED_BYTES
 from basilroad.gateway.route import RetrySafety
 from basilroad.standin.appserver import WireFault
--- a/tests/gateway/test_second_copies.py
+++ b/tests/gateway/calls/test_second_copies.py
@@ -6,7 +6,7 @@
 
 from basilroad.endpoints import channels
 from basilroad.errors import Effect, RefusedError
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_route
--- a/tests/gateway/test_unopened_attempts.py
+++ b/tests/gateway/calls/test_unopened_attempts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from basilroad.errors import RefusedError
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.handler import CallHandler
 from builders import RecordingResponder, build_call, build_entry, build_route
 
 ERRORS = [OverflowError("port"), UnicodeError("label"), ValueError("null byte"), OSError("no way")]
--- a/tests/gateway/crashes/test_containment.py
+++ b/tests/gateway/crashes/test_containment.py
@@ -11,10 +11,10 @@
 from basilroad.coordination.crashledger import CRASHES_TO_REFUSE, CrashRecord, CrashSettings
 from basilroad.endpoints.channels import ConnectError
 from basilroad.errors import Effect, ErrorKind, RefusedError
-from basilroad.gateway.call import Call
+from basilroad.gateway.calls.call import Call
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.crashes.runs import BEGINNING_S, Run
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.registry.notices import Source
 from basilroad.gateway.streams.streaming import StreamBrokenError
--- a/tests/gateway/crashes/test_crashing_contents.py
+++ b/tests/gateway/crashes/test_crashing_contents.py
@@ -8,8 +8,8 @@
 
 from basilroad.coordination.crashledger import CRASHES_TO_REFUSE
 from basilroad.errors import ErrorKind, RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety, Route
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin, CrashPoint
--- a/tests/gateway/crashes/test_silent_crashes.py
+++ b/tests/gateway/crashes/test_silent_crashes.py
@@ -10,9 +10,9 @@
 
 from basilroad.coordination.crashledger import CRASHES_TO_REFUSE
 from basilroad.errors import RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.crashes.runs import BEGINNING_S, Run
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.standin.appserver import AppServerStandin, CrashPoint
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
--- a/tests/gateway/dispatch/test_dispatcher.py
+++ b/tests/gateway/dispatch/test_dispatcher.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from basilroad.gateway.call import PromptSize
+from basilroad.gateway.calls.call import PromptSize
 from basilroad.gateway.dispatch.dispatcher import Dispatcher
 from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
--- a/tests/gateway/dispatch/test_selection.py
+++ b/tests/gateway/dispatch/test_selection.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from functools import partial
 
-from basilroad.gateway.call import PromptSize
+from basilroad.gateway.calls.call import PromptSize
 from basilroad.gateway.dispatch.preference import EnginePreference
 from basilroad.gateway.dispatch.selection import Chooser, has_room
 from basilroad.gateway.registry.endpoint import Endpoint, Reservation
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -10,7 +10,7 @@
 import pytest
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.gateway.call import PromptSize
+from basilroad.gateway.calls.call import PromptSize
 from basilroad.gateway.dispatch.promptlocations import PROMPT_CACHE_S, PromptLocations
 from basilroad.gateway.dispatch.selection import (
     Chooser,
--- a/tests/gateway/exchange/test_loans.py
+++ b/tests/gateway/exchange/test_loans.py
@@ -11,9 +11,9 @@
 import pytest
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.gateway.attempttracker import AttemptTracker
+from basilroad.gateway.calls.attempttracker import AttemptTracker
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.exchange.loans import Loan, LoanRequest, RetryLoans
-from basilroad.gateway.handler import CallHandler
 from basilroad.peers.address import Address
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_stream_route
--- a/tests/gateway/registry/test_leaving_endpoints.py
+++ b/tests/gateway/registry/test_leaving_endpoints.py
@@ -9,8 +9,8 @@
 import pytest
 
 from basilroad.errors import Effect, RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.notices import Notice, Purpose, Source
 from basilroad.gateway.route import RetrySafety
 from basilroad.standin.appserver import ALL_RESPONSES, ResponseKind, WireFault
--- a/tests/gateway/registry/test_limits.py
+++ b/tests/gateway/registry/test_limits.py
@@ -9,10 +9,10 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.call import PromptSize
+from basilroad.gateway.calls.call import PromptSize
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.dispatch.availability import find_service_pause
 from basilroad.gateway.dispatch.selection import Chooser
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.gateway.registry.limits import PERMIT_VALIDITY_S, RETURN_SPREAD_S, NamedLimit
--- a/tests/gateway/registry/test_liveness.py
+++ b/tests/gateway/registry/test_liveness.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.registry.liveness import PREFILL_SILENCE_LIMIT_S
 from basilroad.gateway.registry.notices import Purpose
 from basilroad.gateway.registry.reports import ReportReader
--- a/tests/gateway/registry/test_notices.py
+++ b/tests/gateway/registry/test_notices.py
@@ -4,7 +4,7 @@
 
 import random
 
-from basilroad.gateway.call import PromptSize
+from basilroad.gateway.calls.call import PromptSize
 from basilroad.gateway.dispatch.availability import find_service_pause
 from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
--- a/tests/gateway/registry/test_reports.py
+++ b/tests/gateway/registry/test_reports.py
@@ -13,10 +13,10 @@
 import attrs
 import pytest
 
-from basilroad.gateway.call import PromptSize
+from basilroad.gateway.calls.call import PromptSize
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.dispatch.dispatcher import REPORT_CANDIDATES, Dispatcher
 from basilroad.gateway.dispatch.selection import Chooser
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import (
     REPORT_VALIDITY_S,
--- a/tests/gateway/streams/test_durations.py
+++ b/tests/gateway/streams/test_durations.py
@@ -8,14 +8,14 @@
 import pytest
 
 from basilroad.errors import Effect, ErrorKind, RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway, GatewaySettings
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.streams.durations import SAMPLE_VALIDITY_S, StreamDurations
 from basilroad.platform.protocol import PlatformProtocol
 from builders import PLACE, RecordingResponder, build_call, build_stream_route, build_table
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.call import Call
 
 
 def build_durations() -> StreamDurations:
--- a/tests/gateway/streams/test_placement.py
+++ b/tests/gateway/streams/test_placement.py
@@ -9,7 +9,7 @@
 import pytest
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.gateway.attempttracker import AttemptTracker
+from basilroad.gateway.calls.attempttracker import AttemptTracker
 from basilroad.gateway.dispatch.dispatcher import Dispatcher
 from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
--- a/tests/gateway/streams/test_silent_engines.py
+++ b/tests/gateway/streams/test_silent_engines.py
@@ -9,7 +9,7 @@
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.endpoints import channels
 from basilroad.errors import RefusedError
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.streams import stalltimer
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from builders import RecordingResponder, build_call, build_route, build_stream_route
--- a/tests/gateway/streams/test_slow_streams.py
+++ b/tests/gateway/streams/test_slow_streams.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streams import stalltimer
 from builders import RecordingResponder, build_call, build_stream_route
--- a/tests/gateway/streams/test_streaming.py
+++ b/tests/gateway/streams/test_streaming.py
@@ -8,8 +8,8 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import WireFault
--- a/tests/gateway/streams/test_unframed_streams.py
+++ b/tests/gateway/streams/test_unframed_streams.py
@@ -8,7 +8,7 @@
 import pytest
 
 from basilroad.errors import Effect, RefusedError
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.handler import CallHandler
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 
 ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
--- a/tests/gateway/test_late_opening.py
+++ b/tests/gateway/test_late_opening.py
@@ -8,8 +8,8 @@
 import pytest
 
 from basilroad.errors import Effect, RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.shutdown import SHORT_CALL_S, SHUTDOWN_RESERVE_S
 from builders import RecordingResponder, build_call, build_route, build_stream_route
 
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -11,13 +11,13 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.errors import RefusedError
-from basilroad.gateway.call import PromptSize
+from basilroad.gateway.calls.call import PromptSize
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.dispatch.promptlocations import PromptLocations
 from basilroad.gateway.dispatch.selection import Chooser, estimate_wait, has_room
 from basilroad.gateway.exchange.gossip import Gossip
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.relay import Relay, Update
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.streams.events import EventOrderError, EventSequence
 from basilroad.peers.address import Address
--- a/tests/gateway/versions/test_pin.py
+++ b/tests/gateway/versions/test_pin.py
@@ -8,8 +8,8 @@
 import attrs
 import pytest
 
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import WireFault
--- a/tests/gateway/versions/test_records.py
+++ b/tests/gateway/versions/test_records.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from basilroad.gateway.call import Call
+from basilroad.gateway.calls.call import Call
 from basilroad.gateway.versions.archive import Committed, Conflict, MayCommit, NotCommitted
 from basilroad.gateway.versions.records import (
     BATCH_DELAY_S,
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -12,7 +12,7 @@
 
 from basilroad.endpoints.channels import Channel
 from basilroad.errors import RefusedError
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Source
--- a/tests/gateway/versions/test_takeups.py
+++ b/tests/gateway/versions/test_takeups.py
@@ -9,8 +9,8 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.handler import CallHandler
 from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -13,8 +13,8 @@
 import attrs
 import pytest
 
-from basilroad.gateway.call import Reply
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.call import Reply
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.platform.connections import EndCause
 from basilroad.platform.run import PlatformService
 from support.ends import (
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from basilroad.gateway.call import Call, Reply, Responder
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.call import Call, Reply, Responder
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.platform.connections import EndCause
 from basilroad.platform.frontend import PlatformFrontend
 from support.ends import (
--- a/tests/platform/test_unanswered_stages.py
+++ b/tests/platform/test_unanswered_stages.py
@@ -16,8 +16,8 @@
 import pytest
 
 from basilroad.endpoints.channels import Channel
-from basilroad.gateway.call import Reply
-from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.calls.call import Reply
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.platform.connections import EndCause
 from support.ends import (
     count_ends,
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -9,7 +9,7 @@
 import attrs
 
 from basilroad.errors import RefusedError
-from basilroad.gateway.call import Call
+from basilroad.gateway.calls.call import Call
 from basilroad.gateway.metrics import GatewayMetrics
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import EndpointEntry
