--- a/bench/choice.py
+++ b/bench/choice.py
@@ -5,11 +5,11 @@
 import random
 import time
 
-from basilroad.gateway.call import Call, PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import EndpointEntry
+from basilroad.gateway.calls.call import Call, PromptSize
+from basilroad.gateway.dispatch.selection import Chooser, Locality
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import EndpointEntry
 from basilroad.gateway.route import EngineLimits, Route, WeightedService
-from basilroad.gateway.selection import Chooser, Locality
 from basilroad.peers.address import Address
 
 SERVICE = "spec-llm"
--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/dispatch/selection.py
@@ -10,12 +10,12 @@
 
 import attrs
 
-from basilroad.gateway.preference import EnginePreference
+from basilroad.gateway.dispatch.preference import EnginePreference
 
 if TYPE_CHECKING:
-    from basilroad.gateway.call import Call, PromptSize
-    from basilroad.gateway.endpoint import Endpoint
-    from basilroad.gateway.promptlocations import PromptLocation
+    from basilroad.gateway.calls.call import Call, PromptSize
+    from basilroad.gateway.dispatch.promptlocations import PromptLocation
+    from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.route import EngineLimits
 
 PREFILL_TOKENS_PER_S = 8000.0
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -13,19 +13,19 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.errors import ErrorKind, RefusedError, refuse
-from basilroad.gateway.calllog import AttemptRecord, log_attempt, log_service_pause
-from basilroad.gateway.containment import Containment
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.dispatch import Dispatcher
+from basilroad.gateway.calls.log import AttemptRecord, log_attempt, log_service_pause
+from basilroad.gateway.crashes.containment import Containment
+from basilroad.gateway.dispatch.dispatcher import Dispatcher
+from basilroad.gateway.dispatch.preference import EnginePreference
+from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.permits import PermitExchange
 from basilroad.gateway.freshness import Freshness
-from basilroad.gateway.liveness import Liveness
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
-from basilroad.gateway.notices import NoticeRegister
-from basilroad.gateway.preference import EnginePreference
-from basilroad.gateway.reports import ReportReader
-from basilroad.gateway.selection import Chooser
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.liveness import Liveness
+from basilroad.gateway.registry.notices import NoticeRegister
+from basilroad.gateway.registry.reports import ReportReader
 from basilroad.gateway.shutdown import (
     OTHER_HOST_RETRY_S,
     SHORT_CALL_S,
@@ -33,7 +33,7 @@
     ShutdownSchedule,
     refuse_at_shutdown,
 )
-from basilroad.gateway.streamdurations import StreamDurations
+from basilroad.gateway.streams.durations import StreamDurations
 from basilroad.gateway.versions.startcheck import StartCheck
 from basilroad.gateway.versions.streamversions import StreamVersions
 from basilroad.stopsignal import StopSignal
@@ -42,11 +42,11 @@
     from collections.abc import Callable, Mapping
 
     from basilroad.errors import Refusal
-    from basilroad.gateway.attempt import EndpointProtocol
-    from basilroad.gateway.attempttracker import AttemptTracker
-    from basilroad.gateway.call import Call
+    from basilroad.gateway.calls.attempt import EndpointProtocol
+    from basilroad.gateway.calls.attempttracker import AttemptTracker
+    from basilroad.gateway.calls.call import Call
+    from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.route import EngineLimits, Route, RoutingTable, WorkspaceSpec
-    from basilroad.gateway.selection import Locality
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -13,13 +13,13 @@
 from attrs.validators import ge, le, max_len
 
 from basilroad.endpoints.channels import ChannelPool
-from basilroad.gateway.notices import Lifetime, NoticeRegister
+from basilroad.gateway.registry.notices import Lifetime, NoticeRegister
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from basilroad.endpoints.channels import Channel
-    from basilroad.gateway.call import PromptSize
+    from basilroad.gateway.calls.call import PromptSize
     from basilroad.peers.address import Address
 
 UNREACHABLE_BACKOFF_S = 0.25
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/dispatch/test_dispatcher.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.dispatch import Dispatcher
-from basilroad.gateway.notices import Notice, Source
-from basilroad.gateway.selection import Chooser
+from basilroad.gateway.calls.call import PromptSize
+from basilroad.gateway.dispatch.dispatcher import Dispatcher
+from basilroad.gateway.dispatch.selection import Chooser
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.notices import Notice, Source
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
 
--- a/tests/gateway/test_selection.py
+++ b/tests/gateway/dispatch/test_selection.py
@@ -6,10 +6,10 @@
 from collections import Counter
 from functools import partial
 
-from basilroad.gateway.call import PromptSize
-from basilroad.gateway.endpoint import Endpoint, Reservation
-from basilroad.gateway.preference import EnginePreference
-from basilroad.gateway.selection import Chooser, has_room
+from basilroad.gateway.calls.call import PromptSize
+from basilroad.gateway.dispatch.preference import EnginePreference
+from basilroad.gateway.dispatch.selection import Chooser, has_room
+from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
 
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/registry/test_limits.py
@@ -9,20 +9,20 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
-from basilroad.gateway.availability import find_service_pause
-from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import Endpoint
-from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.limits import PERMIT_VALIDITY_S, RETURN_SPREAD_S, NamedLimit
-from basilroad.gateway.notices import (
+from basilroad.gateway.calls.call import PromptSize
+from basilroad.gateway.calls.handler import CallHandler
+from basilroad.gateway.dispatch.availability import find_service_pause
+from basilroad.gateway.dispatch.selection import Chooser
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.limits import PERMIT_VALIDITY_S, RETURN_SPREAD_S, NamedLimit
+from basilroad.gateway.registry.notices import (
     LIMIT_REPORT_S,
     MAX_LIMITS_SENT,
     NoticeRegister,
     Purpose,
     Source,
 )
-from basilroad.gateway.selection import Chooser
 from builders import (
     ENGINE,
     PLACE,
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/registry/test_notices.py
@@ -4,11 +4,12 @@
 
 import random
 
-from basilroad.gateway.availability import find_service_pause
-from basilroad.gateway.call import PromptSize
-from basilroad.gateway.directory import Directory
-from basilroad.gateway.endpoint import Endpoint, EndpointState
-from basilroad.gateway.notices import (
+from basilroad.gateway.calls.call import PromptSize
+from basilroad.gateway.dispatch.availability import find_service_pause
+from basilroad.gateway.dispatch.selection import Chooser
+from basilroad.gateway.registry.directory import Directory
+from basilroad.gateway.registry.endpoint import Endpoint, EndpointState
+from basilroad.gateway.registry.notices import (
     LEAVING_REPORT_S,
     MAX_LEAVING_SENT,
     MAX_PAUSE_S,
@@ -21,7 +22,6 @@
     Purpose,
     Source,
 )
-from basilroad.gateway.selection import Chooser
 from builders import ENGINE, PLACE, build_entry
 
 LEAVING = Notice(leaving=True)
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -12,12 +12,12 @@
 
 from basilroad.endpoints.channels import Channel
 from basilroad.errors import RefusedError
-from basilroad.gateway.endpoint import Endpoint
-from basilroad.gateway.handler import CallHandler
-from basilroad.gateway.limits import NamedLimit
-from basilroad.gateway.notices import Source
+from basilroad.gateway.calls.handler import CallHandler
+from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.notices import Source
 from basilroad.gateway.route import RetrySafety
-from basilroad.gateway.streaming import StreamBrokenError
+from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.streamevents import decode_events
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
