Count accepted and unread connections in the lines of a stop

The log can't tell a connection that a host never accepted from one that ended before anything was received on it, nor when a restarted host began to accept.

The lines of a stop have the counts accepted and unread, and the line listening tells when connections are accepted from now on.

The test fails without the counts (KeyError) and passes with them.

--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/platform/connections.py
@@ -37,6 +37,8 @@
     :param ends: counts connections that end without a whole answer, by cause
     :param options: options of the HTTP server
     :ivar is_exiting: whether handlers are cancelled because the process exits
+    :ivar accepted: number of connections that were accepted
+    :ivar unread: number of those that ended before anything was received on them
     :ivar crossed: number of connections on which data came after their last response
     """
 
@@ -46,6 +48,8 @@
         self._taken: dict[web.RequestHandler, tuple[web.BaseRequest, float]] = {}
         self._busy: set[web.RequestHandler] = set()
         self.is_exiting = False
+        self.accepted = 0
+        self.unread = 0
         self.crossed = 0
 
     def __call__(self) -> web.RequestHandler:
@@ -104,6 +108,15 @@
         self._ends.labels(cause.value).inc()
         log_end(request.headers.get(HEADER_REQUEST_ID, ""), cause, arrived_at, detail)
 
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        """Count a connection that was accepted; called by the HTTP library.
+
+        :param handler: the connection
+        :param transport: its socket
+        """
+        self.accepted += 1
+        super().connection_made(handler, transport)
+
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
     ) -> None:
@@ -112,6 +125,8 @@
         :param handler: the connection
         :param exc: why it was lost; ``None`` if either side closed it
         """
+        assert isinstance(handler, _CallerConnection)
+        self.unread += not handler.has_received
         request, arrived_at = self._taken.pop(handler, (None, 0.0))
         if request is not None and not request.writer.output_size:
             detail = "cancelled before its handler began"
@@ -162,12 +177,16 @@
 
 
 class _CallerConnection(web.RequestHandler):
-    """A connection that answers what the HTTP library would leave unanswered."""
+    """A connection that answers what the HTTP library would leave unanswered.
+
+    :ivar has_received: whether anything was received on it
+    """
 
-    __slots__ = ("_is_malformed", "_last_body")
+    __slots__ = ("_is_malformed", "_last_body", "has_received")
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
+        self.has_received = False
         self._is_malformed = False
         self._last_body: StreamReader | None = None
 
@@ -183,6 +202,7 @@
 
         :param data: bytes that were received
         """
+        self.has_received = True
         if self._is_malformed:
             return
         super().data_received(data)
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -98,6 +98,7 @@
         self._connections = CallerServer(self._handle, gateway.metrics.ends, **SERVER_OPTIONS)
         runner = await self._set_up(self._connections)
         self._listener = await CallerListener.open(runner, settings.front)
+        _LOGGER.info("listening", extra={"front": str(settings.front)})
         readiness = web.Server(self._serve_readiness, **SERVER_OPTIONS)
         await self._listen(readiness, settings.ready)
         await self._listen(web.Server(self._serve_metrics, **SERVER_OPTIONS), settings.metrics)
@@ -392,6 +393,8 @@
         "signal_age_ms": round(1000 * shutdown.signal.age_s()),
         "ended": ended,
         "unsent": connections.unsent,
+        "accepted": connections.accepted,
+        "unread": connections.unread,
         "open": len(connections.connections),
         "crossed": connections.crossed,
     }
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -196,6 +196,24 @@
     assert vars(stopped)["unsent"] == 0
 
 
+# fault: no line tells a connection that ended unread from one that the gateway never accepted
+async def test_a_stop_counts_the_connections_on_which_nothing_was_received(
+    rig: GatewayRig, caplog: pytest.LogCaptureFixture
+) -> None:
+    shorten_grace(rig, 3.5)
+    caplog.set_level(logging.INFO)
+    reader, writer = await open_connection(rig)
+    writer.write(build_order("answered"))
+    assert read_end(await reader.read(65536)) is TryEnd.ANSWERED
+    _, unread = await open_connection(rig)
+    unread.close()
+    await rig.service.front.stop()
+    writer.close()
+    (stopped,) = [line for line in caplog.records if line.message == "stopped"]
+    assert vars(stopped)["unread"] == 1
+    assert vars(stopped)["accepted"] == 2
+
+
 async def test_an_error_before_the_head_is_not_logged_as_an_end_without_an_answer(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
