Ask for the start of an endpoint beside a new stream

Callers saw a stream whose first part came from one software version and the rest from another: its endpoint had started again with other software under its id and address, before the listing showed it, and cut the stream off.

Cause: while nothing hinted at a restart, a new stream was not checked and counted as one of the listed version, at which it then resumed.

Change: the stream is sent at once, and the report of the endpoint is read on another connection meanwhile. It is asked for after the connection of the stream was opened, so an endpoint that names the listed start has got the stream at that start. If it names another one, the stream begins elsewhere, or, if an event was passed on already, may not resume. Endpoints that named a limit are not asked, as a permit is worth a stream.

--- a/src/basilroad/gateway/attempt.py
+++ b/src/basilroad/gateway/attempt.py
@@ -231,7 +231,6 @@
     :param confirm_start: checks a connection before the call is sent on it, and returns the one to
         use, or why the call must not be sent; ``None`` for no check
     :ivar sent: whether the call was sent
-    :ivar is_start_confirmed: whether the endpoint named its listed start on the connection before
     """
 
     def __init__(
@@ -248,8 +247,9 @@
         self.endpoint = endpoint
         self.version = endpoint.entry.version
         self.sent = False
-        self.is_start_confirmed = False
         self._sent_at = -math.inf
+        self._sent_on: Channel | None = None
+        self._listed_start_ms = endpoint.entry.started_ms
         self._protocol = protocol
         self._options = options
         self._claim_move = claim_move
@@ -264,6 +264,12 @@
         """:return: seconds since the call was sent."""
         return now - self._sent_at
 
+    @property
+    def is_start_confirmed(self) -> bool:
+        """:return: whether the endpoint named its listed start, for the connection of the call."""
+        channel = self._sent_on
+        return channel is not None and channel.confirmed_start_ms == self._listed_start_ms
+
     @property
     def is_cut_off(self) -> bool:
         """:return: whether its connection was ended by the endpoint or the network."""
@@ -312,7 +318,7 @@
         except RequestEncodingError as error:
             raise refuse(ErrorKind.BAD_REQUEST, f"the request can't be sent: {error}") from error
         self.sent, self._sent_at = True, time.monotonic()
-        self.is_start_confirmed = channel.confirmed_start_ms == self.endpoint.entry.started_ms
+        self._sent_on, self._listed_start_ms = channel, self.endpoint.entry.started_ms
         try:
             head = await channel.read_head()
         except ChannelError as error:
--- a/src/basilroad/gateway/reports.py
+++ b/src/basilroad/gateway/reports.py
@@ -86,7 +86,7 @@
         self.requests += 1
         try:
             async with asyncio.timeout(limit_s):
-                response = await self._ask(endpoint, purpose)
+                response = await self.ask(endpoint, purpose)
         except ConnectError:
             endpoint.record_cut(time.monotonic())
             return False
@@ -99,10 +99,17 @@
             endpoint.record_report(report, time.monotonic())
         return True
 
-    async def _ask(self, endpoint: Endpoint, purpose: Purpose) -> Report:
+    async def ask(self, endpoint: Endpoint, purpose: Purpose) -> Report:
+        """Read a report on any connection, which is kept.
+
+        :param endpoint: the engine
+        :param purpose: what the report is read for
+        :return: the response
+        :raises ChannelError: there is no report
+        """
         notices = endpoint.notices
-        # a late copy of an earlier report would pass for a sign of life
-        request_id = NO_REQUEST_ID if purpose is Purpose.PROBE else None
+        # a late copy of an earlier report would pass for a sign of life, or for that of a start
+        request_id = None if purpose is Purpose.REPORT else NO_REQUEST_ID
         channel = await endpoint.pool.open(request_id=request_id)
         reused = channel.requests > 0
         try:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from basilroad.endpoints.channels import ChannelError
 from basilroad.errors import RefusedError
@@ -24,12 +24,10 @@
 from basilroad.gateway.streamcrashes import StreamCrashes
 from basilroad.gateway.streamoutput import StreamOutput
 from basilroad.gateway.streamplacement import StreamPlace, StreamPlacement
+from basilroad.gateway.versions.attemptstart import AttemptStart
 from basilroad.gateway.versions.pin import VersionPin
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
-
-    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.call import Call, Responder
     from basilroad.gateway.endpoint import Endpoint, Reservation
     from basilroad.gateway.gateway import Gateway
@@ -87,6 +85,7 @@
             gateway.metrics.gap_s.labels(name_rank(call.rank)).observe,
         )
         self._stall_timer = StallTimer()
+        self._start: AttemptStart | None = None
         self._failed_reply: Reply | None = None
 
     async def run(self) -> Reply | None:
@@ -184,6 +183,7 @@
         endpoint = reservation.endpoint
         backup = self._backup.reserve(endpoint)
         started = time.monotonic()
+        self._start = self._find_start(endpoint)
         attempt = self._tracker.running = Attempt(
             self._call,
             endpoint,
@@ -197,7 +197,7 @@
             ),
             self._claim_place,
             self._may_send,
-            self._find_start_check(endpoint),
+            self._start.confirm if self._start else None,
         )
         self._pin.begin(endpoint)
         self._gateway.dispatcher.prompt_locations.record(self._call.prompt_key, endpoint.id)
@@ -205,6 +205,8 @@
             outcome = await self._run_watched(attempt, reservation)
         finally:
             attempt.close()
+            if self._start is not None:
+                self._start.close()
             self._gateway.dispatcher.release(reservation)
             if backup is not None:
                 self._gateway.dispatcher.release(backup)
@@ -236,13 +238,11 @@
             self._gateway.dispatcher.release(reservation)
             raise
 
-    def _find_start_check(
-        self, endpoint: Endpoint
-    ) -> Callable[[Channel], Coroutine[Any, Any, Channel | NotRun]] | None:
+    def _find_start(self, endpoint: Endpoint) -> AttemptStart | None:
         is_bound = self._pin.version is not None
         if not (is_bound or self._call.route.repeatable):
             return None
-        return partial(self._gateway.start_check.confirm, endpoint, is_bound=is_bound)
+        return AttemptStart(self._gateway.start_check, endpoint, is_bound=is_bound)
 
     def _may_send(self) -> bool:
         # a shutdown may have left too little time while the connection was opened
@@ -371,7 +371,8 @@
         self._gateway.liveness.mark_started(wait)
         confirmed = False
         try:
-            confirmed = await self._pin.confirm(run.version)
+            is_listed = self._start is None or await self._start.settle()
+            confirmed = is_listed and await self._pin.confirm(run.version)
         finally:
             if not confirmed:
                 # another run makes the events again that this one made
@@ -404,7 +405,8 @@
         endpoint.record_outcome(now, failed=failed)
         self._backup.keep(self._events.last)
         if isinstance(outcome, MayHaveRun):
-            self._pin.record_cut(attempt)
+            is_other = self._start is not None and self._start.is_other
+            self._pin.record_cut(attempt, is_other_start=is_other)
             tracker.last_detail = outcome.detail
             tracker.timed_out = outcome.timed_out
 
--- a/src/basilroad/gateway/versions/pin.py
+++ b/src/basilroad/gateway/versions/pin.py
@@ -89,16 +89,17 @@
         self.version = version
         return True
 
-    def record_cut(self, attempt: Attempt) -> None:
+    def record_cut(self, attempt: Attempt, *, is_other_start: bool) -> None:
         """Give up the version of a stream that may have begun at a restart that was not listed.
 
         :param attempt: the attempt that was cut off
+        :param is_other_start: whether its endpoint named another start than the listed one
         """
         if self.version is None or attempt.is_start_confirmed:
             return
         # the restart was listed while the attempt ran, and may be older than the attempt
         is_recent = attempt.age_s(time.monotonic()) < RESTART_LISTED_S
-        if is_recent and attempt.endpoint.entry.version != self.version:
+        if is_other_start or (is_recent and attempt.endpoint.entry.version != self.version):
             self.version = UNKNOWN_VERSION
             self._versions.record_unknown(self._call)
 
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 import time
 from typing import TYPE_CHECKING
@@ -32,8 +33,18 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class StartVerdict(enum.Enum):
+    """What the report of an endpoint says of its start."""
+
+    NAMED = "the listed one"
+    NEVER_NAMED = "it reports none"
+    OTHER = "another one"
+    REFUSED = "no readable report"
+    UNANSWERED = "no report"
+
+
 class StartCheck:
-    """Asks endpoints for their start on connections that are to carry streams.
+    """Asks endpoints for their start on connections that are to carry streams, or beside them.
 
     An endpoint may start again with other software under its id and address. Until the listing
     shows it, only its report names the start. A connection leads to one start as long as it lasts.
@@ -56,23 +67,16 @@
         self._reports = reports
         self._acquire_permit = acquire_permit
 
-    async def confirm(
-        self, endpoint: Endpoint, channel: Channel, *, is_bound: bool
-    ) -> Channel | NotRun:
-        """Check the start at the other end of a connection, once for each connection.
+    async def confirm(self, endpoint: Endpoint, channel: Channel) -> Channel | NotRun:
+        """Check the start at the other end of a connection before a stream is sent on it.
 
-        It is checked if the endpoint may have started again with another version. The report uses
-        the permit of the stream if the endpoint named a limit.
+        The report uses the permit of the stream if the endpoint named a limit.
 
         :param endpoint: the endpoint
         :param channel: a connection to it, which is closed if the check fails
-        :param is_bound: whether the stream has begun, so that it may resume at its version only
         :return: the connection to use, a new one if the endpoint had closed the given one; or why
             no stream may be sent: if it only lacks a permit, the connection is kept for the next
         """
-        is_confirmed = channel.confirmed_start_ms == endpoint.entry.started_ms
-        if is_confirmed or not self._is_due(endpoint, is_bound=is_bound):
-            return channel
         confirmed = await self._confirm_listed(endpoint, channel)
         if confirmed is None:
             endpoint.record_unreachable(time.monotonic())
@@ -88,10 +92,39 @@
             return NotRun("the check of the start used the permit", lacks_permit=True)
         return confirmed if confirmed.usable else NotRun("the endpoint closed the connection")
 
-    def _is_due(self, endpoint: Endpoint, *, is_bound: bool) -> bool:
+    async def ask(self, endpoint: Endpoint, expected_ms: int) -> StartVerdict:
+        """Ask an endpoint for its start on any connection.
+
+        :param endpoint: the endpoint
+        :param expected_ms: its listed start
+        :return: what it names
+        """
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                report = await self._reports.ask(endpoint, Purpose.START)
+        except (ChannelError, TimeoutError) as error:
+            _log_unconfirmed(endpoint, repr(error))
+            return StartVerdict.UNANSWERED
+        return self._judge(endpoint, report, expected_ms)
+
+    def may_ask_beside(self, endpoint: Endpoint, channel: Channel) -> bool:
+        """:return: whether the start is asked for while a stream runs on a connection."""
+        if not endpoint.entry.started_ms or _is_confirmed(endpoint, channel):
+            return False
+        # a permit is worth a stream
+        return not endpoint.notices.limit.is_in_force(time.monotonic())
+
+    def is_due(self, endpoint: Endpoint, channel: Channel, *, is_bound: bool) -> bool:
+        """Check whether the start has to be confirmed before a stream is sent on a connection.
+
+        :param endpoint: the endpoint
+        :param channel: the connection
+        :param is_bound: whether the stream has begun, so that it may resume at its version only
+        :return: whether the endpoint may have started again with another version
+        """
         # resumed streams are few, and hosts without a call at an endpoint see no sign of its
         # restart, so each connection is checked before the first of them
-        if not endpoint.entry.started_ms:
+        if not endpoint.entry.started_ms or _is_confirmed(endpoint, channel):
             return False
         if is_bound or time.monotonic() - endpoint.cut_at < RESTART_LISTED_S:
             return True
@@ -106,11 +139,10 @@
             async with asyncio.timeout(START_TIMEOUT_S):
                 channel, report = await self._read_report(endpoint, channel)
         except (ChannelError, TimeoutError) as error:
-            _LOGGER.info(
-                "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
-            )
+            _log_unconfirmed(endpoint, repr(error))
             return None
-        if not self._is_confirmed(endpoint, report, expected_ms):
+        verdict = self._judge(endpoint, report, expected_ms)
+        if verdict not in (StartVerdict.NAMED, StartVerdict.NEVER_NAMED):
             channel.close()
             return None
         channel.confirmed_start_ms = expected_ms
@@ -128,20 +160,17 @@
         channel = await endpoint.pool.open(0)
         return channel, await self._reports.exchange(endpoint, channel, notices, Purpose.START)
 
-    def _is_confirmed(self, endpoint: Endpoint, report: Report, expected_ms: int) -> bool:
+    def _judge(self, endpoint: Endpoint, report: Report, expected_ms: int) -> StartVerdict:
         if report.is_refused:
-            _LOGGER.info(
-                "start not confirmed",
-                extra={"endpoint": endpoint.id, "detail": f"status {report.status}"},
-            )
-            return False
+            _log_unconfirmed(endpoint, f"status {report.status}")
+            return StartVerdict.REFUSED
         try:
             started_ms = self._protocol.decode_start(report.body)
         except DecodeError as error:
             _LOGGER.warning(
                 "start not confirmed", extra={"endpoint": endpoint.id, "detail": repr(error)}
             )
-            return False
+            return StartVerdict.REFUSED
         # an endpoint that has reported one and now reports none runs other software
         never_reports = started_ms is None and not endpoint.reports_start
         if started_ms != expected_ms and not never_reports:
@@ -153,12 +182,12 @@
                     "started_ms": started_ms,
                 },
             )
-            return False
+            return StartVerdict.OTHER
         endpoint.reports_start = started_ms is not None
-        return True
+        return StartVerdict.NEVER_NAMED if never_reports else StartVerdict.NAMED
 
     def _keep(self, endpoint: Endpoint, channel: Channel) -> None:
-        if channel.confirmed_start_ms == endpoint.entry.started_ms:
+        if _is_confirmed(endpoint, channel):
             endpoint.pool.keep(channel)
         else:
             # its restart was listed meanwhile
@@ -170,4 +199,12 @@
         return endpoint.notices.limit.take_permit(time.monotonic())
 
 
-__all__ = ["RESTART_LISTED_S", "StartCheck"]
+def _is_confirmed(endpoint: Endpoint, channel: Channel) -> bool:
+    return channel.confirmed_start_ms == endpoint.entry.started_ms
+
+
+def _log_unconfirmed(endpoint: Endpoint, detail: str) -> None:
+    _LOGGER.info("start not confirmed", extra={"endpoint": endpoint.id, "detail": detail})
+
+
+__all__ = ["RESTART_LISTED_S", "START_TIMEOUT_S", "StartCheck", "StartVerdict"]
--- /dev/null
+++ b/tests/gateway/versions/test_attemptstart.py
@@ -0,0 +1,102 @@
+"""Starts that are asked for while a stream runs."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+
+from basilroad.gateway.handler import CallHandler
+from basilroad.gateway.limits import NamedLimit
+from basilroad.gateway.notices import Source
+from basilroad.gateway.route import RetrySafety
+from basilroad.gateway.streaming import StreamBrokenError
+from builders import RecordingResponder, build_call, build_entry, build_stream_route
+from support.reportingserver import ReportingServer
+
+ROUTE = build_stream_route(prefix="/s/", timeout_s=9.0)
+ALL_EVENTS = list(range(1, 21))
+
+
+@pytest.fixture
+async def engine(gateway) -> AsyncIterator[ReportingServer]:
+    """:return: an engine of the version v1, which is listed alone."""
+    server = ReportingServer("i-1", events=20)
+    await server.start()
+    gateway.directory.put(build_entry(server.id, port=server.port, service="llm", slots=48))
+    yield server
+    await server.stop()
+
+
+async def run(gateway, responder: RecordingResponder, route=ROUTE, **changes: object) -> None:
+    await CallHandler(gateway).handle(build_call(route, **changes), responder)
+
+
+async def wait_for(condition) -> None:
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+# fault: a stream was passed on by a restart that was not listed, and counted as of another version
+async def test_a_stream_that_reached_an_unlisted_restart_begins_elsewhere(
+    gateway, engine, start_server
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms, engine.response_delay_s = 2, 1.0
+    responder = RecordingResponder()
+    began = time.monotonic()
+    await run(gateway, responder)
+    assert responder.numbers == ALL_EVENTS
+    assert ("X-Response-Seal", "seal-of-i-2") in responder.headers
+    assert len(engine.seen) == 1
+    assert time.monotonic() - began < engine.response_delay_s
+
+
+# fault: a report that came after the first event would have been ignored
+async def test_a_stream_whose_endpoint_names_another_start_late_does_not_resume(
+    gateway, engine, start_server
+) -> None:
+    second = await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms, engine.cuts_reports, engine.event_interval_s = 2, 1, 0.15
+    engine.reset_at_event = 10
+    responder = RecordingResponder()
+    with pytest.raises(StreamBrokenError, match="is not known"):
+        await run(gateway, responder)
+    assert responder.numbers == list(range(1, 10))
+    assert not second.seen
+
+
+async def test_a_first_event_waits_for_a_report_only_briefly(gateway, engine) -> None:
+    engine.silences_reports = True
+    responder = RecordingResponder()
+    await asyncio.wait_for(run(gateway, responder), 3)
+    assert responder.numbers == ALL_EVENTS
+
+
+async def test_a_report_that_gets_no_answer_is_asked_for_again(gateway, engine) -> None:
+    engine.cuts_reports, engine.event_interval_s = 1, 0.1
+    task = asyncio.ensure_future(run(gateway, RecordingResponder()))
+    await wait_for(lambda: engine.reports == 1)
+    await wait_for(lambda: gateway.directory.get("i-1").reports_start)
+    await task
+
+
+async def test_a_permit_is_not_used_for_a_report_beside_a_stream(gateway, engine) -> None:
+    endpoint, now = gateway.directory.get("i-1"), time.monotonic()
+    endpoint.notices.record_limit(NamedLimit(2.0, now), Source.ANSWER, now)
+    endpoint.notices.limit.add_permit(now)
+    responder = RecordingResponder()
+    await run(gateway, responder)
+    assert responder.numbers == ALL_EVENTS
+    assert engine.reports == 0
+
+
+async def test_no_report_is_read_beside_a_stream_that_may_not_resume(gateway, engine) -> None:
+    route = build_stream_route(prefix="/s/", retry_safety=RetrySafety.FORBIDDEN)
+    responder = RecordingResponder()
+    await run(gateway, responder, route)
+    assert responder.numbers == ALL_EVENTS
+    assert engine.reports == 0
