Keep the copy of a stream whose start report closes its connection

Callers saw a pause as long as a whole prefill: a stream that resumed at the endpoint with the copy of its cache was not sent there, and read its prompt anew.

Cause: the report of the start was answered with Connection: close, so the connection that had just been confirmed could not be used, and the place with the copy was given up.

Change: a new connection is opened then, and confirmed by a report that is asked for on another one after it; so it works also where each report closes its connection. Endpoints that named a limit are passed over as before, as a second report needs another permit.

Failed before: test_a_stream_resumes_from_its_copy_though_a_report_closes_its_connection, once and with each report closing; with each report closing the stream broke.

--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -146,6 +146,29 @@
             channel.close()
             return None
         channel.confirmed_start_ms = expected_ms
+        if channel.usable or endpoint.notices.limit.is_in_force(time.monotonic()):
+            return channel
+        return await self._open_confirmed(endpoint, expected_ms)
+
+    async def _open_confirmed(self, endpoint: Endpoint, expected_ms: int) -> Channel | None:
+        """Open a connection, and confirm it by a report that is asked for on another one after it.
+
+        :return: the connection; ``None`` if it was not confirmed
+        """
+        try:
+            channel = await endpoint.pool.open(0)
+        except ChannelError as error:
+            _log_unconfirmed(endpoint, repr(error))
+            return None
+        try:
+            verdict = await self.ask(endpoint, expected_ms)
+        except BaseException:
+            channel.close()
+            raise
+        if verdict not in (StartVerdict.NAMED, StartVerdict.NEVER_NAMED):
+            channel.close()
+            return None
+        channel.confirmed_start_ms = expected_ms
         return channel
 
     async def _read_report(self, endpoint: Endpoint, channel: Channel) -> tuple[Channel, Report]:
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -370,6 +370,20 @@
     assert not engine.seen
 
 
+# fault: a stream lost its copy where the report of the start closed its connection
+@pytest.mark.parametrize("closes_reports", [1, 100])
+async def test_a_stream_resumes_from_its_copy_though_a_report_closes_its_connection(
+    gateway, engine, start_server, closes_reports
+) -> None:
+    await start_server("i-2", service="llm", events=20, reset_at_event=8)
+    put(gateway, engine, data_centre="kurzeme-a")
+    engine.closes_reports = closes_reports
+    assert (await asyncio.wait_for(run(gateway), 5)).numbers == ALL_EVENTS
+    assert [request.headers.get("kv-from") for request in engine.seen] == [
+        f"127.0.0.1:{engine.port}/c1"
+    ]
+
+
 # fault: an idle connection that an engine had closed counted as an engine that can't be reached
 async def test_a_start_is_asked_for_again_on_a_new_connection_if_a_kept_one_has_ended(
     gateway, engine
--- a/tests/support/reportingserver.py
+++ b/tests/support/reportingserver.py
@@ -16,6 +16,7 @@
     :param start_ms: the start; ``None`` to report none
     :param refuses_reports: whether it wants no reports for a while
     :param spoiled_report: body of its reports in place of a sound one
+    :param closes_reports: number of reports after which it closes the connection
     :param silences_reports: whether it answers none
     :param cuts_reports: number of requests for reports at which it ends the connection
     """
@@ -23,6 +24,7 @@
     start_ms: int | None = 1
     refuses_reports: bool = False
     spoiled_report: bytes = b""
+    closes_reports: int = 0
     silences_reports: bool = False
     cuts_reports: int = 0
 
@@ -38,8 +40,11 @@
             return
         body = b"{}" if self.start_ms is None else b'{"born": %d}' % self.start_ms
         body = self.spoiled_report or body
-        limit = f"Server-Limit: {self.limit}\r\n".encode() if self.limit else b""
-        head = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (limit, len(body))
+        closing = "Connection: close\r\n" if self.closes_reports > 0 else ""
+        self.closes_reports -= 1
+        named = f"Server-Limit: {self.limit}\r\n" if self.limit else ""
+        added = (named + closing).encode()
+        head = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (added, len(body))
         writer.write(head + body)
 
 
