Keep calls that need no start at endpoints that did not confirm theirs

Callers saw calls of routes whose streams run only once, and plain calls, wait or go to farther endpoints for up to a second after a stream had been refused at an endpoint.

Cause: a report that was refused, could not be read, or named another start than the listed one began the backoff of an endpoint that can't be reached, for all calls and with its idle connections.

Change: an endpoint that has answered is left for 0.5 s by streams that need its start confirmed, and by resumes from copies, only; also one that names another start beside a stream. One that gives no answer keeps the backoff, as no call would get through.

Failed before: test_an_endpoint_whose_start_is_not_confirmed_takes_calls_that_need_none, in all three cases.

--- a/src/basilroad/gateway/call.py
+++ b/src/basilroad/gateway/call.py
@@ -101,6 +101,11 @@
         """:return: monotonic seconds until which a response meets the target."""
         return min(self.expires_at, self.arrived_at + self.route.latency_target_s)
 
+    @property
+    def needs_confirmed_start(self) -> bool:
+        """:return: whether the version of its endpoint matters, as for streams that may resume."""
+        return self.route.streams and (self.route.repeatable or bool(self.events_received))
+
     @property
     def events_received(self) -> int:
         """:return: number of events that the caller has received, from the last event id."""
--- a/src/basilroad/gateway/endpoint.py
+++ b/src/basilroad/gateway/endpoint.py
@@ -29,6 +29,10 @@
 UNREACHABLE_BACKOFF_MAX_S = 1.0
 """Upper limit of the backoff; a retry costs no more than a refused connection."""
 
+UNCONFIRMED_BACKOFF_S = 0.5
+"""Time for which streams that need the start of an endpoint confirmed leave it after its report did
+not name the listed one; the listing shows a restart within seconds."""
+
 FULL_BACKOFF_S = 0.2
 """Time for which an endpoint that rejected a call counts as full; its own load reports are as
 old."""
@@ -186,6 +190,7 @@
         self.cut_at = -math.inf
         self.full_until = -math.inf
         self.backoff_until = -math.inf
+        self.unconfirmed_until = -math.inf
         self.removed = False
         self.reports_start = False
         self._backoff_s = UNREACHABLE_BACKOFF_S
@@ -347,6 +352,13 @@
         """
         self.cut_at = now
 
+    def record_unconfirmed(self, now: float) -> None:
+        """Record that its report did not name the listed start; calls that need none go on.
+
+        :param now: monotonic seconds
+        """
+        self.unconfirmed_until = now + UNCONFIRMED_BACKOFF_S
+
     def record_full(self, now: float) -> None:
         """Record that it rejected a call for lack of capacity.
 
@@ -397,6 +409,7 @@
         self.listed_at = time.monotonic()
         self.full_until = -math.inf
         self.backoff_until = -math.inf
+        self.unconfirmed_until = -math.inf
         self._backoff_s = UNREACHABLE_BACKOFF_S
         self._failure_rate = 0.0
         self.report = None
--- a/src/basilroad/gateway/selection.py
+++ b/src/basilroad/gateway/selection.py
@@ -240,6 +240,8 @@
         for endpoint in endpoints:
             if endpoint.id in avoid or not endpoint.is_available(now):
                 continue
+            if call.needs_confirmed_start and now < endpoint.unconfirmed_until:
+                continue
             if not has_room(endpoint, call.size, engine, now):
                 continue
             score = self.score(endpoint, call, now) + estimate_suspicion_cost(
--- a/src/basilroad/gateway/streambackup.py
+++ b/src/basilroad/gateway/streambackup.py
@@ -96,7 +96,10 @@
         return self._current.endpoint if self._current is not None and last_event else None
 
     def _is_usable(self, holder: Endpoint) -> bool:
-        return holder.is_available(time.monotonic()) and self._pin.admits(holder)
+        now = time.monotonic()
+        if now < holder.unconfirmed_until:
+            return False
+        return holder.is_available(now) and self._pin.admits(holder)
 
     def _resume_at(self, holder: Endpoint, last_event: int) -> Reservation:
         log_resume_from_backup(self._call, holder, last_event)
--- a/src/basilroad/gateway/versions/attemptstart.py
+++ b/src/basilroad/gateway/versions/attemptstart.py
@@ -84,6 +84,7 @@
 
     def _record_other(self, channel: Channel) -> None:
         self.is_other = True
+        self._endpoint.record_unconfirmed(time.monotonic())
         if not self._has_event:
             # nothing was passed on, so that the stream can begin elsewhere
             channel.close()
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -79,7 +79,6 @@
         """
         confirmed = await self._confirm_listed(endpoint, channel)
         if confirmed is None:
-            endpoint.record_unreachable(time.monotonic())
             return NotRun("the start of the endpoint was not confirmed")
         # the report may have named a limit
         try:
@@ -140,10 +139,13 @@
                 channel, report = await self._read_report(endpoint, channel)
         except (ChannelError, TimeoutError) as error:
             _log_unconfirmed(endpoint, repr(error))
+            endpoint.record_unreachable(time.monotonic())
             return None
         verdict = self._judge(endpoint, report, expected_ms)
         if verdict not in (StartVerdict.NAMED, StartVerdict.NEVER_NAMED):
             channel.close()
+            # it serves calls that need no confirmed start
+            endpoint.record_unconfirmed(time.monotonic())
             return None
         channel.confirmed_start_ms = expected_ms
         if channel.usable or endpoint.notices.limit.is_in_force(time.monotonic()):
@@ -159,6 +161,7 @@
             channel = await endpoint.pool.open(0)
         except ChannelError as error:
             _log_unconfirmed(endpoint, repr(error))
+            endpoint.record_unreachable(time.monotonic())
             return None
         try:
             verdict = await self.ask(endpoint, expected_ms)
@@ -167,6 +170,7 @@
             raise
         if verdict not in (StartVerdict.NAMED, StartVerdict.NEVER_NAMED):
             channel.close()
+            endpoint.record_unconfirmed(time.monotonic())
             return None
         channel.confirmed_start_ms = expected_ms
         return channel
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -237,6 +237,28 @@
     assert len({event.version for event in decode_events(responder.data)}) == 1
 
 
+# fault: a report that named no listed start began a backoff for all calls to its endpoint
+@pytest.mark.parametrize("fault", ["refused", "spoiled", "restarted"])
+async def test_an_endpoint_whose_start_is_not_confirmed_takes_calls_that_need_none(
+    gateway, engine, start_server, fault
+) -> None:
+    await start_server("i-2", service="llm", events=20, software="v2", data_centre="kurzeme-a")
+    engine.refuses_reports = fault == "refused"
+    engine.spoiled_report = b"x" if fault == "spoiled" else b""
+    engine.start_ms = 2 if fault == "restarted" else 1
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert not engine.seen
+    asked = engine.reports
+    route = build_stream_route(prefix="/s/", retry_safety=RetrySafety.FORBIDDEN)
+    responder = RecordingResponder()
+    await CallHandler(gateway).handle(build_call(route, id="c2"), responder)
+    assert responder.numbers == ALL_EVENTS
+    assert len(engine.seen) == 1
+    # other streams leave it, and are spared the report
+    assert (await run(gateway, id="c3")).numbers == ALL_EVENTS
+    assert (len(engine.seen), engine.reports) == (1, asked)
+
+
 # fault: a report that could not be read passed for one that names the listed start
 @pytest.mark.parametrize("spoiled", [b'{"bor', b'{"born": "2"}', b'{"born": 2.5}', b"\xff"])
 async def test_a_resumed_stream_is_not_sent_to_a_restart_whose_report_is_spoiled(
