Refuse take-ups of streams that can have no record

Callers that took up a stream of a route that allows no resume got the rest from the base version, though another version may have begun it.

Cause: no record is made of such streams, and a stream without a record counts as one of the base version.

A record for each such stream would let its first event wait for the store, for callers that are not to resume it.

Failed before: test_a_stream_that_may_not_resume_is_of_unknown_version_beside_two.

--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -243,6 +243,9 @@
         if row is not None:
             version = decode_version(row)
             return ("record" if version is not None else "unknown"), version
+        if not call.route.repeatable:
+            # streams of routes that allow no resume have no record at any version
+            return self._find_sole_known(service)
         # a stream without a record was begun by the base version that was in force then
         base = await self._read_base(service)
         if service.base.may_lack_records:
@@ -290,6 +293,10 @@
             return None
         return versions.pop()
 
+    def _find_sole_known(self, service: ServiceVersions) -> tuple[str, str | None]:
+        sole = self._find_sole(service)
+        return ("sole", sole) if sole is not None else ("unknown", None)
+
     def _find_sole_listed(self, service: str) -> tuple[str, str | None]:
         versions = list(self._listing.count_listed(service))
         return ("sole", versions[0]) if len(versions) == 1 else ("unknown", None)
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -7,10 +7,12 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import attrs
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
 from basilroad.gateway.directory import Directory
+from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.versions.baseversion import (
     BASE_KEY,
     RESTORE_SETTLE_S,
@@ -18,6 +20,7 @@
 )
 from basilroad.gateway.versions.records import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
 from basilroad.gateway.versions.streamversions import RELIST_S, StreamVersions
+from builders import build_stream_route
 from support.versionrig import (
     SERVICE,
     SimArchive,
@@ -634,6 +637,23 @@
     assert await host.find(stream) is None
 
 
+# fault: a stream of a route that allows no resume, without a record, counted as of the base version
+@virtually
+async def test_a_stream_that_may_not_resume_is_of_unknown_version_beside_two(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    recorded = await fleet.begin(fleet.hosts[0], "v2")
+    host = await restart_all(fleet)
+    route = build_stream_route(retry_safety=RetrySafety.FORBIDDEN)
+    call = attrs.evolve(build_stream_call("takeup", resumes="once"), route=route)
+    assert await host.versions.find(call) is None
+    assert await host.versions.find(attrs.evolve(call, resumes=recorded.call.id)) == "v2"
+    fleet.serve("v1")
+    await asyncio.sleep(VERSION_MEMORY_S + SETTLE_S)
+    assert await host.versions.find(call) == "v1"
+
+
 # fault: a version that left before the hosts started was unknown to them, so that a stream of it
 # whose record a restored store had lost counted as one of the base version
 @virtually
