--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -237,6 +237,28 @@
     assert len({event.version for event in decode_events(responder.data)}) == 1
 
 
+# fault: a report that named no listed start began a backoff for all calls to its endpoint
+@pytest.mark.parametrize("fault", ["refused", "spoiled", "restarted"])
+async def test_an_endpoint_whose_start_is_not_confirmed_takes_calls_that_need_none(
+    gateway, engine, start_server, fault
+) -> None:
+    await start_server("i-2", service="llm", events=20, software="v2", data_centre="kurzeme-a")
+    engine.refuses_reports = fault == "refused"
+    engine.spoiled_report = b"x" if fault == "spoiled" else b""
+    engine.start_ms = 2 if fault == "restarted" else 1
+    assert (await run(gateway)).numbers == ALL_EVENTS
+    assert not engine.seen
+    asked = engine.reports
+    route = build_stream_route(prefix="/s/", retry_safety=RetrySafety.FORBIDDEN)
+    responder = RecordingResponder()
+    await CallHandler(gateway).handle(build_call(route, id="c2"), responder)
+    assert responder.numbers == ALL_EVENTS
+    assert len(engine.seen) == 1
+    # other streams leave it, and are spared the report
+    assert (await run(gateway, id="c3")).numbers == ALL_EVENTS
+    assert (len(engine.seen), engine.reports) == (1, asked)
+
+
 # fault: a report that could not be read passed for one that names the listed start
 @pytest.mark.parametrize("spoiled", [b'{"bor', b'{"born": "2"}', b'{"born": 2.5}', b"\xff"])
 async def test_a_resumed_stream_is_not_sent_to_a_restart_whose_report_is_spoiled(
@@ -370,6 +392,20 @@
     assert not engine.seen
 
 
+# fault: a stream lost its copy where the report of the start closed its connection
+@pytest.mark.parametrize("closes_reports", [1, 100])
+async def test_a_stream_resumes_from_its_copy_though_a_report_closes_its_connection(
+    gateway, engine, start_server, closes_reports
+) -> None:
+    await start_server("i-2", service="llm", events=20, reset_at_event=8)
+    put(gateway, engine, data_centre="kurzeme-a")
+    engine.closes_reports = closes_reports
+    assert (await asyncio.wait_for(run(gateway), 5)).numbers == ALL_EVENTS
+    assert [request.headers.get("kv-from") for request in engine.seen] == [
+        f"127.0.0.1:{engine.port}/c1"
+    ]
+
+
 # fault: an idle connection that an engine had closed counted as an engine that can't be reached
 async def test_a_start_is_asked_for_again_on_a_new_connection_if_a_kept_one_has_ended(
     gateway, engine
