Leave stalls of the machine out of CalmIsServed in the soak

Endpoints, store and callers run in the process of the soak, and that stood still. The gateways did what they must: 0.3 s of silence is a failed endpoint to them. No fault of the product was found.

A request counts in CalmIsServed if neither a fault nor a stall lies within 4 s before it or during it, and the traffic after the last fault goes on until 6 s have passed without a stall, for 30 s at most.

Why it is as strict: without stalls, the same requests count, with the same share. If no request is left to count, the promise is broken as before.

Tests: test_requests_not_served_beside_a_stall_of_the_machine fails without the condition in the promise; the others hold what still counts.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -331,7 +331,10 @@
 
 
 class CalmIsServed(Promise):
-    """From ``RECOVERY_S`` after the last fault, nearly all requests with valid keys succeed."""
+    """From ``RECOVERY_S`` after the last fault, nearly all requests with valid keys succeed.
+
+    A time in which the machine keeps the soak or a gateway from running is a fault here, too.
+    """
 
     MIN_SERVED_SHARE = 0.95
 
@@ -342,12 +345,15 @@
         after_faults = [
             r
             for r in record.requests.values()
-            if r.sent_at > last + RECOVERY_S and not r.aborted and not r.resumes
+            if r.sent_at > last + RECOVERY_S
+            and not (r.aborted or r.resumes)
+            and not record.is_stalled(r.sent_at - RECOVERY_S, r.ended_at)
         ]
         authorized = [r for r in after_faults if r.key not in record.key_revoked_at]
         served = [r for r in authorized if r.status == OK and r.whole]
         if not authorized:
-            yield "nothing was asked after the last fault"
+            stalls = sum(stall.ended > last for stall in record.stalls)
+            yield f"nothing was asked after the last fault and {stalls} stalls of the machine"
         elif len(served) < self.MIN_SERVED_SHARE * len(authorized):
             failed = Counter((r.status, r.detail) for r in authorized if r not in served)
             yield f"{len(served)} of {len(authorized)} served after the last fault: {dict(failed)}"
--- a/soak/records.py
+++ b/soak/records.py
@@ -201,6 +201,20 @@
     lost_s: float = 0.0
 
 
+@attrs.frozen
+class Stall:
+    """A time in which the machine kept the soak or a gateway from running.
+
+    :param began: monotonic seconds
+    :param ended: monotonic seconds
+    :param waited_s: seconds of them in which the process waited for a processor
+    """
+
+    began: float
+    ended: float
+    waited_s: float
+
+
 @attrs.define
 class Record:
     """Everything recorded in one run of the soak test; times are monotonic seconds.
@@ -220,6 +234,7 @@
     :param serving: when endpoints served, and at which version
     :param longest_stall_s: longest time for which the soak's own event loop stood still; callers,
         endpoints and the store run there
+    :param stalls: times in which the machine kept the soak or a gateway from running
     """
 
     requests: dict[str, Request] = attrs.field(factory=dict)
@@ -236,6 +251,7 @@
     events: int = 0
     serving: list[ServingTime] = attrs.field(factory=list)
     longest_stall_s: float = 0.0
+    stalls: list[Stall] = attrs.field(factory=list)
 
     def runs_of(self, request_id: str) -> list[Run]:
         """:return: runs of one request."""
@@ -246,6 +262,10 @@
         unplanned = (one for one in self.injected_faults if not one.is_planned)
         return not any(one.began <= end and one.ended >= begin for one in unplanned)
 
+    def is_stalled(self, begin: float, end: float) -> bool:
+        """:return: whether the machine kept the soak or a gateway from running in a time span."""
+        return any(one.began <= end and one.ended >= begin for one in self.stalls)
+
     def is_interrupted(self, gateway: int, begin: float, end: float) -> bool:
         """:return: whether a gateway was restarted or suspended in a time span."""
         return self._is_affected(gateway, (KillGateway, PauseGateway, StopGateway), begin, end)
@@ -337,5 +357,6 @@
     "Request",
     "Run",
     "ServingTime",
+    "Stall",
     "StopTimes",
 ]
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
 from soak.rundelay import RunLimit
 from soak.schedule import Fault
 from soak.settings import RECOVERY_S, SoakSettings
+from soak.stalls import StallWatch
 from soak.streampromises import TakeUps
 from soak.world import World
 
@@ -28,7 +29,10 @@
 keeps them or the soak from running doesn't count."""
 
 FAULT_FREE_S = RECOVERY_S + 2.0
-"""Seconds of traffic after the last fault."""
+"""Seconds of traffic after the last fault, and after the last stall of the machine."""
+
+MAX_FAULT_FREE_S = 30.0
+"""Seconds of traffic after the last fault beside a machine that stalls again and again."""
 
 MONITOR_INTERVAL_S = 0.2
 
@@ -89,11 +93,12 @@
         for _ in range(world.settings.stream_callers)
     ]
     caller_tasks = [asyncio.ensure_future(caller.run(stop)) for caller in callers]
-    monitor_task = asyncio.ensure_future(_monitor_gateways(world))
+    stalls = StallWatch(world.record, lambda: [gateway.pid for gateway in world.gateways])
+    monitor_task = asyncio.ensure_future(_monitor_gateways(world, stalls))
     try:
         await _run_faults(world, faults)
         await _wait_ready(world)
-        await asyncio.sleep(FAULT_FREE_S)
+        await _wait_fault_free(stalls)
         stop.set()
         await asyncio.gather(*caller_tasks)
     finally:
@@ -117,6 +122,13 @@
     world.record.injected_faults += [InjectedFault(fault, now, now) for fault in faults[-1:]]
 
 
+async def _wait_fault_free(stalls: StallWatch) -> None:
+    until = time.monotonic() + MAX_FAULT_FREE_S
+    await asyncio.sleep(FAULT_FREE_S)
+    while (left_s := FAULT_FREE_S - stalls.measure_quiet()) > 0 and time.monotonic() < until:
+        await asyncio.sleep(left_s)
+
+
 async def _wait_ready(world: World) -> None:
     limit = RunLimit(READY_TIMEOUT_S, lambda: [gateway.pid for gateway in world.gateways])
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session:
@@ -138,11 +150,12 @@
         return False
 
 
-async def _monitor_gateways(world: World) -> None:
+async def _monitor_gateways(world: World, stalls: StallWatch) -> None:
     while True:
         due = time.monotonic() + MONITOR_INTERVAL_S
         await asyncio.sleep(MONITOR_INTERVAL_S)
         world.record.longest_stall_s = max(world.record.longest_stall_s, time.monotonic() - due)
+        stalls.check()
         for gateway in world.gateways:
             if gateway.has_exited and gateway.number not in world.record.exited_gateways:
                 world.record.exited_gateways.append(gateway.number)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -8,7 +8,17 @@
 from basilroad.standin.appserver import ReceivedRequest
 from basilroad.standin.streamevents import StreamEvent
 from soak.promises import PROMISES, Promise
-from soak.records import InjectedFault, Kind, Limit, Pause, Record, Request, Run, StopTimes
+from soak.records import (
+    InjectedFault,
+    Kind,
+    Limit,
+    Pause,
+    Record,
+    Request,
+    Run,
+    Stall,
+    StopTimes,
+)
 from soak.schedule import (
     ENDPOINT_LINK,
     AskForPause,
@@ -398,6 +408,38 @@
     assert find(build_record(early, build_run(FAULT.began))) == {"CalmIsServed"}
 
 
+# fault: requests failed in a stall of the machine, in which all endpoints and the store stood still
+@pytest.mark.parametrize("stalled_s", [-RECOVERY_S + 0.1, 0.0])
+def test_requests_not_served_beside_a_stall_of_the_machine(stalled_s: float) -> None:
+    request, other = build_request(Kind.LOOK), build_request(Kind.LOOK)
+    request.status = 503
+    other.id, other.answer = "r2", b"answer of i-1 to r2"
+    other.sent_at, other.ended_at = request.sent_at + 2 * RECOVERY_S, request.ended_at + 10.0
+    record = build_record(request, build_run())
+    record.requests[other.id] = other
+    ended = request.sent_at + stalled_s
+    assert find(record) == {"CalmIsServed"}
+    record.stalls.append(Stall(ended - 1.0, ended, 0.9))
+    assert find(record) == set()
+
+
+# fault: a stall that the gateways had the time to recover from excused what was not served later
+def test_requests_not_served_long_after_a_stall_of_the_machine() -> None:
+    request = build_request(Kind.LOOK)
+    request.status = 503
+    record = build_record(request)
+    ended = request.sent_at - RECOVERY_S - 0.1
+    record.stalls.append(Stall(ended - 1.0, ended, 0.9))
+    assert find(record) == {"CalmIsServed"}
+
+
+# fault: a run in which nothing could be checked for stalls of the machine passed
+def test_stalls_of_the_machine_in_all_of_the_time_after_the_last_fault() -> None:
+    record = build_record(build_request(), build_run())
+    record.stalls.append(Stall(FAULT.ended, FAULT_FREE_AT, 3.0))
+    assert find(record) == {"CalmIsServed"}
+
+
 def test_promises_have_unique_names() -> None:
     assert len({promise.name for promise in PROMISES}) == len(PROMISES)
     assert all(isinstance(promise, Promise) for promise in PROMISES)
