Count the ends of taken-up streams for little in the time per event

What callers saw: new streams with 3 s left refused with 503 for 11 s, "too little time is left for the stream: 3.0 s of about 4.2 s", while 59 streams ended after 0.7 to 2.0 s (median 1.4 s) at the two other gateways.

Cause: each completed stream counts alike in the mean time per event, however few events it was measured over. The time between the last two events, and until the end of the response, counted as the time per event of a whole stream.

Evidence, from the log of the gateway: the first 9 streams that ended there since its start with two events or more were 6 that were taken up after 28 events (0.12 to 0.22 s for one event), one taken up after 23 (0.63 s for six) and two whole ones (0.084 s). Their mean is 0.137 s, which is 4.2 s for 30 events and the prompt, as it is in the refusals. They stopped only when the run ended: a further taken-up stream that ended renewed the validity of the estimate, which is 10 s.

Change: a stream counts in the mean time per event by the share of its events over which the time was measured.

Why it works: the seven taken-up streams together count like half of a whole one.

Tests that fail before: test_the_ends_of_streams_that_were_taken_up_count_for_little, test_a_stream_counts_for_the_events_that_were_measured.

Result: test_streamdurations, test_streamoutput: 16 passed.

--- a/src/basilroad/gateway/streamdurations.py
+++ b/src/basilroad/gateway/streamdurations.py
@@ -55,14 +55,17 @@
     event_s: float = INITIAL_EVENT_S
     clock: Callable[[], float] = time.monotonic
     _ended: int = 0
+    _measured: float = 0.0
     _ended_at: float = -math.inf
 
-    def record(self, took_s: float, events: int, event_s: float | None) -> None:
+    def record(self, took_s: float, events: int, event_s: float | None, share: float = 1.0) -> None:
         """Add a completed stream.
 
         :param took_s: seconds from its arrival
         :param events: number of its last event
         :param event_s: seconds per event after the first; ``None`` for a single event
+        :param share: share of its events for which ``event_s`` was measured; the time between the
+            last ones of a stream that its caller took up says little about a whole one
         """
         self._ended += 1
         self._ended_at = self.clock()
@@ -72,7 +75,9 @@
         self.mean_s += weight * (took_s - self.mean_s)
         self.events += weight * (events - self.events)
         if event_s is not None:
-            self.event_s += weight * (event_s - self.event_s)
+            self._measured += share
+            weight = max(AVERAGE_WEIGHT, 1 / max(1.0, self._measured))
+            self.event_s += share * weight * (event_s - self.event_s)
 
     @property
     def typical_max_s(self) -> float:
--- a/src/basilroad/gateway/streaming.py
+++ b/src/basilroad/gateway/streaming.py
@@ -161,7 +161,8 @@
         now = time.monotonic()
         last = self._events.last
         event_s = self._output.measure_event_s(now, last)
-        self._gateway.stream_durations.record(now - self._call.arrived_at, last, event_s)
+        share = self._output.measure_share(last)
+        self._gateway.stream_durations.record(now - self._call.arrived_at, last, event_s, share)
 
     def _is_final(self, reply: Reply) -> bool:
         return reply.status < SERVER_ERROR or not self._call.route.repeatable
--- a/src/basilroad/gateway/streamoutput.py
+++ b/src/basilroad/gateway/streamoutput.py
@@ -63,5 +63,13 @@
         later = last_event - self._first_event
         return (now - self._first_at) / later if later > 0 else None
 
+    def measure_share(self, last_event: int) -> float:
+        """Measure for which share of a stream the time between events was measured.
+
+        :param last_event: last event of the stream
+        :return: 1 for a whole stream, less for one that its caller took up
+        """
+        return (last_event - self._first_event) / max(1, last_event - 1)
+
 
 __all__ = ["StreamOutput"]
--- a/tests/gateway/test_streamdurations.py
+++ b/tests/gateway/test_streamdurations.py
@@ -101,6 +101,42 @@
     assert durations.is_time_too_short(0.4, 800, 0)
 
 
+# fault: after a silence of all engines callers took up streams that lacked one event each; the slow
+# last events counted like whole streams, and new streams were refused for as long as 10 s
+def test_the_ends_of_streams_that_were_taken_up_count_for_little() -> None:
+    durations = StreamDurations()
+    for _ in range(9):
+        durations.record(0.6, 30, 0.13, share=1 / 29)
+    assert not durations.is_time_too_short(3.0, 800, 0)
+    durations.record(0.7, 30, 0.02)
+    assert durations.event_s == pytest.approx(0.02, abs=0.01)
+
+
+# fault: streams that became slow were not noticed as long as each began with a few events at once
+def test_streams_that_were_measured_in_part_change_the_estimate() -> None:
+    durations = build_durations()
+    for _ in range(100):
+        durations.record(13.0, 130, 0.1, share=0.9)
+    assert durations.event_s == pytest.approx(0.1, abs=0.01)
+
+
+# fault: a stream that its caller took up counted like a whole one
+@pytest.mark.parametrize(("received", "share"), [("", 1.0), ("27", 2 / 29)])
+async def test_a_stream_counts_for_the_events_that_were_measured(
+    gateway, start_server, received: str, share: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    server = await start_server("i-1", service="llm", events=30)
+    server.event_interval_s = 0.01
+    recorded: list[float] = []
+    monkeypatch.setattr(StreamDurations, "record", lambda *args: recorded.append(args[4]))
+    route = build_stream_route(prefix="/s/")
+    call = build_call(route, resume_after=received, expires_at=time.monotonic() + 5.0)
+    responder = RecordingResponder()
+    await CallHandler(gateway).handle(call, responder)
+    assert responder.numbers[-1] == 30
+    assert recorded == [pytest.approx(share)]
+
+
 def test_outdated_averages_refuse_nothing() -> None:
     # fault: streams were slow for a while, and every caller since then was refused
     now = 100.0
