Keep new streams at an engine whose report was cut off

Callers saw streams refused with no_endpoint, "the start of the endpoint was not confirmed", beside a sound engine.

Cause: the report beside a new stream is a further connection, which crowded engines reset. The cut counted as a hint at a restart for 5 s, in which each new stream had to be confirmed first; an engine that refuses reports got none. A cut report was asked for again only after 0.5 s, when the first event was passed on already, and an engine that reports no start was asked beside each stream.

Change: a cut report is no hint, and is asked for again after 0.1 s. An engine that reports no start counts as confirmed for the connection, as it does where the check comes first. The test of a late report keeps reports silent for longer than the first event waits, as a cut one is no longer late.

--- a/src/basilroad/gateway/registry/reports.py
+++ b/src/basilroad/gateway/registry/reports.py
@@ -152,7 +152,8 @@
             body = await channel.read_body(SHORT_BODY_BYTES)
         except BaseException:
             channel.close()
-            if channel.is_cut_off:
+            # crowded engines reset the connections of further reports
+            if channel.is_cut_off and purpose is not Purpose.START:
                 endpoint.record_cut(time.monotonic())
             raise
         return Report(head.status, body)
--- a/src/basilroad/gateway/versions/attemptstart.py
+++ b/src/basilroad/gateway/versions/attemptstart.py
@@ -17,6 +17,9 @@
 MAX_TRIES = 3
 """Requests for the report beside one attempt; a sound engine falls silent for a second or so."""
 
+RETRY_PAUSE_S = 0.1
+"""Pause before a report that was cut off is asked for again; the first event waits for it."""
+
 
 class AttemptStart:
     """Checks the start at the other end of the connection of one attempt.
@@ -72,15 +75,14 @@
     async def _ask_beside(self, channel: Channel) -> None:
         expected_ms = self._endpoint.entry.started_ms
         for _ in range(MAX_TRIES):
-            tried_at = time.monotonic()
             verdict = await self._check.ask(self._endpoint, expected_ms)
-            if verdict is StartVerdict.NAMED:
+            if verdict in (StartVerdict.NAMED, StartVerdict.NEVER_NAMED):
                 channel.confirmed_start_ms = expected_ms
             if verdict is StartVerdict.OTHER:
                 self._record_other(channel)
             if verdict is not StartVerdict.UNANSWERED:
                 return
-            await asyncio.sleep(max(0.0, tried_at + START_TIMEOUT_S - time.monotonic()))
+            await asyncio.sleep(RETRY_PAUSE_S)
 
     def _record_other(self, channel: Channel) -> None:
         self.is_other = True
@@ -90,4 +92,4 @@
             channel.close()
 
 
-__all__ = ["AttemptStart"]
+__all__ = ["MAX_TRIES", "RETRY_PAUSE_S", "AttemptStart"]
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -140,6 +140,8 @@
         except (ChannelError, TimeoutError) as error:
             _log_unconfirmed(endpoint, repr(error))
             endpoint.record_unreachable(time.monotonic())
+            if channel.is_cut_off:
+                endpoint.record_cut(time.monotonic())
             return None
         verdict = self._judge(endpoint, report, expected_ms)
         if verdict not in (StartVerdict.NAMED, StartVerdict.NEVER_NAMED):
--- a/tests/gateway/versions/test_attemptstart.py
+++ b/tests/gateway/versions/test_attemptstart.py
@@ -13,6 +13,8 @@
 from basilroad.gateway.registry.notices import Source
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streams.streaming import StreamBrokenError
+from basilroad.gateway.versions.attemptstart import MAX_TRIES, RETRY_PAUSE_S
+from basilroad.gateway.versions.startcheck import START_TIMEOUT_S
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 from support.reportingserver import ReportingServer
 
@@ -55,13 +57,42 @@
     assert time.monotonic() - began < engine.response_delay_s
 
 
+# fault: a crowded engine that reset one report got no new stream while it refused reports
+async def test_a_report_that_was_cut_off_keeps_no_new_stream_from_a_sound_engine(
+    gateway, engine
+) -> None:
+    engine.cuts_reports = MAX_TRIES
+    responder = RecordingResponder()
+    await run(gateway, responder)
+    assert responder.numbers == ALL_EVENTS
+    engine.refuses_reports = True
+    gateway.directory.get("i-1").pool.close()
+    responder = RecordingResponder()
+    await run(gateway, responder, id="c2")
+    assert responder.numbers == ALL_EVENTS
+
+
+# fault: an engine that reports no start was asked for it beside each stream
+async def test_an_engine_that_reports_no_start_is_asked_once_on_a_connection(
+    gateway, engine
+) -> None:
+    engine.start_ms = None
+    for number in range(4):
+        responder = RecordingResponder()
+        await run(gateway, responder, id=f"c{number}")
+        assert responder.numbers == ALL_EVENTS
+    assert engine.reports == 1
+
+
 # fault: a report that came after the first event would have been ignored
 async def test_a_stream_whose_endpoint_names_another_start_late_does_not_resume(
     gateway, engine, start_server
 ) -> None:
     second = await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
-    engine.start_ms, engine.cuts_reports, engine.event_interval_s = 2, 1, 0.15
+    engine.start_ms, engine.silences_reports, engine.event_interval_s = 2, True, 0.15
     engine.reset_at_event = 10
+    later_s = START_TIMEOUT_S + RETRY_PAUSE_S / 2
+    asyncio.get_running_loop().call_later(later_s, setattr, engine, "silences_reports", False)
     responder = RecordingResponder()
     with pytest.raises(StreamBrokenError, match="is not known"):
         await run(gateway, responder)
