Remember that an endpoint has started again until it is listed

Callers saw a stream of two software versions: events 1 to 5 of v2, and after a take-up 6 to 20 of v1; and further streams that began at the restart, counted as of v1, were cut off and resumed at v1.

Cause: a start that was named after the first event was used only if the attempt was cut off, not if the caller left and took the stream up. What one stream had learned of the endpoint was forgotten after 0.5 s, though the listing shows a restart after up to 5 s.

Change: the version of the stream becomes unknown in its record as soon as the endpoint names another start, and new streams at that endpoint are checked before they are sent, for as long as the listing needs.

--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -243,7 +243,12 @@
         is_bound = self._pin.version is not None
         if not (is_bound or self._call.route.repeatable):
             return None
-        return AttemptStart(self._gateway.start_check, endpoint, is_bound=is_bound)
+        return AttemptStart(
+            self._gateway.start_check,
+            endpoint,
+            is_bound=is_bound,
+            on_other=self._pin.record_other_start,
+        )
 
     def _may_send(self) -> bool:
         # a shutdown may have left too little time while the connection was opened
@@ -374,6 +379,8 @@
         try:
             is_listed = self._start is None or await self._start.settle()
             confirmed = is_listed and await self._pin.confirm(run.version)
+            if self._start is not None and self._start.is_other:
+                confirmed = False
         finally:
             if not confirmed:
                 # another run makes the events again that this one made
--- a/src/basilroad/gateway/versions/attemptstart.py
+++ b/src/basilroad/gateway/versions/attemptstart.py
@@ -9,6 +9,8 @@
 from basilroad.gateway.versions.startcheck import START_TIMEOUT_S, StartVerdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.calls.attempt import NotRun
     from basilroad.gateway.registry.endpoint import Endpoint
@@ -31,11 +33,20 @@
     :param check: asks endpoints for their start
     :param endpoint: the endpoint
     :param is_bound: whether the stream has begun, so that it may resume at its version only
+    :param on_other: called if the endpoint names another start after the first event
     :ivar is_other: whether the endpoint named another start than the listed one
     """
 
-    def __init__(self, check: StartCheck, endpoint: Endpoint, *, is_bound: bool) -> None:
+    def __init__(
+        self,
+        check: StartCheck,
+        endpoint: Endpoint,
+        *,
+        is_bound: bool,
+        on_other: Callable[[], None] = lambda: None,
+    ) -> None:
         self.is_other = False
+        self._on_other = on_other
         self._check = check
         self._endpoint = endpoint
         self._is_bound = is_bound
@@ -85,9 +96,14 @@
             await asyncio.sleep(RETRY_PAUSE_S)
 
     def _record_other(self, channel: Channel) -> None:
+        now = time.monotonic()
         self.is_other = True
-        self._endpoint.record_unconfirmed(time.monotonic())
-        if not self._has_event:
+        self._endpoint.record_unconfirmed(now)
+        # the streams that follow are checked before they are sent, until the restart is listed
+        self._endpoint.record_cut(now)
+        if self._has_event:
+            self._on_other()
+        else:
             # nothing was passed on, so that the stream can begin elsewhere
             channel.close()
 
--- a/src/basilroad/gateway/versions/pin.py
+++ b/src/basilroad/gateway/versions/pin.py
@@ -103,6 +103,11 @@
             self.version = UNKNOWN_VERSION
             self._versions.record_unknown(self._call)
 
+    def record_other_start(self) -> None:
+        """Record that the endpoint has started again: nothing may take the stream up later."""
+        if self.version not in (None, UNKNOWN_VERSION):
+            self._versions.record_unknown(self._call)
+
     def end(self) -> None:
         """Record that the response has ended."""
         if self._has_begun:
--- a/tests/gateway/versions/test_attemptstart.py
+++ b/tests/gateway/versions/test_attemptstart.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import AsyncIterator
 
 import pytest
 
+from basilroad.errors import RefusedError
 from basilroad.gateway.calls.handler import CallHandler
+from basilroad.gateway.registry.endpoint import UNCONFIRMED_BACKOFF_S
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Source
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.gateway.versions.attemptstart import MAX_TRIES, RETRY_PAUSE_S
 from basilroad.gateway.versions.startcheck import START_TIMEOUT_S
+from basilroad.standin.streamevents import decode_events
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
 from support.reportingserver import ReportingServer
 
@@ -57,6 +61,55 @@
     assert time.monotonic() - began < engine.response_delay_s
 
 
+# fault: a stream whose endpoint was known to have started again was taken up at the version listed
+async def test_a_stream_at_another_start_is_not_taken_up_after_its_caller_has_left(
+    gateway, engine, start_server
+) -> None:
+    second = await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    gateway.directory.get("i-2").full_until = float("inf")
+    engine.start_ms, engine.version = 2, "v2"
+    engine.silences_reports, engine.event_interval_s = True, 0.1
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder))
+    await wait_for(lambda: responder.numbers)
+    engine.silences_reports = False
+    await asyncio.sleep(START_TIMEOUT_S)
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+    gateway.directory.get("i-2").full_until = 0.0
+    last = str(responder.numbers[-1])
+    with pytest.raises(RefusedError, match="is not known"):
+        await run(gateway, RecordingResponder(), id="c2", resumes="c1", resume_after=last)
+    assert not second.seen
+
+
+# fault: that an endpoint had started again was forgotten before the listing could show it
+@pytest.mark.parametrize("later", ["limit", "refuses", "silent"])
+async def test_a_start_known_to_be_another_is_remembered_until_it_is_listed(
+    gateway, engine, start_server, later: str
+) -> None:
+    await start_server("i-2", service="llm", events=20, data_centre="kurzeme-a")
+    engine.start_ms, engine.version, engine.response_delay_s = 2, "v2", 0.1
+    await run(gateway, RecordingResponder())
+    assert len(engine.seen) == 1
+    await asyncio.sleep(2 * UNCONFIRMED_BACKOFF_S)
+    now, endpoint = time.monotonic(), gateway.directory.get("i-1")
+    if later == "limit":
+        endpoint.notices.record_limit(NamedLimit(1000.0, now), Source.ANSWER, now)
+        endpoint.notices.limit.add_permit(now)
+    engine.refuses_reports, engine.silences_reports = later == "refuses", later == "silent"
+    engine.reset_at_event = 8
+    gateway.directory.get("i-2").full_until = float("inf")
+    responder = RecordingResponder()
+    task = asyncio.ensure_future(run(gateway, responder, id="c2"))
+    await asyncio.sleep(2 * START_TIMEOUT_S)
+    gateway.directory.get("i-2").full_until = 0.0
+    with contextlib.suppress(StreamBrokenError, RefusedError):
+        await asyncio.wait_for(task, 5)
+    assert len({event.version for event in decode_events(responder.data)}) <= 1
+
+
 # fault: a crowded engine that reset one report got no new stream while it refused reports
 async def test_a_report_that_was_cut_off_keeps_no_new_stream_from_a_sound_engine(
     gateway, engine
