Give the table of other gateways and the reported state modules

Cause: gossip.py had 489 lines: the exchange of datagrams, what is known of the other gateways, and what this one reports of its endpoints. The latter two could only be tested through datagrams.

Change: exchange/peertable.py holds the addresses and states of the other gateways, their stops and the choice of the peers of a round; exchange/localstate.py lists the loads, failures and limits to report; the encoding of a state within a datagram is next to it in exchange/state.py. Gossip keeps its methods and its log lines. Constants have moved with what they limit.

--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -11,24 +11,24 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, cast
 
-import attrs
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, MsgpackDecoder
 from basilroad.gateway.dispatch.promptlocations import PromptReport
 from basilroad.gateway.exchange.crashreports import Crashes, CrashExchange
 from basilroad.gateway.exchange.loans import Loan, LoanRequest
+from basilroad.gateway.exchange.localstate import list_failures, list_limits, list_loads
+from basilroad.gateway.exchange.peertable import FANOUT, PeerState, PeerTable
 from basilroad.gateway.exchange.permits import (
     LimitReport,
     Peer,
     PermitExchange,
     PermitReply,
     PermitRequest,
-    build_limit_report,
     read_limit_report,
 )
 from basilroad.gateway.exchange.relay import Update, Withdrawal
-from basilroad.gateway.exchange.state import LoadReport, StateMessage
+from basilroad.gateway.exchange.state import LoadReport, StateMessage, encode_state
 from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
@@ -36,7 +36,6 @@
     from basilroad.gateway.exchange.loans import RetryLoans
     from basilroad.gateway.exchange.relay import Relay
     from basilroad.gateway.registry.directory import Directory
-    from basilroad.gateway.registry.endpoint import Endpoint
 
 GOSSIP_INTERVAL_S = 0.05
 """Interval of checks for changed state; prefill of a prompt takes about twenty times as long."""
@@ -44,56 +43,19 @@
 REFRESH_INTERVAL_S = 1.0
 """Interval after which unchanged state is sent again, as datagrams get lost."""
 
-FANOUT = 6
-"""Peers per round; bounds the cost of a gateway regardless of the fleet size."""
-
 MAX_SENT_BYTES_PER_S = 11_000.0
 """Limit of control traffic from the requirements; larger rounds are sent less often."""
 
-PEER_TIMEOUT_S = 3.0
-"""Time after which the load of a silent peer is dropped, if one round reaches all peers; allows for
-lost rounds."""
-
-FAILURE_REPORT_S = 4.0
-"""Time for which a failure is reported; failed endpoints are unlisted by then."""
-
-REGISTERED_S = 15.0
-"""Time for which a registered gateway counts as near before its first message; all have sent one by
-then, also in fleets of hundreds."""
-
-STOP_MEMORY_S = 60.0
-"""Time for which a gateway that stops is expected back; longer than any grace period."""
-
-MAX_PEERS = 1024
-"""Maximum number of known peers; planned fleets have hundreds of hosts."""
-
-MAX_DATAGRAM_BYTES = 1400
-"""Maximum size of a datagram, below the usual MTU."""
-
 SAME_FAILURE_S = 1.0
 """Reports of failures of one endpoint within this time count as one: a relayed report looks newer
 by the transit time of each datagram. Failed endpoints of these fleets are down for longer."""
 
-MAX_FAILURES_SENT = 24
-"""Failures per datagram, about a third of its size."""
-
 MAX_PROMPTS_SENT = 24
 """Prompts per datagram, about a third of its size."""
 
 _LOGGER = logging.getLogger(__name__)
 
 
-@attrs.define
-class _PeerState:
-    started_ms: int
-    sequence: int
-    last_received_at: float
-    loads: dict[str, LoadReport]
-    address: Address
-    data_centre: str = ""
-    stopping: bool = False
-
-
 _DECODER: MsgpackDecoder[object] = MsgpackDecoder(
     StateMessage | Update | Withdrawal | LoanRequest | Loan | Crashes | PermitRequest | PermitReply
 )
@@ -131,12 +93,14 @@
     ) -> None:
         self._host = host
         self._data_centre = data_centre
+        self._random = random.Random()
+        self._table = PeerTable(host, data_centre, address, self._random)
         self._address = address
         self._directory = directory
         self._prompt_locations = prompt_locations
         self._relay = relay
         self._loans = loans
-        loans.list_peers = lambda: tuple(self._peers)
+        loans.list_peers = lambda: tuple(self._table.addresses)
         loans.send = lambda message, peer: self._send(msgspec.msgpack.encode(message), peer)
         self._crashes = crashes or CrashExchange(host)
         self._crashes.list_peers = loans.list_peers
@@ -145,21 +109,14 @@
         if permits is not None:
             permits.list_peers = self._list_addressed_peers
             permits.address = address
-            permits.list_known = lambda: self._peers
-            permits.has_roster = lambda: self._registered_at > -math.inf
+            permits.list_known = lambda: self._table.addresses
+            permits.has_roster = lambda: self._table.has_roster
             permits.send = lambda message, peer: self._send_counted(message, [peer])
         self._clock = clock
         self._is_stopping = is_stopping
         self._started_ms = time.time_ns() // 1_000_000
         self._sequence = 0
-        self._peers: set[Address] = set()
-        self._peer_states: dict[str, _PeerState] = {}
-        self._stopping_since: dict[str, float] = {}
-        self._registered: dict[str, Address] = {}
-        self._registered_at = -math.inf
         self._transport: asyncio.DatagramTransport | None = None
-        self._random = random.Random()
-        self._peer_rotation: list[Address] = []
         self._next_send_at = -math.inf
         self._last_sent: tuple[object, ...] | None = None
         self._last_sent_at = 0.0
@@ -167,46 +124,38 @@
     @property
     def peers(self) -> frozenset[Address]:
         """:return: addresses of the known other gateways."""
-        return frozenset(self._peers)
+        return frozenset(self._table.addresses)
 
     def list_live_peers(self) -> dict[str, str]:
         """:return: data centre by host of each other gateway that sends gossip."""
-        return {host: view.data_centre for host, view in self._peer_states.items()}
+        return {host: state.data_centre for host, state in self._table.states.items()}
 
     def are_most_stopping(self) -> bool:
         """:return: whether fewer gateways send gossip and aren't stopping than are stopping, this
         one counted if it is."""
-        stopping = sum(view.stopping for view in self._peer_states.values())
-        running = len(self._peer_states) - stopping
-        return running < stopping + self._is_stopping()
+        return self._table.are_most_stopping(is_stopping=self._is_stopping())
 
     def list_stops(self) -> list[float]:
         """:return: monotonic seconds at which each other gateway that stops was first seen to."""
-        return list(self._stopping_since.values())
+        return self._table.list_stops()
 
     def _list_addressed_peers(self) -> dict[str, Peer]:
         return {
-            host: Peer(view.address, view.data_centre) for host, view in self._peer_states.items()
+            host: Peer(state.address, state.data_centre)
+            for host, state in self._table.states.items()
         }
 
     def list_near_peers(self) -> list[tuple[str, Address]]:
         """:return: name and address of each other gateway of this data centre: those that send
         gossip, and shortly after this one has started those that are registered."""
-        recent = self._clock() - self._registered_at < REGISTERED_S
-        near = dict(self._registered) if recent else {}
-        for host, view in self._peer_states.items():
-            if view.data_centre == self._data_centre:
-                near[host] = view.address
-        near.pop(self._host, None)
-        return list(near.items())
+        return self._table.list_near(self._clock())
 
     def record_registered(self, near: dict[str, Address]) -> None:
         """Record the registered gateways of this data centre at the start of this one.
 
         :param near: their addresses by host
         """
-        if self._registered_at == -math.inf:
-            self._registered, self._registered_at = near, self._clock()
+        self._table.record_registered(near, self._clock())
 
     async def start(self) -> None:
         """Listen for datagrams."""
@@ -224,9 +173,7 @@
 
         :param addresses: their listening addresses
         """
-        for address in addresses:
-            if address != self._address and len(self._peers) < MAX_PEERS:
-                self._peers.add(address)
+        self._table.add(addresses)
 
     def tick(self) -> None:
         """Send changed state to peers and drop the state of silent peers."""
@@ -238,10 +185,10 @@
         self._expire(now)
         if now < self._next_send_at:
             return
-        loads, failures = self._list_loads(), self._list_failures(now)
+        loads, failures = list_loads(self._directory), list_failures(self._directory, now)
         runs = self._prompt_locations.list_local(MAX_PROMPTS_SENT)
         leaving = self._directory.notices.list_leaving(now)
-        limits = self._list_limits(now)
+        limits = list_limits(self._directory.notices.list_limited(now), now)
         named = frozenset((name, limit[1]) for name, limit in limits.items())
         stopping = self._is_stopping()
         state = (loads, frozenset(failures), runs, frozenset(leaving), named, stopping)
@@ -250,7 +197,7 @@
         self._last_sent, self._last_sent_at = state, now
         self._sequence += 1
         data = self._encode(loads, failures, runs, leaving, limits)
-        peers = self._choose_peers()
+        peers = self._table.choose()
         self._next_send_at = now + len(data) * len(peers) / MAX_SENT_BYTES_PER_S
         for peer in peers:
             self._send(data, peer)
@@ -267,15 +214,6 @@
         sent_s = len(data) * len(peers) / MAX_SENT_BYTES_PER_S
         self._next_send_at = max(self._clock(), self._next_send_at) + sent_s
 
-    def _choose_peers(self) -> list[Address]:
-        # round robin in random order, so that no peer is skipped for long
-        if len(self._peer_rotation) < FANOUT:
-            fresh = list(self._peers.difference(self._peer_rotation))
-            self._random.shuffle(fresh)
-            self._peer_rotation += fresh
-        chosen, self._peer_rotation = self._peer_rotation[:FANOUT], self._peer_rotation[FANOUT:]
-        return chosen
-
     # asyncio.DatagramProtocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -341,22 +279,21 @@
         :param address: listening address of the peer
         :param others: some of the peers that it knows
         """
-        if message.host == self._host:
-            return
-        known = self._peer_states.get(message.host)
-        order = (message.started_ms, message.sequence)
-        if known is not None and order <= (known.started_ms, known.sequence):
-            return
         now = self._clock()
+        known = self._table.states.get(message.host)
+        state = PeerState(
+            message.started_ms,
+            message.sequence,
+            now,
+            message.loads,
+            address,
+            message.data_centre,
+            message.stopping,
+        )
+        if not self._table.record(message.host, state):
+            return
         if known is None:
             _LOGGER.info("peer heard", extra={"peer": message.host, "address": str(address)})
-        self._peer_states[message.host] = _PeerState(
-            *order, now, message.loads, address, message.data_centre, message.stopping
-        )
-        if message.stopping:
-            self._stopping_since.setdefault(message.host, now)
-        else:
-            self._stopping_since.pop(message.host, None)
         self.add_peers([address, *others])
         self._prompt_locations.merge_reported(message.runs)
         self._update_remote_load({*message.loads, *(known.loads if known else ())})
@@ -386,53 +323,19 @@
         endpoint.last_failed_at = last_failed_at
 
     def _expire(self, now: float) -> None:
-        # each peer is reached once in len(peers) / FANOUT rounds
-        view_s = PEER_TIMEOUT_S * max(1.0, len(self._peers) / FANOUT)
-        for host in [
-            h for h, view in self._peer_states.items() if now - view.last_received_at > view_s
-        ]:
-            view = self._peer_states.pop(host)
-            self._update_remote_load(view.loads)
+        for host, state in self._table.remove_silent(now).items():
+            self._update_remote_load(state.loads)
             _LOGGER.info("peer silent", extra={"peer": host})
-        for host in [h for h, since in self._stopping_since.items() if now - since > STOP_MEMORY_S]:
-            del self._stopping_since[host]
 
     def _update_remote_load(self, endpoint_ids: Iterable[str]) -> None:
         for endpoint_id in endpoint_ids:
             endpoint = self._directory.get(endpoint_id)
             if endpoint is None:
                 continue
-            found = [
-                v.loads[endpoint_id] for v in self._peer_states.values() if endpoint_id in v.loads
-            ]
-            endpoint.remote.calls = sum(load[0] for load in found)
-            endpoint.remote.memory_tokens = sum(load[1] for load in found)
-            endpoint.remote.pending_prefill_tokens = sum(load[2] for load in found)
-
-    def _list_loads(self) -> dict[str, LoadReport]:
-        return {e.id: _pack_load(e) for e in self._directory if e.load.calls}
-
-    def _list_failures(self, now: float) -> dict[str, int]:
-        lost = [
-            e
-            for e in self._directory
-            if now - e.last_failed_at < FAILURE_REPORT_S and e.last_received_at <= e.last_failed_at
-        ]
-        lost.sort(key=lambda e: -e.last_failed_at)
-        return {e.id: round(1000 * (now - e.last_failed_at)) for e in lost[:MAX_FAILURES_SENT]}
-
-    def _list_limits(self, now: float) -> dict[str, tuple[int, int, int]]:
-        reports = {
-            notices.lifetime.id: (
-                notices.lifetime.started_ms,
-                build_limit_report(notices.limit.named, now),
+            remote = endpoint.remote
+            remote.calls, remote.memory_tokens, remote.pending_prefill_tokens = (
+                self._table.sum_loads(endpoint_id)
             )
-            for notices in self._directory.notices.list_limited(now)
-        }
-        return {
-            endpoint_id: (started_ms, report.milli_per_s, report.age_ms)
-            for endpoint_id, (started_ms, report) in reports.items()
-        }
 
     def _encode(
         self,
@@ -442,7 +345,7 @@
         leaving: dict[str, tuple[int, int]],
         limits: dict[str, tuple[int, int, int]],
     ) -> bytes:
-        known = [str(peer) for peer in self._peers]
+        known = [str(peer) for peer in self._table.addresses]
         message = StateMessage(
             self._host,
             self._started_ms,
@@ -457,14 +360,7 @@
             limits,
             self._is_stopping(),
         )
-        data = msgspec.msgpack.encode(message)
-        while len(data) > MAX_DATAGRAM_BYTES and (message.loads or message.runs):
-            # keep the largest loads and the newest prompts
-            message.runs = message.runs[: len(message.runs) // 2]
-            kept = sorted(message.loads.items(), key=lambda item: -item[1][1])
-            message.loads = dict(kept[: len(kept) // 2])
-            data = msgspec.msgpack.encode(message)
-        return data
+        return encode_state(message)
 
     def _send(self, data: bytes, peer: Address) -> None:
         if self._transport is not None and not self._transport.is_closing():
@@ -481,9 +377,4 @@
     return found
 
 
-def _pack_load(endpoint: Endpoint) -> LoadReport:
-    load = endpoint.load
-    return load.calls, load.memory_tokens, load.pending_prefill_tokens
-
-
 __all__ = ["GOSSIP_INTERVAL_S", "Gossip"]
--- a/src/basilroad/gateway/exchange/state.py
+++ b/src/basilroad/gateway/exchange/state.py
@@ -8,6 +8,9 @@
 
 from basilroad.gateway.dispatch.promptlocations import PromptReport
 
+MAX_DATAGRAM_BYTES = 1400
+"""Maximum size of a datagram, below the usual MTU."""
+
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
 """A number that a peer reports; others are rejected with their datagram."""
 
@@ -50,4 +53,19 @@
     stopping: bool = False
 
 
-__all__ = ["Count", "LoadReport", "StartTime", "StateMessage"]
+def encode_state(message: StateMessage) -> bytes:
+    """Encode a state as a datagram, which has the largest loads and the newest prompts that fit.
+
+    :param message: the state; what doesn't fit is removed from it
+    :return: the datagram
+    """
+    data = msgspec.msgpack.encode(message)
+    while len(data) > MAX_DATAGRAM_BYTES and (message.loads or message.runs):
+        message.runs = message.runs[: len(message.runs) // 2]
+        kept = sorted(message.loads.items(), key=lambda item: -item[1][1])
+        message.loads = dict(kept[: len(kept) // 2])
+        data = msgspec.msgpack.encode(message)
+    return data
+
+
+__all__ = ["Count", "LoadReport", "StartTime", "StateMessage", "encode_state"]
--- a/tests/gateway/exchange/test_crashreports.py
+++ b/tests/gateway/exchange/test_crashreports.py
@@ -21,7 +21,8 @@
     Crashes,
     CrashExchange,
 )
-from basilroad.gateway.exchange.gossip import _DECODER, MAX_DATAGRAM_BYTES
+from basilroad.gateway.exchange.gossip import _DECODER
+from basilroad.gateway.exchange.state import MAX_DATAGRAM_BYTES
 from basilroad.peers.address import Address
 
 DEADLY = "1bad1bad1bad"
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -19,18 +19,16 @@
     find_last_failures,
 )
 from basilroad.gateway.exchange.gossip import (
-    FANOUT,
     GOSSIP_INTERVAL_S,
-    MAX_DATAGRAM_BYTES,
     MAX_SENT_BYTES_PER_S,
-    PEER_TIMEOUT_S,
     REFRESH_INTERVAL_S,
-    REGISTERED_S,
-    STOP_MEMORY_S,
     Gossip,
 )
 from basilroad.gateway.exchange.loans import RetryLoans
+from basilroad.gateway.exchange.localstate import list_failures
+from basilroad.gateway.exchange.peertable import FANOUT, PEER_TIMEOUT_S, REGISTERED_S, STOP_MEMORY_S
 from basilroad.gateway.exchange.relay import Relay
+from basilroad.gateway.exchange.state import MAX_DATAGRAM_BYTES
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import Reservation
 from basilroad.gateway.registry.limits import NamedLimit
@@ -229,7 +227,7 @@
         net.deliver()
     for gossip in net.gateways:
         assert get(gossip, "e0").last_failed_at - last_failed_at < 0.2
-        assert not gossip._list_failures(net.now)
+        assert not list_failures(gossip._directory, net.now)
 
 
 def test_a_second_failure_is_applied_after_the_first() -> None:
