Give the load, failure rate and buffer limit of an endpoint modules

The estimate of the load by a report, the decay of the failure rate and the count of buffered bytes depend on few of its values, but could only be tested through an endpoint or a gateway.

Change: registry/load.py holds the load and its estimate by the engine's last report, registry/failurerate.py the failure rate, registry/buffer.py the limit of buffered bytes. The methods of Endpoint stay and pass on to them. REPORT_VALIDITY_S, FAILURE_HALF_LIFE_S and FAILURE_WEIGHT have moved along.

--- a/src/basilroad/gateway/registry/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import enum
 import math
 import time
@@ -13,10 +12,13 @@
 from attrs.validators import ge, le, max_len
 
 from basilroad.endpoints.channels import ChannelPool
+from basilroad.gateway.registry.buffer import BufferLimit
+from basilroad.gateway.registry.failurerate import FailureRate
+from basilroad.gateway.registry.load import Load, ReportedLoad
 from basilroad.gateway.registry.notices import Lifetime, NoticeRegister
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from contextlib import AbstractContextManager
 
     from basilroad.endpoints.channels import Channel
     from basilroad.gateway.calls.call import PromptSize
@@ -37,13 +39,6 @@
 """Limit of all responses of one endpoint that are being buffered; an eighth of the memory of the
 smallest hosts."""
 
-REPORT_VALIDITY_S = 0.5
-"""Time for which the load that an engine reports is used; prefill of a mean prompt takes twice as
-long."""
-
-FAILURE_HALF_LIFE_S = 2.0
-"""Half-life of the failure rate; a few calls per endpoint arrive in that time."""
-
 MAX_SLOTS = 2**31 - 1
 
 MAX_START_MS = 2**53
@@ -52,10 +47,6 @@
 """Longest id, service, data centre and version of an entry; other gateways get it in a
 datagram."""
 
-FAILURE_WEIGHT = 0.3
-"""Weight of one outcome in the failure rate; three failures in a row raise it above one half."""
-
-
 LONG_SILENCE_S = 2.0
 """Silence after which calls leave an endpoint also to queue for another one; sound engines fall
 silent for a second or so."""
@@ -132,22 +123,6 @@
         return Lifetime(self.id, self.started_ms, self.address)
 
 
-@attrs.define(eq=False)
-class Load:
-    """Work of one or more gateways at an endpoint.
-
-    :param calls: running and queued calls
-    :param memory_tokens: tokens of engine memory that they take when complete
-    :param pending_prefill_tokens: prompt tokens of generations without a first event
-    :param started: generations with a first event; only known for this gateway
-    """
-
-    calls: int = 0
-    memory_tokens: int = 0
-    pending_prefill_tokens: int = 0
-    started: int = 0
-
-
 @attrs.frozen
 class EngineReport:
     """Load of an engine by its own account, some hundred milliseconds old.
@@ -176,9 +151,7 @@
         self.listed_at = time.monotonic()
         self.load = Load()
         self.remote = Load()
-        self.report: EngineReport | None = None
-        self._reported_at = -math.inf
-        self._added = Load()
+        self._reported = ReportedLoad()
         self.pool = ChannelPool(entry.address)
         self.last_received_at = -math.inf
         self.last_failed_at = -math.inf
@@ -189,11 +162,10 @@
         self.removed = False
         self.reports_start = False
         self._backoff_s = UNREACHABLE_BACKOFF_S
-        self._failure_rate = 0.0
-        self._failure_rate_at = 0.0
+        self._failure_rate = FailureRate()
         self._channels: dict[Channel, PendingCall] = {}
         self._pending_since = 0.0
-        self._buffered_bytes = 0
+        self._buffered = BufferLimit(MAX_BUFFERED_BYTES)
 
     @property
     def id(self) -> str:
@@ -228,11 +200,12 @@
         :param report: the report
         :param now: monotonic seconds
         """
-        self.report, self._reported_at, self._added = report, now, Load()
+        load = Load(report.calls, report.memory_tokens, report.pending_prefill_tokens)
+        self._reported.record(load, now)
 
     def is_reported(self, now: float) -> bool:
         """:return: whether a recent report is known."""
-        return now - self._reported_at < REPORT_VALIDITY_S
+        return self._reported.is_recent(now)
 
     def estimate_load(self, now: float) -> Load:
         """Estimate the work of all gateways here.
@@ -241,23 +214,7 @@
         :return: by a recent report and what this gateway has added since; without one, by local
             data and the reports of other gateways
         """
-        load, report = self.load, self.report
-        if report is None or not self.is_reported(now):
-            remote = self.remote
-            return Load(
-                load.calls + remote.calls,
-                load.memory_tokens + remote.memory_tokens,
-                load.pending_prefill_tokens + remote.pending_prefill_tokens,
-            )
-        added = self._added
-        return Load(
-            max(load.calls, report.calls + added.calls),
-            max(load.memory_tokens, report.memory_tokens + added.memory_tokens),
-            max(
-                load.pending_prefill_tokens,
-                report.pending_prefill_tokens + added.pending_prefill_tokens,
-            ),
-        )
+        return self._reported.estimate(self.load, self.remote, now)
 
     def add_reserved(self, memory_tokens: int, pending_prefill_tokens: int) -> None:
         """Count a call that was assigned since the last report.
@@ -265,9 +222,7 @@
         :param memory_tokens: tokens that it takes when complete
         :param pending_prefill_tokens: tokens of its prompt that have to be processed
         """
-        self._added.calls += 1
-        self._added.memory_tokens += memory_tokens
-        self._added.pending_prefill_tokens += pending_prefill_tokens
+        self._reported.add(memory_tokens, pending_prefill_tokens)
 
     def add_pending(self, channel: Channel, now: float, pending: PendingCall) -> None:
         """Add a connection with a pending response.
@@ -287,24 +242,12 @@
         """
         self._channels.pop(channel, None)
 
-    @contextlib.contextmanager
-    def count_buffered(self) -> Iterator[Callable[[int], bool]]:
+    def count_buffered(self) -> AbstractContextManager[Callable[[int], bool]]:
         """Count the bytes of one response while it is being buffered.
 
         :return: function that counts a part by its size; false if the limit is exceeded
         """
-        counted = 0
-
-        def count(size: int) -> bool:
-            nonlocal counted
-            counted += size
-            self._buffered_bytes += size
-            return self._buffered_bytes <= MAX_BUFFERED_BYTES
-
-        try:
-            yield count
-        finally:
-            self._buffered_bytes -= counted
+        return self._buffered.count()
 
     def silence_s(self, now: float) -> float:
         """:return: seconds without data while responses are pending; 0 if none are."""
@@ -360,14 +303,11 @@
         :param now: monotonic seconds
         :param failed: whether the call failed
         """
-        average = self.failure_rate(now)
-        self._failure_rate = average + FAILURE_WEIGHT * (float(failed) - average)
-        self._failure_rate_at = now
+        self._failure_rate.record(now, failed=failed)
 
     def failure_rate(self, now: float) -> float:
         """:return: share of recent calls that failed; decays with time."""
-        age_s = now - self._failure_rate_at
-        return self._failure_rate * math.exp2(-age_s / FAILURE_HALF_LIFE_S)
+        return self._failure_rate.estimate(now)
 
     def mark_lost(self, now: float) -> None:
         """Start a backoff for an endpoint that does not respond, and move its calls.
@@ -398,8 +338,8 @@
         self.full_until = -math.inf
         self.backoff_until = -math.inf
         self._backoff_s = UNREACHABLE_BACKOFF_S
-        self._failure_rate = 0.0
-        self.report = None
+        self._failure_rate = FailureRate()
+        self._reported.clear()
 
     def _drop_channels(self) -> None:
         for channel in list(self._channels):
@@ -453,6 +393,5 @@
     "EndpointEntry",
     "EndpointState",
     "EngineReport",
-    "Load",
     "Reservation",
 ]
--- a/tests/gateway/exchange/test_localstate.py
+++ b/tests/gateway/exchange/test_localstate.py
@@ -11,8 +11,9 @@
     list_limits,
     list_loads,
 )
-from basilroad.gateway.registry.endpoint import Endpoint, Load
+from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.load import Load
 from basilroad.gateway.registry.notices import Source
 from builders import build_entry
 
--- a/tests/gateway/registry/test_reports.py
+++ b/tests/gateway/registry/test_reports.py
@@ -18,12 +18,8 @@
 from basilroad.gateway.dispatch.dispatcher import REPORT_CANDIDATES, Dispatcher
 from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
-from basilroad.gateway.registry.endpoint import (
-    REPORT_VALIDITY_S,
-    Endpoint,
-    EngineReport,
-    Reservation,
-)
+from basilroad.gateway.registry.endpoint import Endpoint, EngineReport, Reservation
+from basilroad.gateway.registry.load import REPORT_VALIDITY_S
 from basilroad.platform.protocol import PlatformProtocol
 from builders import ENGINE, PLACE, RecordingResponder, build_call, build_entry, build_stream_route
 
