Give the changes that a reader repeats a module

Which changes a reader still repeats, between which revisions they are complete, and how they are split into updates could only be tested through gateways that send each other updates.

Change: exchange/changes.py holds the recent changes and splits them into parts with plain revisions; the relay packs the parts into updates. REPEAT_S, MAX_CHANGES_SENT and LOG_LENGTH have moved along. The role of a gateway and its followers stay in the relay.

--- a/src/basilroad/gateway/exchange/relay.py
+++ b/src/basilroad/gateway/exchange/relay.py
@@ -9,13 +9,13 @@
 import logging
 import math
 import time
-from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from typing import TYPE_CHECKING, Annotated
 
 import attrs
 import msgspec
 
+from basilroad.gateway.exchange.changes import RecentChanges
 from basilroad.gateway.exchange.state import Count
 from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.revision import Revision
@@ -40,21 +40,12 @@
 MAX_CONFIRMATION_AGE_S = 2.8
 """Age of a reader's own confirmation beyond which it sends no updates: a long poll and a retry."""
 
-REPEAT_S = 1.0
-"""Time for which a change is repeated, as datagrams get lost."""
-
 WITHDRAWALS_SENT = 3
 """Number of times that a withdrawal is sent, as datagrams get lost."""
 
 GROUP_HOSTS = 16
 """Largest number of gateways that follow one reader; bounds what a reader sends."""
 
-MAX_CHANGES_SENT = 10
-"""Changes per update; entries take about 100 of the 1400 bytes of a datagram."""
-
-LOG_LENGTH = 256
-"""Changes that a reader keeps for repetition, more than the endpoints that change in that time."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -234,8 +225,7 @@
         self._recipients: list[Address] = []
         self._confirmation: Confirmation | None = None
         self._listing_read = False
-        self._log: deque[tuple[float, ListedChange]] = deque(maxlen=LOG_LENGTH)
-        self._log_base = self._revision = Revision(0, 0)
+        self._recent: RecentChanges[ListedChange] = RecentChanges()
         self._sent_at = -math.inf
         self._changed = False
         self._suspended: set[str] = set()
@@ -274,7 +264,7 @@
         """
         if update.host == self._host or (update.host > self._host and self._reads):
             return
-        if update.epoch < self._revision.epoch:
+        if update.epoch < self._recent.revision.epoch:
             # that reader hasn't noticed yet that the store was restored
             return
         if not self.follows:
@@ -341,8 +331,7 @@
 
         :param revision: revision of the listing
         """
-        self._log.clear()
-        self._log_base = self._revision = revision
+        self._recent.record_listing(revision)
         self._listing_read = True
 
     def record_changes(self, changes: Sequence[ListedChange], revision: Revision) -> None:
@@ -351,12 +340,7 @@
         :param changes: the changes in order
         :param revision: revision up to which they are complete
         """
-        now = self._clock()
-        for change in changes:
-            if len(self._log) == LOG_LENGTH:
-                self._log_base = self._log[0][1].revision
-            self._log.append((now, change))
-        self._revision = max(self._revision, revision)
+        self._recent.record(changes, revision, self._clock())
         self._listing_read = True
         self._changed = self._changed or bool(changes)
 
@@ -382,37 +366,19 @@
         return self._build_updates(confirmation, age_s, now), self._recipients
 
     def _build_updates(self, confirmation: Confirmation, age_s: float, now: float) -> list[Update]:
-        while self._log and now - self._log[0][0] > REPEAT_S:
-            self._log_base = self._log.popleft()[1].revision
-        updates: list[Update] = []
-        changes = [change for _, change in self._log]
-        base = self._log_base
-        while True:
-            part, changes = _split_part(changes)
-            revision = part[-1].revision if changes else self._revision
-            updates.append(
-                Update(
-                    self._host,
-                    confirmation.version,
-                    confirmation.store_s,
-                    round(1000 * age_s),
-                    base.number,
-                    revision.number,
-                    [pack_change(change) for change in part],
-                    revision.epoch,
-                )
+        return [
+            Update(
+                self._host,
+                confirmation.version,
+                confirmation.store_s,
+                round(1000 * age_s),
+                part.base.number,
+                part.revision.number,
+                [pack_change(change) for change in part.changes],
+                part.revision.epoch,
             )
-            if not changes:
-                return updates
-            base = revision
-
-
-def _split_part(changes: list[ListedChange]) -> tuple[list[ListedChange], list[ListedChange]]:
-    end = MAX_CHANGES_SENT
-    # changes of one revision stay together
-    while 0 < end < len(changes) and changes[end].revision == changes[end - 1].revision:
-        end += 1
-    return changes[:end], changes[end:]
+            for part in self._recent.split(now)
+        ]
 
 
 __all__ = [
--- a/tests/gateway/exchange/test_relay.py
+++ b/tests/gateway/exchange/test_relay.py
@@ -11,12 +11,11 @@
 import attrs
 import pytest
 
+from basilroad.gateway.exchange.changes import MAX_CHANGES_SENT, REPEAT_S
 from basilroad.gateway.exchange.relay import (
     GROUP_HOSTS,
-    MAX_CHANGES_SENT,
     MAX_CONFIRMATION_AGE_S,
     MAX_TAKEOVER_S,
-    REPEAT_S,
     UPDATE_INTERVAL_S,
     UPDATE_TIMEOUT_S,
     WITHDRAWALS_SENT,
