List requests that entries end without an answer

A review looked for the class of the tries without an answer elsewhere. An entry cancels a request whose head comes during its stop and whose body is late, and the HTTP library closes its connections at the end of the keep-alive time beside requests in flight.

Not mended here.

--- a/tests/entry/test_stop_connections.py
+++ b/tests/entry/test_stop_connections.py
@@ -105,3 +105,34 @@
         caller.sendall(build_completion())
         assert await asyncio.to_thread(receive, caller) is TryEnd.REFUSED
     await stopping
+
+
+# fault: a stopping entry ends the preparations of the requests that it knows; one whose head comes
+# later and whose body doesn't was cancelled without an answer
+@pytest.mark.holds_stop
+@pytest.mark.parametrize("delay_s", [0.0, 0.02, 0.05])
+async def test_a_request_whose_head_comes_in_a_stop_and_whose_body_does_not_is_answered(
+    entry: EntryService, delay_s: float
+) -> None:
+    request = build_completion()
+    with connect(entry) as caller:
+        await asyncio.sleep(0.05)
+        stopping = asyncio.ensure_future(entry.stop())
+        await asyncio.sleep(delay_s)
+        caller.sendall(request[: request.index(b"\r\n\r\n") + 7])
+        end = await asyncio.to_thread(receive, caller)
+    await stopping
+    assert end is not TryEnd.NO_ANSWER
+
+
+# fault: the HTTP library closes a connection at the end of its keep-alive time beside a request in
+# flight, which the kernel resets; gateways answer it
+async def test_a_request_that_crosses_the_end_of_the_keep_alive_time_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert entry.http._runner is not None
+    monkeypatch.setitem(entry.http._runner.server._kwargs, "keepalive_timeout", 0.3)
+    with connect(entry) as caller:
+        await asyncio.to_thread(caller.recv, 1, socket.MSG_PEEK)
+        caller.sendall(build_completion())
+        assert await asyncio.to_thread(receive, caller) is TryEnd.REFUSED
