Move the server for callers' connections to http

What callers see is unchanged. The server that keeps track of the connections of callers and of the requests on them stood in platform/, so that entries couldn't use it and kept connections in their own way. It is now in http/connections.py; the name of the header with the id of a request and the counter of ends come in with CallerServerSettings, since headers of the platform are named only in platform/.

--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -15,6 +15,7 @@
     from basilroad.errors import Refusal
     from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.notices import Source
+    from basilroad.http.ends import EndCause
 
 RANK_MAX = 9
 """Highest rank with its own label value; bounds the number of label values."""
@@ -123,6 +124,13 @@
         """
         self.attempts.labels(name_form(call), self._name_outcome(outcome)).inc()
 
+    def count_end(self, cause: EndCause) -> None:
+        """Count a connection that ended without a whole answer.
+
+        :param cause: why
+        """
+        self.ends.labels(cause.value).inc()
+
     def count_refusal(self, refusal: Refusal) -> None:
         """Count a call that ended without an endpoint's response.
 
--- a/src/basilroad/platform/connections.py
+++ b/src/basilroad/http/connections.py
@@ -6,9 +6,10 @@
 import contextlib
 import logging
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, Any
 
+import attrs
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
@@ -18,23 +19,33 @@
     close_connection,
     close_idle_connections,
 )
-from basilroad.platform.protocol import HEADER_REQUEST_ID
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
     from aiohttp.abc import AbstractStreamWriter
-    from prometheus_client import Counter
 
 _HAS_ENDED = web.RequestKey("has_ended", bool)
 
 _LOGGER = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class CallerServerSettings:
+    """Settings of a server for callers.
+
+    :param request_id_header: header with the id that callers give their requests
+    :param count_end: counts a connection that ends without a whole answer
+    """
+
+    request_id_header: str
+    count_end: Callable[[EndCause], None]
+
+
 class CallerServer(web.Server):
     """Keeps track of the connections of callers and of the requests on them.
 
     :param handler: answers a request
-    :param ends: counts connections that end without a whole answer, by cause
+    :param settings: settings of this server
     :param options: options of the HTTP server
     :ivar is_exiting: whether handlers are cancelled because the process exits
     :ivar accepted: number of connections that were accepted
@@ -42,9 +53,9 @@
     :ivar crossed: number of connections on which data came after their last response
     """
 
-    def __init__(self, handler: Any, ends: Counter, **options: Any) -> None:
+    def __init__(self, handler: Any, settings: CallerServerSettings, **options: Any) -> None:
         super().__init__(handler, request_factory=self._take_request, **options)
-        self._ends = ends
+        self._settings = settings
         self._taken: dict[web.RequestHandler, tuple[web.BaseRequest, float]] = {}
         self._busy: set[web.RequestHandler] = set()
         self.is_exiting = False
@@ -105,8 +116,23 @@
         if request.get(_HAS_ENDED):
             return
         request[_HAS_ENDED] = True
-        self._ends.labels(cause.value).inc()
-        log_end(request.headers.get(HEADER_REQUEST_ID, ""), cause, arrived_at, detail)
+        self._settings.count_end(cause)
+        request_id = request.headers.get(self._settings.request_id_header, "")
+        log_end(request_id, cause, arrived_at, detail)
+
+    def list_unread_requests(self, connection: web.RequestHandler) -> list[str]:
+        """List the requests received behind the one being answered.
+
+        :param connection: the connection
+        :return: their ids; empty ids for those that were not read
+        """
+        # the HTTP library has no public name for them
+        messages = [message for message, _ in connection._messages]
+        name = self._settings.request_id_header
+        return [
+            message.headers.get(name, "") if isinstance(message, RawRequestMessage) else ""
+            for message in messages
+        ]
 
     def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
         """Count a connection that was accepted; called by the HTTP library.
@@ -131,8 +157,8 @@
         if request is not None and not request.writer.output_size:
             detail = "cancelled before its handler began"
             self.record_end(request, self._find_cancel_cause(), arrived_at, detail)
-        for request_id in list_unread_requests(handler):
-            self._ends.labels(EndCause.UNREAD_REQUEST.value).inc()
+        for request_id in self.list_unread_requests(handler):
+            self._settings.count_end(EndCause.UNREAD_REQUEST)
             _LOGGER.info(
                 "connection ended",
                 extra={
@@ -224,14 +250,4 @@
             super()._process_keepalive()
 
 
-def list_unread_requests(connection: web.RequestHandler) -> list[str]:
-    """:return: ids of the requests received behind the one being answered; empty if not read."""
-    # the HTTP library has no public name for them
-    messages = [message for message, _ in connection._messages]
-    return [
-        message.headers.get(HEADER_REQUEST_ID, "") if isinstance(message, RawRequestMessage) else ""
-        for message in messages
-    ]
-
-
-__all__ = ["CallerServer", "EndCause", "list_unread_requests"]
+__all__ = ["CallerServer", "CallerServerSettings"]
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -19,9 +19,10 @@
 from basilroad.gateway.calls.log import log_refusal
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streams.streaming import StreamBrokenError
+from basilroad.http.connections import CallerServer, CallerServerSettings
+from basilroad.http.ends import EndCause
 from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
 from basilroad.http.tunnels import has_tunnel_body
-from basilroad.platform.connections import CallerServer, EndCause, list_unread_requests
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
     HEADER_LAST_EVENT_ID,
@@ -95,7 +96,8 @@
     async def on_start(self) -> None:
         """Listen for calls, readiness checks and metrics scrapes."""
         settings, gateway = self._settings, self._gateway
-        self._connections = CallerServer(self._handle, gateway.metrics.ends, **SERVER_OPTIONS)
+        server_settings = CallerServerSettings(HEADER_REQUEST_ID, gateway.metrics.count_end)
+        self._connections = CallerServer(self._handle, server_settings, **SERVER_OPTIONS)
         runner = await self._set_up(self._connections)
         self._listener = await CallerListener.open(runner, settings.front)
         _LOGGER.info("listening", extra={"front": str(settings.front)})
@@ -305,7 +307,8 @@
     ) -> None:
         # a request that was received behind this one gets its response on the same connection
         is_ending = has_failed or self._gateway.shutdown.is_requested
-        is_last = is_ending and not list_unread_requests(request.protocol)
+        assert self._connections is not None
+        is_last = is_ending and not self._connections.list_unread_requests(request.protocol)
         if is_last or _is_rest_lost(request):
             _close_after(response)
 
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -14,8 +14,8 @@
 import pytest
 
 from basilroad.endpoints import channels
+from basilroad.http.ends import EndCause
 from basilroad.platform import run
-from basilroad.platform.connections import EndCause
 from basilroad.standin.appserver import AppServerStandin
 from support.gatewayrig import HEADERS, GatewayRig, build_config
 
--- a/tests/platform/test_connections.py
+++ b/tests/platform/test_connections.py
@@ -15,7 +15,7 @@
 
 from basilroad.gateway.calls.call import Reply
 from basilroad.gateway.calls.handler import CallHandler
-from basilroad.platform.connections import EndCause
+from basilroad.http.ends import EndCause
 from basilroad.platform.run import PlatformService
 from support.ends import (
     count_ends,
--- a/tests/platform/test_unanswered_paths.py
+++ b/tests/platform/test_unanswered_paths.py
@@ -12,7 +12,7 @@
 
 from basilroad.gateway.calls.call import Call, Reply, Responder
 from basilroad.gateway.calls.handler import CallHandler
-from basilroad.platform.connections import EndCause
+from basilroad.http.ends import EndCause
 from basilroad.platform.frontend import PlatformFrontend
 from support.ends import (
     count_ends,
--- a/tests/platform/test_unanswered_stages.py
+++ b/tests/platform/test_unanswered_stages.py
@@ -18,7 +18,7 @@
 from basilroad.endpoints.channels import Channel
 from basilroad.gateway.calls.call import Reply
 from basilroad.gateway.calls.handler import CallHandler
-from basilroad.platform.connections import EndCause
+from basilroad.http.ends import EndCause
 from support.ends import (
     count_ends,
     find_connection,
--- a/tests/support/ends.py
+++ b/tests/support/ends.py
@@ -8,7 +8,7 @@
 import pytest
 from aiohttp import web
 
-from basilroad.platform.connections import EndCause
+from basilroad.http.ends import EndCause
 from support.gatewayrig import GatewayRig
 
 
