Keep the connections of an entry's callers as gateways do

Callers of an entry saw: a request that crossed the end of the keep-alive time was reset without an answer; a body that is malformed midway was refused only after 60 s; no line named a request that waited behind the one being answered, or whose handler was cancelled before its first step.

Cause: entries ran their application on the HTTP library's own server, and gateways on CallerServer, which had been mended for each of these. An entry now runs it on CallerServer too, by CallerAppRunner; requests are named by their idempotency keys and ends are counted as connections_ended.CAUSE. A body that CallerServer ends as malformed is refused with 400, and the connection closed, as nothing is read behind it.

Not run: the whole suite.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -16,8 +16,8 @@
 from basilroad.entry.identity import KEY_HEADER, read_identity
 from basilroad.entry.request import read_request
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
-from basilroad.http.ends import EndCause, log_end
-from basilroad.http.idleconnections import close_idle_connections
+from basilroad.http.apprunner import CallerAppRunner
+from basilroad.http.connections import CallerServerSettings
 from basilroad.http.listener import CallerListener
 from basilroad.http.tunnels import has_tunnel_body
 from basilroad.peers.address import parse_address
@@ -32,6 +32,7 @@
     from basilroad.entry.flight import Flight
     from basilroad.entry.identity import Identity
     from basilroad.entry.request import CompletionRequest
+    from basilroad.metrics import Metrics
 
 RESTART_HEADER = "X-Restart"
 """Set to ``allow`` by callers that support the restart event."""
@@ -52,9 +53,11 @@
     """Part of the entry that the HTTP server uses.
 
     :param caller: runs calls to plain services
+    :param metrics: metrics of this process
     """
 
     caller: ServiceCaller
+    metrics: Metrics
 
     async def open_flight(
         self, request: CompletionRequest, identity: Identity, *, may_restart: bool
@@ -80,20 +83,23 @@
     def __init__(self, entry: HttpContext) -> None:
         super().__init__()
         self.entry = entry
-        self._runner: web.AppRunner | None = None
+        self._runner: CallerAppRunner | None = None
         self._listener: CallerListener | None = None
-        self._is_exiting = False
 
     async def on_start(self) -> None:
         """Start listening for callers."""
         options = self.entry.options
         app = web.Application(
             client_max_size=options.max_body_bytes,
-            middlewares=[self._log_ends, _close_behind_tunnels, _answer_refusals],
+            middlewares=[self._track, _close_behind_tunnels, _answer_refusals],
         )
         app.add_routes(self._list_routes())
-        self._runner = web.AppRunner(
-            app, handler_cancellation=True, access_log=None, shutdown_timeout=CANCEL_TIMEOUT_S
+        self._runner = CallerAppRunner(
+            app,
+            CallerServerSettings(KEY_HEADER, self.entry.metrics.count_end),
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=CANCEL_TIMEOUT_S,
         )
         await self._runner.setup()
         address = parse_address(options.listen)
@@ -108,8 +114,8 @@
         if self._runner is None:
             return
         if self._runner.server is not None:
-            await close_idle_connections(self._runner.server, limit)
-        self._is_exiting = True
+            await self._runner.connections.close_connections(limit)
+            self._runner.connections.mark_exiting()
         await self._runner.cleanup()
 
     def _list_routes(self) -> list[web.RouteDef]:
@@ -124,20 +130,10 @@
         ]
 
     @web.middleware
-    async def _log_ends(self, request: web.Request, handler: Handler) -> web.StreamResponse:
-        arrived_at, request_id = time.monotonic(), request.headers.get(KEY_HEADER, "")
-        try:
+    async def _track(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        assert self._runner is not None
+        with self._runner.connections.track(request, time.monotonic()):
             return await handler(request)
-        except asyncio.CancelledError:
-            cause = EndCause.SHUTDOWN if self._is_exiting else EndCause.CALLER_LEFT
-            log_end(request_id, cause, arrived_at)
-            raise
-        except ConnectionError as error:
-            log_end(request_id, EndCause.CALLER_LEFT, arrived_at, repr(error))
-            raise
-        except Exception as error:
-            log_end(request_id, EndCause.ERROR, arrived_at, repr(error))
-            raise
 
     async def _complete(self, http: web.Request) -> web.StreamResponse:
         return await self._generate(http, chat=False)
@@ -286,6 +282,8 @@
         raise refuse(ErrorKind.BAD_REQUEST, "the request body did not arrive in time") from error
     except web.HTTPRequestEntityTooLarge as error:
         raise refuse(ErrorKind.BODY_TOO_LARGE, "the request body is too large") from error
+    except web.RequestPayloadError as error:
+        raise refuse(ErrorKind.BAD_REQUEST, f"malformed request body: {error}") from error
 
 
 def _read_offset(http: web.Request, generation: str) -> int:
@@ -323,7 +321,8 @@
 @web.middleware
 async def _close_behind_tunnels(request: web.Request, handler: Handler) -> web.StreamResponse:
     response = await handler(request)
-    if has_tunnel_body(request):
+    # nothing is read behind a malformed body
+    if has_tunnel_body(request) or request.content.exception() is not None:
         response.force_close()
     return response
 
--- a/src/basilroad/http/connections.py
+++ b/src/basilroad/http/connections.py
@@ -46,6 +46,7 @@
 
     :param handler: answers a request
     :param settings: settings of this server
+    :param build_request: builds the requests that the handler gets; plain ones without it
     :param options: options of the HTTP server
     :ivar is_exiting: whether handlers are cancelled because the process exits
     :ivar accepted: number of connections that were accepted
@@ -53,9 +54,16 @@
     :ivar crossed: number of connections on which data came after their last response
     """
 
-    def __init__(self, handler: Any, settings: CallerServerSettings, **options: Any) -> None:
+    def __init__(
+        self,
+        handler: Any,
+        settings: CallerServerSettings,
+        build_request: Any = None,
+        **options: Any,
+    ) -> None:
         super().__init__(handler, request_factory=self._take_request, **options)
         self._settings = settings
+        self._build_request = build_request or self._make_request
         self._taken: dict[web.RequestHandler, tuple[web.BaseRequest, float]] = {}
         self._busy: set[web.RequestHandler] = set()
         self.is_exiting = False
@@ -191,7 +199,7 @@
         assert isinstance(protocol, _CallerConnection)
         protocol.record_taken(payload)
         # its handler may be cancelled before its first step, and can't log that
-        request = web.BaseRequest(message, payload, protocol, writer, task, self._loop)
+        request: web.BaseRequest = self._build_request(message, payload, protocol, writer, task)
         self._taken[protocol] = request, time.monotonic()
         return request
 
--- a/src/basilroad/metrics.py
+++ b/src/basilroad/metrics.py
@@ -10,6 +10,7 @@
 from statsd import StatsClient
 
 from basilroad.errors import ErrorKind
+from basilroad.http.ends import EndCause
 
 MAX_WORKSPACES = 512
 FLUSH_INTERVAL_S = 1.0
@@ -123,6 +124,13 @@
         """
         self._count(f"refused.rank.{rank}.{kind.value}", 1)
 
+    def count_end(self, cause: EndCause) -> None:
+        """Count a connection of a caller that ended without a whole answer.
+
+        :param cause: why
+        """
+        self._count(f"connections_ended.{cause.value}", 1)
+
     def count_rank_tokens(self, rank: int, tokens: int) -> None:
         """Count tokens sent to callers, by rank.
 
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -12,6 +12,7 @@
 
 from basilroad.entry.http import HttpServer
 from basilroad.entry.service import EntryService
+from basilroad.http.ends import EndCause
 from basilroad.settings.daemon import DaemonSettings, EntrySettings
 from support.addresses import find_free_port
 
@@ -94,12 +95,31 @@
     ]
 
 
-async def wait_for_end(caplog: pytest.LogCaptureFixture) -> None:
+async def wait_for_end(caplog: pytest.LogCaptureFixture, number: int = 1) -> None:
+    """Wait until that many lines tell of the end of a connection."""
     async with asyncio.timeout(LIMIT_S):
-        while not list_ends(caplog):
+        while len(list_ends(caplog)) < number:
             await asyncio.sleep(0.01)
 
 
+async def find_connection(entry: EntryService) -> web.RequestHandler:
+    """:return: the only connection of a caller."""
+    assert entry.http._runner is not None
+    server = entry.http._runner.server
+    assert server is not None
+    async with asyncio.timeout(LIMIT_S):
+        while not server.connections:
+            await asyncio.sleep(0.001)
+    (connection,) = server.connections
+    return connection
+
+
+def mark_exiting(entry: EntryService) -> None:
+    """Put an entry into the state of the last part of its stop."""
+    assert entry.http._runner is not None
+    entry.http._runner.connections.mark_exiting()
+
+
 # fault: no line said that a caller had left before its answer
 async def test_a_caller_that_leaves_is_logged(
     entry: EntryService, caplog: pytest.LogCaptureFixture
@@ -231,3 +251,67 @@
     writer.write(build_request(bytes(20_000), 1_000_000))
     assert await read_status(reader) == 413
     writer.close()
+
+
+# fault: a request that waited behind the one being answered got no answer, and no line named it
+async def test_a_request_behind_one_whose_caller_leaves_is_logged(
+    entry: EntryService, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    _, writer = await connect(entry)
+    first = build_request(COMPLETION, None, "Idempotency-Key: first")
+    writer.write(first + build_request(COMPLETION, None, "Idempotency-Key: second"))
+    while not entry.flights:
+        await asyncio.sleep(0.01)
+    writer.transport.abort()
+    await wait_for_end(caplog, 2)
+    assert ("first", "caller_left") in list_ends(caplog)
+    assert ("second", "unread_request") in list_ends(caplog)
+
+
+# fault: a handler that was cancelled before its first step could log no end of its request
+@pytest.mark.parametrize("cause", [EndCause.CALLER_LEFT, EndCause.SHUTDOWN])
+async def test_a_request_whose_handler_never_began_is_logged(
+    entry: EntryService,
+    cause: EndCause,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def list_models() -> list[str]:
+        # the reset of the caller is read between the answer and the handler of the next request
+        assert connection.transport is not None
+        asyncio.get_running_loop().call_soon(connection.transport.abort)
+        return []
+
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(entry, "list_models", list_models)
+    _, writer = await connect(entry)
+    connection = await find_connection(entry)
+    if cause is EndCause.SHUTDOWN:
+        mark_exiting(entry)
+    request = build_request(COMPLETION, None, "Idempotency-Key: k-1")
+    writer.write(b"GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n" + request)
+    try:
+        await wait_for_end(caplog)
+    finally:
+        writer.close()
+    assert list_ends(caplog) == [("k-1", cause.value)]
+    assert not entry.flights
+
+
+# fault: a body that is malformed midway was refused only at the time limit for bodies
+async def test_a_body_that_is_malformed_midway_is_refused_at_once(entry: EntryService) -> None:
+    reader, writer = await connect(entry)
+    head = b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    writer.write(head + b"4\r\nbody\r\n")
+    while not entry._preparations:
+        await asyncio.sleep(0.001)
+    writer.write(b"no chunk\r\n" + build_request())
+    async with asyncio.timeout(LIMIT_S):
+        received = await reader.read()
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 400 "), received
+    assert b"not_run" in received
+    assert b"connection: close" in received.lower()
+    assert received.count(b"HTTP/1.1 ") == 1, "nothing is read behind it"
+    assert not entry.flights
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -9,6 +9,7 @@
 
 from basilroad import metrics as module
 from basilroad.errors import ErrorKind
+from basilroad.http.ends import EndCause
 from basilroad.metrics import LinkCause, Metrics, RecomputeCause
 
 
@@ -40,6 +41,7 @@
             lambda m: m.count_refusal(2, ErrorKind.OVERLOADED),
             "b.refused.rank.2.overloaded:1|c",
         ),
+        (lambda m: m.count_end(EndCause.CALLER_LEFT), "b.connections_ended.caller_left:1|c"),
         (lambda m: m.count_rank_tokens(0, 64), "b.tokens.rank.0:64|c"),
         (lambda m: m.count_workspace_tokens("bungs", 64), "b.tokens.workspace.bungs:64|c"),
     ],
