Answer requests that begin after the limit of an entry's stop

Callers of a stopping entry saw a reset without an answer: a request whose head came during the stop and whose body was late, one that takes a generation up again, and a keyed call that asks other hosts whether it ran earlier.

Cause: at its limit a stop ended the preparations and calls that it knew. The listener and kept connections are served for up to another second, and what began then had no limit, so that the exit cancelled it.

Now the end holds for what begins later too: it is refused once it has to wait (503, not run; a keyed call that asks others 502, as before). A request that is there whole doesn't wait, and is refused as before. A generation that this entry doesn't run isn't taken up any more then, as its stream would be cut.

--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls.py
@@ -55,6 +55,10 @@
     sent: bool = False
     limit: asyncio.Timeout = attrs.field(factory=lambda: asyncio.timeout(None))
 
+    def end(self) -> None:
+        """End the call once it has to wait for something."""
+        self.limit.reschedule(asyncio.get_running_loop().time())
+
 
 class ServiceCaller(Service):
     """Sends calls to plain services.
@@ -69,6 +73,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         # by the id of the call
         self._running: dict[int, _RunningCall] = {}
+        self._has_ended = False
 
     def on_init_dependencies(self) -> list[ServiceT]:
         """:return: child services."""
@@ -89,6 +94,8 @@
         try:
             async with running.limit:
                 self._running[id(call)] = running
+                if self._has_ended:
+                    running.end()
                 try:
                     return await self._run(call, identity)
                 finally:
@@ -101,10 +108,10 @@
             self.entry.calls_running -= 1
 
     def end_at_shutdown(self) -> None:
-        """End the calls in flight because the entry shuts down; each gets an error."""
-        now = asyncio.get_running_loop().time()
+        """End the calls in flight, and later ones, as the entry shuts down; each gets an error."""
+        self._has_ended = True
         for running in self._running.values():
-            running.limit.reschedule(now)
+            running.end()
 
     async def choose(self, call: ServiceCall, avoided: set[str]) -> EndpointView:
         """Wait for an available endpoint of the service.
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -116,6 +116,7 @@
         self.calls_running = 0
         self._run_tasks: dict[Flight, asyncio.Task[None]] = {}
         self._preparations: set[asyncio.Timeout] = set()
+        self._preparations_ended = False
         self._heartbeats = HeartbeatScheduler(self.store)
         self._agents_tried = False
 
@@ -162,10 +163,11 @@
         self.work_ends_at = self._stop_signal.record() + self.options.drain_limit_s
         while self._is_working and time.monotonic() < self.work_ends_at:
             await asyncio.sleep(DRAIN_POLL_S)
+        self._preparations_ended = True
         ending = set(self._preparations)
         for limit in ending:
             limit.reschedule(asyncio.get_running_loop().time())
-        # what came later has to be refused anyway
+        # those that begin later end once they have to wait for something
         while ending & self._preparations:
             await asyncio.sleep(0)
         for flight, task in list(self._run_tasks.items()):
@@ -218,6 +220,8 @@
         key = read_key(generation)
         flight = self.flights.get(key)
         if flight is None:
+            if self._preparations_ended:
+                raise refuse(ErrorKind.DRAINING, "this host is shutting down")
             async with self.limit_preparation(ErrorKind.DRAINING):
                 flight = await self.takeover.attach(key, generation)
         if not _may_read(flight, generation, identity):
@@ -262,7 +266,8 @@
         :param kind: error for the caller
         :raises RefusedError: the limit has passed
         """
-        limit = asyncio.timeout(None)
+        now = asyncio.get_running_loop().time()
+        limit = asyncio.timeout_at(now if self._preparations_ended else None)
         try:
             async with limit:
                 self._preparations.add(limit)
--- a/tests/entry/test_stop_connections.py
+++ b/tests/entry/test_stop_connections.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from basilroad.entry.identity import KEY_BYTES
 from basilroad.entry.service import EntryService
 from basilroad.settings.daemon import DaemonSettings, EntrySettings
 from support.addresses import find_free_port
@@ -125,6 +126,35 @@
     assert end is not TryEnd.NO_ANSWER
 
 
+# fault: a request that came after the limit of a stop had ended the others, and had to wait for
+# another host, was cancelled without an answer
+@pytest.mark.holds_stop
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"GET /v1/generations/%s-1 HTTP/1.1\r\n" % (b"00" * KEY_BYTES), b"HTTP/1.1 503 "),
+        (b"POST /v1/services/s/x HTTP/1.1\r\nIdempotency-Key: k\r\n", b"HTTP/1.1 502 "),
+    ],
+    ids=["generation", "keyed call"],
+)
+async def test_a_request_that_waits_for_another_host_after_a_stop_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch, head: bytes, status: bytes
+) -> None:
+    async def wait(*_: object) -> None:
+        await asyncio.sleep(30)
+
+    monkeypatch.setattr(entry.takeover, "attach", wait)
+    monkeypatch.setattr(entry.caller.keyed_calls.earlier, "check", wait)
+    with connect(entry) as caller:
+        await asyncio.sleep(0.05)
+        stopping = asyncio.ensure_future(entry.stop())
+        await asyncio.sleep(0.02)
+        caller.sendall(head + b"Host: x\r\nContent-Length: 0\r\n\r\n")
+        received = await asyncio.to_thread(caller.recv, 65536)
+    await stopping
+    assert received.startswith(status), received
+
+
 # fault: the HTTP library closes a connection at the end of its keep-alive time beside a request in
 # flight, which the kernel resets; gateways answer it
 async def test_a_request_that_crosses_the_end_of_the_keep_alive_time_is_answered(
