Forget the stream of an entry that resets it and closes its connection

Callers of a stop saw an idle `basilroad local` end 9.4 s after one Ctrl-C, with 14 warnings "an entry did not receive the last messages before its stream was closed". An agent beside entries that restart kept each of their streams: its messages queued up, and its state counted the old streams as entries.

Cause: the reset of a stream cancels its handler, and the end of the connection cancels it again. The second time interrupted the cleanup of the first, before the agent had dropped the stream. At its stop it waited 1 s for the last messages to each such stream, and seven agents stop one by one.

Evidence: a trace of a stop shows each of the seven agents with two streams after both entries had ended. The handler was cancelled three times, the third time in its cleanup.

Change: the stream is dropped and marked as ended however the cleanup ends. An agent that stops waits for its last messages no longer than the stream exists; that an entry left before is logged at info. The last messages moved to the link, so that the service doesn't grow.

--- a/src/basilroad/agent/link.py
+++ b/src/basilroad/agent/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 import uuid
 from collections import Counter
@@ -23,9 +24,14 @@
 REMOTE_FLUSH_S = 0.025
 """Seconds that tokens to a remote region are held back to be sent in one frame."""
 
+FINISH_TIMEOUT_S = 1.0
+"""Seconds for the last messages to an entry and the end of its stream."""
+
 BUSY_WINDOW_S = 10.0
 """Seconds after an entry's last work for which it gets heartbeats as often as during work."""
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class EntryLink:
     """Sends messages and coalesced tokens to one entry.
@@ -118,16 +124,22 @@
             await self.stream.send_message(frame)
             self._outbox.mark_sent()
 
-    async def wait_drained(self) -> None:
-        """Wait until all queued messages have been sent."""
-        await self._outbox.wait_drained()
-
-    def close(self) -> None:
-        """Request that the stream be closed."""
-        self._closed.set()
+    async def finish(self) -> None:
+        """Send the last messages, unless the entry ends its stream before, and end the stream."""
+        try:
+            async with asyncio.timeout(FINISH_TIMEOUT_S):
+                if not await self._wait_drained():
+                    _LOGGER.info("an entry ended its stream before it received the last messages")
+                self._closed.set()
+                # the end of the stream is sent when its handler returns
+                await self.wait_ended()
+        except TimeoutError:
+            _LOGGER.warning(
+                "an entry did not receive the last messages before its stream was closed"
+            )
 
     async def wait_closed(self) -> None:
-        """Wait until :meth:`close` is called."""
+        """Wait until the stream is to be closed."""
         await self._closed.wait()
 
     def mark_ended(self) -> None:
@@ -138,6 +150,17 @@
         """Wait until :meth:`mark_ended` is called."""
         await self._ended.wait()
 
+    async def _wait_drained(self) -> bool:
+        """:return: whether all queued messages were sent before the end of the stream."""
+        drained = asyncio.ensure_future(self._outbox.wait_drained())
+        ended = asyncio.ensure_future(self.wait_ended())
+        try:
+            await asyncio.wait({drained, ended}, return_when=asyncio.FIRST_COMPLETED)
+            return drained.done()
+        finally:
+            drained.cancel()
+            ended.cancel()
+
     def _collect_tokens(self) -> list[wire.AgentMessage]:
         messages = [_build_tokens(reader) for reader in self._readers]
         self._readers.clear()
--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -68,9 +68,6 @@
 """Time after the news of a drain for which the streams stay open, so that work which was sent
 before the news had arrived is refused as not run; several round trips between data centres."""
 
-FLUSH_TIMEOUT_S = 1.0
-"""Time for the last messages to all entries."""
-
 PLATFORM_TIMEOUT_S = 2.0
 """Seconds to wait for one response of the platform."""
 
@@ -158,7 +155,7 @@
         await self._wait_for_runs()
         if self.links:
             await asyncio.sleep(max(0.0, drained_at + CROSSING_S - time.monotonic()))
-        await asyncio.gather(*(self._flush(link) for link in list(self.links)))
+        await asyncio.gather(*(link.finish() for link in list(self.links)))
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
@@ -185,9 +182,12 @@
         finally:
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-            self._drop_link(link)
-            link.mark_ended()
+            try:
+                await asyncio.gather(*tasks, return_exceptions=True)
+            finally:
+                # the reset of a stream and the end of its connection cancel the handler each
+                self._drop_link(link)
+                link.mark_ended()
 
     def send_hello(self, link: EntryLink) -> None:
         """Send a new entry this agent's identity, the poison marks and the cache contents.
@@ -413,17 +413,5 @@
         calls = sum(d.running for d in self.drivers.values() if isinstance(d, PlainDriver))
         return calls + len(self.runs.running())
 
-    async def _flush(self, link: EntryLink) -> None:
-        try:
-            async with asyncio.timeout(FLUSH_TIMEOUT_S):
-                await link.wait_drained()
-                link.close()
-                # the end of the stream is sent when its handler returns
-                await link.wait_ended()
-        except TimeoutError:
-            _LOGGER.warning(
-                "an entry did not receive the last messages before its stream was closed"
-            )
-
 
 __all__ = ["AgentService"]
