--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -1,4 +1,4 @@
-"""Pooled HTTP/1.1 connections to endpoints, closed on unsolicited data."""
+"""HTTP/1.1 connections to endpoints, closed on unsolicited data."""
 
 from __future__ import annotations
 
@@ -6,20 +6,11 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import attrs
 import h11
 
-from basilroad.timelimit import TimeLimit
-
-if TYPE_CHECKING:
-    from basilroad.peers.address import Address
-
-CONNECT_TIMEOUT_S = 0.35
-"""Connect timeout: several round trips of 40 ms between regions, and less than the longest gap
-allowed in a stream."""
-
 POOL_IDLE_LIMIT_S = 1.5
 """Longest idle time after which a connection is reused; short, as an old connection may be dead
 without a reset having arrived."""
@@ -315,83 +306,13 @@
         self._data_ready.clear()
 
 
-class ChannelPool:
-    """Idle connections to one endpoint.
-
-    :param address: address of the endpoint
-    """
-
-    def __init__(self, address: Address) -> None:
-        self._address = address
-        self._idle: list[Channel] = []
-        self.opened = 0
-
-    async def open(
-        self, idle_limit_s: float = POOL_IDLE_LIMIT_S, request_id: str | None = None
-    ) -> Channel:
-        """Reuse an idle connection or open a new one.
-
-        :param idle_limit_s: longest idle time of a reused connection in seconds; 0 for a new one
-        :param request_id: id of the request, which the connection must not have carried before;
-            ``None`` if a late response to an earlier one does no harm
-        :return: a connection without a request in progress
-        :raises ConnectError: no connection could be opened
-        """
-        channel = self._take_idle(idle_limit_s, request_id)
-        if channel is not None:
-            return channel
-        return await self._connect()
-
-    def keep(self, channel: Channel) -> None:
-        """Return a connection to the pool after its response was read completely.
-
-        :param channel: the connection
-        """
-        if channel.usable:
-            self._idle.append(channel)
-
-    def close(self) -> None:
-        """Abort all idle connections."""
-        idle, self._idle = self._idle, []
-        for channel in idle:
-            channel.close()
-
-    def _take_idle(self, idle_limit_s: float, request_id: str | None) -> Channel | None:
-        now = time.monotonic()
-        for channel in reversed(self._idle.copy()):
-            idle_s = now - channel.idle_since
-            if not channel.usable or idle_s >= channel.idle_limit_s:
-                self._idle.remove(channel)
-                channel.close()
-            elif idle_s >= idle_limit_s:
-                return None
-            elif request_id is None or not channel.has_carried(request_id):
-                self._idle.remove(channel)
-                return channel
-        return None
-
-    async def _connect(self) -> Channel:
-        loop = asyncio.get_running_loop()
-        try:
-            async with TimeLimit(CONNECT_TIMEOUT_S):
-                _, channel = await loop.create_connection(
-                    Channel, self._address.ip, self._address.port
-                )
-        except Exception as error:
-            # for a connection that can't be opened, asyncio raises others than OSError too
-            raise ConnectError(repr(error)) from error
-        self.opened += 1
-        return channel
-
-
 __all__ = [
-    "CONNECT_TIMEOUT_S",
     "MAX_REQUESTS",
     "NO_REQUEST_ID",
+    "POOL_IDLE_LIMIT_S",
     "SHORT_BODY_BYTES",
     "Channel",
     "ChannelError",
-    "ChannelPool",
     "ConnectError",
     "OutgoingRequest",
     "ReplyHead",
--- a/src/basilroad/gateway/registry/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -11,7 +11,7 @@
 import attrs
 from attrs.validators import ge, le, max_len
 
-from basilroad.endpoints.channels import ChannelPool
+from basilroad.endpoints.channelpool import ChannelPool
 from basilroad.gateway.registry.buffer import BufferLimit
 from basilroad.gateway.registry.failurerate import FailureRate
 from basilroad.gateway.registry.load import Load, ReportedLoad
--- a/tests/endpoints/test_connecting.py
+++ b/tests/endpoints/test_connecting.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from basilroad.endpoints.channels import CONNECT_TIMEOUT_S, ChannelPool, ConnectError
+from basilroad.endpoints.channelpool import CONNECT_TIMEOUT_S, ChannelPool
+from basilroad.endpoints.channels import ConnectError
 from basilroad.endpoints.plainservice import REACHABILITY_TIMEOUT_S, HttpPlainService
 from basilroad.peers.address import Address
 
--- a/tests/gateway/streams/test_silent_engines.py
+++ b/tests/gateway/streams/test_silent_engines.py
@@ -7,7 +7,7 @@
 import pytest
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.endpoints import channels
+from basilroad.endpoints import channelpool
 from basilroad.errors import RefusedError
 from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.streams import stalltimer
@@ -26,7 +26,7 @@
 @pytest.fixture(autouse=True)
 def patient_connects(monkeypatch: pytest.MonkeyPatch) -> None:
     """A busy host takes long to open connections, which these tests are not about."""
-    monkeypatch.setattr(channels, "CONNECT_TIMEOUT_S", 5.0)
+    monkeypatch.setattr(channelpool, "CONNECT_TIMEOUT_S", 5.0)
 
 
 def limit_retries(gateway, retries: int, service: str = "llm") -> RetryBudget:
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -13,7 +13,7 @@
 import attrs
 import pytest
 
-from basilroad.endpoints import channels
+from basilroad.endpoints import channelpool
 from basilroad.platform import run
 from basilroad.platform.connections import EndCause
 from basilroad.standin.appserver import AppServerStandin
@@ -135,7 +135,7 @@
 @pytest.fixture(autouse=True)
 def patient_connects(monkeypatch: pytest.MonkeyPatch) -> None:
     """A busy host takes long to open connections, which these tests are not about."""
-    monkeypatch.setattr(channels, "CONNECT_TIMEOUT_S", 5.0)
+    monkeypatch.setattr(channelpool, "CONNECT_TIMEOUT_S", 5.0)
 
 
 @pytest.fixture
