Lose a response without a length whose request was not sent whole

Callers got a part as the whole response: an endpoint answered a long upload at once without a length, ended its side of the connection in order and reset it while the upload was still being written.

Cause: the end of the endpoint's data ended such a response at once, whatever came of the request. Its wholeness is only known if the endpoint took the whole request. The connection now sends the rest first, as its transport does after an end, and counts the response if that ends without a reset. A response with a length or in chunks may still come early.

The rows 'end, then reset beside an upload' of test_response_ends.py failed before (1 of 20), and the module passes now, as do tests/endpoints, tests/gateway/streams and tests/gateway/calls.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -11,6 +11,8 @@
 import attrs
 import h11
 
+from basilroad.http.status import BODILESS_STATUSES
+
 POOL_IDLE_LIMIT_S = 1.5
 """Longest idle time after which a connection is reused; short, as an old connection may be dead
 without a reset having arrived."""
@@ -96,6 +98,9 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
         self._transport: asyncio.Transport | None = None
         self._data_ready = asyncio.Event()
+        self._lost = asyncio.Event()
+        self._ended_early = False
+        self._lasts_until_end = False
         self._busy = False
         self._failure: Exception | None = None
         self._ended = False
@@ -133,9 +138,11 @@
         self._data_ready.set()
 
     def eof_received(self) -> bool:
-        """Handle the end of data from the endpoint."""
+        """Handle the end of data from the endpoint; unsent data is still sent."""
         self._ended = True
         if self._busy:
+            assert self._transport is not None
+            self._ended_early = self._transport.get_write_buffer_size() > 0
             self._http.receive_data(b"")
             self._data_ready.set()
         return False
@@ -146,6 +153,7 @@
             self._failure = exc or ConnectionResetError("connection closed")
         self._ended = True
         self._data_ready.set()
+        self._lost.set()
 
     # requests
 
@@ -212,6 +220,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers.raw_items()
         )
+        self._lasts_until_end = self._is_unframed(event)
         return ReplyHead(event.status_code, headers)
 
     async def read_data(self) -> bytes | None:
@@ -223,6 +232,8 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self._lasts_until_end and self._ended_early:
+                await self._wait_sent()
             self._end_exchange()
             return None
         raise ChannelError(f"expected body data, got {type(event).__name__}")
@@ -270,7 +281,7 @@
         """Abort the connection; the endpoint then cancels the request in progress."""
         self._closed_here = self._closed_here or not self._ended
         self._ended = True
-        if self._transport is not None:
+        if self._transport is not None and not self._lost.is_set():
             self._transport.abort()
 
     def _end_exchange(self) -> None:
@@ -283,6 +294,20 @@
         self._busy = False
         self.idle_since = time.monotonic()
 
+    def _is_unframed(self, head: h11.Response) -> bool:
+        assert self._request_head is not None
+        if self._request_head.method == b"HEAD" or head.status_code in BODILESS_STATUSES:
+            return False
+        names = {name for name, _ in head.headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
+    async def _wait_sent(self) -> None:
+        # the transport sends the rest of the request before it ends without an error
+        await self._lost.wait()
+        if self._failure is not None or self._closed_here:
+            detail = repr(self._failure or "closed here")
+            raise ChannelError(f"connection lost before the request was sent: {detail}")
+
     async def _next_event(self) -> object:
         while True:
             try:
