Lose a response without a length whose connection was reset

Callers of plain services got a part as the service's whole response, and for a call with a key that part was stored as its outcome: an answer without a length was cut by a reset beside an upload, after one, with HTTP/1.0 or with status 500.

Cause: aiohttp ends the body of such a response when the connection is lost, in whatever way. The client now follows the connection of each exchange and counts the response only if the connection was lost in order, not closed by the client itself, and the whole body had been given to it; an orderly loss has sent what it was given. Responses with a length or in chunks are as before.

--- a/src/basilroad/endpoints/engine.py
+++ b/src/basilroad/endpoints/engine.py
@@ -114,10 +114,11 @@
         try:
             async with self._client.stream(http_request) as response:
                 if response.status != OK:
-                    raise EngineRefusedError(response.status, await response.text())
+                    body = await response.read()
+                    raise EngineRefusedError(response.status, body.decode(errors="replace"))
                 reader = EventStreamReader()
-                async for chunk in response.content.iter_any():
-                    for message in reader.read(chunk):
+                while part := await response.read_part():
+                    for message in reader.read(part):
                         yield message
                         if isinstance(message, EngineFinish):
                             return
--- a/src/basilroad/http/client.py
+++ b/src/basilroad/http/client.py
@@ -15,6 +15,12 @@
 import attrs
 from yarl import URL
 
+from basilroad.http.responseends import (
+    CONNECTION_USE,
+    ConnectionUse,
+    ObservedConnector,
+    lasts_until_end,
+)
 from basilroad.timelimit import TimeLimit
 
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -108,10 +114,53 @@
 class _ExchangeState:
     limit: TimeLimit
     ends_at: float | None  # monotonic seconds; None for no limit once connected
+    use: ConnectionUse
     connected: bool = False
     received_bytes: int = 0  # of the response's body
 
 
+class StreamedResponse:
+    """A response whose body is read as it arrives.
+
+    :param response: the response of the HTTP library
+    :param state: state of the exchange
+    """
+
+    def __init__(self, response: aiohttp.ClientResponse, state: _ExchangeState) -> None:
+        self._response = response
+        self._state = state
+        self.status = response.status
+
+    async def read_part(self) -> bytes:
+        """:return: next part of the body as it arrives; empty at its end.
+
+        :raises ResponseLostError: the body is cut
+        """
+        part = await self._response.content.readany()
+        self._state.received_bytes += len(part)
+        if not part:
+            self._check_end()
+        return part
+
+    async def read(self) -> bytes:
+        """:return: the rest of the body.
+
+        :raises ResponseLostError: the body is cut
+        """
+        body = bytearray()
+        while part := await self.read_part():
+            body += part
+        return bytes(body)
+
+    def _check_end(self) -> None:
+        if not lasts_until_end(self._response):
+            return
+        cut = self._state.use.find_cut()
+        if cut is not None:
+            detail = f"{cut.detail}, {self._state.received_bytes} bytes received"
+            raise ResponseLostError(f"response without a length: {detail}", closed=cut.closed)
+
+
 class HttpClient:
     """Sends requests to one server, without retries.
 
@@ -170,12 +219,12 @@
             silence_s, total_s, limit = None, limit_s, TimeLimit(limit_s, 0)
         else:
             silence_s, total_s, limit = limit_s, transfer_limit_s, TimeLimit(limit_s)
-        state = _ExchangeState(limit, time.monotonic() + total_s)
+        state = _ExchangeState(limit, time.monotonic() + total_s, _make_use(request))
         async with self._exchange(request, silence_s, state) as response:
+            streamed = StreamedResponse(response, state)
             body = bytearray()
-            async for chunk in response.content.iter_any():
-                body += chunk
-                state.received_bytes = len(body)
+            while part := await streamed.read_part():
+                body += part
                 if len(body) > self._max_body_bytes:
                     # the rest is not read, so the connection can't be used again
                     response.close()
@@ -183,7 +232,7 @@
             return HttpResponse(response.status, response.headers, bytes(body))
 
     @asynccontextmanager
-    async def stream(self, request: HttpRequest) -> AsyncIterator[aiohttp.ClientResponse]:
+    async def stream(self, request: HttpRequest) -> AsyncIterator[StreamedResponse]:
         """Send a request and stream the response; leaving the context closes the connection.
 
         :param request: the request
@@ -191,10 +240,10 @@
         :raises RequestNotSentError: no byte was sent
         :raises ResponseLostError: the response was interrupted
         """
-        state = _ExchangeState(TimeLimit(self._timeout_s), None)
+        state = _ExchangeState(TimeLimit(self._timeout_s), None, _make_use(request))
         async with self._exchange(request, None, state) as response:
             try:
-                yield response
+                yield StreamedResponse(response, state)
             finally:
                 response.close()
 
@@ -214,6 +263,7 @@
         # the HTTP library's other limits count nothing that arrived while the event loop was late
         timeout = aiohttp.ClientTimeout(total=None, sock_read=silence_s)
         async with self._use_session() as session:
+            CONNECTION_USE.set(state.use)
             with _translate_errors(state):
                 async with (
                     state.limit,
@@ -251,7 +301,7 @@
         if self._session is None:
             keep_alive = self._keep_alive
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(
+                connector=ObservedConnector(
                     limit=0,
                     force_close=not self._reuse_connections,
                     socket_factory=None if keep_alive is None else keep_alive.open_socket,
@@ -277,6 +327,10 @@
         raise ResponseLostError(repr(error), closed=_is_closed(error)) from error
 
 
+def _make_use(request: HttpRequest) -> ConnectionUse:
+    return ConnectionUse(len(request.body or b""))
+
+
 def _is_closed(error: Exception) -> bool:
     # a connection that the kernel's probes give up ends with ETIMEDOUT instead
     is_body_cut = isinstance(error, aiohttp.ClientPayloadError)
@@ -301,6 +355,7 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_record_connected)
     trace.on_connection_reuseconn.append(_record_connected)
+    trace.on_request_chunk_sent.append(_record_written)
     return trace
 
 
@@ -310,6 +365,15 @@
     state.limit.restart(None if state.ends_at is None else state.ends_at - time.monotonic())
 
 
+async def _record_written(
+    _: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceRequestChunkSentParams,
+) -> None:
+    state: _ExchangeState = context.trace_request_ctx
+    state.use.count_written(len(params.chunk))
+
+
 __all__ = [
     "HttpClient",
     "HttpError",
@@ -318,4 +382,5 @@
     "KeepAlive",
     "RequestNotSentError",
     "ResponseLostError",
+    "StreamedResponse",
 ]
--- a/tests/http/test_response_ends.py
+++ b/tests/http/test_response_ends.py
@@ -1,4 +1,4 @@
-"""Check which responses count as whole, by how they end."""
+"""Check at both HTTP clients which responses count as whole, by how they end."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 
 from basilroad.endpoints.channelpool import ChannelPool
 from basilroad.endpoints.channels import ChannelError, OutgoingRequest
+from basilroad.http.client import HttpClient, HttpRequest, ResponseLostError
 from basilroad.peers.address import Address
 
 TIMEOUT_S = 20.0
@@ -116,6 +117,18 @@
         await answering.close()
 
 
+async def send_by_client(address: Address, exchange: Exchange) -> tuple[int, bytes] | None:
+    client = HttpClient(f"http://{address}", TIMEOUT_S)
+    method = "POST" if exchange.upload else "GET"
+    try:
+        response = await client.send(HttpRequest(method, "/", body=exchange.upload or None))
+    except ResponseLostError:
+        return None
+    finally:
+        await client.close()
+    return response.status, response.body
+
+
 async def send_by_channel(address: Address, exchange: Exchange) -> tuple[int, bytes] | None:
     channel = await ChannelPool(address).open()
     method = "POST" if exchange.upload else "GET"
@@ -168,19 +181,34 @@
     "chunks beside an upload, reset": Exchange(WHOLE_CHUNKS, reset, LONG_UPLOAD),
 }
 
-pytestmark = pytest.mark.parametrize("send", [send_by_channel], ids=["channel"])
+both = pytest.mark.parametrize("send", [send_by_client, send_by_channel], ids=["client", "channel"])
 Send = Callable[[Address, Exchange], Awaitable[tuple[int, bytes] | None]]
 
 
 # fault: a part of a response whose connection was reset was taken for the whole response
 @pytest.mark.holds_answers
+@both
 @pytest.mark.parametrize("exchange", CUT.values(), ids=CUT.keys())
 async def test_a_response_that_is_cut_is_lost(send: Send, exchange: Exchange) -> None:
     async with run_server(exchange) as address:
         assert await send(address, exchange) is None
 
 
+@both
 @pytest.mark.parametrize("exchange", WHOLE.values(), ids=WHOLE.keys())
 async def test_a_whole_response_counts(send: Send, exchange: Exchange) -> None:
     async with run_server(exchange) as address:
         assert await send(address, exchange) == (200, PART)
+
+
+# fault: a part of a response was taken for the whole one when the client itself was closed
+@pytest.mark.holds_answers
+async def test_a_response_that_the_closing_of_the_client_cuts_is_lost() -> None:
+    exchange = Exchange(answer(), hold)
+    async with run_server(exchange) as address:
+        client = HttpClient(f"http://{address}", TIMEOUT_S)
+        sending = asyncio.create_task(client.send(HttpRequest("GET", "/")))
+        await asyncio.sleep(2 * WAIT_S)
+        await client.close()
+        with pytest.raises(ResponseLostError):
+            await sending
