--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -1,4 +1,4 @@
-"""Pooled HTTP/1.1 connections to endpoints, closed on unsolicited data."""
+"""HTTP/1.1 connections to endpoints, closed on unsolicited data."""
 
 from __future__ import annotations
 
@@ -6,19 +6,12 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import attrs
 import h11
 
-from basilroad.timelimit import TimeLimit
-
-if TYPE_CHECKING:
-    from basilroad.peers.address import Address
-
-CONNECT_TIMEOUT_S = 0.35
-"""Connect timeout: several round trips of 40 ms between regions, and less than the longest gap
-allowed in a stream."""
+from basilroad.http.status import BODILESS_STATUSES
 
 POOL_IDLE_LIMIT_S = 1.5
 """Longest idle time after which a connection is reused; short, as an old connection may be dead
@@ -105,6 +98,9 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
         self._transport: asyncio.Transport | None = None
         self._data_ready = asyncio.Event()
+        self._lost = asyncio.Event()
+        self._ended_early = False
+        self._lasts_until_end = False
         self._busy = False
         self._failure: Exception | None = None
         self._ended = False
@@ -142,9 +138,11 @@
         self._data_ready.set()
 
     def eof_received(self) -> bool:
-        """Handle the end of data from the endpoint."""
+        """Handle the end of data from the endpoint; unsent data is still sent."""
         self._ended = True
         if self._busy:
+            assert self._transport is not None
+            self._ended_early = self._transport.get_write_buffer_size() > 0
             self._http.receive_data(b"")
             self._data_ready.set()
         return False
@@ -155,6 +153,7 @@
             self._failure = exc or ConnectionResetError("connection closed")
         self._ended = True
         self._data_ready.set()
+        self._lost.set()
 
     # requests
 
@@ -221,6 +220,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers.raw_items()
         )
+        self._lasts_until_end = self._is_unframed(event)
         return ReplyHead(event.status_code, headers)
 
     async def read_data(self) -> bytes | None:
@@ -232,6 +232,8 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self._lasts_until_end and self._ended_early:
+                await self._wait_sent()
             self._end_exchange()
             return None
         raise ChannelError(f"expected body data, got {type(event).__name__}")
@@ -279,7 +281,7 @@
         """Abort the connection; the endpoint then cancels the request in progress."""
         self._closed_here = self._closed_here or not self._ended
         self._ended = True
-        if self._transport is not None:
+        if self._transport is not None and not self._lost.is_set():
             self._transport.abort()
 
     def _end_exchange(self) -> None:
@@ -292,6 +294,20 @@
         self._busy = False
         self.idle_since = time.monotonic()
 
+    def _is_unframed(self, head: h11.Response) -> bool:
+        assert self._request_head is not None
+        if self._request_head.method == b"HEAD" or head.status_code in BODILESS_STATUSES:
+            return False
+        names = {name for name, _ in head.headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
+    async def _wait_sent(self) -> None:
+        # the transport sends the rest of the request before it ends without an error
+        await self._lost.wait()
+        if self._failure is not None or self._closed_here:
+            detail = repr(self._failure or "closed here")
+            raise ChannelError(f"connection lost before the request was sent: {detail}")
+
     async def _next_event(self) -> object:
         while True:
             try:
@@ -315,83 +331,13 @@
         self._data_ready.clear()
 
 
-class ChannelPool:
-    """Idle connections to one endpoint.
-
-    :param address: address of the endpoint
-    """
-
-    def __init__(self, address: Address) -> None:
-        self._address = address
-        self._idle: list[Channel] = []
-        self.opened = 0
-
-    async def open(
-        self, idle_limit_s: float = POOL_IDLE_LIMIT_S, request_id: str | None = None
-    ) -> Channel:
-        """Reuse an idle connection or open a new one.
-
-        :param idle_limit_s: longest idle time of a reused connection in seconds; 0 for a new one
-        :param request_id: id of the request, which the connection must not have carried before;
-            ``None`` if a late response to an earlier one does no harm
-        :return: a connection without a request in progress
-        :raises ConnectError: no connection could be opened
-        """
-        channel = self._take_idle(idle_limit_s, request_id)
-        if channel is not None:
-            return channel
-        return await self._connect()
-
-    def keep(self, channel: Channel) -> None:
-        """Return a connection to the pool after its response was read completely.
-
-        :param channel: the connection
-        """
-        if channel.usable:
-            self._idle.append(channel)
-
-    def close(self) -> None:
-        """Abort all idle connections."""
-        idle, self._idle = self._idle, []
-        for channel in idle:
-            channel.close()
-
-    def _take_idle(self, idle_limit_s: float, request_id: str | None) -> Channel | None:
-        now = time.monotonic()
-        for channel in reversed(self._idle.copy()):
-            idle_s = now - channel.idle_since
-            if not channel.usable or idle_s >= channel.idle_limit_s:
-                self._idle.remove(channel)
-                channel.close()
-            elif idle_s >= idle_limit_s:
-                return None
-            elif request_id is None or not channel.has_carried(request_id):
-                self._idle.remove(channel)
-                return channel
-        return None
-
-    async def _connect(self) -> Channel:
-        loop = asyncio.get_running_loop()
-        try:
-            async with TimeLimit(CONNECT_TIMEOUT_S):
-                _, channel = await loop.create_connection(
-                    Channel, self._address.ip, self._address.port
-                )
-        except Exception as error:
-            # for a connection that can't be opened, asyncio raises others than OSError too
-            raise ConnectError(repr(error)) from error
-        self.opened += 1
-        return channel
-
-
 __all__ = [
-    "CONNECT_TIMEOUT_S",
     "MAX_REQUESTS",
     "NO_REQUEST_ID",
+    "POOL_IDLE_LIMIT_S",
     "SHORT_BODY_BYTES",
     "Channel",
     "ChannelError",
-    "ChannelPool",
     "ConnectError",
     "OutgoingRequest",
     "ReplyHead",
