Name the other listed versions in the row of the base version

Callers may have got a stream of two versions: after a restore of the store that lost the record of a stream of v2, gateways that had started while v2 was away took it up at v1, 5 s after their start.

Cause: a gateway that starts knows of other versions only by the listing and by records. If the copy lacks the records and the version is away, nothing differs from a fleet that always had one version.

Change: the row of the base version names each version that was listed in the last 90 s, and leaves it out 120 s after it was listed last. A gateway that has observed less than 90 s of the listing counts the names as versions of which streams may be taken up where records may be missing. The 30 s between are more than listings differ, so no gateway adds what another one removes. Names ride on conditional writes that keep the rest of the row, so the two steps of a change of the base version hold as before, also while the base version is trusted; a write of names without a response is followed by another one, so that it can't be applied later. Rows without names and releases without them are read and written as before. The value of the row has a module of its own.

--- /dev/null
+++ b/src/basilroad/gateway/versions/baserow.py
@@ -0,0 +1,116 @@
+"""Row of the base version of a service, which also names the other versions that were listed."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Annotated
+
+import attrs
+import msgspec
+
+from basilroad.coordination.decoding import DecodeError, JsonDecoder
+from basilroad.gateway.versions.records import RESUME_WINDOW_S
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from basilroad.gateway.versions.archive import ArchiveRow
+    from basilroad.gateway.versions.listing import VersionListing
+
+LINGER_S = 30.0
+"""Time for which an endpoint may continue its streams after its entry is gone."""
+
+VERSION_MEMORY_S = RESUME_WINDOW_S + LINGER_S
+"""Time after a version was last listed in which one of its streams may be taken up again."""
+
+FORGET_S = VERSION_MEMORY_S + LINGER_S
+"""Time after a version was last listed from which on it isn't named any more: longer than that in
+which it is added, by more than listings of hosts differ, so that none adds what others remove."""
+
+MAX_NAMED = 100
+"""Limit of the other versions that a row names; further ones are left out."""
+
+MAX_GENERATION = 2**63 - 1
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class StoredBase(msgspec.Struct, frozen=True):
+    """Value of the row.
+
+    :param version: the base version
+    :param generation: rises with each change
+    :param successor: version to which it is about to change; ``None`` without an announcement
+    :param epoch: epoch of the store in which no record of another version is missing
+    :param others: other versions of which streams may be taken up, in the order of their names;
+        gateways of releases before the field leave it out
+    """
+
+    version: str
+    generation: Annotated[int, msgspec.Meta(ge=1, le=MAX_GENERATION)]
+    successor: str | None = None
+    epoch: Annotated[int, msgspec.Meta(ge=0, le=MAX_GENERATION)] = 0
+    others: tuple[str, ...] = ()
+
+
+@attrs.define
+class BaseState:
+    """What is known of the row.
+
+    :param base: its value; ``None`` without a row
+    :param revision: its revision; 0 without a row
+    :param read_at: when it was read, in seconds
+    """
+
+    base: StoredBase | None
+    revision: int
+    read_at: float
+
+
+_DECODER = JsonDecoder(StoredBase)
+
+
+def decode_base(row: ArchiveRow) -> StoredBase | None:
+    """:return: value of the row; ``None`` if it can't be read."""
+    try:
+        return _DECODER.decode(row.value)
+    except DecodeError as error:
+        _LOGGER.warning("base version skipped", extra={"detail": str(error)})
+        return None
+
+
+def find_others(
+    listing: VersionListing, service: str, now: float, named: Iterable[str], base: str
+) -> tuple[str, ...]:
+    """Find the versions that a row has to name beside the base version.
+
+    :param listing: versions of the listed endpoints
+    :param service: the service
+    :param now: boot clock in seconds
+    :param named: versions that were named until now
+    :param base: the base version
+    :return: the versions in the order of their names
+    """
+    others = set(named)
+    if listing.is_complete_since(now - FORGET_S):
+        others &= listing.list_since(service, now - FORGET_S)
+    others |= listing.list_since(service, now - VERSION_MEMORY_S)
+    return tuple(sorted(others - {base})[:MAX_NAMED])
+
+
+def choose_version(candidates: Mapping[str, int]) -> str:
+    """:return: the most frequent version; among several the first by name."""
+    return min(candidates, key=lambda version: (-candidates[version], version))
+
+
+__all__ = [
+    "FORGET_S",
+    "LINGER_S",
+    "MAX_NAMED",
+    "VERSION_MEMORY_S",
+    "BaseState",
+    "StoredBase",
+    "choose_version",
+    "decode_base",
+    "find_others",
+]
--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -6,12 +6,10 @@
 import math
 import random
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING
 
-import attrs
 import msgspec
 
-from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.gateway.versions.archive import (
     ArchiveRow,
     Committed,
@@ -21,6 +19,14 @@
     Outcome,
     RowChange,
 )
+from basilroad.gateway.versions.baserow import (
+    VERSION_MEMORY_S,
+    BaseState,
+    StoredBase,
+    choose_version,
+    decode_base,
+    find_others,
+)
 from basilroad.gateway.versions.records import RESUME_WINDOW_S
 
 if TYPE_CHECKING:
@@ -30,12 +36,6 @@
 
 BASE_KEY = "base"
 
-LINGER_S = 30.0
-"""Time for which an endpoint may continue its streams after its entry is gone."""
-
-VERSION_MEMORY_S = RESUME_WINDOW_S + LINGER_S
-"""Time after a version was last listed in which one of its streams may be taken up again."""
-
 LEASE_S = RESUME_WINDOW_S
 """Time after the base version was last seen listed in which it can't have changed: shorter than the
 time without it after which others change it by more than listings of hosts differ."""
@@ -45,8 +45,10 @@
 hosts know a new entry."""
 
 CREATE_SPREAD_S = 1.0
+"""Random delay of the creation of a row, and of the names of further versions."""
+
 CHANGE_SPREAD_S = 10.0
-"""Random delays of writes for which hosts compete; the later ones find that they aren't needed."""
+"""Random delay of other writes for which hosts compete; later ones find that they aren't needed."""
 
 RESTORE_SETTLE_S = 10.0
 """Time after a restore in which hosts write what the copy lacks."""
@@ -54,46 +56,12 @@
 REREAD_INTERVAL_S = 20.0
 """Interval of reads while the base version is not listed and another host may have changed it."""
 
-MAX_GENERATION = 2**63 - 1
-
 LOST_EPOCH = 0
 """Epoch of a row that was created after a restore, before those of all stores."""
 
 _LOGGER = logging.getLogger(__name__)
 
 
-class _StoredBase(msgspec.Struct):
-    """Value of the row.
-
-    :param version: the base version
-    :param generation: rises with each change
-    :param successor: version to which it is about to change; ``None`` without an announcement
-    :param epoch: epoch of the store in which no record of another version is missing
-    """
-
-    version: str
-    generation: Annotated[int, msgspec.Meta(ge=1, le=MAX_GENERATION)]
-    successor: str | None = None
-    epoch: Annotated[int, msgspec.Meta(ge=0, le=MAX_GENERATION)] = 0
-
-
-_DECODER = JsonDecoder(_StoredBase)
-
-
-@attrs.define
-class _State:
-    """What is known of the row.
-
-    :param base: its value; ``None`` without a row
-    :param revision: its revision; 0 without a row
-    :param read_at: when it was read, in seconds
-    """
-
-    base: _StoredBase | None
-    revision: int
-    read_at: float
-
-
 class BaseVersion:
     """Knows a service's base version, and takes part in its creation and changes.
 
@@ -111,30 +79,35 @@
         self.service = service
         self._listing = listing
         self._random = generator
-        self._state: _State | None = None
-        self._best: _StoredBase | None = None
+        self._state: BaseState | None = None
+        self._best: StoredBase | None = None
         self.is_leased = False
         self._write_at: float | None = None
         self._announced_at: float | None = None
         self._settles_at = -math.inf
-        self._sent: _StoredBase | None = None
+        self._sent: StoredBase | None = None
+        self._may_lose_names = False
         self._was_restored = False
         self._epoch = 0
         self._epoch_seen_at = -math.inf
 
     @property
-    def stored(self) -> _StoredBase | None:
+    def stored(self) -> StoredBase | None:
         """:return: the row as it was last read or written; ``None`` without one."""
         return self._state.base if self._state is not None else None
 
     @property
     def version(self) -> str | None:
         """:return: the base version as it was last known; ``None`` if it isn't."""
-        known = self.stored
-        if known is None or (self._best and self._best.generation > known.generation):
-            known = self._best
+        known = self._find_known()
         return known.version if known is not None else None
 
+    @property
+    def others(self) -> tuple[str, ...]:
+        """:return: other versions of which streams may be taken up, as last known."""
+        known = self._find_known()
+        return known.others if known is not None else ()
+
     @property
     def may_lack_records(self) -> bool:
         """:return: whether the store was restored from a copy that may lack records."""
@@ -148,6 +121,12 @@
         base = self.stored
         return self.may_lack_records and (base is None or base.epoch == LOST_EPOCH)
 
+    def _find_known(self) -> StoredBase | None:
+        known = self.stored
+        if known is None or (self._best and self._best.generation > known.generation):
+            return self._best
+        return known
+
     def is_trusted(self, now: float) -> bool:
         """Check whether the base version is known and can't have changed since.
 
@@ -165,6 +144,7 @@
         :param now: boot clock in seconds
         """
         self.is_leased, self._state, self._write_at, self._announced_at = False, None, None, None
+        self._may_lose_names = False
         self._settles_at = now + RESTORE_SETTLE_S
 
     def needs_read(self, now: float) -> bool:
@@ -173,15 +153,14 @@
         :param now: boot clock in seconds
         :return: whether it is
         """
-        if self.is_trusted(now):
-            return False
         state = self._state
         if state is None:
-            return True
-        if self._find_write(now) is not None:
+            return not self.is_trusted(now)
+        is_due = self._write_at is not None and state.read_at < self._write_at <= now
+        if is_due and self.needs_write(now):
             # others may have written since the row was read
-            return self._write_at is not None and state.read_at < self._write_at <= now
-        if now < self._settles_at:
+            return True
+        if self.is_trusted(now) or self._find_base_write(now) or now < self._settles_at:
             return False
         is_listed = state.base is not None and self._listing.is_listed(
             self.service, state.base.version
@@ -204,13 +183,13 @@
         previous = self._state
         if epoch != self._epoch:
             self._epoch, self._epoch_seen_at = epoch, requested_at
-        base = None if row is None else _decode(row)
+        base = None if row is None else decode_base(row)
         revision = 0 if row is None else row.revision
         self._was_restored = self._was_restored or restored
         if restored and row is None and previous is None:
             # other hosts may know what the copy lacks
             self._settles_at = max(self._settles_at, requested_at + RESTORE_SETTLE_S)
-        self._state = _State(base, revision, requested_at)
+        self._state = BaseState(base, revision, requested_at)
         if previous is None or previous.revision != revision:
             self._write_at = self._announced_at = None
         if base is not None and (self._best is None or base.generation >= self._best.generation):
@@ -221,41 +200,69 @@
         if previous is None or previous.revision != revision:
             _LOGGER.info("base version read", extra=_describe(self))
 
+    @property
+    def write_at(self) -> float:
+        """:return: when this host writes the row unless another one does; infinity for never."""
+        return math.inf if self._write_at is None else self._write_at
+
+    def needs_write(self, now: float) -> bool:
+        """:return: whether the row has to change, as far as this host knows it."""
+        return self._find_write(now) is not None
+
     def find_change(self, now: float) -> RowChange | None:
         """Find the change of the row that this host has to send now.
 
         :param now: boot clock in seconds
         :return: the change, whose outcome has to be applied; ``None`` for none
         """
-        target = None if self.is_trusted(now) else self._find_write(now)
+        target = self._find_write(now)
         state = self._state
         if state is None or target is None:
             self._write_at = None
             return None
         if not self._is_withdrawal(target):
             if self._write_at is None:
-                spread_s = CREATE_SPREAD_S if state.base is None else CHANGE_SPREAD_S
-                self._write_at = now + self._random.uniform(0.0, spread_s)
+                self._write_at = now + self._random.uniform(0.0, self._find_spread(target))
             if state.read_at < self._write_at:
                 return None
         self._sent = target
         return RowChange(BASE_KEY, msgspec.json.encode(target), state.revision)
 
-    def _is_withdrawal(self, target: _StoredBase) -> bool:
+    def _find_spread(self, target: StoredBase) -> float:
+        base = self.stored
+        if base is None:
+            return CREATE_SPREAD_S
+        is_naming = target == msgspec.structs.replace(base, others=target.others)
+        adds_names = not set(target.others) <= set(base.others)
+        return CREATE_SPREAD_S if is_naming and adds_names else CHANGE_SPREAD_S
+
+    def _is_withdrawal(self, target: StoredBase) -> bool:
         # sent at once, as streams need records until then
         base = self.stored
         if base is None or base.successor is None:
             return False
         return base.version == target.version and target.successor is None
 
-    def _find_write(self, now: float) -> _StoredBase | None:
+    def _find_write(self, now: float) -> StoredBase | None:
+        known = self.stored
+        target = (None if self.is_trusted(now) else self._find_base_write(now)) or known
+        if target is None:
+            return None
+        named = target.others + (known.others if known is not None else ())
+        others = find_others(self._listing, self.service, now, named, target.version)
+        is_kept = target == known and others == target.others
+        if is_kept and not self._may_lose_names:
+            return None
+        return msgspec.structs.replace(target, others=others)
+
+    def _find_base_write(self, now: float) -> StoredBase | None:
         state = self._state
         if state is None:
             return None
         base, best = state.base, self._best
         if best is not None and (base is None or best.generation > base.generation):
             # a restored store has lost it; streams without a record rely on it
-            return _StoredBase(best.version, best.generation + 1, epoch=best.epoch)
+            return msgspec.structs.replace(best, generation=best.generation + 1, successor=None)
         if now < self._settles_at:
             return None
         candidates = self._listing.count_ready(self.service) or self._listing.count_listed(
@@ -267,28 +274,28 @@
             return self._find_correction(base, now)
         return self._find_successor(base, candidates, now)
 
-    def _create(self, candidates: Mapping[str, int]) -> _StoredBase:
+    def _create(self, candidates: Mapping[str, int]) -> StoredBase:
         # a row that is missing after a restore may have been lost, with records
         epoch = LOST_EPOCH if self._was_restored else self._epoch
-        return _StoredBase(_choose(candidates), 1, epoch=epoch)
+        return StoredBase(choose_version(candidates), 1, epoch=epoch)
 
-    def _find_correction(self, base: _StoredBase, now: float) -> _StoredBase | None:
+    def _find_correction(self, base: StoredBase, now: float) -> StoredBase | None:
         if base.successor is not None:
-            return _StoredBase(base.version, base.generation, epoch=base.epoch)
+            return msgspec.structs.replace(base, successor=None)
         epoch = self._find_complete_epoch(base, now)
         if epoch != base.epoch:
-            return _StoredBase(base.version, base.generation, epoch=epoch)
+            return msgspec.structs.replace(base, epoch=epoch)
         return None
 
-    def _find_complete_epoch(self, base: _StoredBase, now: float) -> int:
+    def _find_complete_epoch(self, base: StoredBase, now: float) -> int:
         """:return: the newest epoch of the store in which no record is missing."""
         # later, streams whose records were lost can't be taken up any more
         is_complete = now - self._epoch_seen_at >= VERSION_MEMORY_S
         return max(base.epoch, self._epoch) if is_complete else base.epoch
 
     def _find_successor(
-        self, base: _StoredBase, candidates: Mapping[str, int], now: float
-    ) -> _StoredBase | None:
+        self, base: StoredBase, candidates: Mapping[str, int], now: float
+    ) -> StoredBase | None:
         since = now - VERSION_MEMORY_S
         # an endpoint may have been listed again since the last observation
         is_back = base.version in self._listing.count_listed(self.service)
@@ -297,13 +304,13 @@
         if not self._is_absent(now, VERSION_MEMORY_S):
             return None
         if base.successor is None:
-            return _StoredBase(base.version, base.generation, _choose(candidates), base.epoch)
+            return msgspec.structs.replace(base, successor=choose_version(candidates))
         if self._announced_at is None or now - self._announced_at < CHANGE_DELAY_S:
             return None
         if base.successor not in candidates:
-            return _StoredBase(base.version, base.generation, _choose(candidates), base.epoch)
+            return msgspec.structs.replace(base, successor=choose_version(candidates))
         epoch = self._find_complete_epoch(base, now)
-        return _StoredBase(base.successor, base.generation + 1, epoch=epoch)
+        return StoredBase(base.successor, base.generation + 1, epoch=epoch, others=base.others)
 
     def apply(self, outcome: Outcome, now: float) -> None:
         """Apply the outcome of a change.
@@ -323,8 +330,8 @@
         if sent is None:
             # the store was restored meanwhile
             return
-        self._state = _State(sent, outcome.revision, now)
-        self._best = sent
+        self._state = BaseState(sent, outcome.revision, now)
+        self._best, self._may_lose_names = sent, False
         self._write_at = None
         self._announced_at = now if sent.successor is not None else None
         _LOGGER.info("base version written", extra=_describe(self))
@@ -332,7 +339,7 @@
 
     @_apply.register
     def _(self, outcome: Conflict, now: float) -> None:
-        self._sent = None
+        self._sent, self._may_lose_names = None, False
         self.apply_read(outcome.rows.get(BASE_KEY), now, False, self._epoch)
 
     @_apply.register
@@ -343,8 +350,14 @@
     @_apply.register
     def _(self, outcome: MayCommit, now: float) -> None:
         del outcome, now
-        # read again before anything else is decided
-        self._sent = self._state = self._write_at = None
+        sent, known = self._sent, self.stored
+        self._sent = self._write_at = None
+        # names that a late change removes may be needed by then, so it has to be superseded
+        if sent is not None and known is not None and sent.others != known.others:
+            self._may_lose_names = True
+        if not self.is_leased:
+            # read again before anything else is decided
+            self._state = None
 
     def _renew(self, read_at: float) -> None:
         state = self._state
@@ -370,30 +383,16 @@
         "version": base.version if base else None,
         "generation": base.generation if base else None,
         "successor": base.successor if base else None,
+        "others": list(base.others) if base else None,
         "trusted": known.is_leased,
     }
 
 
-def _decode(row: ArchiveRow) -> _StoredBase | None:
-    try:
-        return _DECODER.decode(row.value)
-    except DecodeError as error:
-        _LOGGER.warning("base version skipped", extra={"detail": str(error)})
-        return None
-
-
-def _choose(candidates: Mapping[str, int]) -> str:
-    """:return: the most frequent version; among several the first by name."""
-    return min(candidates, key=lambda version: (-candidates[version], version))
-
-
 __all__ = [
     "BASE_KEY",
     "CHANGE_DELAY_S",
     "LEASE_S",
-    "LINGER_S",
     "REREAD_INTERVAL_S",
     "RESTORE_SETTLE_S",
-    "VERSION_MEMORY_S",
     "BaseVersion",
 ]
--- a/src/basilroad/gateway/versions/keeper.py
+++ b/src/basilroad/gateway/versions/keeper.py
@@ -117,6 +117,8 @@
             # before a version that was away counts as listed again
             service.base.is_trusted(now)
         self._listing.observe(now)
+        if any(service.base.needs_write(now) for service in self._services.values()):
+            self.request_work()
 
     def find(self, name: str) -> ServiceVersions | None:
         """:return: what is kept for a service, if anything."""
@@ -161,6 +163,7 @@
             due = min(due, service.records.next_leaving())
             due = min(due, max(service.records.due_at(), self._pace.next_at))
             due = min(due, max(service.cleans_at, self._pace.next_at))
+            due = min(due, max(service.base.write_at, self._pace.next_at))
             if not service.base.is_trusted(now):
                 due = min(due, max(now + CHECK_INTERVAL_S, self._pace.retry_at))
         if self._pace.is_away and not self._is_write_due(now):
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -14,7 +14,7 @@
 from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.versions.archive import ArchiveUnavailableError
-from basilroad.gateway.versions.baseversion import VERSION_MEMORY_S
+from basilroad.gateway.versions.baserow import VERSION_MEMORY_S
 from basilroad.gateway.versions.keeper import VersionKeeper
 from basilroad.gateway.versions.listing import VersionListing
 from basilroad.gateway.versions.records import RESUME_WINDOW_S, build_key, decode_version
@@ -249,14 +249,14 @@
         # a stream without a record was begun by the base version that was in force then
         base = await self._read_base(service)
         if service.base.may_lack_records:
-            return self._find_despite_loss(service, base)
+            known = self._list_known(service) | self._list_named(service)
+            return self._find_despite_loss(service, base, known)
         return ("base", base) if base is not None else self._find_sole_listed(service.name)
 
     def _find_despite_loss(
-        self, service: ServiceVersions, base: str | None
+        self, service: ServiceVersions, base: str | None, known: set[str]
     ) -> tuple[str, str | None]:
         # the record may be one that a restored store has lost
-        known = self._list_known(service)
         if len(known) > 1 or (known and base not in (None, *known)):
             return "unknown", None
         # any version may have left since a base version that was lost
@@ -269,7 +269,7 @@
         # it may have a record, unless no other version than the base is known
         base = await self._read_base(service)
         if service.base.may_lack_records:
-            return self._find_despite_loss(service, base)
+            return self._find_despite_loss(service, base, self._list_known(service))
         now = self._clock()
         if not (service.base.is_trusted(now) or self._listing.is_complete_since(now)):
             raise ArchiveUnavailableError("the listing may lack versions")
@@ -285,6 +285,11 @@
         versions = self._listing.list_since(service.name, self._clock() - VERSION_MEMORY_S)
         return versions.union(self._listing.count_listed(service.name))
 
+    def _list_named(self, service: ServiceVersions) -> set[str]:
+        """:return: versions of the row that may have left before this host saw the listing."""
+        is_complete = self._listing.is_complete_since(self._clock() - VERSION_MEMORY_S)
+        return set() if is_complete else set(service.base.others)
+
     def _find_sole(self, service: ServiceVersions) -> str | None:
         """:return: version that alone was listed for as long as streams may be taken up."""
         versions = self._list_known(service)
--- a/tests/gateway/versions/test_streamversions_schedules.py
+++ b/tests/gateway/versions/test_streamversions_schedules.py
@@ -82,7 +82,8 @@
             return
         if stream.ended_at is not None and now - stream.ended_at > RESUME_WINDOW_S - 2.0:
             return
-        if stream.may_be_lost and self.fleet.copy[0] and stream.version not in self.fleet.versions:
+        may_be_missed = self.fleet.copy[0] and self.fleet.is_missed_by_copy(stream.version)
+        if stream.may_be_lost and may_be_missed and stream.version not in self.fleet.versions:
             # a host that has started since can't know of its version, an open point
             return
         found = await host.find(stream)
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -23,6 +23,8 @@
     Outcome,
     RowChange,
 )
+from basilroad.gateway.versions.baserow import decode_base
+from basilroad.gateway.versions.baseversion import BASE_KEY
 from basilroad.gateway.versions.listing import OBSERVE_INTERVAL_S
 from basilroad.gateway.versions.streamversions import StreamVersions
 from basilroad.peers.address import Address
@@ -249,6 +251,7 @@
         self.streams: list[SimStream] = []
         self.takeups = 0
         self.copy: tuple[dict[tuple[str, str], ArchiveRow], int] = ({}, 0)
+        self.restored_rows: dict[tuple[str, str], ArchiveRow] = {}
         self._started = 0
 
     def list_entries(self) -> list[EndpointEntry]:
@@ -280,6 +283,12 @@
         self.hosts.append(host)
         return host
 
+    def is_missed_by_copy(self, version: str) -> bool:
+        """:return: whether the copy that was restored last names other versions only."""
+        row = self.restored_rows.get((SERVICE, BASE_KEY))
+        base = None if row is None else decode_base(row)
+        return base is not None and version not in (base.version, *base.others)
+
     def kill(self, host: SimHost) -> None:
         """Kill a host; its streams break off."""
         host.kill()
@@ -334,6 +343,7 @@
         :param revision: its revision
         :param is_noticed: whether all hosts notice it at once, not at their next response
         """
+        self.restored_rows = dict(rows)
         self.store.rows, self.store.revision = dict(rows), revision
         self.store.restores += 1
         for host in self.hosts:
