Log whole answers of entries that end midway

When the caller of an entry left, or the entry exited, in the middle of a whole answer, no line and no counter named the request.

Cause: the HTTP library sends an answer after the handler has returned, and so after the request was tracked. Gateways send it themselves while they track the request. That code is now CallerServer.send, and entries use it too; at gateways nothing else changes.

Failed before, on the sources of the parent (time-outs): test_an_answer_that_ends_midway_is_logged, both cases.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -132,8 +132,11 @@
     @web.middleware
     async def _track(self, request: web.Request, handler: Handler) -> web.StreamResponse:
         assert self._runner is not None
-        with self._runner.connections.track(request, time.monotonic()):
-            return await handler(request)
+        connections, arrived_at = self._runner.connections, time.monotonic()
+        with connections.track(request, arrived_at):
+            response = await handler(request)
+            await connections.send(request, response, arrived_at)
+            return response
 
     async def _complete(self, http: web.Request) -> web.StreamResponse:
         return await self._generate(http, chat=False)
--- a/src/basilroad/http/connections.py
+++ b/src/basilroad/http/connections.py
@@ -128,6 +128,27 @@
         request_id = request.headers.get(self._settings.request_id_header, "")
         log_end(request_id, cause, arrived_at, detail)
 
+    async def send(
+        self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
+    ) -> None:
+        """Send a whole response, or the rest of one, while its request is tracked.
+
+        The HTTP library sends it after the handler has returned, when nothing is logged any more.
+
+        :param request: the request
+        :param response: the response
+        :param arrived_at: monotonic seconds at which the request was read
+        """
+        if request.transport is None or request.transport.is_closing():
+            detail = f"status {response.status} not sent"
+            self.record_end(request, EndCause.CALLER_LEFT, arrived_at, detail)
+            return
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        except ConnectionError as error:
+            self.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+
     def list_unread_requests(self, connection: web.RequestHandler) -> list[str]:
         """List the requests received behind the one being answered.
 
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -188,22 +188,12 @@
     async def _complete_response(
         self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
     ) -> web.StreamResponse:
-        # aiohttp sends it after the handler has returned, when the connection would count as idle
         assert self._connections is not None
-        if request.transport is None or request.transport.is_closing():
-            detail = f"status {response.status} not sent"
-            self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, detail)
-            return response
         try:
-            try:
-                await _send(request, response)
-            except ConnectionError:
-                raise
-            except Exception as error:
-                response = self._refuse_failed(request, error, arrived_at)
-                await _send(request, response)
-        except ConnectionError as error:
-            self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+            await self._connections.send(request, response, arrived_at)
+        except Exception as error:
+            response = self._refuse_failed(request, error, arrived_at)
+            await self._connections.send(request, response, arrived_at)
         return response
 
     async def _serve_call(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
@@ -418,11 +408,6 @@
     return task is None or task.cancelling() > 0
 
 
-async def _send(request: web.BaseRequest, response: web.StreamResponse) -> None:
-    await response.prepare(request)
-    await response.write_eof()
-
-
 def _close_after(response: web.StreamResponse) -> None:
     response.force_close()
     response.headers["Connection"] = "close"
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -315,3 +315,26 @@
     assert b"connection: close" in received.lower()
     assert received.count(b"HTTP/1.1 ") == 1, "nothing is read behind it"
     assert not entry.flights
+
+
+# fault: no line named a request whose caller left, or whose entry exited, in its whole answer
+@pytest.mark.holds_stop
+@pytest.mark.parametrize("cause", [EndCause.CALLER_LEFT, EndCause.SHUTDOWN])
+async def test_an_answer_that_ends_midway_is_logged(
+    entry: EntryService,
+    cause: EndCause,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(entry, "list_models", lambda: ["m" * 10_000_000] * 2)
+    ip, _, port = entry.options.listen.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port), limit=1000)
+    writer.write(b"GET /v1/models HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k-1\r\n\r\n")
+    async with asyncio.timeout(LIMIT_S):
+        await reader.readexactly(1)
+    if cause is EndCause.SHUTDOWN:
+        await entry.stop()
+    writer.transport.abort()
+    await wait_for_end(caplog)
+    assert list_ends(caplog) == [("k-1", cause.value)]
