Answer 500 at an entry when the head of an answer fails

A caller whose answer failed while its head was built, such as by a header of a plain service with a line break, got the 500 of the HTTP library, which closes the connection: requests that waited behind it got nothing.

Cause: the failure came after the entry's own handling of errors. The entry now sends the answer itself and refuses a failed one, as gateways do, with the effect of the request in the body; the connection stays.

Failed before, on the sources of the parent: test_a_request_behind_an_answer_whose_head_fails_is_answered (the connection ended behind the 500).

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
 from aiohttp import web
@@ -135,7 +135,11 @@
         connections, arrived_at = self._runner.connections, time.monotonic()
         with connections.track(request, arrived_at):
             response = await handler(request)
-            await connections.send(request, response, arrived_at)
+            try:
+                await connections.send(request, response, arrived_at)
+            except Exception as error:
+                response = _refuse_failed(request, error)
+                await connections.send(request, response, arrived_at)
             return response
 
     async def _complete(self, http: web.Request) -> web.StreamResponse:
@@ -340,12 +344,19 @@
         return _build_refusal(_convert_http_error(error))
     except (ConnectionError, asyncio.CancelledError):
         raise
-    except Exception:
-        _LOGGER.exception("request failed")
-        if request.writer.output_size:
-            # a second answer would look like a part of the first; the HTTP library cuts it off
-            raise
-        return _build_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
+    except Exception as error:
+        return _refuse_failed(request, error)
+
+
+def _refuse_failed(request: web.BaseRequest, error: Exception) -> web.Response:
+    _LOGGER.error("request failed", exc_info=error)
+    if request.writer.output_size:
+        # a second answer would look like a part of the first; the HTTP library cuts it off
+        raise error
+    # the head of a response may have failed after this was set
+    writer: Any = request.writer
+    writer.chunked = False
+    return _build_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
 
 
 def _convert_http_error(error: web.HTTPException) -> Refusal:
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -338,3 +338,18 @@
     writer.transport.abort()
     await wait_for_end(caplog)
     assert list_ends(caplog) == [("k-1", cause.value)]
+
+
+# fault: a request behind an answer whose head failed got no answer
+async def test_a_request_behind_an_answer_whose_head_fails_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def answer(*_: Any, **__: Any) -> web.StreamResponse:
+        return web.Response(headers={"X-Split": "a\r\nb"})
+
+    monkeypatch.setattr(HttpServer, "_generate", answer)
+    reader, writer = await connect(entry)
+    writer.write(build_request() + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await read_status(reader) == 500
+    assert await read_status(reader) == 200
+    writer.close()
