Close an entry's connection behind a request for an unknown protocol

A caller of an entry that sent requests behind one with an unknown Upgrade got no answer to them, and the connection stayed open until its time-out.

Cause: the HTTP library drops what it receives behind such a request. Gateways close the connection; entries did so only for a tunnel's request with a body and for a malformed body. The check is now is_rest_lost in http/upgrades.py, as it stood in platform/frontend.py, for both. Entries call it before each head is sent, also that of a stream, so that it says Connection: close.

Failed before, on the sources of the parent (time-outs): test_a_connection_ends_behind_a_request_to_upgrade_it, both cases. test_a_request_behind_one_for_a_known_upgrade_is_answered passed before too, it guards against a check that is too wide.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -19,7 +19,7 @@
 from basilroad.http.apprunner import CallerAppRunner
 from basilroad.http.connections import CallerServerSettings
 from basilroad.http.listener import CallerListener
-from basilroad.http.tunnels import has_tunnel_body
+from basilroad.http.upgrades import is_rest_lost
 from basilroad.peers.address import parse_address
 from basilroad.timelimit import TimeLimit
 
@@ -91,9 +91,10 @@
         options = self.entry.options
         app = web.Application(
             client_max_size=options.max_body_bytes,
-            middlewares=[self._track, _close_behind_tunnels, _answer_refusals],
+            middlewares=[self._track, _answer_refusals],
         )
         app.add_routes(self._list_routes())
+        app.on_response_prepare.append(_close_if_rest_lost)
         self._runner = CallerAppRunner(
             app,
             CallerServerSettings(KEY_HEADER, self.entry.metrics.count_end),
@@ -325,13 +326,10 @@
     await response.write_eof()
 
 
-@web.middleware
-async def _close_behind_tunnels(request: web.Request, handler: Handler) -> web.StreamResponse:
-    response = await handler(request)
-    # nothing is read behind a malformed body
-    if has_tunnel_body(request) or request.content.exception() is not None:
+async def _close_if_rest_lost(request: web.Request, response: web.StreamResponse) -> None:
+    if is_rest_lost(request):
         response.force_close()
-    return response
+        response.headers["Connection"] = "close"
 
 
 @web.middleware
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -22,7 +22,7 @@
 from basilroad.http.connections import CallerServer, CallerServerSettings
 from basilroad.http.ends import EndCause
 from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
-from basilroad.http.tunnels import has_tunnel_body
+from basilroad.http.upgrades import is_rest_lost
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
     HEADER_LAST_EVENT_ID,
@@ -68,9 +68,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to a caller that sends its body only when it is requested."""
 
-KNOWN_UPGRADES = ("tcp", "websocket")
-"""Values of ``Upgrade`` behind which the HTTP library continues to read requests."""
-
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -299,7 +296,7 @@
         is_ending = has_failed or self._gateway.shutdown.is_requested
         assert self._connections is not None
         is_last = is_ending and not self._connections.list_unread_requests(request.protocol)
-        if is_last or _is_rest_lost(request):
+        if is_last or is_rest_lost(request):
             _close_after(response)
 
     def _refuse(
@@ -353,7 +350,7 @@
         for name, value in headers:
             self.response.headers.add(name, value)
         self.response.enable_chunked_encoding()
-        if _is_rest_lost(self._request):
+        if is_rest_lost(self._request):
             _close_after(self.response)
         await self.response.prepare(self._request)
 
@@ -393,16 +390,6 @@
     }
 
 
-def _is_rest_lost(request: web.BaseRequest) -> bool:
-    # nothing is read behind a malformed body, and the HTTP library drops what it received behind
-    # a request for another protocol that it doesn't know; it has no public name for these requests
-    if request.method == "CONNECT":
-        return has_tunnel_body(request)
-    is_upgrade = request._message.upgrade
-    is_known = request.headers.get("Upgrade", "").lower() in KNOWN_UPGRADES
-    return request.content.exception() is not None or (is_upgrade and not is_known)
-
-
 def _is_cancelled() -> bool:
     task = asyncio.current_task()
     return task is None or task.cancelling() > 0
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -353,3 +353,35 @@
     assert await read_status(reader) == 500
     assert await read_status(reader) == 200
     writer.close()
+
+
+# fault: a request behind one with an unknown `Upgrade` was dropped, and its connection stayed open
+@pytest.mark.parametrize("is_stream", [False, True], ids=["answer", "stream"])
+async def test_a_connection_ends_behind_a_request_to_upgrade_it(
+    entry: EntryService, is_stream: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def answer(_: HttpServer, http: web.Request, **__: Any) -> web.StreamResponse:
+        response = web.StreamResponse() if is_stream else web.Response()
+        if is_stream:
+            await response.prepare(http)
+        return response
+
+    monkeypatch.setattr(HttpServer, "_generate", answer)
+    reader, writer = await connect(entry)
+    request = build_request(COMPLETION, None, "Connection: Upgrade", "Upgrade: h2c")
+    writer.write(request + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    async with asyncio.timeout(LIMIT_S):
+        received = await reader.read()
+    writer.close()
+    assert received.count(b"HTTP/1.1 ") == 1, received
+    assert b"connection: close" in received.lower(), "its caller knows that the rest is not run"
+
+
+# fault: a connection is closed though the library reads on behind such a request
+async def test_a_request_behind_one_for_a_known_upgrade_is_answered(entry: EntryService) -> None:
+    reader, writer = await connect(entry)
+    request = build_request(b"not", None, "Connection: Upgrade", "Upgrade: websocket")
+    writer.write(request + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await read_status(reader) == 400
+    assert await read_status(reader) == 200
+    writer.close()
