Answer requests of an entry whose awaited work is cancelled

A caller of an entry whose request awaited work that something else cancelled got a closed connection without an answer, as did the requests behind it.

Cause: an entry took each CancelledError for the end of its own handler. Gateways check whether the handler was cancelled; the check is now CallerServer.is_cancelled, for both. The caller gets 500, may have run.

Failed before, on the sources of the parent (connection ended, nothing read): test_a_request_whose_awaited_work_is_cancelled_is_answered. No path on which such work is cancelled was found in an entry; this is by reading.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -91,7 +91,7 @@
         options = self.entry.options
         app = web.Application(
             client_max_size=options.max_body_bytes,
-            middlewares=[self._track, _answer_refusals],
+            middlewares=[self._track, self._answer_refusals],
         )
         app.add_routes(self._list_routes())
         app.on_response_prepare.append(_close_if_rest_lost)
@@ -143,6 +143,25 @@
                 await connections.send(request, response, arrived_at)
             return response
 
+    @web.middleware
+    async def _answer_refusals(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except RefusedError as error:
+            return _build_refusal(error.refusal)
+        except web.HTTPException as error:
+            return _build_refusal(_convert_http_error(error))
+        except ConnectionError:
+            raise
+        except asyncio.CancelledError as error:
+            assert self._runner is not None
+            if self._runner.connections.is_cancelled():
+                raise
+            # what the handler awaited was cancelled
+            return _refuse_failed(request, error)
+        except Exception as error:
+            return _refuse_failed(request, error)
+
     async def _complete(self, http: web.Request) -> web.StreamResponse:
         return await self._generate(http, chat=False)
 
@@ -332,21 +351,7 @@
         response.headers["Connection"] = "close"
 
 
-@web.middleware
-async def _answer_refusals(request: web.Request, handler: Handler) -> web.StreamResponse:
-    try:
-        return await handler(request)
-    except RefusedError as error:
-        return _build_refusal(error.refusal)
-    except web.HTTPException as error:
-        return _build_refusal(_convert_http_error(error))
-    except (ConnectionError, asyncio.CancelledError):
-        raise
-    except Exception as error:
-        return _refuse_failed(request, error)
-
-
-def _refuse_failed(request: web.BaseRequest, error: Exception) -> web.Response:
+def _refuse_failed(request: web.BaseRequest, error: BaseException) -> web.Response:
     _LOGGER.error("request failed", exc_info=error)
     if request.writer.output_size:
         # a second answer would look like a part of the first; the HTTP library cuts it off
--- a/src/basilroad/http/connections.py
+++ b/src/basilroad/http/connections.py
@@ -205,6 +205,15 @@
         """
         await close_idle_connections(self, limit, self._count_crossed)
 
+    def is_cancelled(self) -> bool:
+        """Check in the handler of a request whether a cancellation that it sees is its own.
+
+        :return: false if only work that it awaits was cancelled
+        """
+        task = asyncio.current_task()
+        # the HTTP library cancels the body of a request at the exit
+        return self.is_exiting or task is None or task.cancelling() > 0
+
     def mark_exiting(self) -> None:
         """Record that handlers are cancelled from now on because the process exits."""
         self.is_exiting = True
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -161,8 +161,7 @@
             raise
         except asyncio.CancelledError as error:
             assert self._connections is not None
-            # the library cancels the body of a request at the exit
-            if _is_cancelled() or self._connections.is_exiting:
+            if self._connections.is_cancelled():
                 raise
             # what the call awaited was cancelled, not the call
             return self._refuse_failed(request, error, arrived_at)
@@ -390,11 +389,6 @@
     }
 
 
-def _is_cancelled() -> bool:
-    task = asyncio.current_task()
-    return task is None or task.cancelling() > 0
-
-
 def _close_after(response: web.StreamResponse) -> None:
     response.force_close()
     response.headers["Connection"] = "close"
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -385,3 +385,21 @@
     assert await read_status(reader) == 400
     assert await read_status(reader) == 200
     writer.close()
+
+
+# fault: a request was closed without an answer when work that it awaited was cancelled
+async def test_a_request_whose_awaited_work_is_cancelled_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(*_: Any, **__: Any) -> web.StreamResponse:
+        work = asyncio.ensure_future(asyncio.sleep(30))
+        asyncio.get_running_loop().call_later(0.01, work.cancel)
+        await work
+        raise AssertionError
+
+    monkeypatch.setattr(HttpServer, "_generate", fail)
+    reader, writer = await connect(entry)
+    writer.write(build_request() + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await read_status(reader) == 500
+    assert await read_status(reader) == 200
+    writer.close()
