Refuse a keyed call with a late body in a stop as one that may have run

A caller of a stopping entry whose keyed call had a late body at the limit of the stop got 503, not run. With the same key the call may have been sent before and have run, which no one has looked up then; a caller that trusts the answer may run it twice.

Cause: the limit for bodies had one error for all requests. A call that is ended at the same limit once its body is whole gets 502, may have run, if it is keyed; the body's limit now gives the same.

Run: tests/entry/test_stop.py, test_stop_connections.py, 28 passed.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -169,7 +169,7 @@
         return await self._generate(http, chat=True)
 
     async def _generate(self, http: web.Request, *, chat: bool) -> web.StreamResponse:
-        raw = await self._read_body(http)
+        raw = await self._read_body(http, ErrorKind.DRAINING)
         identity = read_identity(http.headers, self.entry.store.view)
         request = read_request(raw, chat=chat)
         may_restart = http.headers.get(RESTART_HEADER, "") == "allow" or not request.stream
@@ -258,14 +258,16 @@
         return _build_json(_Models(models))
 
     async def _call(self, http: web.Request) -> web.StreamResponse:
-        body = await self._read_body(http)
+        # with a key it may have been sent before
+        kind = ErrorKind.MAY_HAVE_RUN if KEY_HEADER in http.headers else ErrorKind.DRAINING
+        body = await self._read_body(http, kind)
         identity = read_identity(http.headers, self.entry.store.view)
         answer = await self.entry.caller.call(http, body, identity)
         headers = {**answer.headers, KEY_HEADER: identity.idempotency_key}
         return web.Response(status=answer.status, body=answer.body, headers=headers)
 
-    async def _read_body(self, http: web.Request) -> bytes:
-        async with self.entry.limit_preparation(ErrorKind.DRAINING):
+    async def _read_body(self, http: web.Request, kind: ErrorKind) -> bytes:
+        async with self.entry.limit_preparation(kind):
             return await _read_body(http)
 
     async def _show_health(self, http: web.Request) -> web.Response:
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -209,3 +209,32 @@
     writer.close()
     await stopping
     assert response.startswith(b"HTTP/1.1 503 "), response
+
+
+# fault: a keyed call whose body was late at the limit of a stop was refused as one that has not
+# run, though it may have run when it was sent before
+@pytest.mark.holds_stop
+@pytest.mark.parametrize(
+    ("key", "answer"),
+    [
+        ("", (b"HTTP/1.1 503 ", b"not_run")),
+        ("Idempotency-Key: k\r\n", (b"HTTP/1.1 502 ", b"may_have_run")),
+    ],
+    ids=["without a key", "keyed"],
+)
+async def test_a_call_whose_body_is_late_at_the_limit_of_a_stop_is_answered(
+    key: str, answer: tuple[bytes, bytes]
+) -> None:
+    port = find_free_port()
+    entry = EntryService(build_settings(port, drain_limit_s=0.3))
+    await entry.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = f"POST /v1/services/s/x HTTP/1.1\r\nHost: x\r\n{key}Content-Length: 4\r\n\r\n"
+    writer.write(head.encode() + b"bo")
+    while not entry._preparations:
+        await asyncio.sleep(0.001)
+    await entry.stop()
+    response = await reader.read()
+    writer.close()
+    assert response.startswith(answer[0]), response
+    assert answer[1] in response
