Refuse a request with a late body at once in a stop of an entry

A caller whose request reached a stopping entry with a late body waited for its refusal until the body was whole, or until the limit of the stop (30 s by default), and the stop waited with it.

Cause: an entry refused such a request only after it had read the body. A keyed call is still read, as it has to be looked up whether it ran before.

Failed before, on the sources of the parent (time-out of 5 s): test_a_request_whose_body_is_late_does_not_prolong_a_stop.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -267,6 +267,10 @@
         return web.Response(status=answer.status, body=answer.body, headers=headers)
 
     async def _read_body(self, http: web.Request, kind: ErrorKind) -> bytes:
+        is_late = self.entry.stopping and not http.content.is_eof()
+        if is_late and kind is ErrorKind.DRAINING:
+            # it is refused anyway, and to await its body would prolong the stop
+            raise refuse(kind, "this host is shutting down")
         async with self.entry.limit_preparation(kind):
             return await _read_body(http)
 
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -238,3 +238,30 @@
     writer.close()
     assert response.startswith(answer[0]), response
     assert answer[1] in response
+
+
+# fault: a request whose head came in a stop was refused only once its body was whole, and one whose
+# body was late prolonged the stop up to its limit
+@pytest.mark.holds_stop
+async def test_a_request_whose_body_is_late_does_not_prolong_a_stop() -> None:
+    port = find_free_port()
+    entry = EntryService(build_settings(port, drain_limit_s=20.0))
+    await entry.start()
+    entry.models_seen.add("m")
+    pending = asyncio.ensure_future(complete(port, stream=False))
+    while not entry.flights:
+        await asyncio.sleep(0.01)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    stopping = asyncio.ensure_future(entry.stop())
+    while not entry.stopping:
+        await asyncio.sleep(0.001)
+    head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+    writer.write(head.encode() + b"bo")
+    async with asyncio.timeout(5):
+        answer = await reader.readuntil(b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 503 "), answer
+    assert not entry._preparations
+    entry.work_ends_at = time.monotonic()
+    await stopping
+    writer.close()
+    assert (await pending).startswith(b"HTTP/1.1 503 ")
