Log how the connections of an entry stand at the end of a stop

After a request without an answer, the lines of an entry couldn't tell whether its connection was never accepted, ended unread, or was left open at the exit.

Cause: only gateways logged these counts. CallerServer.describe now gives them to the lines of both, and an entry writes 'entry stopped' before it exits. The fields of a gateway's lines are the same.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -116,6 +116,7 @@
             return
         if self._runner.server is not None:
             await self._runner.connections.close_connections(limit)
+            _LOGGER.info("entry stopped", extra=self._runner.connections.describe())
             self._runner.connections.mark_exiting()
         await self._runner.cleanup()
 
--- a/src/basilroad/http/connections.py
+++ b/src/basilroad/http/connections.py
@@ -86,6 +86,17 @@
         transports = [connection.transport for connection in self.connections]
         return sum(bool(at is not None and at.get_write_buffer_size()) for at in transports)
 
+    def describe(self) -> dict[str, int]:
+        """:return: what the lines about a stop say of the connections."""
+        return {
+            "in_flight": self.in_flight,
+            "unsent": self.unsent,
+            "accepted": self.accepted,
+            "unread": self.unread,
+            "open": len(self.connections),
+            "crossed": self.crossed,
+        }
+
     @contextlib.contextmanager
     def track(self, request: web.BaseRequest, arrived_at: float) -> Iterator[None]:
         """Count the connection as busy while a request is answered, and log an end without answer.
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -378,14 +378,9 @@
     shutdown: Shutdown, connections: CallerServer, ended: int = 0
 ) -> dict[str, int]:
     return {
-        "in_flight": connections.in_flight,
+        **connections.describe(),
         "signal_age_ms": round(1000 * shutdown.signal.age_s()),
         "ended": ended,
-        "unsent": connections.unsent,
-        "accepted": connections.accepted,
-        "unread": connections.unread,
-        "open": len(connections.connections),
-        "crossed": connections.crossed,
     }
 
 
--- a/tests/entry/test_stop_connections.py
+++ b/tests/entry/test_stop_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import socket
 from collections.abc import AsyncIterator
 
@@ -166,3 +167,20 @@
         await asyncio.to_thread(caller.recv, 1, socket.MSG_PEEK)
         caller.sendall(build_completion())
         assert await asyncio.to_thread(receive, caller) is TryEnd.REFUSED
+
+
+# fault: no line of an entry tells a connection that ended unread from one that was never accepted
+@pytest.mark.holds_stop
+async def test_a_stop_counts_the_connections_of_an_entry(
+    entry: EntryService, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    with connect(entry) as answered, connect(entry):
+        answered.sendall(b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await asyncio.to_thread(receive, answered) is TryEnd.ANSWERED
+        await entry.stop()
+    (stopped,) = [line for line in caplog.records if line.message == "entry stopped"]
+    assert vars(stopped)["accepted"] == 2
+    assert vars(stopped)["unread"] == 1
+    counts = ["crossed", "in_flight", "open", "unsent"]
+    assert [vars(stopped)[name] for name in counts] == [0, 0, 0, 0]
