--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import time
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import msgspec
 from aiohttp import web
@@ -19,7 +19,7 @@
 from basilroad.http.apprunner import CallerAppRunner
 from basilroad.http.connections import CallerServerSettings
 from basilroad.http.listener import CallerListener
-from basilroad.http.tunnels import has_tunnel_body
+from basilroad.http.upgrades import is_rest_lost
 from basilroad.peers.address import parse_address
 from basilroad.timelimit import TimeLimit
 
@@ -91,9 +91,10 @@
         options = self.entry.options
         app = web.Application(
             client_max_size=options.max_body_bytes,
-            middlewares=[self._track, _close_behind_tunnels, _answer_refusals],
+            middlewares=[self._track, self._answer_refusals],
         )
         app.add_routes(self._list_routes())
+        app.on_response_prepare.append(_close_if_rest_lost)
         self._runner = CallerAppRunner(
             app,
             CallerServerSettings(KEY_HEADER, self.entry.metrics.count_end),
@@ -115,6 +116,7 @@
             return
         if self._runner.server is not None:
             await self._runner.connections.close_connections(limit)
+            _LOGGER.info("entry stopped", extra=self._runner.connections.describe())
             self._runner.connections.mark_exiting()
         await self._runner.cleanup()
 
@@ -132,8 +134,34 @@
     @web.middleware
     async def _track(self, request: web.Request, handler: Handler) -> web.StreamResponse:
         assert self._runner is not None
-        with self._runner.connections.track(request, time.monotonic()):
+        connections, arrived_at = self._runner.connections, time.monotonic()
+        with connections.track(request, arrived_at):
+            response = await handler(request)
+            try:
+                await connections.send(request, response, arrived_at)
+            except Exception as error:
+                response = _refuse_failed(request, error)
+                await connections.send(request, response, arrived_at)
+            return response
+
+    @web.middleware
+    async def _answer_refusals(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        try:
             return await handler(request)
+        except RefusedError as error:
+            return _build_refusal(error.refusal)
+        except web.HTTPException as error:
+            return _build_refusal(_convert_http_error(error))
+        except ConnectionError:
+            raise
+        except asyncio.CancelledError as error:
+            assert self._runner is not None
+            if self._runner.connections.is_cancelled():
+                raise
+            # what the handler awaited was cancelled
+            return _refuse_failed(request, error)
+        except Exception as error:
+            return _refuse_failed(request, error)
 
     async def _complete(self, http: web.Request) -> web.StreamResponse:
         return await self._generate(http, chat=False)
@@ -142,7 +170,7 @@
         return await self._generate(http, chat=True)
 
     async def _generate(self, http: web.Request, *, chat: bool) -> web.StreamResponse:
-        raw = await self._read_body(http)
+        raw = await self._read_body(http, ErrorKind.DRAINING)
         identity = read_identity(http.headers, self.entry.store.view)
         request = read_request(raw, chat=chat)
         may_restart = http.headers.get(RESTART_HEADER, "") == "allow" or not request.stream
@@ -231,14 +259,20 @@
         return _build_json(_Models(models))
 
     async def _call(self, http: web.Request) -> web.StreamResponse:
-        body = await self._read_body(http)
+        # with a key it may have been sent before
+        kind = ErrorKind.MAY_HAVE_RUN if KEY_HEADER in http.headers else ErrorKind.DRAINING
+        body = await self._read_body(http, kind)
         identity = read_identity(http.headers, self.entry.store.view)
         answer = await self.entry.caller.call(http, body, identity)
         headers = {**answer.headers, KEY_HEADER: identity.idempotency_key}
         return web.Response(status=answer.status, body=answer.body, headers=headers)
 
-    async def _read_body(self, http: web.Request) -> bytes:
-        async with self.entry.limit_preparation(ErrorKind.DRAINING):
+    async def _read_body(self, http: web.Request, kind: ErrorKind) -> bytes:
+        is_late = self.entry.stopping and not http.content.is_eof()
+        if is_late and kind is ErrorKind.DRAINING:
+            # it is refused anyway, and to await its body would prolong the stop
+            raise refuse(kind, "this host is shutting down")
+        async with self.entry.limit_preparation(kind):
             return await _read_body(http)
 
     async def _show_health(self, http: web.Request) -> web.Response:
@@ -318,31 +352,21 @@
     await response.write_eof()
 
 
-@web.middleware
-async def _close_behind_tunnels(request: web.Request, handler: Handler) -> web.StreamResponse:
-    response = await handler(request)
-    # nothing is read behind a malformed body
-    if has_tunnel_body(request) or request.content.exception() is not None:
+async def _close_if_rest_lost(request: web.Request, response: web.StreamResponse) -> None:
+    if is_rest_lost(request):
         response.force_close()
-    return response
-
-
-@web.middleware
-async def _answer_refusals(request: web.Request, handler: Handler) -> web.StreamResponse:
-    try:
-        return await handler(request)
-    except RefusedError as error:
-        return _build_refusal(error.refusal)
-    except web.HTTPException as error:
-        return _build_refusal(_convert_http_error(error))
-    except (ConnectionError, asyncio.CancelledError):
-        raise
-    except Exception:
-        _LOGGER.exception("request failed")
-        if request.writer.output_size:
-            # a second answer would look like a part of the first; the HTTP library cuts it off
-            raise
-        return _build_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
+        response.headers["Connection"] = "close"
+
+
+def _refuse_failed(request: web.BaseRequest, error: BaseException) -> web.Response:
+    _LOGGER.error("request failed", exc_info=error)
+    if request.writer.output_size:
+        # a second answer would look like a part of the first; the HTTP library cuts it off
+        raise error
+    # the head of a response may have failed after this was set
+    writer: Any = request.writer
+    writer.chunked = False
+    return _build_refusal(Refusal(ErrorKind.INTERNAL, "internal error"))
 
 
 def _convert_http_error(error: web.HTTPException) -> Refusal:
--- a/src/basilroad/http/connections.py
+++ b/src/basilroad/http/connections.py
@@ -86,6 +86,17 @@
         transports = [connection.transport for connection in self.connections]
         return sum(bool(at is not None and at.get_write_buffer_size()) for at in transports)
 
+    def describe(self) -> dict[str, int]:
+        """:return: what the lines about a stop say of the connections."""
+        return {
+            "in_flight": self.in_flight,
+            "unsent": self.unsent,
+            "accepted": self.accepted,
+            "unread": self.unread,
+            "open": len(self.connections),
+            "crossed": self.crossed,
+        }
+
     @contextlib.contextmanager
     def track(self, request: web.BaseRequest, arrived_at: float) -> Iterator[None]:
         """Count the connection as busy while a request is answered, and log an end without answer.
@@ -128,6 +139,27 @@
         request_id = request.headers.get(self._settings.request_id_header, "")
         log_end(request_id, cause, arrived_at, detail)
 
+    async def send(
+        self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
+    ) -> None:
+        """Send a whole response, or the rest of one, while its request is tracked.
+
+        The HTTP library sends it after the handler has returned, when nothing is logged any more.
+
+        :param request: the request
+        :param response: the response
+        :param arrived_at: monotonic seconds at which the request was read
+        """
+        if request.transport is None or request.transport.is_closing():
+            detail = f"status {response.status} not sent"
+            self.record_end(request, EndCause.CALLER_LEFT, arrived_at, detail)
+            return
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        except ConnectionError as error:
+            self.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+
     def list_unread_requests(self, connection: web.RequestHandler) -> list[str]:
         """List the requests received behind the one being answered.
 
@@ -184,6 +216,15 @@
         """
         await close_idle_connections(self, limit, self._count_crossed)
 
+    def is_cancelled(self) -> bool:
+        """Check in the handler of a request whether a cancellation that it sees is its own.
+
+        :return: false if only work that it awaits was cancelled
+        """
+        task = asyncio.current_task()
+        # the HTTP library cancels the body of a request at the exit
+        return self.is_exiting or task is None or task.cancelling() > 0
+
     def mark_exiting(self) -> None:
         """Record that handlers are cancelled from now on because the process exits."""
         self.is_exiting = True
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -22,7 +22,7 @@
 from basilroad.http.connections import CallerServer, CallerServerSettings
 from basilroad.http.ends import EndCause
 from basilroad.http.listener import LISTEN_BACKLOG, CallerListener
-from basilroad.http.tunnels import has_tunnel_body
+from basilroad.http.upgrades import is_rest_lost
 from basilroad.platform.protocol import (
     HEADER_API_KEY,
     HEADER_LAST_EVENT_ID,
@@ -68,9 +68,6 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to a caller that sends its body only when it is requested."""
 
-KNOWN_UPGRADES = ("tcp", "websocket")
-"""Values of ``Upgrade`` behind which the HTTP library continues to read requests."""
-
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -164,8 +161,7 @@
             raise
         except asyncio.CancelledError as error:
             assert self._connections is not None
-            # the library cancels the body of a request at the exit
-            if _is_cancelled() or self._connections.is_exiting:
+            if self._connections.is_cancelled():
                 raise
             # what the call awaited was cancelled, not the call
             return self._refuse_failed(request, error, arrived_at)
@@ -188,22 +184,12 @@
     async def _complete_response(
         self, request: web.BaseRequest, response: web.StreamResponse, arrived_at: float
     ) -> web.StreamResponse:
-        # aiohttp sends it after the handler has returned, when the connection would count as idle
         assert self._connections is not None
-        if request.transport is None or request.transport.is_closing():
-            detail = f"status {response.status} not sent"
-            self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, detail)
-            return response
         try:
-            try:
-                await _send(request, response)
-            except ConnectionError:
-                raise
-            except Exception as error:
-                response = self._refuse_failed(request, error, arrived_at)
-                await _send(request, response)
-        except ConnectionError as error:
-            self._connections.record_end(request, EndCause.CALLER_LEFT, arrived_at, repr(error))
+            await self._connections.send(request, response, arrived_at)
+        except Exception as error:
+            response = self._refuse_failed(request, error, arrived_at)
+            await self._connections.send(request, response, arrived_at)
         return response
 
     async def _serve_call(self, request: web.BaseRequest, arrived_at: float) -> web.StreamResponse:
@@ -309,7 +295,7 @@
         is_ending = has_failed or self._gateway.shutdown.is_requested
         assert self._connections is not None
         is_last = is_ending and not self._connections.list_unread_requests(request.protocol)
-        if is_last or _is_rest_lost(request):
+        if is_last or is_rest_lost(request):
             _close_after(response)
 
     def _refuse(
@@ -363,7 +349,7 @@
         for name, value in headers:
             self.response.headers.add(name, value)
         self.response.enable_chunked_encoding()
-        if _is_rest_lost(self._request):
+        if is_rest_lost(self._request):
             _close_after(self.response)
         await self.response.prepare(self._request)
 
@@ -392,37 +378,12 @@
     shutdown: Shutdown, connections: CallerServer, ended: int = 0
 ) -> dict[str, int]:
     return {
-        "in_flight": connections.in_flight,
+        **connections.describe(),
         "signal_age_ms": round(1000 * shutdown.signal.age_s()),
         "ended": ended,
-        "unsent": connections.unsent,
-        "accepted": connections.accepted,
-        "unread": connections.unread,
-        "open": len(connections.connections),
-        "crossed": connections.crossed,
     }
 
 
-def _is_rest_lost(request: web.BaseRequest) -> bool:
-    # nothing is read behind a malformed body, and the HTTP library drops what it received behind
-    # a request for another protocol that it doesn't know; it has no public name for these requests
-    if request.method == "CONNECT":
-        return has_tunnel_body(request)
-    is_upgrade = request._message.upgrade
-    is_known = request.headers.get("Upgrade", "").lower() in KNOWN_UPGRADES
-    return request.content.exception() is not None or (is_upgrade and not is_known)
-
-
-def _is_cancelled() -> bool:
-    task = asyncio.current_task()
-    return task is None or task.cancelling() > 0
-
-
-async def _send(request: web.BaseRequest, response: web.StreamResponse) -> None:
-    await response.prepare(request)
-    await response.write_eof()
-
-
 def _close_after(response: web.StreamResponse) -> None:
     response.force_close()
     response.headers["Connection"] = "close"
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -209,3 +209,59 @@
     writer.close()
     await stopping
     assert response.startswith(b"HTTP/1.1 503 "), response
+
+
+# fault: a keyed call whose body was late at the limit of a stop was refused as one that has not
+# run, though it may have run when it was sent before
+@pytest.mark.holds_stop
+@pytest.mark.parametrize(
+    ("key", "answer"),
+    [
+        ("", (b"HTTP/1.1 503 ", b"not_run")),
+        ("Idempotency-Key: k\r\n", (b"HTTP/1.1 502 ", b"may_have_run")),
+    ],
+    ids=["without a key", "keyed"],
+)
+async def test_a_call_whose_body_is_late_at_the_limit_of_a_stop_is_answered(
+    key: str, answer: tuple[bytes, bytes]
+) -> None:
+    port = find_free_port()
+    entry = EntryService(build_settings(port, drain_limit_s=0.3))
+    await entry.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = f"POST /v1/services/s/x HTTP/1.1\r\nHost: x\r\n{key}Content-Length: 4\r\n\r\n"
+    writer.write(head.encode() + b"bo")
+    while not entry._preparations:
+        await asyncio.sleep(0.001)
+    await entry.stop()
+    response = await reader.read()
+    writer.close()
+    assert response.startswith(answer[0]), response
+    assert answer[1] in response
+
+
+# fault: a request whose head came in a stop was refused only once its body was whole, and one whose
+# body was late prolonged the stop up to its limit
+@pytest.mark.holds_stop
+async def test_a_request_whose_body_is_late_does_not_prolong_a_stop() -> None:
+    port = find_free_port()
+    entry = EntryService(build_settings(port, drain_limit_s=20.0))
+    await entry.start()
+    entry.models_seen.add("m")
+    pending = asyncio.ensure_future(complete(port, stream=False))
+    while not entry.flights:
+        await asyncio.sleep(0.01)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    stopping = asyncio.ensure_future(entry.stop())
+    while not entry.stopping:
+        await asyncio.sleep(0.001)
+    head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
+    writer.write(head.encode() + b"bo")
+    async with asyncio.timeout(5):
+        answer = await reader.readuntil(b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 503 "), answer
+    assert not entry._preparations
+    entry.work_ends_at = time.monotonic()
+    await stopping
+    writer.close()
+    assert (await pending).startswith(b"HTTP/1.1 503 ")
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -315,3 +315,91 @@
     assert b"connection: close" in received.lower()
     assert received.count(b"HTTP/1.1 ") == 1, "nothing is read behind it"
     assert not entry.flights
+
+
+# fault: no line named a request whose caller left, or whose entry exited, in its whole answer
+@pytest.mark.holds_stop
+@pytest.mark.parametrize("cause", [EndCause.CALLER_LEFT, EndCause.SHUTDOWN])
+async def test_an_answer_that_ends_midway_is_logged(
+    entry: EntryService,
+    cause: EndCause,
+    caplog: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(entry, "list_models", lambda: ["m" * 10_000_000] * 2)
+    ip, _, port = entry.options.listen.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port), limit=1000)
+    writer.write(b"GET /v1/models HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k-1\r\n\r\n")
+    async with asyncio.timeout(LIMIT_S):
+        await reader.readexactly(1)
+    if cause is EndCause.SHUTDOWN:
+        await entry.stop()
+    writer.transport.abort()
+    await wait_for_end(caplog)
+    assert list_ends(caplog) == [("k-1", cause.value)]
+
+
+# fault: a request behind an answer whose head failed got no answer
+async def test_a_request_behind_an_answer_whose_head_fails_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def answer(*_: Any, **__: Any) -> web.StreamResponse:
+        return web.Response(headers={"X-Split": "a\r\nb"})
+
+    monkeypatch.setattr(HttpServer, "_generate", answer)
+    reader, writer = await connect(entry)
+    writer.write(build_request() + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await read_status(reader) == 500
+    assert await read_status(reader) == 200
+    writer.close()
+
+
+# fault: a request behind one with an unknown `Upgrade` was dropped, and its connection stayed open
+@pytest.mark.parametrize("is_stream", [False, True], ids=["answer", "stream"])
+async def test_a_connection_ends_behind_a_request_to_upgrade_it(
+    entry: EntryService, is_stream: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def answer(_: HttpServer, http: web.Request, **__: Any) -> web.StreamResponse:
+        response = web.StreamResponse() if is_stream else web.Response()
+        if is_stream:
+            await response.prepare(http)
+        return response
+
+    monkeypatch.setattr(HttpServer, "_generate", answer)
+    reader, writer = await connect(entry)
+    request = build_request(COMPLETION, None, "Connection: Upgrade", "Upgrade: h2c")
+    writer.write(request + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    async with asyncio.timeout(LIMIT_S):
+        received = await reader.read()
+    writer.close()
+    assert received.count(b"HTTP/1.1 ") == 1, received
+    assert b"connection: close" in received.lower(), "its caller knows that the rest is not run"
+
+
+# fault: a connection is closed though the library reads on behind such a request
+async def test_a_request_behind_one_for_a_known_upgrade_is_answered(entry: EntryService) -> None:
+    reader, writer = await connect(entry)
+    request = build_request(b"not", None, "Connection: Upgrade", "Upgrade: websocket")
+    writer.write(request + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await read_status(reader) == 400
+    assert await read_status(reader) == 200
+    writer.close()
+
+
+# fault: a request was closed without an answer when work that it awaited was cancelled
+async def test_a_request_whose_awaited_work_is_cancelled_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(*_: Any, **__: Any) -> web.StreamResponse:
+        work = asyncio.ensure_future(asyncio.sleep(30))
+        asyncio.get_running_loop().call_later(0.01, work.cancel)
+        await work
+        raise AssertionError
+
+    monkeypatch.setattr(HttpServer, "_generate", fail)
+    reader, writer = await connect(entry)
+    writer.write(build_request() + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert await read_status(reader) == 500
+    assert await read_status(reader) == 200
+    writer.close()
