Reject responses whose status HTTP does not define

Callers of plain services got status 000 or 099 as the service's answer; 600 to 999 passed both clients. RFC 9110 defines 100 to 599; it lets a client take another status for a server error, which for both clients is a lost response: a gateway repeats the call where the route allows it or answers 502, and a plain call may have run.

Before, 6 of 75 cases failed: 000 with a length, 099, 600 and 999 at the aiohttp client, 600 and 999 at channels. 000 without a length was lost already since ends are checked, as aiohttp takes it for a response without a body. The cases in test_malformed_messages.py passed before, as those responses name no request. tests/http, tests/endpoints and that module pass.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -11,7 +11,7 @@
 import attrs
 import h11
 
-from basilroad.http.status import BODILESS_STATUSES
+from basilroad.http.status import BODILESS_STATUSES, FINAL_STATUSES
 
 POOL_IDLE_LIMIT_S = 1.5
 """Longest idle time after which a connection is reused; short, as an old connection may be dead
@@ -216,6 +216,9 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise ChannelError(f"expected a response head, got {type(event).__name__}")
+        if event.status_code not in FINAL_STATUSES:
+            self.close()
+            raise ChannelError(f"invalid status {event.status_code}")
         headers = tuple(
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in event.headers.raw_items()
--- a/src/basilroad/http/client.py
+++ b/src/basilroad/http/client.py
@@ -21,6 +21,7 @@
     ObservedConnector,
     lasts_until_end,
 )
+from basilroad.http.status import FINAL_STATUSES
 from basilroad.timelimit import TimeLimit
 
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -277,6 +278,9 @@
                         trace_request_ctx=state,
                     ) as response,
                 ):
+                    if response.status not in FINAL_STATUSES:
+                        response.close()
+                        raise ResponseLostError(f"invalid status {response.status}")
                     yield response
 
     @asynccontextmanager
--- a/tests/http/test_response_ends.py
+++ b/tests/http/test_response_ends.py
@@ -1,4 +1,4 @@
-"""Check at both HTTP clients which responses count as whole, by how they end."""
+"""Check at both HTTP clients which responses count as whole, by how they end and by status."""
 
 from __future__ import annotations
 
@@ -168,6 +168,14 @@
     "chunks cut by a reset": Exchange(CUT_CHUNKS, reset),
 }
 
+INVALID = {
+    "000 with a length": Exchange(answer("000", LENGTH), hold),
+    "000 without a length": Exchange(answer("000"), end),
+    "099": Exchange(answer("099", LENGTH), hold),
+    "600": Exchange(answer("600", LENGTH), hold),
+    "999": Exchange(answer("999", LENGTH), hold),
+}
+
 WHOLE = {
     "no length, end": Exchange(answer(), end),
     "no length, end after an upload": Exchange(answer(), end, SHORT_UPLOAD, reads_upload=True),
@@ -194,6 +202,15 @@
         assert await send(address, exchange) is None
 
 
+# fault: a response without a valid status was taken for one of the server
+@pytest.mark.holds_answers
+@both
+@pytest.mark.parametrize("exchange", INVALID.values(), ids=INVALID.keys())
+async def test_a_response_with_an_invalid_status_is_lost(send: Send, exchange: Exchange) -> None:
+    async with run_server(exchange) as address:
+        assert await send(address, exchange) is None
+
+
 @both
 @pytest.mark.parametrize("exchange", WHOLE.values(), ids=WHOLE.keys())
 async def test_a_whole_response_counts(send: Send, exchange: Exchange) -> None:
@@ -201,6 +218,13 @@
         assert await send(address, exchange) == (200, PART)
 
 
+@both
+async def test_the_last_status_of_server_errors_counts(send: Send) -> None:
+    exchange = Exchange(answer("599", LENGTH), hold)
+    async with run_server(exchange) as address:
+        assert await send(address, exchange) == (599, PART)
+
+
 # fault: a part of a response was taken for the whole one when the client itself was closed
 @pytest.mark.holds_answers
 async def test_a_response_that_the_closing_of_the_client_cuts_is_lost() -> None:
