Check the readers of responses that are cut or invalid

One raw server for the tests of both clients and of the readers: plain calls, engine streams, refusals and reports, the store's row feed and transactions, and the config of another gateway. Row feeds could not be applied half before, unless the part could be decoded; a transaction with status 000 or a cut refusal was taken for not applied.

--- a/tests/gateway/exchange/test_configexchange.py
+++ b/tests/gateway/exchange/test_configexchange.py
@@ -21,6 +21,7 @@
 )
 from basilroad.peers.address import Address
 from support.addresses import find_free_port
+from support.rawserver import Exchange, answer, end, reset, run_server
 
 BOMB_BYTES = 64 * MAX_DOCUMENT_BYTES
 DEFLATE = {"Content-Encoding": "deflate"}
@@ -140,3 +141,15 @@
         await exchange.stop()
         response = await asyncio.to_thread(peer.recv, 65536)
     assert response.startswith(b"HTTP/1.1 200 ")
+
+
+# fault: a part of a document was taken for the config of a gateway that sends it as it is
+@pytest.mark.holds_settings
+async def test_a_document_that_is_cut_by_a_reset_is_not_fetched() -> None:
+    async with run_server(Exchange(answer(body=b'{"routes":'), reset)) as address:
+        assert await ConfigExchange(None).fetch(address) is None
+
+
+async def test_a_whole_document_without_a_length_is_fetched() -> None:
+    async with run_server(Exchange(answer(body=b"{}"), end)) as address:
+        assert await ConfigExchange(None).fetch(address) == FetchedConfig(b"{}")
--- a/tests/http/test_response_ends.py
+++ b/tests/http/test_response_ends.py
@@ -3,118 +3,31 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 
-import attrs
 import pytest
 
 from basilroad.endpoints.channelpool import ChannelPool
 from basilroad.endpoints.channels import ChannelError, OutgoingRequest
 from basilroad.http.client import HttpClient, HttpRequest, ResponseLostError
 from basilroad.peers.address import Address
-
-TIMEOUT_S = 20.0
+from support.rawserver import (
+    HOLD_S,
+    PART,
+    WAIT_S,
+    Exchange,
+    answer,
+    end,
+    end_then_read_on,
+    end_then_reset,
+    hold,
+    reset,
+    run_server,
+)
+
+TIMEOUT_S = HOLD_S
 LONG_UPLOAD = bytes(32 * 2**20)
 SHORT_UPLOAD = bytes(1000)
-PART = b"a part"
-WAIT_S = 0.2
-"""Time in which the client takes over bytes that were sent on loopback."""
-
-Ending = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
-
-
-async def end(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    writer.close()
-    await writer.wait_closed()
-
-
-async def reset(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    sock: socket.socket = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
-async def end_then_reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    writer.write_eof()
-    await asyncio.sleep(WAIT_S)
-    await reset(reader, writer)
-
-
-async def end_then_read_on(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    writer.write_eof()
-    while await reader.read(2**20):
-        pass
-    writer.close()
-
-
-async def hold(_: asyncio.StreamReader, __: asyncio.StreamWriter) -> None:
-    await asyncio.sleep(TIMEOUT_S)
-
-
-@attrs.frozen
-class Exchange:
-    """A request, and how the server answers it.
-
-    :param answer: bytes of the response
-    :param ending: how the server ends the connection
-    :param upload: body of the request; empty for a GET
-    :param reads_upload: whether the server reads the whole request before it answers
-    """
-
-    answer: bytes
-    ending: Ending
-    upload: bytes = b""
-    reads_upload: bool = False
-
-
-class AnsweringServer:
-    """Gives each request the same answer.
-
-    :param exchange: the answer, and how the connection ends
-    """
-
-    def __init__(self, exchange: Exchange) -> None:
-        self._exchange = exchange
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            await self._answer(reader, writer)
-        except ConnectionError:
-            return  # the client may have closed the connection of a response that it rejects
-        finally:
-            writer.transport.abort()
-
-    async def close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        exchange = self._exchange
-        await reader.readuntil(b"\r\n\r\n")
-        if exchange.reads_upload:
-            await reader.readexactly(len(exchange.upload))
-        writer.write(exchange.answer)
-        await writer.drain()
-        await asyncio.sleep(WAIT_S)
-        await exchange.ending(reader, writer)
-
-
-@asynccontextmanager
-async def run_server(exchange: Exchange) -> AsyncIterator[Address]:
-    answering = AnsweringServer(exchange)
-    server = await asyncio.start_server(answering.serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
-    async with server:
-        yield Address(host, port)
-        await answering.close()
 
 
 async def send_by_client(address: Address, exchange: Exchange) -> tuple[int, bytes] | None:
@@ -143,10 +56,6 @@
         channel.close()
 
 
-def answer(status: str = "200", headers: bytes = b"", body: bytes = PART) -> bytes:
-    return b"HTTP/1.1 %s Any\r\n%s\r\n%s" % (status.encode(), headers, body)
-
-
 CUT_LENGTH = answer(headers=b"Content-Length: 100\r\n")
 CUT_CHUNKS = answer(headers=b"Transfer-Encoding: chunked\r\n", body=b"6\r\na part\r\n")
 LENGTH = b"Content-Length: 6\r\n"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,8 +7,16 @@
 
 import pytest
 
-from basilroad.platform.store import ResponseLostError, StoreClient, StoreError, Transaction
+from basilroad.gateway.revision import Revision
+from basilroad.platform.store import (
+    ConnectionLostError,
+    ResponseLostError,
+    StoreClient,
+    StoreError,
+    Transaction,
+)
 from basilroad.standin.rowstore import RowStoreStandin
+from support.rawserver import Exchange, answer, hold, reset, run_server
 
 
 @pytest.fixture
@@ -92,3 +100,42 @@
     with pytest.raises(ResponseLostError):
         await client.transact(Transaction("p", "t", {"a": 0}, {"a": b"one"}))
     assert store.get("t", "a", "p") == b"one"
+
+
+ROWS = b'{"rows":[{"key":"a","value":"b25l","ver":2}],"ver":2}'
+
+
+# fault: rows of a feed that was cut were applied, where the part could be decoded
+@pytest.mark.holds_settings
+@pytest.mark.parametrize("body", [ROWS, ROWS[:-20]], ids=["decodable", "midway"])
+async def test_a_row_feed_that_is_reset_is_lost(body: bytes) -> None:
+    async with run_server(Exchange(answer(body=body), reset)) as address:
+        client = StoreClient(f"http://{address}")
+        with pytest.raises(ConnectionLostError) as caught:
+            await client.wait_changes("t", Revision(0, 1), 1.0)
+        assert caught.value.closed
+        with pytest.raises(ConnectionLostError):
+            await client.read_table("t")
+        await client.close()
+
+
+LENGTH = b"Content-Length: 6\r\n"
+
+
+# fault: a transaction whose response was cut or had no valid status was taken for not applied
+@pytest.mark.holds_not_run
+@pytest.mark.parametrize(
+    "exchange",
+    [
+        Exchange(answer("000", LENGTH), hold),
+        Exchange(answer("400"), reset),
+        Exchange(answer("503"), reset),
+    ],
+    ids=["000", "400 and reset", "503 and reset"],
+)
+async def test_a_transaction_with_an_invalid_response_may_be_applied(exchange: Exchange) -> None:
+    async with run_server(exchange) as address:
+        client = StoreClient(f"http://{address}")
+        with pytest.raises(ResponseLostError):
+            await client.transact(Transaction("p", "t", {"a": 0}, {"a": b"one"}))
+        await client.close()
