Lose a response that the closing of its connection cuts

A response without a length that ended before its request was sent counts once the connection is lost in order. An abort by this side is such a loss too, so a reader that was still waiting took the part for the whole response. An abort is now told apart, also after the end of the endpoint's data.

test_a_response_that_the_closing_of_a_channel_cuts_is_lost failed before; tests/http and tests/endpoints pass.

--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/endpoints/channels.py
@@ -99,6 +99,7 @@
         self._transport: asyncio.Transport | None = None
         self._data_ready = asyncio.Event()
         self._lost = asyncio.Event()
+        self._aborted = False
         self._ended_early = False
         self._lasts_until_end = False
         self._busy = False
@@ -285,6 +286,7 @@
         self._closed_here = self._closed_here or not self._ended
         self._ended = True
         if self._transport is not None and not self._lost.is_set():
+            self._aborted = True
             self._transport.abort()
 
     def _end_exchange(self) -> None:
@@ -307,7 +309,7 @@
     async def _wait_sent(self) -> None:
         # the transport sends the rest of the request before it ends without an error
         await self._lost.wait()
-        if self._failure is not None or self._closed_here:
+        if self._failure is not None or self._aborted:
             detail = repr(self._failure or "closed here")
             raise ChannelError(f"connection lost before the request was sent: {detail}")
 
--- a/tests/http/test_response_ends.py
+++ b/tests/http/test_response_ends.py
@@ -18,6 +18,7 @@
     Exchange,
     answer,
     end,
+    end_then_hold,
     end_then_read_on,
     end_then_reset,
     hold,
@@ -145,3 +146,19 @@
         await client.close()
         with pytest.raises(ResponseLostError):
             await sending
+
+
+# fault: a part of a response was taken for the whole one when the connection was closed here
+@pytest.mark.holds_answers
+async def test_a_response_that_the_closing_of_a_channel_cuts_is_lost() -> None:
+    exchange = Exchange(answer(), end_then_hold, LONG_UPLOAD)
+    async with run_server(exchange) as address:
+        channel = await ChannelPool(address).open()
+        channel.send(OutgoingRequest("POST", "/", (("Host", "h"),), LONG_UPLOAD))
+        await channel.read_head()
+        reading = asyncio.create_task(channel.read_body(2**20))
+        await asyncio.sleep(3 * WAIT_S)
+        assert not reading.done()
+        channel.close()
+        with pytest.raises(ChannelError):
+            await reading
--- a/tests/support/rawserver.py
+++ b/tests/support/rawserver.py
@@ -50,6 +50,12 @@
     writer.close()
 
 
+async def end_then_hold(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """End the sending half in order, and read nothing more."""
+    writer.write_eof()
+    await asyncio.sleep(HOLD_S)
+
+
 async def hold(_: asyncio.StreamReader, __: asyncio.StreamWriter) -> None:
     """Leave the connection open."""
     await asyncio.sleep(HOLD_S)
@@ -137,6 +143,7 @@
     "Exchange",
     "answer",
     "end",
+    "end_then_hold",
     "end_then_read_on",
     "end_then_reset",
     "hold",
