Check that a part of an answer is not the outcome of an order

The stand-in service can answer a call in part, without a length, and reset the connection. Now it is refused as one that may have run, and so is its repeat.

--- a/src/basilroad/standin/plainservice.py
+++ b/src/basilroad/standin/plainservice.py
@@ -12,6 +12,7 @@
     StandinServer,
     answer_error,
     answer_json,
+    cut_response,
     drop_connection,
     read_json,
 )
@@ -44,6 +45,8 @@
     :param work_s: seconds that each later call takes
     :param fail_next: number of calls to fail with 500 without executing them
     :param drop_answer_next: number of calls to execute without sending a response
+    :param cut_answer_next: number of calls to execute and answer in part, without a length, before
+        the connection is reset
     :param freeze_s: suspend all work for this many seconds
     :param die: crash at once
     """
@@ -51,6 +54,7 @@
     work_s: float | None = None
     fail_next: int | None = None
     drop_answer_next: int | None = None
+    cut_answer_next: int | None = None
     freeze_s: float = 0.0
     die: bool = False
 
@@ -67,6 +71,7 @@
         self._work_s = settings.work_s
         self._fail_next = 0
         self._drop_answer_next = 0
+        self._cut_answer_next = 0
         self._counts: Counter[str] = Counter()
 
     def list_routes(self) -> list[web.RouteDef]:
@@ -89,6 +94,9 @@
         if self._drop_answer_next > 0:
             self._drop_answer_next -= 1
             drop_connection(request)
+        if self._cut_answer_next > 0:
+            self._cut_answer_next -= 1
+            await cut_response(request)
         return answer_json(PlainAnswer(order, self._counts[order], request.path, len(body)))
 
     async def _read_counts(self, _: web.Request) -> web.Response:
@@ -102,6 +110,8 @@
             self._fail_next = control.fail_next
         if control.drop_answer_next is not None:
             self._drop_answer_next = control.drop_answer_next
+        if control.cut_answer_next is not None:
+            self._cut_answer_next = control.cut_answer_next
         if control.freeze_s > 0:
             self.freeze(control.freeze_s)
         if control.die:
--- a/src/basilroad/standin/server.py
+++ b/src/basilroad/standin/server.py
@@ -6,6 +6,8 @@
 import asyncio
 import logging
 import os
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -24,6 +26,12 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Largest accepted request body."""
 
+PARTIAL_RESPONSE = b'HTTP/1.1 200 OK\r\n\r\n{"order": '
+"""Part of a response whose end is the end of its connection."""
+
+PARTIAL_RESPONSE_S = 0.2
+"""Seconds in which a client receives a part before the connection is reset."""
+
 CONTROL_PATH = "/control"
 """Path prefix of the control interface; ``apply_faults`` is not called for it."""
 
@@ -209,6 +217,21 @@
     raise DroppedError
 
 
+async def cut_response(request: web.Request) -> None:
+    """Send a part of a response without a length and reset the connection.
+
+    :param request: the request
+    :raises DroppedError: always, to end the handler
+    """
+    transport = request.transport
+    if transport is not None:
+        transport.write(PARTIAL_RESPONSE)
+        await asyncio.sleep(PARTIAL_RESPONSE_S)
+        sock: socket.socket = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    drop_connection(request)
+
+
 __all__ = [
     "CONTROL_PATH",
     "EXIT_STATUS",
@@ -216,6 +239,7 @@
     "StandinServer",
     "answer_error",
     "answer_json",
+    "cut_response",
     "drop_connection",
     "read_json",
 ]
--- a/tests/features/not_run.feature
+++ b/tests/features/not_run.feature
@@ -45,6 +45,17 @@
     Then the order is refused and may have run
     And order 1 has run 1 time
 
+  # fault: a part of the answer was stored as the outcome of the order
+  @holds_once @holds_answers
+  Scenario: The answer to an order is cut
+    Given a fleet of 1 order service and 1 entry
+    When the service runs the next order and its answer is cut
+    And order 1 is placed
+    Then the order is refused and may have run
+    When order 1 is placed with the same key
+    Then the order is refused and may have run
+    And order 1 has run 1 time
+
   @holds_once
   Scenario: The answer of the store is lost
     Given a fleet of 1 order service and 1 entry
--- a/tests/standin/test_plain_standin.py
+++ b/tests/standin/test_plain_standin.py
@@ -59,6 +59,17 @@
     assert await count(client, plain) == {"o1": 1}
 
 
+async def test_call_with_cut_response_was_executed(
+    client: aiohttp.ClientSession, plain: PlainStandin
+) -> None:
+    await client.post(f"{plain.url}/control", json={"cut_answer_next": 1})
+    async with client.post(f"{plain.url}/x", headers={"X-Order": "o1"}) as response:
+        assert response.status == 200
+        assert "Content-Length" not in response.headers
+        await response.read()
+    assert await count(client, plain) == {"o1": 1}
+
+
 async def test_crash_refuses_connections(
     client: aiohttp.ClientSession, plain: PlainStandin
 ) -> None:
--- a/tests/support/steps/orders.py
+++ b/tests/support/steps/orders.py
@@ -101,6 +101,11 @@
     context.fleet.endpoints[0].backend.ask("POST", "/control", {"drop_answer_next": 1})
 
 
+@when("the service runs the next order and its answer is cut")
+def cut_service_answer(context: ScenarioContext) -> None:
+    context.fleet.endpoints[0].backend.ask("POST", "/control", {"cut_answer_next": 1})
+
+
 @then("the order is done")
 def check_done(context: ScenarioContext) -> None:
     assert context.orders[-1].status == 200, context.orders[-1]
