Report a process that does not end beside a busy machine too

Cause: the process of the test ends by itself after 1.0 s, and the limit is 0.3 s without waits for a processor.

Change: the process of this test does not end by itself. The limit of 0.3 s stays, and a second test keeps the process reported when nine tenths of the time are waits.

The test that failed before: test_a_process_that_does_not_end_is_reported_by_a_busy_machine with the former process: DID NOT RAISE. With this one: 4 passed.

--- a/tests/harness/test_fleet.py
+++ b/tests/harness/test_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import subprocess
 import sys
 import time
@@ -20,6 +21,8 @@
 """Time after which a process ends."""
 
 END_LIMIT_S = 0.3
+WAITED_SHARE = 0.9
+"""Share of the time that a busy machine keeps the test from running."""
 
 
 async def respond_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -38,11 +41,22 @@
     background.run(close_server(server))
 
 
+def start_process(folder: Path, program: str) -> Process:
+    process = Process("ending", (), {}, "", "", folder)
+    process._child = subprocess.Popen([sys.executable, "-c", program])
+    return process
+
+
 @pytest.fixture
 def ending(tmp_path: Path) -> Iterator[Process]:
-    process = Process("ending", (), {}, "", "", tmp_path)
-    command = [sys.executable, "-c", f"import time; time.sleep({END_S})"]
-    process._child = subprocess.Popen(command)
+    process = start_process(tmp_path, f"import time; time.sleep({END_S})")
+    yield process
+    process.kill()
+
+
+@pytest.fixture
+def endless(tmp_path: Path) -> Iterator[Process]:
+    process = start_process(tmp_path, "import signal; signal.pause()")
     yield process
     process.kill()
 
@@ -57,6 +71,19 @@
     assert ending.wait_ended(END_LIMIT_S) == 0
 
 
-def test_a_process_that_does_not_end_is_reported(ending: Process) -> None:
+def test_a_process_that_does_not_end_is_reported(endless: Process) -> None:
+    with pytest.raises(RuntimeError, match="ending is still running"):
+        endless.wait_ended(END_LIMIT_S)
+
+
+# fault: a process passed for one that ends when the machine kept the test from running
+def test_a_process_that_does_not_end_is_reported_by_a_busy_machine(
+    endless: Process, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def read(pid: int) -> dict[int, ThreadTimes]:
+        waited_s = WAITED_SHARE * time.monotonic()
+        return {0: ThreadTimes(waited_s)} if pid == os.getpid() else {}
+
+    monkeypatch.setattr("support.fleet.RunLimit", partial(RunLimit, read=read))
     with pytest.raises(RuntimeError, match="ending is still running"):
-        ending.wait_ended(END_LIMIT_S)
+        endless.wait_ended(END_LIMIT_S)
