Use no address that a process of an earlier fleet still has

What was seen: test_no_order_runs_twice[2] found an address in use at the start of a stand-in, once, beside other load.

Cause: a fleet takes 256 addresses that no other fleet has reserved. The reservation is a socket of the test process; stand-ins that outlive it keep their addresses while the reservation is gone, and numbers of fleets repeat (61 for each process id, modulo 16384). Two ways lead there: a test process that is killed leaves its stand-ins behind, and a thread that restarts a process for a fault when its test fails starts it after the fleet was closed. Which of them it was could not be told from the report.

Change: a fleet takes no network in which any address has a socket, and a process of a closed fleet is not started again.

--- a/tests/harness/test_fleet.py
+++ b/tests/harness/test_fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
+import socket
 import subprocess
 import sys
 import time
@@ -15,12 +17,15 @@
 
 from soak.rundelay import RunLimit, ThreadTimes
 from support.background import Background, close_server
-from support.fleet import PROBE_TIMEOUT_S, Process
+from support.fleet import ENDPOINT_PORT, PROBE_TIMEOUT_S, Fleet, Process, _reserve_network
 
 END_S = 1.0
 """Time after which a process ends."""
 
 END_LIMIT_S = 0.3
+FLEET_NUMBER = 5000
+"""Number of a fleet beyond those of other tests of this process."""
+
 WAITED_SHARE = 0.9
 """Share of the time that a busy machine keeps the test from running."""
 
@@ -87,3 +92,26 @@
     monkeypatch.setattr("support.fleet.RunLimit", partial(RunLimit, read=read))
     with pytest.raises(RuntimeError, match="ending is still running"):
         endless.wait_ended(END_LIMIT_S)
+
+
+# fault: a stand-in found its address in use, by a process that a killed test process had left
+def test_a_fleet_uses_no_address_of_a_process_that_was_left_behind(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("support.fleet._counter", itertools.count(FLEET_NUMBER))
+    reservation, network = _reserve_network()
+    reservation.close()
+    monkeypatch.setattr("support.fleet._counter", itertools.count(FLEET_NUMBER))
+    with socket.create_server((f"{network}.3", ENDPOINT_PORT)):
+        reservation, other = _reserve_network()
+        reservation.close()
+    assert other != network
+
+
+# fault: a process that a fault restarted at the end of its test was left behind
+def test_a_process_of_a_closed_fleet_is_not_started(fleet: Fleet) -> None:
+    platform = fleet.add_platform()
+    fleet.close()
+    with pytest.raises(RuntimeError, match="platform is closed"):
+        platform.restart()
+    assert not platform.running
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Sequence
 from pathlib import Path
@@ -64,6 +65,8 @@
     proxy: FaultProxy | None = None
     module: str = "basilroad"
     _child: subprocess.Popen[bytes] | None = None
+    _closed: bool = False
+    _starting: threading.Lock = attrs.field(factory=threading.Lock)
 
     @property
     def public_address(self) -> str:
@@ -92,13 +95,18 @@
         return self.directory / f"{self.name}.log"
 
     def start(self) -> None:
-        """Write the settings file and start the process."""
+        """Write the settings file and start the process.
+
+        :raises RuntimeError: it was closed
+        """
         if self.proxy is not None:
             self.proxy.heal()
         path = self.directory / f"{self.name}.yaml"
         path.write_text(yaml.safe_dump(self.settings))
         argv = [sys.executable, "-m", self.module, *self.command, "--settings", str(path)]
-        with self.logs.open("ab") as output:
+        with self.logs.open("ab") as output, self._starting:
+            if self._closed:
+                raise RuntimeError(f"{self.name} is closed")
             self._child = subprocess.Popen(argv, stdout=output, stderr=output)
 
     def wait_ready(self, timeout: float = READY_TIMEOUT_S) -> None:
@@ -145,6 +153,12 @@
         if self.proxy is not None:
             self.proxy.cut()
 
+    def close(self) -> None:
+        """Kill it, and let no thread that is still restarting it start it again."""
+        with self._starting:
+            self._closed = True
+        self.kill()
+
     def stop(self) -> None:
         """Ask it to stop (SIGTERM) without waiting."""
         self._send(signal.SIGTERM)
@@ -409,7 +423,7 @@
     def close(self) -> None:
         """Kill every process and close every proxy."""
         for process in self.processes.values():
-            process.kill()
+            process.close()
         for proxy in self._proxies:
             proxy.close()
         self._reservation.close()
@@ -475,10 +489,16 @@
 
 
 def _reserve_network() -> tuple[socket.socket, str]:
-    """Reserve 256 loopback addresses that no other test on this machine uses."""
+    """Reserve 256 loopback addresses that nothing else on this machine uses.
+
+    A test process that was killed leaves processes behind, but not its reservation.
+    """
+    used = _list_used_networks()
     for number in itertools.count(os.getpid() * 61 + next(_counter)):
         high, low = divmod(number % _NETWORKS, 256)
         network = f"127.{64 + high}.{low}"
+        if network in used:
+            continue
         reservation = socket.socket()
         try:
             reservation.bind((f"{network}.255", RESERVATION_PORT))
@@ -490,6 +510,13 @@
     raise AssertionError
 
 
+def _list_used_networks() -> set[str]:
+    """:return: first three numbers of all addresses that have a socket."""
+    entries = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    addresses = (bytes.fromhex(entry.split()[1].partition(":")[0])[::-1] for entry in entries)
+    return {".".join(map(str, address[:3])) for address in addresses}
+
+
 def _fetch(
     address: str,
     path: str,
