--- a/tests/gateway/versions/test_namedversions.py
+++ b/tests/gateway/versions/test_namedversions.py
@@ -214,8 +214,9 @@
         await asyncio.sleep(FORGET_S - 1.0)
         fleet.store.loses_writes, fleet.store.late_s = True, 8.0
         writes = fleet.store.writes
-        while fleet.store.writes == writes:
-            await asyncio.sleep(0.1)
+        async with asyncio.timeout(CHANGE_SPREAD_S + SETTLE_S):
+            while fleet.store.writes == writes:
+                await asyncio.sleep(0.1)
         fleet.store.loses_writes = False
         fleet.serve("v1", "v2")
         await asyncio.sleep(2 * CHANGE_SPREAD_S + SETTLE_S)
