Test names of versions with the store client and its stand-in

A host that starts after a restore knows that v2 was listed before the copy, so that a stream of v2 whose record was lost isn't taken up at v1. On the sources before the names the test fails in its wait for the name of v2.

--- a/tests/platform/test_streamarchive.py
+++ b/tests/platform/test_streamarchive.py
@@ -115,6 +115,26 @@
     assert await host.find("s2") == "v2"
 
 
+# fault: a stream whose record was lost resumed at another version, as its own one had left before
+# the hosts started
+async def test_a_host_knows_a_version_that_left_before_a_restore(
+    store: RowStoreStandin, start_host: StartHost
+) -> None:
+    first = await start_host("h1")
+    first.list_versions("v1")
+    assert await first.begin("s0", "v1")
+    await wait_until(lambda: store.get(STREAMS_TABLE, BASE_KEY, SERVICE) is not None)
+    first.list_versions("v1", "v2")
+    await wait_until(lambda: b"v2" in (store.get(STREAMS_TABLE, BASE_KEY, SERVICE) or b""))
+    copy = store.take_copy()
+    assert await first.begin("s2", "v2")
+    await first.stop()
+    store.restore(copy)
+    second = await start_host("h2")
+    second.list_versions("v1")
+    assert await second.find("s2") is None
+
+
 async def test_a_store_that_is_away_at_first_gets_the_record(
     store: RowStoreStandin, start_host: StartHost
 ) -> None:
