Await a frame that is requested while another is sent

Callers saw: none was seen; found in a review. The stop of an agent can close the stream of a slow entry before the end of its last generation is sent, and the entry then takes the generation for lost and starts it elsewhere.

Cause: Outbox.mark_sent looked only at the queued messages. Ends of runs and tokens wait in the link and only request a frame, so that the frame sent before marked them as sent too. EntryLink.finish then closed the stream.

Evidence: a stream that accepts one frame and holds the next one; the link was closed with the `finished` message still held.

Change: the queue counts as sent only if no frame is requested. take() clears the request when it takes the last of what is queued, so a request that is set after a send came during it.

--- a/src/basilroad/peers/outbox.py
+++ b/src/basilroad/peers/outbox.py
@@ -66,7 +66,8 @@
 
     def mark_sent(self) -> None:
         """Record that the last taken frame was sent."""
-        if not self._queued:
+        # a frame that was requested meanwhile is still to be sent, also without queued messages
+        if not self._ready.is_set():
             self._drained.set()
 
     async def wait_drained(self) -> None:
--- a/tests/agent/test_links.py
+++ b/tests/agent/test_links.py
@@ -81,3 +81,42 @@
     link.mark_ended()
     await finishing
     assert not [record for record in caplog.records if record.levelno >= logging.WARNING]
+
+
+class SlowStream:
+    """Stream to an entry that accepts a frame only once it is allowed to."""
+
+    def __init__(self) -> None:
+        self.may_send = asyncio.Semaphore(0)
+        self.begun = asyncio.Event()
+        self.frames: list[wire.AgentFrame] = []
+
+    async def send_message(self, frame: wire.AgentFrame) -> None:
+        self.begun.set()
+        await self.may_send.acquire()
+        self.frames.append(frame)
+
+
+# fault: a stop closed the stream of a slow entry before the end of its last generation was sent
+async def test_the_end_of_a_run_beside_a_frame_is_sent_before_the_stream_is_closed() -> None:
+    stream = SlowStream()
+    link = EntryLink(stream, 0.0, LinkMeter("r", Metrics("", "")))
+    sender = asyncio.create_task(link.run_sender())
+    link.send(wire.AgentMessage(settings=wire.SettingsChanges()))
+    await stream.begun.wait()
+    link.send_end(wire.Finished(generation="g"))
+    finishing = asyncio.create_task(link.finish())
+    closer = asyncio.create_task(link.wait_closed())
+    stream.may_send.release()
+    while len(stream.frames) < 1:
+        await asyncio.sleep(0)
+    for _ in range(10):
+        await asyncio.sleep(0)
+    was_closed = closer.done()
+    stream.may_send.release()
+    await closer
+    sender.cancel()
+    link.mark_ended()
+    await finishing
+    assert not was_closed
+    assert [message.WhichOneof("body") for message in stream.frames[-1].messages] == ["finished"]
