Read response headers that are not UTF-8 as Latin-1

Callers saw: none was seen; found in a review. A plain service that sent one response header with a Latin-1 character stopped the agent of its host: the call got no answer, and all work of the agent ended.

Cause: aiohttp decodes headers as UTF-8 and escapes other bytes as surrogates. A protobuf message can't hold these, and the message was built outside the handler of unexpected errors, so that mode crashed the driver and its parents.

Evidence: on the code before, an agent with such a service: agent.crashed and should_stop true after one call, no message sent. After: both false, one sent.

Change: HttpPlainService decodes such a value as Latin-1, as gateways do. The answer is built inside the handler of unexpected errors, so that another value that can't be sent fails its own call only.

The test failed before: the driver had crashed with UnicodeEncodeError. After: tests/agent, tests/endpoints and tests/entry/test_calls.py, 89 passed.

--- a/src/basilroad/agent/plaindriver.py
+++ b/src/basilroad/agent/plaindriver.py
@@ -178,12 +178,11 @@
             timeout_s=request.timeout,
         )
         try:
-            outcome = await self._service.call(call)
+            return self._build_answer(request, await self._service.call(call))
         except Exception as error:
             # an unexpected error in one call must not stop the agent
             _LOGGER.exception("call failed")
             return _build_failure(request, ErrorKind.MAY_HAVE_RUN, type(error).__name__)
-        return self._build_answer(request, outcome)
 
     def _build_answer(
         self, request: wire.RunCall, outcome: CallAnswered | CallNotSent | CallMayHaveRun
--- a/src/basilroad/endpoints/plainservice.py
+++ b/src/basilroad/endpoints/plainservice.py
@@ -154,7 +154,17 @@
 
 def _convert_response(response: HttpResponse) -> CallAnswered:
     headers = _remove_hop_headers(tuple(response.headers.items()))
-    return CallAnswered(response.status, headers, response.body)
+    texts = tuple((name, _decode_value(value)) for name, value in headers)
+    return CallAnswered(response.status, texts, response.body)
+
+
+def _decode_value(value: str) -> str:
+    # the HTTP library decodes UTF-8 and escapes other bytes, which messages can't carry
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return value.encode(errors="surrogateescape").decode("latin-1")
+    return value
 
 
 def _remove_hop_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
