Answer the callers of a generation that ends without an outcome

Callers saw: none was seen; found in a review. A caller whose generation ended by an unexpected error waited until it gave up, or until the stop of the entry closed its connection without an answer. So did one that came back with its key in the turn in which its abandoned generation was being cancelled.

Cause: readers wait until a generation has an outcome. The end of its task woke them, but only a finish or a refusal is an outcome; an unexpected error and a cancellation left none. A stop ends only generations that still have a task. The error itself was not logged.

Change: at the end of its task a generation without an outcome is refused, with 500 after an error, which is logged, and with 502 if an abandoned one has a reader again. end_at_shutdown becomes end_early, with the refusal as parameter.

--- a/src/basilroad/entry/flight.py
+++ b/src/basilroad/entry/flight.py
@@ -384,14 +384,17 @@
             self.entry.containment.clear(self.request.fingerprint)
         self.notify()
 
-    def end_at_shutdown(self) -> None:
-        """Refuse the generation because the entry shuts down, unless it has an outcome."""
+    def end_early(self, refusal: Refusal) -> None:
+        """Refuse the generation, unless it has an outcome.
+
+        :param refusal: why it can't continue
+        """
         if self.done:
             return
         self._cancel_attempt()
         # an attempt that was sent may have run although no token has arrived
         self.has_run = self.has_run or self.attempt is not None
-        self._refuse(Refusal(ErrorKind.DRAINING, "this host is shutting down"))
+        self._refuse(refusal)
         self.notify()
 
     def _refuse(self, refusal: Refusal) -> None:
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -31,7 +31,7 @@
 from basilroad.entry.locationdirectory import LocationDirectory
 from basilroad.entry.quarantine import Quarantine
 from basilroad.entry.takeover import Takeover
-from basilroad.errors import ErrorKind, refuse
+from basilroad.errors import ErrorKind, Refusal, refuse
 from basilroad.metrics import Metrics
 from basilroad.peers.address import Address, parse_address
 from basilroad.peers.exchange import SettingsExchange
@@ -171,7 +171,7 @@
         while ending & self._preparations:
             await asyncio.sleep(0)
         for flight, task in list(self._run_tasks.items()):
-            flight.end_at_shutdown()
+            flight.end_early(Refusal(ErrorKind.DRAINING, "this host is shutting down"))
             task.cancel()
         self.caller.end_at_shutdown()
 
@@ -240,7 +240,7 @@
         run = flight.run() if location is None else flight.follow(location)
         task = asyncio.ensure_future(run)
         self._run_tasks[flight] = task
-        task.add_done_callback(lambda _: self._remove_flight(flight))
+        task.add_done_callback(lambda _: self._remove_flight(flight, task))
 
     @contextlib.contextmanager
     def reading(self, flight: Flight) -> Iterator[None]:
@@ -419,8 +419,17 @@
             _LOGGER.info("generation abandoned", extra={"generation": flight.generation})
             task.cancel()
 
-    def _remove_flight(self, flight: Flight) -> None:
+    def _remove_flight(self, flight: Flight, task: asyncio.Task[None]) -> None:
         self._run_tasks.pop(flight, None)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            _LOGGER.error(
+                "generation failed", extra={"generation": flight.generation}, exc_info=error
+            )
+            flight.end_early(Refusal(ErrorKind.INTERNAL, "internal error"))
+        elif flight.readers:
+            # a caller came back while the abandoned generation was being cancelled
+            flight.end_early(Refusal(ErrorKind.MAY_HAVE_RUN, "the generation was abandoned"))
         self.duplicates.remove(flight)
         self.dispatcher.admission.close(flight.identity.workspace)
         self.locations.retire(flight)
