Send request headers that are not UTF-8 to plain services

Callers saw: none was seen; found in a review. A call with one Latin-1 character in a header failed with 500, "may have run", though it was never sent; a keyed one had been claimed by then (by reading; the 500 was seen at an entry).

The message to the agent can't hold the surrogates by which aiohttp escapes bytes that are not UTF-8.

Change: the entry decodes such values when it reads the call. The function moves to http/headervalues.py, which agents and entries share.

The test failed before with UnicodeEncodeError. After: it passes, with tests/entry/test_calls.py, tests/agent/test_plaindriver.py and tests/endpoints.

--- a/src/basilroad/endpoints/plainservice.py
+++ b/src/basilroad/endpoints/plainservice.py
@@ -16,6 +16,7 @@
     HttpResponse,
     RequestNotSentError,
 )
+from basilroad.http.headervalues import decode_header_value
 from basilroad.timelimit import TimeLimit
 
 REACHABILITY_TIMEOUT_S = 1.0
@@ -154,19 +155,10 @@
 
 def _convert_response(response: HttpResponse) -> CallAnswered:
     headers = _remove_hop_headers(tuple(response.headers.items()))
-    texts = tuple((name, _decode_value(value)) for name, value in headers)
+    texts = tuple((name, decode_header_value(value)) for name, value in headers)
     return CallAnswered(response.status, texts, response.body)
 
 
-def _decode_value(value: str) -> str:
-    # the HTTP library decodes UTF-8 and escapes other bytes, which messages can't carry
-    try:
-        value.encode()
-    except UnicodeEncodeError:
-        return value.encode(errors="surrogateescape").decode("latin-1")
-    return value
-
-
 def _remove_hop_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
     return tuple(header for header in headers if header[0].lower() not in HOP_BY_HOP_HEADERS)
 
--- a/src/basilroad/entry/servicecall.py
+++ b/src/basilroad/entry/servicecall.py
@@ -8,6 +8,7 @@
 import attrs
 
 from basilroad.errors import ErrorKind, Refusal, RefusedError
+from basilroad.http.headervalues import decode_header_value
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -102,7 +103,7 @@
         method=http.method,
         path=f"/{rest}",
         headers=tuple(
-            (name, value)
+            (name, decode_header_value(value))
             for name, value in http.headers.items()
             if name.lower() not in DECODED_HEADERS
         ),
