--- a/src/basilroad/endpoints/plainservice.py
+++ b/src/basilroad/endpoints/plainservice.py
@@ -16,6 +16,7 @@
     HttpResponse,
     RequestNotSentError,
 )
+from basilroad.http.headervalues import decode_header_value
 from basilroad.timelimit import TimeLimit
 
 REACHABILITY_TIMEOUT_S = 1.0
@@ -154,7 +155,8 @@
 
 def _convert_response(response: HttpResponse) -> CallAnswered:
     headers = _remove_hop_headers(tuple(response.headers.items()))
-    return CallAnswered(response.status, headers, response.body)
+    texts = tuple((name, decode_header_value(value)) for name, value in headers)
+    return CallAnswered(response.status, texts, response.body)
 
 
 def _remove_hop_headers(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
