End a time limit of tests that can't be checked

What was seen: test_a_connection_is_accepted_once_there_are_descriptors failed since limits of tests leave out waits for a processor: it forbids further descriptors, and the limit reads its statistics from files. A limit whose statistics fail later never ended.

Change: a limit that can't be read ends, with a log line, so that no wait is without one. The test with the forbidden descriptors goes by turns, whose clock needs no file; its limit stays.

The test that failed before: test_a_limit_that_cannot_be_checked_ends (the limit around it ended the wait).

--- a/tests/harness/test_timelimit.py
+++ b/tests/harness/test_timelimit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import signal
 import subprocess
@@ -14,10 +15,11 @@
 
 import pytest
 
-from soak.rundelay import ThreadTimes
+from soak.rundelay import RunLimit, ThreadTimes
 from support.timelimit import TimeLimit, limit_time, list_started
 
 LIMIT_S = 0.3
+END_LIMIT_S = 5.0
 MARGIN_S = 0.5
 WAITED_SHARE = 0.75
 LATE_S = LIMIT_S + 0.5
@@ -85,6 +87,25 @@
         assert await asyncio.sleep(0, "result") == "result"
 
 
+async def wait_without_statistics(monkeypatch: pytest.MonkeyPatch) -> None:
+    def fail(_limit: RunLimit) -> None:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    async with limit_time(LIMIT_S):
+        monkeypatch.setattr(RunLimit, "_read_all", fail)
+        await asyncio.Event().wait()
+
+
+# fault: a limit whose statistics could not be read any more never ended
+async def test_a_limit_that_cannot_be_checked_ends(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with asyncio.timeout(END_LIMIT_S):
+        with pytest.raises(TimeoutError):
+            await wait_without_statistics(monkeypatch)
+    assert "a time limit can't be checked, and ends" in caplog.messages
+
+
 def test_a_wait_that_is_late_is_cancelled_and_says_what_it_waited_for() -> None:
     never: Future[None] = Future()
     with pytest.raises(TimeoutError, match=r"no answer within 0\.3 s, besides"):
--- a/tests/platform/test_unanswered_stages.py
+++ b/tests/platform/test_unanswered_stages.py
@@ -325,7 +325,7 @@
 
 @contextmanager
 def forbid_descriptors() -> Iterator[None]:
-    """Let this process open no further descriptor."""
+    """Let this process open no further descriptor, so that only limits by turns can be checked."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     lowest = os.open(os.devnull, os.O_RDONLY)
     os.close(lowest)
@@ -337,6 +337,7 @@
 
 
 # fault: a request on a connection that is not accepted for want of descriptors is lost
+@pytest.mark.by_turns
 async def test_a_connection_is_accepted_once_there_are_descriptors(
     rig: GatewayRig, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/support/timelimit.py
+++ b/tests/support/timelimit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
@@ -19,6 +20,8 @@
 
 T = TypeVar("T")
 
+logger = logging.getLogger(__name__)
+
 
 def list_started(pid: int | None = None) -> list[int]:
     """List the processes that a process has started, and those that these have started.
@@ -125,8 +128,11 @@
 
 
 async def _watch(limit: TimeLimit, timeout: asyncio.Timeout) -> None:
-    while not limit.is_over():
-        await asyncio.sleep(POLL_S)
+    try:
+        while not limit.is_over():
+            await asyncio.sleep(POLL_S)
+    except OSError:
+        logger.exception("a time limit can't be checked, and ends")
     timeout.reschedule(asyncio.get_running_loop().time())
 
 
