Stop reading the list of hosts before an entry stops its links

Callers of a stop saw `basilroad local` end 3.4 s after a signal that came about 1 s after the start, with 14 lines "unexpected error on the connection to agent" and "agent lost". The like in processes of their own: an entry that is stopped while it reads the list of hosts keeps new connections to agents up to its end.

Cause: an entry stops its children in the reverse order of their start, so the links first and the timers last. A read of the hosts in between added links after the others had been stopped, and nothing stopped these.

Evidence: a trace of such a stop shows an entry with no links at its stop, and with seven when it had ended.

Change: the timers are stopped when the work in flight has ended, before the children. During the drain the hosts are still read.

--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -172,6 +172,8 @@
             flight.end_at_shutdown()
             task.cancel()
         self.caller.end_at_shutdown()
+        # a read of the hosts connects to agents; a link that is added from now on would not stop
+        await self.timers.stop()
 
     async def on_shutdown(self) -> None:
         """Close the connections to the platform after all child services have stopped."""
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from basilroad.backing.hosts import ListedHost
 from basilroad.entry.link import EndpointView
 from basilroad.entry.service import EntryService
 from basilroad.peers.wire import peer_pb2 as wire
@@ -209,3 +210,35 @@
     writer.close()
     await stopping
     assert response.startswith(b"HTTP/1.1 503 "), response
+
+
+class SlowListing:
+    """A host list that answers when it is released."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        self.asked.set()
+        await self.released.wait()
+        return (ListedHost("a", "agent", "r", "d", f"127.0.0.1:{find_free_port()}"),)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+# fault: a read of the hosts that ended during the stop added links, which nothing stopped
+async def test_no_link_is_added_by_a_read_of_the_hosts_that_ends_in_a_stop() -> None:
+    entry = EntryService(build_settings(find_free_port(), drain_limit_s=0.3))
+    listing = SlowListing()
+    entry.hosts = listing  # type: ignore[assignment]
+    await entry.start()
+    async with asyncio.timeout(10):
+        await listing.asked.wait()
+        stopping = asyncio.create_task(entry.stop())
+        while not entry.stopping:
+            await asyncio.sleep(0)
+        listing.released.set()
+        await stopping
+    assert all(link.should_stop for link in entry.links.values())
