--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from basilroad.backing.hosts import ListedHost
 from basilroad.entry.link import EndpointView
 from basilroad.entry.service import EntryService
 from basilroad.peers.wire import peer_pb2 as wire
@@ -258,7 +259,7 @@
         await asyncio.sleep(0.001)
     head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n"
     writer.write(head.encode() + b"bo")
-    async with asyncio.timeout(5):
+    async with limit_time(5):
         answer = await reader.readuntil(b"\r\n\r\n")
     assert answer.startswith(b"HTTP/1.1 503 "), answer
     assert not entry._preparations
@@ -266,3 +267,35 @@
     await stopping
     writer.close()
     assert (await pending).startswith(b"HTTP/1.1 503 ")
+
+
+class SlowListing:
+    """A host list that answers when it is released."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        self.asked.set()
+        await self.released.wait()
+        return (ListedHost("a", "agent", "r", "d", f"127.0.0.1:{find_free_port()}"),)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+# fault: a read of the hosts that ended during the stop added links, which nothing stopped
+async def test_no_link_is_added_by_a_read_of_the_hosts_that_ends_in_a_stop() -> None:
+    entry = EntryService(build_settings(find_free_port(), drain_limit_s=0.3))
+    listing = SlowListing()
+    entry.hosts = listing  # type: ignore[assignment]
+    await entry.start()
+    async with limit_time(10):
+        await listing.asked.wait()
+        stopping = asyncio.create_task(entry.stop())
+        while not entry.stopping:
+            await asyncio.sleep(0)
+        listing.released.set()
+        await stopping
+    assert all(link.should_stop for link in entry.links.values())
