Read all encodings of a response before taking a part for the whole

Callers saw: none was seen; found in a review. A response with "Transfer-Encoding: chunked" and "gzip" on two lines, or with "xchunked", that was reset midway counted as whole at the aiohttp client.

Cause: only the first line was read, and only the end of the name compared. The HTTP library reads such a body until the end of its connection, so that its end has to be checked. Now the last of all encodings decides.

Failed before: test_a_response_that_is_cut_in_another_encoding_is_lost, two cases of six. After: tests/http, tests/backing and tests/platform/test_store_statuses.py pass.

--- a/src/basilroad/http/responseends.py
+++ b/src/basilroad/http/responseends.py
@@ -119,9 +119,9 @@
     """
     if response.method == "HEAD" or response.status in BODILESS_STATUSES:
         return False
-    encoding = response.headers.get("Transfer-Encoding")
-    if encoding is not None:
-        return not encoding.rstrip().lower().endswith("chunked")
+    encodings = ",".join(response.headers.getall("Transfer-Encoding", []))
+    if encodings:
+        return encodings.lower().split(",")[-1].strip() != "chunked"
     return "Content-Length" not in response.headers
 
 
