Close an idle connection on which bytes came instead of using it

Callers saw: none was seen; found in a review. Channels to endpoints close such a connection; the aiohttp client kept the bytes for the next response.

Change: the connector takes no connection that holds bytes before the request. A kept one is closed and another one taken; on a new one the request fails, as its server would do so again.

Failed before: test_bytes_on_an_idle_connection_answer_no_request (body XX instead of ok).

--- a/src/basilroad/http/responseends.py
+++ b/src/basilroad/http/responseends.py
@@ -5,7 +5,8 @@
 import asyncio
 import errno
 from contextvars import ContextVar
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+from weakref import WeakSet
 
 import aiohttp
 import attrs
@@ -90,7 +91,14 @@
 
 
 class ObservedConnector(aiohttp.TCPConnector):
-    """Tells each exchange which connection it got."""
+    """Tells each exchange which connection it got; none on which bytes came before the request.
+
+    :param options: options of the HTTP library's connector
+    """
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._used: WeakSet[ResponseHandler] = WeakSet()
 
     async def connect(
         self,
@@ -104,9 +112,18 @@
         :param traces: its traces
         :param timeout: its time-outs
         :return: the connection
-        :raises aiohttp.ClientError: no connection could be opened
+        :raises aiohttp.ClientError: no connection could be opened, or the server spoke first on it
         """
         connection = await super().connect(req, traces, timeout)
+        while connection.protocol is not None and connection.protocol.should_close:
+            # bytes that came before the request would be taken for its response
+            is_reused = connection.protocol in self._used
+            connection.close()
+            if not is_reused:
+                raise aiohttp.ClientConnectionError("the server sent bytes before the request")
+            connection = await super().connect(req, traces, timeout)
+        if connection.protocol is not None:
+            self._used.add(connection.protocol)
         CONNECTION_USE.get().begin(self, connection)
         return connection
 
--- a/tests/http/test_unasked_responses.py
+++ b/tests/http/test_unasked_responses.py
@@ -12,13 +12,15 @@
 
 from basilroad.endpoints.channelpool import ChannelPool
 from basilroad.endpoints.channels import ChannelError, OutgoingRequest
-from basilroad.http.client import HttpClient, HttpRequest, ResponseLostError
+from basilroad.http.client import HttpClient, HttpRequest, HttpResponse, ResponseLostError
 from basilroad.peers.address import Address
 
 TIMEOUT_S = 5.0
 WAIT_S = 0.2
 """Time in which the client takes over bytes that were sent on loopback."""
 
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+
 Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -73,6 +75,34 @@
 Send = Callable[[Address, bytes | None], Awaitable[bytes | None]]
 
 
+# fault: bytes that a server sent on an idle connection were taken for the response to the next
+# request
+@pytest.mark.holds_answers
+async def test_bytes_on_an_idle_connection_answer_no_request() -> None:
+    sent = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD + b"ok")
+            if not sent.is_set():
+                await asyncio.sleep(WAIT_S)
+                writer.write(HEAD + b"XX")
+                sent.set()
+
+    async with run_server(serve) as address:
+        client = HttpClient(f"http://{address}", TIMEOUT_S)
+        responses: list[HttpResponse] = []
+        try:
+            responses.append(await client.send(HttpRequest("GET", "/")))
+            await sent.wait()
+            await asyncio.sleep(WAIT_S)
+            responses.append(await client.send(HttpRequest("GET", "/")))
+        finally:
+            await client.close()
+    assert [(each.status, each.body) for each in responses] == [(200, b"ok")] * 2
+
+
 # fault: the encoding of a body was read from the first of two lines, or by the end of a name, so
 # that a part whose connection was reset was taken for the whole body
 @pytest.mark.holds_answers
