Answer requests of an entry whose work fails by a connection error

Callers saw: none was seen; found in a review. A connection error that escaped from the work of a request counted as one of the caller's connection: the HTTP library answered 500 without saying whether it ran, and a request behind it got none.

Change: as at gateways, it counts as the caller's only if the caller's connection is closing.

Failed before: test_a_request_whose_work_loses_a_connection_is_answered. After: tests/entry/test_unanswered_paths.py passes.

--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -152,8 +152,11 @@
             return _build_refusal(error.refusal)
         except web.HTTPException as error:
             return _build_refusal(_convert_http_error(error))
-        except ConnectionError:
-            raise
+        except ConnectionError as error:
+            if request.transport is None or request.transport.is_closing():
+                raise
+            # the connection of something that the request used, not of its caller
+            return _refuse_failed(request, error)
         except asyncio.CancelledError as error:
             assert self._runner is not None
             if self._runner.connections.is_cancelled():
--- a/tests/entry/test_unanswered_paths.py
+++ b/tests/entry/test_unanswered_paths.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -108,7 +109,7 @@
     assert entry.http._runner is not None
     server = entry.http._runner.server
     assert server is not None
-    async with asyncio.timeout(LIMIT_S):
+    async with limit_time(LIMIT_S):
         while not server.connections:
             await asyncio.sleep(0.001)
     (connection,) = server.connections
@@ -308,7 +309,7 @@
     while not entry._preparations:
         await asyncio.sleep(0.001)
     writer.write(b"no chunk\r\n" + build_request())
-    async with asyncio.timeout(LIMIT_S):
+    async with limit_time(LIMIT_S):
         received = await reader.read()
     writer.close()
     assert received.startswith(b"HTTP/1.1 400 "), received
@@ -332,7 +333,7 @@
     ip, _, port = entry.options.listen.rpartition(":")
     reader, writer = await asyncio.open_connection(ip, int(port), limit=1000)
     writer.write(b"GET /v1/models HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k-1\r\n\r\n")
-    async with asyncio.timeout(LIMIT_S):
+    async with limit_time(LIMIT_S):
         await reader.readexactly(1)
     if cause is EndCause.SHUTDOWN:
         await entry.stop()
@@ -371,7 +372,7 @@
     reader, writer = await connect(entry)
     request = build_request(COMPLETION, None, "Connection: Upgrade", "Upgrade: h2c")
     writer.write(request + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
-    async with asyncio.timeout(LIMIT_S):
+    async with limit_time(LIMIT_S):
         received = await reader.read()
     writer.close()
     assert received.count(b"HTTP/1.1 ") == 1, received
@@ -388,6 +389,27 @@
     writer.close()
 
 
+# fault: a connection error of something that a request used counted as one of its caller; its
+# answer didn't say whether it ran, and the request behind it got none
+async def test_a_request_whose_work_loses_a_connection_is_answered(
+    entry: EntryService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fail(*_: Any, **__: Any) -> web.StreamResponse:
+        raise ConnectionResetError("connection of an endpoint")
+
+    monkeypatch.setattr(HttpServer, "_generate", fail)
+    reader, writer = await connect(entry)
+    writer.write(build_request() + b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 500 ")
+    assert b"X-Effect: may_have_run" in head
+    body = re.search(rb"Content-Length: (\d+)", head)
+    assert body is not None
+    await reader.readexactly(int(body[1]))
+    assert await read_status(reader) == 200
+    writer.close()
+
+
 # fault: a request was closed without an answer when work that it awaited was cancelled
 async def test_a_request_whose_awaited_work_is_cancelled_is_answered(
     entry: EntryService, monkeypatch: pytest.MonkeyPatch
