Log the error that ends the stream of a peer

An entry or agent whose stream ended by an unexpected error, such as a frame that can't be read, left no line: its tasks were gathered with their errors, which were dropped. Both now end them by end_tasks, which logs an unexpected error, and at info a peer or connection that is gone.

Failed before: test_an_error_that_ends_a_stream_is_logged. After: tests/agent and tests/peers pass.

--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -33,6 +33,7 @@
 from basilroad.peers.failreason import FailReason
 from basilroad.peers.heartbeat import HeartbeatScheduler
 from basilroad.peers.serialization import pack_marks, unpack_marks
+from basilroad.peers.streamtasks import end_tasks
 from basilroad.peers.traffic import LinkMeter
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.peers.wire.peer_grpc import PeerBase
@@ -180,10 +181,8 @@
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            for task in tasks:
-                task.cancel()
             try:
-                await asyncio.gather(*tasks, return_exceptions=True)
+                await end_tasks(tasks)
             finally:
                 # the reset of a stream and the end of its connection cancel the handler each
                 self._drop_link(link)
--- a/src/basilroad/entry/link.py
+++ b/src/basilroad/entry/link.py
@@ -17,6 +17,7 @@
 from basilroad.peers.codec import FrameCodec
 from basilroad.peers.failreason import FailReason
 from basilroad.peers.outbox import Outbox
+from basilroad.peers.streamtasks import end_tasks
 from basilroad.peers.sync import SettingsSync
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.peers.wire.peer_grpc import PeerStub
@@ -328,9 +329,7 @@
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_tasks(tasks)
 
     async def _await_hello(self) -> None:
         await asyncio.wait_for(self.up.wait(), self.settings.dead_after_s)
