Call the local system ready once its entries serve, and stop it as one

New users saw the request that `basilroad local` prints refused with "no such model" in its first second, since "ready" was printed before an entry had read the list of hosts. A stop during the start went on to start the rest of the system.

Cause: the start of the entries is their listening, not their readiness. The components were stopped one by one, each with a limit of its own that began at its own stop, so that an entry still took work while another one drained; and the start did not look for a stop between two components.

Change: the line is printed when all entries are ready, after at most 10 s. A stop ends all entries at once, then all agents, then the stand-ins; they share the signal, and so the limit. Agents still run while entries drain, so answers in flight end as before. No component starts after a stop.

--- a/src/basilroad/cli/local.py
+++ b/src/basilroad/cli/local.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 import sys
 from typing import TYPE_CHECKING, NoReturn
 
@@ -28,8 +30,11 @@
     PlainStandinSettings,
     PlatformStandinSettings,
 )
+from basilroad.stopsignal import StopSignal
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from mode.types import ServiceT
 
 MODEL = "spec-llm"
@@ -50,6 +55,14 @@
 DRAIN_LIMIT_S = 3.0
 """Seconds that a stop waits for requests in flight."""
 
+READY_TIMEOUT_S = 10.0
+"""Seconds to wait for the entries to connect to their agents."""
+
+READY_POLL_S = 0.02
+"""Seconds between checks whether the entries are ready."""
+
+_LOGGER = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class DataCentreLayout:
@@ -80,15 +93,17 @@
 
     :param address: IP address to listen on
     :param port: port of the first entry; further entries use the ports after it
+    :param stop_signal: signal that requests a planned stop
     """
 
-    def __init__(self, address: str, port: int) -> None:
+    def __init__(self, address: str, port: int, stop_signal: StopSignal) -> None:
         super().__init__()
+        self._stop_signal = stop_signal
         self.address = address
         self.entries: list[str] = []
         self._standins: list[ServiceT] = []
         self._agents: list[ServiceT] = []
-        self._entries: list[ServiceT] = []
+        self._entries: list[EntryService] = []
         self._next_port = port + PORTS_OFFSET
         self._entry_port = port
         self._listed_hosts: list[ListedHost] = []
@@ -98,13 +113,27 @@
         settings = PlatformStandinSettings(listen=self._platform, hosts=tuple(self._listed_hosts))
         self._standins.insert(0, PlatformStandin(settings, embedded=True))
 
+    def list_parts(self) -> list[ServiceT]:
+        """:return: the components, each one after those that it depends on."""
+        return [*self._standins, *self._agents, *self._entries]
+
     async def on_start(self) -> None:
         """Start the components in order of their dependencies."""
-        for part in (*self._standins, *self._agents, *self._entries):
+        for part in self.list_parts():
+            if self.should_stop:
+                return
             await self.add_runtime_dependency(part)
 
     async def on_started(self) -> None:
-        """Print the URLs and example requests."""
+        """Print the URLs and example requests once the entries serve them."""
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not (self.should_stop or all(entry.is_ready for entry in self._entries)):
+                    await asyncio.sleep(READY_POLL_S)
+        except TimeoutError:
+            _LOGGER.warning("an entry is not ready in time")
+        if self.should_stop:
+            return
         first = self.entries[0]
         typer.echo(f"basilroad is ready: {', '.join(f'http://{entry}' for entry in self.entries)}")
         typer.echo("Try:")
@@ -119,6 +148,19 @@
         )
         sys.stdout.flush()
 
+    async def on_stop(self) -> None:
+        """Stop the components in order of their dependencies, all of a kind at once.
+
+        Agents finish the work of the entries; all of them together have one limit.
+        """
+        self._stop_signal.record()
+        kinds: tuple[Sequence[ServiceT], ...] = (self._entries, self._agents, self._standins)
+        for parts in kinds:
+            stops = [part.stop() for part in parts if part.started]
+            for result in await asyncio.gather(*stops, return_exceptions=True):
+                if isinstance(result, BaseException):
+                    _LOGGER.error("a component was not stopped", exc_info=result)
+
     def _add_data_centre(self, layout: DataCentreLayout) -> None:
         for number in range(1, layout.engines + 1):
             name = f"{layout.data_centre}-engine-{number}"
@@ -156,7 +198,7 @@
         settings = attrs.evolve(
             self._build_settings(layout, f"{name}-host"), agent=agent, entry=None
         )
-        self._agents.append(AgentService(settings))
+        self._agents.append(AgentService(settings, self._stop_signal))
         self._listed_hosts.append(
             ListedHost(settings.host, "agent", layout.region, layout.data_centre, listen)
         )
@@ -166,7 +208,7 @@
         self._entry_port += 1
         settings = self._build_settings(layout, f"{layout.data_centre}-entry")
         entry = EntrySettings(listen=listen, drain_limit_s=DRAIN_LIMIT_S)
-        self._entries.append(EntryService(attrs.evolve(settings, entry=entry)))
+        self._entries.append(EntryService(attrs.evolve(settings, entry=entry), self._stop_signal))
         self.entries.append(listen)
 
     def _build_settings(self, layout: DataCentreLayout, host: str) -> DaemonSettings:
@@ -191,7 +233,8 @@
     :param port: port of the first entry
     """
     configure_logs("local", "warning")
-    run_services(LocalSystem(address, port))
+    stop_signal = StopSignal()
+    run_services(LocalSystem(address, port, stop_signal), stop_signal=stop_signal)
 
 
 __all__ = ["DataCentreLayout", "LocalSystem", "run_local"]
