Ask the local system in its tests without another program

The tests asked by curl, which a machine may lack, waited 0.3 s for a request to be in flight, and counted the events of a stream, of which one may bring several tokens: test_what_is_in_flight_is_finished_within_the_limit failed in 5 of 5 runs of the file beside load 20 to 36 with 27 to 57 events of 75 tokens, the stream whole each time.

Change: they ask by HTTPConnection, wait until the answer has begun, and compare the number of tokens, which the id of the last event names, with what was asked for.

--- a/tests/cli/test_local.py
+++ b/tests/cli/test_local.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 import subprocess
 import sys
 import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection
+from threading import Event
 from typing import Any
 
 import attrs
@@ -59,13 +62,24 @@
             time.sleep(POLL_S)
         return self.child.communicate()[1]
 
-    def ask(self, path: str, body: dict[str, Any], *headers: str) -> str:
-        """:return: what the first entry answers."""
-        url = f"http://127.0.0.1:{self.port}{path}"
-        options = [part for header in headers for part in ("-H", header)]
-        document = msgspec.json.encode(body).decode()
-        argv = ["curl", "-sSN", "-m", "20", url, *options, "-d", document]
-        return subprocess.run(argv, capture_output=True, text=True, check=True).stdout
+    def ask(
+        self, path: str, body: dict[str, Any], *headers: str, begun: Event | None = None
+    ) -> str:
+        """Send a request to the first entry.
+
+        :param begun: set once its answer has begun
+        :return: what the entry answers
+        """
+        names = dict(header.split(": ", 1) for header in headers)
+        connection = HTTPConnection("127.0.0.1", self.port, timeout=END_S)
+        try:
+            connection.request("POST", path, msgspec.json.encode(body), names)
+            response = connection.getresponse()
+            if begun is not None:
+                begun.set()
+            return response.read().decode()
+        finally:
+            connection.close()
 
 
 @pytest.fixture
@@ -113,16 +127,18 @@
     tokens = int(DRAIN_LIMIT_S / 2 / TOKEN_INTERVAL_S)
     body = {"model": MODEL, "prompt": "Check the taper", "max_tokens": tokens, "stream": True}
     order = f"/v1/services/{SERVICE}/orders"
+    begun = Event()
     with ThreadPoolExecutor() as callers:
         header = "Content-Type: application/json"
-        answer = callers.submit(local.ask, "/v1/completions", body, header)
+        answer = callers.submit(local.ask, "/v1/completions", body, header, begun=begun)
         placed = callers.submit(local.ask, order, {"bungs": 12}, "Idempotency-Key: order-1")
-        time.sleep(0.3)
+        assert begun.wait(END_S)
         local.child.send_signal(signal.SIGINT)
         # both entries and all agents share the limit; what is left is the stop of an idle system
         errors = local.wait_ended(DRAIN_LIMIT_S + IDLE_STOP_S)
         assert answer.result().rstrip().endswith("data: [DONE]"), answer.result()[-300:]
-        assert answer.result().count("data: {") >= tokens
+        # tokens that arrive together are one event, whose id ends with the number of all until then
+        assert re.findall(r"^id: .*:(\d+)$", answer.result(), re.M)[-1] == str(tokens)
         assert "error" not in placed.result(), placed.result()
     assert errors == ""
     assert local.child.returncode == 0
@@ -132,10 +148,11 @@
     local.wait_ready()
     tokens = int(3 * DRAIN_LIMIT_S / TOKEN_INTERVAL_S)
     body = {"model": MODEL, "prompt": "Check the taper", "max_tokens": tokens, "stream": True}
+    begun = Event()
     with ThreadPoolExecutor() as callers:
         header = "Content-Type: application/json"
-        answer = callers.submit(local.ask, "/v1/completions", body, header)
-        time.sleep(0.3)
+        answer = callers.submit(local.ask, "/v1/completions", body, header, begun=begun)
+        assert begun.wait(END_S)
         local.child.send_signal(signal.SIGINT)
         local.wait_ended(DRAIN_LIMIT_S + IDLE_STOP_S)
         assert "error" in answer.result().splitlines()[-2], answer.result()[-300:]
