Hold that an agent ends at once after its entries are gone

Nothing held how long the stop of an idle agent takes when its entries, in processes of their own, were stopped or killed before.

Two new tests in tests/integration/test_entry_links.py.

--- a/tests/integration/test_entry_links.py
+++ b/tests/integration/test_entry_links.py
@@ -14,6 +14,9 @@
 RESETS = 100
 RESETTING_AGENTS = 20
 
+IDLE_STOP_S = 1.0
+"""Seconds for the stop of an agent with nothing in flight."""
+
 
 @pytest.mark.holds_tokens
 def test_entry_outlives_agents_that_reset_at_once(fleet: Fleet, background: Background) -> None:
@@ -42,3 +45,21 @@
     request = stream_completion(entry.url, "oak", model="spec-llm", max_tokens=20, temperature=0)
     answer = background.run(request)
     assert answer.text == "".join(expect_tokens("spec-llm", "", "1", "oak", None, 20))
+
+
+@pytest.mark.holds_stop
+@pytest.mark.parametrize("killed", [False, True], ids=["stopped", "killed"])
+def test_an_agent_does_not_wait_for_entries_that_are_gone(fleet: Fleet, killed: bool) -> None:
+    fleet.add_platform()
+    agent = fleet.add_engine("engine", model="spec-llm").agent
+    entries = [fleet.add_entry(f"entry-{number}") for number in range(2)]
+    fleet.wait_ready()
+    for entry in entries:
+        if killed:
+            entry.kill()
+        else:
+            entry.stop()
+            assert entry.wait_ended() == 0, entry.read_tail()
+    agent.stop()
+    assert agent.wait_ended(IDLE_STOP_S) == 0, agent.read_tail()
+    assert "did not receive the last messages" not in agent.logs.read_text()
