Keep the lower bound of the stop that is seen late as it was

What failed was the upper one (5.66 s with 4.88 s of waits); the lower one never did, so that its change only checked less. tests/soak/test_process.py: 4 passed.

--- a/tests/soak/test_process.py
+++ b/tests/soak/test_process.py
@@ -70,7 +70,7 @@
     block_event_loop()
     times = await stop
     assert times.took_s >= BLOCKED_S
-    assert times.running_s + times.lost_s > SEEN_RUNNING_S / 2
+    assert times.running_s > SEEN_RUNNING_S / 2
     assert times.running_s - times.lost_s < SEEN_RUNNING_S + BLOCKED_S - EXIT_S
 
 
