Move the connections to endpoints to the HTTP package

Cause: there are two HTTP clients, and a fault was mended on one of them twice. Both are to share these connections; the package of endpoints, which uses the client, can't hold them.

Change: endpoints/channels.py and channelpool.py are http/channels.py and channelpool.py.

Measured: tests/http, tests/endpoints and tests/test_imports.py pass as before.

--- a/src/basilroad/gateway/calls/attempt.py
+++ b/src/basilroad/gateway/calls/attempt.py
@@ -13,7 +13,11 @@
 
 import attrs
 
-from basilroad.endpoints.channels import (
+from basilroad.errors import ErrorKind, refuse
+from basilroad.gateway.registry.endpoint import PendingCall, never_move
+from basilroad.gateway.registry.limits import NamedLimit
+from basilroad.gateway.registry.notices import Purpose, Source
+from basilroad.http.channels import (
     POOL_IDLE_LIMIT_S,
     SHORT_BODY_BYTES,
     ChannelError,
@@ -22,16 +26,12 @@
     ReplyHead,
     RequestEncodingError,
 )
-from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.registry.endpoint import PendingCall, never_move
-from basilroad.gateway.registry.limits import NamedLimit
-from basilroad.gateway.registry.notices import Purpose, Source
 
 if TYPE_CHECKING:
-    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.calls.call import Call, Headers
     from basilroad.gateway.registry.endpoint import ClaimMove, Endpoint, EngineReport
     from basilroad.gateway.registry.notices import Notice
+    from basilroad.http.channels import Channel
     from basilroad.peers.address import Address
 
 NON_REPEATABLE_IDLE_LIMIT_S = 0.5
--- a/src/basilroad/gateway/calls/buffered.py
+++ b/src/basilroad/gateway/calls/buffered.py
@@ -8,13 +8,13 @@
 from collections.abc import AsyncIterator
 from typing import TYPE_CHECKING
 
-from basilroad.endpoints.channels import ChannelError
 from basilroad.errors import RefusedError
 from basilroad.gateway.calls.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun
 from basilroad.gateway.calls.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.calls.call import Reply
 from basilroad.gateway.calls.log import AttemptRecord
 from basilroad.gateway.crashes.runs import Run
+from basilroad.http.channels import ChannelError
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call
--- a/src/basilroad/gateway/registry/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -11,17 +11,17 @@
 import attrs
 from attrs.validators import ge, le, max_len
 
-from basilroad.endpoints.channelpool import ChannelPool
 from basilroad.gateway.registry.buffer import BufferLimit
 from basilroad.gateway.registry.failurerate import FailureRate
 from basilroad.gateway.registry.load import Load, ReportedLoad
 from basilroad.gateway.registry.notices import Lifetime, NoticeRegister
+from basilroad.http.channelpool import ChannelPool
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
 
-    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.calls.call import PromptSize
+    from basilroad.http.channels import Channel
     from basilroad.peers.address import Address
 
 UNREACHABLE_BACKOFF_S = 0.25
--- a/src/basilroad/gateway/registry/reports.py
+++ b/src/basilroad/gateway/registry/reports.py
@@ -9,19 +9,19 @@
 
 import attrs
 
-from basilroad.endpoints.channels import NO_REQUEST_ID, SHORT_BODY_BYTES, ChannelError, ConnectError
 from basilroad.gateway.registry.endpoint import EngineReport
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Purpose, Source
+from basilroad.http.channels import NO_REQUEST_ID, SHORT_BODY_BYTES, ChannelError, ConnectError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.calls.attempt import EndpointProtocol
     from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.notices import EndpointNotices
+    from basilroad.http.channels import Channel
 
 REPORT_TIMEOUT_S = 0.06
 """Time limit of a report before a placement, beyond the round trip; a sound engine answers within a
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -8,7 +8,6 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from basilroad.endpoints.channels import ChannelError
 from basilroad.errors import RefusedError
 from basilroad.gateway.calls.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun, OpenReply
 from basilroad.gateway.calls.attempttracker import SERVER_ERROR, AttemptTracker
@@ -26,6 +25,7 @@
 from basilroad.gateway.streams.stalltimer import StallTimer
 from basilroad.gateway.versions.attemptstart import AttemptStart
 from basilroad.gateway.versions.pin import VersionPin
+from basilroad.http.channels import ChannelError
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, Responder
--- a/src/basilroad/gateway/versions/attemptstart.py
+++ b/src/basilroad/gateway/versions/attemptstart.py
@@ -11,10 +11,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.calls.attempt import NotRun
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.versions.startcheck import StartCheck
+    from basilroad.http.channels import Channel
 
 MAX_TRIES = 3
 """Requests for the report beside one attempt; a sound engine falls silent for a second or so."""
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -9,18 +9,18 @@
 from typing import TYPE_CHECKING
 
 from basilroad.coordination.decoding import DecodeError
-from basilroad.endpoints.channels import ChannelError
 from basilroad.gateway.calls.attempt import NotRun
 from basilroad.gateway.registry.notices import Purpose
+from basilroad.http.channels import ChannelError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from basilroad.endpoints.channels import Channel
     from basilroad.gateway.calls.attempt import EndpointProtocol
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.reports import Report, ReportReader
+    from basilroad.http.channels import Channel
 
 START_TIMEOUT_S = 0.5
 """Time limit of the report of the start; sound engines fall silent for a second or so, and
--- a/src/basilroad/endpoints/channelpool.py
+++ b/src/basilroad/http/channelpool.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.endpoints.channels import POOL_IDLE_LIMIT_S, Channel, ConnectError
+from basilroad.http.channels import POOL_IDLE_LIMIT_S, Channel, ConnectError
 from basilroad.timelimit import TimeLimit
 
 if TYPE_CHECKING:
--- a/src/basilroad/endpoints/channels.py
+++ b/src/basilroad/http/channels.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 connections to endpoints, closed on unsolicited data."""
+"""HTTP/1.1 connections to servers, closed on unsolicited data."""
 
 from __future__ import annotations
 
--- a/tests/gateway/versions/test_startcheck.py
+++ b/tests/gateway/versions/test_startcheck.py
@@ -10,7 +10,6 @@
 import attrs
 import pytest
 
-from basilroad.endpoints.channels import Channel
 from basilroad.errors import RefusedError
 from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.registry.endpoint import Endpoint
@@ -18,6 +17,7 @@
 from basilroad.gateway.registry.notices import Source
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streams.streaming import StreamBrokenError
+from basilroad.http.channels import Channel
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.streamevents import decode_events
 from builders import RecordingResponder, build_call, build_entry, build_stream_route
--- a/tests/http/test_response_ends.py
+++ b/tests/http/test_response_ends.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from basilroad.endpoints.channelpool import ChannelPool
-from basilroad.endpoints.channels import ChannelError, OutgoingRequest
+from basilroad.http.channelpool import ChannelPool
+from basilroad.http.channels import ChannelError, OutgoingRequest
 from basilroad.http.client import HttpClient, HttpRequest, ResponseLostError
 from basilroad.peers.address import Address
 from support.rawserver import (
--- a/tests/http/test_unasked_responses.py
+++ b/tests/http/test_unasked_responses.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from basilroad.endpoints.channelpool import ChannelPool
-from basilroad.endpoints.channels import ChannelError, OutgoingRequest
+from basilroad.http.channelpool import ChannelPool
+from basilroad.http.channels import ChannelError, OutgoingRequest
 from basilroad.http.client import HttpClient, HttpRequest, HttpResponse, ResponseLostError
 from basilroad.peers.address import Address
 
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -8,8 +8,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from basilroad.endpoints.channels import ReplyHead
 from basilroad.gateway.registry.notices import MAX_PAUSE_S, Notice
+from basilroad.http.channels import ReplyHead
 from basilroad.platform.notices import MAX_LIMIT_PER_S, MIN_LIMIT_PER_S
 from basilroad.platform.protocol import PlatformProtocol
 
--- a/tests/platform/test_unanswered_stages.py
+++ b/tests/platform/test_unanswered_stages.py
@@ -15,9 +15,9 @@
 import attrs
 import pytest
 
-from basilroad.endpoints.channels import Channel
 from basilroad.gateway.calls.call import Reply
 from basilroad.gateway.calls.handler import CallHandler
+from basilroad.http.channels import Channel
 from basilroad.http.ends import EndCause
 from support.ends import (
     count_ends,
