Send all requests over one kind of connection

Callers saw: nothing was reported. A test that always failed shows the loss: an engine sends the last events of a stream and resets the connection; the agent, which reads them a moment later, gets an error, and a finished stream is resumed elsewhere.

Cause: aiohttp sets the error of the reset on the body, and from then on a read raises it in front of the events that had arrived. The class is a fault mended on one of two paths: gateways used connections of their own towards servers, agents, the store's client and the exchange of the config used aiohttp, and what was mended at one was left at the other (ends of connections, statuses, bytes on an idle connection).

Change: HttpClient uses the connections of http/channels.py.

--- a/src/basilroad/http/channelpool.py
+++ b/src/basilroad/http/channelpool.py
@@ -1,4 +1,4 @@
-"""Pools of idle connections to endpoints."""
+"""Pools of connections, with those that are idle."""
 
 from __future__ import annotations
 
@@ -17,15 +17,57 @@
 allowed in a stream."""
 
 
+class IdleChannels:
+    """Idle connections to one server."""
+
+    def __init__(self) -> None:
+        self._channels: list[Channel] = []
+
+    def take(self, idle_limit_s: float, request_id: str | None = None) -> Channel | None:
+        """Take a connection for the next request.
+
+        :param idle_limit_s: longest idle time of the connection in seconds
+        :param request_id: id of the request, which the connection must not have carried before;
+            ``None`` if a late response to an earlier one does no harm
+        :return: a connection without a request in progress; ``None`` if there is none
+        """
+        now = time.monotonic()
+        for channel in reversed(self._channels.copy()):
+            idle_s = now - channel.idle_since
+            if not channel.usable or idle_s >= channel.idle_limit_s:
+                self._channels.remove(channel)
+                channel.close()
+            elif idle_s >= idle_limit_s:
+                return None
+            elif request_id is None or not channel.has_carried(request_id):
+                self._channels.remove(channel)
+                return channel
+        return None
+
+    def keep(self, channel: Channel) -> None:
+        """Return a connection after its response was read completely.
+
+        :param channel: the connection
+        """
+        if channel.usable:
+            self._channels.append(channel)
+
+    def close(self) -> None:
+        """Abort all idle connections."""
+        channels, self._channels = self._channels, []
+        for channel in channels:
+            channel.close()
+
+
 class ChannelPool:
-    """Idle connections to one endpoint.
+    """Connections to one endpoint.
 
     :param address: address of the endpoint
     """
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._idle: list[Channel] = []
+        self._idle = IdleChannels()
         self.opened = 0
 
     async def open(
@@ -39,7 +81,7 @@
         :return: a connection without a request in progress
         :raises ConnectError: no connection could be opened
         """
-        channel = self._take_idle(idle_limit_s, request_id)
+        channel = self._idle.take(idle_limit_s, request_id)
         if channel is not None:
             return channel
         return await self._connect()
@@ -49,28 +91,11 @@
 
         :param channel: the connection
         """
-        if channel.usable:
-            self._idle.append(channel)
+        self._idle.keep(channel)
 
     def close(self) -> None:
         """Abort all idle connections."""
-        idle, self._idle = self._idle, []
-        for channel in idle:
-            channel.close()
-
-    def _take_idle(self, idle_limit_s: float, request_id: str | None) -> Channel | None:
-        now = time.monotonic()
-        for channel in reversed(self._idle.copy()):
-            idle_s = now - channel.idle_since
-            if not channel.usable or idle_s >= channel.idle_limit_s:
-                self._idle.remove(channel)
-                channel.close()
-            elif idle_s >= idle_limit_s:
-                return None
-            elif request_id is None or not channel.has_carried(request_id):
-                self._idle.remove(channel)
-                return channel
-        return None
+        self._idle.close()
 
     async def _connect(self) -> Channel:
         loop = asyncio.get_running_loop()
@@ -86,4 +111,4 @@
         return channel
 
 
-__all__ = ["CONNECT_TIMEOUT_S", "ChannelPool"]
+__all__ = ["CONNECT_TIMEOUT_S", "ChannelPool", "IdleChannels"]
--- a/src/basilroad/http/channels.py
+++ b/src/basilroad/http/channels.py
@@ -86,7 +86,7 @@
 
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...]
+    headers: tuple[tuple[str, str | bytes], ...]
     body: bytes = b""
     id: str = NO_REQUEST_ID
 
@@ -104,6 +104,8 @@
         self._lasts_until_end = False
         self._busy = False
         self._failure: Exception | None = None
+        self._next: object | None = None  # event that was taken from the parser too early
+        self._is_parsed = False  # whether the parser has nothing more of what was received
         self._ended = False
         self._closed_here = False
         self._buffered = 0
@@ -132,6 +134,7 @@
             self.close()
             return
         self._http.receive_data(data)
+        self._is_parsed = False
         self._buffered += len(data)
         if self._buffered > READ_BUFFER_BYTES and not self._paused and self._transport:
             self._paused = True
@@ -145,6 +148,7 @@
             assert self._transport is not None
             self._ended_early = self._transport.get_write_buffer_size() > 0
             self._http.receive_data(b"")
+            self._is_parsed = False
             self._data_ready.set()
         return False
 
@@ -178,6 +182,13 @@
         """:return: whether the endpoint or the network ended the connection, not this side."""
         return self._ended and not self._closed_here
 
+    @property
+    def is_closed_by_peer(self) -> bool:
+        """:return: whether the server closed or reset the connection; false if it fell silent."""
+        if self._failure is not None and not isinstance(self._failure, ConnectionError):
+            return False
+        return self.is_cut_off
+
     def send(self, request: OutgoingRequest) -> None:
         """Send a request; its response is read separately.
 
@@ -193,7 +204,8 @@
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers.append(("Content-Length", str(len(request.body))))
         try:
-            head = h11.Request(method=request.method, target=request.target, headers=headers)
+            encoded = [(name.encode("ascii"), _encode_value(value)) for name, value in headers]
+            head = h11.Request(method=request.method, target=request.target, headers=encoded)
             parts = [self._http.send(head)]
         except (h11.LocalProtocolError, ValueError) as error:
             raise RequestEncodingError(str(error)) from error
@@ -242,6 +254,21 @@
             return None
         raise ChannelError(f"expected body data, got {type(event).__name__}")
 
+    async def read_available(self) -> bytes:
+        """:return: all that was received of the body and not read yet; empty at its end.
+
+        :raises ChannelError: the connection failed or the response is invalid
+        """
+        part = await self.read_data()
+        if part is None:
+            return b""
+        parts = [part]
+        while isinstance(event := self._poll_event(), h11.Data):
+            parts.append(bytes(event.data))
+        if event is not h11.NEED_DATA:
+            self._next = event
+        return b"".join(parts)
+
     async def read_body(self, limit: int, count: Callable[[int], bool] = lambda _: True) -> bytes:
         """Read the whole body.
 
@@ -313,12 +340,24 @@
             detail = repr(self._failure or "closed here")
             raise ChannelError(f"connection lost before the request was sent: {detail}")
 
+    def _poll_event(self) -> object:
+        event, self._next = self._next, None
+        if event is not None:
+            return event
+        if self._is_parsed:
+            return h11.NEED_DATA
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            return ChannelError(f"invalid HTTP response: {error}")
+        self._is_parsed = event is h11.NEED_DATA
+        return event
+
     async def _next_event(self) -> object:
         while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise ChannelError(f"invalid HTTP response: {error}") from error
+            event = self._poll_event()
+            if isinstance(event, ChannelError):
+                raise event
             if isinstance(event, h11.ConnectionClosed):
                 raise ChannelError("connection closed")
             if event is not h11.NEED_DATA:
@@ -336,6 +375,10 @@
         self._data_ready.clear()
 
 
+def _encode_value(value: str | bytes) -> bytes:
+    return value if isinstance(value, bytes) else value.encode("ascii")
+
+
 __all__ = [
     "MAX_REQUESTS",
     "NO_REQUEST_ID",
--- a/src/basilroad/http/client.py
+++ b/src/basilroad/http/client.py
@@ -2,61 +2,30 @@
 
 from __future__ import annotations
 
-import errno
 import math
-import socket
 import time
-from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Mapping
 from contextlib import asynccontextmanager, contextmanager
-from types import SimpleNamespace
+from functools import cached_property
 
-import aiohttp
 import attrs
-from yarl import URL
-
-from basilroad.http.responseends import (
-    CONNECTION_USE,
-    ConnectionUse,
-    ObservedConnector,
-    lasts_until_end,
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from basilroad.http.baseurl import BaseUrl
+from basilroad.http.channelpool import IdleChannels
+from basilroad.http.channels import (
+    Channel,
+    ChannelError,
+    ConnectError,
+    OutgoingRequest,
+    ReplyHead,
+    RequestEncodingError,
 )
-from basilroad.http.status import FINAL_STATUSES
+from basilroad.http.keepalive import KeepAlive, open_socket
 from basilroad.timelimit import TimeLimit
 
-AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
-"""Headers that aiohttp would otherwise add to a request by default."""
-
-
-@attrs.frozen
-class KeepAlive:
-    """Probes of idle connections by the kernel, which find that the way to the server is cut.
-
-    :param idle_s: whole seconds without data before the first probe
-    :param interval_s: whole seconds between probes
-    :param probes: unanswered probes after which the connection is closed
-    """
-
-    idle_s: int = 1
-    interval_s: int = 1
-    probes: int = 1
-
-    @property
-    def limit_s(self) -> int:
-        """:return: seconds after the last data at which a cut connection is closed."""
-        return self.idle_s + self.probes * self.interval_s
-
-    def open_socket(self, info: aiohttp.AddrInfoType) -> socket.socket:
-        """:return: a socket for an address, with these probes."""
-        family, kind, protocol, _, _ = info
-        sock = socket.socket(family, kind, protocol)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, self.idle_s)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, self.interval_s)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, self.probes)
-        # probes are not sent while data is unacknowledged
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 1000 * self.limit_s)
-        return sock
+IDLE_LIMIT_S = 15.0
+"""Longest idle time after which a connection is reused."""
 
 
 class HttpError(Exception):
@@ -115,32 +84,46 @@
 class _ExchangeState:
     limit: TimeLimit
     ends_at: float | None  # monotonic seconds; None for no limit once connected
-    use: ConnectionUse
-    connected: bool = False
+    silence_s: float | None = None  # None for no limit
+    channel: Channel | None = None
     received_bytes: int = 0  # of the response's body
 
 
 class StreamedResponse:
     """A response whose body is read as it arrives.
 
-    :param response: the response of the HTTP library
+    :param channel: connection on which the head was received
+    :param head: the head
     :param state: state of the exchange
     """
 
-    def __init__(self, response: aiohttp.ClientResponse, state: _ExchangeState) -> None:
-        self._response = response
+    def __init__(self, channel: Channel, head: ReplyHead, state: _ExchangeState) -> None:
+        self._channel = channel
         self._state = state
-        self.status = response.status
+        self.status = head.status
+        self._headers = head.headers
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """:return: header names and values; bytes that are not UTF-8 are escaped as surrogates."""
+        texts = ((name, _decode_value(value)) for name, value in self._headers)
+        return CIMultiDictProxy(CIMultiDict(texts))
 
     async def read_part(self) -> bytes:
         """:return: next part of the body as it arrives; empty at its end.
 
         :raises ResponseLostError: the body is cut
         """
-        part = await self._response.content.readany()
-        self._state.received_bytes += len(part)
-        if not part:
-            self._check_end()
+        state = self._state
+        try:
+            if state.silence_s is None:
+                part = await self._channel.read_available()
+            else:
+                async with TimeLimit(state.silence_s):
+                    part = await self._channel.read_available()
+        except (ChannelError, TimeoutError) as error:
+            raise _translate(error, state) from error
+        state.received_bytes += len(part)
         return part
 
     async def read(self) -> bytes:
@@ -153,14 +136,6 @@
             body += part
         return bytes(body)
 
-    def _check_end(self) -> None:
-        if not lasts_until_end(self._response):
-            return
-        cut = self._state.use.find_cut()
-        if cut is not None:
-            detail = f"{cut.detail}, {self._state.received_bytes} bytes received"
-            raise ResponseLostError(f"response without a length: {detail}", closed=cut.closed)
-
 
 class HttpClient:
     """Sends requests to one server, without retries.
@@ -185,12 +160,13 @@
         max_body_bytes: int | None = None,
     ) -> None:
         self._max_body_bytes = math.inf if max_body_bytes is None else max_body_bytes
-        self._keep_alive = keep_alive
-        self._url = url.rstrip("/")
+        self._create_socket = open_socket if keep_alive is None else keep_alive.open_socket
+        self._url = url
         self._timeout_s = timeout_s
         self._reuse_connections = reuse_connections
-        self._session: aiohttp.ClientSession | None = None
-        self._running: Counter[aiohttp.ClientSession] = Counter()
+        self._idle = IdleChannels()
+        self._running: set[Channel] = set()
+        self._closings = 0
 
     async def send(
         self,
@@ -211,7 +187,6 @@
         """
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         if limit_s <= 0:
-            # aiohttp takes a time-out of 0 as no limit.
             raise RequestNotSentError(
                 "time limit expired before the request was sent", timed_out=True
             )
@@ -220,15 +195,12 @@
             silence_s, total_s, limit = None, limit_s, TimeLimit(limit_s, 0)
         else:
             silence_s, total_s, limit = limit_s, transfer_limit_s, TimeLimit(limit_s)
-        state = _ExchangeState(limit, time.monotonic() + total_s, _make_use(request))
-        async with self._exchange(request, silence_s, state) as response:
-            streamed = StreamedResponse(response, state)
+        state = _ExchangeState(limit, time.monotonic() + total_s, silence_s)
+        async with self._exchange(request, state) as response:
             body = bytearray()
-            while part := await streamed.read_part():
+            while part := await response.read_part():
                 body += part
                 if len(body) > self._max_body_bytes:
-                    # the rest is not read, so the connection can't be used again
-                    response.close()
                     raise ResponseLostError(f"body exceeds {self._max_body_bytes} bytes")
             return HttpResponse(response.status, response.headers, bytes(body))
 
@@ -241,141 +213,105 @@
         :raises RequestNotSentError: no byte was sent
         :raises ResponseLostError: the response was interrupted
         """
-        state = _ExchangeState(TimeLimit(self._timeout_s), None, _make_use(request))
-        async with self._exchange(request, None, state) as response:
-            try:
-                yield StreamedResponse(response, state)
-            finally:
-                response.close()
+        state = _ExchangeState(TimeLimit(self._timeout_s), None)
+        async with self._exchange(request, state) as response:
+            yield response
 
     async def close(self) -> None:
-        """Close all connections."""
-        sessions = set(self._running)
-        if self._session is not None:
-            sessions.add(self._session)
-            self._session = None
-        for session in sessions:
-            await session.close()
+        """Close all connections; requests in progress end with an error."""
+        self._closings += 1
+        self._idle.close()
+        for channel in self._running:
+            channel.close()
 
     @asynccontextmanager
     async def _exchange(
-        self, request: HttpRequest, silence_s: float | None, state: _ExchangeState
-    ) -> AsyncIterator[aiohttp.ClientResponse]:
-        # the HTTP library's other limits count nothing that arrived while the event loop was late
-        timeout = aiohttp.ClientTimeout(total=None, sock_read=silence_s)
-        async with self._use_session() as session:
-            CONNECTION_USE.set(state.use)
-            with _translate_errors(state):
-                async with (
-                    state.limit,
-                    session.request(
-                        request.method,
-                        URL(self._url + request.path, encoded=True),
-                        headers=request.headers,
-                        data=request.body,
-                        timeout=timeout,
-                        allow_redirects=False,
-                        trace_request_ctx=state,
-                    ) as response,
-                ):
-                    if response.status not in FINAL_STATUSES:
-                        response.close()
-                        raise ResponseLostError(f"invalid status {response.status}")
-                    yield response
-
-    @asynccontextmanager
-    async def _use_session(self) -> AsyncIterator[aiohttp.ClientSession]:
-        session = self._open_session()
-        self._running[session] += 1
+        self, request: HttpRequest, state: _ExchangeState
+    ) -> AsyncIterator[StreamedResponse]:
+        idle = self._idle
         try:
-            yield session
+            with _translate_errors(state):
+                async with state.limit:
+                    channel = await self._open_channel(idle)
+                    state.channel = channel
+                    ends_at = state.ends_at
+                    state.limit.restart(None if ends_at is None else ends_at - time.monotonic())
+                    with self._use(channel, idle):
+                        channel.send(self._encode(request))
+                        async with TimeLimit(state.silence_s):
+                            head = await channel.read_head()
+                        yield StreamedResponse(channel, head, state)
         except HttpError as error:
-            if error.timed_out and self._session is session:
+            if error.timed_out and self._idle is idle:
                 # idle connections may have fallen silent with this one
-                self._session = None
+                idle.close()
+                self._idle = IdleChannels()
             raise
+
+    async def _open_channel(self, idle: IdleChannels) -> Channel:
+        channel = idle.take(IDLE_LIMIT_S)
+        if channel is not None:
+            return channel
+        closings = self._closings
+        channel = await self._base_url.connect(self._create_socket)
+        if closings == self._closings and channel.usable:
+            return channel
+        channel.close()
+        raise ConnectError("the connection was closed, or the server sent bytes before the request")
+
+    @cached_property
+    def _base_url(self) -> BaseUrl:
+        try:
+            return BaseUrl.parse(self._url)
+        except ValueError as error:
+            raise ConnectError(str(error)) from error
+
+    @contextmanager
+    def _use(self, channel: Channel, idle: IdleChannels) -> Iterator[None]:
+        self._running.add(channel)
+        try:
+            yield
         finally:
-            self._running[session] -= 1
-            if not self._running[session]:
-                del self._running[session]
-                if session is not self._session:
-                    await session.close()
-
-    def _open_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            keep_alive = self._keep_alive
-            self._session = aiohttp.ClientSession(
-                connector=ObservedConnector(
-                    limit=0,
-                    force_close=not self._reuse_connections,
-                    socket_factory=None if keep_alive is None else keep_alive.open_socket,
-                ),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                auto_decompress=False,
-                trace_configs=[_trace_connection()],
-                middlewares=(_send_once,),
-                skip_auto_headers=AUTO_HEADERS,
-            )
-        return self._session
+            self._running.discard(channel)
+            # one with a request in progress is not usable
+            if self._reuse_connections and self._idle is idle and channel.usable:
+                idle.keep(channel)
+            else:
+                channel.close()
+
+    def _encode(self, request: HttpRequest) -> OutgoingRequest:
+        names = {name.lower() for name, _ in request.headers}
+        headers = [] if "host" in names else [("Host", self._base_url.authority.encode())]
+        headers += [(name, _encode_value(value)) for name, value in request.headers]
+        if not self._reuse_connections and "connection" not in names:
+            headers.append(("Connection", b"close"))
+        target = self._base_url.path + request.path
+        return OutgoingRequest(request.method, target, tuple(headers), request.body or b"")
 
 
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    # aiohttp retries GET, PUT and DELETE by itself if one of these errors propagates from here.
+@contextmanager
+def _translate_errors(state: _ExchangeState) -> Iterator[None]:
     try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ResponseLostError(repr(error), closed=_is_closed(error)) from error
+        yield
+    except (ChannelError, TimeoutError) as error:
+        raise _translate(error, state) from error
 
 
-def _make_use(request: HttpRequest) -> ConnectionUse:
-    return ConnectionUse(len(request.body or b""))
+def _translate(error: Exception, state: _ExchangeState) -> HttpError:
+    timed_out = isinstance(error, TimeoutError)
+    if state.channel is None or isinstance(error, RequestEncodingError):
+        return RequestNotSentError(repr(error), timed_out=timed_out)
+    detail = f"{error!r}, {state.received_bytes} bytes received"
+    closed = not timed_out and state.channel.is_closed_by_peer
+    return ResponseLostError(detail, timed_out=timed_out, closed=closed)
 
 
-def _is_closed(error: Exception) -> bool:
-    # a connection that the kernel's probes give up ends with ETIMEDOUT instead
-    is_body_cut = isinstance(error, aiohttp.ClientPayloadError)
-    cause = error.__cause__ if is_body_cut else error
-    if isinstance(cause, OSError):
-        return cause.errno == errno.ECONNRESET
-    return is_body_cut or isinstance(error, aiohttp.ServerDisconnectedError)
+def _encode_value(value: str) -> bytes:
+    return value.encode(errors="surrogateescape")
 
 
-@contextmanager
-def _translate_errors(state: _ExchangeState) -> Iterator[None]:
-    try:
-        yield
-    except (aiohttp.ClientError, OSError) as error:
-        kind = ResponseLostError if state.connected else RequestNotSentError
-        detail = f"{error!r}, {state.received_bytes} bytes received"
-        timed_out = isinstance(error, TimeoutError)
-        raise kind(detail, timed_out=timed_out, closed=_is_closed(error)) from error
-
-
-def _trace_connection() -> aiohttp.TraceConfig:
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_create_end.append(_record_connected)
-    trace.on_connection_reuseconn.append(_record_connected)
-    trace.on_request_chunk_sent.append(_record_written)
-    return trace
-
-
-async def _record_connected(_: aiohttp.ClientSession, context: SimpleNamespace, __: object) -> None:
-    state: _ExchangeState = context.trace_request_ctx
-    state.connected = True
-    state.limit.restart(None if state.ends_at is None else state.ends_at - time.monotonic())
-
-
-async def _record_written(
-    _: aiohttp.ClientSession,
-    context: SimpleNamespace,
-    params: aiohttp.TraceRequestChunkSentParams,
-) -> None:
-    state: _ExchangeState = context.trace_request_ctx
-    state.use.count_written(len(params.chunk))
+def _decode_value(value: str) -> str:
+    return value.encode("latin-1").decode(errors="surrogateescape")
 
 
 __all__ = [
--- a/tests/endpoints/test_cut_responses.py
+++ b/tests/endpoints/test_cut_responses.py
@@ -99,6 +99,8 @@
     assert isinstance(finish, EngineFinish)
 
 
+# fault: events that had arrived but were not read yet were dropped when a reset followed
+@pytest.mark.holds_tokens
 async def test_what_arrived_before_a_reset_is_read_late() -> None:
     first, second = chunk(TOKEN), chunk(TOKEN) + chunk(FINISH)
 
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import socket
+import ssl
 import threading
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import aiohttp
 import attrs
@@ -22,6 +24,7 @@
 )
 from support.timelimit import limit_time
 
+CERTIFICATES = Path(__file__).parent / "certificates"
 TIMEOUT_S = 5.0
 METHODS = ["GET", "PUT", "DELETE", "POST"]
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -373,3 +376,76 @@
         with pytest.raises(RequestNotSentError):
             await connect(server.url).send(HttpRequest("POST", "/"), timeout_s)
     assert server.requests == []
+
+
+async def test_headers_keep_bytes_that_are_not_ascii(
+    connect: Callable[[str], HttpClient],
+) -> None:
+    answer = "HTTP/1.1 200 OK\r\nX-Oak: chêne\r\nContent-Length: 0\r\n\r\n".encode()
+    async with run_server(answer) as server:
+        response = await connect(server.url).send(HttpRequest("GET", "/", (("X-Elm", "ormé"),)))
+    assert response.headers["x-oak"] == "chêne"
+    assert "X-Elm: ormé\r\n".encode() in server.requests[0]
+
+
+async def test_the_path_of_the_url_precedes_that_of_a_request(
+    connect: Callable[[str], HttpClient],
+) -> None:
+    async with run_server(OK) as server:
+        await connect(f"{server.url}/a%20b/").send(HttpRequest("GET", "/c"))
+    assert server.requests[0].startswith(b"GET /a%20b/c HTTP/1.1\r\n")
+
+
+async def test_a_host_name_is_looked_up(connect: Callable[[str], HttpClient]) -> None:
+    async with run_server(OK) as server:
+        url = server.url.replace("127.0.0.1", "localhost")
+        assert (await connect(url).send(HttpRequest("GET", "/"))).body == b"ok"
+    assert b"Host: localhost:" in server.requests[0]
+
+
+@pytest.mark.parametrize("url", ["ftp://127.0.0.1", "127.0.0.1:80", "http://", "http://a:b"])
+async def test_nothing_is_sent_to_a_url_without_a_server(
+    connect: Callable[[str], HttpClient], url: str
+) -> None:
+    with pytest.raises(RequestNotSentError):
+        await connect(url).send(HttpRequest("GET", "/"))
+
+
+@pytest.mark.parametrize("is_trusted", [True, False])
+async def test_a_server_with_tls_needs_a_trusted_certificate(
+    connect: Callable[[str], HttpClient],
+    monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    is_trusted: bool,
+) -> None:
+    certificate = CERTIFICATES / "server.pem"
+    (tmp_path / "empty.pem").write_text("")
+    trusted = certificate if is_trusted else tmp_path / "empty.pem"
+    monkeypatch.setenv("SSL_CERT_FILE", str(trusted))
+    monkeypatch.setenv("SSL_CERT_DIR", str(tmp_path))
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(certificate, CERTIFICATES / "server.key")
+    raw = RawServer(OK)
+    server = await asyncio.start_server(raw.serve, "127.0.0.1", 0, ssl=context)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        request = connect(f"https://{host}:{port}").send(HttpRequest("GET", "/"))
+        if is_trusted:
+            assert (await request).body == b"ok"
+        else:
+            with pytest.raises(RequestNotSentError):
+                await request
+
+
+# fault: a request of a client that was closed while it connected counted as one that may have run
+@pytest.mark.holds_not_run
+async def test_nothing_is_sent_by_a_client_that_is_closed_while_it_connects(
+    thread_server: ThreadServer,
+) -> None:
+    client = HttpClient(thread_server.url, TIMEOUT_S)
+    call = asyncio.create_task(client.send(HttpRequest("POST", "/")))
+    await asyncio.sleep(0)
+    await client.close()
+    with pytest.raises(RequestNotSentError):
+        await call
+    assert thread_server.requests == []
