Count a request as sent when the server has acknowledged it

Callers saw: nothing was reported. Two tests that always failed show the fault: a server answers an upload of 3 MB that it does not read with a part without a length, ends its half in order and resets the connection; the part was the whole answer.

Cause: a response whose end is that of the connection counts if the request was sent whole, and what the own kernel had taken counted as sent.

Change: at the end of the server's half the kernel is asked how much of the request is not acknowledged (SIOCOUTQ). While there is some, the connection stays open, and the response counts once all is acknowledged without a reset. The segment that ends the half acknowledges what was received before it, so that an ordinary response is not delayed.

--- a/src/basilroad/http/channels.py
+++ b/src/basilroad/http/channels.py
@@ -11,6 +11,7 @@
 import attrs
 import h11
 
+from basilroad.http.delivery import count_unacknowledged, read_error
 from basilroad.http.status import BODILESS_STATUSES, FINAL_STATUSES
 
 POOL_IDLE_LIMIT_S = 1.5
@@ -20,6 +21,9 @@
 SEND_TIMEOUT_MS = 3000
 """Limit for unacknowledged sent data, set as ``TCP_USER_TIMEOUT``."""
 
+DELIVERY_POLL_S = 0.01
+"""Interval of checks whether a server that ended its half early has received the request."""
+
 READ_BUFFER_BYTES = 262144
 """Received bytes buffered for a slow caller before reading from the endpoint is paused."""
 
@@ -142,15 +146,20 @@
         self._data_ready.set()
 
     def eof_received(self) -> bool:
-        """Handle the end of data from the endpoint; unsent data is still sent."""
+        """Handle the end of data from the server; data that it has not received is still sent.
+
+        :return: whether the connection stays open until then
+        """
         self._ended = True
-        if self._busy:
-            assert self._transport is not None
-            self._ended_early = self._transport.get_write_buffer_size() > 0
-            self._http.receive_data(b"")
-            self._is_parsed = False
-            self._data_ready.set()
-        return False
+        if not self._busy:
+            return False
+        self._http.receive_data(b"")
+        self._is_parsed = False
+        self._data_ready.set()
+        self._ended_early = not self._is_delivered()
+        if self._ended_early:
+            self._check_delivery()
+        return self._ended_early
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the loss of the connection; a reset does not complete a response."""
@@ -249,7 +258,7 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             if self._lasts_until_end and self._ended_early:
-                await self._wait_sent()
+                await self._wait_delivered()
             self._end_exchange()
             return None
         raise ChannelError(f"expected body data, got {type(event).__name__}")
@@ -333,12 +342,32 @@
         names = {name for name, _ in head.headers}
         return not names & {b"content-length", b"transfer-encoding"}
 
-    async def _wait_sent(self) -> None:
-        # the transport sends the rest of the request before it ends without an error
+    def _is_delivered(self) -> bool:
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        return not self._transport.get_write_buffer_size() and not count_unacknowledged(sock)
+
+    def _check_delivery(self) -> None:
+        # asyncio does not watch a connection whose peer has ended its half
+        if self._lost.is_set():
+            return
+        assert self._transport is not None
+        # a reset after the check of what is left does not matter
+        is_delivered = self._is_delivered()
+        self._failure = read_error(self._transport.get_extra_info("socket"))
+        if self._failure is not None:
+            self._transport.abort()
+        elif is_delivered:
+            self._transport.close()
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(DELIVERY_POLL_S, self._check_delivery)
+
+    async def _wait_delivered(self) -> None:
         await self._lost.wait()
         if self._failure is not None or self._aborted:
             detail = repr(self._failure or "closed here")
-            raise ChannelError(f"connection lost before the request was sent: {detail}")
+            raise ChannelError(f"connection lost before the request was received: {detail}")
 
     def _poll_event(self) -> object:
         event, self._next = self._next, None
