Listen for callers after everything else that a start needs

Callers saw: a review saw one connection reset by a gateway whose start failed, as the port of its metrics was taken.

Cause: a gateway listened for callers first, then for readiness checks, metrics and gossip. If one of these ports is taken, the start fails beside callers that are connected already.

Change: readiness and metrics are opened before the listener of callers, and gossip before the child services. So no caller can be connected when a start fails.

--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -94,13 +94,14 @@
         """Listen for calls, readiness checks and metrics scrapes."""
         settings, gateway = self._settings, self._gateway
         server_settings = CallerServerSettings(HEADER_REQUEST_ID, gateway.metrics.count_end)
+        readiness = web.Server(self._serve_readiness, **SERVER_OPTIONS)
+        await self._listen(readiness, settings.ready)
+        await self._listen(web.Server(self._serve_metrics, **SERVER_OPTIONS), settings.metrics)
+        # last, as a start that fails resets the connections of callers
         self._connections = CallerServer(self._handle, server_settings, **SERVER_OPTIONS)
         runner = await self._set_up(self._connections)
         self._listener = await CallerListener.open(runner, settings.front)
         _LOGGER.info("listening", extra={"front": str(settings.front)})
-        readiness = web.Server(self._serve_readiness, **SERVER_OPTIONS)
-        await self._listen(readiness, settings.ready)
-        await self._listen(web.Server(self._serve_metrics, **SERVER_OPTIONS), settings.metrics)
 
     async def on_stop(self) -> None:
         """Wait for calls in flight up to the grace period, answer the rest and close everything."""
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -124,11 +124,15 @@
         services.append(self.front)
         return services
 
+    async def on_start(self) -> None:
+        """Listen for the other gateways, before any child service listens for callers."""
+        if self.gossip is not None:
+            await self.gossip.start()
+
     async def on_started(self) -> None:
         """Install the SIGHUP handler and schedule the periodic tasks."""
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
         if self.gossip is not None:
-            await self.gossip.start()
             self.timers.subscribe(GOSSIP_INTERVAL_S, self.gossip.tick)
             self.timers.subscribe(HOSTS_UPDATE_INTERVAL_S, self._update_known_hosts)
         self.timers.subscribe(SETTINGS_POLL_INTERVAL_S, self.reload_if_changed)
--- a/tests/platform/test_process_signals.py
+++ b/tests/platform/test_process_signals.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import signal
+import socket
 from collections import Counter
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -13,9 +14,10 @@
 
 import pytest
 
+from basilroad.platform.settings import METRICS_PORT
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.rowstore import RowStoreStandin
-from soak.process import FRONT_PORT, GatewayProcess
+from soak.process import FRONT_PORT, PEER_PORT, READY_PORT, GatewayProcess
 from support.addresses import name_ip
 from support.gatewayrig import build_config, build_order
 from support.timelimit import TimeLimit, limit_time
@@ -168,6 +170,35 @@
     return ends
 
 
+# fault: a process whose start failed had taken connections of callers, which its end cuts off
+@pytest.mark.holds_stop
+@pytest.mark.parametrize(
+    ("kind", "port"),
+    [
+        (socket.SOCK_STREAM, READY_PORT),
+        (socket.SOCK_STREAM, METRICS_PORT),
+        (socket.SOCK_STREAM, PEER_PORT),
+        (socket.SOCK_DGRAM, PEER_PORT),
+    ],
+    ids=["readiness", "metrics", "config exchange", "gossip"],
+)
+async def test_a_start_that_fails_accepts_no_connection(
+    tmp_path: Path, kind: socket.SocketKind, port: int
+) -> None:
+    rig = ProcessRig(tmp_path)
+    with socket.socket(socket.AF_INET, kind) as taken:
+        taken.bind((name_ip(IP_NUMBER), port))
+        if kind is socket.SOCK_STREAM:
+            taken.listen()
+        await rig.start()
+        callers = [asyncio.ensure_future(call_until_exit(rig)) for _ in range(CALLERS)]
+        code = await rig.wait_exit()
+        ends = sum(await asyncio.gather(*callers), Counter[TryEnd]())
+    await rig.stop()
+    assert code == 1
+    assert set(ends) == {TryEnd.NO_CONNECTION}, ends
+
+
 # fault: a stop that is requested while the process starts cuts off the requests that it then reads
 @pytest.mark.holds_stop
 @pytest.mark.parametrize("listens", [False, True])
