End quietly when the program is interrupted while it loads

Callers saw: a new user who pressed Ctrl-C right after starting `basilroad local` could get a traceback.

Cause: the commands are imported when the entry point is, outside of what handles an interrupt.

Change: the entry point imports them and ends with 130 if it is interrupted meanwhile.

An interrupt in the start of the interpreter itself still prints one.

--- a/src/basilroad/run.py
+++ b/src/basilroad/run.py
@@ -4,12 +4,20 @@
 
 import sys
 
-from basilroad.cli.app import app
+EXIT_INTERRUPTED = 130
+"""Exit code after SIGINT, as a shell reports it."""
 
 
 def run() -> None:
     """Run the command line and exit with its exit code."""
-    sys.exit(app())
+    try:
+        # takes a part of a second, in which SIGINT may arrive
+        from basilroad.cli.app import app
+
+        status = app()
+    except KeyboardInterrupt:
+        status = EXIT_INTERRUPTED
+    sys.exit(status)
 
 
 __all__ = ["run"]
