Leave the limits of sockets to the client that opens them

Callers saw: nothing; found by reading the change before it was landed.

Cause: since HttpClient uses the connections of endpoints, these set their limit of 3 s for unacknowledged data on each socket. The store's client lost its own 2 s, by which it notices a cut way; calls of plain services and streams of engines would have ended after a cut of 3 s, which they had outlasted.

Change: a connection gets that limit only from the pool of an endpoint.

Measured: test_a_connection_keeps_the_limits_of_its_probes failed in three of three cases (3000 ms in place of 2000, 4000 and none) and passes; tests/http pass.

--- a/src/basilroad/http/baseurl.py
+++ b/src/basilroad/http/baseurl.py
@@ -80,7 +80,7 @@
         loop = asyncio.get_running_loop()
         try:
             _, channel = await loop.create_connection(
-                Channel, sock=sock, ssl=context, server_hostname=name
+                lambda: Channel(None), sock=sock, ssl=context, server_hostname=name
             )
         except BaseException:
             sock.close()
--- a/src/basilroad/http/channels.py
+++ b/src/basilroad/http/channels.py
@@ -19,7 +19,7 @@
 without a reset having arrived."""
 
 SEND_TIMEOUT_MS = 3000
-"""Limit for unacknowledged sent data, set as ``TCP_USER_TIMEOUT``."""
+"""Limit for unacknowledged data sent to an endpoint, set as ``TCP_USER_TIMEOUT``."""
 
 DELIVERY_POLL_S = 0.01
 """Interval of checks whether a server that ended its half early has received the request."""
@@ -96,9 +96,14 @@
 
 
 class Channel(asyncio.Protocol):
-    """One connection, which carries one request at a time."""
+    """One connection, which carries one request at a time.
 
-    def __init__(self) -> None:
+    :param send_timeout_ms: limit for unacknowledged sent data in milliseconds; ``None`` to leave
+        that of the socket
+    """
+
+    def __init__(self, send_timeout_ms: int | None = SEND_TIMEOUT_MS) -> None:
+        self._send_timeout_ms = send_timeout_ms
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_MAX)
         self._transport: asyncio.Transport | None = None
         self._data_ready = asyncio.Event()
@@ -128,9 +133,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set ``TCP_USER_TIMEOUT``."""
         self._transport = cast("asyncio.Transport", transport)
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SEND_TIMEOUT_MS)
+        sock, timeout_ms = transport.get_extra_info("socket"), self._send_timeout_ms
+        if sock is not None and timeout_ms is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
     def data_received(self, data: bytes) -> None:
         """Receive response data; data outside a request closes the connection."""
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -22,6 +22,7 @@
     RequestNotSentError,
     ResponseLostError,
 )
+from basilroad.http.keepalive import open_socket
 from support.timelimit import limit_time
 
 CERTIFICATES = Path(__file__).parent / "certificates"
@@ -147,6 +148,39 @@
     assert KeepAlive(idle_s=2, interval_s=1, probes=3).limit_s == 5
 
 
+@attrs.define
+class KeptSockets:
+    """Keeps the sockets that it opens.
+
+    :param keep_alive: sets their options; ``None`` for none
+    """
+
+    keep_alive: KeepAlive | None
+    opened: list[socket.socket] = attrs.field(factory=list)
+
+    def open_socket(self, info: aiohttp.AddrInfoType) -> socket.socket:
+        create = open_socket if self.keep_alive is None else self.keep_alive.open_socket
+        self.opened.append(create(info))
+        return self.opened[-1]
+
+
+# fault: the limit for unacknowledged data of endpoints replaced that of the probes
+@pytest.mark.parametrize(
+    ("keep_alive", "timeout_ms"), [(KeepAlive(), 2000), (KeepAlive(probes=3), 4000), (None, 0)]
+)
+async def test_a_connection_keeps_the_limits_of_its_probes(
+    keep_alive: KeepAlive | None, timeout_ms: int
+) -> None:
+    sockets = KeptSockets(keep_alive)
+    async with run_server(OK) as server:
+        client = HttpClient(server.url, TIMEOUT_S, keep_alive=sockets)
+        async with client.stream(HttpRequest("GET", "/")) as response:
+            option = socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            assert sockets.opened[0].getsockopt(*option) == timeout_ms
+            await response.read()
+        await client.close()
+
+
 async def test_a_client_with_keep_alive_sends_requests() -> None:
     async with run_server(OK) as server:
         client = HttpClient(server.url, TIMEOUT_S, keep_alive=KeepAlive())
