Follow the moved connections in four tests

Three of them imported the moved modules by another form of import, and a fourth walked the list of idle connections of a pool, which is one level deeper now.

--- a/tests/gateway/calls/test_second_copies.py
+++ b/tests/gateway/calls/test_second_copies.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from basilroad.endpoints import channels
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.route import RetrySafety
+from basilroad.http import channels
 from basilroad.standin.appserver import WireFault
 from builders import RecordingResponder, build_call, build_route
 
--- a/tests/gateway/registry/test_liveness.py
+++ b/tests/gateway/registry/test_liveness.py
@@ -85,7 +85,7 @@
     while not gateway.liveness.probes_sent:
         await asyncio.sleep(0.01)
     await asyncio.sleep(0.1)
-    for channel in endpoint.pool._idle:
+    for channel in endpoint.pool._idle._channels:
         # closed by the server without the gateway having noticed
         channel._transport.get_extra_info("socket").shutdown(1)
     assert (await task).numbers == [1, 2, 3]
--- a/tests/gateway/streams/test_silent_engines.py
+++ b/tests/gateway/streams/test_silent_engines.py
@@ -7,11 +7,11 @@
 import pytest
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.endpoints import channelpool
 from basilroad.errors import RefusedError
 from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.streams import stalltimer
 from basilroad.gateway.streams.streaming import StreamBrokenError
+from basilroad.http import channelpool
 from builders import RecordingResponder, build_call, build_route, build_stream_route
 
 pytestmark = pytest.mark.by_turns
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -13,7 +13,7 @@
 import attrs
 import pytest
 
-from basilroad.endpoints import channelpool
+from basilroad.http import channelpool
 from basilroad.http.ends import EndCause
 from basilroad.platform import run
 from basilroad.standin.appserver import AppServerStandin
