Reuse connections of a client after pauses as before

Callers saw: nothing; found by reading the change before it was landed.

Cause: connections have the idle limit of endpoints, 1.5 s, where HttpClient's is 15 s. Since a client that sends a request every two seconds, as of the table or the list of hosts, opened a connection for each.

Change: HttpClient sets its own limit on the connections that it keeps.

Measured: test_a_connection_is_reused_after_a_pause failed after 10 s and passes; tests/http, tests/endpoints and tests/test_imports.py pass.

--- a/src/basilroad/gateway/calls/attempt.py
+++ b/src/basilroad/gateway/calls/attempt.py
@@ -17,9 +17,8 @@
 from basilroad.gateway.registry.endpoint import PendingCall, never_move
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Purpose, Source
-from basilroad.http.channels import (
-    POOL_IDLE_LIMIT_S,
-    SHORT_BODY_BYTES,
+from basilroad.http.channels import POOL_IDLE_LIMIT_S, SHORT_BODY_BYTES
+from basilroad.http.messages import (
     ChannelError,
     ConnectError,
     OutgoingRequest,
--- a/src/basilroad/gateway/calls/buffered.py
+++ b/src/basilroad/gateway/calls/buffered.py
@@ -14,7 +14,7 @@
 from basilroad.gateway.calls.call import Reply
 from basilroad.gateway.calls.log import AttemptRecord
 from basilroad.gateway.crashes.runs import Run
-from basilroad.http.channels import ChannelError
+from basilroad.http.messages import ChannelError
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call
--- a/src/basilroad/gateway/crashes/containment.py
+++ b/src/basilroad/gateway/crashes/containment.py
@@ -20,7 +20,7 @@
 from basilroad.gateway.crashes.runs import Run
 from basilroad.gateway.exchange.crashreports import CrashExchange
 from basilroad.gateway.registry.endpoint import EndpointState
-from basilroad.http.channels import ConnectError
+from basilroad.http.messages import ConnectError
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Collection, Iterator, Sequence
--- a/src/basilroad/gateway/registry/reports.py
+++ b/src/basilroad/gateway/registry/reports.py
@@ -12,7 +12,8 @@
 from basilroad.gateway.registry.endpoint import EngineReport
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Purpose, Source
-from basilroad.http.channels import NO_REQUEST_ID, SHORT_BODY_BYTES, ChannelError, ConnectError
+from basilroad.http.channels import SHORT_BODY_BYTES
+from basilroad.http.messages import NO_REQUEST_ID, ChannelError, ConnectError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -25,7 +25,7 @@
 from basilroad.gateway.streams.stalltimer import StallTimer
 from basilroad.gateway.versions.attemptstart import AttemptStart
 from basilroad.gateway.versions.pin import VersionPin
-from basilroad.http.channels import ChannelError
+from basilroad.http.messages import ChannelError
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, Responder
--- a/src/basilroad/gateway/versions/startcheck.py
+++ b/src/basilroad/gateway/versions/startcheck.py
@@ -11,7 +11,7 @@
 from basilroad.coordination.decoding import DecodeError
 from basilroad.gateway.calls.attempt import NotRun
 from basilroad.gateway.registry.notices import Purpose
-from basilroad.http.channels import ChannelError
+from basilroad.http.messages import ChannelError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/basilroad/http/baseurl.py
+++ b/src/basilroad/http/baseurl.py
@@ -12,8 +12,9 @@
 import attrs
 from yarl import URL
 
-from basilroad.http.channels import Channel, ConnectError
+from basilroad.http.channels import Channel
 from basilroad.http.keepalive import open_socket
+from basilroad.http.messages import ConnectError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/basilroad/http/channelpool.py
+++ b/src/basilroad/http/channelpool.py
@@ -6,7 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.http.channels import POOL_IDLE_LIMIT_S, Channel, ConnectError
+from basilroad.http.channels import POOL_IDLE_LIMIT_S, Channel
+from basilroad.http.messages import ConnectError
 from basilroad.timelimit import TimeLimit
 
 if TYPE_CHECKING:
--- a/src/basilroad/http/channels.py
+++ b/src/basilroad/http/channels.py
@@ -8,10 +8,15 @@
 from collections.abc import Callable
 from typing import cast
 
-import attrs
 import h11
 
 from basilroad.http.delivery import count_unacknowledged, read_error
+from basilroad.http.messages import (
+    ChannelError,
+    OutgoingRequest,
+    ReplyHead,
+    RequestEncodingError,
+)
 from basilroad.http.status import BODILESS_STATUSES, FINAL_STATUSES
 
 POOL_IDLE_LIMIT_S = 1.5
@@ -42,59 +47,6 @@
 """Requests after which a connection is closed, as it remembers their ids."""
 
 
-NO_REQUEST_ID = ""
-"""Id of requests whose responses name none."""
-
-
-class ChannelError(Exception):
-    """The connection failed or the response is not valid HTTP.
-
-    :param detail: description of the failure
-    """
-
-
-class ConnectError(ChannelError):
-    """No connection could be opened; no byte of the request was sent."""
-
-
-class RequestEncodingError(ChannelError):
-    """The request is not valid HTTP; no byte of it was sent."""
-
-
-@attrs.frozen
-class ReplyHead:
-    """Status line and headers of a response.
-
-    :param status: status code
-    :param headers: header names, as sent, and values
-    """
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-
-    def get(self, name: str) -> str:
-        """:return: value of a header by its name in lower case, empty without one."""
-        return next((value for key, value in self.headers if key.lower() == name), "")
-
-
-@attrs.frozen
-class OutgoingRequest:
-    """A request to an endpoint.
-
-    :param method: HTTP method
-    :param target: path and query, as the caller sent them
-    :param headers: all headers except Content-Length
-    :param body: whole body
-    :param id: id that the endpoint echoes in its response; ``NO_REQUEST_ID`` without one
-    """
-
-    method: str
-    target: str
-    headers: tuple[tuple[str, str | bytes], ...]
-    body: bytes = b""
-    id: str = NO_REQUEST_ID
-
-
 class Channel(asyncio.Protocol):
     """One connection, which carries one request at a time.
 
@@ -415,13 +367,7 @@
 
 __all__ = [
     "MAX_REQUESTS",
-    "NO_REQUEST_ID",
     "POOL_IDLE_LIMIT_S",
     "SHORT_BODY_BYTES",
     "Channel",
-    "ChannelError",
-    "ConnectError",
-    "OutgoingRequest",
-    "ReplyHead",
-    "RequestEncodingError",
 ]
--- a/src/basilroad/http/client.py
+++ b/src/basilroad/http/client.py
@@ -13,15 +13,15 @@
 
 from basilroad.http.baseurl import BaseUrl
 from basilroad.http.channelpool import IdleChannels
-from basilroad.http.channels import (
-    Channel,
+from basilroad.http.channels import Channel
+from basilroad.http.keepalive import KeepAlive, open_socket
+from basilroad.http.messages import (
     ChannelError,
     ConnectError,
     OutgoingRequest,
     ReplyHead,
     RequestEncodingError,
 )
-from basilroad.http.keepalive import KeepAlive, open_socket
 from basilroad.timelimit import TimeLimit
 
 IDLE_LIMIT_S = 15.0
@@ -275,6 +275,7 @@
             self._running.discard(channel)
             # one with a request in progress is not usable
             if self._reuse_connections and self._idle is idle and channel.usable:
+                channel.idle_limit_s = IDLE_LIMIT_S
                 idle.keep(channel)
             else:
                 channel.close()
--- a/src/basilroad/platform/notices.py
+++ b/src/basilroad/platform/notices.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from basilroad.http.channels import ReplyHead
+    from basilroad.http.messages import ReplyHead
 
 HEADER_LEAVING = "server-leaving"
 HEADER_RETRY_AFTER = "retry-after"
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -14,13 +14,13 @@
 from basilroad.gateway.calls.call import CONTENT_KEY_MARK, Headers, PromptSize
 from basilroad.gateway.exchange.crashreports import MAX_KEY_CHARS, MAX_PARTS
 from basilroad.gateway.registry.endpoint import EngineReport
-from basilroad.http.channels import OutgoingRequest
+from basilroad.http.messages import OutgoingRequest
 from basilroad.platform.notices import STATUS_MISDIRECTED, read_limit, read_notice
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.notices import Notice
-    from basilroad.http.channels import ReplyHead
+    from basilroad.http.messages import ReplyHead
     from basilroad.peers.address import Address
 
 HEADER_REQUEST_ID = "X-Attempt-Id"  # set by the caller; all attempts of a call carry the same id
--- a/tests/endpoints/test_connecting.py
+++ b/tests/endpoints/test_connecting.py
@@ -11,7 +11,7 @@
 
 from basilroad.endpoints.plainservice import REACHABILITY_TIMEOUT_S, HttpPlainService
 from basilroad.http.channelpool import CONNECT_TIMEOUT_S, ChannelPool
-from basilroad.http.channels import ConnectError
+from basilroad.http.messages import ConnectError
 from basilroad.peers.address import Address
 from support.timelimit import limit_time
 
--- a/tests/gateway/crashes/test_containment.py
+++ b/tests/gateway/crashes/test_containment.py
@@ -17,7 +17,7 @@
 from basilroad.gateway.registry.endpoint import EndpointState
 from basilroad.gateway.registry.notices import Source
 from basilroad.gateway.streams.streaming import StreamBrokenError
-from basilroad.http.channels import ConnectError
+from basilroad.http.messages import ConnectError
 from basilroad.standin.appserver import AppServerStandin, WireFault
 from builders import RecordingResponder, build_call, build_entry, build_route, build_stream_route
 from support.timelimit import limit_time
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -188,6 +188,22 @@
         await client.close()
 
 
+# fault: each request after a pause of two seconds opened a connection
+@pytest.mark.parametrize(("idle_s", "opened"), [(10.0, 1), (20.0, 2)])
+async def test_a_connection_is_reused_after_a_pause(idle_s: float, opened: int) -> None:
+    server = SilentServer()
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    client = HttpClient(f"http://{host}:{port}", TIMEOUT_S)
+    await client.send(HttpRequest("GET", "/"))
+    for channel in client._idle._channels:
+        channel.idle_since -= idle_s
+    await client.send(HttpRequest("GET", "/"))
+    assert server.opened == opened
+    await client.close()
+    listener.close()
+
+
 async def test_a_time_out_ends_no_other_request() -> None:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
--- a/tests/http/test_response_ends.py
+++ b/tests/http/test_response_ends.py
@@ -8,8 +8,8 @@
 import pytest
 
 from basilroad.http.channelpool import ChannelPool
-from basilroad.http.channels import ChannelError, OutgoingRequest
 from basilroad.http.client import HttpClient, HttpRequest, ResponseLostError
+from basilroad.http.messages import ChannelError, OutgoingRequest
 from basilroad.peers.address import Address
 from support.rawserver import (
     HOLD_S,
--- a/tests/http/test_unasked_responses.py
+++ b/tests/http/test_unasked_responses.py
@@ -11,8 +11,8 @@
 import pytest
 
 from basilroad.http.channelpool import ChannelPool
-from basilroad.http.channels import ChannelError, OutgoingRequest
 from basilroad.http.client import HttpClient, HttpRequest, HttpResponse, ResponseLostError
+from basilroad.http.messages import ChannelError, OutgoingRequest
 from basilroad.peers.address import Address
 
 TIMEOUT_S = 5.0
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -9,7 +9,7 @@
 from hypothesis import given, strategies as st
 
 from basilroad.gateway.registry.notices import MAX_PAUSE_S, Notice
-from basilroad.http.channels import ReplyHead
+from basilroad.http.messages import ReplyHead
 from basilroad.platform.notices import MAX_LIMIT_PER_S, MIN_LIMIT_PER_S
 from basilroad.platform.protocol import PlatformProtocol
 
