Let the times of a stop include suspensions of the machine

Cause: a stop counted by the monotonic clock, which stands still while the machine is suspended; the platform's grace period goes on. A host that was suspended in its stop admitted calls for as long beyond the end of admission, and SIGKILL came before the answers to those in flight. Gateways, entries and agents had it alike.

Evidence: tests with a boot clock that jumps.

Change: the signal keeps how far the boot clock was ahead, and tells the time with the suspensions since. Admission, the end of calls in flight and the drains of entries and agents go by it. A pause of the process between two readings of the clocks counts for nothing. A suspension from before the signal can't be known.

Measured: with the suspension left out five new tests fail (of the signal, admission, a call in flight at a gateway and a generation at an entry); now they and the rest of tests/test_stopsignal.py, gateway/test_stopping.py, entry/test_stop.py and platform/test_frontend.py pass. The drain of agents has no test of its own.

--- a/src/basilroad/agent/service.py
+++ b/src/basilroad/agent/service.py
@@ -403,7 +403,7 @@
 
     async def _wait_for_runs(self) -> None:
         limit = self._stop_signal.record() + self.options.drain_limit_s
-        while self._count_work() and time.monotonic() < limit:
+        while self._count_work() and self._stop_signal.read_clock() < limit:
             await asyncio.sleep(STALL_CHECK_INTERVAL_S)
         for run in self.runs.running():
             self.cancel(run, FailReason.MOVED)
--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -207,7 +206,7 @@
         avoided: set[str] = set()
         while True:
             view = await self.choose(call, avoided)
-            if time.monotonic() + SHORT_CALL_S > self.entry.work_ends_at:
+            if self.entry.read_stop_clock() + SHORT_CALL_S > self.entry.work_ends_at:
                 # its end can't be promised, and another host can run it
                 raise refuse(ErrorKind.DRAINING, "this host is shutting down")
             try:
--- a/src/basilroad/entry/context.py
+++ b/src/basilroad/entry/context.py
@@ -32,7 +32,7 @@
     :param containment: tracks requests that were running when endpoints failed
     :param link_costs: cost of sending work to other regions
     :param stopping: whether it is draining
-    :param work_ends_at: monotonic seconds at which a planned stop ends what is in flight
+    :param work_ends_at: time at which a planned stop ends what is in flight
     :param calls_running: calls of plain services in flight
     """
 
@@ -53,6 +53,9 @@
     def is_ready(self) -> bool:
         """:return: whether requests should be routed to this entry."""
 
+    def read_stop_clock(self) -> float:
+        """:return: the time by which a planned stop goes, as ``work_ends_at``."""
+
     async def connect(self, address: Address) -> AgentLink:
         """Maintain a connection to an agent.
 
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -161,7 +161,7 @@
         self.stopping = True
         _LOGGER.info("entry draining", extra={"flights": len(self.flights)})
         self.work_ends_at = self._stop_signal.record() + self.options.drain_limit_s
-        while self._is_working and time.monotonic() < self.work_ends_at:
+        while self._is_working and self.read_stop_clock() < self.work_ends_at:
             await asyncio.sleep(DRAIN_POLL_S)
         self._preparations_ended = True
         ending = set(self._preparations)
@@ -177,6 +177,10 @@
         # a read of the hosts connects to agents; a link that is added from now on would not stop
         await self.timers.stop()
 
+    def read_stop_clock(self) -> float:
+        """:return: the time by which a planned stop goes, as ``work_ends_at``."""
+        return self._stop_signal.read_clock()
+
     async def on_shutdown(self) -> None:
         """Close the connections to the platform after all child services have stopped."""
         if self.table is not None:
--- a/src/basilroad/gateway/exchange/configexchange.py
+++ b/src/basilroad/gateway/exchange/configexchange.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from mode import Service
 
-from basilroad.gateway.freshness import read_boot_clock
+from basilroad.clocks import read_boot_clock
 from basilroad.http.client import HttpClient, HttpError, HttpRequest, HttpResponse
 from basilroad.http.idleconnections import close_idle_connections
 from basilroad.http.listener import CallerListener
--- a/src/basilroad/gateway/freshness.py
+++ b/src/basilroad/gateway/freshness.py
@@ -2,13 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
-
-def read_boot_clock() -> float:
-    """:return: seconds since boot, including suspend time."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+from basilroad.clocks import read_boot_clock
 
 
 class Freshness:
@@ -59,4 +55,4 @@
         return age_s is not None and age_s <= limit_s
 
 
-__all__ = ["Freshness", "read_boot_clock"]
+__all__ = ["Freshness"]
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -238,7 +238,7 @@
         until = time.monotonic() + CONFIG_WAIT_LIMIT_S
         while not self.freshness.is_within(limit_s) and time.monotonic() < until:
             schedule = self.shutdown_schedule
-            if schedule is not None and time.monotonic() >= schedule.admits_until:
+            if schedule is not None and self.shutdown.read_clock() >= schedule.admits_until:
                 return
             age_s = self.freshness.age_s()
             outage_s = self._uptime_s() if age_s is None else age_s - limit_s
@@ -292,7 +292,7 @@
         :raises RefusedError: it has to be sent to another host
         """
         schedule = self.shutdown_schedule
-        if schedule is not None and time.monotonic() >= schedule.admits_until:
+        if schedule is not None and self.shutdown.read_clock() >= schedule.admits_until:
             raise self._refuse_at_shutdown(route)
         self.check_time_before_shutdown(route)
 
@@ -310,11 +310,11 @@
         if schedule is None or not route.streams or not self.are_most_hosts_stopping():
             return refuse_at_shutdown()
         # a retry at once would come to this host, or to one that refuses it too
-        left_s = self._find_first_restart(schedule) - time.monotonic()
+        left_s = self._find_first_restart(schedule) - self.shutdown.read_clock()
         return refuse_at_shutdown(max(left_s, OTHER_HOST_RETRY_S))
 
     def _find_first_restart(self, schedule: ShutdownSchedule) -> float:
-        now, grace_s = time.monotonic(), self.settings.grace_s
+        now, grace_s = self.shutdown.read_clock(), self.settings.grace_s
         others = (ShutdownSchedule.plan(at, grace_s).restarted_at for at in self.list_other_stops())
         # a host that is overdue may have been removed
         return min(schedule.restarted_at, *(at for at in others if at > now), math.inf)
@@ -329,7 +329,7 @@
         if schedule is None:
             return True
         needed_s = self.stream_durations.typical_max_s if route.streams else SHORT_CALL_S
-        return time.monotonic() + needed_s <= schedule.ends_at
+        return self.shutdown.read_clock() + needed_s <= schedule.ends_at
 
     @property
     def shutdown_schedule(self) -> ShutdownSchedule | None:
--- a/src/basilroad/gateway/shutdown.py
+++ b/src/basilroad/gateway/shutdown.py
@@ -36,7 +36,7 @@
 
 @attrs.frozen
 class ShutdownSchedule:
-    """Times of a planned shutdown, in monotonic seconds.
+    """Times of a planned shutdown, in seconds of the clock of its signal.
 
     :param accepts_until: end of new connections
     :param admits_until: end of new calls
@@ -51,7 +51,7 @@
     def plan(cls, requested_at: float, grace_s: float) -> ShutdownSchedule:
         """Plan a shutdown.
 
-        :param requested_at: monotonic seconds of the request to shut down
+        :param requested_at: time of the request to shut down
         :param grace_s: seconds from then until the process is killed
         :return: its times
         """
@@ -84,6 +84,10 @@
         """:return: whether a shutdown was requested."""
         return self.signal.received_at is not None
 
+    def read_clock(self) -> float:
+        """:return: the time, which includes suspensions of the machine since the request."""
+        return self.signal.read_clock()
+
     def find_schedule(self, grace_s: float) -> ShutdownSchedule | None:
         """Find the times of the shutdown, which a later change of the grace period doesn't move.
 
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -11,8 +11,8 @@
 
 import attrs
 
+from basilroad.clocks import read_boot_clock
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.versions.archive import ArchiveUnavailableError
 from basilroad.gateway.versions.baserow import VERSION_MEMORY_S
 from basilroad.gateway.versions.keeper import VersionKeeper
--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -7,8 +7,8 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.exchange.relay import Confirmation
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.platform.config import ConfigError, decode_config
 from basilroad.platform.watch import TableWatch
 
--- a/src/basilroad/platform/crasharchive.py
+++ b/src/basilroad/platform/crasharchive.py
@@ -9,6 +9,7 @@
 import msgspec
 from mode import Service
 
+from basilroad.clocks import read_boot_clock
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
 from basilroad.gateway.exchange.crashreports import (
     MAX_REFUSED_RECORDS,
@@ -16,7 +17,6 @@
     pack_record,
     unpack_report,
 )
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.platform.store import StoreError
 
 if TYPE_CHECKING:
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -68,6 +68,9 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 """Interim response to a caller that sends its body only when it is requested."""
 
+STOP_POLL_S = 0.5
+"""Interval at which a shutdown looks whether the machine was suspended."""
+
 LAST_RESPONSES_S = 0.1
 """Time to send the responses of calls that are still in flight at the end of a shutdown."""
 
@@ -113,12 +116,15 @@
         schedule = self._gateway.shutdown_schedule
         assert schedule is not None
         _LOGGER.info("stopping", extra=_describe_shutdown(shutdown, connections))
-        await _sleep_until(schedule.accepts_until)
+        await self._sleep_until(schedule.accepts_until)
         if self._listener is not None:
-            await self._listener.close(schedule.admits_until)
-        await _sleep_until(schedule.admits_until)
+            left_s = schedule.admits_until - shutdown.read_clock()
+            await self._listener.close(time.monotonic() + left_s)
+        await self._sleep_until(schedule.admits_until)
         _LOGGER.info("admission ended", extra=_describe_shutdown(shutdown, connections))
-        await connections.close_connections(schedule.ends_at)
+        while connections.connections and (left_s := schedule.ends_at - shutdown.read_clock()) > 0:
+            limit = time.monotonic() + min(left_s, STOP_POLL_S)
+            await connections.close_connections(limit)
         ended = shutdown.end_calls()
         await connections.close_connections(time.monotonic() + LAST_RESPONSES_S)
         _LOGGER.info("stopped", extra=_describe_shutdown(shutdown, connections, ended))
@@ -126,6 +132,11 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    async def _sleep_until(self, at: float) -> None:
+        # a timer does not go on while the machine is suspended
+        while (left_s := at - self._gateway.shutdown.read_clock()) > 0:
+            await asyncio.sleep(min(left_s, STOP_POLL_S))
+
     async def _listen(self, server: web.Server, address: Address) -> None:
         runner = await self._set_up(server)
         site = web.TCPSite(
@@ -371,10 +382,6 @@
         return self.response
 
 
-async def _sleep_until(at: float) -> None:
-    await asyncio.sleep(max(0.0, at - time.monotonic()))
-
-
 def _describe_shutdown(
     shutdown: Shutdown, connections: CallerServer, ended: int = 0
 ) -> dict[str, int]:
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -10,13 +10,13 @@
 import attrs
 from mode import Service
 
+from basilroad.clocks import read_boot_clock
 from basilroad.coordination.budget import RetrySettings
 from basilroad.coordination.timer import Timer
 from basilroad.gateway.dispatch.dispatcher import SWEEP_INTERVAL_S
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S, Gossip
 from basilroad.gateway.exchange.relay import Relay
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.registry.liveness import LIVENESS_CHECK_INTERVAL_S
 from basilroad.gateway.versions.listing import OBSERVE_INTERVAL_S
--- a/src/basilroad/platform/streamarchive.py
+++ b/src/basilroad/platform/streamarchive.py
@@ -7,7 +7,7 @@
 
 from mode import Service
 
-from basilroad.gateway.freshness import read_boot_clock
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.versions.archive import (
     ArchiveRow,
     ArchiveUnavailableError,
--- a/src/basilroad/platform/watch.py
+++ b/src/basilroad/platform/watch.py
@@ -13,7 +13,7 @@
 import attrs
 from mode import Service
 
-from basilroad.gateway.freshness import read_boot_clock
+from basilroad.clocks import read_boot_clock
 from basilroad.platform.store import ConnectionLostError, HistoryGoneError, StoreError
 from basilroad.platform.storeclock import StoreClock
 
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -10,6 +10,7 @@
 import pytest
 
 from basilroad.backing.hosts import ListedHost
+from basilroad.clocks import read_boot_clock
 from basilroad.entry.link import EndpointView
 from basilroad.entry.service import EntryService
 from basilroad.peers.wire import peer_pb2 as wire
@@ -83,6 +84,27 @@
     assert (await pending).startswith(b"HTTP/1.1 503 ")
 
 
+@pytest.mark.holds_stop
+async def test_a_generation_is_answered_in_time_though_the_machine_was_suspended() -> None:
+    # fault: an entry that was suspended in its stop went on beyond the limit of its drain
+    port = find_free_port()
+    stop_signal = StopSignal()
+    entry = EntryService(build_settings(port, drain_limit_s=5.0), stop_signal)
+    await entry.start()
+    entry.models_seen.add("m")
+    pending = asyncio.ensure_future(complete(port, stream=False))
+    while not entry.flights:
+        await asyncio.sleep(0.01)
+    started = time.monotonic()
+    stopping = asyncio.ensure_future(entry.stop())
+    while not entry.stopping:
+        await asyncio.sleep(0.01)
+    stop_signal.boot_clock = lambda: read_boot_clock() + 5.0
+    assert (await pending).startswith(b"HTTP/1.1 503 ")
+    await stopping
+    assert time.monotonic() - started < 2.0
+
+
 @pytest.mark.holds_stop
 @pytest.mark.parametrize(
     ("waits_in", "key", "answer"),
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from basilroad.clocks import read_boot_clock
 from basilroad.errors import Effect, RefusedError
 from basilroad.gateway.gateway import (
     LONG_OUTAGE_RETRY_S,
@@ -110,6 +111,15 @@
     assert caught.value.refusal.answer.effect is Effect.NOT_RUN
 
 
+def test_admission_ends_in_time_though_the_machine_was_suspended() -> None:
+    # fault: a host that was suspended in its stop admitted calls for as long beyond the limit
+    gateway = build_gateway(1.0)
+    gateway.check_draining(build_route())
+    gateway.shutdown.signal.boot_clock = lambda: read_boot_clock() + 1.6
+    with pytest.raises(RefusedError):
+        gateway.check_draining(build_route())
+
+
 def test_a_queued_stream_with_enough_time_runs_after_the_end_of_admission() -> None:
     gateway = build_gateway(2.6)
     gateway.stream_durations.mean_s = 1.0
--- a/tests/harness/test_turnclock.py
+++ b/tests/harness/test_turnclock.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.exchange.relay import Relay
-from basilroad.gateway.freshness import read_boot_clock
 from support.turnclock import TURN_S, TurnLoop
 
 BLOCK_S = 0.3
--- a/tests/platform/test_confirmation_age.py
+++ b/tests/platform/test_confirmation_age.py
@@ -8,10 +8,10 @@
 
 import pytest
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.exchange import configexchange
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.relay import Confirmation, Update, Withdrawal
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.platform import configwatch
 from basilroad.platform.configwatch import CONFIRMATION_LAG_S
 from support.addresses import find_free_address
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -12,6 +12,7 @@
 import attrs
 import pytest
 
+from basilroad.clocks import read_boot_clock
 from basilroad.http.idleconnections import DRAIN_POLL_INTERVAL_S
 from basilroad.standin.appserver import AppServerStandin, WireFault
 from support.background import Background
@@ -354,6 +355,26 @@
     await stopping
 
 
+@pytest.mark.holds_stop
+async def test_a_call_in_flight_is_answered_in_time_though_the_machine_was_suspended(
+    rig: GatewayRig,
+) -> None:
+    # fault: the timers of a stop don't go on in a suspension, and SIGKILL came before their answers
+    await rig.configure(1, "key")
+    limit_s = shorten_grace(rig)
+    rig.app.response_delay_s = 30.0
+    order = asyncio.ensure_future(exchange_raw(rig, 0.0, "in-flight"))
+    while not rig.app.ran:
+        await asyncio.sleep(0.01)
+    began = time.monotonic()
+    stopping = asyncio.ensure_future(rig.service.stop())
+    await asyncio.sleep(0.1)
+    rig.service.gateway.shutdown.signal.boot_clock = lambda: read_boot_clock() + limit_s - 0.2
+    assert (await order).startswith(b"HTTP/1.1 502 "), "it may have run"
+    assert time.monotonic() - began < 1.2
+    await stopping
+
+
 @pytest.fixture
 async def own_clock_app(rig: GatewayRig) -> AsyncIterator[AppServerStandin]:
     """A server that continues while the event loop of the gateway is blocked."""
--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -12,11 +12,11 @@
 import pytest
 from aiohttp import web
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S
 from basilroad.gateway.exchange.relay import Relay, Update, Withdrawal
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.peers.address import Address
 from basilroad.platform.configwatch import ConfigWatch
--- a/tests/platform/test_restore_open.py
+++ b/tests/platform/test_restore_open.py
@@ -9,9 +9,9 @@
 import msgspec
 import pytest
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.relay import Confirmation, Update
-from basilroad.gateway.freshness import read_boot_clock
 from support.addresses import find_free_address
 from support.watchrig import NOBODY, Rig, build_config, wait_until
 
--- a/tests/platform/test_restore_settling.py
+++ b/tests/platform/test_restore_settling.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.exchange.relay import Update
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.platform import configwatch, serverswatch
 from support.watchrig import NOBODY, STARTED, Rig, build_config, wait_until
 
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -8,10 +8,10 @@
 import msgspec
 import pytest
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.relay import EntryRecord, Relay, Update
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.peers.address import Address
 from basilroad.platform import configwatch, serverswatch
--- a/tests/support/watchrig.py
+++ b/tests/support/watchrig.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
+from basilroad.clocks import read_boot_clock
 from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.exchange.configexchange import ConfigExchange
 from basilroad.gateway.exchange.relay import Relay
-from basilroad.gateway.freshness import read_boot_clock
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.peers.address import Address
 from basilroad.platform.configwatch import ConfigWatch
--- a/tests/test_stopsignal.py
+++ b/tests/test_stopsignal.py
@@ -60,3 +60,53 @@
     assert signal.getsignal(signal.SIGTERM) is signal.SIG_DFL
     StopSignal().watch()
     assert signal.getsignal(signal.SIGTERM) is signal.SIG_DFL
+
+
+class Clocks:
+    """The clocks of a machine that can be suspended."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.suspended_s = 7.0
+        self.pause_s = 0.0
+
+    def read(self) -> float:
+        self.now += self.pause_s
+        return self.now
+
+    def read_boot(self) -> float:
+        self.now += self.pause_s
+        return self.now + self.suspended_s
+
+
+# fault: a machine that was suspended in a stop went on beyond the grace period
+@pytest.mark.parametrize("is_recorded", [True, False])
+def test_the_time_since_a_signal_includes_a_suspension(is_recorded: bool) -> None:
+    clocks = Clocks()
+    stop_signal = StopSignal(None if is_recorded else 99.0, clocks.read, clocks.read_boot)
+    if is_recorded:
+        stop_signal.record()
+        clocks.now += 1.0
+    assert stop_signal.age_s() == 1.0
+    clocks.suspended_s += 2.0
+    clocks.now += 0.5
+    assert stop_signal.age_s() == 3.5
+
+
+@pytest.mark.parametrize("pauses", [(0.0, 0.3), (0.3, 0.0), (0.3, 0.3)])
+def test_a_pause_between_two_readings_is_no_suspension(pauses: tuple[float, float]) -> None:
+    clocks = Clocks()
+    stop_signal = StopSignal(clock=clocks.read, boot_clock=clocks.read_boot)
+    clocks.pause_s = pauses[0]
+    stop_signal.record()
+    clocks.pause_s = pauses[1]
+    assert stop_signal.read_clock() == clocks.now
+
+
+def test_without_a_signal_a_suspension_does_not_count() -> None:
+    clocks = Clocks()
+    stop_signal = StopSignal(clock=clocks.read, boot_clock=clocks.read_boot)
+    stop_signal.read_clock()
+    clocks.suspended_s += 2.0
+    assert stop_signal.read_clock() == clocks.now
+    assert stop_signal.age_s() == 0.0
