--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -41,6 +41,9 @@
 INTERRUPTED = """
 import os, signal, sys
 
+# a process in the background of a shell inherits that the signal is ignored
+signal.signal(signal.SIGINT, signal.default_int_handler)
+
 class Interrupter:
     @staticmethod
     def find_spec(name, path=None, target=None):
