Read the trusted certificates once for each client

Callers saw: nothing; found by reading the change before it was landed.

Cause: since each connection with TLS read the certificates of the machine anew, in the event loop.

Change: they are read with the base URL, which a client parses at its first request.

Measured: the tests of TLS pass, and one of an IPv6 address, which had none. How long a read takes was not measured.

--- a/src/basilroad/http/baseurl.py
+++ b/src/basilroad/http/baseurl.py
@@ -29,18 +29,18 @@
 class BaseUrl:
     """URL of a server below which the targets of requests are.
 
-    :param is_secure: whether connections use TLS
     :param host: name or IP address
     :param port: TCP port
     :param authority: host and port as in the ``Host`` header
     :param path: path of the URL, percent-encoded, without a slash at its end
+    :param tls: settings of connections with TLS; ``None`` for those without
     """
 
-    is_secure: bool
     host: str
     port: int
     authority: str
     path: str = ""
+    tls: ssl.SSLContext | None = None
 
     @classmethod
     def parse(cls, text: str) -> BaseUrl:
@@ -53,7 +53,9 @@
             raise ValueError(f"{text!r} is no http:// or https:// URL")
         authority = url.host_port_subcomponent or ""
         path = url.raw_path.rstrip("/")
-        return cls(url.scheme == "https", url.raw_host, url.port, authority, path)
+        # reads the trusted certificates, which takes too long for each connection
+        tls = ssl.create_default_context() if url.scheme == "https" else None
+        return cls(url.raw_host, url.port, authority, path, tls)
 
     async def connect(
         self, create_socket: Callable[[AddrInfoType], socket.socket] = open_socket
@@ -76,12 +78,11 @@
             raise ConnectError(repr(error)) from error
 
     async def _open_channel(self, sock: socket.socket) -> Channel:
-        context = ssl.create_default_context() if self.is_secure else None
-        name = self.host if self.is_secure else None
+        name = None if self.tls is None else self.host
         loop = asyncio.get_running_loop()
         try:
             _, channel = await loop.create_connection(
-                lambda: Channel(None), sock=sock, ssl=context, server_hostname=name
+                lambda: Channel(None), sock=sock, ssl=self.tls, server_hostname=name
             )
         except BaseException:
             sock.close()
--- a/tests/http/test_client.py
+++ b/tests/http/test_client.py
@@ -499,3 +499,13 @@
     with pytest.raises(RequestNotSentError):
         await call
     assert thread_server.requests == []
+
+
+async def test_an_address_of_ipv6_is_reached(connect: Callable[[str], HttpClient]) -> None:
+    raw = RawServer(OK)
+    server = await asyncio.start_server(raw.serve, "::1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with server:
+        response = await connect(f"http://[::1]:{port}").send(HttpRequest("GET", "/"))
+    assert response.body == b"ok"
+    assert f"Host: [::1]:{port}\r\n".encode() in raw.requests[0]
