--- a/tests/agent/test_stop.py
+++ b/tests/agent/test_stop.py
@@ -9,6 +9,7 @@
 from grpclib.client import Channel
 
 from basilroad.agent.service import AgentService
+from basilroad.clocks import read_boot_clock
 from basilroad.errors import ErrorKind
 from basilroad.peers.address import parse_address
 from basilroad.peers.failreason import FailReason
@@ -113,3 +114,18 @@
 async def test_an_idle_agent_announces_its_drain_before_it_closes(agent: AgentService) -> None:
     entry = await stop_with(agent, wire.EntryMessage(demand=wire.Demand()))
     assert [state.draining for state in entry.find("endpoint")] == [True, True]
+
+
+# fault: an agent that was suspended in its stop went on beyond the limit of its drain
+@pytest.mark.holds_stop
+async def test_a_drain_ends_in_time_though_the_machine_was_suspended(
+    agent: AgentService, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(agent, "_count_work", lambda: 1)
+    stopping = asyncio.create_task(agent.stop())
+    while agent._stop_signal.received_at is None:
+        await asyncio.sleep(0.005)
+    limit_s = agent.options.drain_limit_s
+    monkeypatch.setattr(agent._stop_signal, "boot_clock", lambda: read_boot_clock() + limit_s)
+    async with limit_time(2.0):
+        await stopping
