Read what a reader's new listing leaves out

Cause: a reader that was cut off from the store reads the whole listing when it returns, and passed it on as all changes since its last read: newer rows, and the removal of what it had listed. An entry that came and went in between is in neither of its listings, and followers that had learnt of it from another reader kept it. The class: the difference of two states taken for all changes between them.

Change: an update names the two revisions between which its changes are a difference. A follower that knows a state between them reads the changes from the store.

Measured: test_an_endpoint_that_came_and_went_while_its_reader_was_cut_off_is_removed failed before and passes; a difference in several updates still costs its followers no call. tests/gateway/exchange and the tests of watches and restores pass (287).

--- a/src/basilroad/gateway/exchange/changes.py
+++ b/src/basilroad/gateway/exchange/changes.py
@@ -45,12 +45,49 @@
     changes: list[_Change]
 
 
+@attrs.frozen
+class Span:
+    """Two revisions between which not all changes are known, only what differs in the end.
+
+    Entries that came and went in between are missing. What was known at the first revision, or was
+    complete at the second one, is not affected.
+
+    :param start: the first one
+    :param end: the second one
+    """
+
+    start: Revision
+    end: Revision
+
+    def is_within(self, revision: Revision) -> bool:
+        """:return: whether a state of this revision may hold entries that are missing."""
+        return self.start < revision < self.end
+
+
 class RecentChanges(Generic[_Change]):
     """Recent changes, and the revisions between which they are complete."""
 
     def __init__(self) -> None:
         self._log: deque[tuple[float, _Change]] = deque(maxlen=LOG_LENGTH)
         self._base = self.revision = Revision(0, 0)
+        self._unseen: Span | None = None
+
+    @property
+    def unseen(self) -> Span | None:
+        """:return: the revisions, after those of the base, between which changes are missing."""
+        if self._unseen is not None and self._unseen.end <= self._base:
+            self._unseen = None
+        return self._unseen
+
+    def record_unseen(self, span: Span) -> None:
+        """Record that the changes between two revisions are only what differs in the end.
+
+        :param span: the revisions
+        """
+        known = self.unseen
+        if known is not None:
+            span = Span(min(known.start, span.start), max(known.end, span.end))
+        self._unseen = span
 
     def record_listing(self, revision: Revision) -> None:
         """Record a complete listing, which earlier changes don't lead up to.
@@ -59,6 +96,7 @@
         """
         self._log.clear()
         self._base = self.revision = revision
+        self._unseen = None
 
     def record(self, changes: Sequence[_Change], revision: Revision, now: float) -> None:
         """Record changes.
@@ -101,4 +139,4 @@
     return changes[:end], changes[end:]
 
 
-__all__ = ["Part", "RecentChanges"]
+__all__ = ["Part", "RecentChanges", "Span"]
--- a/src/basilroad/gateway/exchange/relay.py
+++ b/src/basilroad/gateway/exchange/relay.py
@@ -15,7 +15,7 @@
 import attrs
 import msgspec
 
-from basilroad.gateway.exchange.changes import RecentChanges
+from basilroad.gateway.exchange.changes import RecentChanges, Span
 from basilroad.gateway.exchange.state import Count
 from basilroad.gateway.registry.endpoint import EndpointEntry, EndpointState
 from basilroad.gateway.revision import Revision
@@ -86,6 +86,9 @@
     :param revision: number of the revision up to which they are complete
     :param changes: changed entries in order
     :param epoch: epoch of all these revisions
+    :param unseen_from: number of the first of two revisions between which not all changes are
+        included, see :class:`~basilroad.gateway.exchange.changes.Span`
+    :param unseen_to: number of the second one; 0 without them, as from older gateways
     """
 
     host: str
@@ -96,6 +99,14 @@
     revision: RevisionNumber
     changes: list[EntryRecord] = []
     epoch: RevisionNumber = 0
+    unseen_from: RevisionNumber = 0
+    unseen_to: RevisionNumber = 0
+
+    @property
+    def unseen(self) -> Span:
+        """:return: the revisions between which not all changes are included."""
+        start, end = Revision(self.epoch, self.unseen_from), Revision(self.epoch, self.unseen_to)
+        return Span(start, end)
 
     @property
     def complete_from(self) -> Revision:
@@ -344,6 +355,13 @@
         self._listing_read = True
         self._changed = self._changed or bool(changes)
 
+    def record_unseen(self, span: Span) -> None:
+        """Record that the changes between two revisions are only what differs in the end.
+
+        :param span: the revisions
+        """
+        self._recent.record_unseen(span)
+
     def record_listing_lost(self) -> None:
         """Record that the listing can't be read."""
         self._listing_read = False
@@ -366,6 +384,8 @@
         return self._build_updates(confirmation, age_s, now), self._recipients
 
     def _build_updates(self, confirmation: Confirmation, age_s: float, now: float) -> list[Update]:
+        parts = self._recent.split(now)
+        unseen = self._recent.unseen
         return [
             Update(
                 self._host,
@@ -376,8 +396,10 @@
                 part.revision.number,
                 [pack_change(change) for change in part.changes],
                 part.revision.epoch,
+                unseen.start.number if unseen else 0,
+                unseen.end.number if unseen else 0,
             )
-            for part in self._recent.split(now)
+            for part in parts
         ]
 
 
--- a/src/basilroad/platform/serverswatch.py
+++ b/src/basilroad/platform/serverswatch.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
+from basilroad.gateway.exchange.changes import Span
 from basilroad.gateway.exchange.relay import ListedChange, unpack_changes
 from basilroad.platform.config import ConfigError, decode_server
 from basilroad.platform.watch import TableWatch
@@ -51,6 +52,7 @@
         super().__init__(store, SERVERS_TABLE, SERVERS_LONG_POLL_S, relay, budget, SERVERS_PAUSE_S)
         self._directory = gateway.directory
         self._held_back: set[str] = set()
+        self._followed: Span | None = None  # of which a part is applied, from its start on
 
     @property
     def poll_limit_s(self) -> float:
@@ -77,6 +79,7 @@
         """Replace all entries of the directory."""
         revision = self._revision
         assert revision is not None
+        self._followed = None
         outdated = {row.key for row in rows if self._is_outdated(row)}
         entries = {row.key: _decode_entry(row) for row in rows}
         # followers may list what this host holds back
@@ -92,6 +95,8 @@
         changes = [ListedChange(row.revision, row.key, entries[row.key]) for row in newer]
         changes += [ListedChange(revision, endpoint_id, None) for endpoint_id in removed]
         self._relay.record_changes(changes, revision)
+        # entries that have come and gone since the last read are in neither of the listings
+        self._relay.record_unseen(Span(known, revision))
 
     def _is_outdated(self, row: StoreRow) -> bool:
         restore = self._restore
@@ -105,6 +110,7 @@
 
     def apply_changes(self, rows: Sequence[StoreRow]) -> None:
         """Update or remove the changed entries; a malformed one is removed."""
+        self._followed = None
         self._apply_listed(
             [ListedChange(row.revision, row.key, _decode_entry(row)) for row in rows]
         )
@@ -118,8 +124,18 @@
             return
         known = self._revision
         changes = [change for change in unpack_changes(update) if change.revision > known]
+        unseen = update.unseen
+        if unseen.is_within(known) and unseen != self._followed:
+            # what can't be read from the store meanwhile counts as far as it goes
+            for change in changes:
+                self._apply_change(change)
+            self._request_read()
+            return
         self._revision = max(known, update.complete_to)
         self._apply_listed(changes)
+        if known < unseen.end:
+            self._followed = unseen
+            self._relay.record_unseen(unseen)
 
     async def read_missing(self) -> None:
         """Read the changes since the last update."""
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -11,8 +11,17 @@
 from basilroad.clocks import read_boot_clock
 from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.exchange.configexchange import ConfigExchange
-from basilroad.gateway.exchange.relay import EntryRecord, Relay, Update
+from basilroad.gateway.exchange.relay import (
+    EntryRecord,
+    ListedChange,
+    Relay,
+    Update,
+    Withdrawal,
+    pack_change,
+)
 from basilroad.gateway.gateway import Gateway, GatewaySettings
+from basilroad.gateway.registry.endpoint import EndpointEntry
+from basilroad.gateway.revision import Revision
 from basilroad.peers.address import Address
 from basilroad.platform import configwatch, serverswatch
 from basilroad.platform.configwatch import ConfigWatch
@@ -20,7 +29,7 @@
 from basilroad.platform.store import StoreClient
 from basilroad.standin.rowstore import RowStoreStandin
 from support.addresses import find_free_address
-from support.timelimit import limit_time
+from support.timelimit import TimeLimit, limit_time
 from support.watchrig import (
     BUDGET,
     NOBODY,
@@ -30,6 +39,9 @@
     wait_until,
 )
 
+REMOVED_S = 2.5
+"""Seconds within which an endpoint that has left must be removed."""
+
 
 async def test_a_version_is_in_force_soon_after_it_was_written(rig: Rig) -> None:
     rig.store.put("op", "config", build_config(1, "k"))
@@ -298,6 +310,64 @@
     assert sorted(changes) == [("i-1", False), ("i-3", True)]
 
 
+# fault: a reader that returned to the store passed its new listing on as all that had changed, and
+# its followers kept the endpoints that had come and gone since its last read
+@pytest.mark.holds_stop
+async def test_an_endpoint_that_came_and_went_while_its_reader_was_cut_off_is_removed(
+    rig: Rig,
+) -> None:
+    reader = Rig(host="a")
+    await reader.start()
+
+    def put(table: str, key: str, value: object) -> None:
+        for each in (reader, rig):
+            each.store.put(table, key, value)
+
+    put("op", "config", build_config(1))
+    put("servers", "i-1", SERVER)
+    reader.relay.update_peers([("h", NOBODY)])
+    await wait_until(lambda: reader.gateway.directory.get("i-1") is not None)
+    await asyncio.sleep(configwatch.RESTORE_SETTLE_S + 0.1)
+    reader.store.refusing = 503
+    await wait_until(lambda: reader.relay.list_due()[0][:1] == [Withdrawal("a")])
+    put("servers", "i-2", SERVER)
+    await wait_until(lambda: rig.gateway.directory.get("i-2") is not None)
+    await follow(rig, 1, 0.6)
+    before = build_update(rig, 1)
+    put("servers", "i-2", None)
+    reader.store.refusing = 0
+    limit = TimeLimit(REMOVED_S)
+    while rig.gateway.directory.get("i-2") is not None:
+        limit.check("the endpoint is not removed")
+        updates = [m for m in reader.relay.list_due()[0] if isinstance(m, Update)]
+        # until then another reader sends what it knows
+        for update in updates or [before]:
+            rig.relay.take(update, NOBODY)
+        await asyncio.sleep(0.02)
+    await reader.stop()
+
+
+async def test_a_difference_in_several_updates_costs_its_followers_no_call(rig: Rig) -> None:
+    rig.store.put("op", "config", build_config(1))
+    rig.store.put("servers", "i-1", SERVER)
+    await wait_until(lambda: rig.version == 1 and rig.gateway.directory.get("i-1") is not None)
+    await follow(rig, 1, 0.6)
+    known = rig.store.revision
+    for number in (2, 3):
+        rig.store.put("servers", f"i-{number}", SERVER)
+    end, calls = rig.store.revision, rig.store.calls
+    for base, number in ((known, 2), (known + 1, 3)):
+        entry = EndpointEntry(f"i-{number}", "s", Address("10.0.0.1", 80), "a", 4)
+        change = pack_change(ListedChange(Revision(rig.store.era, base + 1), entry.id, entry))
+        update = build_update(rig, 1, base=base)
+        update.revision, update.changes = base + 1, [change]
+        update.unseen_from, update.unseen_to = known, end
+        rig.relay.take(update, NOBODY)
+    await asyncio.sleep(0.3)
+    assert rig.store.calls == calls
+    assert rig.gateway.directory.get("i-3") is not None
+
+
 async def test_a_follower_that_misses_changes_and_their_history_reads_all_rows(rig: Rig) -> None:
     rig.store.put("op", "config", build_config(1))
     rig.store.put("servers", "i-1", SERVER)
