Keep the locations of prompts apart by workspace

What callers saw: a request of one workspace was answered faster when another workspace had lately sent a prompt of the same name, as both were placed by one location. So a caller could find out which prompts others send.

Cause: a location had the bare name of the last part of the prompt as its key, without the workspace and the service.

Change: the key is a hash of workspace, service and name (`Call.cache_key`), 8 bytes, which is also what gateways send each other.

--- a/src/basilroad/gateway/calls/call.py
+++ b/src/basilroad/gateway/calls/call.py
@@ -4,6 +4,7 @@
 
 import functools
 import hashlib
+from collections.abc import Iterable
 from typing import Protocol
 
 import attrs
@@ -14,6 +15,9 @@
 CONTENT_KEY_BYTES = 8
 """Size of the hash of a call's content; the calls of one hour differ in it."""
 
+CACHE_KEY_BYTES = 8
+"""Size of the hash of a prompt's key; the prompts of a fleet within a minute differ in it."""
+
 CONTENT_KEY_MARK = "="
 """First character of the keys of contents, which no key of a prompt part has."""
 
@@ -80,16 +84,22 @@
     @functools.cached_property
     def content_key(self) -> str:
         """:return: key of all that makes another call the same."""
-        digest = hashlib.blake2b(digest_size=CONTENT_KEY_BYTES)
-        for field in (
+        fields = (
             self.method.encode(),
             self.workspace.encode(),
             self.target.encode(),
             self.body,
-        ):
-            digest.update(len(field).to_bytes(8, "big"))
-            digest.update(field)
-        return CONTENT_KEY_MARK + digest.hexdigest()
+        )
+        return CONTENT_KEY_MARK + _hash(fields, CONTENT_KEY_BYTES).hex()
+
+    @functools.cached_property
+    def cache_key(self) -> bytes:
+        """:return: key of the prompt in the caches of engines, which other workspaces don't share;
+        empty without a prompt."""
+        if not self.prompt_key:
+            return b""
+        names = (self.workspace, self.service, self.prompt_key)
+        return _hash((name.encode(errors="surrogateescape") for name in names), CACHE_KEY_BYTES)
 
     @functools.cached_property
     def crash_keys(self) -> frozenset[str]:
@@ -126,6 +136,14 @@
     body: bytes
 
 
+def _hash(fields: Iterable[bytes], size: int) -> bytes:
+    digest = hashlib.blake2b(digest_size=size)
+    for field in fields:
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
+    return digest.digest()
+
+
 def read_events_received(last_event_id: str) -> int:
     """Read how many events a caller has received.
 
@@ -156,6 +174,7 @@
 
 
 __all__ = [
+    "CACHE_KEY_BYTES",
     "CONTENT_KEY_MARK",
     "Call",
     "Headers",
--- a/src/basilroad/gateway/calls/handler.py
+++ b/src/basilroad/gateway/calls/handler.py
@@ -66,7 +66,7 @@
 
     def _check_time_left(self, call: Call) -> None:
         gateway, received = self._gateway, call.events_received
-        read = gateway.dispatcher.prompt_locations.find(call.prompt_key) is not None
+        read = gateway.dispatcher.prompt_locations.find(call.cache_key) is not None
         prompt_tokens = 0 if read else call.size.prompt_tokens
         left_s = call.expires_at - time.monotonic()
         if not gateway.stream_durations.is_time_too_short(left_s, prompt_tokens, received):
--- a/src/basilroad/gateway/dispatch/candidates.py
+++ b/src/basilroad/gateway/dispatch/candidates.py
@@ -82,7 +82,7 @@
 
     def find_prompt(self, call: Call, criteria: EndpointCriteria) -> PromptLocation | None:
         """:return: where the prompt of a call was processed, unless it may not use that."""
-        found = self.prompt_locations.find(call.prompt_key)
+        found = self.prompt_locations.find(call.cache_key)
         if found is None or criteria.version is None:
             return found
         endpoint = self.directory.get(found.endpoint_id)
--- a/src/basilroad/gateway/dispatch/promptlocations.py
+++ b/src/basilroad/gateway/dispatch/promptlocations.py
@@ -15,7 +15,7 @@
 MAX_PROMPTS = 4096
 """Maximum number of prompts kept, many times those of one host in that time."""
 
-PromptReport = tuple[str, str]
+PromptReport = tuple[bytes, str]
 """Key of a prompt and id of the endpoint that processed it, as sent between gateways."""
 
 
@@ -39,10 +39,10 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._runs: OrderedDict[str, PromptLocation] = OrderedDict()
-        self._local: OrderedDict[str, float] = OrderedDict()
+        self._runs: OrderedDict[bytes, PromptLocation] = OrderedDict()
+        self._local: OrderedDict[bytes, float] = OrderedDict()
 
-    def record(self, key: str, endpoint_id: str) -> None:
+    def record(self, key: bytes, endpoint_id: str) -> None:
         """Record that this gateway sent a prompt to an endpoint.
 
         :param key: key of the prompt; ignored if empty
@@ -62,7 +62,7 @@
         for key, endpoint_id in reports:
             self._put(key, endpoint_id)
 
-    def find(self, key: str) -> PromptLocation | None:
+    def find(self, key: bytes) -> PromptLocation | None:
         """Find the endpoint that processed a prompt.
 
         :param key: key of the prompt
@@ -85,7 +85,7 @@
         newest = list(reversed(self._local))[:limit]
         return [(key, self._runs[key].endpoint_id) for key in newest if key in self._runs]
 
-    def _put(self, key: str, endpoint_id: str) -> None:
+    def _put(self, key: bytes, endpoint_id: str) -> None:
         self._runs[key] = PromptLocation(endpoint_id, self._clock())
         self._runs.move_to_end(key)
         if len(self._runs) > MAX_PROMPTS:
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -201,7 +201,7 @@
             self._start.confirm if self._start else None,
         )
         self._pin.begin(endpoint)
-        self._gateway.dispatcher.prompt_locations.record(self._call.prompt_key, endpoint.id)
+        self._gateway.dispatcher.prompt_locations.record(self._call.cache_key, endpoint.id)
         try:
             outcome = await self._run_watched(attempt, reservation)
         finally:
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -321,10 +321,10 @@
 def test_a_caller_of_a_failed_gateway_resumes_where_its_prompt_is_cached() -> None:
     # fault: a gateway loses power, and its callers reconnect to the others at once
     net = Net()
-    net.gateways[0]._prompt_locations.record("prompt", "e2")
+    net.gateways[0]._prompt_locations.record(b"prompt", "e2")
     net.gateways[0].tick()
     net.deliver()
-    found = net.gateways[1]._prompt_locations.find("prompt")
+    found = net.gateways[1]._prompt_locations.find(b"prompt")
     assert found is not None
     assert found.endpoint_id == "e2"
     endpoints = [get(net.gateways[1], f"e{number}") for number in range(3)]
@@ -334,13 +334,13 @@
     chooser = Chooser(PLACE, random.Random(1))
     assert chooser.choose(endpoints, call, ENGINE, net.now, cached_prompt=found) is endpoints[2]
     net.now += PROMPT_CACHE_S + 0.1
-    assert net.gateways[1]._prompt_locations.find("prompt") is None
+    assert net.gateways[1]._prompt_locations.find(b"prompt") is None
 
 
 def test_a_restarted_endpoint_has_no_cached_prompts() -> None:
     net = Net()
-    net.gateways[0]._prompt_locations.record("prompt", "e2")
-    found = net.gateways[0]._prompt_locations.find("prompt")
+    net.gateways[0]._prompt_locations.record(b"prompt", "e2")
+    found = net.gateways[0]._prompt_locations.find(b"prompt")
     endpoint = get(net.gateways[0], "e2")
     endpoint.listed_at = net.now + 1.0
     assert estimate_prefill_savings(endpoint, SIZE, found) == 0.0
--- a/tests/gateway/exchange/test_state.py
+++ b/tests/gateway/exchange/test_state.py
@@ -20,7 +20,7 @@
 
 
 def test_the_largest_loads_and_the_newest_prompts_are_sent() -> None:
-    runs = [(f"prompt{number}", f"e{number}") for number in range(24)]
+    runs = [(b"prompt%d" % number, f"e{number}") for number in range(24)]
     data = encode_state(build_state(300, runs))
     assert len(data) <= MAX_DATAGRAM_BYTES
     sent = msgspec.msgpack.decode(data, type=StateMessage)
