Keep the location of a prompt for the time of its run, with two gateways

What callers saw: a stream that was cut by a stop or a killed gateway was taken up at another gateway, which had the prompt read anew (about one prompt of 8,200 tokens for each cut stream of the grown sites), so that the stream stood still for a second or more and engines worked for nothing. Some of these callers were refused for lack of time, as the whole prompt counted as still to be read.

Cause: the location of a prompt aged from the moment it was sent, 6 s, and the streams that a stop cuts were sent 5.5 s before or more. It also travelled with the gossip of loads, which named the 24 newest prompts only and reached a gateway that had just started after seconds, if at all. A later report of an earlier run could replace a newer location.

Change: a location lives as long as its run and some time after its end, or after its deadline while the end isn't known; a run that began later replaces it; it names the start of its engine. It is kept by two gateways that rendezvous hashing of the prompt's key chooses among those that don't stop (coordination/rendezvous.py, as the directory of locations of entries does). A gateway reports it when the run begins and again when the keepers change; one that stops does so for all that it keeps; one that gets a prompt asks the keepers, within 50 ms and two round trips, and these pass the request on if they take others for the keepers. One that has just started waits up to 0.3 s for the first message of another one before it asks for a stream that is resumed. Gossip names no prompts any more.

Failed before: the code before has no such calls; without the hand-over of a stopping gateway tests/gateway/exchange/test_promptexchange.py fails in test_a_location_is_found_in_a_wave_of_stops and test_a_gateway_that_stops_hands_over_what_it_keeps.

--- a/src/basilroad/gateway/calls/handler.py
+++ b/src/basilroad/gateway/calls/handler.py
@@ -38,6 +38,8 @@
         outcome = "cancelled"
         try:
             if call.route.streams:
+                is_resumed = call.events_received > 0
+                await self._gateway.prompts.find(call.cache_key, is_repeated=is_resumed)
                 self._check_time_left(call)
             reply = await self._run(call, responder)
             outcome = "whole_stream" if reply is None else f"status_{reply.status // 100}xx"
--- a/src/basilroad/gateway/dispatch/dispatcher.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -107,7 +107,7 @@
         self._reports = reports
         self._permits = permits
         self._permit_requests: dict[str, asyncio.Task[None]] = {}
-        self.prompt_locations = PromptLocations(clock)
+        self.prompt_locations = PromptLocations()
         self._clock = clock
         self._candidates = Candidates(
             directory, chooser, find_engine, self.prompt_locations, may_begin, clock
--- a/src/basilroad/gateway/dispatch/promptlocations.py
+++ b/src/basilroad/gateway/dispatch/promptlocations.py
@@ -1,95 +1,131 @@
-"""Endpoints that recently processed a prompt and may still have it in their cache."""
+"""Endpoints that process a prompt or did recently, and may have it in their cache."""
 
 from __future__ import annotations
 
-import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
 
 import attrs
 
-PROMPT_CACHE_S = 6.0
-"""Time for which a prompt is assumed to be in an engine's cache; callers of a failed host reconnect
-within 2 s, and reuse within 4.7 s or 8.1 s is specified for the fleets."""
+from basilroad.clocks import read_boot_clock
 
-MAX_PROMPTS = 4096
-"""Maximum number of prompts kept, many times those of one host in that time."""
+if TYPE_CHECKING:
+    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.registry.notices import Lifetime
+
+RETENTION_S = 15.0
+"""Time after the end of a run for which its prompt may be in the engine's cache; the least recently
+used prompts leave first, in this time also at an engine that is half full."""
 
-PromptReport = tuple[bytes, str]
-"""Key of a prompt and id of the endpoint that processed it, as sent between gateways."""
+MAX_PROMPTS = 4096
+"""Maximum number of prompts kept, many times those of one host in a run and that time."""
 
 
 @attrs.frozen
 class PromptLocation:
-    """Endpoint that processed a prompt.
+    """Endpoint that ran a prompt last.
+
+    All times are seconds of the boot clock.
 
     :param endpoint_id: id of the endpoint
-    :param recorded_at: monotonic seconds of the record
+    :param started_ms: start time of the endpoint; another start has an empty cache
+    :param began_at: time at which the run was sent; a run that began later replaces it
+    :param expires_at: time after which the endpoint is not expected to have the prompt: counted
+        from the end of the run, or from its deadline while the end isn't known
     """
 
     endpoint_id: str
-    recorded_at: float
+    started_ms: int
+    began_at: float
+    expires_at: float
+
+    def is_at(self, lifetime: Lifetime) -> bool:
+        """:return: whether the run was in a lifetime of an endpoint."""
+        return (self.endpoint_id, self.started_ms) == (lifetime.id, lifetime.started_ms)
 
 
 class PromptLocations:
-    """Last endpoint of each recent prompt by its key.
+    """Last location of each recent prompt, by the key of the prompt.
 
-    :param clock: monotonic seconds
+    :param clock: seconds of the boot clock
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, clock: Callable[[], float] = read_boot_clock) -> None:
         self._clock = clock
-        self._runs: OrderedDict[bytes, PromptLocation] = OrderedDict()
-        self._local: OrderedDict[bytes, float] = OrderedDict()
+        self._known: OrderedDict[bytes, PromptLocation] = OrderedDict()
 
-    def record(self, key: bytes, endpoint_id: str) -> None:
-        """Record that this gateway sent a prompt to an endpoint.
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(list(self._known))
 
-        :param key: key of the prompt; ignored if empty
-        :param endpoint_id: id of the endpoint
+    def begin(self, key: bytes, endpoint: Endpoint, time_left_s: float) -> None:
+        """Record that this gateway sends a prompt to an endpoint.
+
+        :param key: key of the prompt
+        :param endpoint: the endpoint
+        :param time_left_s: seconds until the deadline of the run
         """
-        if not key:
+        now, lifetime = self._clock(), endpoint.entry.lifetime
+        expires_at = now + max(0.0, time_left_s) + RETENTION_S
+        self._put(key, PromptLocation(lifetime.id, lifetime.started_ms, now, expires_at))
+
+    def end(self, key: bytes, endpoint: Endpoint) -> None:
+        """Record that a run of this gateway has ended.
+
+        :param key: key of its prompt
+        :param endpoint: its endpoint
+        """
+        known = self._known.get(key)
+        if known is not None and known.is_at(endpoint.entry.lifetime):
+            self._known[key] = attrs.evolve(known, expires_at=self._clock() + RETENTION_S)
+
+    def withdraw(self, key: bytes, endpoint: Endpoint, previous: PromptLocation | None) -> None:
+        """Record that an endpoint has not run a prompt that was sent to it.
+
+        :param key: key of the prompt
+        :param endpoint: the endpoint
+        :param previous: location of the prompt before it was sent
+        """
+        known = self._known.get(key)
+        if known is None or not known.is_at(endpoint.entry.lifetime):
             return
-        self._put(key, endpoint_id)
-        self._local[key] = self._clock()
-        self._local.move_to_end(key)
+        if previous is None:
+            del self._known[key]
+        else:
+            self._known[key] = previous
 
-    def merge_reported(self, reports: Iterable[PromptReport]) -> None:
-        """Apply the report of another gateway.
+    def merge(self, key: bytes, reported: PromptLocation) -> None:
+        """Apply the report of another gateway, unless it is of an earlier run.
 
-        :param reports: its prompts and endpoints
+        :param key: key of the prompt
+        :param reported: its location
         """
-        for key, endpoint_id in reports:
-            self._put(key, endpoint_id)
+        known = self.find(key)
+        if known is None or reported.began_at > known.began_at:
+            self._put(key, reported)
 
     def find(self, key: bytes) -> PromptLocation | None:
         """Find the endpoint that processed a prompt.
 
         :param key: key of the prompt
-        :return: its location, if it was recorded recently
+        :return: its location, if the endpoint may have the prompt in its cache
         """
-        run = self._runs.get(key)
-        if run is None or self._clock() - run.recorded_at > PROMPT_CACHE_S:
+        known = self._known.get(key)
+        if known is None or self._clock() > known.expires_at:
             return None
-        return run
+        return known
 
-    def list_local(self, limit: int) -> list[PromptReport]:
-        """List the recent prompts of this gateway.
-
-        :param limit: maximum number of entries; the newest are kept
-        :return: prompts and endpoints
-        """
-        horizon = self._clock() - PROMPT_CACHE_S
-        while self._local and next(iter(self._local.values())) < horizon:
-            self._local.popitem(last=False)
-        newest = list(reversed(self._local))[:limit]
-        return [(key, self._runs[key].endpoint_id) for key in newest if key in self._runs]
+    def expire(self) -> None:
+        """Remove the locations of prompts that are not expected to be cached."""
+        now = self._clock()
+        for key in [key for key, known in self._known.items() if now > known.expires_at]:
+            del self._known[key]
 
-    def _put(self, key: bytes, endpoint_id: str) -> None:
-        self._runs[key] = PromptLocation(endpoint_id, self._clock())
-        self._runs.move_to_end(key)
-        if len(self._runs) > MAX_PROMPTS:
-            self._runs.popitem(last=False)
+    def _put(self, key: bytes, location: PromptLocation) -> None:
+        self._known[key] = location
+        self._known.move_to_end(key)
+        if len(self._known) > MAX_PROMPTS:
+            self._known.popitem(last=False)
 
 
-__all__ = ["PROMPT_CACHE_S", "PromptLocation", "PromptLocations", "PromptReport"]
+__all__ = ["RETENTION_S", "PromptLocation", "PromptLocations"]
--- a/src/basilroad/gateway/dispatch/selection.py
+++ b/src/basilroad/gateway/dispatch/selection.py
@@ -170,9 +170,7 @@
     :param cached_prompt: where its prompt was processed recently
     :return: seconds
     """
-    if cached_prompt is None or cached_prompt.endpoint_id != endpoint.id:
-        return 0.0
-    if endpoint.listed_at > cached_prompt.recorded_at:
+    if cached_prompt is None or not cached_prompt.is_at(endpoint.entry.lifetime):
         return 0.0
     return size.prompt_tokens / PREFILL_TOKENS_PER_S
 
--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -1,4 +1,4 @@
-"""Exchange of load, endpoint failures and prompt locations between gateways by datagrams."""
+"""Exchange of load and endpoint failures between gateways, by datagrams that others share."""
 
 from __future__ import annotations
 
@@ -14,7 +14,6 @@
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, MsgpackDecoder
-from basilroad.gateway.dispatch.promptlocations import PromptReport
 from basilroad.gateway.exchange.crashreports import Crashes, CrashExchange
 from basilroad.gateway.exchange.loans import Loan, LoanRequest
 from basilroad.gateway.exchange.localstate import list_failures, list_limits, list_loads
@@ -27,12 +26,18 @@
     PermitRequest,
     read_limit_report,
 )
+from basilroad.gateway.exchange.promptexchange import (
+    PromptExchange,
+    PromptMessage,
+    PromptRecords,
+    PromptReply,
+    PromptRequest,
+)
 from basilroad.gateway.exchange.relay import Update, Withdrawal
 from basilroad.gateway.exchange.state import LoadReport, StateMessage, encode_state
 from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
-    from basilroad.gateway.dispatch.promptlocations import PromptLocations
     from basilroad.gateway.exchange.loans import RetryLoans
     from basilroad.gateway.exchange.relay import Relay
     from basilroad.gateway.registry.directory import Directory
@@ -50,14 +55,21 @@
 """Reports of failures of one endpoint within this time count as one: a relayed report looks newer
 by the transit time of each datagram. Failed endpoints of these fleets are down for longer."""
 
-MAX_PROMPTS_SENT = 24
-"""Prompts per datagram, about a third of its size."""
-
 _LOGGER = logging.getLogger(__name__)
 
 
 _DECODER: MsgpackDecoder[object] = MsgpackDecoder(
-    StateMessage | Update | Withdrawal | LoanRequest | Loan | Crashes | PermitRequest | PermitReply
+    StateMessage
+    | Update
+    | Withdrawal
+    | LoanRequest
+    | Loan
+    | Crashes
+    | PermitRequest
+    | PermitReply
+    | PromptRecords
+    | PromptRequest
+    | PromptReply
 )
 
 
@@ -68,12 +80,12 @@
     :param data_centre: data centre of this host
     :param address: listening address for datagrams
     :param directory: known endpoints
-    :param prompt_locations: endpoints that processed recent prompts
     :param relay: relay of the platform's listing, whose updates are sent too
     :param loans: loans of retries, which are sent too
     :param clock: monotonic seconds
     :param crashes: exchange of crashes, which are sent too
     :param permits: exchange of permits, which are sent too
+    :param prompts: exchange of the locations of prompts, which are sent too
     :param is_stopping: whether the shutdown of this host was requested
     """
 
@@ -83,12 +95,12 @@
         data_centre: str,
         address: Address,
         directory: Directory,
-        prompt_locations: PromptLocations,
         relay: Relay,
         loans: RetryLoans,
         clock: Callable[[], float] = time.monotonic,
         crashes: CrashExchange | None = None,
         permits: PermitExchange | None = None,
+        prompts: PromptExchange | None = None,
         is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
         self._host = host
@@ -97,7 +109,6 @@
         self._table = PeerTable(host, data_centre, address, self._random)
         self._address = address
         self._directory = directory
-        self._prompt_locations = prompt_locations
         self._relay = relay
         self._loans = loans
         loans.list_peers = lambda: tuple(self._table.addresses)
@@ -112,6 +123,11 @@
             permits.list_known = lambda: self._table.addresses
             permits.has_roster = lambda: self._table.has_roster
             permits.send = lambda message, peer: self._send_counted(message, [peer])
+        self._prompts = prompts
+        if prompts is not None:
+            prompts.address = address
+            prompts.list_states = lambda: self._table.states
+            prompts.send = lambda message, peer: self._send_counted(message, [peer])
         self._clock = clock
         self._is_stopping = is_stopping
         self._started_ms = time.time_ns() // 1_000_000
@@ -183,20 +199,21 @@
             self._send_counted(update, near)
         self._crashes.tick(now)
         self._expire(now)
+        if self._prompts is not None:
+            self._prompts.tick()
         if now < self._next_send_at:
             return
         loads, failures = list_loads(self._directory), list_failures(self._directory, now)
-        runs = self._prompt_locations.list_local(MAX_PROMPTS_SENT)
         leaving = self._directory.notices.list_leaving(now)
         limits = list_limits(self._directory.notices.list_limited(now), now)
         named = frozenset((name, limit[1]) for name, limit in limits.items())
         stopping = self._is_stopping()
-        state = (loads, frozenset(failures), runs, frozenset(leaving), named, stopping)
+        state = (loads, frozenset(failures), frozenset(leaving), named, stopping)
         if state == self._last_sent and now - self._last_sent_at < REFRESH_INTERVAL_S:
             return
         self._last_sent, self._last_sent_at = state, now
         self._sequence += 1
-        data = self._encode(loads, failures, runs, leaving, limits)
+        data = self._encode(loads, failures, leaving, limits)
         peers = self._table.choose()
         self._next_send_at = now + len(data) * len(peers) / MAX_SENT_BYTES_PER_S
         for peer in peers:
@@ -204,7 +221,7 @@
 
     def _send_counted(
         self,
-        message: Update | Withdrawal | Crashes | PermitRequest | PermitReply,
+        message: Update | Withdrawal | Crashes | PermitRequest | PermitReply | PromptMessage,
         peers: Sequence[Address],
     ) -> None:
         data = msgspec.msgpack.encode(message)
@@ -268,6 +285,21 @@
         if self._permits is not None:
             self._permits.take_reply(message)
 
+    @_handle.register
+    def _(self, message: PromptRecords, _: Address) -> None:
+        if self._prompts is not None:
+            self._prompts.take_records(message)
+
+    @_handle.register
+    def _(self, message: PromptRequest, _: Address) -> None:
+        if self._prompts is not None:
+            self._prompts.take_request(message)
+
+    @_handle.register
+    def _(self, message: PromptReply, _: Address) -> None:
+        if self._prompts is not None:
+            self._prompts.take_reply(message)
+
     def error_received(self, exc: Exception) -> None:
         """Ignore the error; later rounds reach the peer if it recovers."""
         _LOGGER.debug("datagram not delivered", extra={"detail": repr(exc)})
@@ -295,7 +327,6 @@
         if known is None:
             _LOGGER.info("peer heard", extra={"peer": message.host, "address": str(address)})
         self.add_peers([address, *others])
-        self._prompt_locations.merge_reported(message.runs)
         self._update_remote_load({*message.loads, *(known.loads if known else ())})
         for endpoint_id, age_ms in message.failures.items():
             self._apply_failure(endpoint_id, now - age_ms / 1000)
@@ -341,7 +372,6 @@
         self,
         loads: dict[str, LoadReport],
         failures: dict[str, int],
-        runs: list[PromptReport],
         leaving: dict[str, tuple[int, int]],
         limits: dict[str, tuple[int, int, int]],
     ) -> bytes:
@@ -354,11 +384,10 @@
             loads,
             failures,
             self._random.sample(known, min(FANOUT, len(known))),
-            runs,
-            self._data_centre,
-            leaving,
-            limits,
-            self._is_stopping(),
+            data_centre=self._data_centre,
+            leaving=leaving,
+            limits=limits,
+            stopping=self._is_stopping(),
         )
         return encode_state(message)
 
--- /dev/null
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -0,0 +1,394 @@
+"""Exchange of the locations of prompts between gateways.
+
+Each location is kept by a few gateways, its keepers, which rendezvous hashing chooses for the key
+of the prompt. The gateway that runs the prompt reports the location to them when the run begins,
+and again to those that become keepers while it lasts, because others stop or have started. A
+gateway that stops does the same for all locations that it keeps. A gateway to which a caller comes
+with a prompt asks the keepers. As gateways may differ in who they are, one that doesn't have the
+location passes the request on to those that it takes for them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import math
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from typing import TYPE_CHECKING, Annotated
+
+import attrs
+import msgspec
+
+from basilroad.clocks import read_boot_clock
+from basilroad.coordination.rendezvous import choose_hosts
+from basilroad.gateway.calls.call import CACHE_KEY_BYTES
+from basilroad.gateway.dispatch.promptlocations import PromptLocation, PromptLocations
+from basilroad.gateway.exchange.state import Count, StartTime
+from basilroad.gateway.registry.endpoint import MAX_NAME_CHARS
+from basilroad.peers.address import Address, parse_remote_address
+
+if TYPE_CHECKING:
+    from basilroad.gateway.dispatch.selection import Locality
+    from basilroad.gateway.exchange.peertable import PeerState
+    from basilroad.gateway.registry.endpoint import Endpoint
+
+KEEPERS = 2
+"""Gateways that keep the location of one prompt."""
+
+ASK_TIMEOUT_S = 0.05
+"""Time limit of the replies beyond two round trips; a call waits meanwhile."""
+
+SILENT_S = 1.0
+"""Time for which a gateway that did not reply is not asked again."""
+
+FIRST_PEER_WAIT_S = 0.3
+"""Time after its start for which a gateway that knows no other one lets callers wait that resume a
+stream; the others send it messages several times a second."""
+
+FIRST_PEER_POLL_S = 0.01
+"""Interval of checks for the first message."""
+
+MAX_RECORDS = 16
+"""Locations per datagram, which stays below the usual MTU with names of the usual length."""
+
+_LOGGER = logging.getLogger(__name__)
+
+Key = Annotated[bytes, msgspec.Meta(min_length=CACHE_KEY_BYTES, max_length=CACHE_KEY_BYTES)]
+"""Key of a prompt."""
+
+
+class PromptRecord(msgspec.Struct, array_like=True):
+    """The location of a prompt.
+
+    :param key: key of the prompt
+    :param endpoint: id of the endpoint
+    :param started_ms: its start time
+    :param age_ms: milliseconds since the run began
+    :param left_ms: milliseconds until the location expires
+    """
+
+    key: Key
+    endpoint: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+    started_ms: StartTime
+    age_ms: Count
+    left_ms: Count
+
+
+class PromptRecords(msgspec.Struct, array_like=True, tag="prompts"):
+    """Locations that the receiver is to keep.
+
+    :param records: the locations
+    """
+
+    records: Annotated[list[PromptRecord], msgspec.Meta(max_length=MAX_RECORDS)]
+
+
+class PromptRequest(msgspec.Struct, array_like=True, tag="prompt request"):
+    """Request for the location of a prompt.
+
+    :param host: name of the gateway that asks
+    :param address: its listening address
+    :param number: number of the request in its process
+    :param key: key of the prompt
+    :param asked: names of the gateways that were asked; empty in a request that was passed on
+    """
+
+    host: str
+    address: str
+    number: Count
+    key: Key
+    asked: Annotated[list[str], msgspec.Meta(max_length=KEEPERS)] = []
+
+
+class PromptReply(msgspec.Struct, array_like=True, tag="prompt"):
+    """Reply to a request.
+
+    :param host: name of the sender
+    :param number: number of the request
+    :param record: the location; ``None`` if the sender doesn't have it
+    :param passed_on: number of gateways to which it has passed the request on
+    """
+
+    host: str
+    number: Count
+    record: PromptRecord | None = None
+    passed_on: Annotated[int, msgspec.Meta(ge=0, le=KEEPERS)] = 0
+
+
+PromptMessage = PromptRecords | PromptRequest | PromptReply
+
+_Lifetime = tuple[str, int]
+"""Name of a gateway and its start time in Unix milliseconds."""
+
+
+@attrs.define(eq=False)
+class PromptRun:
+    """A run of a prompt.
+
+    :param was_rejected: whether the endpoint has not run it
+    """
+
+    was_rejected: bool = False
+
+
+@attrs.define(eq=False)
+class _Search:
+    """A request that waits for replies.
+
+    :param expected: replies that are still to come
+    :param found: the location
+    :param silent: gateways that were asked and have not replied
+    """
+
+    expected: int
+    found: asyncio.Future[PromptRecord | None]
+    silent: set[str]
+
+    def take(self, reply: PromptReply) -> None:
+        self.silent.discard(reply.host)
+        self.expected += reply.passed_on - 1
+        if not self.found.done() and (reply.record is not None or self.expected <= 0):
+            self.found.set_result(reply.record)
+
+
+@attrs.define(eq=False)
+class PromptExchange:
+    """Reports the locations of prompts to their keepers, and asks them.
+
+    :param host: name of this gateway
+    :param place: its location
+    :param locations: the locations that it knows
+    :param address: its listening address; ``None`` without other gateways
+    :param list_states: returns the state of the other gateways that send gossip, by name
+    :param is_stopping: whether the shutdown of this gateway was requested
+    :param send: sends a message to a gateway
+    :param clock: seconds of the boot clock
+    """
+
+    host: str
+    place: Locality
+    locations: PromptLocations
+    address: Address | None = None
+    list_states: Callable[[], Mapping[str, PeerState]] = dict
+    is_stopping: Callable[[], bool] = lambda: False
+    send: Callable[[PromptMessage, Address], None] = lambda _message, _peer: None
+    clock: Callable[[], float] = read_boot_clock
+    _started_at: float = attrs.field()
+    _number: int = 0
+    _searches: dict[int, _Search] = attrs.field(factory=dict)
+    _silent_until: dict[str, float] = attrs.field(factory=dict)
+    _reported: dict[bytes, frozenset[_Lifetime]] = attrs.field(factory=dict)
+    _members: frozenset[tuple[_Lifetime, bool]] = frozenset()
+    _hands_over: bool = False
+
+    @_started_at.default
+    def _(self) -> float:
+        return self.clock()
+
+    # keeping
+
+    def choose_keepers(self, key: bytes) -> list[str]:
+        """Choose the gateways that keep a location.
+
+        :param key: key of the prompt
+        :return: their names; those that stop only if there are too few others
+        """
+        return self._choose_keepers(key, {self.host} if not self.is_stopping() else ())
+
+    def _choose_keepers(self, key: bytes, more: Iterable[str] = ()) -> list[str]:
+        states = self.list_states()
+        staying = {host for host, state in states.items() if not state.stopping}
+        chosen = choose_hosts(key.hex(), staying.union(more), KEEPERS)
+        if len(chosen) < KEEPERS:
+            stopping = [host for host, state in states.items() if state.stopping]
+            chosen += choose_hosts(key.hex(), stopping, KEEPERS - len(chosen))
+        return chosen
+
+    @contextlib.contextmanager
+    def record(self, key: bytes, endpoint: Endpoint, time_left_s: float) -> Iterator[PromptRun]:
+        """Record where this gateway runs a prompt, for its keepers too.
+
+        :param key: key of the prompt; not recorded if empty
+        :param endpoint: the endpoint
+        :param time_left_s: seconds until the deadline of the run
+        :return: context manager for the time of the run
+        """
+        run = PromptRun()
+        if not key:
+            yield run
+            return
+        previous = self.locations.find(key)
+        self.locations.begin(key, endpoint, time_left_s)
+        self._reported[key] = frozenset()
+        try:
+            yield run
+        finally:
+            if run.was_rejected:
+                self.locations.withdraw(key, endpoint, previous)
+            else:
+                self.locations.end(key, endpoint)
+
+    def tick(self) -> None:
+        """Report new locations, and known ones to those that have become their keepers."""
+        states = self.list_states()
+        members = frozenset(
+            ((host, state.started_ms), state.stopping) for host, state in states.items()
+        )
+        hands_over = self.is_stopping()
+        if (members, hands_over) == (self._members, self._hands_over):
+            self._report([key for key, reported in self._reported.items() if not reported])
+            return
+        self._members, self._hands_over = members, hands_over
+        self.locations.expire()
+        if hands_over:
+            self._reported |= {
+                key: frozenset() for key in self.locations if key not in self._reported
+            }
+        self._report([*self._reported])
+
+    def _report(self, keys: Sequence[bytes]) -> None:
+        states = self.list_states()
+        batches: dict[str, list[PromptRecord]] = {}
+        for key in keys:
+            location = self.locations.find(key)
+            if location is None:
+                del self._reported[key]
+                continue
+            keepers = {
+                host: (host, 0 if host == self.host else states[host].started_ms)
+                for host in self.choose_keepers(key)
+            }
+            reported = self._reported[key]
+            for host, lifetime in keepers.items():
+                if host != self.host and lifetime not in reported:
+                    batches.setdefault(host, []).append(self._pack(key, location))
+            self._reported[key] = reported.union(keepers.values())
+        for host, records in batches.items():
+            for start in range(0, len(records), MAX_RECORDS):
+                message = PromptRecords(records[start : start + MAX_RECORDS])
+                self.send(message, states[host].address)
+
+    def take_records(self, message: PromptRecords) -> None:
+        """Keep the locations that another gateway reports.
+
+        :param message: the locations
+        """
+        for record in message.records:
+            self._merge(record)
+
+    # asking
+
+    async def find(self, key: bytes, *, is_repeated: bool) -> PromptLocation | None:
+        """Find the location of a prompt, asking its keepers.
+
+        :param key: key of the prompt
+        :param is_repeated: whether the prompt was certainly run before
+        :return: the location; ``None`` if it isn't known
+        """
+        if key and self.address is not None:
+            if is_repeated:
+                await self._wait_for_peers()
+            await self._ask(key, self.address)
+        return self.locations.find(key)
+
+    async def _wait_for_peers(self) -> None:
+        until = self._started_at + FIRST_PEER_WAIT_S
+        while not self.list_states() and self.clock() < until:
+            await asyncio.sleep(FIRST_PEER_POLL_S)
+
+    async def _ask(self, key: bytes, address: Address) -> None:
+        states, now = self.list_states(), self.clock()
+        hosts = [
+            host
+            for host in self._choose_keepers(key)
+            if now >= self._silent_until.get(host, -math.inf)
+        ]
+        if not hosts:
+            return
+        self._number += 1
+        number = self._number
+        found: asyncio.Future[PromptRecord | None] = asyncio.get_running_loop().create_future()
+        search = self._searches[number] = _Search(len(hosts), found, set(hosts))
+        distance_s = max(self.place.distance_s(states[host].data_centre) for host in hosts)
+        request = PromptRequest(self.host, str(address), number, key, hosts)
+        for host in hosts:
+            self.send(request, states[host].address)
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S + distance_s):
+                record = await found
+        except TimeoutError:
+            self._silent_until.update(dict.fromkeys(search.silent, now + SILENT_S))
+            _LOGGER.info("keepers silent", extra={"peers": sorted(search.silent)})
+            return
+        finally:
+            del self._searches[number]
+        if record is not None:
+            self._merge(record)
+
+    def take_request(self, request: PromptRequest) -> None:
+        """Reply to another gateway, or pass its request on.
+
+        :param request: the request
+        """
+        address = parse_remote_address(request.address)
+        location = self.locations.find(request.key)
+        if location is not None:
+            record = self._pack(request.key, location)
+            self.send(PromptReply(self.host, request.number, record), address)
+            return
+        others = self._list_others(request)
+        self.send(PromptReply(self.host, request.number, None, len(others)), address)
+        passed = PromptRequest(request.host, request.address, request.number, request.key)
+        for other in others:
+            self.send(passed, other)
+
+    def _list_others(self, request: PromptRequest) -> list[Address]:
+        if not request.asked:
+            return []
+        skipped = {self.host, request.host, *request.asked}
+        keepers = self.choose_keepers(request.key)
+        states = self.list_states()
+        return [states[host].address for host in keepers if host not in skipped]
+
+    def take_reply(self, reply: PromptReply) -> None:
+        """Give a reply to the request that waits for it.
+
+        :param reply: the reply
+        """
+        search = self._searches.get(reply.number)
+        if search is not None:
+            search.take(reply)
+
+    # records
+
+    def _pack(self, key: bytes, location: PromptLocation) -> PromptRecord:
+        now = self.clock()
+        return PromptRecord(
+            key,
+            location.endpoint_id,
+            location.started_ms,
+            max(0, round(1000 * (now - location.began_at))),
+            max(0, round(1000 * (location.expires_at - now))),
+        )
+
+    def _merge(self, record: PromptRecord) -> None:
+        now = self.clock()
+        location = PromptLocation(
+            record.endpoint,
+            record.started_ms,
+            now - record.age_ms / 1000,
+            now + record.left_ms / 1000,
+        )
+        self.locations.merge(record.key, location)
+
+
+__all__ = [
+    "KEEPERS",
+    "PromptExchange",
+    "PromptMessage",
+    "PromptRecord",
+    "PromptRecords",
+    "PromptReply",
+    "PromptRequest",
+]
--- a/src/basilroad/gateway/exchange/state.py
+++ b/src/basilroad/gateway/exchange/state.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from basilroad.gateway.dispatch.promptlocations import PromptReport
-
 MAX_DATAGRAM_BYTES = 1400
 """Maximum size of a datagram, below the usual MTU."""
 
@@ -31,7 +29,7 @@
     :param loads: its load at each endpoint
     :param failures: milliseconds since the failure of each failed endpoint
     :param peers: addresses of some gateways that it knows
-    :param runs: prompts that it sent and the endpoints that have them
+    :param runs: not used; older gateways name prompts here
     :param data_centre: its data centre
     :param leaving: start time of each leaving endpoint and milliseconds since its notice
     :param limits: start time of endpoints that named a limit, requests per 1000 seconds (0 if it
@@ -46,7 +44,7 @@
     loads: dict[str, LoadReport]
     failures: dict[str, Count]
     peers: list[str]
-    runs: list[PromptReport] = []
+    runs: list[tuple[str, str]] = []
     data_centre: str = ""
     leaving: dict[str, tuple[StartTime, Count]] = {}
     limits: dict[str, tuple[StartTime, Count, Count]] = {}
@@ -54,14 +52,13 @@
 
 
 def encode_state(message: StateMessage) -> bytes:
-    """Encode a state as a datagram, which has the largest loads and the newest prompts that fit.
+    """Encode a state as a datagram, which has the largest loads that fit.
 
     :param message: the state; what doesn't fit is removed from it
     :return: the datagram
     """
     data = msgspec.msgpack.encode(message)
-    while len(data) > MAX_DATAGRAM_BYTES and (message.loads or message.runs):
-        message.runs = message.runs[: len(message.runs) // 2]
+    while len(data) > MAX_DATAGRAM_BYTES and message.loads:
         kept = sorted(message.loads.items(), key=lambda item: -item[1][1])
         message.loads = dict(kept[: len(kept) // 2])
         data = msgspec.msgpack.encode(message)
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -20,6 +20,7 @@
 from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.permits import PermitExchange
+from basilroad.gateway.exchange.promptexchange import PromptExchange
 from basilroad.gateway.freshness import Freshness
 from basilroad.gateway.metrics import GatewayMetrics, name_rank
 from basilroad.gateway.registry.directory import Directory
@@ -145,6 +146,12 @@
             self.permits,
             may_begin=lambda service, version: self.stream_versions.may_begin(service, version),
         )
+        self.prompts = PromptExchange(
+            settings.host,
+            settings.place,
+            self.dispatcher.prompt_locations,
+            is_stopping=lambda: self.shutdown.is_requested,
+        )
         self.liveness = Liveness(self.dispatcher, reports)
         self.start_check = StartCheck(
             self.directory, protocol, reports, self.dispatcher.acquire_permit
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -201,9 +201,13 @@
             self._start.confirm if self._start else None,
         )
         self._pin.begin(endpoint)
-        self._gateway.dispatcher.prompt_locations.record(self._call.cache_key, endpoint.id)
+        time_left_s = self._call.expires_at - started
         try:
-            outcome = await self._run_watched(attempt, reservation)
+            with self._gateway.prompts.record(
+                self._call.cache_key, endpoint, time_left_s
+            ) as prompt_run:
+                outcome = await self._run_watched(attempt, reservation)
+                prompt_run.was_rejected = isinstance(outcome, NotRun)
         finally:
             attempt.close()
             if self._start is not None:
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -87,11 +87,11 @@
                 self.gateway.settings.place.data_centre,
                 settings.peers,
                 self.gateway.directory,
-                self.gateway.dispatcher.prompt_locations,
                 self.relay,
                 self.gateway.loans,
                 crashes=self.gateway.containment.exchange,
                 permits=self.gateway.permits,
+                prompts=self.gateway.prompts,
                 is_stopping=lambda: self.gateway.shutdown.is_requested,
             )
             self.gateway.are_most_hosts_stopping = self.gossip.are_most_stopping
--- a/tests/gateway/calls/test_shared_prompts.py
+++ b/tests/gateway/calls/test_shared_prompts.py
@@ -20,7 +20,9 @@
         directory.put(build_entry(name, service="llm", slots=48))
     dispatcher = Dispatcher(directory, Chooser(PLACE, random.Random(1)), lambda _: ENGINE)
     call = build_call(ROUTE, workspace="w", prompt_key="p")
-    dispatcher.prompt_locations.record(call.cache_key, "e2")
+    endpoint = directory.get("e2")
+    assert endpoint is not None
+    dispatcher.prompt_locations.begin(call.cache_key, endpoint, 25.0)
     candidates, criteria = dispatcher._candidates, EndpointCriteria()
     assert candidates.find_prompt(call, criteria) is not None
     other = build_call(ROUTE, workspace="x", prompt_key="p")
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import random
 from typing import TYPE_CHECKING
@@ -11,7 +12,7 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.calls.call import PromptSize
-from basilroad.gateway.dispatch.promptlocations import PROMPT_CACHE_S, PromptLocations
+from basilroad.gateway.dispatch.promptlocations import RETENTION_S, PromptLocations
 from basilroad.gateway.dispatch.selection import (
     Chooser,
     estimate_prefill_savings,
@@ -27,6 +28,7 @@
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.localstate import list_failures
 from basilroad.gateway.exchange.peertable import FANOUT, PEER_TIMEOUT_S, REGISTERED_S, STOP_MEMORY_S
+from basilroad.gateway.exchange.promptexchange import PromptExchange
 from basilroad.gateway.exchange.relay import Relay
 from basilroad.gateway.exchange.state import MAX_DATAGRAM_BYTES
 from basilroad.gateway.registry.directory import Directory
@@ -58,7 +60,11 @@
         for index in range(endpoints):
             directory.put(build_entry(f"e{index}", service="llm"))
         address = Address("127.0.0.1", 9000 + number)
-        runs = PromptLocations(lambda: self.now)
+        clock, is_stopping = lambda: self.now, lambda: number in self.stopping
+        locations = PromptLocations(clock)
+        prompts = PromptExchange(
+            f"g{number}", PLACE, locations, is_stopping=is_stopping, clock=clock
+        )
         place = DATA_CENTRES[number % len(DATA_CENTRES)]
         relay = Relay(f"g{number}", lambda: self.now, lambda: self.now)
         loans = RetryLoans(f"g{number}", lambda _: RetryBudget(RetrySettings()))
@@ -67,13 +73,14 @@
             place,
             address,
             directory,
-            runs,
             relay,
             loans,
-            lambda: self.now,
-            is_stopping=lambda: number in self.stopping,
+            clock,
+            prompts=prompts,
+            is_stopping=is_stopping,
         )
         gossip._directory = directory
+        gossip._prompts = prompts
         gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
         gossip.add_peers(Address("127.0.0.1", 9000 + n) for n in range(1000) if n < 2)
         return gossip
@@ -318,31 +325,50 @@
     assert len(net.sent) == 3
 
 
-def test_a_caller_of_a_failed_gateway_resumes_where_its_prompt_is_cached() -> None:
+async def test_a_caller_of_a_failed_gateway_resumes_where_its_prompt_is_cached() -> None:
     # fault: a gateway loses power, and its callers reconnect to the others at once
     net = Net()
-    net.gateways[0]._prompt_locations.record(b"prompt", "e2")
-    net.gateways[0].tick()
+    for gateway in net.gateways:
+        gateway.tick()
     net.deliver()
-    found = net.gateways[1]._prompt_locations.find(b"prompt")
+    call = build_call(build_stream_route(), prompt_key="prompt")
+    with net.gateways[0]._prompts.record(call.cache_key, get(net.gateways[0], "e2"), 25.0):
+        net.gateways[0].tick()
+    net.deliver()
+    found = net.gateways[1]._prompts.locations.find(call.cache_key)
     assert found is not None
     assert found.endpoint_id == "e2"
     endpoints = [get(net.gateways[1], f"e{number}") for number in range(3)]
-    for endpoint in endpoints:
-        endpoint.listed_at = 0.0
-    call = build_call(build_stream_route())
     chooser = Chooser(PLACE, random.Random(1))
     assert chooser.choose(endpoints, call, ENGINE, net.now, cached_prompt=found) is endpoints[2]
-    net.now += PROMPT_CACHE_S + 0.1
-    assert net.gateways[1]._prompt_locations.find(b"prompt") is None
+    net.now += 25.0 + RETENTION_S + 0.1
+    assert net.gateways[1]._prompts.locations.find(call.cache_key) is None
+
+
+async def test_a_gateway_asks_the_other_for_the_location_of_a_prompt() -> None:
+    net = Net()
+    for gateway in net.gateways:
+        gateway.tick()
+    net.deliver()
+    first, second = net.gateways
+    first._prompts.locations.begin(b"12345678", get(first, "e2"), 25.0)
+    search = asyncio.ensure_future(second._prompts.find(b"12345678", is_repeated=True))
+    for _ in range(2):
+        await asyncio.sleep(0)
+        net.deliver()
+    found = await search
+    assert found is not None
+    assert found.endpoint_id == "e2"
 
 
 def test_a_restarted_endpoint_has_no_cached_prompts() -> None:
     net = Net()
-    net.gateways[0]._prompt_locations.record(b"prompt", "e2")
-    found = net.gateways[0]._prompt_locations.find(b"prompt")
     endpoint = get(net.gateways[0], "e2")
-    endpoint.listed_at = net.now + 1.0
+    locations = net.gateways[0]._prompts.locations
+    locations.begin(b"12345678", endpoint, 25.0)
+    found = locations.find(b"12345678")
+    assert estimate_prefill_savings(endpoint, SIZE, found) > 0.0
+    net.gateways[0]._directory.put(build_entry("e2", service="llm", started_ms=2))
     assert estimate_prefill_savings(endpoint, SIZE, found) == 0.0
 
 
--- /dev/null
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -0,0 +1,340 @@
+"""Locations of prompts at their keepers; messages are delivered by the test.
+
+Pattern: all gateways are stopped one after the other, and a caller whose stream is cut comes to one
+that has just started.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+import pytest
+
+from basilroad.gateway.dispatch.promptlocations import PromptLocation, PromptLocations
+from basilroad.gateway.exchange.peertable import PeerState
+from basilroad.gateway.exchange.promptexchange import (
+    FIRST_PEER_WAIT_S,
+    KEEPERS,
+    MAX_RECORDS,
+    SILENT_S,
+    PromptExchange,
+    PromptMessage,
+    PromptRecord,
+    PromptRecords,
+    PromptReply,
+    PromptRequest,
+)
+from basilroad.gateway.exchange.state import MAX_DATAGRAM_BYTES
+from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.peers.address import Address
+from builders import PLACE, build_entry
+from support.timelimit import await_within
+
+KEY = b"12345678"
+TIME_LEFT_S = 25.0
+DATA_CENTRES = ("riga-a", "riga-b", "kurzeme-a")
+HOSTS = 23
+
+_DECODER = msgspec.msgpack.Decoder(PromptMessage)
+
+
+class Host:
+    """One gateway.
+
+    :param fleet: its fleet
+    :param number: its number
+    """
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        self.fleet, self.number, self.name = fleet, number, f"g{number:02d}"
+        self.address = Address("127.0.0.1", 9000 + number)
+        self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        self.started_ms = 0
+        self.start()
+
+    def start(self) -> None:
+        """Start anew, without knowledge of anything but the other gateways."""
+        self.started_ms += 1000
+        self.up, self.stopping, self.sent = True, False, []
+        self.known: set[str] | None = None
+        self.exchange = PromptExchange(
+            self.name,
+            PLACE,
+            PromptLocations(lambda: self.fleet.now),
+            self.address,
+            list_states=self.list_states,
+            is_stopping=lambda: self.stopping,
+            send=self._send,
+            clock=lambda: self.fleet.now,
+        )
+
+    def list_states(self) -> dict[str, PeerState]:
+        return {
+            host.name: PeerState(
+                host.started_ms, 1, 0.0, {}, host.address, host.data_centre, host.stopping
+            )
+            for host in self.fleet.hosts
+            if host is not self and host.up and (self.known is None or host.name in self.known)
+        }
+
+    def run(self, key: bytes = KEY, endpoint: str = "e1"):
+        """:return: context manager for the time of a run at an engine."""
+        found = Endpoint(build_entry(endpoint, service="llm"))
+        return self.exchange.record(key, found, TIME_LEFT_S)
+
+    def _send(self, message: PromptMessage, peer: Address) -> None:
+        data = msgspec.msgpack.encode(message)
+        self.sent.append(data)
+        self.fleet.deliver(data, peer)
+
+
+class Fleet:
+    """Gateways that know each other, and the time."""
+
+    def __init__(self, count: int = HOSTS) -> None:
+        self.now = 100.0
+        self.lost: set[str] = set()
+        self.hosts: list[Host] = []
+        self.hosts = [Host(self, number) for number in range(count)]
+
+    def deliver(self, data: bytes, peer: Address) -> None:
+        host = self.hosts[peer.port - 9000]
+        if not host.up or host.name in self.lost:
+            return
+        message = _DECODER.decode(data)
+        if isinstance(message, PromptRecords):
+            host.exchange.take_records(message)
+        elif isinstance(message, PromptRequest):
+            host.exchange.take_request(message)
+        elif isinstance(message, PromptReply):
+            host.exchange.take_reply(message)
+
+    def tick(self, after_s: float = 0.05) -> None:
+        self.now += after_s
+        for host in self.hosts:
+            if host.up:
+                host.exchange.tick()
+
+    def list_keepers(self, key: bytes = KEY) -> list[Host]:
+        return [host for host in self.hosts if host.exchange.locations.find(key) is not None]
+
+
+async def find(host: Host, key: bytes = KEY, *, is_repeated: bool = True) -> PromptLocation | None:
+    return await host.exchange.find(key, is_repeated=is_repeated)
+
+
+async def is_found(host: Host, endpoint: str = "e1") -> bool:
+    found = await find(host)
+    return found is not None and found.endpoint_id == endpoint
+
+
+# fault: a caller came to a gateway that the gossip of its stream's location had not reached yet
+async def test_each_gateway_finds_the_location_of_a_run() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+        assert len(fleet.list_keepers()) <= KEEPERS + 1
+        for host in fleet.hosts:
+            assert await is_found(host)
+
+
+async def test_the_location_outlives_the_gateway_that_ran_it() -> None:
+    # fault: a gateway was killed, and its callers came to others
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+        fleet.hosts[0].up = False
+    for host in fleet.hosts[1:]:
+        assert await is_found(host)
+
+
+async def test_the_location_outlives_a_keeper() -> None:
+    fleet = Fleet()
+    runs_at = fleet.hosts[0]
+    with runs_at.run():
+        fleet.tick()
+        keepers = [host for host in fleet.list_keepers() if host is not runs_at]
+        keepers[0].up = runs_at.up = False
+    assert await is_found(next(host for host in fleet.hosts if host.up and host not in keepers))
+
+
+# fault: the prompts of cut streams were read anew at gateways that had started a second before
+async def test_a_location_is_found_in_a_wave_of_stops() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+        for index, host in enumerate(fleet.hosts):
+            host.stopping = True
+            fleet.tick(0.25)
+            if index >= 10:
+                # it exits and has started again
+                fleet.hosts[index - 10].up = False
+                fleet.tick(1.0)
+                fleet.hosts[index - 10].start()
+                fleet.tick()
+        for host in fleet.hosts:
+            assert await is_found(host)
+
+
+async def test_a_gateway_that_stops_hands_over_what_it_keeps() -> None:
+    # fault: a location was lost with its keepers after the gateway that ran the stream was killed
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+        keepers = fleet.list_keepers()
+        fleet.hosts[0].up = False
+    for host in keepers:
+        host.stopping = True
+    fleet.tick()
+    for host in keepers:
+        host.up = False
+    for host in fleet.hosts:
+        if host.up:
+            assert await is_found(host)
+
+
+async def test_a_keeper_that_restarted_is_told_again() -> None:
+    fleet = Fleet()
+    runs_at = fleet.hosts[0]
+    with runs_at.run():
+        fleet.tick()
+        keeper = next(host for host in fleet.list_keepers() if host is not runs_at)
+        keeper.start()
+        assert keeper not in fleet.list_keepers()
+        fleet.tick()
+        assert keeper in fleet.list_keepers()
+
+
+async def test_a_gateway_that_knows_few_others_has_its_request_passed_on() -> None:
+    # fault: one that had just started asked gateways that it took for the keepers
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+        keepers = fleet.list_keepers()
+        others = [host for host in fleet.hosts if host not in keepers]
+        others[0].known = {others[1].name}
+        assert await is_found(others[0])
+
+
+# fault: a caller that came in the first moments of a gateway had its prompt read anew
+async def test_a_gateway_that_has_just_started_waits_for_the_first_other_one() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+        fleet.hosts[5].start()
+        fleet.hosts[5].known = set()
+        search = asyncio.ensure_future(find(fleet.hosts[5]))
+        await asyncio.sleep(0.02)
+        assert not search.done()
+        fleet.hosts[5].known = {fleet.hosts[7].name}
+        assert (await await_within(search, 1.0)) is not None
+
+
+async def test_a_new_stream_does_not_wait_for_other_gateways() -> None:
+    fleet = Fleet(1)
+    assert await await_within(find(fleet.hosts[0], is_repeated=False), 0.1) is None
+
+
+async def test_a_gateway_without_others_does_not_wait_for_long() -> None:
+    fleet = Fleet(1)
+    search = asyncio.ensure_future(find(fleet.hosts[0]))
+    await asyncio.sleep(0.02)
+    fleet.now += FIRST_PEER_WAIT_S
+    assert await await_within(search, 1.0) is None
+
+
+async def test_keepers_that_do_not_answer_are_left_out_for_a_while() -> None:
+    fleet = Fleet()
+    fleet.lost = {host.name for host in fleet.hosts}
+    asks = fleet.hosts[0]
+    started = time.monotonic()
+    assert await await_within(find(asks), 1.0) is None
+    assert time.monotonic() - started < 0.5
+    sent = len(asks.sent)
+    assert await find(asks) is None
+    assert len(asks.sent) == sent
+    fleet.now += SILENT_S
+    assert await find(asks) is None
+    assert len(asks.sent) > sent
+
+
+async def test_a_prompt_that_nobody_ran_is_not_waited_for() -> None:
+    fleet = Fleet()
+    for host in fleet.hosts:
+        assert await await_within(find(host), 0.04) is None
+        assert not host.exchange._silent_until
+
+
+async def test_the_later_run_is_found() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run(endpoint="e1"):
+        fleet.tick()
+    fleet.now += 1.0
+    with fleet.hosts[1].run(endpoint="e2"):
+        fleet.tick()
+        # the first one reports again, as its keepers have changed
+        fleet.hosts[0].exchange._reported[KEY] = frozenset()
+        fleet.tick()
+        keepers = [host for host in fleet.list_keepers() if host is not fleet.hosts[0]]
+        for host in keepers:
+            assert await is_found(host, "e2")
+
+
+async def test_a_rejected_run_leaves_the_location_as_it_was() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run(endpoint="e1"):
+        fleet.tick()
+    with fleet.hosts[0].run(endpoint="e2") as run:
+        run.was_rejected = True
+    fleet.tick()
+    assert await is_found(fleet.hosts[3], "e1")
+
+
+def test_unchanged_locations_are_reported_once() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+        sent = [len(host.sent) for host in fleet.hosts]
+        for _ in range(20):
+            fleet.tick()
+        assert [len(host.sent) for host in fleet.hosts] == sent
+
+
+def test_reports_fit_into_datagrams() -> None:
+    fleet = Fleet(3)
+    runs = [fleet.hosts[0].run(number.to_bytes(8), "i-0123456789") for number in range(100)]
+    for run in runs:
+        run.__enter__()
+    fleet.tick()
+    kept = [message for data in fleet.hosts[0].sent for message in _DECODER.decode(data).records]
+    assert len(kept) > 100
+    assert all(len(data) <= MAX_DATAGRAM_BYTES for data in fleet.hosts[0].sent)
+    assert all(len(_DECODER.decode(data).records) <= MAX_RECORDS for data in fleet.hosts[0].sent)
+
+
+def test_expired_locations_are_not_reported() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        pass
+    fleet.now += 100.0
+    fleet.tick()
+    assert not fleet.hosts[0].sent
+    assert not fleet.hosts[0].exchange._reported
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        PromptRecords([PromptRecord(b"short", "e1", 1, 0, 0)]),
+        PromptRecords([PromptRecord(KEY, "e" * 300, 1, 0, 0)]),
+        PromptRecords([PromptRecord(KEY, "e1", 1, -1, 0)]),
+        PromptRecords([PromptRecord(KEY, "e1", 1, 0, 0)] * (MAX_RECORDS + 1)),
+        PromptRequest("g0", "127.0.0.1:9000", 1, KEY, ["g1"] * (KEEPERS + 1)),
+        PromptReply("g0", 1, None, KEEPERS + 1),
+    ],
+)
+def test_malformed_messages_are_not_decoded(message: PromptMessage) -> None:
+    with pytest.raises(msgspec.ValidationError):
+        _DECODER.decode(msgspec.msgpack.encode(message))
--- a/tests/gateway/exchange/test_state.py
+++ b/tests/gateway/exchange/test_state.py
@@ -4,28 +4,32 @@
 
 import msgspec
 
-from basilroad.gateway.dispatch.promptlocations import PromptReport
 from basilroad.gateway.exchange.state import MAX_DATAGRAM_BYTES, StateMessage, encode_state
 
 
-def build_state(loads: int, runs: list[PromptReport]) -> StateMessage:
+def build_state(loads: int) -> StateMessage:
     reports = {f"e{number:03}": (1, 1000 + number, 0) for number in range(loads)}
-    return StateMessage("g0", 1000, 1, "127.0.0.1:9000", reports, {"e9": 5}, [], runs)
+    return StateMessage("g0", 1000, 1, "127.0.0.1:9000", reports, {"e9": 5}, [])
 
 
 def test_a_state_that_fits_is_sent_whole() -> None:
-    message = build_state(3, [])
+    message = build_state(3)
     data = encode_state(message)
-    assert msgspec.msgpack.decode(data, type=StateMessage) == build_state(3, [])
+    assert msgspec.msgpack.decode(data, type=StateMessage) == build_state(3)
 
 
-def test_the_largest_loads_and_the_newest_prompts_are_sent() -> None:
-    runs = [(b"prompt%d" % number, f"e{number}") for number in range(24)]
-    data = encode_state(build_state(300, runs))
+def test_the_largest_loads_are_sent() -> None:
+    data = encode_state(build_state(300))
     assert len(data) <= MAX_DATAGRAM_BYTES
     sent = msgspec.msgpack.decode(data, type=StateMessage)
     assert sent.loads
-    assert sent.runs
     assert sorted(sent.loads) == [f"e{n:03}" for n in range(300 - len(sent.loads), 300)]
-    assert sent.runs == runs[: len(sent.runs)]
     assert sent.failures == {"e9": 5}
+
+
+def test_the_prompts_that_an_older_gateway_names_are_skipped() -> None:
+    message = build_state(3)
+    message.runs = [("prompt", "e1")]
+    message.stopping = True
+    sent = msgspec.msgpack.decode(encode_state(message), type=StateMessage)
+    assert sent.stopping
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -17,6 +17,7 @@
 from basilroad.gateway.dispatch.selection import Chooser, estimate_wait, has_room
 from basilroad.gateway.exchange.gossip import Gossip
 from basilroad.gateway.exchange.loans import RetryLoans
+from basilroad.gateway.exchange.promptexchange import PromptExchange
 from basilroad.gateway.exchange.relay import Relay, Update
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.streams.events import EventOrderError, EventSequence
@@ -52,7 +53,8 @@
     relay.subscribe(taken.append)
     address = Address("127.0.0.1", 9000)
     loans = RetryLoans("z", lambda _: RetryBudget(RetrySettings()))
-    gossip = Gossip("z", "riga-a", address, directory, PromptLocations(), relay, loans)
+    prompts = PromptExchange("z", PLACE, PromptLocations())
+    gossip = Gossip("z", "riga-a", address, directory, relay, loans, prompts=prompts)
     return gossip, directory, taken
 
 
--- a/tests/gateway/versions/test_queue.py
+++ b/tests/gateway/versions/test_queue.py
@@ -125,7 +125,7 @@
 
 async def test_a_cached_prompt_of_another_version_saves_nothing(dispatcher: Dispatcher) -> None:
     call, candidates = build_call(ROUTE, prompt_key="p"), dispatcher._candidates
-    dispatcher.prompt_locations.record(call.cache_key, "e2")
+    dispatcher.prompt_locations.begin(call.cache_key, dispatcher.directory.get("e2"), 25.0)
     assert candidates.find_prompt(call, EndpointCriteria(version="v1")) is None
     assert candidates.find_prompt(call, EndpointCriteria(version="v2")) is not None
     assert candidates.find_prompt(call, EndpointCriteria()) is not None
