Let an engine fetch a prompt from the engine that has it

What callers saw: a stream that was taken up went on only after its prompt had been read anew, a second or more, unless it came to the very engine that had run it; that engine may be full, leaving or in another data centre.

Cause: the only use of a known location was a preference for that engine. An engine can fetch the cache of a prompt from another one (the platform's configuration says how many bytes a token has and how fast the links are), a hundredth of the time of a prefill here, and the system didn't ask for it.

Change: one place decides for each attempt how its engine gets the prompt (gateway/dispatch/promptplan.py): cached, fetched or computed, by the estimated time. The choice of the engine, the prefill that a reservation counts and the request use this one decision. No source is an engine that is not listed, has restarted, refuses or ended connections since it was last heard, or runs another software version; one that is only silent to this gateway may be reached by other engines and is one. Fleets that ask engines for reports before a placement ask for these streams too. An attempt whose prompt was run before is logged (`prompt planned`) and counted (`basilroad_repeated_prompts_total`).

--- a/src/basilroad/gateway/calls/attempt.py
+++ b/src/basilroad/gateway/calls/attempt.py
@@ -66,6 +66,7 @@
     :param resume_after: id of the last event received; empty to start from the first
     :param copy_at: address of the endpoint that keeps a backup of the run's KV cache as it grows
     :param kv_cache_source: address of the endpoint whose backup of the run's KV cache is used
+    :param prompt_source: address of the endpoint from whose cache the prompt is fetched
     """
 
     endpoint_id: str
@@ -73,6 +74,7 @@
     resume_after: str = ""
     copy_at: Address | None = None
     kv_cache_source: Address | None = None
+    prompt_source: Address | None = None
 
 
 class EndpointProtocol(Protocol):
--- a/src/basilroad/gateway/calls/log.py
+++ b/src/basilroad/gateway/calls/log.py
@@ -17,6 +17,7 @@
 
     from basilroad.errors import Refusal
     from basilroad.gateway.calls.call import Call
+    from basilroad.gateway.dispatch.promptplan import PromptPlan
     from basilroad.gateway.registry.endpoint import Endpoint
 
 _LOGGER = logging.getLogger(__name__)
@@ -100,6 +101,25 @@
     )
 
 
+def log_prompt_plan(call: Call, endpoint: Endpoint, plan: PromptPlan) -> None:
+    """Log how the engine of an attempt gets a prompt that was run before.
+
+    :param call: the call
+    :param endpoint: the engine
+    :param plan: how it gets the prompt
+    """
+    _LOGGER.info(
+        "prompt planned",
+        extra={
+            "request": call.id,
+            "endpoint": endpoint.id,
+            "access": plan.access.value,
+            "source": plan.source.id if plan.source else None,
+            "reason": plan.reason or None,
+        },
+    )
+
+
 def log_refusal(request_id: str, refusal: Refusal, waited_s: float, **inputs: object) -> None:
     """Log that a call ends without an endpoint's response.
 
--- a/src/basilroad/gateway/dispatch/candidates.py
+++ b/src/basilroad/gateway/dispatch/candidates.py
@@ -7,9 +7,12 @@
 
 import attrs
 
+from basilroad.gateway.dispatch.promptplan import find_holder, plan_prompt
+
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call
-    from basilroad.gateway.dispatch.promptlocations import PromptLocation, PromptLocations
+    from basilroad.gateway.dispatch.promptlocations import PromptLocations
+    from basilroad.gateway.dispatch.promptplan import PromptHolder, PromptPlan
     from basilroad.gateway.dispatch.selection import Chooser
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
@@ -80,14 +83,14 @@
             found = self._choose_among(endpoints, call, criteria)
         return found
 
-    def find_prompt(self, call: Call, criteria: EndpointCriteria) -> PromptLocation | None:
-        """:return: where the prompt of a call was processed, unless it may not use that."""
-        found = self.prompt_locations.find(call.cache_key)
-        if found is None or criteria.version is None:
-            return found
-        endpoint = self.directory.get(found.endpoint_id)
-        is_usable = endpoint is not None and endpoint.entry.version == criteria.version
-        return found if is_usable else None
+    def find_holder(self, call: Call) -> PromptHolder:
+        """:return: the engine that has the prompt of a call."""
+        return find_holder(call, self.prompt_locations, self.directory, self.clock())
+
+    def plan_prompt(self, call: Call, endpoint: Endpoint) -> PromptPlan:
+        """:return: how an engine gets the prompt of a call."""
+        engine = self.find_engine(call.service)
+        return plan_prompt(endpoint, call, engine, self.find_holder(call))
 
     def _filter_preferred(
         self, call: Call, criteria: EndpointCriteria, endpoints: list[Endpoint]
@@ -105,7 +108,7 @@
             self.find_engine(call.service),
             self.clock(),
             criteria.avoid,
-            self.find_prompt(call, criteria),
+            self.find_holder(call),
         )
 
 
--- a/src/basilroad/gateway/dispatch/dispatcher.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -15,12 +15,14 @@
 from basilroad.gateway.dispatch.availability import find_service_pause
 from basilroad.gateway.dispatch.candidates import Candidates, EndpointCriteria
 from basilroad.gateway.dispatch.promptlocations import PromptLocations
+from basilroad.gateway.dispatch.promptplan import PromptAccess
 from basilroad.gateway.dispatch.selection import estimate_wait
 from basilroad.gateway.registry.endpoint import Reservation
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, PromptSize
     from basilroad.gateway.dispatch.availability import ServicePause
+    from basilroad.gateway.dispatch.promptplan import PromptPlan
     from basilroad.gateway.dispatch.selection import Chooser
     from basilroad.gateway.exchange.permits import PermitExchange
     from basilroad.gateway.registry.directory import Directory
@@ -143,7 +145,7 @@
                     call, self._build_criteria(call, avoid, version)
                 )
             if endpoint is not None:
-                return self.reserve(endpoint, call.size)
+                return self._reserve_for(call, endpoint)
         left_s = wait_until - self._clock()
         if left_s <= 0:
             return None
@@ -194,6 +196,14 @@
         endpoint.notices.limit.take_permit(self._clock())
         return Reservation(endpoint, size, needs_prefill=needs_prefill)
 
+    def plan_prompt(self, call: Call, endpoint: Endpoint) -> PromptPlan:
+        """:return: how an engine gets the prompt of a call."""
+        return self._candidates.plan_prompt(call, endpoint)
+
+    def _reserve_for(self, call: Call, endpoint: Endpoint) -> Reservation:
+        is_computed = self.plan_prompt(call, endpoint).access is PromptAccess.COMPUTED
+        return self.reserve(endpoint, call.size, needs_prefill=is_computed)
+
     def find_pause(
         self, call: Call, avoid: Collection[str] = (), version: str | None = None
     ) -> ServicePause | None:
@@ -217,7 +227,7 @@
     ) -> Reservation | None:
         """:return: capacity of another endpoint, if one could take the call at once."""
         endpoint = self._choose_unblocked(call, avoid, version)
-        return None if endpoint is None else self.reserve(endpoint, call.size)
+        return None if endpoint is None else self._reserve_for(call, endpoint)
 
     def release(self, reservation: Reservation) -> None:
         """Release a reservation and dispatch queued calls.
@@ -300,7 +310,7 @@
                     claimed.add(ticket.version)
                 continue
             queue.pop()
-            ticket.placed.set_result(self.reserve(endpoint, ticket.call.size))
+            ticket.placed.set_result(self._reserve_for(ticket.call, endpoint))
         for ticket in reversed(held):
             queue.push_front(ticket, ticket.flow, ticket.cost)
 
@@ -347,9 +357,9 @@
         :return: an engine that reported; ``None`` if engines are not asked or none has room
         """
         engine = self.find_engine(call.service)
-        cached = self._candidates.find_prompt(call, criteria)
-        if self._reports is None or engine is None or not self.asks_engines or cached is not None:
+        if self._reports is None or engine is None or not self.asks_engines:
             return None
+        holder = self._candidates.find_holder(call)
         excluded, known = set(criteria.avoid), []
         for _ in range(MAX_REPORT_ROUNDS):
             # requests for reports would use up the permits of limited engines
@@ -358,12 +368,14 @@
                 for endpoint in self._candidates.list_preferred(call, criteria)
                 if not endpoint.notices.limit.is_in_force(self._clock())
             ]
-            scored = self.chooser.list_scored(endpoints, call, engine, self._clock(), excluded)
+            scored = self.chooser.list_scored(
+                endpoints, call, engine, self._clock(), excluded, holder
+            )
             scored.sort(key=itemgetter(0))
             candidates = [endpoint for _, endpoint in scored[:REPORT_CANDIDATES]]
             excluded.update(endpoint.id for endpoint in candidates)
             known += await self._reports.refresh(candidates)
-            best = self.chooser.choose(known, call, engine, self._clock(), criteria.avoid)
+            best = self.chooser.choose(known, call, engine, self._clock(), criteria.avoid, holder)
             if best is not None and estimate_wait(best, call.size, self._clock()) < CROWDED_WAIT_S:
                 break
         return best
--- a/src/basilroad/gateway/dispatch/selection.py
+++ b/src/basilroad/gateway/dispatch/selection.py
@@ -11,16 +11,13 @@
 import attrs
 
 from basilroad.gateway.dispatch.preference import EnginePreference
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S, PromptHolder, plan_prompt
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, PromptSize
-    from basilroad.gateway.dispatch.promptlocations import PromptLocation
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.route import EngineLimits
 
-PREFILL_TOKENS_PER_S = 8000.0
-"""Prefill rate of an engine, as specified for the fleets."""
-
 GENERATION_SLOWDOWN_S = 0.05
 """Delay that each concurrent generation adds to a call: its share of the engine's steps during
 prefill."""
@@ -76,6 +73,9 @@
 """Share of an engine's memory that may be reserved; output estimates are rough."""
 
 
+NO_HOLDER = PromptHolder()
+
+
 @attrs.frozen
 class Locality:
     """Location of a gateway.
@@ -161,18 +161,20 @@
 
 
 def estimate_prefill_savings(
-    endpoint: Endpoint, size: PromptSize, cached_prompt: PromptLocation | None
+    endpoint: Endpoint, call: Call, engine: EngineLimits | None, holder: PromptHolder
 ) -> float:
-    """Estimate the prefill time saved if an endpoint still has a prompt in its cache.
+    """Estimate the prefill time saved if an endpoint gets a prompt from a cache.
 
     :param endpoint: the endpoint
-    :param size: tokens of the call
-    :param cached_prompt: where its prompt was processed recently
+    :param call: the call
+    :param engine: limits of the service's engines
+    :param holder: engine that has the prompt
     :return: seconds
     """
-    if cached_prompt is None or not cached_prompt.is_at(endpoint.entry.lifetime):
+    if holder.endpoint is None:
         return 0.0
-    return size.prompt_tokens / PREFILL_TOKENS_PER_S
+    prefill_s = call.size.prompt_tokens / PREFILL_TOKENS_PER_S
+    return prefill_s - plan_prompt(endpoint, call, engine, holder).duration_s
 
 
 @attrs.frozen
@@ -197,7 +199,7 @@
         engine: EngineLimits | None,
         now: float,
         avoid: Collection[str] = (),
-        cached_prompt: PromptLocation | None = None,
+        holder: PromptHolder = NO_HOLDER,
     ) -> Endpoint | None:
         """Select the endpoint for a call.
 
@@ -206,10 +208,10 @@
         :param engine: limits of the service's engines
         :param now: monotonic seconds
         :param avoid: excluded endpoints
-        :param cached_prompt: where its prompt was processed recently
+        :param holder: engine that has its prompt
         :return: the endpoint of least cost that has capacity, if any
         """
-        scored = self.list_scored(endpoints, call, engine, now, avoid, cached_prompt)
+        scored = self.list_scored(endpoints, call, engine, now, avoid, holder)
         return min(scored, key=itemgetter(0), default=(0.0, None))[1]
 
     def list_scored(
@@ -219,7 +221,7 @@
         engine: EngineLimits | None,
         now: float,
         avoid: Collection[str] = (),
-        cached_prompt: PromptLocation | None = None,
+        holder: PromptHolder = NO_HOLDER,
     ) -> list[tuple[float, Endpoint]]:
         """List the endpoints that have capacity for a call.
 
@@ -228,7 +230,7 @@
         :param engine: limits of the service's engines
         :param now: monotonic seconds
         :param avoid: excluded endpoints
-        :param cached_prompt: where its prompt was processed recently
+        :param holder: engine that has its prompt
         :return: cost in seconds and endpoint, in no order
         """
         scored = []
@@ -246,7 +248,7 @@
                 endpoint, failures, now
             )
             score += ring_costs.get(endpoint.id, 0.0)
-            score -= estimate_prefill_savings(endpoint, call.size, cached_prompt)
+            score -= estimate_prefill_savings(endpoint, call, engine, holder)
             scored.append((score, endpoint))
         return scored
 
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -53,6 +53,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self.prompts = Counter(
+            "basilroad_repeated_prompts",
+            "Attempts with a prompt that an engine has run before, by how the engine gets it",
+            ["access"],
+            registry=self.registry,
+        )
         self.resumes = Counter(
             "basilroad_resumes",
             "Streams that resumed at another endpoint.",
--- a/src/basilroad/gateway/route.py
+++ b/src/basilroad/gateway/route.py
@@ -26,11 +26,28 @@
     :param slots: maximum number of concurrent requests
     :param memory_tokens: capacity of its KV cache in tokens
     :param supports_kv_backup: whether another engine can hold a KV cache backup of a live run
+    :param kv_token_bytes: bytes of the KV cache of a token; 0 if engines can't fetch prompts
+    :param link_bits_per_s: transfer rate between engines; 0 if they can't fetch prompts
     """
 
     slots: int
     memory_tokens: int
     supports_kv_backup: bool = False
+    kv_token_bytes: float = 0.0
+    link_bits_per_s: float = 0.0
+
+    @property
+    def can_fetch(self) -> bool:
+        """:return: whether an engine can fetch a prompt from the cache of another one."""
+        return self.kv_token_bytes > 0 and self.link_bits_per_s > 0
+
+    def estimate_transfer(self, tokens: int) -> float:
+        """Estimate the transfer of a KV cache between two engines of one data centre.
+
+        :param tokens: its tokens
+        :return: seconds
+        """
+        return 8 * tokens * self.kv_token_bytes / self.link_bits_per_s
 
 
 @attrs.frozen
--- a/src/basilroad/gateway/streams/durations.py
+++ b/src/basilroad/gateway/streams/durations.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from basilroad.gateway.dispatch.selection import PREFILL_TOKENS_PER_S
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S
 
 INITIAL_MEAN_S = 6.0
 """Expected duration before any stream has ended, as specified for the fleets: 1 s of prefill and
--- a/src/basilroad/gateway/streams/firstevent.py
+++ b/src/basilroad/gateway/streams/firstevent.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from basilroad.gateway.dispatch.selection import PREFILL_TOKENS_PER_S
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -12,9 +12,10 @@
 from basilroad.gateway.calls.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun, OpenReply
 from basilroad.gateway.calls.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.calls.call import Reply
-from basilroad.gateway.calls.log import AttemptRecord
+from basilroad.gateway.calls.log import AttemptRecord, log_prompt_plan
 from basilroad.gateway.crashes.containment import REFUSED_MESSAGE
 from basilroad.gateway.crashes.runs import Run
+from basilroad.gateway.dispatch.promptplan import PromptAccess
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.crashes import StreamCrashes
@@ -185,6 +186,7 @@
         backup = self._backup.reserve(endpoint)
         started = time.monotonic()
         self._start = self._find_start(endpoint)
+        prompt_source = None if place.from_backup else self._find_prompt_source(endpoint)
         attempt = self._tracker.running = Attempt(
             self._call,
             endpoint,
@@ -195,6 +197,7 @@
                 resume_after=str(self._events.last) if self._events.last else "",
                 copy_at=backup.endpoint.entry.address if backup else None,
                 kv_cache_source=endpoint.entry.address if place.from_backup else None,
+                prompt_source=prompt_source.entry.address if prompt_source else None,
             ),
             self._claim_place,
             self._may_send,
@@ -233,6 +236,15 @@
         )
         return outcome
 
+    def _find_prompt_source(self, endpoint: Endpoint) -> Endpoint | None:
+        call = self._call
+        plan = self._gateway.dispatcher.plan_prompt(call, endpoint)
+        is_first = not (call.events_received or self._tracker.sent)
+        if plan.access is not PromptAccess.COMPUTED or not is_first:
+            log_prompt_plan(call, endpoint, plan)
+            self._gateway.metrics.prompts.labels(plan.access.value).inc()
+        return plan.source
+
     def _check_time_before_shutdown(self, reservation: Reservation) -> None:
         # a shutdown may have begun while the stream was queued
         if self._tracker.sent:
--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -59,6 +59,8 @@
     slots: int
     kv_capacity: int
     backups: bool = False
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -183,7 +185,17 @@
         service.name,
         service.health_path,
         service.max_connections,
-        EngineLimits(engine.slots, engine.kv_capacity, engine.backups) if engine else None,
+        _build_engine(engine) if engine else None,
+    )
+
+
+def _build_engine(engine: _Engine) -> EngineLimits:
+    return EngineLimits(
+        engine.slots,
+        engine.kv_capacity,
+        engine.backups,
+        engine.kv_token_bytes,
+        1e6 * engine.link_mbps,
     )
 
 
--- a/src/basilroad/platform/protocol.py
+++ b/src/basilroad/platform/protocol.py
@@ -35,6 +35,7 @@
 HEADER_URGENCY = "X-Request-Urgency"
 HEADER_KV_BACKUP = "X-Kv-Backup"
 HEADER_KV_SOURCE = "Kv-From"
+HEADER_PROMPT_SOURCE = "Kv-Fetch"
 HEADER_RESPONSE_SEAL = "x-response-seal"
 HEADER_NOT_EXECUTED = "x-not-executed"
 MAX_STATUS = 599
@@ -53,7 +54,7 @@
         HEADER_URGENCY,
         HEADER_KV_BACKUP,
         HEADER_KV_SOURCE,
-        "Kv-Fetch",
+        HEADER_PROMPT_SOURCE,
         "X-Hold",
         "X-Pin-Ms",
         "X-Expect-Version",
@@ -108,6 +109,8 @@
             added.append((HEADER_KV_SOURCE, f"{options.kv_cache_source}/{call.id}"))
         if resume_after:
             added.append((HEADER_LAST_EVENT_ID, resume_after))
+        if options.prompt_source is not None:
+            added.append((HEADER_PROMPT_SOURCE, str(options.prompt_source)))
         if options.copy_at is not None:
             added.append((HEADER_KV_BACKUP, str(options.copy_at)))
         headers = (*call.headers, *added)
--- a/tests/gateway/calls/test_shared_prompts.py
+++ b/tests/gateway/calls/test_shared_prompts.py
@@ -4,7 +4,6 @@
 
 import random
 
-from basilroad.gateway.dispatch.candidates import EndpointCriteria
 from basilroad.gateway.dispatch.dispatcher import Dispatcher
 from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
@@ -23,7 +22,7 @@
     endpoint = directory.get("e2")
     assert endpoint is not None
     dispatcher.prompt_locations.begin(call.cache_key, endpoint, 25.0)
-    candidates, criteria = dispatcher._candidates, EndpointCriteria()
-    assert candidates.find_prompt(call, criteria) is not None
+    candidates = dispatcher._candidates
+    assert candidates.find_holder(call).endpoint is endpoint
     other = build_call(ROUTE, workspace="x", prompt_key="p")
-    assert candidates.find_prompt(other, criteria) is None
+    assert candidates.find_holder(other).endpoint is None
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -13,6 +13,7 @@
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.calls.call import PromptSize
 from basilroad.gateway.dispatch.promptlocations import RETENTION_S, PromptLocations
+from basilroad.gateway.dispatch.promptplan import PromptHolder, find_holder
 from basilroad.gateway.dispatch.selection import (
     Chooser,
     estimate_prefill_savings,
@@ -340,7 +341,8 @@
     assert found.endpoint_id == "e2"
     endpoints = [get(net.gateways[1], f"e{number}") for number in range(3)]
     chooser = Chooser(PLACE, random.Random(1))
-    assert chooser.choose(endpoints, call, ENGINE, net.now, cached_prompt=found) is endpoints[2]
+    holder = PromptHolder(endpoints[2])
+    assert chooser.choose(endpoints, call, ENGINE, net.now, holder=holder) is endpoints[2]
     net.now += 25.0 + RETENTION_S + 0.1
     assert net.gateways[1]._prompts.locations.find(call.cache_key) is None
 
@@ -365,11 +367,14 @@
     net = Net()
     endpoint = get(net.gateways[0], "e2")
     locations = net.gateways[0]._prompts.locations
-    locations.begin(b"12345678", endpoint, 25.0)
-    found = locations.find(b"12345678")
-    assert estimate_prefill_savings(endpoint, SIZE, found) > 0.0
-    net.gateways[0]._directory.put(build_entry("e2", service="llm", started_ms=2))
-    assert estimate_prefill_savings(endpoint, SIZE, found) == 0.0
+    directory = net.gateways[0]._directory
+    call = build_call(build_stream_route(), prompt_key="prompt")
+    locations.begin(call.cache_key, endpoint, 25.0)
+    holder = find_holder(call, locations, directory, net.now)
+    assert estimate_prefill_savings(endpoint, call, ENGINE, holder) > 0.0
+    directory.put(build_entry("e2", service="llm", started_ms=2))
+    holder = find_holder(call, locations, directory, net.now)
+    assert estimate_prefill_savings(endpoint, call, ENGINE, holder) == 0.0
 
 
 def test_registered_gateways_are_near_until_their_first_message() -> None:
--- a/tests/gateway/streams/test_firstevent.py
+++ b/tests/gateway/streams/test_firstevent.py
@@ -5,7 +5,7 @@
 import pytest
 
 from basilroad.gateway.calls.call import PromptSize
-from basilroad.gateway.dispatch.selection import PREFILL_TOKENS_PER_S
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S
 from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 from basilroad.gateway.streams.firstevent import (
     CONCURRENT_CALL_DELAY_S,
--- a/tests/gateway/versions/test_queue.py
+++ b/tests/gateway/versions/test_queue.py
@@ -8,9 +8,8 @@
 
 import pytest
 
-from basilroad.gateway.dispatch.candidates import EndpointCriteria
 from basilroad.gateway.dispatch.dispatcher import Dispatcher
-from basilroad.gateway.dispatch.selection import Chooser
+from basilroad.gateway.dispatch.selection import Chooser, estimate_prefill_savings
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.notices import Notice, Source
 from builders import ENGINE, PLACE, build_call, build_entry, build_stream_route
@@ -124,11 +123,15 @@
 
 
 async def test_a_cached_prompt_of_another_version_saves_nothing(dispatcher: Dispatcher) -> None:
-    call, candidates = build_call(ROUTE, prompt_key="p"), dispatcher._candidates
-    dispatcher.prompt_locations.begin(call.cache_key, dispatcher.directory.get("e2"), 25.0)
-    assert candidates.find_prompt(call, EndpointCriteria(version="v1")) is None
-    assert candidates.find_prompt(call, EndpointCriteria(version="v2")) is not None
-    assert candidates.find_prompt(call, EndpointCriteria()) is not None
+    call, directory = build_call(ROUTE, prompt_key="p"), dispatcher.directory
+    first, second = directory.get("e1"), directory.get("e2")
+    assert first is not None
+    assert second is not None
+    dispatcher.prompt_locations.begin(call.cache_key, second, 25.0)
+    holder = dispatcher._candidates.find_holder(call)
+    assert holder.endpoint is second
+    assert estimate_prefill_savings(first, call, ENGINE, holder) == 0.0
+    assert estimate_prefill_savings(second, call, ENGINE, holder) > 0.0
 
 
 @pytest.mark.parametrize("version", [None, "v1"])
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -45,7 +45,14 @@
             "name": "s1",
             "healthPath": "/health",
             "maxConnections": 300,
-            "engine": {"slots": 48, "kvCapacity": 88000, "backups": True, "unknown": 1},
+            "engine": {
+                "slots": 48,
+                "kvCapacity": 88000,
+                "kvTokenBytes": 192512,
+                "linkMbps": 1500000.0,
+                "backups": True,
+                "unknown": 1,
+            },
         },
         {"name": "s2", "healthPath": "/health", "maxConnections": 100},
     ],
@@ -84,6 +91,9 @@
     engine = table.services["s1"].engine
     assert engine is not None
     assert (engine.slots, engine.memory_tokens, engine.supports_kv_backup) == (48, 88000, True)
+    assert engine.can_fetch
+    # 1 GB of a prompt of 5,200 tokens on a link of 1.5 Tbit/s
+    assert engine.estimate_transfer(5200) == pytest.approx(0.0053, abs=0.0001)
     workspace = table.find_workspace("k2")
     assert workspace is not None
     assert (workspace.name, workspace.rank) == ("t", 1)
