Keep the location of a prompt in two regions, and ask for new ones nearby

What callers saw: each stream asked two gateways for the location of its prompt before it was placed, of which one was mostly in another region, a way of 40 ms. Both keepers of a location could be in one region, which may fail as a whole.

Change: the second keeper is of another region if there is one. A new stream asks only the keeper in its own region; a stream that is taken up, whose prompt was certainly run before, asks both.

Failed before: test_the_keepers_are_in_two_regions and test_a_new_prompt_is_asked_for_in_its_region_only are new in tests/gateway/exchange/test_promptexchange.py. Now tests/gateway/exchange, test_repeated_prompts and test_malformed_messages: 228 passed.

--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -1,11 +1,12 @@
 """Exchange of the locations of prompts between gateways.
 
-Each location is kept by a few gateways, its keepers, which rendezvous hashing chooses for the key
-of the prompt. The gateway that runs the prompt reports the location to them when the run begins,
-and again to those that become keepers while it lasts, because others stop or have started. A
-gateway that stops does the same for all locations that it keeps. A gateway to which a caller comes
-with a prompt asks the keepers. As gateways may differ in who they are, one that doesn't have the
-location passes the request on to those that it takes for them.
+Each location is kept by two gateways, its keepers, which rendezvous hashing chooses for the key of
+the prompt, in two regions if possible. The gateway that runs the prompt reports the location to
+them when the run begins, and again to those that become keepers while it lasts, because others stop
+or have started. A gateway that stops does the same for all locations that it keeps. A gateway to
+which a caller comes with a prompt asks the keeper of its region, and both if the prompt was run
+before. As gateways may differ in who they are, one that doesn't have the location passes the
+request on to those that it takes for them.
 """
 
 from __future__ import annotations
@@ -192,19 +193,42 @@
         """Choose the gateways that keep a location.
 
         :param key: key of the prompt
-        :return: their names; those that stop only if there are too few others
+        :return: their names, in two regions if possible; those that stop only if there are too few
+            others
         """
-        return self._choose_keepers(key, {self.host} if not self.is_stopping() else ())
-
-    def _choose_keepers(self, key: bytes, more: Iterable[str] = ()) -> list[str]:
+        places = {host: state.data_centre for host, state in self._list_staying().items()}
+        if not self.is_stopping():
+            places[self.host] = self.place.data_centre
+        return self._choose_among(key, places)
+
+    def _choose_asked(self, key: bytes, *, is_repeated: bool) -> list[str]:
+        places = {host: state.data_centre for host, state in self._list_staying().items()}
+        chosen = self._choose_among(key, places)
+        if is_repeated:
+            return chosen
+        # most prompts are new, and the way to another region takes tens of milliseconds
         states = self.list_states()
-        staying = {host for host, state in states.items() if not state.stopping}
-        chosen = choose_hosts(key.hex(), staying.union(more), KEEPERS)
+        return [h for h in chosen if self._find_region(states[h].data_centre) == self.place.region]
+
+    def _choose_among(self, key: bytes, places: Mapping[str, str]) -> list[str]:
+        name = key.hex()
+        chosen = choose_hosts(name, places, 1)
+        if chosen:
+            region = self._find_region(places[chosen[0]])
+            elsewhere = [h for h, place in places.items() if self._find_region(place) != region]
+            chosen += choose_hosts(name, elsewhere or places.keys() - chosen, KEEPERS - 1)
         if len(chosen) < KEEPERS:
+            states = self.list_states()
             stopping = [host for host, state in states.items() if state.stopping]
-            chosen += choose_hosts(key.hex(), stopping, KEEPERS - len(chosen))
+            chosen += choose_hosts(name, stopping, KEEPERS - len(chosen))
         return chosen
 
+    def _list_staying(self) -> dict[str, PeerState]:
+        return {host: state for host, state in self.list_states().items() if not state.stopping}
+
+    def _find_region(self, data_centre: str) -> str:
+        return self.place.regions.get(data_centre, data_centre)
+
     @contextlib.contextmanager
     def record(self, key: bytes, endpoint: Endpoint, time_left_s: float) -> Iterator[PromptRun]:
         """Record where this gateway runs a prompt, for its keepers too.
@@ -289,7 +313,7 @@
         if key and self.address is not None:
             if is_repeated:
                 await self._wait_for_peers()
-            await self._ask(key, self.address)
+            await self._ask(key, self.address, self._choose_asked(key, is_repeated=is_repeated))
         return self.locations.find(key)
 
     async def _wait_for_peers(self) -> None:
@@ -297,13 +321,9 @@
         while not self.list_states() and self.clock() < until:
             await asyncio.sleep(FIRST_PEER_POLL_S)
 
-    async def _ask(self, key: bytes, address: Address) -> None:
+    async def _ask(self, key: bytes, address: Address, keepers: Iterable[str]) -> None:
         states, now = self.list_states(), self.clock()
-        hosts = [
-            host
-            for host in self._choose_keepers(key)
-            if now >= self._silent_until.get(host, -math.inf)
-        ]
+        hosts = [host for host in keepers if now >= self._silent_until.get(host, -math.inf)]
         if not hosts:
             return
         self._number += 1
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -140,6 +140,37 @@
             assert await is_found(host)
 
 
+async def test_the_keepers_are_in_two_regions() -> None:
+    fleet = Fleet()
+    for number in range(50):
+        keepers = fleet.hosts[0].exchange.choose_keepers(number.to_bytes(8))
+        places = [fleet.hosts[int(name[1:])].data_centre for name in keepers]
+        assert len({PLACE.regions[place] for place in places}) == KEEPERS
+
+
+async def test_the_location_outlives_a_region() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run():
+        fleet.tick()
+    for host in fleet.hosts:
+        host.up = PLACE.regions[host.data_centre] != "riga"
+    for host in fleet.hosts:
+        if host.up:
+            assert await is_found(host)
+
+
+# fault: each new stream waited for a gateway of another region
+async def test_a_new_prompt_is_asked_for_in_its_region_only() -> None:
+    fleet = Fleet()
+    asks = fleet.hosts[0]
+    assert await find(asks, is_repeated=False) is None
+    assert len(asks.sent) == 1
+    with fleet.hosts[4].run():
+        fleet.tick()
+        for host in fleet.hosts:
+            assert await find(host, is_repeated=False) is not None
+
+
 async def test_the_location_outlives_the_gateway_that_ran_it() -> None:
     # fault: a gateway was killed, and its callers came to others
     fleet = Fleet()
