Fetch prompts only from engines that answer, to this gateway or to others

Cause: what a gateway has last seen of an engine doesn't say whether other engines reach it. A gateway that has just started has seen nothing.

Change: before a fetch the source is confirmed. Data from it within 0.25 s and since its last failure is enough. Else it is asked for its start, within 60 ms and the round trips; this also finds a restart that isn't listed yet. If it fell silent to this gateway, up to three other gateways are asked whether they reach it (gateway/exchange/engineprobes.py, indirect probes as in SWIM): those with calls there first, then those of its region. An engine under a limit is not asked and no source. A caller that leaves meanwhile holds no capacity.

Failed before: tests/gateway/streams/test_repeated_prompts.py, test_a_prompt_is_not_fetched_from_an_engine_that_does_not_answer[silent] and the others that name an engine that ended a connection, restarted or fell silent; the check is new. Now test_repeated_prompts, test_engineprobes, tests/gateway/dispatch, test_gossip, test_malformed_messages: 131 passed, and tests/docs.

--- a/src/basilroad/gateway/dispatch/candidates.py
+++ b/src/basilroad/gateway/dispatch/candidates.py
@@ -85,7 +85,7 @@
 
     def find_holder(self, call: Call) -> PromptHolder:
         """:return: the engine that has the prompt of a call."""
-        return find_holder(call, self.prompt_locations, self.directory, self.clock())
+        return find_holder(call, self.prompt_locations, self.directory)
 
     def plan_prompt(self, call: Call, endpoint: Endpoint) -> PromptPlan:
         """:return: how an engine gets the prompt of a call."""
--- a/src/basilroad/gateway/dispatch/promptplan.py
+++ b/src/basilroad/gateway/dispatch/promptplan.py
@@ -56,17 +56,18 @@
     source: Endpoint | None = None
     reason: str = ""
 
+    def without_source(self, reason: str) -> PromptPlan:
+        """:return: the plan to compute the prompt, as it can't be fetched."""
+        return PromptPlan(PromptAccess.COMPUTED, self.duration_s, reason=reason)
 
-def find_holder(
-    call: Call, locations: PromptLocations, directory: Directory, now: float
-) -> PromptHolder:
+
+def find_holder(call: Call, locations: PromptLocations, directory: Directory) -> PromptHolder:
     """Find the engine that has the prompt of a call.
 
     :param call: the call
     :param locations: known locations of prompts
     :param directory: known endpoints
-    :param now: monotonic seconds
-    :return: the engine, unless it is gone, has restarted or doesn't respond
+    :return: the engine, unless it is gone or has restarted
     """
     location = locations.find(call.cache_key)
     if location is None:
@@ -76,9 +77,6 @@
         return PromptHolder(reason="its engine is gone")
     if not location.is_at(endpoint.entry.lifetime):
         return PromptHolder(reason="its engine has restarted")
-    if now < endpoint.backoff_until or endpoint.cut_at > endpoint.last_received_at:
-        # one that is only silent to this gateway may still be reached by other engines
-        return PromptHolder(reason="its engine refuses or ends connections")
     return PromptHolder(endpoint)
 
 
--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -15,6 +15,12 @@
 
 from basilroad.coordination.decoding import DecodeError, MsgpackDecoder
 from basilroad.gateway.exchange.crashreports import Crashes, CrashExchange
+from basilroad.gateway.exchange.engineprobes import (
+    EngineProbe,
+    EngineProbeReply,
+    EngineProbes,
+    ProbeMessage,
+)
 from basilroad.gateway.exchange.loans import Loan, LoanRequest
 from basilroad.gateway.exchange.localstate import list_failures, list_limits, list_loads
 from basilroad.gateway.exchange.peertable import FANOUT, PeerState, PeerTable
@@ -70,7 +76,15 @@
     | PromptRecords
     | PromptRequest
     | PromptReply
+    | EngineProbe
+    | EngineProbeReply
+)
+
+
+Datagram = (
+    Update | Withdrawal | Crashes | PermitRequest | PermitReply | PromptMessage | ProbeMessage
 )
+"""Messages that are sent at once, and count for the limit of control traffic."""
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -86,6 +100,7 @@
     :param crashes: exchange of crashes, which are sent too
     :param permits: exchange of permits, which are sent too
     :param prompts: exchange of the locations of prompts, which are sent too
+    :param engine_probes: probes of engines for other gateways, whose requests are sent too
     :param is_stopping: whether the shutdown of this host was requested
     """
 
@@ -101,6 +116,7 @@
         crashes: CrashExchange | None = None,
         permits: PermitExchange | None = None,
         prompts: PromptExchange | None = None,
+        engine_probes: EngineProbes | None = None,
         is_stopping: Callable[[], bool] = lambda: False,
     ) -> None:
         self._host = host
@@ -128,6 +144,10 @@
             prompts.address = address
             prompts.list_states = lambda: self._table.states
             prompts.send = lambda message, peer: self._send_counted(message, [peer])
+        self._engine_probes = engine_probes
+        if engine_probes is not None:
+            engine_probes.list_states = lambda: self._table.states
+            engine_probes.send = lambda message, peer: self._send_counted(message, [peer])
         self._clock = clock
         self._is_stopping = is_stopping
         self._started_ms = time.time_ns() // 1_000_000
@@ -221,7 +241,7 @@
 
     def _send_counted(
         self,
-        message: Update | Withdrawal | Crashes | PermitRequest | PermitReply | PromptMessage,
+        message: Datagram,
         peers: Sequence[Address],
     ) -> None:
         data = msgspec.msgpack.encode(message)
@@ -300,6 +320,16 @@
         if self._prompts is not None:
             self._prompts.take_reply(message)
 
+    @_handle.register
+    def _(self, message: EngineProbe, address: Address) -> None:
+        if self._engine_probes is not None:
+            self._engine_probes.take_probe(message, address)
+
+    @_handle.register
+    def _(self, message: EngineProbeReply, _: Address) -> None:
+        if self._engine_probes is not None:
+            self._engine_probes.take_reply(message)
+
     def error_received(self, exc: Exception) -> None:
         """Ignore the error; later rounds reach the peer if it recovers."""
         _LOGGER.debug("datagram not delivered", extra={"detail": repr(exc)})
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -18,6 +18,8 @@
 from basilroad.gateway.dispatch.dispatcher import Dispatcher
 from basilroad.gateway.dispatch.preference import EnginePreference
 from basilroad.gateway.dispatch.selection import Chooser
+from basilroad.gateway.dispatch.sourcecheck import SourceCheck
+from basilroad.gateway.exchange.engineprobes import EngineProbes
 from basilroad.gateway.exchange.loans import RetryLoans
 from basilroad.gateway.exchange.permits import PermitExchange
 from basilroad.gateway.exchange.promptexchange import PromptExchange
@@ -156,6 +158,11 @@
         self.start_check = StartCheck(
             self.directory, protocol, reports, self.dispatcher.acquire_permit
         )
+        self.source_check = SourceCheck(self.start_check, settings.place)
+        self.engine_probes = EngineProbes(
+            settings.place, self.directory, self.source_check.probe, generator=self.random
+        )
+        self.source_check.ask_others = self.engine_probes.ask
         self.shutdown = Shutdown(signal=stop_signal or StopSignal())
         self._started_at = time.monotonic()
         self.stream_durations = StreamDurations()
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -173,8 +173,9 @@
         if place is None:
             return None
         reservation = place.reservation
+        prompt_source = None if place.from_backup else await self._find_prompt_source(reservation)
         if not self._pin.admits(reservation.endpoint):
-            # its entry changed while the reservation was handed over
+            # its entry changed while the reservation was handed over or the source was asked
             self._gateway.dispatcher.release(reservation)
             self._tracker.record_unsent()
             return NotRun("the endpoint has changed")
@@ -186,7 +187,6 @@
         backup = self._backup.reserve(endpoint)
         started = time.monotonic()
         self._start = self._find_start(endpoint)
-        prompt_source = None if place.from_backup else self._find_prompt_source(endpoint)
         attempt = self._tracker.running = Attempt(
             self._call,
             endpoint,
@@ -236,9 +236,17 @@
         )
         return outcome
 
-    def _find_prompt_source(self, endpoint: Endpoint) -> Endpoint | None:
-        call = self._call
-        plan = self._gateway.dispatcher.plan_prompt(call, endpoint)
+    async def _find_prompt_source(self, reservation: Reservation) -> Endpoint | None:
+        call, endpoint, dispatcher = self._call, reservation.endpoint, self._gateway.dispatcher
+        plan = dispatcher.plan_prompt(call, endpoint)
+        try:
+            if plan.source is not None and not await self._gateway.source_check.confirm(
+                plan.source
+            ):
+                plan = plan.without_source("its engine does not answer")
+        except BaseException:
+            dispatcher.release(reservation)
+            raise
         is_first = not (call.events_received or self._tracker.sent)
         if plan.access is not PromptAccess.COMPUTED or not is_first:
             log_prompt_plan(call, endpoint, plan)
--- a/src/basilroad/platform/run.py
+++ b/src/basilroad/platform/run.py
@@ -92,6 +92,7 @@
                 crashes=self.gateway.containment.exchange,
                 permits=self.gateway.permits,
                 prompts=self.gateway.prompts,
+                engine_probes=self.gateway.engine_probes,
                 is_stopping=lambda: self.gateway.shutdown.is_requested,
             )
             self.gateway.are_most_hosts_stopping = self.gossip.are_most_stopping
@@ -174,6 +175,7 @@
         """Close sockets and connections after all child services have stopped."""
         if self.gossip is not None:
             self.gossip.close()
+        await self.gateway.engine_probes.close()
         await self.gateway.liveness.close()
         await self.store.close()
 
