Let a request with a key begin once while it waits

Callers saw: a request with an idempotency key that waited at one entry for a free slot, and was sent again at another entry, ran twice; its callers got two generations.

Cause: the record that claims the key had attempt 0 until the first attempt began, and a claim expects attempt 0 for a key without a record, so the second claim passed over the record.

Change: the record of a request that waits has the number of the attempt that it is going to begin, 1. If the request ends without having run, its entry sets the record back to 0, so that the key is free at once as before.

--- a/src/basilroad/entry/locationdirectory.py
+++ b/src/basilroad/entry/locationdirectory.py
@@ -24,6 +24,12 @@
 REPLICA_COUNT = 2
 """Agents that store the location of one key."""
 
+FREE = 0
+"""Attempt in the record of a key that no request has claimed."""
+
+FIRST_ATTEMPT = 1
+"""Attempt in the record of a request that waits for its first endpoint."""
+
 REPLY_TIMEOUT_S = 0.5
 """Seconds to wait for one agent's reply."""
 
@@ -71,9 +77,9 @@
         :param flight: the request
         :return: where it runs already, or ``None`` if this entry is to run it
         """
-        location = self._build_location(flight, "", 0)
+        location = self._build_location(flight, "", FIRST_ATTEMPT)
         for link in self._choose_links(flight.key):
-            found = await self._register(link, location, expected=0)
+            found = await self._register(link, location, expected=FREE)
             if found is not None and not found.done:
                 # overwrites what earlier agents in this loop recorded: this request won't run
                 self.write(found.location)
@@ -189,7 +195,10 @@
         announced = self._announced.pop(flight.key, None)
         if announced is None or flight.identity.key_generated:
             return
-        self._announced[flight.key] = attrs.evolve(announced, ended_s=time.monotonic())
+        if announced.location.agent:
+            self._announced[flight.key] = attrs.evolve(announced, ended_s=time.monotonic())
+        else:
+            self._free(announced.location)
 
     def expire(self) -> None:
         """Remove the locations of generations that ended long ago."""
@@ -200,6 +209,13 @@
             if number < excess or (self._announced[key].ended_s or limit) < limit:
                 del self._announced[key]
 
+    def _free(self, location: wire.Location) -> None:
+        """Let another request with the key begin at once, as this one never ran."""
+        free = wire.Location(key=location.key, attempt=FREE)
+        message = wire.Register(location=free, expected_attempt=location.attempt)
+        for link in self._choose_links(location.key):
+            link.send(wire.EntryMessage(register=message), urgent=False)
+
     def _remember(self, location: wire.Location) -> None:
         agents = tuple(_build_agent_id(link) for link in self._choose_links(location.key))
         self._announced[location.key] = _AnnouncedLocation(location, agents)
--- /dev/null
+++ b/tests/entry/test_locationdirectory.py
@@ -0,0 +1,97 @@
+"""Tests of the records of where generations run, at agents in memory."""
+
+from __future__ import annotations
+
+import itertools
+from types import SimpleNamespace
+
+import pytest
+
+from basilroad.agent.directory import GenerationDirectory
+from basilroad.entry.generation import build_generation_id
+from basilroad.entry.locationdirectory import LocationDirectory
+from basilroad.peers.address import Address
+from basilroad.peers.wire import peer_pb2 as wire
+
+KEY = bytes(range(16))
+
+
+class DirectoryLink:
+    """Link to an agent, of which only the directory is there."""
+
+    incarnation = "1"
+    is_up = True
+    up_s = 0.0
+
+    def __init__(self, number: int) -> None:
+        self.address = Address("127.0.0.1", 9000 + number)
+        self.directory = GenerationDirectory()
+        self._calls = itertools.count(1)
+
+    def next_call_number(self) -> int:
+        return next(self._calls)
+
+    async def ask(self, call: int, message: wire.EntryMessage, timeout_s: float) -> wire.Found:
+        del call, timeout_s
+        if message.HasField("find"):
+            return self.directory.find(message.find)
+        return self.directory.register(message.register)
+
+    def send(self, message: wire.EntryMessage, *, urgent: bool = True) -> None:
+        del urgent
+        self.directory.register(message.register)
+
+
+@pytest.fixture
+def links() -> dict[Address, DirectoryLink]:
+    """:return: links to three agents."""
+    links = [DirectoryLink(number) for number in range(3)]
+    return {link.address: link for link in links}
+
+
+def build_directory(links: dict[Address, DirectoryLink], name: str) -> LocationDirectory:
+    """:return: the directory as an entry sees it."""
+    return LocationDirectory(SimpleNamespace(links=links, incarnation=name))
+
+
+def build_flight(key: bytes = KEY) -> SimpleNamespace:
+    """:return: a generation with a key of its caller."""
+    return SimpleNamespace(
+        key=key,
+        generation=build_generation_id(key),
+        request=SimpleNamespace(body_hash=b"body"),
+        identity=SimpleNamespace(key_generated=False),
+        interrupted_s=None,
+    )
+
+
+# fault: a request that waited at one entry for an endpoint began at another one too
+async def test_a_key_is_claimed_once_before_its_request_runs(links) -> None:
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    flight = build_flight()
+    assert await first.claim(flight) is None
+    found = await second.claim(build_flight())
+    assert found is not None
+    assert (found.generation, found.owner) == (flight.generation, "first")
+
+
+# fault: as above; what frees a key has to be as quick as before
+async def test_a_key_is_free_after_a_request_that_never_ran(links) -> None:
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    flight = build_flight()
+    assert await first.claim(flight) is None
+    first.retire(flight)
+    assert await second.claim(build_flight()) is None
+
+
+async def test_a_key_stays_claimed_after_a_request_that_ran(links) -> None:
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    flight = build_flight()
+    assert await first.claim(flight) is None
+    start = wire.StartGeneration(attempt=1)
+    view = SimpleNamespace(link=SimpleNamespace(address="127.0.0.1:9000"))
+    assert await first.move(flight, start, view) is None
+    first.retire(flight)
+    found = await second.claim(build_flight())
+    assert found is not None
+    assert (found.generation, found.agent) == (flight.generation, "127.0.0.1:9000")
