Take a key over whose entry and agent are lost

Callers saw: a request with the idempotency key of one whose entry and agent had both been lost was neither answered nor refused; it waited until its caller gave up.

Cause: its record is taken over once its entry hasn't written it for 3 s, but each question of another entry wrote it again at all agents, so that its age never got there; a generation that took one over was not started either. The class: an age that doesn't count from what it is taken for, here the last sign of the entry.

Change: a question writes the record only at agents where the same question had written its own. The entry of a keyed request that waits for an endpoint writes its record each second, so that the age tells whether it is gone also when the wait takes longer. What takes a record over is started, and is announced like any other.

--- a/src/basilroad/entry/locationdirectory.py
+++ b/src/basilroad/entry/locationdirectory.py
@@ -7,17 +7,17 @@
 import math
 import time
 from collections import OrderedDict
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 from basilroad.coordination.ring import HashRing
+from basilroad.entry.context import EntryContext
 from basilroad.entry.link import LinkLostError
 from basilroad.peers.copykey import build_copies_key
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
-    from basilroad.entry.context import EntryContext
     from basilroad.entry.flight import Flight
     from basilroad.entry.link import AgentLink, EndpointView
 
@@ -36,6 +36,10 @@
 NEW_AGENT_S = 5.0
 """Seconds after which every entry is expected to be connected to a new agent."""
 
+REFRESH_INTERVAL_S = 1.0
+"""Interval at which the records of keyed requests that wait for an endpoint are written again, so
+that their age tells other entries whether this one is gone."""
+
 ENDED_TTL_S = 60.0
 """Seconds for which the location of an ended, keyed generation is sent to new agents."""
 
@@ -45,6 +49,15 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+class LocationsContext(EntryContext, Protocol):
+    """What the directory needs from the entry process.
+
+    :param flights: generations that this entry runs, by key
+    """
+
+    flights: dict[bytes, Flight]
+
+
 @attrs.frozen
 class _AnnouncedLocation:
     location: wire.Location
@@ -63,7 +76,7 @@
     :param entry: state of the entry process
     """
 
-    def __init__(self, entry: EntryContext) -> None:
+    def __init__(self, entry: LocationsContext) -> None:
         self.entry = entry
         self._announced: OrderedDict[bytes, _AnnouncedLocation] = OrderedDict()
         self._up: dict[str, AgentLink] = {}
@@ -78,12 +91,15 @@
         :return: where it runs already, or ``None`` if this entry is to run it
         """
         location = self._build_location(flight, "", FIRST_ATTEMPT)
+        written: list[AgentLink] = []
         for link in self._choose_links(flight.key):
             found = await self._register(link, location, expected=FREE)
             if found is not None and not found.done:
-                # overwrites what earlier agents in this loop recorded: this request won't run
-                self.write(found.location)
+                # this request won't run; agents that have the record keep its age
+                for earlier in written:
+                    self._write_at(earlier, found.location)
                 return found.location
+            written.append(link)
         self._remember(location)
         return None
 
@@ -94,9 +110,12 @@
         :param lost: the record of the lost generation
         :return: whether this entry is to run it now
         """
-        flight.skip_attempts(lost.attempt)
         location = self._build_location(flight, "", lost.attempt + 1)
-        return await self.exchange(location, expected=lost.attempt)
+        if not await self.exchange(location, expected=lost.attempt):
+            return False
+        flight.skip_attempts(lost.attempt)
+        self._remember(location)
+        return True
 
     async def move(
         self, flight: Flight, start: wire.StartGeneration, view: EndpointView
@@ -187,6 +206,15 @@
             agents = tuple(_build_agent_id(link) for link in links)
             self._announced[key] = attrs.evolve(announced, agents=agents)
 
+    def refresh(self) -> None:
+        """Write the records of keyed requests again that run at no endpoint at the moment."""
+        for key, announced in self._announced.items():
+            flight = self.entry.flights.get(key)
+            if flight is None or announced.ended_s is not None:
+                continue
+            if not flight.identity.key_generated and not flight.endpoint:
+                self.write(announced.location)
+
     def retire(self, flight: Flight) -> None:
         """Record that a generation has ended at this entry.
 
@@ -294,4 +322,4 @@
     return f"{link.address}/{link.incarnation}"
 
 
-__all__ = ["REPLICA_COUNT", "LocationDirectory"]
+__all__ = ["REFRESH_INTERVAL_S", "REPLICA_COUNT", "LocationDirectory"]
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -28,7 +28,7 @@
 from basilroad.entry.http import HttpServer
 from basilroad.entry.link import AgentLink
 from basilroad.entry.linkcost import LinkCosts
-from basilroad.entry.locationdirectory import LocationDirectory
+from basilroad.entry.locationdirectory import REFRESH_INTERVAL_S, LocationDirectory
 from basilroad.entry.quarantine import Quarantine
 from basilroad.entry.takeover import Takeover
 from basilroad.errors import ErrorKind, Refusal, refuse
@@ -149,6 +149,7 @@
         self.timers.subscribe(self.options.heartbeat_s, self._send_heartbeats)
         self.timers.subscribe(EXPIRY_INTERVAL_S, self.containment.expire)
         self.timers.subscribe(EXPIRY_INTERVAL_S, self.locations.expire)
+        self.timers.subscribe(REFRESH_INTERVAL_S, self.locations.refresh)
         call_hosts = self.caller.keyed_calls.hosts
         if call_hosts is not None:
             self.timers.subscribe(CALL_HOSTS_READ_INTERVAL_S, call_hosts.read).fire_soon()
--- a/src/basilroad/entry/takeover.py
+++ b/src/basilroad/entry/takeover.py
@@ -78,6 +78,7 @@
             if attached is not None:
                 return attached
             if await self._replace_lost_record(flight, location):
+                self.entry.launch(flight)
                 return flight
             await asyncio.sleep(RETRY_INTERVAL_S)
 
--- a/tests/entry/test_locationdirectory.py
+++ b/tests/entry/test_locationdirectory.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import itertools
+import time
 from types import SimpleNamespace
 
 import pytest
 
 from basilroad.agent.directory import GenerationDirectory
 from basilroad.entry.generation import build_generation_id
-from basilroad.entry.locationdirectory import LocationDirectory
+from basilroad.entry.locationdirectory import REFRESH_INTERVAL_S, LocationDirectory
 from basilroad.peers.address import Address
 from basilroad.peers.wire import peer_pb2 as wire
 
@@ -51,7 +52,7 @@
 
 def build_directory(links: dict[Address, DirectoryLink], name: str) -> LocationDirectory:
     """:return: the directory as an entry sees it."""
-    return LocationDirectory(SimpleNamespace(links=links, incarnation=name))
+    return LocationDirectory(SimpleNamespace(links=links, flights={}, incarnation=name))
 
 
 def build_flight(key: bytes = KEY) -> SimpleNamespace:
@@ -62,6 +63,7 @@
         request=SimpleNamespace(body_hash=b"body"),
         identity=SimpleNamespace(key_generated=False),
         interrupted_s=None,
+        endpoint="",
     )
 
 
@@ -95,3 +97,38 @@
     found = await second.claim(build_flight())
     assert found is not None
     assert (found.generation, found.agent) == (flight.generation, "127.0.0.1:9000")
+
+
+# fault: asking for a key kept the record of a lost entry young, so that its caller waited forever
+async def test_asking_for_a_key_leaves_the_age_of_its_record(links, monkeypatch) -> None:
+    now = 100.0
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    assert await first.claim(build_flight()) is None
+    for _ in range(30):
+        now += 0.2
+        assert await second.claim(build_flight()) is not None
+    found = await second.find(KEY)
+    assert found is not None
+    assert found.age >= 3.0
+
+
+async def test_the_record_of_a_waiting_request_stays_young(links, monkeypatch) -> None:
+    now = 100.0
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    flight = build_flight()
+    first.entry.flights[KEY] = flight
+    assert await first.claim(flight) is None
+    for _ in range(5):
+        now += REFRESH_INTERVAL_S
+        first.refresh()
+        found = await second.find(KEY)
+        assert found is not None
+        assert found.age == 0
+    flight.endpoint = "engine"
+    now += REFRESH_INTERVAL_S
+    first.refresh()
+    found = await second.find(KEY)
+    assert found is not None
+    assert found.age == REFRESH_INTERVAL_S
