Keep the record of a long stream while it may be taken up

Callers saw: a stream of a route with a time limit over 270 s, which another version than the base version had begun, could go on at the base version after it was taken up: what two versions write was joined.

Cause: the gateway that changes the base version removes records of other hosts that are older than 600 s. The age counts from when the record was written, so from the begin of the stream, which may run for its time limit and be taken up for as long again. The class: a lifetime that counts from a start.

Change: a record names for how long after it was written its stream may be taken up, if that is longer than 600 s, and isn't removed before. Records of shorter streams are byte for byte as before; gateways of earlier releases skip the field, and still remove such records.

Failed before: test_the_record_of_a_long_stream_stays_while_it_may_be_taken_up (v3 for three streams of v2).

--- a/src/basilroad/gateway/versions/records.py
+++ b/src/basilroad/gateway/versions/records.py
@@ -42,7 +42,7 @@
 """Time for which removals wait for a transaction that writes records."""
 
 ORPHAN_AGE_S = 600.0
-"""Age from which a record was left behind by a host that died: many times the longest stream."""
+"""Age from which a record was left behind by a host that died, unless it names a longer time."""
 
 KEY_BYTES = 16
 """Size of the hash of a stream's workspace and id; the streams of one hour differ in it."""
@@ -54,20 +54,29 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class _StoredVersion(msgspec.Struct):
+class _StoredVersion(msgspec.Struct, omit_defaults=True):
     """Value of a record.
 
     :param version: version that began the stream
     :param written_s: store clock in seconds when it was written; ``None`` if not known
+    :param lasts_s: seconds after that in which its stream may be taken up; ``None`` if they are
+        ``ORPHAN_AGE_S`` at most
     """
 
     version: str
     written_s: float | None = None
+    lasts_s: float | None = None
 
 
 _DECODER = JsonDecoder(_StoredVersion)
 
 
+def find_duration(call: Call) -> float:
+    """:return: longest time in seconds from a call to the last take-up of its stream."""
+    limit_s = call.expires_at - call.arrived_at
+    return limit_s + max(RESUME_WINDOW_S, limit_s)
+
+
 def build_key(workspace: str, stream_id: str) -> str:
     """:return: key of the record of a stream, which reveals neither its workspace nor its id."""
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
@@ -94,10 +103,12 @@
     :return: whether its stream ended long ago; also if it can't be read
     """
     try:
-        written_s = _DECODER.decode(row.value).written_s
+        stored = _DECODER.decode(row.value)
     except DecodeError:
         return True
-    return written_s is None or not 0 <= store_s - written_s < ORPHAN_AGE_S
+    if stored.written_s is None:
+        return True
+    return not 0 <= store_s - stored.written_s < max(ORPHAN_AGE_S, stored.lasts_s or 0.0)
 
 
 @attrs.define(eq=False)
@@ -106,6 +117,7 @@
 
     :param wanted: version that the store has to hold
     :param due_at: when it is to be written
+    :param lasts_s: longest time from the call to the last take-up of the stream in seconds
     :param stored: version that the store was last known to hold
     :param revision: revision of the stored row, as far as known; 0 without a row
     :param sent: whether it was ever sent to the store
@@ -114,6 +126,7 @@
 
     wanted: str
     due_at: float
+    lasts_s: float
     stored: str | None = None
     revision: int = 0
     sent: bool = False
@@ -137,11 +150,13 @@
     :param writes: version and expected revision by key of the records that are written
     :param removals: keys of the records that are removed
     :param restores: number of restores of the store that were known
+    :param lasts_s: seconds in which the streams of the written records may be taken up, by key
     """
 
     writes: dict[str, tuple[str, int]]
     removals: tuple[str, ...]
     restores: int
+    lasts_s: dict[str, float]
 
     def build_changes(self, store_s: float | None) -> list[RowChange]:
         """Build the changes.
@@ -150,11 +165,16 @@
         :return: the changes
         """
         writes = [
-            RowChange(key, msgspec.json.encode(_StoredVersion(version, store_s)), revision)
+            RowChange(key, self._encode(key, version, store_s), revision)
             for key, (version, revision) in self.writes.items()
         ]
         return writes + [RowChange(key, None) for key in self.removals]
 
+    def _encode(self, key: str, version: str, store_s: float | None) -> bytes:
+        lasts_s = self.lasts_s[key]
+        stored = _StoredVersion(version, store_s, lasts_s if lasts_s > ORPHAN_AGE_S else None)
+        return msgspec.json.encode(stored)
+
 
 class StreamRecords:
     """The records of those streams of one service that were begun here.
@@ -185,7 +205,7 @@
         record = self._records.get(key)
         if record is None:
             leaves_at = now + (call.expires_at - call.arrived_at) + RESUME_WINDOW_S
-            self._insert(key, _Record(version, now + delay_s), leaves_at)
+            self._insert(key, _Record(version, now + delay_s, find_duration(call)), leaves_at)
             return
         if record.is_settled and record.wanted != version:
             record.due_at = now + delay_s
@@ -194,7 +214,13 @@
         self._schedule(key, record)
 
     def add(
-        self, workspace: str, stream_id: str, version: str, now: float, leaves_at: float
+        self,
+        workspace: str,
+        stream_id: str,
+        version: str,
+        now: float,
+        leaves_at: float,
+        lasts_s: float,
     ) -> None:
         """Request a record of a stream that had none, unless there is one.
 
@@ -203,10 +229,11 @@
         :param version: version that began it
         :param now: seconds
         :param leaves_at: when the record leaves in seconds
+        :param lasts_s: longest time from its call to its last take-up in seconds
         """
         key = build_key(workspace, stream_id)
         if key not in self._records:
-            self._insert(key, _Record(version, now), leaves_at)
+            self._insert(key, _Record(version, now, lasts_s), leaves_at)
 
     def withdraw(self, call: Call) -> bool:
         """Withdraw the request for a stream unless it was sent to the store.
@@ -298,7 +325,8 @@
             record.unconfirmed.append(record.wanted)
             self._unsent.discard(key)
         room = BATCH_ENTRIES - 2 * len(writes)
-        return Batch(writes, tuple(islice(self._removals, room)), self._restores)
+        lasts_s = {key: self._records[key].lasts_s for key in writes}
+        return Batch(writes, tuple(islice(self._removals, room)), self._restores, lasts_s)
 
     def apply(self, batch: Batch, outcome: Outcome) -> int:
         """Apply the outcome of a transaction.
@@ -402,5 +430,6 @@
     "StreamRecords",
     "build_key",
     "decode_version",
+    "find_duration",
     "is_orphaned",
 ]
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -17,7 +17,12 @@
 from basilroad.gateway.versions.baserow import VERSION_MEMORY_S
 from basilroad.gateway.versions.keeper import VersionKeeper
 from basilroad.gateway.versions.listing import VersionListing
-from basilroad.gateway.versions.records import RESUME_WINDOW_S, build_key, decode_version
+from basilroad.gateway.versions.records import (
+    RESUME_WINDOW_S,
+    build_key,
+    decode_version,
+    find_duration,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -65,10 +70,12 @@
     """A stream that was begun here.
 
     :param version: version of its first event that was passed on
+    :param lasts_s: longest time from its call to its last take-up in seconds
     :param leaves_at: seconds after which it can't be taken up
     """
 
     version: str
+    lasts_s: float
     leaves_at: float = math.inf
 
 
@@ -135,7 +142,7 @@
             if not await self._record(call, version):
                 return False
             self.keeper.open(call.service).records.keep(call)
-        self._known[call.service, call.workspace, call.id] = _Known(version)
+        self._known[call.service, call.workspace, call.id] = _Known(version, find_duration(call))
         while len(self._known) > MAX_REMEMBERED:
             self._known.popitem(last=False)
         return True
@@ -180,7 +187,9 @@
         for (name, workspace, stream_id), known in self._known.items():
             if now < known.leaves_at:
                 records = self.keeper.open(name).records
-                records.add(workspace, stream_id, known.version, now, known.leaves_at)
+                records.add(
+                    workspace, stream_id, known.version, now, known.leaves_at, known.lasts_s
+                )
         self.keeper.repeat()
 
     async def find(self, call: Call) -> str | None:
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -538,6 +538,20 @@
     assert fleet.store.reads - reads <= 5
 
 
+# fault: the record of a stream that ran for longer than ten minutes was removed as left behind,
+# and the stream went on at the base version
+@virtually
+async def test_the_record_of_a_long_stream_stays_while_it_may_be_taken_up(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet, hosts=3)
+    running = [await fleet.begin(host, "v2", budget_s=3 * ORPHAN_AGE_S) for host in fleet.hosts]
+    for versions in (("v2", "v3"), ("v3",)):
+        # the host that changes the base version removes records
+        fleet.serve(*versions)
+        await asyncio.sleep(VERSION_MEMORY_S + ORPHAN_AGE_S + 120.0)
+    host = await restart_all(fleet)
+    assert [await host.find(stream) for stream in running] == ["v2"] * 3
+
+
 # fault: a base version that is about to change is relied on when it is listed again
 @virtually
 async def test_a_base_version_that_is_listed_again_stays(fleet: SimFleet) -> None:
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -302,12 +302,16 @@
         for host in list(self.hosts):
             self.kill(host)
 
-    async def begin(self, host: SimHost, *versions: str, wait_s: float = 1.0) -> SimStream:
+    async def begin(
+        self, host: SimHost, *versions: str, wait_s: float = 1.0, budget_s: float = BUDGET_S
+    ) -> SimStream:
         """Pass on a stream that is sent to versions in turn, of which the last one begins it.
 
         :return: the stream; without a version if its first event may not be passed on
         """
-        stream = SimStream(host, build_stream_call(f"stream-{len(self.streams)}"))
+        stream = SimStream(
+            host, build_stream_call(f"stream-{len(self.streams)}", budget_s=budget_s)
+        )
         self.streams.append(stream)
         for version in versions:
             host.versions.begin(stream.call, version)
@@ -351,11 +355,13 @@
                 host.archive.observe(self.store.epoch)
 
 
-def build_stream_call(call_id: str, resumes: str = "", workspace: str = "w") -> Call:
+def build_stream_call(
+    call_id: str, resumes: str = "", workspace: str = "w", budget_s: float = BUDGET_S
+) -> Call:
     """:return: a call of a stream."""
     now = asyncio.get_running_loop().time()
-    route = build_stream_route(timeout_s=BUDGET_S)
-    times = {"arrived_at": now, "expires_at": now + BUDGET_S}
+    route = build_stream_route(timeout_s=budget_s)
+    times = {"arrived_at": now, "expires_at": now + budget_s}
     return build_call(route, id=call_id, resumes=resumes, workspace=workspace, **times)
 
 
