Part the value of a stream's record from its transactions

What is stored, its key and how long it may be needed are in streamrow.py now, as baserow.py has them for the base version. Nothing else changes; tests/gateway/versions and tests/platform/test_streamarchive.py: 182 passed.

--- a/src/basilroad/gateway/versions/baserow.py
+++ b/src/basilroad/gateway/versions/baserow.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
-from basilroad.gateway.versions.records import RESUME_WINDOW_S
+from basilroad.gateway.versions.streamrow import RESUME_WINDOW_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -27,7 +27,7 @@
     decode_base,
     find_others,
 )
-from basilroad.gateway.versions.records import RESUME_WINDOW_S
+from basilroad.gateway.versions.streamrow import RESUME_WINDOW_S
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/basilroad/gateway/versions/keeper.py
+++ b/src/basilroad/gateway/versions/keeper.py
@@ -19,13 +19,15 @@
 from basilroad.gateway.versions.baseversion import BASE_KEY, BaseVersion
 from basilroad.gateway.versions.records import (
     BATCH_ENTRIES,
+    StreamRecords,
+)
+from basilroad.gateway.versions.sharedread import SharedRead
+from basilroad.gateway.versions.streamrow import (
     KEY_END,
     KEY_PREFIX,
     ORPHAN_AGE_S,
-    StreamRecords,
     is_orphaned,
 )
-from basilroad.gateway.versions.sharedread import SharedRead
 from basilroad.gateway.versions.writepace import WritePace
 
 if TYPE_CHECKING:
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -17,7 +17,7 @@
 from basilroad.gateway.versions.baserow import VERSION_MEMORY_S
 from basilroad.gateway.versions.keeper import VersionKeeper
 from basilroad.gateway.versions.listing import VersionListing
-from basilroad.gateway.versions.records import (
+from basilroad.gateway.versions.streamrow import (
     RESUME_WINDOW_S,
     build_key,
     decode_version,
--- a/tests/gateway/versions/test_records.py
+++ b/tests/gateway/versions/test_records.py
@@ -16,9 +16,9 @@
     BATCH_DELAY_S,
     BATCH_ENTRIES,
     REMOVE_DELAY_S,
-    RESUME_WINDOW_S,
     StreamRecords,
 )
+from basilroad.gateway.versions.streamrow import RESUME_WINDOW_S
 from builders import build_call, build_stream_route
 
 BUDGET_S = 25.0
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -15,7 +15,11 @@
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.versions.baserow import VERSION_MEMORY_S
 from basilroad.gateway.versions.baseversion import BASE_KEY, RESTORE_SETTLE_S
-from basilroad.gateway.versions.records import ORPHAN_AGE_S, RESUME_WINDOW_S, build_key
+from basilroad.gateway.versions.streamrow import (
+    ORPHAN_AGE_S,
+    RESUME_WINDOW_S,
+    build_key,
+)
 from basilroad.gateway.versions.streamversions import RELIST_S, StreamVersions
 from builders import build_stream_route
 from support.versionrig import (
--- a/tests/gateway/versions/test_streamversions_schedules.py
+++ b/tests/gateway/versions/test_streamversions_schedules.py
@@ -9,7 +9,7 @@
 import attrs
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from basilroad.gateway.versions.records import RESUME_WINDOW_S
+from basilroad.gateway.versions.streamrow import RESUME_WINDOW_S
 from support.versionrig import SimFleet, SimHost, SimStream
 from support.virtualloop import run_virtually
 
--- a/tests/platform/test_streamarchive.py
+++ b/tests/platform/test_streamarchive.py
@@ -11,7 +11,7 @@
 from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.gateway import Gateway, GatewaySettings
 from basilroad.gateway.versions.baseversion import BASE_KEY
-from basilroad.gateway.versions.records import build_key
+from basilroad.gateway.versions.streamrow import build_key
 from basilroad.platform.protocol import PlatformProtocol
 from basilroad.platform.store import StoreClient
 from basilroad.platform.streamarchive import STREAMS_TABLE, StreamArchive
