Hold the port of a stand-in while it is down

What was seen: "address already in use" at the return of a stand-in to its port. Cause: between its end and its return nothing holds the port. Change: a stand-in keeps a socket bound to its port, without listening, until it is stopped. The kernel passes over such a port, and a listener that names it shares it, as both have SO_REUSEADDR. Failed before: test_no_other_listener_gets_the_port_of_a_server_that_is_down.

--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -14,6 +14,7 @@
 import h11
 import msgspec
 
+from basilroad.standin.port import hold_port
 from basilroad.standin.streamevents import StreamEvent
 
 if TYPE_CHECKING:
@@ -199,6 +200,7 @@
     port: int = 0
     _late_copies: dict[asyncio.StreamWriter, bytes] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
+    _port_holder: socket.socket | None = None
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     _outage: asyncio.Task[None] | None = None
 
@@ -218,19 +220,22 @@
         return len(self.reported_at)
 
     async def start(self, port: int = 0) -> None:
-        """Listen on loopback.
+        """Listen on loopback; the port stays its own until it is stopped.
 
         :param port: port; 0 takes a free one
         """
         self.starts += 1
-        self._server = await asyncio.start_server(self._serve, self.ip, port)
-        self.port = self._server.sockets[0].getsockname()[1]
+        if self._port_holder is None:
+            self._port_holder = hold_port(self.ip, port)
+        self.port = self._port_holder.getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, self.ip, self.port)
 
     async def stop(self) -> None:
         """Close the listener and abort all connections, as in a crash."""
-        if self._outage is not None:
-            self._outage.cancel()
-        await self._go_down()
+        await self._end()
+        if self._port_holder is not None:
+            self._port_holder.close()
+            self._port_holder = None
 
     async def release(self, version: str, *, down_s: float = 0.0, name: str = "") -> None:
         """Start again with other software at the same address, after an end without a notice.
@@ -239,7 +244,7 @@
         :param down_s: seconds between end and start
         :param name: its new id; empty to keep the one that it has
         """
-        await self.stop()
+        await self._end()
         await asyncio.sleep(down_s)
         self.id, self.version = name or self.id, version
         await self.start(self.port)
@@ -271,6 +276,11 @@
         }
         return {**entry, **fields}
 
+    async def _end(self) -> None:
+        if self._outage is not None:
+            self._outage.cancel()
+        await self._go_down()
+
     async def _go_down(self) -> None:
         if self._server is not None:
             self._server.close()
--- a/tests/standin/test_appserver.py
+++ b/tests/standin/test_appserver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncIterator
 
@@ -14,6 +15,9 @@
 
 EVENTS = 3
 SILENT_S = 0.3
+DOWN_S = 2.0
+TRIES = 40_000
+"""Listeners after which one has got a port that is free; the kernel chooses among 7,000."""
 
 
 @pytest.fixture
@@ -30,6 +34,17 @@
         return decode_events(await response.read())
 
 
+def take_ports(ip: str) -> set[int]:
+    """:return: ports that the kernel gives to listeners."""
+    ports = set()
+    for _ in range(TRIES):
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((ip, 0))
+            ports.add(listener.getsockname()[1])
+    return ports
+
+
 async def test_events_name_the_version_and_the_run(server: AppServerStandin) -> None:
     runs = [await read_events(server) for _ in range(2)]
     for events in runs:
@@ -64,3 +79,14 @@
     assert decode_events(event.encode() * 2) == [event, event]
     assert decode_events(event.encode()[:-1]) == []
     assert decode_events(event.encode().replace(b"token 2", b"token 3")) == []
+
+
+# fault: another listener got the port of a server that was down, which could not return to it
+async def test_no_other_listener_gets_the_port_of_a_server_that_is_down(
+    server: AppServerStandin,
+) -> None:
+    release = asyncio.ensure_future(server.release("v8", down_s=DOWN_S))
+    await asyncio.sleep(DOWN_S / 2)
+    assert server.port not in take_ports(server.ip)
+    await release
+    assert len(await read_events(server)) == EVENTS
