Close the listener of a stand-in that is released in the turn of its restart

What was seen: "address already in use" at the release of a stand-in. Cause: asyncio.start_server listens and then waits for one turn of the loop. The cancel of a restart in this turn left a listener that the stand-in didn't know, so it closed nothing, and its next start found the port taken. Change: the stand-in knows its server before this listens. Failed before: test_a_release_beside_the_restart_after_a_crash[3], the release 3 turns after the restart began.

--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -228,7 +228,11 @@
         if self._port_holder is None:
             self._port_holder = hold_port(self.ip, port)
         self.port = self._port_holder.getsockname()[1]
-        self._server = await asyncio.start_server(self._serve, self.ip, self.port)
+        self._server = await asyncio.start_server(
+            self._serve, self.ip, self.port, start_serving=False
+        )
+        # known before it listens, so that an end in this turn closes it
+        await self._server.start_serving()
 
     async def stop(self) -> None:
         """Close the listener and abort all connections, as in a crash."""
--- a/tests/standin/test_appserver.py
+++ b/tests/standin/test_appserver.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
 
 import aiohttp
 import pytest
@@ -45,6 +46,25 @@
     return ports
 
 
+async def read_end(asked: AbstractAsyncContextManager[aiohttp.ClientResponse]) -> Exception | None:
+    """:return: failure with which a response ends."""
+    try:
+        async with asked as response:
+            await response.read()
+    except aiohttp.ClientError as error:
+        return error
+    return None
+
+
+async def ask_for_crashes(server: AppServerStandin, count: int) -> None:
+    """Send requests that crash the server, all at once, and wait for their ends."""
+    url = f"http://{server.ip}:{server.port}/s/1"
+    async with aiohttp.ClientSession() as session:
+        asked = (session.post(url, data=server.crash_body) for _ in range(count))
+        ends = await asyncio.gather(*(read_end(one) for one in asked))
+    assert all(isinstance(end, aiohttp.ClientError) for end in ends)
+
+
 async def test_events_name_the_version_and_the_run(server: AppServerStandin) -> None:
     runs = [await read_events(server) for _ in range(2)]
     for events in runs:
@@ -90,3 +110,20 @@
     assert server.port not in take_ports(server.ip)
     await release
     assert len(await read_events(server)) == EVENTS
+
+
+# fault: a release in the turns of a restart left two listeners at one port, and failed
+@pytest.mark.parametrize("turns", range(10))
+async def test_a_release_beside_the_restart_after_a_crash(
+    server: AppServerStandin, turns: int
+) -> None:
+    server.crash_body, server.down_s = b"bung", 0.0
+    crash = asyncio.ensure_future(ask_for_crashes(server, 1))
+    while server.starts < 2:
+        await asyncio.sleep(0)
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    server.crash_body = b""
+    await server.release("v8")
+    assert {event.version for event in await read_events(server)} == {"v8"}
+    await crash
