Restart a stand-in once when two requests crash it at the same time

What was seen: "address already in use" in a task of the stand-in, and a count of two crashes. Cause: each of the requests began an outage of its own, and the second start found the port taken by the first one. Change: a request that crashes the server in an outage begins no other one. Failed before: test_two_requests_that_crash_a_server_at_once, two crashes and three starts. Result: pytest tests/standin/test_appserver.py 3 times: 17 passed each time; pytest -n 2 with tests/gateway/crashes and tests/platform/test_crashing_parts.py: 49 passed.

--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -303,7 +303,8 @@
         await self.start(self.port)
 
     async def _end_by_request(self) -> None:
-        self._outage = asyncio.ensure_future(self._crash())
+        if self._outage is None or self._outage.done():
+            self._outage = asyncio.ensure_future(self._crash())
         await asyncio.Event().wait()
 
     def _crashes_on(self, request: ReceivedRequest, point: CrashPoint) -> bool:
--- a/tests/standin/test_appserver.py
+++ b/tests/standin/test_appserver.py
@@ -127,3 +127,13 @@
     await server.release("v8")
     assert {event.version for event in await read_events(server)} == {"v8"}
     await crash
+
+
+# fault: two requests that crashed a server at once had it started twice, and one start failed
+async def test_two_requests_that_crash_a_server_at_once(server: AppServerStandin) -> None:
+    server.crash_body, server.down_s = b"bung", DOWN_S / 10
+    await ask_for_crashes(server, 2)
+    await asyncio.sleep(DOWN_S)
+    server.crash_body = b""
+    assert (server.crashes, server.starts) == (1, 2)
+    assert len(await read_events(server)) == EVENTS
