Hold the ports of the soak's endpoints that are down

Cause: links and endpoints that start in a run listen at port 0 of the same address, and the kernel may give them the port of an endpoint that is down. No connection can take it: those of callers and links leave from 127.0.0.1 and those of gateways from their own addresses. Change: the world holds the port of each endpoint until its end.

--- a/soak/world.py
+++ b/soak/world.py
@@ -5,12 +5,14 @@
 import asyncio
 import os
 import random
+import socket
 import time
 from pathlib import Path
 
 import attrs
 
 from basilroad.standin.appserver import ALL_RESPONSES, AppServerStandin
+from basilroad.standin.port import hold_port
 from basilroad.standin.rowstore import RowStoreStandin
 from soak.link import Link
 from soak.process import GatewayProcess
@@ -37,7 +39,8 @@
 
 BACKENDS = 200
 """Number of the address of store, endpoints and links, beyond those of gateways. With an address of
-its own, no other process takes the port of an endpoint that is down."""
+its own, no other process takes the port of an endpoint that is down; ``World`` holds it against its
+own listeners."""
 
 KEY_COUNT = 6
 """Number of API keys at the start; two are never revoked."""
@@ -95,6 +98,7 @@
         self._version = 0
         self._moved_to_service = APP
         self._copying: asyncio.Future[None] | None = None
+        self._port_holders: list[socket.socket] = []
 
     async def start(self) -> None:
         """Start everything; the store holds config and endpoints before the gateways start."""
@@ -127,6 +131,8 @@
         for link in self.store_links:
             await link.close()
         await self.store.stop()
+        for holder in self._port_holders:
+            holder.close()
 
     def _record_instance(self, endpoint: Endpoint, instance: AppServerStandin) -> None:
         record, name, service = self.record, instance.id, endpoint.service
@@ -244,7 +250,7 @@
         instance = AppServerStandin(name, ip=self._ip, version=version, starts=starts)
         if endpoint.service == ENGINE:
             instance.events, instance.event_interval_s = STREAM_EVENTS, EVENT_INTERVAL_S
-        await instance.start(port)
+        await instance.start(port or self._hold_port())
         endpoint.server = instance
         endpoint.instances.append(instance)
         if not endpoint.link.port:
@@ -255,6 +261,12 @@
         endpoint.serving = ServingTime(endpoint.number, serves, time.monotonic())
         self.record.serving.append(endpoint.serving)
 
+    def _hold_port(self) -> int:
+        """:return: a port that no link and no other endpoint gets in this run."""
+        holder = hold_port(self._ip)
+        self._port_holders.append(holder)
+        return int(holder.getsockname()[1])
+
     def _register(self, endpoint: Endpoint, state: str = "ready") -> None:
         address = f"{endpoint.link.ip}:{endpoint.link.port}"
         entry = endpoint.server.build_entry(
--- a/tests/standin/test_appserver.py
+++ b/tests/standin/test_appserver.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
@@ -13,12 +12,11 @@
 
 from basilroad.standin.appserver import AppServerStandin
 from basilroad.standin.streamevents import StreamEvent, decode_events
+from support.addresses import take_kernel_ports
 
 EVENTS = 3
 SILENT_S = 0.3
 DOWN_S = 2.0
-TRIES = 40_000
-"""Listeners after which one has got a port that is free; the kernel chooses among 7,000."""
 
 
 @pytest.fixture
@@ -35,17 +33,6 @@
         return decode_events(await response.read())
 
 
-def take_ports(ip: str) -> set[int]:
-    """:return: ports that the kernel gives to listeners."""
-    ports = set()
-    for _ in range(TRIES):
-        with socket.socket() as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind((ip, 0))
-            ports.add(listener.getsockname()[1])
-    return ports
-
-
 async def read_end(asked: AbstractAsyncContextManager[aiohttp.ClientResponse]) -> Exception | None:
     """:return: failure with which a response ends."""
     try:
@@ -107,7 +94,7 @@
 ) -> None:
     release = asyncio.ensure_future(server.release("v8", down_s=DOWN_S))
     await asyncio.sleep(DOWN_S / 2)
-    assert server.port not in take_ports(server.ip)
+    assert server.port not in take_kernel_ports(server.ip)
     await release
     assert len(await read_events(server)) == EVENTS
 
--- a/tests/support/addresses.py
+++ b/tests/support/addresses.py
@@ -19,6 +19,9 @@
 RESERVED_PORTS = 256
 """Ports that a test process holds at once, more than a test uses."""
 
+KERNEL_TRIES = 40_000
+"""Listeners after which one has got any free port; the kernel chooses among about 7,000."""
+
 _reservations: deque[socket.socket] = deque()
 
 
@@ -46,6 +49,21 @@
     return Address("127.0.0.1", find_free_port())
 
 
+def take_kernel_ports(ip: str) -> set[int]:
+    """Listen again and again at ports that the kernel chooses.
+
+    :param ip: loopback address
+    :return: the ports
+    """
+    ports = set()
+    for _ in range(KERNEL_TRIES):
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((ip, 0))
+            ports.add(listener.getsockname()[1])
+    return ports
+
+
 def name_ip(number: int) -> str:
     """Name a loopback address of this process, on which no other connection takes a port.
 
@@ -55,4 +73,4 @@
     return f"127.{64 + (pid >> 8) % 128}.{pid % 256}.{1 + number}"
 
 
-__all__ = ["find_free_address", "find_free_port", "name_ip"]
+__all__ = ["find_free_address", "find_free_port", "name_ip", "take_kernel_ports"]
