Name the order in the answer to the printed order of the local system

What callers saw: the order that "basilroad local" prints was answered with "order": "". Cause: the stand-in of the service names a call by X-Order, a header of the tests; the printed request has an Idempotency-Key, as callers do, which the entry passes on. All such calls were counted as one order without a name. Change: a call without X-Order is named by its key. Failed before: test_the_printed_requests_are_served_and_the_system_ends_at_once, which sends what is printed and stops the system; tests/standin test_a_call_is_counted_by_its_key.

--- a/src/basilroad/standin/plainservice.py
+++ b/src/basilroad/standin/plainservice.py
@@ -21,12 +21,15 @@
 ORDER_HEADER = "X-Order"
 """Request header with the order id of a call."""
 
+KEY_HEADER = "Idempotency-Key"
+"""Request header whose key is the order id of a call that names none."""
+
 
 @attrs.frozen
 class PlainAnswer:
     """Response to one call.
 
-    :param order: order id; empty if the call had none
+    :param order: order id; empty if the call had neither one nor a key
     :param count: how often calls of this order were executed
     :param path: path of the call
     :param body_size: size of the request body in bytes
@@ -87,7 +90,7 @@
         if self._fail_next > 0:
             self._fail_next -= 1
             return answer_error(500, "failure injected by /control")
-        order = request.headers.get(ORDER_HEADER, "")
+        order = request.headers.get(ORDER_HEADER, "") or request.headers.get(KEY_HEADER, "")
         await asyncio.sleep(self._work_s)
         await self.wait_thawed()
         self._counts[order] += 1
@@ -119,4 +122,4 @@
         return answer_json({})
 
 
-__all__ = ["ORDER_HEADER", "PlainAnswer", "PlainControl", "PlainStandin"]
+__all__ = ["KEY_HEADER", "ORDER_HEADER", "PlainAnswer", "PlainControl", "PlainStandin"]
--- a/tests/cli/test_local.py
+++ b/tests/cli/test_local.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import shlex
 import signal
 import subprocess
 import sys
@@ -37,6 +38,7 @@
 
 POLL_S = 0.005
 IDLE_S = 1.0
+EXAMPLES = 2
 
 
 @attrs.define(eq=False)
@@ -54,6 +56,23 @@
         assert self.child.stdout is not None
         assert self.child.stdout.readline().startswith("basilroad is ready")
 
+    def read_examples(self) -> list[str]:
+        """:return: the requests that it prints, as commands for curl."""
+        assert self.child.stdout is not None
+        assert self.child.stdout.readline() == "Try:\n"
+        return [self.child.stdout.readline() for _ in range(EXAMPLES)]
+
+    def send(self, command: str) -> str:
+        """Send a request that it has printed.
+
+        :param command: command for curl
+        :return: what the entry answers
+        """
+        words = shlex.split(command.replace("curl -N", "curl"))
+        assert (words[0], words[2], words[4]) == ("curl", "-H", "-d")
+        path = words[1].removeprefix(f"http://127.0.0.1:{self.port}")
+        return self.ask(path, msgspec.json.decode(words[5]), words[3])
+
     def wait_ended(self, limit_s: float) -> str:
         """:return: what it wrote to its standard error."""
         limit = RunLimit(limit_s, lambda: [self.child.pid])
@@ -113,6 +132,17 @@
     assert '"choices"' in answer, answer
 
 
+# fault: the answer to the printed order named no order
+def test_the_printed_requests_are_served_and_the_system_ends_at_once(local: LocalProcess) -> None:
+    local.wait_ready()
+    completion, order = (local.send(command) for command in local.read_examples())
+    assert completion.rstrip().endswith("data: [DONE]"), completion[-300:]
+    assert msgspec.json.decode(order)["order"] == "order-1", order
+    local.child.send_signal(signal.SIGINT)
+    assert local.wait_ended(IDLE_STOP_S) == ""
+    assert local.child.returncode == 0
+
+
 def test_a_second_signal_changes_nothing(local: LocalProcess) -> None:
     local.wait_ready()
     local.child.send_signal(signal.SIGINT)
--- a/tests/standin/test_plain_standin.py
+++ b/tests/standin/test_plain_standin.py
@@ -41,6 +41,15 @@
     assert await count(client, plain) == {"o1": 1}
 
 
+# fault: a call with a key and no order id was counted with all others of no id
+async def test_a_call_is_counted_by_its_key(
+    client: aiohttp.ClientSession, plain: PlainStandin
+) -> None:
+    for headers in ({"Idempotency-Key": "k1"}, {"Idempotency-Key": "k1", "X-Order": "o1"}, {}):
+        await client.post(f"{plain.url}/x", headers=headers)
+    assert await count(client, plain) == {"k1": 1, "o1": 1, "": 1}
+
+
 async def test_failed_call_is_not_executed(
     client: aiohttp.ClientSession, plain: PlainStandin
 ) -> None:
