Drop what was reported of prompts that have left the caches

The memory of a gateway grew with each stream for as long as no gateway started or stopped: what it had reported of a prompt stayed for good, and the locations stayed up to the limit of 4,096.

Cause: locations expired only at a change of the gateways, and an entry of `_reported` was removed only when its prompt was reported again.

Evidence: test_prompts_that_have_left_the_caches_are_dropped_in_a_fleet_at_rest failed before; 200 prompts were all held.

Change: the tick removes, once a second, the locations that have expired and what was reported of them.

Measured: the test passes.

--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -50,6 +50,9 @@
 FIRST_PEER_POLL_S = 0.01
 """Interval of checks for the first message."""
 
+EXPIRY_INTERVAL_S = 1.0
+"""Interval at which expired locations are removed."""
+
 MAX_RECORDS = 16
 """Locations per datagram, which stays below the usual MTU with names of the usual length."""
 
@@ -180,6 +183,7 @@
     _searches: dict[int, _Search] = attrs.field(factory=dict)
     _silent_until: dict[str, float] = attrs.field(factory=dict)
     _reported: dict[bytes, frozenset[_Lifetime]] = attrs.field(factory=dict)
+    _next_expiry_at: float = -math.inf
     _members: frozenset[tuple[_Lifetime, bool]] = frozenset()
     _hands_over: bool = False
 
@@ -256,6 +260,7 @@
     def tick(self) -> None:
         """Report new locations, and known ones to those that have become their keepers."""
         states = self.list_states()
+        self._expire()
         members = frozenset(
             ((host, state.started_ms), state.stopping) for host, state in states.items()
         )
@@ -264,13 +269,21 @@
             self._report([key for key, reported in self._reported.items() if not reported])
             return
         self._members, self._hands_over = members, hands_over
-        self.locations.expire()
         if hands_over:
             self._reported |= {
                 key: frozenset() for key in self.locations if key not in self._reported
             }
         self._report([*self._reported])
 
+    def _expire(self) -> None:
+        now = self.clock()
+        if now < self._next_expiry_at:
+            return
+        self._next_expiry_at = now + EXPIRY_INTERVAL_S
+        self.locations.expire()
+        for key in [key for key in self._reported if self.locations.find(key) is None]:
+            del self._reported[key]
+
     def _report(self, keys: Sequence[bytes]) -> None:
         states = self.list_states()
         batches: dict[str, list[PromptRecord]] = {}
