Rank only new gateways for the prompts that are reported

Callers saw: nothing yet. At 410 hosts each gateway that started, stopped or was first heard cost each other one 14 to 16 ms of processor time, with 50 prompts of its own. Right after a start of all, when a gateway hears of 18 others a second, that is a quarter of a core (worked out); all control may take 1.5%.

Cause: at each change of the gateways all of them were ranked for each known prompt, twice.

Evidence: test_a_change_of_one_gateway_ranks_few_gateways failed before; 30,127 to 30,277 gateways were ranked at one change and 50 prompts.

Change: exchange/promptkeepers.py, which the choice of keepers moves to, remembers the keepers of each prompt that is reported.

--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -22,9 +22,9 @@
 import msgspec
 
 from basilroad.clocks import read_boot_clock
-from basilroad.coordination.rendezvous import choose_hosts
 from basilroad.gateway.calls.call import CACHE_KEY_BYTES
 from basilroad.gateway.dispatch.promptlocations import PromptLocation, PromptLocations
+from basilroad.gateway.exchange.promptkeepers import KEEPERS, PromptKeepers
 from basilroad.gateway.exchange.state import Count, StartTime
 from basilroad.gateway.registry.endpoint import MAX_NAME_CHARS
 from basilroad.peers.address import Address, parse_remote_address
@@ -34,9 +34,6 @@
     from basilroad.gateway.exchange.peertable import PeerState
     from basilroad.gateway.registry.endpoint import Endpoint
 
-KEEPERS = 2
-"""Gateways that keep the location of one prompt."""
-
 ASK_TIMEOUT_S = 0.05
 """Time limit of the replies beyond two round trips; a call waits meanwhile."""
 
@@ -179,6 +176,7 @@
     send: Callable[[PromptMessage, Address], None] = lambda _message, _peer: None
     clock: Callable[[], float] = read_boot_clock
     _started_at: float = attrs.field()
+    _keepers: PromptKeepers = attrs.field()
     _number: int = 0
     _searches: dict[int, _Search] = attrs.field(factory=dict)
     _silent_until: dict[str, float] = attrs.field(factory=dict)
@@ -191,6 +189,12 @@
     def _(self) -> float:
         return self.clock()
 
+    @_keepers.default
+    def _(self) -> PromptKeepers:
+        return PromptKeepers(
+            self.host, self.place, lambda: self.list_states(), lambda: self.is_stopping()
+        )
+
     # keeping
 
     def choose_keepers(self, key: bytes) -> list[str]:
@@ -200,38 +204,7 @@
         :return: their names, in two regions if possible; those that stop only if there are too few
             others
         """
-        places = {host: state.data_centre for host, state in self._list_staying().items()}
-        if not self.is_stopping():
-            places[self.host] = self.place.data_centre
-        return self._choose_among(key, places)
-
-    def _choose_asked(self, key: bytes, *, is_repeated: bool) -> list[str]:
-        places = {host: state.data_centre for host, state in self._list_staying().items()}
-        chosen = self._choose_among(key, places)
-        if is_repeated:
-            return chosen
-        # most prompts are new, and the way to another region takes tens of milliseconds
-        states = self.list_states()
-        return [h for h in chosen if self._find_region(states[h].data_centre) == self.place.region]
-
-    def _choose_among(self, key: bytes, places: Mapping[str, str]) -> list[str]:
-        name = key.hex()
-        chosen = choose_hosts(name, places, 1)
-        if chosen:
-            region = self._find_region(places[chosen[0]])
-            elsewhere = [h for h, place in places.items() if self._find_region(place) != region]
-            chosen += choose_hosts(name, elsewhere or places.keys() - chosen, KEEPERS - 1)
-        if len(chosen) < KEEPERS:
-            states = self.list_states()
-            stopping = [host for host, state in states.items() if state.stopping]
-            chosen += choose_hosts(name, stopping, KEEPERS - len(chosen))
-        return chosen
-
-    def _list_staying(self) -> dict[str, PeerState]:
-        return {host: state for host, state in self.list_states().items() if not state.stopping}
-
-    def _find_region(self, data_centre: str) -> str:
-        return self.place.regions.get(data_centre, data_centre)
+        return self._keepers.choose(key)
 
     @contextlib.contextmanager
     def record(self, key: bytes, endpoint: Endpoint, time_left_s: float) -> Iterator[PromptRun]:
@@ -269,6 +242,7 @@
             self._report([key for key, reported in self._reported.items() if not reported])
             return
         self._members, self._hands_over = members, hands_over
+        self._keepers.update()
         if hands_over:
             self._reported |= {
                 key: frozenset() for key in self.locations if key not in self._reported
@@ -282,7 +256,11 @@
         self._next_expiry_at = now + EXPIRY_INTERVAL_S
         self.locations.expire()
         for key in [key for key in self._reported if self.locations.find(key) is None]:
-            del self._reported[key]
+            self._forget(key)
+
+    def _forget(self, key: bytes) -> None:
+        del self._reported[key]
+        self._keepers.forget(key)
 
     def _report(self, keys: Sequence[bytes]) -> None:
         states = self.list_states()
@@ -290,11 +268,11 @@
         for key in keys:
             location = self.locations.find(key)
             if location is None:
-                del self._reported[key]
+                self._forget(key)
                 continue
             keepers = {
                 host: (host, 0 if host == self.host else states[host].started_ms)
-                for host in self.choose_keepers(key)
+                for host in self._keepers.find(key)
             }
             reported = self._reported[key]
             for host, lifetime in keepers.items():
@@ -326,7 +304,9 @@
         if key and self.address is not None:
             if is_repeated:
                 await self._wait_for_peers()
-            await self._ask(key, self.address, self._choose_asked(key, is_repeated=is_repeated))
+            await self._ask(
+                key, self.address, self._keepers.choose_asked(key, is_repeated=is_repeated)
+            )
         return self.locations.find(key)
 
     async def _wait_for_peers(self) -> None:
--- a/tests/gateway/exchange/test_promptexchange_costs.py
+++ b/tests/gateway/exchange/test_promptexchange_costs.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import random
+
+import pytest
+
 from basilroad.gateway.dispatch.promptlocations import RETENTION_S, PromptLocations
+from basilroad.gateway.exchange import promptkeepers
 from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S
 from basilroad.gateway.exchange.peertable import PeerState
 from basilroad.gateway.exchange.promptexchange import (
@@ -10,17 +16,21 @@
     PromptMessage,
     PromptRecords,
 )
+from basilroad.gateway.exchange.promptkeepers import KEEPERS, PromptKeepers
 from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.peers.address import Address
 from builders import PLACE, build_entry
 
 TIME_LEFT_S = 25.0
+HOSTS = 410
+RUNS = 50
+DATA_CENTRES = ("riga-a", "riga-b", "kurzeme-a")
 
 
 class Gateway:
     """A gateway, the other gateways that it knows, and the messages that it sends them."""
 
-    def __init__(self, hosts: int) -> None:
+    def __init__(self, hosts: int = HOSTS) -> None:
         self.now = 100.0
         self.is_stopping = False
         self.states: dict[str, PeerState] = {}
@@ -37,9 +47,16 @@
             clock=lambda: self.now,
         )
 
-    def put(self, number: int) -> None:
+    def put(
+        self, number: int, *, started_ms: int = 1, stopping: bool = False, moved: int = 0
+    ) -> None:
         address = Address("127.0.0.1", 9000 + number)
-        self.states[f"g{number:03}"] = PeerState(1, 1, 0.0, {}, address)
+        place = DATA_CENTRES[(number + moved) % len(DATA_CENTRES)]
+        state = PeerState(started_ms, 1, 0.0, {}, address, place, stopping)
+        self.states[f"g{number:03}"] = state
+
+    def remove(self, number: int) -> None:
+        self.states.pop(f"g{number:03}", None)
 
     def tick(self) -> None:
         self.now += GOSSIP_INTERVAL_S
@@ -49,6 +66,15 @@
         """:return: context manager for the time of a run."""
         return self.exchange.record(key, Endpoint(build_entry()), TIME_LEFT_S)
 
+    def list_reported(self, key: bytes) -> set[tuple[str, int]]:
+        """:return: name and start time of the gateways that have the report of a prompt."""
+        return {(host, started_ms) for host, started_ms, sent in self.sent if sent == key}
+
+    def list_keepers(self, key: bytes) -> set[tuple[str, int]]:
+        """:return: name and start time of the other gateways that are to keep a location."""
+        keepers = PromptKeepers("g", PLACE, lambda: self.states, lambda: self.is_stopping)
+        return {(host, self.states[host].started_ms) for host in keepers.choose(key) if host != "g"}
+
     def _send(self, message: PromptMessage, peer: Address) -> None:
         assert isinstance(message, PromptRecords)
         host = f"g{peer.port - 9000:03}"
@@ -73,3 +99,71 @@
     assert held > 100
     assert not list(gateway.exchange.locations)
     assert not gateway.exchange._reported
+
+
+# fault: each gateway that came or went made the others rank all gateways for each running prompt
+@pytest.mark.parametrize("change", ["starts", "stops", "restarts", "leaves"])
+def test_a_change_of_one_gateway_ranks_few_gateways(
+    change: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    gateway, ranked = Gateway(), []
+
+    def choose_hosts(key: str, hosts: set[str], count: int) -> list[str]:
+        ranked.append(len(hosts))
+        return choose(key, hosts, count)
+
+    choose = promptkeepers.choose_hosts
+    with contextlib.ExitStack() as runs:
+        for key in make_keys(RUNS):
+            runs.enter_context(gateway.run(key))
+        gateway.tick()
+        monkeypatch.setattr(promptkeepers, "choose_hosts", choose_hosts)
+        keepers = {number for key in make_keys(RUNS) for number in gateway.list_keepers(key)}
+        other = next(n for n in range(HOSTS) if (f"g{n:03}", 1) not in keepers)
+        ranked.clear()
+        if change == "starts":
+            gateway.put(HOSTS)
+        elif change == "stops":
+            gateway.put(other, stopping=True)
+        elif change == "restarts":
+            gateway.put(other, started_ms=2)
+        else:
+            gateway.remove(other)
+        gateway.tick()
+    assert sum(ranked) <= RUNS * (2 * KEEPERS + 1) + HOSTS
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_after_any_changes_the_keepers_of_running_prompts_have_them(seed: int) -> None:
+    generator = random.Random(seed)
+    hosts = generator.choice([2, 3, 5, 12])
+    gateway = Gateway(hosts)
+    keys = make_keys(8)
+    with contextlib.ExitStack() as runs:
+        for key in keys:
+            runs.enter_context(gateway.run(key))
+        for step in range(60):
+            for _ in range(generator.randint(0, 3)):
+                number = generator.randrange(hosts + 2)
+                if generator.random() < 0.3:
+                    gateway.remove(number)
+                else:
+                    stopping = generator.random() < 0.4
+                    started_ms = generator.choice([1, step + 2])
+                    moved = generator.choice([0, 1]) if started_ms > 1 else 0
+                    gateway.put(number, started_ms=started_ms, stopping=stopping, moved=moved)
+            if generator.random() < 0.05:
+                gateway.is_stopping = not gateway.is_stopping
+            gateway.tick()
+            for key in keys:
+                assert gateway.list_keepers(key) <= gateway.list_reported(key)
+
+
+def test_a_location_is_reported_once_to_each_keeper() -> None:
+    gateway = Gateway()
+    (key,) = make_keys(1)
+    with gateway.run(key):
+        for number in range(HOSTS, HOSTS + 100):
+            gateway.tick()
+            gateway.put(number)
+    assert len(gateway.sent) == len(gateway.list_reported(key))
