--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -182,7 +182,7 @@
     _silent_until: dict[str, float] = attrs.field(factory=dict)
     _reported: dict[bytes, frozenset[_Lifetime]] = attrs.field(factory=dict)
     _next_expiry_at: float = -math.inf
-    _members: frozenset[tuple[_Lifetime, bool]] = frozenset()
+    _members: tuple[list[str], list[int], list[bool]] = ([], [], [])
     _hands_over: bool = False
 
     @_started_at.default
@@ -234,8 +234,11 @@
         """Report new locations, and known ones to those that have become their keepers."""
         states = self.list_states()
         self._expire()
-        members = frozenset(
-            ((host, state.started_ms), state.stopping) for host, state in states.items()
+        # lists compare in a fraction of the time of a set of tuples, at each tick
+        members = (
+            list(states),
+            [state.started_ms for state in states.values()],
+            [state.stopping for state in states.values()],
         )
         hands_over = self.is_stopping()
         if (members, hands_over) == (self._members, self._hands_over):
