Keep prompts in the application server stand-in

It takes a settable time for what it must read, fetches from another one what Kv-Fetch names, and counts the tokens read, found and fetched. By default reading takes no time, as before.

--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from basilroad.standin.port import hold_port
+from basilroad.standin.promptcache import FETCH_TARGET, PromptCache, read_prompt
 from basilroad.standin.streamevents import StreamEvent
 
 if TYPE_CHECKING:
@@ -165,6 +166,7 @@
     :param starts: number of starts
     :param streams: number of streams that it began or resumed
     :param reported_at: times of the received requests for reports, in monotonic seconds
+    :param prompts: prompts that it keeps until it restarts, and how long it takes to read others
     """
 
     id: str = "i-standin"
@@ -193,6 +195,7 @@
     runs: list[ReceivedRequest] = attrs.field(factory=list)
     paused: list[tuple[ReceivedRequest, str]] = attrs.field(factory=list)
     reported_at: list[float] = attrs.field(factory=list)
+    prompts: PromptCache = attrs.field(factory=PromptCache)
     connections: int = 0
     endless_bytes: int = 0
     starts: int = 0
@@ -225,6 +228,7 @@
         :param port: port; 0 takes a free one
         """
         self.starts += 1
+        self.prompts.clear()
         if self._port_holder is None:
             self._port_holder = hold_port(self.ip, port)
         self.port = self._port_holder.getsockname()[1]
@@ -345,6 +349,8 @@
                 await asyncio.sleep(0.01)
             if request.target == "/report":
                 await self._report(writer)
+            elif request.target == FETCH_TARGET:
+                await self.prompts.send(request.headers, writer)
             elif not await self._answer(request, writer):
                 return
             http.start_next_cycle()
@@ -460,10 +466,12 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(_encode_head(200, headers))
-        is_deadly = self.crash_on and self.crash_on in _list_shared_parts(request)
+        shared = [part.id for part in read_prompt(request.headers)[:-1]]
+        is_deadly = self.crash_on and self.crash_on in shared
         if is_deadly or self._crashes_on(request, CrashPoint.HEAD):
             await asyncio.sleep(PREFILL_S)
             await self._end_by_request()
+        await self.prompts.load(request.headers)
         for number in range(first, self.events + 1):
             if number == self.crash_at_event and self._crashes_on(request, CrashPoint.EVENT):
                 await self._end_by_request()
@@ -509,12 +517,6 @@
             return None
 
 
-def _list_shared_parts(request: ReceivedRequest) -> list[str]:
-    """:return: ids of the prompt parts but the last."""
-    parts = request.headers.get("x-prompt-prefix", "").split(",")
-    return [part.partition(":")[0].strip() for part in parts[:-1]]
-
-
 async def _write_unframed(
     writer: asyncio.StreamWriter, headers: dict[str, str], body: bytes, fault: WireFault
 ) -> bool:
