Record how a stand-in got each prompt

Each load names the servers of the fleet that kept the prompt then. A server that ends keeps nothing, and a run that continues from a backup of its memory reads nothing.

--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -166,7 +166,7 @@
     :param starts: number of starts
     :param streams: number of streams that it began or resumed
     :param reported_at: times of the received requests for reports, in monotonic seconds
-    :param prompts: prompts that it keeps until it restarts, and how long it takes to read others
+    :param prompts: prompts that it keeps until it ends, and how long it takes to read others
     """
 
     id: str = "i-standin"
@@ -228,7 +228,6 @@
         :param port: port; 0 takes a free one
         """
         self.starts += 1
-        self.prompts.clear()
         if self._port_holder is None:
             self._port_holder = hold_port(self.ip, port)
         self.port = self._port_holder.getsockname()[1]
@@ -295,6 +294,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.prompts.clear()
 
     async def _crash(self) -> None:
         self.crashes += 1
--- a/src/basilroad/standin/promptcache.py
+++ b/src/basilroad/standin/promptcache.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import OrderedDict
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -36,6 +36,20 @@
     tokens: int
 
 
+@attrs.frozen
+class PromptLoad:
+    """How a stand-in got the prompt of a request.
+
+    :param request_id: id of the request
+    :param tokens_read: tokens that it had to read
+    :param holders: servers of its fleet that kept the whole prompt when the request came
+    """
+
+    request_id: str
+    tokens_read: int
+    holders: tuple[str, ...] = ()
+
+
 def read_prompt(headers: Mapping[str, str]) -> list[PromptPart]:
     """Read the prompt of a request.
 
@@ -62,7 +76,8 @@
     :param tokens_found: tokens that were kept when a request came
     :param tokens_fetched: tokens that came from another stand-in
     :param fetches: fetches that were begun
-    :param read_by: tokens read for each request, by its id
+    :param loads: loads of prompts, in order of their end
+    :param find_holders: returns the names of the servers of a fleet that keep a prompt
     """
 
     read_s_per_1000: float = 0.0
@@ -73,16 +88,17 @@
     tokens_found: int = 0
     tokens_fetched: int = 0
     fetches: int = 0
-    read_by: dict[str, int] = attrs.field(factory=dict)
+    loads: list[PromptLoad] = attrs.field(factory=list)
+    find_holders: Callable[[Sequence[PromptPart]], tuple[str, ...]] = lambda _prompt: ()
     _kept: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
 
     def clear(self) -> None:
         """Drop all prompts, as at a restart; the counts stay."""
         self._kept.clear()
 
-    def keeps(self, part_id: str) -> bool:
-        """:return: whether a part of a prompt is kept."""
-        return part_id in self._kept
+    def keeps(self, prompt: Iterable[PromptPart]) -> bool:
+        """:return: whether all parts of a prompt are kept."""
+        return all(self._kept.get(part.id) == part.tokens for part in prompt)
 
     def count_kept(self, prompt: Sequence[PromptPart]) -> int:
         """:return: tokens at the start of a prompt that needn't be read; a part counts only if all
@@ -100,8 +116,10 @@
         :param headers: headers of the request by lower-case name
         """
         prompt = read_prompt(headers)
-        if not prompt:
+        # a run that continues from a backup of its memory has its prompt there
+        if not prompt or "kv-from" in headers:
             return
+        holders = self.find_holders(prompt)
         total, found = sum(part.tokens for part in prompt), self.count_kept(prompt)
         self._keep(prompt, found)
         fetched = 0
@@ -114,8 +132,7 @@
         self.tokens_found += found
         self.tokens_fetched += fetched
         self.tokens_read += left
-        request_id = headers.get("x-attempt-id", "")
-        self.read_by[request_id] = self.read_by.get(request_id, 0) + left
+        self.loads.append(PromptLoad(headers.get("x-attempt-id", ""), left, holders))
         self._keep(prompt, total)
 
     def _keep(self, prompt: Sequence[PromptPart], tokens: int) -> None:
@@ -186,4 +203,4 @@
     return int(value)
 
 
-__all__ = ["FETCH_TARGET", "PromptCache", "PromptPart", "read_prompt"]
+__all__ = ["FETCH_TARGET", "PromptCache", "PromptLoad", "PromptPart", "read_prompt"]
--- a/tests/standin/test_promptcache.py
+++ b/tests/standin/test_promptcache.py
@@ -10,6 +10,7 @@
 import pytest
 
 from basilroad.standin.appserver import AppServerStandin
+from basilroad.standin.promptcache import read_prompt
 from basilroad.standin.streamevents import decode_events
 from support.addresses import name_ip
 
@@ -69,6 +70,12 @@
     return prompts.tokens_read, prompts.tokens_found, prompts.tokens_fetched
 
 
+def list_kept(server: AppServerStandin, *prompts: str) -> list[bool]:
+    """:return: whether a server keeps each of some prompts."""
+    headers = ({"x-prompt-prefix": prompt} for prompt in prompts)
+    return [server.prompts.keeps(read_prompt(one)) for one in headers]
+
+
 async def test_a_prompt_is_read_once(engines: Engines) -> None:
     for _ in range(3):
         await engines.generate(engines.source)
@@ -93,19 +100,14 @@
     engines.source.prompts.max_tokens = 500
     for prompt in ("aa:200", "bb:200", "aa:200", "cc:200"):
         await engines.generate(engines.source, prompt)
-    assert [engines.source.prompts.keeps(part) for part in ("aa", "bb", "cc")] == [
-        True,
-        False,
-        True,
-    ]
+    assert list_kept(engines.source, "aa:200", "bb:200", "cc:200") == [True, False, True]
 
 
 async def test_parts_leave_before_those_that_they_follow(engines: Engines) -> None:
     engines.source.prompts.max_tokens = TOKENS
     await engines.generate(engines.source)
     await engines.generate(engines.source, "dd:100")
-    kept = [engines.source.prompts.keeps(part) for part in ("aa", "bb", "cc")]
-    assert kept == [True, True, False]
+    assert list_kept(engines.source, "aa:600", "bb:300", "cc:100") == [True, True, False]
 
 
 async def test_only_what_must_be_read_takes_time(engines: Engines) -> None:
@@ -177,4 +179,24 @@
 async def test_the_tokens_read_are_counted_by_request(engines: Engines) -> None:
     await engines.generate(engines.source, X_Attempt_Id="first")
     await engines.generate(engines.source, X_Attempt_Id="second")
-    assert engines.source.prompts.read_by == {"first": TOKENS, "second": 0}
+    loads = [(load.request_id, load.tokens_read) for load in engines.source.prompts.loads]
+    assert loads == [("first", TOKENS), ("second", 0)]
+
+
+async def test_a_load_names_the_servers_that_kept_the_prompt(engines: Engines) -> None:
+    servers = (engines.source, engines.other)
+    for server in servers:
+        server.prompts.find_holders = lambda prompt: tuple(
+            one.id for one in servers if one.prompts.keeps(prompt)
+        )
+    await engines.generate(engines.source)
+    await engines.generate(engines.other)
+    await engines.source.stop()
+    await engines.generate(engines.other)
+    assert [load.holders for load in engines.source.prompts.loads] == [()]
+    assert [load.holders for load in engines.other.prompts.loads] == [("i-0",), ("i-1",)]
+
+
+async def test_nothing_is_read_for_a_run_that_continues_from_a_backup(engines: Engines) -> None:
+    await engines.generate(engines.source, Kv_From="127.0.0.1:1/first")
+    assert count(engines.source) == (0, 0, 0)
