--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -39,12 +39,13 @@
 
 
 def _print(result: Result) -> None:
-    take_ups = result.take_ups
+    take_ups, prompts = result.take_ups, result.prompt_reads
     served = f"{result.served} of {result.requests} served"
     print(
         f"seed {result.settings.seed}: {result.state}; {served}; "
         f"{take_ups.resumed} of {take_ups.taken_up} streams resumed, "
         f"{take_ups.began} of {take_ups.new} began beside them; "
+        f"{prompts.read_anew} of {prompts.cached} cached prompts read anew at a take-up; "
         f"longest stall of the soak {result.longest_stall_s:.2f} s"
         + (f"; logs in {result.folder}" if not result.is_kept else ""),
         flush=True,
--- a/soak/records.py
+++ b/soak/records.py
@@ -9,6 +9,7 @@
 import attrs
 
 from basilroad.standin.appserver import ReceivedRequest
+from basilroad.standin.promptcache import PromptLoad
 from soak.releaseschedule import KillAllGateways, RestartEndpoint
 from soak.schedule import (
     ENDPOINT_LINK,
@@ -222,6 +223,7 @@
     :param requests: requests of the callers, by identifier
     :param runs: requests that endpoints ran
     :param reached: requests that reached the endpoint that they were meant for, run or not
+    :param prompt_loads: how engines got the prompts of requests
     :param pauses: requests that endpoints turned away for a time
     :param limits: limits that endpoints named
     :param injected_faults: faults with their times
@@ -240,6 +242,7 @@
     requests: dict[str, Request] = attrs.field(factory=dict)
     runs: list[Run] = attrs.field(factory=list)
     reached: list[Run] = attrs.field(factory=list)
+    prompt_loads: list[PromptLoad] = attrs.field(factory=list)
     pauses: list[Pause] = attrs.field(factory=list)
     limits: list[Limit] = attrs.field(factory=list)
     injected_faults: list[InjectedFault] = attrs.field(factory=list)
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 from soak.faultfree import wait_fault_free
 from soak.faults import run_fault
 from soak.promises import PROMISES
+from soak.promptreads import PromptReads
 from soak.records import InjectedFault, Kind, Record
 from soak.releaseschedule import draw_faults
 from soak.rundelay import RunLimit
@@ -42,6 +43,7 @@
     :param requests: number of requests sent
     :param served: number of complete responses with status 200
     :param take_ups: streams that callers took up
+    :param prompt_reads: their prompts
     :param longest_stall_s: longest time for which the soak's own event loop stood still
     :param folder: directory of the gateway logs, kept unless all promises were
     """
@@ -52,6 +54,7 @@
     requests: int
     served: int
     take_ups: TakeUps
+    prompt_reads: PromptReads
     longest_stall_s: float
     folder: Path
 
@@ -173,6 +176,7 @@
         len(record.requests),
         sum(r.whole and r.status == 200 for r in record.requests.values()),
         TakeUps.measure(record),
+        PromptReads.measure(record),
         record.longest_stall_s,
         folder,
     )
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import os
 import random
 import socket
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 import attrs
 
 from basilroad.standin.appserver import ALL_RESPONSES, AppServerStandin
 from basilroad.standin.port import hold_port
+from basilroad.standin.promptcache import PromptPart
 from basilroad.standin.rowstore import RowStoreStandin
 from soak.link import Link
 from soak.process import GatewayProcess
@@ -28,6 +31,9 @@
 SLOTS = 16
 STREAM_EVENTS = 30
 EVENT_INTERVAL_S = 0.02
+FETCHING = {"kvTokenBytes": 100000, "linkMbps": 25000}
+"""Config of engines that fetch prompts from each other, four times as fast as they read them."""
+
 UNREGISTER_DELAY_S = 1.5
 """Seconds after its crash at which an endpoint is removed from the store."""
 
@@ -137,6 +143,7 @@
     def _record_instance(self, endpoint: Endpoint, instance: AppServerStandin) -> None:
         record, name, service = self.record, instance.id, endpoint.service
         record.runs += [Run(name, service, run) for run in instance.runs]
+        record.prompt_loads += instance.prompts.loads
         record.reached += [
             Run(name, service, seen)
             for seen in instance.seen
@@ -250,6 +257,7 @@
         instance = AppServerStandin(name, ip=self._ip, version=version, starts=starts)
         if endpoint.service == ENGINE:
             instance.events, instance.event_interval_s = STREAM_EVENTS, EVENT_INTERVAL_S
+            instance.prompts.find_holders = functools.partial(self._find_holders, version)
         await instance.start(port or self._hold_port())
         endpoint.server = instance
         endpoint.instances.append(instance)
@@ -267,6 +275,13 @@
         self._port_holders.append(holder)
         return int(holder.getsockname()[1])
 
+    def _find_holders(self, version: str, prompt: Sequence[PromptPart]) -> tuple[str, ...]:
+        """:return: names of the engines of a version that have a prompt in their caches."""
+        instances = (one for endpoint in self.endpoints for one in endpoint.instances)
+        return tuple(
+            one.id for one in instances if one.version == version and one.prompts.keeps(prompt)
+        )
+
     def _register(self, endpoint: Endpoint, state: str = "ready") -> None:
         address = f"{endpoint.link.ip}:{endpoint.link.port}"
         entry = endpoint.server.build_entry(
@@ -313,7 +328,7 @@
             {**base, **idempotent, "name": "m", "prefix": "/m/", "service": self._moved_to_service},
             {**base, **stream, "name": "s", "prefix": "/s/", "service": ENGINE},
         ]
-        engine = {"slots": SLOTS, "kvCapacity": 88000, "backups": True}
+        engine = {"slots": SLOTS, "kvCapacity": 88000, "backups": True, **FETCHING}
         config = {
             "version": self._version,
             "routes": routes,
