Correct the location of a prompt whose run was rejected late

The earlier location is now reported again, as newer than that run.

Now it passes with the others of tests/gateway/exchange/test_promptexchange.py and test_promptlocations.py.

--- a/src/basilroad/gateway/dispatch/promptlocations.py
+++ b/src/basilroad/gateway/dispatch/promptlocations.py
@@ -92,7 +92,8 @@
         if previous is None:
             del self._known[key]
         else:
-            self._known[key] = previous
+            # newer than the rejected run, of which other gateways may have been told
+            self._known[key] = attrs.evolve(previous, began_at=self._clock())
 
     def merge(self, key: bytes, reported: PromptLocation) -> None:
         """Apply the report of another gateway, unless it is of an earlier run.
--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -227,6 +227,8 @@
         finally:
             if run.was_rejected:
                 self.locations.withdraw(key, endpoint, previous)
+                if key in self._reported:
+                    self._reported[key] = frozenset()
             else:
                 self.locations.end(key, endpoint)
 
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -323,6 +323,20 @@
     assert await is_found(fleet.hosts[3], "e1")
 
 
+# fault: keepers that had been told of a run went on to name its engine, which had rejected it
+async def test_a_run_that_is_rejected_late_leaves_the_location_at_all_keepers() -> None:
+    fleet = Fleet()
+    with fleet.hosts[0].run(endpoint="e1"):
+        fleet.tick()
+    with fleet.hosts[0].run(endpoint="e2") as run:
+        fleet.tick()
+        assert await is_found(fleet.hosts[3], "e2")
+        run.was_rejected = True
+    fleet.tick()
+    for host in fleet.list_keepers():
+        assert await is_found(host, "e1")
+
+
 def test_unchanged_locations_are_reported_once() -> None:
     fleet = Fleet()
     with fleet.hosts[0].run():
