--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from soak.promptreads import PromptReads
 from soak.run import Result
 from soak.settings import SoakSettings
 from soak.streampromises import TakeUps
@@ -23,5 +24,15 @@
 def test_only_what_was_judged_is_kept(
     breaches: dict[str, list[str]], unjudged: dict[str, str], state: str, tmp_path: Path
 ) -> None:
-    result = Result(SoakSettings(), breaches, unjudged, 1, 1, TakeUps(0, 0, 0, 0), 0.0, tmp_path)
+    result = Result(
+        SoakSettings(),
+        breaches,
+        unjudged,
+        1,
+        1,
+        TakeUps(0, 0, 0, 0),
+        PromptReads(0, 0),
+        0.0,
+        tmp_path,
+    )
     assert (result.state, result.is_kept) == (state, state == "kept")
