Keep versions for as long as their streams may be taken up

Callers saw: a stream of the base version, which has no record, could go on at the next base version, joined of two, if its route's time limit is over 60 s and it was taken up more than 90 s after its version had left.

Cause: RESUME_WINDOW_S takes the longest time for a take-up to be 60 s, and the times after which the base version changes and versions are forgotten follow from it. A caller may take a stream up in all the time it has, as StreamVersions.end says for records, and the time limit of a route may be any. The class: knowledge of a stream that ends before the stream can't be taken up any more.

Change: the times follow from the longest time limit of a service's streams, if it is over 60 s. The lease of the base version stays as short as it was, so that hosts with other settings rely on it for no longer. With limits up to 60 s nothing changes.

Failed before: test_the_base_version_stays_while_its_long_streams_may_be_taken_up (v2 for a stream of v1; tried with the limits not applied).

--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -201,6 +201,7 @@
         if known is not None and table.version == known.version:
             return True
         self.table = table
+        self.stream_versions.apply_limits(table.find_stream_limits())
         _LOGGER.info(
             "config in force",
             extra={
--- a/src/basilroad/gateway/route.py
+++ b/src/basilroad/gateway/route.py
@@ -191,6 +191,15 @@
             self._routes.setdefault(route.host, {})[route.prefix] = route
         self._lengths = {host: sorted(map(len, found)) for host, found in self._routes.items()}
 
+    def find_stream_limits(self) -> dict[str, float]:
+        """:return: longest time limit of streams in seconds, by service."""
+        limits: dict[str, float] = {}
+        for route in (r for found in self._routes.values() for r in found.values()):
+            for target in route.targets if route.streams else ():
+                known_s = limits.get(target.service, 0.0)
+                limits[target.service] = max(known_s, route.timeout_s)
+        return limits
+
     @property
     def key_count(self) -> int:
         """:return: number of accepted keys."""
--- a/src/basilroad/gateway/versions/baserow.py
+++ b/src/basilroad/gateway/versions/baserow.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
-from basilroad.gateway.versions.streamrow import RESUME_WINDOW_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -17,16 +16,6 @@
     from basilroad.gateway.versions.archive import ArchiveRow
     from basilroad.gateway.versions.listing import VersionListing
 
-LINGER_S = 30.0
-"""Time for which an endpoint may continue its streams after its entry is gone."""
-
-VERSION_MEMORY_S = RESUME_WINDOW_S + LINGER_S
-"""Time after a version was last listed in which one of its streams may be taken up again."""
-
-FORGET_S = VERSION_MEMORY_S + LINGER_S
-"""Time after a version was last listed from which on it isn't named any more: longer than that in
-which it is added, by more than listings of hosts differ, so that none adds what others remove."""
-
 MAX_NAMED = 100
 """Limit of the other versions that a row names; further ones are left out."""
 
@@ -92,9 +81,10 @@
     :return: the versions in the order of their names
     """
     others = set(named)
-    if listing.is_complete_since(now - FORGET_S):
-        others &= listing.list_since(service, now - FORGET_S)
-    others |= listing.list_since(service, now - VERSION_MEMORY_S)
+    forgotten_at = now - listing.windows.find_forget(service)
+    if listing.is_complete_since(forgotten_at):
+        others &= listing.list_since(service, forgotten_at)
+    others |= listing.list_since(service, now - listing.windows.find_memory(service))
     return tuple(sorted(others - {base})[:MAX_NAMED])
 
 
@@ -104,10 +94,7 @@
 
 
 __all__ = [
-    "FORGET_S",
-    "LINGER_S",
     "MAX_NAMED",
-    "VERSION_MEMORY_S",
     "BaseState",
     "StoredBase",
     "choose_version",
--- a/src/basilroad/gateway/versions/baseversion.py
+++ b/src/basilroad/gateway/versions/baseversion.py
@@ -20,7 +20,6 @@
     RowChange,
 )
 from basilroad.gateway.versions.baserow import (
-    VERSION_MEMORY_S,
     BaseState,
     StoredBase,
     choose_version,
@@ -121,6 +120,10 @@
         base = self.stored
         return self.may_lack_records and (base is None or base.epoch == LOST_EPOCH)
 
+    @property
+    def _memory_s(self) -> float:
+        return self._listing.windows.find_memory(self.service)
+
     def _find_known(self) -> StoredBase | None:
         known = self.stored
         if known is None or (self._best and self._best.generation > known.generation):
@@ -290,18 +293,18 @@
     def _find_complete_epoch(self, base: StoredBase, now: float) -> int:
         """:return: the newest epoch of the store in which no record is missing."""
         # later, streams whose records were lost can't be taken up any more
-        is_complete = now - self._epoch_seen_at >= VERSION_MEMORY_S
+        is_complete = now - self._epoch_seen_at >= self._memory_s
         return max(base.epoch, self._epoch) if is_complete else base.epoch
 
     def _find_successor(
         self, base: StoredBase, candidates: Mapping[str, int], now: float
     ) -> StoredBase | None:
-        since = now - VERSION_MEMORY_S
+        since = now - self._memory_s
         # an endpoint may have been listed again since the last observation
         is_back = base.version in self._listing.count_listed(self.service)
         if is_back or not candidates or not self._listing.is_complete_since(since):
             return None
-        if not self._is_absent(now, VERSION_MEMORY_S):
+        if not self._is_absent(now, self._memory_s):
             return None
         if base.successor is None:
             return msgspec.structs.replace(base, successor=choose_version(candidates))
--- a/src/basilroad/gateway/versions/listing.py
+++ b/src/basilroad/gateway/versions/listing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from basilroad.gateway.registry.endpoint import EndpointState
+from basilroad.gateway.versions.windows import StreamWindows
 
 if TYPE_CHECKING:
     from basilroad.gateway.registry.directory import Directory
@@ -19,7 +20,8 @@
 counts as outdated; also the time after which it has been read again."""
 
 SEEN_MEMORY_S = 600.0
-"""Time after which versions that are not listed any more are forgotten."""
+"""Time after which versions that are not listed any more are forgotten, unless their streams may
+be taken up for longer."""
 
 
 class VersionListing:
@@ -31,6 +33,7 @@
     """
 
     def __init__(self, directory: Directory) -> None:
+        self.windows = StreamWindows()
         self._directory = directory
         self._seen: dict[str, dict[str, float]] = {}
         self._observed_at = -math.inf
@@ -52,8 +55,9 @@
         self._complete_since = min(self._complete_since, now)
         for service, version in listed:
             self._seen.setdefault(service, {})[version] = now
-        for seen in self._seen.values():
-            for version in [v for v, at in seen.items() if now - at > SEEN_MEMORY_S]:
+        for service, seen in self._seen.items():
+            memory_s = max(SEEN_MEMORY_S, self.windows.find_forget(service))
+            for version in [v for v, at in seen.items() if now - at > memory_s]:
                 del seen[version]
 
     def is_complete_since(self, moment: float) -> bool:
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -14,7 +14,6 @@
 from basilroad.clocks import read_boot_clock
 from basilroad.errors import ErrorKind, refuse
 from basilroad.gateway.versions.archive import ArchiveUnavailableError
-from basilroad.gateway.versions.baserow import VERSION_MEMORY_S
 from basilroad.gateway.versions.keeper import VersionKeeper
 from basilroad.gateway.versions.listing import VersionListing
 from basilroad.gateway.versions.streamrow import (
@@ -25,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Mapping
 
     from basilroad.gateway.calls.call import Call
     from basilroad.gateway.metrics import GatewayMetrics
@@ -106,6 +105,13 @@
         self._known: OrderedDict[tuple[str, str, str], _Known] = OrderedDict()
         self._reads = asyncio.Semaphore(MAX_READS)
 
+    def apply_limits(self, limits: Mapping[str, float]) -> None:
+        """Apply the time limits of a configuration.
+
+        :param limits: longest time limit of streams in seconds, by service
+        """
+        self._listing.windows.extend(limits)
+
     def may_begin(self, service: str, version: str) -> bool:
         """Check whether new streams may be placed at a version now.
 
@@ -269,7 +275,7 @@
         if len(known) > 1 or (known and base not in (None, *known)):
             return "unknown", None
         # any version may have left since a base version that was lost
-        limit_s = VERSION_MEMORY_S if service.base.is_lost else RELIST_S
+        limit_s = self._find_memory(service) if service.base.is_lost else RELIST_S
         if not self._listing.is_complete_since(self._clock() - limit_s):
             raise ArchiveUnavailableError("the listing may lack versions since a restore")
         return ("base", known.pop()) if known else ("unknown", None)
@@ -284,6 +290,9 @@
             raise ArchiveUnavailableError("the listing may lack versions")
         return ("base", base) if self._list_known(service) == {base} else ("unknown", None)
 
+    def _find_memory(self, service: ServiceVersions) -> float:
+        return self._listing.windows.find_memory(service.name)
+
     async def _read_base(self, service: ServiceVersions) -> str | None:
         if not service.base.is_trusted(self._clock()):
             await _read_twice(service.base_read.read)
@@ -291,18 +300,20 @@
 
     def _list_known(self, service: ServiceVersions) -> set[str]:
         """:return: versions of which this host knows that streams may be taken up."""
-        versions = self._listing.list_since(service.name, self._clock() - VERSION_MEMORY_S)
+        versions = self._listing.list_since(
+            service.name, self._clock() - self._find_memory(service)
+        )
         return versions.union(self._listing.count_listed(service.name))
 
     def _list_named(self, service: ServiceVersions) -> set[str]:
         """:return: versions of the row that may have left before this host saw the listing."""
-        is_complete = self._listing.is_complete_since(self._clock() - VERSION_MEMORY_S)
+        is_complete = self._listing.is_complete_since(self._clock() - self._find_memory(service))
         return set() if is_complete else set(service.base.others)
 
     def _find_sole(self, service: ServiceVersions) -> str | None:
         """:return: version that alone was listed for as long as streams may be taken up."""
         versions = self._list_known(service)
-        since = self._clock() - VERSION_MEMORY_S
+        since = self._clock() - self._find_memory(service)
         if len(versions) != 1 or not self._listing.is_complete_since(since):
             return None
         return versions.pop()
--- a/tests/gateway/test_route.py
+++ b/tests/gateway/test_route.py
@@ -5,7 +5,7 @@
 import random
 
 from basilroad.gateway.route import RoutingTable, WeightedService
-from builders import build_route, build_table
+from builders import build_route, build_stream_route, build_table
 
 
 def test_the_longest_prefix_wins() -> None:
@@ -53,3 +53,15 @@
 
 def test_a_table_without_workspaces_needs_no_keys() -> None:
     assert not RoutingTable(1, [build_route()], []).needs_keys
+
+
+def test_the_longest_time_limit_of_streams_is_found_by_service() -> None:
+    two = (WeightedService("llm", 1), WeightedService("other", 1))
+    table = build_table(
+        1,
+        build_route(prefix="/a/", timeout_s=900.0),
+        build_stream_route(prefix="/b/", timeout_s=25.0),
+        build_stream_route(prefix="/c/", timeout_s=300.0, targets=two),
+        build_stream_route(prefix="/d/", timeout_s=60.0, targets=two),
+    )
+    assert table.find_stream_limits() == {"llm": 300.0, "other": 300.0}
--- a/tests/gateway/versions/test_namedversions.py
+++ b/tests/gateway/versions/test_namedversions.py
@@ -11,8 +11,6 @@
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.versions.archive import ArchiveRow, MayCommit
 from basilroad.gateway.versions.baserow import (
-    FORGET_S,
-    VERSION_MEMORY_S,
     StoredBase,
     decode_base,
 )
@@ -24,6 +22,10 @@
 )
 from basilroad.gateway.versions.listing import VersionListing
 from basilroad.gateway.versions.streamversions import RELIST_S
+from basilroad.gateway.versions.windows import (
+    FORGET_S,
+    VERSION_MEMORY_S,
+)
 from support.versionrig import SERVICE, SimFleet, SimHost
 from support.virtualloop import run_virtually
 
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -13,7 +13,6 @@
 from basilroad.errors import ErrorKind, RefusedError
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.route import RetrySafety
-from basilroad.gateway.versions.baserow import VERSION_MEMORY_S
 from basilroad.gateway.versions.baseversion import BASE_KEY, RESTORE_SETTLE_S
 from basilroad.gateway.versions.streamrow import (
     ORPHAN_AGE_S,
@@ -21,6 +20,7 @@
     build_key,
 )
 from basilroad.gateway.versions.streamversions import RELIST_S, StreamVersions
+from basilroad.gateway.versions.windows import VERSION_MEMORY_S
 from builders import build_stream_route
 from support.versionrig import (
     SERVICE,
@@ -556,6 +556,25 @@
     assert [await host.find(stream) for stream in running] == ["v2"] * 3
 
 
+# fault: a stream without a record, whose caller had minutes, went on at the next base version
+@virtually
+async def test_the_base_version_stays_while_its_long_streams_may_be_taken_up(
+    fleet: SimFleet,
+) -> None:
+    fleet.limit_s = 5 * RESUME_WINDOW_S
+    await start_with_two_versions(fleet)
+    stream = await fleet.begin(fleet.hosts[0], "v1", budget_s=fleet.limit_s)
+    assert stream.version == "v1"
+    host = await restart_all(fleet)
+    fleet.serve("v2")
+    fleet.end(await fleet.begin(host, "v2", budget_s=fleet.limit_s))
+    await asyncio.sleep(VERSION_MEMORY_S + 60.0)
+    assert await host.find(stream) == "v1"
+    await asyncio.sleep(fleet.limit_s)
+    late = await fleet.begin(host, "v2", budget_s=fleet.limit_s)
+    assert await host.find(late) == "v2"
+
+
 # fault: a base version that is about to change is relied on when it is listed again
 @virtually
 async def test_a_base_version_that_is_listed_again_stays(fleet: SimFleet) -> None:
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -178,6 +178,7 @@
         self.archive = SimArchive(fleet.store)
         self.archive.on_restored = self.versions.repeat
         self.versions.keeper.attach(self.archive, lambda: len(fleet.hosts))
+        self.versions.apply_limits({SERVICE: fleet.limit_s})
         self.apply_listing()
         self._tasks = [loop.create_task(self._observe()), loop.create_task(self._work())]
 
@@ -214,7 +215,9 @@
     async def find(self, stream: SimStream) -> str | None:
         """:return: the version of a stream; ``None`` also if its take-up is refused."""
         self.fleet.takeups += 1
-        call = build_stream_call(f"takeup-{self.fleet.takeups}", resumes=stream.call.id)
+        call = build_stream_call(
+            f"takeup-{self.fleet.takeups}", resumes=stream.call.id, budget_s=self.fleet.limit_s
+        )
         try:
             return await self.versions.find(call)
         except RefusedError:
@@ -252,6 +255,7 @@
         self.takeups = 0
         self.copy: tuple[dict[tuple[str, str], ArchiveRow], int] = ({}, 0)
         self.restored_rows: dict[tuple[str, str], ArchiveRow] = {}
+        self.limit_s = BUDGET_S
         self._started = 0
 
     def list_entries(self) -> list[EndpointEntry]:
