Keep the record of a generation until it ends

Callers saw: after ten minutes of a generation its caller couldn't attach to it at another entry any more (unknown_generation), and the same idempotency key began anew beside it.

Cause: agents keep the record of where a generation runs for 600 s after its last write, and entries wrote it when an attempt began and when agents came or went only. The class: a lifetime that counts from a start.

Change: each entry writes the records of the generations that it runs again once a minute, so that a record lasts for nine minutes after the end at least; agents keep the output for one. A generation that runs for less than a minute costs no further write.

Failed before: test_the_record_of_a_generation_is_kept_until_it_ends. With the change tests/entry and tests/integration/test_waiting_keys.py: 148 passed.

--- a/src/basilroad/entry/locationdirectory.py
+++ b/src/basilroad/entry/locationdirectory.py
@@ -40,6 +40,10 @@
 """Interval at which the records of keyed requests that wait for an endpoint are written again, so
 that their age tells other entries whether this one is gone."""
 
+RECORD_REFRESH_S = 60.0
+"""Age from which the record of a running generation is written again; agents keep it for ten times
+as long."""
+
 ENDED_TTL_S = 60.0
 """Seconds for which the location of an ended, keyed generation is sent to new agents."""
 
@@ -62,6 +66,7 @@
 class _AnnouncedLocation:
     location: wire.Location
     agents: tuple[str, ...]
+    written_s: float
     ended_s: float | None = None
 
 
@@ -207,13 +212,18 @@
             self._announced[key] = attrs.evolve(announced, agents=agents)
 
     def refresh(self) -> None:
-        """Write the records of keyed requests again that run at no endpoint at the moment."""
-        for key, announced in self._announced.items():
-            flight = self.entry.flights.get(key)
-            if flight is None or announced.ended_s is not None:
+        """Write the records again that agents would lose, and those whose age others watch.
+
+        The latter are those of keyed requests that run at no endpoint at the moment.
+        """
+        now = time.monotonic()
+        for key, announced in list(self._announced.items()):
+            if announced.ended_s is not None:
                 continue
-            if not flight.identity.key_generated and not flight.endpoint:
+            flight = self.entry.flights.get(key)
+            if _is_waiting(flight) or now - announced.written_s >= RECORD_REFRESH_S:
                 self.write(announced.location)
+                self._announced[key] = attrs.evolve(announced, written_s=now)
 
     def retire(self, flight: Flight) -> None:
         """Record that a generation has ended at this entry.
@@ -246,7 +256,7 @@
 
     def _remember(self, location: wire.Location) -> None:
         agents = tuple(_build_agent_id(link) for link in self._choose_links(location.key))
-        self._announced[location.key] = _AnnouncedLocation(location, agents)
+        self._announced[location.key] = _AnnouncedLocation(location, agents, time.monotonic())
 
     def _choose_links(self, key: bytes) -> list[AgentLink]:
         self._refresh_rings()
@@ -317,9 +327,15 @@
         link.send(wire.EntryMessage(register=message), urgent=False)
 
 
+def _is_waiting(flight: Flight | None) -> bool:
+    if flight is None or flight.identity.key_generated:
+        return False
+    return not flight.endpoint
+
+
 def _build_agent_id(link: AgentLink) -> str:
     # a restarted agent at the same address has lost all records
     return f"{link.address}/{link.incarnation}"
 
 
-__all__ = ["REFRESH_INTERVAL_S", "REPLICA_COUNT", "LocationDirectory"]
+__all__ = ["ENDED_TTL_S", "REFRESH_INTERVAL_S", "REPLICA_COUNT", "LocationDirectory"]
--- a/tests/entry/test_locationdirectory.py
+++ b/tests/entry/test_locationdirectory.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from basilroad.agent.directory import GenerationDirectory
+from basilroad.agent.directory import RETAIN_S, GenerationDirectory
 from basilroad.entry.generation import build_generation_id
-from basilroad.entry.locationdirectory import REFRESH_INTERVAL_S, LocationDirectory
+from basilroad.entry.locationdirectory import ENDED_TTL_S, REFRESH_INTERVAL_S, LocationDirectory
 from basilroad.peers.address import Address
 from basilroad.peers.wire import peer_pb2 as wire
 
@@ -132,3 +132,30 @@
     found = await second.find(KEY)
     assert found is not None
     assert found.age == REFRESH_INTERVAL_S
+
+
+# fault: the record of a generation that ran for over ten minutes was lost, so that its key began
+# anew and its caller could not attach to it
+async def test_the_record_of_a_generation_is_kept_until_it_ends(links, monkeypatch) -> None:
+    now = 100.0
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    flight = build_flight()
+    first.entry.flights[KEY] = flight
+    assert await first.claim(flight) is None
+    start = wire.StartGeneration(attempt=1)
+    view = SimpleNamespace(link=SimpleNamespace(address="127.0.0.1:9000"))
+    assert await first.move(flight, start, view) is None
+    flight.endpoint = "engine"
+    for _ in range(int(2 * RETAIN_S / REFRESH_INTERVAL_S)):
+        now += REFRESH_INTERVAL_S
+        first.refresh()
+        for link in links.values():
+            link.directory.expire()
+    first.retire(flight)
+    now += ENDED_TTL_S
+    for link in links.values():
+        link.directory.expire()
+    found = await second.find(KEY)
+    assert found is not None
+    assert found.location.generation == flight.generation
