Know a keyed call for as long as it runs

Callers saw: while the table is away, the same key sent again could be told not_run though its call was still running, if the call had begun over 600 s ago and 20,000 others with keys had begun since.

Cause: the agent's index of keys evicts the oldest begin, and counts as complete once that is 600 s old. The class: a lifetime that counts from a start.

Change: calls that run aren't evicted, and what has ended counts from its end. Their number is bounded by what the endpoint runs.

--- a/src/basilroad/agent/plaindriver.py
+++ b/src/basilroad/agent/plaindriver.py
@@ -135,6 +135,7 @@
 
     def _keep_answer(self, request: wire.RunCall, answer: wire.CallAnswer) -> None:
         self._ledger.finish(request.claim, answered=not answer.kind)
+        self._keys.finish(request.key, request.claim)
         if answer.kind:
             return
         self._answers[request.claim] = answer
