Leave requests for new prompts in their region

Callers saw: each new stream still waited for the way to another region and back, 40 ms, where the keeper of its own region was asked; was to avoid that.

Cause: a keeper that doesn't have a location passes the request on to those that it takes for keepers and that weren't asked, and the gateway that asks waits for their replies. For a new prompt the keeper of the other region wasn't asked, so that it was passed on to.

Change: a request names the keepers that the asking gateway knows, asked or not, and isn't passed on to these. One whose view differs still passes it on. The form of the datagram is the same.

--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -15,7 +15,7 @@
 import contextlib
 import logging
 import math
-from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import TYPE_CHECKING, Annotated
 
 import attrs
@@ -92,14 +92,15 @@
     :param address: its listening address
     :param number: number of the request in its process
     :param key: key of the prompt
-    :param asked: names of the gateways that were asked; empty in a request that was passed on
+    :param keepers: names of the keepers known to the gateway that asks, to which the request is not
+        passed on; empty in a request that was passed on
     """
 
     host: str
     address: str
     number: Count
     key: Key
-    asked: Annotated[list[str], msgspec.Meta(max_length=KEEPERS)] = []
+    keepers: Annotated[list[str], msgspec.Meta(max_length=KEEPERS)] = []
 
 
 class PromptReply(msgspec.Struct, array_like=True, tag="prompt"):
@@ -309,9 +310,7 @@
         if key and self.address is not None:
             if is_repeated:
                 await self._wait_for_peers()
-            await self._ask(
-                key, self.address, self._keepers.choose_asked(key, is_repeated=is_repeated)
-            )
+            await self._ask(key, self.address, is_repeated=is_repeated)
         return self.locations.find(key)
 
     async def _wait_for_peers(self) -> None:
@@ -319,9 +318,12 @@
         while not self.list_states() and self.clock() < until:
             await asyncio.sleep(FIRST_PEER_POLL_S)
 
-    async def _ask(self, key: bytes, address: Address, keepers: Iterable[str]) -> None:
+    async def _ask(self, key: bytes, address: Address, *, is_repeated: bool) -> None:
         states, now = self.list_states(), self.clock()
-        hosts = [host for host in keepers if now >= self._silent_until.get(host, -math.inf)]
+        keepers = self._keepers.choose_others(key)
+        # most prompts are new, and the way to another region takes tens of milliseconds
+        asked = keepers if is_repeated else self._keepers.list_near(keepers)
+        hosts = [host for host in asked if now >= self._silent_until.get(host, -math.inf)]
         if not hosts:
             return
         self._number += 1
@@ -329,7 +331,7 @@
         found: asyncio.Future[PromptRecord | None] = asyncio.get_running_loop().create_future()
         search = self._searches[number] = _Search(len(hosts), found, set(hosts))
         distance_s = max(self.place.distance_s(states[host].data_centre) for host in hosts)
-        request = PromptRequest(self.host, str(address), number, key, hosts)
+        request = PromptRequest(self.host, str(address), number, key, keepers)
         for host in hosts:
             self.send(request, states[host].address)
         try:
@@ -362,9 +364,9 @@
             self.send(passed, other)
 
     def _list_others(self, request: PromptRequest) -> list[Address]:
-        if not request.asked:
+        if not request.keepers:
             return []
-        skipped = {self.host, request.host, *request.asked}
+        skipped = {self.host, request.host, *request.keepers}
         keepers = self.choose_keepers(request.key)
         states = self.list_states()
         return [states[host].address for host in keepers if host not in skipped]
--- a/src/basilroad/gateway/exchange/promptkeepers.py
+++ b/src/basilroad/gateway/exchange/promptkeepers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import TYPE_CHECKING
 
 import attrs
@@ -43,21 +43,20 @@
         """
         return self._choose(key, self._list_places())
 
-    def choose_asked(self, key: bytes, *, is_repeated: bool) -> list[str]:
-        """Choose the other gateways that are asked for a location.
+    def choose_others(self, key: bytes) -> list[str]:
+        """Choose the gateways that keep a location, as if this one did not.
 
         :param key: key of the prompt
-        :param is_repeated: whether the prompt was certainly run before
         :return: their names
         """
         places = self._list_places()
         places.pop(self.host, None)
-        chosen = self._choose(key, places)
-        if is_repeated:
-            return chosen
-        # most prompts are new, and the way to another region takes tens of milliseconds
-        states = self.list_states()
-        return [h for h in chosen if self._find_region(states[h].data_centre) == self.place.region]
+        return self._choose(key, places)
+
+    def list_near(self, hosts: Iterable[str]) -> list[str]:
+        """:return: those of some other gateways that are in the region of this one."""
+        states, region = self.list_states(), self.place.region
+        return [host for host in hosts if self._find_region(states[host].data_centre) == region]
 
     def find(self, key: bytes) -> list[str]:
         """Find the keepers of a prompt, and remember them.
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -171,6 +171,15 @@
             assert await find(host, is_repeated=False) is not None
 
 
+# fault: the keeper of the region passed requests on to another region, and streams waited for that
+async def test_a_request_for_a_new_prompt_stays_in_its_region() -> None:
+    fleet = Fleet()
+    for number in range(50):
+        assert await find(fleet.hosts[0], number.to_bytes(8), is_repeated=False) is None
+    passed = [host for host in fleet.hosts if any(b"request" in data for data in host.sent)]
+    assert passed == fleet.hosts[:1]
+
+
 async def test_the_location_outlives_the_gateway_that_ran_it() -> None:
     # fault: a gateway was killed, and its callers came to others
     fleet = Fleet()
