Keep the location of a prompt until its last run has ended

Where a caller takes up a cut stream at the engine that runs it, two runs of its prompt overlap there: the gateway notices the cut of the first one later. The end of the first one set the location to expire 15 s later, and its rejection removed it, though the second one ran on. The same happened at a keeper that ran the first one while another gateway ran the second. The prompt was then read anew at the next take-up.

The directory compared only the engine of the run that ended with the one of the location. It now counts its runs at each engine, and takes a report of a later run as one that goes on. The lifetime of the engine is taken at the begin of a run, as the engine may have restarted at its end.

The calls of end() and withdraw() in the existing tests name the lifetime; their checks are as before.

--- a/src/basilroad/gateway/dispatch/promptlocations.py
+++ b/src/basilroad/gateway/dispatch/promptlocations.py
@@ -45,6 +45,18 @@
         return (self.endpoint_id, self.started_ms) == (lifetime.id, lifetime.started_ms)
 
 
+@attrs.define
+class _Running:
+    """Runs of one prompt by this gateway in one lifetime of an endpoint.
+
+    :param count: their number
+    :param began_at: time at which the last one was sent
+    """
+
+    count: int = 0
+    began_at: float = 0.0
+
+
 class PromptLocations:
     """Last location of each recent prompt, by the key of the prompt.
 
@@ -54,40 +66,54 @@
     def __init__(self, clock: Callable[[], float] = read_boot_clock) -> None:
         self._clock = clock
         self._known: OrderedDict[bytes, PromptLocation] = OrderedDict()
+        self._running: dict[tuple[bytes, Lifetime], _Running] = {}
 
     def __iter__(self) -> Iterator[bytes]:
         return iter(list(self._known))
 
-    def begin(self, key: bytes, endpoint: Endpoint, time_left_s: float) -> None:
+    def begin(self, key: bytes, endpoint: Endpoint, time_left_s: float) -> Lifetime:
         """Record that this gateway sends a prompt to an endpoint.
 
         :param key: key of the prompt
         :param endpoint: the endpoint
         :param time_left_s: seconds until the deadline of the run
+        :return: lifetime of the endpoint, which may have restarted at the end of the run
         """
         now, lifetime = self._clock(), endpoint.entry.lifetime
         expires_at = now + max(0.0, time_left_s) + RETENTION_S
+        running = self._running.setdefault((key, lifetime), _Running())
+        known = self._known.get(key)
+        if running.count and known is not None and known.is_at(lifetime):
+            expires_at = max(expires_at, known.expires_at)
+        running.count += 1
+        running.began_at = now
         self._put(key, PromptLocation(lifetime.id, lifetime.started_ms, now, expires_at))
+        return lifetime
 
-    def end(self, key: bytes, endpoint: Endpoint) -> None:
+    def end(self, key: bytes, lifetime: Lifetime) -> None:
         """Record that a run of this gateway has ended.
 
         :param key: key of its prompt
-        :param endpoint: its endpoint
+        :param lifetime: lifetime of its endpoint at its begin
         """
-        known = self._known.get(key)
-        if known is not None and known.is_at(endpoint.entry.lifetime):
-            self._known[key] = attrs.evolve(known, expires_at=self._clock() + RETENTION_S)
+        known, running = self._known.get(key), self._leave(key, lifetime)
+        if running.count or known is None or not known.is_at(lifetime):
+            return
+        expires_at = self._clock() + RETENTION_S
+        if known.began_at > running.began_at:
+            # another gateway reported a later run, which goes on
+            expires_at = max(expires_at, known.expires_at)
+        self._known[key] = attrs.evolve(known, expires_at=expires_at)
 
-    def withdraw(self, key: bytes, endpoint: Endpoint, previous: PromptLocation | None) -> None:
+    def withdraw(self, key: bytes, lifetime: Lifetime, previous: PromptLocation | None) -> None:
         """Record that an endpoint has not run a prompt that was sent to it.
 
         :param key: key of the prompt
-        :param endpoint: the endpoint
+        :param lifetime: lifetime of the endpoint at the send
         :param previous: location of the prompt before it was sent
         """
-        known = self._known.get(key)
-        if known is None or not known.is_at(endpoint.entry.lifetime):
+        known, running = self._known.get(key), self._leave(key, lifetime)
+        if running.count or known is None or not known.is_at(lifetime):
             return
         if previous is None:
             del self._known[key]
@@ -122,6 +148,14 @@
         for key in [key for key, known in self._known.items() if now > known.expires_at]:
             del self._known[key]
 
+    def _leave(self, key: bytes, lifetime: Lifetime) -> _Running:
+        index = key, lifetime
+        running = self._running.get(index, _Running(1))
+        running.count -= 1
+        if not running.count:
+            self._running.pop(index, None)
+        return running
+
     def _put(self, key: bytes, location: PromptLocation) -> None:
         self._known[key] = location
         self._known.move_to_end(key)
--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -221,17 +221,17 @@
             yield run
             return
         previous = self.locations.find(key)
-        self.locations.begin(key, endpoint, time_left_s)
+        lifetime = self.locations.begin(key, endpoint, time_left_s)
         self._reported[key] = frozenset()
         try:
             yield run
         finally:
             if run.was_rejected:
-                self.locations.withdraw(key, endpoint, previous)
+                self.locations.withdraw(key, lifetime, previous)
                 if key in self._reported:
                     self._reported[key] = frozenset()
             else:
-                self.locations.end(key, endpoint)
+                self.locations.end(key, lifetime)
 
     def tick(self) -> None:
         """Report new locations, and known ones to those that have become their keepers."""
--- a/tests/gateway/dispatch/test_promptlocations.py
+++ b/tests/gateway/dispatch/test_promptlocations.py
@@ -54,7 +54,7 @@
     endpoint = build_endpoint()
     locations.begin(KEY, endpoint, TIME_LEFT_S)
     clock.now += 2 * FORMER_LIFETIME_S
-    locations.end(KEY, endpoint)
+    locations.end(KEY, endpoint.entry.lifetime)
     clock.now += RETENTION_S - 0.1
     assert locations.find(KEY) is not None
     clock.now += 0.2
@@ -87,13 +87,60 @@
     first, second = build_endpoint("e1"), build_endpoint("e2")
     locations.begin(KEY, first, TIME_LEFT_S)
     locations.begin(KEY, second, TIME_LEFT_S)
-    locations.end(KEY, first)
+    locations.end(KEY, first.entry.lifetime)
     clock.now += RETENTION_S + 0.1
     found = locations.find(KEY)
     assert found is not None
     assert found.is_at(second.entry.lifetime)
 
 
+# fault: the location of a stream was forgotten 15 s after a cut one of its prompt had ended
+def test_the_end_of_an_earlier_run_at_the_same_engine_does_not_shorten_a_later_one() -> None:
+    clock, locations = build_locations()
+    endpoint = build_endpoint()
+    locations.begin(KEY, endpoint, TIME_LEFT_S)
+    clock.now += 1.0
+    locations.begin(KEY, endpoint, TIME_LEFT_S)
+    locations.end(KEY, endpoint.entry.lifetime)
+    clock.now += RETENTION_S + 0.1
+    assert locations.find(KEY) is not None
+
+
+def test_the_end_of_a_later_run_at_the_same_engine_does_not_shorten_an_earlier_one() -> None:
+    clock, locations = build_locations()
+    endpoint = build_endpoint()
+    locations.begin(KEY, endpoint, TIME_LEFT_S)
+    locations.begin(KEY, endpoint, 1.0)
+    locations.end(KEY, endpoint.entry.lifetime)
+    clock.now += TIME_LEFT_S
+    locations.end(KEY, endpoint.entry.lifetime)
+    clock.now += RETENTION_S - 0.1
+    assert locations.find(KEY) is not None
+    clock.now += 0.2
+    assert locations.find(KEY) is None
+
+
+# fault: the location of a stream was lost when its engine rejected another one of its prompt
+def test_a_rejected_run_does_not_remove_the_location_of_a_later_one() -> None:
+    _, locations = build_locations()
+    endpoint = build_endpoint()
+    locations.begin(KEY, endpoint, TIME_LEFT_S)
+    locations.begin(KEY, endpoint, TIME_LEFT_S)
+    locations.withdraw(KEY, endpoint.entry.lifetime, None)
+    assert locations.find(KEY) is not None
+
+
+# fault: a keeper that ran a cut stream forgot that another gateway ran its take-up there
+def test_the_end_of_a_run_does_not_shorten_a_later_one_of_another_gateway() -> None:
+    clock, locations = build_locations()
+    locations.begin(KEY, build_endpoint(), TIME_LEFT_S)
+    clock.now += 1.0
+    report = build_report("e1", clock.now, clock.now + TIME_LEFT_S + RETENTION_S)
+    locations.merge(KEY, report)
+    locations.end(KEY, build_endpoint().entry.lifetime)
+    assert locations.find(KEY) == report
+
+
 # fault: an engine that rejected a prompt replaced the one that had it
 def test_an_engine_that_rejects_a_prompt_is_not_its_location() -> None:
     _, locations = build_locations()
@@ -101,10 +148,10 @@
     locations.begin(KEY, holder, TIME_LEFT_S)
     previous = locations.find(KEY)
     locations.begin(KEY, full, TIME_LEFT_S)
-    locations.withdraw(KEY, full, previous)
+    locations.withdraw(KEY, full.entry.lifetime, previous)
     assert locations.find(KEY) == previous
     locations.begin(b"new", full, TIME_LEFT_S)
-    locations.withdraw(b"new", full, None)
+    locations.withdraw(b"new", full.entry.lifetime, None)
     assert locations.find(b"new") is None
 
 
