Limit the names in requests for the locations of prompts

A gateway passes a request on with the name and address of its sender, which could have any length. One datagram of 50 kB was sent on to two gateways and counted as nine seconds of control traffic, for which the gateway sent none of its state. The fields now have the limit of names, so that such a message is skipped when it is decoded.

Three cases of test_malformed_messages_are_not_decoded failed before.

--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -58,6 +58,9 @@
 Key = Annotated[bytes, msgspec.Meta(min_length=CACHE_KEY_BYTES, max_length=CACHE_KEY_BYTES)]
 """Key of a prompt."""
 
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+"""Name of a gateway or an endpoint, or an address."""
+
 
 class PromptRecord(msgspec.Struct, array_like=True):
     """The location of a prompt.
@@ -70,7 +73,7 @@
     """
 
     key: Key
-    endpoint: Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+    endpoint: Name
     started_ms: StartTime
     age_ms: Count
     left_ms: Count
@@ -96,11 +99,11 @@
         passed on; empty in a request that was passed on
     """
 
-    host: str
-    address: str
+    host: Name
+    address: Name
     number: Count
     key: Key
-    keepers: Annotated[list[str], msgspec.Meta(max_length=KEEPERS)] = []
+    keepers: Annotated[list[Name], msgspec.Meta(max_length=KEEPERS)] = []
 
 
 class PromptReply(msgspec.Struct, array_like=True, tag="prompt"):
@@ -112,7 +115,7 @@
     :param passed_on: number of gateways to which it has passed the request on
     """
 
-    host: str
+    host: Name
     number: Count
     record: PromptRecord | None = None
     passed_on: Annotated[int, msgspec.Meta(ge=0, le=KEEPERS)] = 0
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -387,6 +387,10 @@
         PromptRecords([PromptRecord(KEY, "e1", 1, 0, 0)] * (MAX_RECORDS + 1)),
         PromptRequest("g0", "127.0.0.1:9000", 1, KEY, ["g1"] * (KEEPERS + 1)),
         PromptReply("g0", 1, None, KEEPERS + 1),
+        # fault: a gateway that passed these on used up its control traffic of several seconds
+        PromptRequest("g" * 50_000, "127.0.0.1:9000", 1, KEY, ["g1"]),
+        PromptRequest("g0", "1" * 50_000, 1, KEY, ["g1"]),
+        PromptRequest("g0", "127.0.0.1:9000", 1, KEY, ["g" * 50_000]),
     ],
 )
 def test_malformed_messages_are_not_decoded(message: PromptMessage) -> None:
