Tell the others of a stop before the locations of prompts are handed over

A gateway that stops sends all locations that it keeps in the tick that first sees the stop.

The later rounds still wait for what the locations use of the limit.

test_a_stop_is_known_before_the_locations_of_prompts_are_handed_over failed before.

--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -219,8 +219,12 @@
             self._send_counted(update, near)
         self._crashes.tick(now)
         self._expire(now)
+        self._send_state(now)
         if self._prompts is not None:
+            # a gateway that stops hands over what it keeps, after it has said that it stops
             self._prompts.tick()
+
+    def _send_state(self, now: float) -> None:
         if now < self._next_send_at:
             return
         loads, failures = list_loads(self._directory), list_failures(self._directory, now)
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -12,7 +12,7 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.gateway.calls.call import PromptSize
-from basilroad.gateway.dispatch.promptlocations import RETENTION_S, PromptLocations
+from basilroad.gateway.dispatch.promptlocations import RETENTION_S, PromptLocation, PromptLocations
 from basilroad.gateway.dispatch.promptplan import PromptHolder, find_holder
 from basilroad.gateway.dispatch.selection import (
     Chooser,
@@ -176,6 +176,30 @@
     assert net.gateways[0].list_stops() == []
 
 
+# fault: a gateway that stopped handed over its locations of prompts first, and the others took it
+# for a running one for seconds
+def test_a_stop_is_known_before_the_locations_of_prompts_are_handed_over() -> None:
+    net = Net()
+    for _ in range(30):
+        net.now += GOSSIP_INTERVAL_S
+        for gossip in net.gateways:
+            gossip.tick()
+        net.deliver()
+    stops, prompts = net.gateways[0], net.gateways[0]._prompts
+    assert prompts is not None
+    for number in range(300):
+        location = PromptLocation("e1", 1, net.now, net.now + 30.0)
+        prompts.locations.merge(number.to_bytes(8), location)
+    net.stopping.add(0)
+    net.now += GOSSIP_INTERVAL_S
+    stops.tick()
+    net.deliver()
+    assert len(net.gateways[1].list_stops()) == 1
+    other = net.gateways[1]._prompts
+    assert other is not None
+    assert len(list(other.locations)) == 300
+
+
 def test_a_gateway_that_does_not_return_is_forgotten() -> None:
     net = Net()
     net.stopping = {1}
