Plan a fetched prompt again once its source has answered

A gateway asks the engine that has a prompt, or other gateways, for up to 0.2 s before it sends a stream elsewhere with that engine as the source. If the engine was removed, listed with another start or with another version meanwhile, the stream still named it, by the address of its entry at that moment.

The plan is now made again after the answer, and names only the source that was confirmed.

Three cases of test_a_prompt_is_not_fetched_from_an_engine_that_changed_while_it_was_asked failed before.

--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, Responder
+    from basilroad.gateway.dispatch.promptplan import PromptPlan
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 
@@ -240,10 +241,8 @@
         call, endpoint, dispatcher = self._call, reservation.endpoint, self._gateway.dispatcher
         plan = dispatcher.plan_prompt(call, endpoint)
         try:
-            if plan.source is not None and not await self._gateway.source_check.confirm(
-                plan.source
-            ):
-                plan = plan.without_source("its engine does not answer")
+            if plan.source is not None:
+                plan = await self._confirm_source(endpoint, plan, plan.source)
         except BaseException:
             dispatcher.release(reservation)
             raise
@@ -253,6 +252,16 @@
             self._gateway.metrics.prompts.labels(plan.access.value).inc()
         return plan.source
 
+    async def _confirm_source(
+        self, endpoint: Endpoint, plan: PromptPlan, source: Endpoint
+    ) -> PromptPlan:
+        if not await self._gateway.source_check.confirm(source):
+            return plan.without_source("its engine does not answer")
+        # the engine may have been removed or listed anew meanwhile
+        plan = self._gateway.dispatcher.plan_prompt(self._call, endpoint)
+        is_confirmed = plan.source in (None, source)
+        return plan if is_confirmed else plan.without_source("its engine has changed")
+
     def _check_time_before_shutdown(self, reservation: Reservation) -> None:
         # a shutdown may have begun while the stream was queued
         if self._tracker.sent:
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -178,3 +178,31 @@
     await asyncio.gather(task, return_exceptions=True)
     assert second.load.calls == 0
     assert not engines[1].seen
+
+
+# fault: a stream was sent to fetch its prompt from an address that its engine had left, or from an
+# engine of another version
+@pytest.mark.parametrize("change", ["removed", "restarted", "other version"])
+async def test_a_prompt_is_not_fetched_from_an_engine_that_changed_while_it_was_asked(
+    gateway, engines, change: str
+) -> None:
+    await run(gateway)
+    first = gateway.directory.get("i-1")
+    first.full_until = float("inf")
+    first.lost_at = time.monotonic()
+
+    async def ask(endpoint: Endpoint) -> bool:
+        entry = endpoint.entry
+        if change == "removed":
+            gateway.directory.remove(endpoint.id)
+        elif change == "restarted":
+            gateway.directory.put(attrs.evolve(entry, started_ms=entry.started_ms + 1))
+        else:
+            gateway.directory.put(attrs.evolve(entry, version="v2"))
+        return True
+
+    gateway.source_check.ask_others = ask
+    second = gateway.directory.get("i-2")
+    await run(gateway, id="c2")
+    assert list_sources(engines[1]) == [None]
+    assert second.load.calls == 0
