Refuse a stream that asks for its prompt at the end of a stop

A stream asks for the location of its prompt before it has the time limit of a shutdown. If the calls in flight were ended meanwhile, it was not among them and went on without a limit: it waited for an endpoint until the process closed its connection without an answer. The question takes up to 0.13 s and admission ends 0.3 s before the calls are ended at the earliest, so that it happens only to a gateway that was suspended or held up in between.

The question now has the limit too, and no call begins after the calls in flight were ended.

Both cases of test_a_stream_that_asks_for_its_prompt_at_the_end_of_a_stop_is_refused failed before.

--- a/src/basilroad/gateway/calls/handler.py
+++ b/src/basilroad/gateway/calls/handler.py
@@ -8,7 +8,7 @@
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.gateway.calls.buffered import BufferedCall
 from basilroad.gateway.metrics import name_form
-from basilroad.gateway.shutdown import ShutdownError
+from basilroad.gateway.shutdown import ShutdownError, refuse_at_shutdown
 from basilroad.gateway.streams.streaming import StreamBrokenError, StreamCall
 
 if TYPE_CHECKING:
@@ -38,8 +38,7 @@
         outcome = "cancelled"
         try:
             if call.route.streams:
-                is_resumed = call.events_received > 0
-                await self._gateway.prompts.find(call.cache_key, is_repeated=is_resumed)
+                await self._find_prompt(call)
                 self._check_time_left(call)
             reply = await self._run(call, responder)
             outcome = "whole_stream" if reply is None else f"status_{reply.status // 100}xx"
@@ -53,6 +52,14 @@
         finally:
             self._count(call, outcome)
 
+    async def _find_prompt(self, call: Call) -> None:
+        is_resumed = call.events_received > 0
+        try:
+            async with self._gateway.shutdown.limit_call():
+                await self._gateway.prompts.find(call.cache_key, is_repeated=is_resumed)
+        except ShutdownError:
+            raise refuse_at_shutdown() from None
+
     async def _run(self, call: Call, responder: Responder) -> Reply | None:
         self._gateway.containment.check(call)
         running: StreamCall | BufferedCall
--- a/src/basilroad/gateway/shutdown.py
+++ b/src/basilroad/gateway/shutdown.py
@@ -78,6 +78,7 @@
     signal: StopSignal = attrs.field(factory=StopSignal)
     _schedule: ShutdownSchedule | None = None
     _limits: set[asyncio.Timeout] = attrs.field(factory=set)
+    _has_ended_calls: bool = False
 
     @property
     def is_requested(self) -> bool:
@@ -105,6 +106,8 @@
 
         :raises ShutdownError: the shutdown has ended the calls in flight
         """
+        if self._has_ended_calls:
+            raise ShutdownError
         limit = asyncio.timeout(None)
         try:
             async with limit:
@@ -119,10 +122,11 @@
             raise ShutdownError from None
 
     def end_calls(self) -> int:
-        """Cancel the calls in flight.
+        """Cancel the calls in flight, and let no others begin.
 
         :return: their number
         """
+        self._has_ended_calls = True
         now = asyncio.get_running_loop().time()
         for limit in self._limits:
             limit.reschedule(now)
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
+from types import SimpleNamespace
 
 import attrs
 import pytest
 
 from basilroad.clocks import read_boot_clock
-from basilroad.errors import Effect, RefusedError
+from basilroad.errors import Effect, ErrorKind, RefusedError
+from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import (
     LONG_OUTAGE_RETRY_S,
     LONG_OUTAGE_S,
@@ -18,7 +21,15 @@
 from basilroad.gateway.route import Route
 from basilroad.gateway.shutdown import OTHER_HOST_RETRY_S, RESTART_S, SHUTDOWN_RESERVE_S
 from basilroad.platform.protocol import PlatformProtocol
-from builders import PLACE, build_route, build_stream_route, build_table
+from builders import (
+    PLACE,
+    RecordingResponder,
+    build_call,
+    build_route,
+    build_stream_route,
+    build_table,
+)
+from support.timelimit import await_within
 
 
 def build_gateway(stopping_for_s: float) -> Gateway:
@@ -160,3 +171,27 @@
     assert gateway.shutdown_schedule == schedule
     with pytest.raises(RefusedError):
         gateway.check_draining(build_stream_route())
+
+
+# fault: a stream that was still asking for the location of its prompt when the calls in flight were
+# ended got no answer
+@pytest.mark.parametrize("is_answered", [True, False])
+async def test_a_stream_that_asks_for_its_prompt_at_the_end_of_a_stop_is_refused(
+    gateway: Gateway, is_answered: bool
+) -> None:
+    asked, answered = asyncio.Event(), asyncio.Event()
+
+    async def find(*_: object, **__: object) -> None:
+        asked.set()
+        await answered.wait()
+
+    gateway.prompts = SimpleNamespace(find=find)  # type: ignore[assignment]
+    call = build_call(build_stream_route(), prompt_key="p")
+    task = asyncio.ensure_future(CallHandler(gateway).handle(call, RecordingResponder()))
+    await await_within(asked.wait(), 1.0)
+    if is_answered:
+        answered.set()
+    gateway.shutdown.end_calls()
+    with pytest.raises(RefusedError) as caught:
+        await await_within(task, 1.0)
+    assert caught.value.refusal.kind is ErrorKind.DRAINING
