Wait for the replies of all gateways that were asked for a prompt

A gateway that is asked for a location that it doesn't have passes the request on, and says so in its reply. If one to which it was passed on replied first that it doesn't have it either, the search ended, as no reply was expected at that moment, though another one had the location: the prompt was read anew.

The search now ends only once each gateway that was asked has replied.

test_replies_may_arrive_in_another_order failed before.

--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -153,7 +153,9 @@
     def take(self, reply: PromptReply) -> None:
         self.silent.discard(reply.host)
         self.expected += reply.passed_on - 1
-        if not self.found.done() and (reply.record is not None or self.expected <= 0):
+        # those that were passed on may be answered first
+        is_over = not self.silent and self.expected <= 0
+        if not self.found.done() and (reply.record is not None or is_over):
             self.found.set_result(reply.record)
 
 
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -258,6 +258,26 @@
         assert await is_found(others[0])
 
 
+# fault: a prompt was read anew as the reply that a request was passed on came after another one
+async def test_replies_may_arrive_in_another_order() -> None:
+    fleet = Fleet(4)
+    asks, passes, without, keeps = fleet.hosts
+    asks.known = {passes.name}
+    passes.exchange = PromptExchange(
+        passes.name, PLACE, PromptLocations(lambda: fleet.now), passes.address
+    )
+    search = asyncio.ensure_future(find(asks))
+    await asyncio.sleep(0)
+    number = asks.exchange._number
+    for reply in (
+        PromptReply(without.name, number),
+        PromptReply(passes.name, number, None, 2),
+        PromptReply(keeps.name, number, PromptRecord(KEY, "e1", 1, 0, 9000)),
+    ):
+        asks.exchange.take_reply(reply)
+    assert await await_within(search, 1.0) is not None
+
+
 # fault: a caller that came in the first moments of a gateway had its prompt read anew
 async def test_a_gateway_that_has_just_started_waits_for_the_first_other_one() -> None:
     fleet = Fleet()
