Probe no engine with a limit for another gateway

A gateway that checks the source of a prompt asks an engine with a limit for no report, as that would take the permit of a call. It did ask on behalf of another gateway, which may not know of the limit yet. The check is now made in both cases.

test_an_engine_with_a_limit_is_not_probed_for_other_gateways failed before.

--- a/src/basilroad/gateway/dispatch/sourcecheck.py
+++ b/src/basilroad/gateway/dispatch/sourcecheck.py
@@ -50,8 +50,7 @@
         """
         if _is_heard(endpoint):
             return True
-        if endpoint.notices.limit.is_in_force(time.monotonic()):
-            # a report would take the permit of a call
+        if _is_limited(endpoint):
             return False
         silent_at = max(endpoint.lost_at, endpoint.last_failed_at)
         if silent_at > max(endpoint.last_received_at, endpoint.cut_at):
@@ -66,6 +65,8 @@
         """
         if _is_heard(endpoint):
             return True
+        if _is_limited(endpoint):
+            return False
         limit_s = REPORT_TIMEOUT_S + 2 * self.place.distance_s(endpoint.entry.data_centre)
         try:
             async with asyncio.timeout(limit_s):
@@ -75,6 +76,11 @@
         return verdict in CONFIRMED
 
 
+def _is_limited(endpoint: Endpoint) -> bool:
+    # a report would take the permit of a call
+    return endpoint.notices.limit.is_in_force(time.monotonic())
+
+
 def _is_heard(endpoint: Endpoint) -> bool:
     lost_at = max(endpoint.lost_at, endpoint.cut_at, endpoint.last_failed_at)
     return endpoint.last_received_at > max(lost_at, time.monotonic() - HEARD_S)
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -206,3 +206,11 @@
     await run(gateway, id="c2")
     assert list_sources(engines[1]) == [None]
     assert second.load.calls == 0
+
+
+# fault: the checks of several gateways used up the requests that an engine with a limit wanted
+async def test_an_engine_with_a_limit_is_not_probed_for_other_gateways(gateway, engines) -> None:
+    first = gateway.directory.get("i-1")
+    first.notices.record_limit(NamedLimit(5.0, time.monotonic()), Source.ANSWER, time.monotonic())
+    assert not await gateway.source_check.probe(first)
+    assert engines[0].reports == 0
