--- a/bench/decision.py
+++ b/bench/decision.py
@@ -9,7 +9,7 @@
 from basilroad.entry.flight import Flight
 from basilroad.entry.generation import build_generation_id
 from basilroad.entry.identity import Identity
-from basilroad.entry.link import AgentLink
+from basilroad.entry.links.link import AgentLink
 from basilroad.entry.request import CompletionRequest
 from basilroad.entry.service import EntryService
 from basilroad.peers.address import Address
--- a/bench/roundrobin.py
+++ b/bench/roundrobin.py
@@ -15,7 +15,7 @@
 
     from basilroad.entry.dispatch import ModelQueue
     from basilroad.entry.flight import Flight
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
 
 _counter = itertools.count()
 
--- a/bench/uncorrected.py
+++ b/bench/uncorrected.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from basilroad.entry.link import AgentLink, EndpointView
+from basilroad.entry.links.link import AgentLink, EndpointView
 from basilroad.run import run
 
 if TYPE_CHECKING:
--- a/src/basilroad/entry/attempt.py
+++ b/src/basilroad/entry/attempt.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from basilroad.entry.link import AgentLink
+    from basilroad.entry.links.link import AgentLink
     from basilroad.peers.failreason import FailReason
 
 End = wire.Finished | wire.Failed
--- a/src/basilroad/entry/callhosts.py
+++ b/src/basilroad/entry/callhosts.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable, Collection
 
     from basilroad.coordination.hostrecords import HostRecords
-    from basilroad.entry.link import AgentLink
+    from basilroad.entry.links.link import AgentLink
 
 CALL_HOSTS_READ_INTERVAL_S = 30.0
 """Seconds between reads of the recorded hosts."""
--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls.py
@@ -13,7 +13,7 @@
 from basilroad.entry.idempotent import IdempotentRun
 from basilroad.entry.keyedcall import KeyedCall
 from basilroad.entry.keyedcallrunner import KeyedCallRunner
-from basilroad.entry.link import EndpointView, LinkLostError
+from basilroad.entry.links.link import EndpointView, LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, ServiceCall, read_answer, read_call
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.logs import Candidate, Decision, log_decision
--- a/src/basilroad/entry/context.py
+++ b/src/basilroad/entry/context.py
@@ -9,8 +9,8 @@
 
     from basilroad.backing.table import HttpTable
     from basilroad.entry.containment import Containment
-    from basilroad.entry.link import AgentLink, EndpointView
-    from basilroad.entry.linkcost import LinkCosts
+    from basilroad.entry.links.link import AgentLink, EndpointView
+    from basilroad.entry.links.linkcost import LinkCosts
     from basilroad.entry.servicecall import ServiceCall
     from basilroad.peers.address import Address
     from basilroad.peers.traffic import LinkMeter
--- a/src/basilroad/entry/demandreporter.py
+++ b/src/basilroad/entry/demandreporter.py
@@ -13,7 +13,7 @@
     from collections.abc import Callable, Iterable, Mapping
 
     from basilroad.entry.engineindex import EngineIndex
-    from basilroad.entry.link import AgentLink, EndpointView
+    from basilroad.entry.links.link import AgentLink, EndpointView
     from basilroad.entry.modelqueue import ModelQueue
 
 DEMAND_DELAY_S = 0.01
--- a/src/basilroad/entry/dispatch.py
+++ b/src/basilroad/entry/dispatch.py
@@ -28,7 +28,7 @@
 
     from basilroad.entry.duplicates import DuplicateTracker
     from basilroad.entry.flight import Flight
-    from basilroad.entry.link import AgentLink, EndpointView
+    from basilroad.entry.links.link import AgentLink, EndpointView
     from basilroad.settings.view import SettingsView
 
 ISOLATED_POLL_S = 0.1
--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/earliersend.py
@@ -12,7 +12,7 @@
 from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.table import TableError
 from basilroad.entry.callhosts import GONE_AGENT_WINDOW_S
-from basilroad.entry.link import LinkLostError
+from basilroad.entry.links.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
 from basilroad.peers.wire import peer_pb2 as wire
@@ -24,7 +24,7 @@
     from basilroad.coordination.claims import Claims
     from basilroad.entry.callhosts import CallHosts
     from basilroad.entry.keyedcall import KeyedCall
-    from basilroad.entry.link import AgentLink
+    from basilroad.entry.links.link import AgentLink
 
 REPLY_TIMEOUT_S = 1.0
 """Seconds to wait for an agent's reply."""
--- a/src/basilroad/entry/engineindex.py
+++ b/src/basilroad/entry/engineindex.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
 
 
 @attrs.frozen(cache_hash=True)
--- a/src/basilroad/entry/flight.py
+++ b/src/basilroad/entry/flight.py
@@ -25,7 +25,7 @@
     from contextlib import AbstractAsyncContextManager
 
     from basilroad.entry.generationrecorder import GenerationRecorder
-    from basilroad.entry.link import AgentLink, EndpointView
+    from basilroad.entry.links.link import AgentLink, EndpointView
     from basilroad.entry.request import CompletionRequest
 
 REFUSALS_MAX = 3
--- a/src/basilroad/entry/handlers.py
+++ b/src/basilroad/entry/handlers.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from basilroad.entry.dispatch import Dispatcher
-    from basilroad.entry.link import AgentLink
+    from basilroad.entry.links.link import AgentLink
     from basilroad.peers.exchange import SettingsExchange
 
 _LOGGER = logging.getLogger(__name__)
--- a/src/basilroad/entry/idempotent.py
+++ b/src/basilroad/entry/idempotent.py
@@ -5,14 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from basilroad.entry.link import LinkLostError
+from basilroad.entry.links.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, ServiceCall, read_answer
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
 
 if TYPE_CHECKING:
     from basilroad.coordination.budget import RetryBudget
     from basilroad.entry.context import CallSender
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
 
 AttemptTasks = set[asyncio.Task[ServiceAnswer]]
 
--- a/src/basilroad/entry/keyedcallrunner.py
+++ b/src/basilroad/entry/keyedcallrunner.py
@@ -27,7 +27,7 @@
 from basilroad.entry.callhosts import CallHosts
 from basilroad.entry.earliersend import EarlierSendCheck, build_key
 from basilroad.entry.keyedcall import KeyedCall
-from basilroad.entry.link import LinkLostError
+from basilroad.entry.links.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.logs import Decision, log_decision
@@ -36,7 +36,7 @@
 
 if TYPE_CHECKING:
     from basilroad.entry.context import CallSender
-    from basilroad.entry.link import AgentLink, EndpointView
+    from basilroad.entry.links.link import AgentLink, EndpointView
 
 HOLDER_GRACE_S = 0.3
 """Seconds that the holder of a claim is given to finish before its agent is asked."""
--- a/src/basilroad/entry/hostwatch.py
+++ b/src/basilroad/entry/links/hostwatch.py
@@ -12,7 +12,7 @@
     from collections.abc import Awaitable, Callable, Mapping
 
     from basilroad.backing.hosts import HostList
-    from basilroad.entry.link import AgentLink
+    from basilroad.entry.links.link import AgentLink
     from basilroad.peers.address import Address
 
 HOSTS_READ_INTERVAL_S = 1.0
--- a/src/basilroad/entry/link.py
+++ b/src/basilroad/entry/links/link.py
@@ -27,7 +27,7 @@
 
     from grpclib.client import Stream as ClientStream
 
-    from basilroad.entry.attemptreceiver import AttemptReceiver
+    from basilroad.entry.links.attemptreceiver import AttemptReceiver
     from basilroad.peers.address import Address
     from basilroad.settings.daemon import EntrySettings
 
--- a/src/basilroad/entry/linkcost.py
+++ b/src/basilroad/entry/links/linkcost.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
     from basilroad.settings.view import SettingsView
     from basilroad.world.link import Link
 
--- a/src/basilroad/entry/locationdirectory.py
+++ b/src/basilroad/entry/locationdirectory.py
@@ -13,13 +13,13 @@
 
 from basilroad.coordination.ring import HashRing
 from basilroad.entry.context import EntryContext
-from basilroad.entry.link import LinkLostError
+from basilroad.entry.links.link import LinkLostError
 from basilroad.peers.copykey import build_copies_key
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
     from basilroad.entry.flight import Flight
-    from basilroad.entry.link import AgentLink, EndpointView
+    from basilroad.entry.links.link import AgentLink, EndpointView
 
 REPLICA_COUNT = 2
 """Agents that store the location of one key."""
--- a/src/basilroad/entry/placement.py
+++ b/src/basilroad/entry/placement.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
 
 
 class VersionGoneError(Exception):
--- a/src/basilroad/entry/placementwait.py
+++ b/src/basilroad/entry/placementwait.py
@@ -14,7 +14,7 @@
     from collections.abc import Callable, Sequence
 
     from basilroad.entry.flight import Flight
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
     from basilroad.settings.view import SettingsView
 
 RESUME_TIMEOUT_S = 600.0
--- a/src/basilroad/entry/routing.py
+++ b/src/basilroad/entry/routing.py
@@ -14,8 +14,8 @@
     from collections.abc import Sequence
 
     from basilroad.entry.flight import Flight
-    from basilroad.entry.link import EndpointView
-    from basilroad.entry.linkcost import LinkCosts
+    from basilroad.entry.links.link import EndpointView
+    from basilroad.entry.links.linkcost import LinkCosts
     from basilroad.entry.prefixes import PrefixIndex
 
 FULL_LOAD_COST_S = 0.3
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -24,10 +24,10 @@
 from basilroad.entry.generation import build_generation_id, read_key
 from basilroad.entry.generationrecorder import GenerationRecorder
 from basilroad.entry.handlers import handle_message
-from basilroad.entry.hostwatch import HOSTS_READ_INTERVAL_S, HostWatch
 from basilroad.entry.http import HttpServer
-from basilroad.entry.link import AgentLink
-from basilroad.entry.linkcost import LinkCosts
+from basilroad.entry.links.hostwatch import HOSTS_READ_INTERVAL_S, HostWatch
+from basilroad.entry.links.link import AgentLink
+from basilroad.entry.links.linkcost import LinkCosts
 from basilroad.entry.locationdirectory import REFRESH_INTERVAL_S, LocationDirectory
 from basilroad.entry.quarantine import Quarantine
 from basilroad.entry.takeover import Takeover
--- a/src/basilroad/entry/spillover.py
+++ b/src/basilroad/entry/spillover.py
@@ -9,8 +9,8 @@
     from collections.abc import Callable, Sequence
 
     from basilroad.entry.flight import Flight
-    from basilroad.entry.link import EndpointView
-    from basilroad.entry.linkcost import LinkCosts
+    from basilroad.entry.links.link import EndpointView
+    from basilroad.entry.links.linkcost import LinkCosts
     from basilroad.entry.modelqueue import ModelQueue
     from basilroad.settings.view import SettingsView
 
--- a/src/basilroad/entry/takeover.py
+++ b/src/basilroad/entry/takeover.py
@@ -9,7 +9,7 @@
 
 from basilroad.entry.flight import Flight, FlightContext
 from basilroad.entry.identity import Identity
-from basilroad.entry.link import LinkLostError
+from basilroad.entry.links.link import LinkLostError
 from basilroad.entry.request import CompletionRequest
 from basilroad.errors import ErrorKind, refuse
 from basilroad.logs import Decision, log_decision
@@ -17,7 +17,7 @@
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
-    from basilroad.entry.link import AgentLink
+    from basilroad.entry.links.link import AgentLink
     from basilroad.entry.locationdirectory import LocationDirectory
 
 ATTACH_TIMEOUT_S = 1.0
--- a/src/basilroad/placement/commands.py
+++ b/src/basilroad/placement/commands.py
@@ -7,14 +7,14 @@
 
 import attrs
 
-from basilroad.entry.link import LinkLostError
+from basilroad.entry.links.link import LinkLostError
 from basilroad.errors import ErrorKind
 from basilroad.logs import Decision, log_decision
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
     from basilroad.coordination.lease import Lease
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
     from basilroad.placement.plan import Change
 
 REPLY_TIMEOUT_S = 2.0
--- a/src/basilroad/placement/service.py
+++ b/src/basilroad/placement/service.py
@@ -25,7 +25,7 @@
 
     from basilroad.coordination.table import Table
     from basilroad.entry.context import EntryContext
-    from basilroad.entry.link import EndpointView
+    from basilroad.entry.links.link import EndpointView
     from basilroad.placement.plan import Change
     from basilroad.settings.view import SettingsView
     from basilroad.world.model import Model
--- a/tests/entry/test_hostwatch.py
+++ b/tests/entry/links/test_hostwatch.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 from basilroad.backing.hosts import HostListError, ListedHost
-from basilroad.entry.hostwatch import HostWatch
+from basilroad.entry.links.hostwatch import HostWatch
 from basilroad.peers.address import Address, parse_address
 
 
--- a/tests/entry/test_link.py
+++ b/tests/entry/links/test_link.py
@@ -8,7 +8,7 @@
 
 from basilroad.agent.handlers import handle_message
 from basilroad.agent.link import REMOTE_FLUSH_S, EntryLink
-from basilroad.entry.link import IDLE_TIMEOUT_FACTOR, AgentLink
+from basilroad.entry.links.link import IDLE_TIMEOUT_FACTOR, AgentLink
 from basilroad.metrics import Metrics
 from basilroad.peers.address import parse_address
 from basilroad.peers.traffic import LinkMeter
--- a/tests/entry/test_linkcost.py
+++ b/tests/entry/links/test_linkcost.py
@@ -9,8 +9,8 @@
 
 from basilroad.entry.dispatch import ModelQueue
 from basilroad.entry.flight import Flight
-from basilroad.entry.link import EndpointView
-from basilroad.entry.linkcost import LinkCosts, RegionLink
+from basilroad.entry.links.link import EndpointView
+from basilroad.entry.links.linkcost import LinkCosts, RegionLink
 from basilroad.entry.spillover import LOCAL_WAIT_MIN_S, SpilloverPolicy
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.settings.view import SettingsView
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -12,8 +12,8 @@
 from basilroad.entry.duplicates import DuplicateTracker
 from basilroad.entry.flight import Flight
 from basilroad.entry.identity import Identity
-from basilroad.entry.link import EndpointView
-from basilroad.entry.linkcost import LinkCosts
+from basilroad.entry.links.link import EndpointView
+from basilroad.entry.links.linkcost import LinkCosts
 from basilroad.entry.request import read_request
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.settings.store import SettingsStore
--- a/tests/entry/test_earliersend.py
+++ b/tests/entry/test_earliersend.py
@@ -14,7 +14,7 @@
 from basilroad.entry.earliersend import EarlierSendCheck
 from basilroad.entry.identity import Identity
 from basilroad.entry.keyedcall import KeyedCall
-from basilroad.entry.link import AgentLink, LinkLostError
+from basilroad.entry.links.link import AgentLink, LinkLostError
 from basilroad.entry.servicecall import ServiceCall
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
 from basilroad.peers.address import parse_address
@@ -80,7 +80,7 @@
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Clock:
     clock = Clock()
-    monkeypatch.setattr("basilroad.entry.link.time.monotonic", clock)
+    monkeypatch.setattr("basilroad.entry.links.link.time.monotonic", clock)
     return clock
 
 
--- a/tests/entry/test_flight.py
+++ b/tests/entry/test_flight.py
@@ -13,8 +13,8 @@
 from basilroad.entry.containment import Containment
 from basilroad.entry.flight import Flight
 from basilroad.entry.identity import Identity
-from basilroad.entry.link import EndpointView
-from basilroad.entry.linkcost import LinkCosts
+from basilroad.entry.links.link import EndpointView
+from basilroad.entry.links.linkcost import LinkCosts
 from basilroad.entry.placement import Placement
 from basilroad.entry.placementwait import fits
 from basilroad.entry.request import read_request
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -11,7 +11,7 @@
 
 from basilroad.backing.hosts import ListedHost
 from basilroad.clocks import read_boot_clock
-from basilroad.entry.link import EndpointView
+from basilroad.entry.links.link import EndpointView
 from basilroad.entry.service import EntryService
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.settings.daemon import DaemonSettings, EntrySettings
--- a/tests/placement/test_commands.py
+++ b/tests/placement/test_commands.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from basilroad.entry.link import EndpointView, LinkLostError
+from basilroad.entry.links.link import EndpointView, LinkLostError
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.placement.commands import LEASE_NOT_HELD, CommandSender
 from basilroad.placement.plan import Action, Change
--- a/tests/placement/test_service.py
+++ b/tests/placement/test_service.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from basilroad.entry.link import EndpointView
+from basilroad.entry.links.link import EndpointView
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.placement.service import Planner
 from basilroad.settings.view import SettingsView
