--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls.py
@@ -11,8 +11,8 @@
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
 from basilroad.entry.idempotent import IdempotentRun
-from basilroad.entry.keyedcall import KeyedCall
-from basilroad.entry.keyedcallrunner import KeyedCallRunner
+from basilroad.entry.keyedcalls.keyedcall import KeyedCall
+from basilroad.entry.keyedcalls.keyedcallrunner import KeyedCallRunner
 from basilroad.entry.links.link import EndpointView, LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, ServiceCall, read_answer, read_call
 from basilroad.errors import ErrorKind, RefusedError, refuse
--- /dev/null
+++ b/src/basilroad/entry/keyedcalls/__init__.py
@@ -0,0 +1,3 @@
+"""Non-idempotent calls with an idempotency key: execution at most once, and earlier sends."""
+
+from __future__ import annotations
--- a/src/basilroad/entry/earliersend.py
+++ b/src/basilroad/entry/keyedcalls/earliersend.py
@@ -11,7 +11,7 @@
 from basilroad.coordination.claim import ClaimState, build_path
 from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.table import TableError
-from basilroad.entry.callhosts import GONE_AGENT_WINDOW_S
+from basilroad.entry.keyedcalls.callhosts import GONE_AGENT_WINDOW_S
 from basilroad.entry.links.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
@@ -22,8 +22,8 @@
 
     from basilroad.coordination.claim import Claim
     from basilroad.coordination.claims import Claims
-    from basilroad.entry.callhosts import CallHosts
-    from basilroad.entry.keyedcall import KeyedCall
+    from basilroad.entry.keyedcalls.callhosts import CallHosts
+    from basilroad.entry.keyedcalls.keyedcall import KeyedCall
     from basilroad.entry.links.link import AgentLink
 
 REPLY_TIMEOUT_S = 1.0
--- a/src/basilroad/entry/keyedcallrunner.py
+++ b/src/basilroad/entry/keyedcalls/keyedcallrunner.py
@@ -24,9 +24,9 @@
 from basilroad.coordination.claimsettings import ClaimsSettings
 from basilroad.coordination.hostrecords import HostRecords
 from basilroad.coordination.table import TableError
-from basilroad.entry.callhosts import CallHosts
-from basilroad.entry.earliersend import EarlierSendCheck, build_key
-from basilroad.entry.keyedcall import KeyedCall
+from basilroad.entry.keyedcalls.callhosts import CallHosts
+from basilroad.entry.keyedcalls.earliersend import EarlierSendCheck, build_key
+from basilroad.entry.keyedcalls.keyedcall import KeyedCall
 from basilroad.entry.links.link import LinkLostError
 from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import ErrorKind, RefusedError, refuse
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -15,7 +15,6 @@
 from basilroad.backing.hosts import HttpHostList
 from basilroad.backing.table import HttpTable
 from basilroad.coordination.timer import Timer
-from basilroad.entry.callhosts import CALL_HOSTS_READ_INTERVAL_S
 from basilroad.entry.calls import ServiceCaller
 from basilroad.entry.containment import Containment
 from basilroad.entry.dispatch import Dispatcher
@@ -25,6 +24,7 @@
 from basilroad.entry.generationrecorder import GenerationRecorder
 from basilroad.entry.handlers import handle_message
 from basilroad.entry.http import HttpServer
+from basilroad.entry.keyedcalls.callhosts import CALL_HOSTS_READ_INTERVAL_S
 from basilroad.entry.links.hostwatch import HOSTS_READ_INTERVAL_S, HostWatch
 from basilroad.entry.links.link import AgentLink
 from basilroad.entry.links.linkcost import LinkCosts
