--- a/src/basilroad/entry/calls.py
+++ b/src/basilroad/entry/calls/calls.py
@@ -10,11 +10,11 @@
 from mode import Service
 
 from basilroad.coordination.budget import RetryBudget, RetrySettings
-from basilroad.entry.idempotent import IdempotentRun
+from basilroad.entry.calls.idempotent import IdempotentRun
+from basilroad.entry.calls.servicecall import ServiceAnswer, ServiceCall, read_answer, read_call
 from basilroad.entry.keyedcalls.keyedcall import KeyedCall
 from basilroad.entry.keyedcalls.keyedcallrunner import KeyedCallRunner
 from basilroad.entry.links.link import EndpointView, LinkLostError
-from basilroad.entry.servicecall import ServiceAnswer, ServiceCall, read_answer, read_call
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.logs import Candidate, Decision, log_decision
 from basilroad.peers.wire import peer_pb2 as wire
--- a/src/basilroad/entry/idempotent.py
+++ b/src/basilroad/entry/calls/idempotent.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from basilroad.entry.calls.servicecall import ServiceAnswer, ServiceCall, read_answer
 from basilroad.entry.links.link import LinkLostError
-from basilroad.entry.servicecall import ServiceAnswer, ServiceCall, read_answer
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
 
 if TYPE_CHECKING:
--- a/src/basilroad/entry/context.py
+++ b/src/basilroad/entry/context.py
@@ -8,10 +8,10 @@
     from collections.abc import Sequence
 
     from basilroad.backing.table import HttpTable
+    from basilroad.entry.calls.servicecall import ServiceCall
     from basilroad.entry.containment import Containment
     from basilroad.entry.links.link import AgentLink, EndpointView
     from basilroad.entry.links.linkcost import LinkCosts
-    from basilroad.entry.servicecall import ServiceCall
     from basilroad.peers.address import Address
     from basilroad.peers.traffic import LinkMeter
     from basilroad.peers.wire import peer_pb2 as wire
--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -28,7 +28,7 @@
 
     from aiohttp.typedefs import Handler
 
-    from basilroad.entry.calls import ServiceCaller
+    from basilroad.entry.calls.calls import ServiceCaller
     from basilroad.entry.flight import Flight
     from basilroad.entry.identity import Identity
     from basilroad.entry.request import CompletionRequest
--- a/src/basilroad/entry/keyedcalls/earliersend.py
+++ b/src/basilroad/entry/keyedcalls/earliersend.py
@@ -11,9 +11,9 @@
 from basilroad.coordination.claim import ClaimState, build_path
 from basilroad.coordination.decoding import DecodeError
 from basilroad.coordination.table import TableError
+from basilroad.entry.calls.servicecall import ServiceAnswer, read_answer
 from basilroad.entry.keyedcalls.callhosts import GONE_AGENT_WINDOW_S
 from basilroad.entry.links.link import LinkLostError
-from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
 from basilroad.peers.wire import peer_pb2 as wire
 
--- a/src/basilroad/entry/keyedcalls/keyedcall.py
+++ b/src/basilroad/entry/keyedcalls/keyedcall.py
@@ -6,8 +6,8 @@
 
 import attrs
 
+from basilroad.entry.calls.servicecall import ServiceCall
 from basilroad.entry.identity import Identity
-from basilroad.entry.servicecall import ServiceCall
 
 
 @attrs.frozen
--- a/src/basilroad/entry/keyedcalls/keyedcallrunner.py
+++ b/src/basilroad/entry/keyedcalls/keyedcallrunner.py
@@ -24,11 +24,11 @@
 from basilroad.coordination.claimsettings import ClaimsSettings
 from basilroad.coordination.hostrecords import HostRecords
 from basilroad.coordination.table import TableError
+from basilroad.entry.calls.servicecall import ServiceAnswer, read_answer
 from basilroad.entry.keyedcalls.callhosts import CallHosts
 from basilroad.entry.keyedcalls.earliersend import EarlierSendCheck, build_key
 from basilroad.entry.keyedcalls.keyedcall import KeyedCall
 from basilroad.entry.links.link import LinkLostError
-from basilroad.entry.servicecall import ServiceAnswer, read_answer
 from basilroad.errors import ErrorKind, RefusedError, refuse
 from basilroad.logs import Decision, log_decision
 from basilroad.peers.address import parse_address
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -15,7 +15,7 @@
 from basilroad.backing.hosts import HttpHostList
 from basilroad.backing.table import HttpTable
 from basilroad.coordination.timer import Timer
-from basilroad.entry.calls import ServiceCaller
+from basilroad.entry.calls.calls import ServiceCaller
 from basilroad.entry.containment import Containment
 from basilroad.entry.dispatch import Dispatcher
 from basilroad.entry.duplicates import DuplicateTracker
--- a/tests/entry/test_calls.py
+++ b/tests/entry/calls/test_calls.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from basilroad.entry.calls import ServiceCaller
+from basilroad.entry.calls.calls import ServiceCaller
+from basilroad.entry.calls.servicecall import ServiceCall
 from basilroad.entry.links.link import EndpointView, LinkLostError
-from basilroad.entry.servicecall import ServiceCall
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.world.contract import Contract
 
--- a/tests/entry/test_servicecall.py
+++ b/tests/entry/calls/test_servicecall.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from basilroad.entry.servicecall import read_call
+from basilroad.entry.calls.servicecall import read_call
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.settings.view import SettingsView
 
--- a/tests/entry/keyedcalls/test_earliersend.py
+++ b/tests/entry/keyedcalls/test_earliersend.py
@@ -10,12 +10,12 @@
 from fake_table import FakeTable
 
 from basilroad.coordination.hostrecords import HostRecords
+from basilroad.entry.calls.servicecall import ServiceCall
 from basilroad.entry.identity import Identity
 from basilroad.entry.keyedcalls.callhosts import GONE_AGENT_WINDOW_S, CallHosts
 from basilroad.entry.keyedcalls.earliersend import EarlierSendCheck
 from basilroad.entry.keyedcalls.keyedcall import KeyedCall
 from basilroad.entry.links.link import AgentLink, LinkLostError
-from basilroad.entry.servicecall import ServiceCall
 from basilroad.errors import Effect, ErrorKind, RefusedError, refuse
 from basilroad.peers.address import parse_address
 from basilroad.peers.wire import peer_pb2 as wire
