Move the generations of the entry into a package of their own

Pure move: flight, attempt, generation, generationrecorder, request, startmessage, answers, takeover, locationdirectory, duplicates, containment and quarantine with their tests.

--- a/bench/decision.py
+++ b/bench/decision.py
@@ -6,11 +6,11 @@
 import logging
 import time
 
-from basilroad.entry.flight import Flight
-from basilroad.entry.generation import build_generation_id
+from basilroad.entry.generations.flight import Flight
+from basilroad.entry.generations.generation import build_generation_id
+from basilroad.entry.generations.request import CompletionRequest
 from basilroad.entry.identity import Identity
 from basilroad.entry.links.link import AgentLink
-from basilroad.entry.request import CompletionRequest
 from basilroad.entry.service import EntryService
 from basilroad.peers.address import Address
 from basilroad.peers.wire import peer_pb2 as wire
--- a/bench/roundrobin.py
+++ b/bench/roundrobin.py
@@ -14,7 +14,7 @@
     from collections.abc import Sequence
 
     from basilroad.entry.dispatch import ModelQueue
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import EndpointView
 
 _counter = itertools.count()
--- a/src/basilroad/entry/admission.py
+++ b/src/basilroad/entry/admission.py
@@ -10,7 +10,7 @@
 from basilroad.errors import ErrorKind, refuse
 
 if TYPE_CHECKING:
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.modelqueue import ModelQueue, QueuedRequest
     from basilroad.settings.store import SettingsStore
 
--- a/src/basilroad/entry/context.py
+++ b/src/basilroad/entry/context.py
@@ -9,7 +9,7 @@
 
     from basilroad.backing.table import HttpTable
     from basilroad.entry.calls.servicecall import ServiceCall
-    from basilroad.entry.containment import Containment
+    from basilroad.entry.generations.containment import Containment
     from basilroad.entry.links.link import AgentLink, EndpointView
     from basilroad.entry.links.linkcost import LinkCosts
     from basilroad.peers.address import Address
--- a/src/basilroad/entry/dispatch.py
+++ b/src/basilroad/entry/dispatch.py
@@ -26,8 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from basilroad.entry.duplicates import DuplicateTracker
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.duplicates import DuplicateTracker
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import AgentLink, EndpointView
     from basilroad.settings.view import SettingsView
 
--- a/src/basilroad/entry/answers.py
+++ b/src/basilroad/entry/generations/answers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.errors import Refusal
 
 DONE = b"data: [DONE]\n\n"
--- a/src/basilroad/entry/duplicates.py
+++ b/src/basilroad/entry/generations/duplicates.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
 
 
 class DuplicateTracker:
--- a/src/basilroad/entry/flight.py
+++ b/src/basilroad/entry/generations/flight.py
@@ -11,12 +11,12 @@
 from basilroad.coordination.observable import Observable
 from basilroad.coordination.poison import PoisonMark
 from basilroad.coordination.sequence import Gap, TokenSequence
-from basilroad.entry.attempt import Attempt
 from basilroad.entry.context import EntryContext
-from basilroad.entry.generation import Usage, build_generation_id
+from basilroad.entry.generations.attempt import Attempt
+from basilroad.entry.generations.generation import Usage, build_generation_id
+from basilroad.entry.generations.startmessage import build_start_message, read_request
 from basilroad.entry.identity import Identity
 from basilroad.entry.placement import Placement, VersionGoneError
-from basilroad.entry.startmessage import build_start_message, read_request
 from basilroad.errors import Effect, ErrorKind, Refusal, RefusedError, refuse
 from basilroad.peers.failreason import ENDPOINT_DEATH_REASONS, NOT_STARTED_REASONS, FailReason
 from basilroad.peers.wire import peer_pb2 as wire
@@ -24,9 +24,9 @@
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
 
-    from basilroad.entry.generationrecorder import GenerationRecorder
+    from basilroad.entry.generations.generationrecorder import GenerationRecorder
+    from basilroad.entry.generations.request import CompletionRequest
     from basilroad.entry.links.link import AgentLink, EndpointView
-    from basilroad.entry.request import CompletionRequest
 
 REFUSALS_MAX = 3
 """Refusals by engines after which the request fails."""
--- a/src/basilroad/entry/locationdirectory.py
+++ b/src/basilroad/entry/generations/locationdirectory.py
@@ -18,7 +18,7 @@
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import AgentLink, EndpointView
 
 REPLICA_COUNT = 2
--- a/src/basilroad/entry/quarantine.py
+++ b/src/basilroad/entry/generations/quarantine.py
@@ -13,9 +13,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from basilroad.entry.containment import Containment
-    from basilroad.entry.flight import Flight
-    from basilroad.entry.locationdirectory import LocationDirectory
+    from basilroad.entry.generations.containment import Containment
+    from basilroad.entry.generations.flight import Flight
+    from basilroad.entry.generations.locationdirectory import LocationDirectory
 
 HOLDER_TIMEOUT_S = 10.0
 """Age of a record at which its holder is considered lost."""
--- a/src/basilroad/entry/startmessage.py
+++ b/src/basilroad/entry/generations/startmessage.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from basilroad.entry.generations.request import CompletionRequest
 from basilroad.entry.identity import Identity
-from basilroad.entry.request import CompletionRequest
 from basilroad.peers.wire import peer_pb2 as wire
 
 
--- a/src/basilroad/entry/takeover.py
+++ b/src/basilroad/entry/generations/takeover.py
@@ -7,18 +7,18 @@
 import uuid
 from typing import TYPE_CHECKING, Protocol
 
-from basilroad.entry.flight import Flight, FlightContext
+from basilroad.entry.generations.flight import Flight, FlightContext
+from basilroad.entry.generations.request import CompletionRequest
 from basilroad.entry.identity import Identity
 from basilroad.entry.links.link import LinkLostError
-from basilroad.entry.request import CompletionRequest
 from basilroad.errors import ErrorKind, refuse
 from basilroad.logs import Decision, log_decision
 from basilroad.peers.address import parse_address
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
+    from basilroad.entry.generations.locationdirectory import LocationDirectory
     from basilroad.entry.links.link import AgentLink
-    from basilroad.entry.locationdirectory import LocationDirectory
 
 ATTACH_TIMEOUT_S = 1.0
 """Timeout for connecting to an agent or attaching to a generation on it."""
--- a/src/basilroad/entry/http.py
+++ b/src/basilroad/entry/http.py
@@ -11,10 +11,10 @@
 from aiohttp import web
 from mode import Service
 
-from basilroad.entry import answers
 from basilroad.entry.context import EntryContext
+from basilroad.entry.generations import answers
+from basilroad.entry.generations.request import read_request
 from basilroad.entry.identity import KEY_HEADER, read_identity
-from basilroad.entry.request import read_request
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
 from basilroad.http.apprunner import CallerAppRunner
 from basilroad.http.connections import CallerServerSettings
@@ -29,9 +29,9 @@
     from aiohttp.typedefs import Handler
 
     from basilroad.entry.calls.calls import ServiceCaller
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
+    from basilroad.entry.generations.request import CompletionRequest
     from basilroad.entry.identity import Identity
-    from basilroad.entry.request import CompletionRequest
     from basilroad.metrics import Metrics
 
 RESTART_HEADER = "X-Restart"
--- a/src/basilroad/entry/modelqueue.py
+++ b/src/basilroad/entry/modelqueue.py
@@ -14,7 +14,7 @@
 from basilroad.coordination.fairqueue import FairQueue
 
 if TYPE_CHECKING:
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.placement import Placement
 
 RATE_WINDOW_S = 2.5
--- a/src/basilroad/entry/placementwait.py
+++ b/src/basilroad/entry/placementwait.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import EndpointView
     from basilroad.settings.view import SettingsView
 
--- a/src/basilroad/entry/routing.py
+++ b/src/basilroad/entry/routing.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import EndpointView
     from basilroad.entry.links.linkcost import LinkCosts
     from basilroad.entry.prefixes import PrefixIndex
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -16,21 +16,21 @@
 from basilroad.backing.table import HttpTable
 from basilroad.coordination.timer import Timer
 from basilroad.entry.calls.calls import ServiceCaller
-from basilroad.entry.containment import Containment
 from basilroad.entry.dispatch import Dispatcher
-from basilroad.entry.duplicates import DuplicateTracker
-from basilroad.entry.flight import Flight
-from basilroad.entry.generation import build_generation_id, read_key
-from basilroad.entry.generationrecorder import GenerationRecorder
+from basilroad.entry.generations.containment import Containment
+from basilroad.entry.generations.duplicates import DuplicateTracker
+from basilroad.entry.generations.flight import Flight
+from basilroad.entry.generations.generation import build_generation_id, read_key
+from basilroad.entry.generations.generationrecorder import GenerationRecorder
+from basilroad.entry.generations.locationdirectory import REFRESH_INTERVAL_S, LocationDirectory
+from basilroad.entry.generations.quarantine import Quarantine
+from basilroad.entry.generations.takeover import Takeover
 from basilroad.entry.handlers import handle_message
 from basilroad.entry.http import HttpServer
 from basilroad.entry.keyedcalls.callhosts import CALL_HOSTS_READ_INTERVAL_S
 from basilroad.entry.links.hostwatch import HOSTS_READ_INTERVAL_S, HostWatch
 from basilroad.entry.links.link import AgentLink
 from basilroad.entry.links.linkcost import LinkCosts
-from basilroad.entry.locationdirectory import REFRESH_INTERVAL_S, LocationDirectory
-from basilroad.entry.quarantine import Quarantine
-from basilroad.entry.takeover import Takeover
 from basilroad.errors import ErrorKind, Refusal, refuse
 from basilroad.metrics import Metrics
 from basilroad.peers.address import Address, parse_address
@@ -50,8 +50,8 @@
 
     from mode.types import ServiceT
 
+    from basilroad.entry.generations.request import CompletionRequest
     from basilroad.entry.identity import Identity
-    from basilroad.entry.request import CompletionRequest
     from basilroad.settings.daemon import DaemonSettings
 
 UNREACHABLE_GRACE_S = 10.0
--- a/src/basilroad/entry/spillover.py
+++ b/src/basilroad/entry/spillover.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from basilroad.entry.flight import Flight
+    from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import EndpointView
     from basilroad.entry.links.linkcost import LinkCosts
     from basilroad.entry.modelqueue import ModelQueue
--- a/tests/coordination/test_decoding.py
+++ b/tests/coordination/test_decoding.py
@@ -76,7 +76,7 @@
 # a caller's body that can't be read must be answered 400
 @pytest.mark.parametrize("data", NESTED)
 def test_a_request_body_nested_too_deeply_is_refused(data: bytes) -> None:
-    from basilroad.entry.request import read_request
+    from basilroad.entry.generations.request import read_request
 
     with pytest.raises(RefusedError) as caught:
         read_request(data, chat=False)
--- a/tests/entry/test_containment.py
+++ b/tests/entry/generations/test_containment.py
@@ -5,7 +5,7 @@
 import pytest
 
 from basilroad.coordination.poison import PoisonMark
-from basilroad.entry.containment import Containment
+from basilroad.entry.generations.containment import Containment
 from basilroad.errors import ErrorKind, RefusedError
 from basilroad.peers.wire import peer_pb2 as wire
 
--- a/tests/entry/test_locationdirectory.py
+++ b/tests/entry/generations/test_locationdirectory.py
@@ -9,8 +9,12 @@
 import pytest
 
 from basilroad.agent.directory import RETAIN_S, GenerationDirectory
-from basilroad.entry.generation import build_generation_id
-from basilroad.entry.locationdirectory import ENDED_TTL_S, REFRESH_INTERVAL_S, LocationDirectory
+from basilroad.entry.generations.generation import build_generation_id
+from basilroad.entry.generations.locationdirectory import (
+    ENDED_TTL_S,
+    REFRESH_INTERVAL_S,
+    LocationDirectory,
+)
 from basilroad.peers.address import Address
 from basilroad.peers.wire import peer_pb2 as wire
 
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/generations/test_quarantine.py
@@ -8,9 +8,9 @@
 import pytest
 
 from basilroad.coordination.poison import PoisonMark
-from basilroad.entry import quarantine
-from basilroad.entry.containment import Containment
-from basilroad.entry.quarantine import Quarantine
+from basilroad.entry.generations import quarantine
+from basilroad.entry.generations.containment import Containment
+from basilroad.entry.generations.quarantine import Quarantine
 from basilroad.errors import ErrorKind, RefusedError
 from basilroad.peers.wire import peer_pb2 as wire
 
--- a/tests/entry/links/test_linkcost.py
+++ b/tests/entry/links/test_linkcost.py
@@ -8,7 +8,7 @@
 import pytest
 
 from basilroad.entry.dispatch import ModelQueue
-from basilroad.entry.flight import Flight
+from basilroad.entry.generations.flight import Flight
 from basilroad.entry.links.link import EndpointView
 from basilroad.entry.links.linkcost import LinkCosts, RegionLink
 from basilroad.entry.spillover import LOCAL_WAIT_MIN_S, SpilloverPolicy
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from basilroad.entry.containment import Containment
 from basilroad.entry.dispatch import Dispatcher
-from basilroad.entry.duplicates import DuplicateTracker
-from basilroad.entry.flight import Flight
+from basilroad.entry.generations.containment import Containment
+from basilroad.entry.generations.duplicates import DuplicateTracker
+from basilroad.entry.generations.flight import Flight
+from basilroad.entry.generations.request import read_request
 from basilroad.entry.identity import Identity
 from basilroad.entry.links.link import EndpointView
 from basilroad.entry.links.linkcost import LinkCosts
-from basilroad.entry.request import read_request
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.settings.store import SettingsStore
 from support.timelimit import limit_time
--- a/tests/entry/test_unfinished_flights.py
+++ b/tests/entry/test_unfinished_flights.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from basilroad.entry.flight import Flight
+from basilroad.entry.generations.flight import Flight
 from basilroad.entry.service import EntryService
 from basilroad.settings.daemon import DaemonSettings, EntrySettings
 from support.addresses import find_free_port
--- a/tests/integration/test_waiting_keys.py
+++ b/tests/integration/test_waiting_keys.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from basilroad.entry.locationdirectory import NEW_AGENT_S
+from basilroad.entry.generations.locationdirectory import NEW_AGENT_S
 from support.callers import StreamedAnswer, stream_completion
 from support.fleet import Fleet, Process
 
