Move the dispatch of the entry into a package of its own

Pure move: dispatch, admission, modelqueue, engineindex, demandreporter, placement, placementwait, prefixes, routing and spillover with their tests.

--- a/bench/prefix.py
+++ b/bench/prefix.py
@@ -12,7 +12,7 @@
 import tracemalloc
 from pathlib import Path
 
-from basilroad.entry.prefixes import PREFIXES_MAX, PrefixIndex
+from basilroad.entry.dispatch.prefixes import PREFIXES_MAX, PrefixIndex
 from basilroad.world.prefix import BLOCK_WORDS, SAMPLE_EVERY
 from bench.traffic import Load, MetricsSink, Outcome, apply_loads, find_quantile
 from support.background import Background
--- a/bench/roundrobin.py
+++ b/bench/roundrobin.py
@@ -5,15 +5,15 @@
 import itertools
 from typing import TYPE_CHECKING
 
-from basilroad.entry.routing import Scorer
-from basilroad.entry.spillover import SpilloverPolicy
+from basilroad.entry.dispatch.routing import Scorer
+from basilroad.entry.dispatch.spillover import SpilloverPolicy
 from basilroad.logs import Candidate
 from basilroad.run import run
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from basilroad.entry.dispatch import ModelQueue
+    from basilroad.entry.dispatch.dispatch import ModelQueue
     from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import EndpointView
 
--- /dev/null
+++ b/src/basilroad/entry/dispatch/__init__.py
@@ -0,0 +1,3 @@
+"""Assignment of attempts to endpoints: queues, admission, scores, and other regions."""
+
+from __future__ import annotations
--- a/src/basilroad/entry/admission.py
+++ b/src/basilroad/entry/dispatch/admission.py
@@ -10,8 +10,8 @@
 from basilroad.errors import ErrorKind, refuse
 
 if TYPE_CHECKING:
+    from basilroad.entry.dispatch.modelqueue import ModelQueue, QueuedRequest
     from basilroad.entry.generations.flight import Flight
-    from basilroad.entry.modelqueue import ModelQueue, QueuedRequest
     from basilroad.settings.store import SettingsStore
 
 RETRY_MIN_S = 1
--- a/src/basilroad/entry/demandreporter.py
+++ b/src/basilroad/entry/dispatch/demandreporter.py
@@ -12,9 +12,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from basilroad.entry.engineindex import EngineIndex
+    from basilroad.entry.dispatch.engineindex import EngineIndex
+    from basilroad.entry.dispatch.modelqueue import ModelQueue
     from basilroad.entry.links.link import AgentLink, EndpointView
-    from basilroad.entry.modelqueue import ModelQueue
 
 DEMAND_DELAY_S = 0.01
 """Delay within which changes of the queues are batched into one report."""
--- a/src/basilroad/entry/dispatch.py
+++ b/src/basilroad/entry/dispatch/dispatch.py
@@ -8,16 +8,16 @@
 from typing import TYPE_CHECKING, Protocol
 
 from basilroad.coordination.fairpolicy import Flow
-from basilroad.entry.admission import Admission
 from basilroad.entry.context import EntryContext
-from basilroad.entry.demandreporter import DemandReporter
-from basilroad.entry.engineindex import EngineIndex
-from basilroad.entry.modelqueue import ModelQueue, QueuedRequest
-from basilroad.entry.placement import Placement
-from basilroad.entry.placementwait import RESUME_TIMEOUT_S, PlacementWaiter, fits
-from basilroad.entry.prefixes import PrefixIndex
-from basilroad.entry.routing import Scorer, log_route
-from basilroad.entry.spillover import SpilloverPolicy
+from basilroad.entry.dispatch.admission import Admission
+from basilroad.entry.dispatch.demandreporter import DemandReporter
+from basilroad.entry.dispatch.engineindex import EngineIndex
+from basilroad.entry.dispatch.modelqueue import ModelQueue, QueuedRequest
+from basilroad.entry.dispatch.placement import Placement
+from basilroad.entry.dispatch.placementwait import RESUME_TIMEOUT_S, PlacementWaiter, fits
+from basilroad.entry.dispatch.prefixes import PrefixIndex
+from basilroad.entry.dispatch.routing import Scorer, log_route
+from basilroad.entry.dispatch.spillover import SpilloverPolicy
 from basilroad.errors import ErrorKind, refuse
 from basilroad.logs import Decision, log_decision
 from basilroad.peers.wire import peer_pb2 as wire
--- a/src/basilroad/entry/modelqueue.py
+++ b/src/basilroad/entry/dispatch/modelqueue.py
@@ -14,8 +14,8 @@
 from basilroad.coordination.fairqueue import FairQueue
 
 if TYPE_CHECKING:
+    from basilroad.entry.dispatch.placement import Placement
     from basilroad.entry.generations.flight import Flight
-    from basilroad.entry.placement import Placement
 
 RATE_WINDOW_S = 2.5
 """Time constant of the average served rate."""
--- a/src/basilroad/entry/placementwait.py
+++ b/src/basilroad/entry/dispatch/placementwait.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from basilroad.entry.placement import Placement, VersionGoneError
+from basilroad.entry.dispatch.placement import Placement, VersionGoneError
 from basilroad.errors import ErrorKind
 
 if TYPE_CHECKING:
--- a/src/basilroad/entry/routing.py
+++ b/src/basilroad/entry/dispatch/routing.py
@@ -13,10 +13,10 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from basilroad.entry.dispatch.prefixes import PrefixIndex
     from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import EndpointView
     from basilroad.entry.links.linkcost import LinkCosts
-    from basilroad.entry.prefixes import PrefixIndex
 
 FULL_LOAD_COST_S = 0.3
 """Score penalty of a full endpoint over an idle one, in seconds."""
--- a/src/basilroad/entry/spillover.py
+++ b/src/basilroad/entry/dispatch/spillover.py
@@ -8,10 +8,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from basilroad.entry.dispatch.modelqueue import ModelQueue
     from basilroad.entry.generations.flight import Flight
     from basilroad.entry.links.link import EndpointView
     from basilroad.entry.links.linkcost import LinkCosts
-    from basilroad.entry.modelqueue import ModelQueue
     from basilroad.settings.view import SettingsView
 
 LOCAL_WAIT_MIN_S = 0.3
--- a/src/basilroad/entry/generations/flight.py
+++ b/src/basilroad/entry/generations/flight.py
@@ -12,11 +12,11 @@
 from basilroad.coordination.poison import PoisonMark
 from basilroad.coordination.sequence import Gap, TokenSequence
 from basilroad.entry.context import EntryContext
+from basilroad.entry.dispatch.placement import Placement, VersionGoneError
 from basilroad.entry.generations.attempt import Attempt
 from basilroad.entry.generations.generation import Usage, build_generation_id
 from basilroad.entry.generations.startmessage import build_start_message, read_request
 from basilroad.entry.identity import Identity
-from basilroad.entry.placement import Placement, VersionGoneError
 from basilroad.errors import Effect, ErrorKind, Refusal, RefusedError, refuse
 from basilroad.peers.failreason import ENDPOINT_DEATH_REASONS, NOT_STARTED_REASONS, FailReason
 from basilroad.peers.wire import peer_pb2 as wire
--- a/src/basilroad/entry/handlers.py
+++ b/src/basilroad/entry/handlers.py
@@ -10,7 +10,7 @@
 from basilroad.peers.wire import peer_pb2 as wire
 
 if TYPE_CHECKING:
-    from basilroad.entry.dispatch import Dispatcher
+    from basilroad.entry.dispatch.dispatch import Dispatcher
     from basilroad.entry.links.link import AgentLink
     from basilroad.peers.exchange import SettingsExchange
 
--- a/src/basilroad/entry/service.py
+++ b/src/basilroad/entry/service.py
@@ -16,7 +16,7 @@
 from basilroad.backing.table import HttpTable
 from basilroad.coordination.timer import Timer
 from basilroad.entry.calls.calls import ServiceCaller
-from basilroad.entry.dispatch import Dispatcher
+from basilroad.entry.dispatch.dispatch import Dispatcher
 from basilroad.entry.generations.containment import Containment
 from basilroad.entry.generations.duplicates import DuplicateTracker
 from basilroad.entry.generations.flight import Flight
--- a/tests/entry/test_admission.py
+++ b/tests/entry/dispatch/test_admission.py
@@ -10,8 +10,8 @@
 import pytest
 
 from basilroad.coordination.fairpolicy import FairSettings, Flow
-from basilroad.entry.admission import Admission
-from basilroad.entry.modelqueue import ModelQueue, QueuedRequest
+from basilroad.entry.dispatch.admission import Admission
+from basilroad.entry.dispatch.modelqueue import ModelQueue, QueuedRequest
 from basilroad.errors import Effect, ErrorKind, RefusedError
 from basilroad.settings.objects import Limits
 from basilroad.settings.view import SettingsView
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/dispatch/test_dispatch.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from basilroad.entry.dispatch import Dispatcher
+from basilroad.entry.dispatch.dispatch import Dispatcher
 from basilroad.entry.generations.containment import Containment
 from basilroad.entry.generations.duplicates import DuplicateTracker
 from basilroad.entry.generations.flight import Flight
--- a/tests/entry/test_engineindex.py
+++ b/tests/entry/dispatch/test_engineindex.py
@@ -9,10 +9,10 @@
 import pytest
 
 from basilroad.coordination.fairpolicy import FairSettings, Flow
-from basilroad.entry.demandreporter import DemandReporter
-from basilroad.entry.engineindex import EngineIndex
+from basilroad.entry.dispatch.demandreporter import DemandReporter
+from basilroad.entry.dispatch.engineindex import EngineIndex
+from basilroad.entry.dispatch.modelqueue import ModelQueue, QueuedRequest
 from basilroad.entry.links.link import EndpointView
-from basilroad.entry.modelqueue import ModelQueue, QueuedRequest
 from basilroad.peers.wire import peer_pb2 as wire
 from support.timelimit import limit_time
 
--- a/tests/entry/test_prefixes.py
+++ b/tests/entry/dispatch/test_prefixes.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from basilroad.entry.prefixes import ENDPOINT_PREFIXES_MAX, PREFIX_TTL_S, PREFIXES_MAX, PrefixIndex
+from basilroad.entry.dispatch.prefixes import (
+    ENDPOINT_PREFIXES_MAX,
+    PREFIX_TTL_S,
+    PREFIXES_MAX,
+    PrefixIndex,
+)
 from basilroad.world.prefix import SAMPLE_EVERY, hash_prefixes
 
 PROMPTS = 50
--- a/tests/entry/generations/test_flight.py
+++ b/tests/entry/generations/test_flight.py
@@ -9,6 +9,8 @@
 import pytest
 
 from basilroad.coordination.poison import PoisonMark
+from basilroad.entry.dispatch.placement import Placement
+from basilroad.entry.dispatch.placementwait import fits
 from basilroad.entry.generations.attempt import Attempt
 from basilroad.entry.generations.containment import Containment
 from basilroad.entry.generations.flight import Flight
@@ -16,8 +18,6 @@
 from basilroad.entry.identity import Identity
 from basilroad.entry.links.link import EndpointView
 from basilroad.entry.links.linkcost import LinkCosts
-from basilroad.entry.placement import Placement
-from basilroad.entry.placementwait import fits
 from basilroad.errors import Effect, ErrorKind, refuse
 from basilroad.peers.failreason import FailReason
 from basilroad.peers.serialization import pack_marks
--- a/tests/entry/links/test_linkcost.py
+++ b/tests/entry/links/test_linkcost.py
@@ -7,11 +7,11 @@
 import attrs
 import pytest
 
-from basilroad.entry.dispatch import ModelQueue
+from basilroad.entry.dispatch.dispatch import ModelQueue
+from basilroad.entry.dispatch.spillover import LOCAL_WAIT_MIN_S, SpilloverPolicy
 from basilroad.entry.generations.flight import Flight
 from basilroad.entry.links.link import EndpointView
 from basilroad.entry.links.linkcost import LinkCosts, RegionLink
-from basilroad.entry.spillover import LOCAL_WAIT_MIN_S, SpilloverPolicy
 from basilroad.peers.wire import peer_pb2 as wire
 from basilroad.settings.view import SettingsView
 from basilroad.world.link import Link
