Replace the location of a prompt once another engine has it

What callers saw: of two take-ups of one stream at once, one stood still while its prompt was read anew.

Cause: the engine of a run was recorded when the run was sent. While it still fetched the prompt, the second take-up was told to fetch it from there, and that engine had nothing to give.

Change: while an engine is known to have the prompt, another one replaces it at its first event. A run of an unknown prompt is recorded when it is sent, as before, so that it is found after a cut. What a rejected run had replaced need not be restored any more.

--- a/src/basilroad/gateway/dispatch/promptlocations.py
+++ b/src/basilroad/gateway/dispatch/promptlocations.py
@@ -30,7 +30,8 @@
 
     :param endpoint_id: id of the endpoint
     :param started_ms: start time of the endpoint; another start has an empty cache
-    :param began_at: time at which the run was sent; a run that began later replaces it
+    :param began_at: time at which the run was recorded, when it was sent or its endpoint had the
+        prompt; one that was recorded later replaces it
     :param expires_at: time after which the endpoint is not expected to have the prompt: counted
         from the end of the run, or from its deadline while the end isn't known
     """
@@ -105,21 +106,15 @@
             expires_at = max(expires_at, known.expires_at)
         self._known[key] = attrs.evolve(known, expires_at=expires_at)
 
-    def withdraw(self, key: bytes, lifetime: Lifetime, previous: PromptLocation | None) -> None:
+    def withdraw(self, key: bytes, lifetime: Lifetime) -> None:
         """Record that an endpoint has not run a prompt that was sent to it.
 
         :param key: key of the prompt
         :param lifetime: lifetime of the endpoint at the send
-        :param previous: location of the prompt before it was sent
         """
         known, running = self._known.get(key), self._leave(key, lifetime)
-        if running.count or known is None or not known.is_at(lifetime):
-            return
-        if previous is None:
+        if not running.count and known is not None and known.is_at(lifetime):
             del self._known[key]
-        else:
-            # newer than the rejected run, of which other gateways may have been told
-            self._known[key] = attrs.evolve(previous, began_at=self._clock())
 
     def merge(self, key: bytes, reported: PromptLocation) -> None:
         """Apply the report of another gateway, unless it is of an earlier run.
--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -33,6 +33,7 @@
     from basilroad.gateway.dispatch.selection import Locality
     from basilroad.gateway.exchange.peertable import PeerState
     from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.registry.notices import Lifetime
 
 ASK_TIMEOUT_S = 0.05
 """Time limit of the replies beyond two round trips; a call waits meanwhile."""
@@ -129,12 +130,26 @@
 
 @attrs.define(eq=False)
 class PromptRun:
-    """A run of a prompt.
+    """A run of a prompt by this gateway.
 
+    :param record_begun: records its endpoint as the location of the prompt, and returns the
+        lifetime of the endpoint
     :param was_rejected: whether the endpoint has not run it
     """
 
+    record_begun: Callable[[], Lifetime] | None = None
     was_rejected: bool = False
+    _lifetime: Lifetime | None = None
+
+    @property
+    def lifetime(self) -> Lifetime | None:
+        """:return: lifetime of the endpoint; ``None`` before the location is recorded."""
+        return self._lifetime
+
+    def record_location(self) -> None:
+        """Record that the endpoint has the prompt; repeated calls change nothing."""
+        if self._lifetime is None and self.record_begun is not None:
+            self._lifetime = self.record_begun()
 
 
 @attrs.define(eq=False)
@@ -221,22 +236,23 @@
         :param time_left_s: seconds until the deadline of the run
         :return: context manager for the time of the run
         """
-        run = PromptRun()
-        if not key:
-            yield run
-            return
-        previous = self.locations.find(key)
-        lifetime = self.locations.begin(key, endpoint, time_left_s)
-        self._reported[key] = frozenset()
+        until = self.clock() + time_left_s
+
+        def record_begun() -> Lifetime:
+            self._reported[key] = frozenset()
+            return self.locations.begin(key, endpoint, until - self.clock())
+
+        run = PromptRun(record_begun if key else None)
+        if self.locations.find(key) is None:
+            run.record_location()
+        # an endpoint that has the prompt stays its location until this one has it too
         try:
             yield run
         finally:
-            if run.was_rejected:
-                self.locations.withdraw(key, lifetime, previous)
-                if key in self._reported:
-                    self._reported[key] = frozenset()
-            else:
-                self.locations.end(key, lifetime)
+            if run.lifetime is not None and run.was_rejected:
+                self.locations.withdraw(key, run.lifetime)
+            elif run.lifetime is not None:
+                self.locations.end(key, run.lifetime)
 
     def tick(self) -> None:
         """Report new locations, and known ones to those that have become their keepers."""
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -16,6 +16,7 @@
 from basilroad.gateway.crashes.containment import REFUSED_MESSAGE
 from basilroad.gateway.crashes.runs import Run
 from basilroad.gateway.dispatch.promptplan import PromptAccess
+from basilroad.gateway.exchange.promptexchange import PromptRun
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.crashes import StreamCrashes
@@ -88,6 +89,7 @@
         )
         self._stall_timer = StallTimer()
         self._start: AttemptStart | None = None
+        self._prompt_run = PromptRun()
         self._failed_reply: Reply | None = None
 
     async def run(self) -> Reply | None:
@@ -209,9 +211,9 @@
         try:
             with self._gateway.prompts.record(
                 self._call.cache_key, endpoint, time_left_s
-            ) as prompt_run:
+            ) as self._prompt_run:
                 outcome = await self._run_watched(attempt, reservation)
-                prompt_run.was_rejected = isinstance(outcome, NotRun)
+                self._prompt_run.was_rejected = isinstance(outcome, NotRun)
         finally:
             attempt.close()
             if self._start is not None:
@@ -390,6 +392,7 @@
                 return MayHaveRun("the software version of the stream could not be recorded")
             if self._events.received > received:
                 reservation.record_started()
+                self._prompt_run.record_location()
                 self._gateway.liveness.mark_started(wait)
                 self._gateway.containment.record_event(run)
                 self._stall_timer.restart(asyncio.get_running_loop().time())
