Test that gateways that stop are not chosen as keepers

Two mutations passed all tests: to count other gateways that stop among the places of keepers, and to count this one. Each fails the new test.

--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -149,6 +149,17 @@
         assert len({PLACE.regions[place] for place in places}) == KEEPERS
 
 
+# fault: locations were reported to a gateway that exited before it could hand them over
+def test_gateways_that_stop_are_no_keepers_while_there_are_others() -> None:
+    fleet = Fleet()
+    for host in fleet.hosts[1:11]:
+        host.stopping = True
+    for asks in fleet.hosts[:2]:
+        for number in range(50):
+            keepers = asks.exchange.choose_keepers(number.to_bytes(8))
+            assert not any(fleet.hosts[int(name[1:])].stopping for name in keepers)
+
+
 async def test_the_location_outlives_a_region() -> None:
     fleet = Fleet()
     with fleet.hosts[0].run():
