Ignore signals between the end of the services and the exit

What was seen: tests/platform/test_process_signals.py, test_further_signals_during_a_stop_cut_off_no_request, failed once in 1,798 tests at a load of 15 to 25: a stopped gateway had the exit status -15.

Cause: the event loop restores the default actions of its signals when it is closed, and some work follows until the process exits. A further SIGTERM in that time ends it by the signal, before its last log lines are written. All requests have been answered by then.

Change: the worker takes its handlers off the loop before that and ignores SIGHUP, SIGINT and SIGTERM, which are blocked meanwhile.

--- a/src/basilroad/cli/daemon.py
+++ b/src/basilroad/cli/daemon.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, NoReturn, TypeVar
@@ -22,6 +24,10 @@
 """Exit code for invalid settings."""
 
 
+STOP_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
+"""Signals that change nothing once the services have stopped."""
+
+
 class ImmediateExitWorker(Worker):
     """Worker that exits as soon as its services have stopped.
 
@@ -40,7 +46,16 @@
 
     async def _sentinel_task(self) -> None:
         # The base class sleeps for one second here, which can exceed the grace period of a stop.
-        return
+        _ignore_signals(self.loop)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    # a loop that is closed restores their default actions, which would end the process by a signal
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    for number in STOP_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
 
 
 def run_entry(path: Path) -> NoReturn:
--- a/tests/platform/test_process_signals.py
+++ b/tests/platform/test_process_signals.py
@@ -218,6 +218,17 @@
     assert ends[TryEnd.NO_ANSWER] == 0, ends
 
 
+# fault: a signal between the end of the services and the exit ended the process by that signal
+@pytest.mark.holds_stop
+async def test_signals_until_the_exit_leave_its_status(rig: ProcessRig) -> None:
+    await rig.wait_until_served()
+    limit = TimeLimit(EXIT_LIMIT_S)
+    while not rig.has_exited and not limit.is_over():
+        rig.signal(signal.SIGTERM)
+        await asyncio.sleep(0.001)
+    assert await rig.wait_exit() == 0
+
+
 # fault: a second SIGTERM, or a SIGHUP beside it, ends the process at once
 @pytest.mark.holds_stop
 async def test_further_signals_during_a_stop_cut_off_no_request(rig: ProcessRig) -> None:
