--- a/bench/prompt_locations.py
+++ b/bench/prompt_locations.py
@@ -21,7 +21,9 @@
 from basilroad.gateway.dispatch.selection import Locality
 from basilroad.gateway.exchange.gossip import MAX_SENT_BYTES_PER_S
 from basilroad.gateway.exchange.peertable import FANOUT, PeerState
-from basilroad.gateway.exchange.promptexchange import PromptExchange
+from basilroad.gateway.exchange.promptexchange import (
+    PromptExchange,
+)
 from basilroad.gateway.exchange.state import MAX_DATAGRAM_BYTES, StateMessage
 from basilroad.gateway.registry.endpoint import Endpoint
 from bench.promptfleet import (
--- a/bench/promptfleet.py
+++ b/bench/promptfleet.py
@@ -21,7 +21,9 @@
 from basilroad.gateway.dispatch.selection import DATA_CENTRE_COST_S, REGION_COST_S, Locality
 from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S, Gossip
 from basilroad.gateway.exchange.loans import RetryLoans
-from basilroad.gateway.exchange.promptexchange import PromptExchange
+from basilroad.gateway.exchange.promptexchange import (
+    PromptExchange,
+)
 from basilroad.gateway.exchange.relay import Relay
 from basilroad.gateway.exchange.state import StateMessage
 from basilroad.gateway.registry.directory import Directory
--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -32,8 +32,8 @@
     PermitRequest,
     read_limit_report,
 )
-from basilroad.gateway.exchange.promptexchange import (
-    PromptExchange,
+from basilroad.gateway.exchange.promptexchange import PromptExchange
+from basilroad.gateway.exchange.promptmessages import (
     PromptMessage,
     PromptRecords,
     PromptReply,
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -16,10 +16,12 @@
 from basilroad.gateway.exchange.peertable import PeerState
 from basilroad.gateway.exchange.promptexchange import (
     FIRST_PEER_WAIT_S,
-    KEEPERS,
-    MAX_RECORDS,
     SILENT_S,
     PromptExchange,
+)
+from basilroad.gateway.exchange.promptkeepers import KEEPERS
+from basilroad.gateway.exchange.promptmessages import (
+    MAX_RECORDS,
     PromptMessage,
     PromptRecord,
     PromptRecords,
--- a/tests/gateway/exchange/test_promptexchange_costs.py
+++ b/tests/gateway/exchange/test_promptexchange_costs.py
@@ -13,10 +13,12 @@
 from basilroad.gateway.exchange.peertable import PeerState
 from basilroad.gateway.exchange.promptexchange import (
     PromptExchange,
+)
+from basilroad.gateway.exchange.promptkeepers import KEEPERS, PromptKeepers
+from basilroad.gateway.exchange.promptmessages import (
     PromptMessage,
     PromptRecords,
 )
-from basilroad.gateway.exchange.promptkeepers import KEEPERS, PromptKeepers
 from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.peers.address import Address
 from builders import PLACE, build_entry
