--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -12,10 +12,9 @@
 from basilroad.gateway.calls.attempt import Attempt, AttemptOptions, MayHaveRun, NotRun, OpenReply
 from basilroad.gateway.calls.attempttracker import SERVER_ERROR, AttemptTracker
 from basilroad.gateway.calls.call import Reply
-from basilroad.gateway.calls.log import AttemptRecord, log_prompt_plan
+from basilroad.gateway.calls.log import AttemptRecord
 from basilroad.gateway.crashes.containment import REFUSED_MESSAGE
 from basilroad.gateway.crashes.runs import Run
-from basilroad.gateway.dispatch.promptplan import PromptAccess
 from basilroad.gateway.exchange.promptexchange import PromptRun
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.streams.backup import StreamBackup
@@ -24,6 +23,7 @@
 from basilroad.gateway.streams.firstevent import FirstEventWait
 from basilroad.gateway.streams.output import StreamOutput
 from basilroad.gateway.streams.placement import StreamPlace, StreamPlacement
+from basilroad.gateway.streams.promptsource import PromptSource
 from basilroad.gateway.streams.stalltimer import StallTimer
 from basilroad.gateway.versions.attemptstart import AttemptStart
 from basilroad.gateway.versions.pin import VersionPin
@@ -31,7 +31,6 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, Responder
-    from basilroad.gateway.dispatch.promptplan import PromptPlan
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 
@@ -89,6 +88,7 @@
         )
         self._stall_timer = StallTimer()
         self._start: AttemptStart | None = None
+        self._prompt_source = PromptSource(gateway, call)
         self._prompt_run = PromptRun()
         self._failed_reply: Reply | None = None
 
@@ -240,29 +240,12 @@
         return outcome
 
     async def _find_prompt_source(self, reservation: Reservation) -> Endpoint | None:
-        call, endpoint, dispatcher = self._call, reservation.endpoint, self._gateway.dispatcher
-        plan = dispatcher.plan_prompt(call, endpoint)
+        is_first = not (self._call.events_received or self._tracker.sent)
         try:
-            if plan.source is not None:
-                plan = await self._confirm_source(endpoint, plan, plan.source)
+            return await self._prompt_source.find(reservation.endpoint, is_first=is_first)
         except BaseException:
-            dispatcher.release(reservation)
+            self._gateway.dispatcher.release(reservation)
             raise
-        is_first = not (call.events_received or self._tracker.sent)
-        if plan.access is not PromptAccess.COMPUTED or not is_first:
-            log_prompt_plan(call, endpoint, plan)
-            self._gateway.metrics.prompts.labels(plan.access.value).inc()
-        return plan.source
-
-    async def _confirm_source(
-        self, endpoint: Endpoint, plan: PromptPlan, source: Endpoint
-    ) -> PromptPlan:
-        if not await self._gateway.source_check.confirm(source):
-            return plan.without_source("its engine does not answer")
-        # the engine may have been removed or listed anew meanwhile
-        plan = self._gateway.dispatcher.plan_prompt(self._call, endpoint)
-        is_confirmed = plan.source in (None, source)
-        return plan if is_confirmed else plan.without_source("its engine has changed")
 
     def _check_time_before_shutdown(self, reservation: Reservation) -> None:
         # a shutdown may have begun while the stream was queued
