Let calls wait in a silence that many engines share

Cause: each failed probe of an engine (0.3 s of silence and 0.15 s for the probe) moved all of its calls at once. What else was silent was not asked; the copies to which streams moved were mostly at engines as silent; calls without a copy were run again though the engines would have gone on. That a loss reported by another gateway ends the streams here is refuted by the code: it only adds to the cost of an engine in a placement.

Change: a failed probe only records the silence. registry/silencecheck.py then asks the engines that have copies of the calls, and others until six are known. Calls whose copy is at an engine that answers move at once. registry/silence.py judges how far the silence reaches: alone, a whole data centre, widespread, or nothing is heard at all. In the first two all calls leave as before. In the others a call without a copy waits as long as it would wait elsewhere: its prefill, and its share of the prefill of all other calls that would be run again by the engines that are left; after 2 s it leaves also to queue. A gateway that hears no engine reports none as failed. A call that this side moves no longer counts as broken off by its engine. Each judgement has a log line `silence judged` and the metric basilroad_endpoint_silences_total.

--- a/src/basilroad/gateway/calls/attempt.py
+++ b/src/basilroad/gateway/calls/attempt.py
@@ -14,9 +14,9 @@
 import attrs
 
 from basilroad.errors import ErrorKind, refuse
-from basilroad.gateway.registry.endpoint import PendingCall, never_move
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Purpose, Source
+from basilroad.gateway.registry.pendingcalls import PendingCall, find_no_copy, never_move
 from basilroad.http.channels import POOL_IDLE_LIMIT_S, SHORT_BODY_BYTES
 from basilroad.http.messages import (
     ChannelError,
@@ -28,8 +28,9 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, Headers
-    from basilroad.gateway.registry.endpoint import ClaimMove, Endpoint, EngineReport
+    from basilroad.gateway.registry.endpoint import Endpoint, EngineReport
     from basilroad.gateway.registry.notices import Notice
+    from basilroad.gateway.registry.pendingcalls import ClaimMove, FindCopy
     from basilroad.http.channels import Channel
     from basilroad.peers.address import Address
 
@@ -231,6 +232,7 @@
     :param may_send: checks whether there is still time to send the call
     :param confirm_start: checks a connection before the call is sent on it, and returns the one to
         use, or why the call must not be sent; ``None`` for no check
+    :param find_copy: returns the id of the endpoint that has a copy of the call's KV cache, if any
     :ivar sent: whether the call was sent
     """
 
@@ -243,6 +245,7 @@
         claim_move: ClaimMove = never_move,
         may_send: Callable[[], bool] = lambda: True,
         confirm_start: Callable[[Channel], Awaitable[Channel | NotRun]] | None = None,
+        find_copy: FindCopy = find_no_copy,
     ) -> None:
         self.call = call
         self.endpoint = endpoint
@@ -256,6 +259,7 @@
         self._claim_move = claim_move
         self._may_send = may_send
         self._confirm_start = confirm_start
+        self._find_copy = find_copy
         # a response may arrive after a restart; its notice is about the lifetime before
         self._notices = endpoint.notices
         self._pool = endpoint.pool
@@ -311,8 +315,10 @@
             channel.close()
             return NotRun("the endpoint is no longer listed")
         self._channel = channel
-        pending = PendingCall(self.call.rank, self._claim_move)
-        self.endpoint.add_pending(channel, time.monotonic(), pending)
+        pending = PendingCall(
+            self.call.rank, self._claim_move, self._find_copy, self.call.size.prompt_tokens
+        )
+        self.endpoint.pending.add(channel, pending)
         request = self._protocol.encode(self.call, self._options)
         try:
             channel.send(request)
@@ -332,7 +338,7 @@
         channel, self._channel = self._channel, None
         if channel is None:
             return
-        self.endpoint.remove_pending(channel)
+        self.endpoint.pending.remove(channel)
         if channel.is_cut_off:
             self.endpoint.record_cut(time.monotonic())
         if not channel.usable:
--- a/src/basilroad/gateway/calls/buffered.py
+++ b/src/basilroad/gateway/calls/buffered.py
@@ -14,6 +14,7 @@
 from basilroad.gateway.calls.call import Reply
 from basilroad.gateway.calls.log import AttemptRecord
 from basilroad.gateway.crashes.runs import Run
+from basilroad.gateway.registry.pendingcalls import MoveScope
 from basilroad.http.messages import ChannelError
 
 if TYPE_CHECKING:
@@ -119,17 +120,21 @@
         )
         return outcome
 
-    def _claim_move(self, needs_room: bool) -> bool:
+    def _claim_move(self, scope: MoveScope) -> bool:
         """Claim a retry, so that the running attempt may end.
 
-        :param needs_room: whether another endpoint must have room at once
+        :param scope: how the call may continue elsewhere
         :return: whether the call can continue elsewhere
         """
         attempt = self._tracker.running
         if attempt is None or not attempt.sent:
             return False
         avoid = self._tracker.tried | {attempt.endpoint.id}
-        if needs_room and not self._gateway.dispatcher.has_room(self._call, avoid):
+        if scope is MoveScope.COPY:
+            return False
+        if scope is MoveScope.FREE_PLACE and not self._gateway.dispatcher.has_room(
+            self._call, avoid
+        ):
             return False
         return self._tracker.claim_retry()
 
@@ -188,7 +193,7 @@
     async def _wait_to_leave(self, limit: asyncio.Timeout) -> None:
         await asyncio.sleep(ATTEMPT_TIMEOUT_SHARE * self._call.route.latency_target_s)
         attempt = self._tracker.running
-        while attempt is not None and attempt.sent and not self._claim_move(True):
+        while attempt is not None and attempt.sent and not self._claim_move(MoveScope.FREE_PLACE):
             await asyncio.sleep(LEAVE_CHECK_INTERVAL_S)
         limit.reschedule(asyncio.get_running_loop().time())
 
--- a/src/basilroad/gateway/dispatch/sourcecheck.py
+++ b/src/basilroad/gateway/dispatch/sourcecheck.py
@@ -17,10 +17,6 @@
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.versions.startcheck import StartCheck
 
-HEARD_S = 0.25
-"""Time after data from an engine for which it is not asked; engines send each stream an event
-several times in it."""
-
 CONFIRMED = (StartVerdict.NAMED, StartVerdict.NEVER_NAMED)
 
 
@@ -48,7 +44,7 @@
         :param endpoint: the engine
         :return: whether another engine may fetch from it
         """
-        if _is_heard(endpoint):
+        if endpoint.is_heard(time.monotonic()):
             return True
         if _is_limited(endpoint):
             return False
@@ -63,7 +59,7 @@
         :param endpoint: the engine
         :return: whether it runs since its listed start
         """
-        if _is_heard(endpoint):
+        if endpoint.is_heard(time.monotonic()):
             return True
         if _is_limited(endpoint):
             return False
@@ -81,9 +77,4 @@
     return endpoint.notices.limit.is_in_force(time.monotonic())
 
 
-def _is_heard(endpoint: Endpoint) -> bool:
-    lost_at = max(endpoint.lost_at, endpoint.cut_at, endpoint.last_failed_at)
-    return endpoint.last_received_at > max(lost_at, time.monotonic() - HEARD_S)
-
-
-__all__ = ["HEARD_S", "SourceCheck"]
+__all__ = ["SourceCheck"]
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -154,7 +154,7 @@
             self.dispatcher.prompt_locations,
             is_stopping=lambda: self.shutdown.is_requested,
         )
-        self.liveness = Liveness(self.dispatcher, reports)
+        self.liveness = Liveness(self.dispatcher, reports, self.random, self.metrics.count_silence)
         self.start_check = StartCheck(
             self.directory, protocol, reports, self.dispatcher.acquire_permit
         )
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -15,6 +15,7 @@
     from basilroad.errors import Refusal
     from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.notices import Source
+    from basilroad.gateway.registry.silence import SilenceKind
     from basilroad.http.ends import EndCause
 
 RANK_MAX = 9
@@ -65,6 +66,12 @@
             ["memory"],
             registry=self.registry,
         )
+        self.silences = Counter(
+            "basilroad_endpoint_silences",
+            "Silences of engines with pending calls, by how far they reach.",
+            ["kind"],
+            registry=self.registry,
+        )
         self.crashes = Counter(
             "basilroad_crashes",
             "Calls that endpoints ran when they crashed.",
@@ -144,6 +151,13 @@
         """
         self.refusals.labels(refusal.kind.value).inc()
 
+    def count_silence(self, kind: SilenceKind) -> None:
+        """Count a silence of an engine with pending calls.
+
+        :param kind: how far it reaches
+        """
+        self.silences.labels(kind.value).inc()
+
     def count_notice(self, kind: str, source: Source) -> None:
         """Count a new notice of an endpoint.
 
--- a/src/basilroad/gateway/registry/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -15,13 +15,13 @@
 from basilroad.gateway.registry.failurerate import FailureRate
 from basilroad.gateway.registry.load import Load, ReportedLoad
 from basilroad.gateway.registry.notices import Lifetime, NoticeRegister
+from basilroad.gateway.registry.pendingcalls import PendingCalls
 from basilroad.http.channelpool import ChannelPool
 
 if TYPE_CHECKING:
     from contextlib import AbstractContextManager
 
     from basilroad.gateway.calls.call import PromptSize
-    from basilroad.http.channels import Channel
     from basilroad.peers.address import Address
 
 UNREACHABLE_BACKOFF_S = 0.25
@@ -39,6 +39,14 @@
 """Time for which an endpoint that rejected a call counts as full; its own load reports are as
 old."""
 
+HEARD_S = 0.25
+"""Time after data from an endpoint for which it needs no probe; engines send each stream an event
+several times in it."""
+
+SILENT_MEMORY_S = 2.0
+"""Time after a probe without an answer for which an endpoint counts as silent; sound engines fall
+silent for a second or so."""
+
 MAX_BUFFERED_BYTES = 16 * 1024 * 1024
 """Limit of all responses of one endpoint that are being buffered; an eighth of the memory of the
 smallest hosts."""
@@ -51,19 +59,6 @@
 """Longest id, service, data centre and version of an entry; other gateways get it in a
 datagram."""
 
-LONG_SILENCE_S = 2.0
-"""Silence after which calls leave an endpoint also to queue for another one; sound engines fall
-silent for a second or so."""
-
-ClaimMove = Callable[[bool], bool]
-"""Claims what a call needs to continue at another endpoint: an attempt, a retry and, if asked for,
-a place. Returns whether it was claimed; the attempt must end then."""
-
-
-def never_move(_needs_room: bool) -> bool:
-    """:return: false, for calls that may not run again."""
-    return False
-
 
 class EndpointState(enum.Enum):
     """State that an endpoint publishes."""
@@ -72,18 +67,6 @@
     DRAINING = "draining"
 
 
-@attrs.frozen
-class PendingCall:
-    """A call whose response is pending.
-
-    :param rank: its rank; lower ones are more urgent
-    :param claim_move: claims what it needs to continue at another endpoint
-    """
-
-    rank: int
-    claim_move: ClaimMove
-
-
 def _check_name(_instance: object, field: attrs.Attribute[str], value: str) -> None:
     if not 0 < len(value) <= MAX_NAME_CHARS:
         raise ValueError(f"{field.name} has {len(value)} characters, limit is {MAX_NAME_CHARS}")
@@ -168,8 +151,7 @@
         self.reports_start = False
         self._backoff_s = UNREACHABLE_BACKOFF_S
         self._failure_rate = FailureRate()
-        self._channels: dict[Channel, PendingCall] = {}
-        self._pending_since = 0.0
+        self.pending = PendingCalls()
         self._buffered = BufferLimit(MAX_BUFFERED_BYTES)
 
     @property
@@ -229,24 +211,6 @@
         """
         self._reported.add(memory_tokens, pending_prefill_tokens)
 
-    def add_pending(self, channel: Channel, now: float, pending: PendingCall) -> None:
-        """Add a connection with a pending response.
-
-        :param channel: the connection
-        :param now: monotonic seconds
-        :param pending: its call
-        """
-        if not self._channels:
-            self._pending_since = now
-        self._channels[channel] = pending
-
-    def remove_pending(self, channel: Channel) -> None:
-        """Remove a connection with a pending response.
-
-        :param channel: the connection
-        """
-        self._channels.pop(channel, None)
-
     def count_buffered(self) -> AbstractContextManager[Callable[[int], bool]]:
         """Count the bytes of one response while it is being buffered.
 
@@ -256,9 +220,18 @@
 
     def silence_s(self, now: float) -> float:
         """:return: seconds without data while responses are pending; 0 if none are."""
-        if not self._channels:
+        if not self.pending:
             return 0.0
-        return now - max(self.last_received_at, self._pending_since)
+        return now - max(self.last_received_at, self.pending.since)
+
+    def is_heard(self, now: float) -> bool:
+        """:return: whether data arrived from it just now, and no failure was known since."""
+        lost_at = max(self.lost_at, self.cut_at, self.last_failed_at)
+        return self.last_received_at > max(lost_at, now - HEARD_S)
+
+    def is_silent(self, now: float) -> bool:
+        """:return: whether it did not answer a probe lately and sent nothing since."""
+        return self.lost_at > max(self.last_received_at, now - SILENT_MEMORY_S)
 
     def record_received(self, now: float) -> None:
         """Record that data arrived from it.
@@ -270,11 +243,23 @@
         self.backoff_until = -math.inf
 
     def record_unreachable(self, now: float) -> None:
-        """Start a backoff, which doubles each time.
+        """Record a failure that is reported to other gateways, and start a backoff.
 
         :param now: monotonic seconds
         """
         self.last_failed_at = now
+        self._back_off(now)
+
+    def record_silent(self, now: float) -> None:
+        """Record that it did not answer a probe, and start a backoff.
+
+        :param now: monotonic seconds
+        """
+        self.lost_at = now
+        self._back_off(now)
+
+    def _back_off(self, now: float) -> None:
+        """Take no calls for a time, which doubles with each failure."""
         if now < self.backoff_until:
             return
         self.backoff_until = now + self._backoff_s
@@ -321,27 +306,12 @@
         """:return: share of recent calls that failed; decays with time."""
         return self._failure_rate.estimate(now)
 
-    def mark_lost(self, now: float) -> None:
-        """Start a backoff for an endpoint that does not respond, and move its calls.
-
-        Those that can't resume elsewhere stay, the most urgent ones move first: the endpoint may
-        only be late.
-
-        :param now: monotonic seconds
-        """
-        needs_room = self.silence_s(now) < LONG_SILENCE_S
-        self.lost_at = now
-        self.record_unreachable(now)
-        for channel, pending in sorted(self._channels.items(), key=lambda item: item[1].rank):
-            if pending.claim_move(needs_room):
-                channel.close()
-
     def restart(self, entry: EndpointEntry) -> None:
         """Reset the observed state after a restart.
 
         :param entry: its entry after the restart
         """
-        self._drop_channels()
+        self.pending.drop()
         self.pool.close()
         self.pool = ChannelPool(entry.address)
         self.entry = entry
@@ -354,10 +324,6 @@
         self._failure_rate = FailureRate()
         self._reported.clear()
 
-    def _drop_channels(self) -> None:
-        for channel in list(self._channels):
-            channel.close()
-
 
 class Reservation:
     """Capacity of one endpoint reserved for one call.
--- a/src/basilroad/gateway/registry/liveness.py
+++ b/src/basilroad/gateway/registry/liveness.py
@@ -5,10 +5,13 @@
 import asyncio
 import contextlib
 import logging
+import random
 import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from basilroad.gateway.registry.notices import Purpose
+from basilroad.gateway.registry.silencecheck import SilenceCheck, count_nothing
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -17,6 +20,7 @@
     from basilroad.gateway.registry.directory import Directory
     from basilroad.gateway.registry.endpoint import Endpoint
     from basilroad.gateway.registry.reports import ReportReader
+    from basilroad.gateway.registry.silence import SilenceKind
     from basilroad.gateway.streams.firstevent import FirstEventWait
 
 LIVENESS_CHECK_INTERVAL_S = 0.05
@@ -38,17 +42,29 @@
 
 
 class Liveness:
-    """Probes engines that are silent while responses are pending; marks those that fail as lost.
+    """Probes engines that are silent while responses are pending.
 
     :param dispatcher: gives the endpoints and engine limits
     :param reports: sends the probes
+    :param generator: random number generator
+    :param count: counts a silence that was judged
     """
 
-    def __init__(self, dispatcher: Dispatcher, reports: ReportReader) -> None:
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        reports: ReportReader,
+        generator: random.Random | None = None,
+        count: Callable[[SilenceKind], None] = count_nothing,
+    ) -> None:
         self._dispatcher = dispatcher
         self._reports = reports
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes: dict[str, asyncio.Task[bool]] = {}
+        self._checks: dict[str, asyncio.Task[None]] = {}
         self._first_waits: set[FirstEventWait] = set()
+        self._silence_check = SilenceCheck(
+            dispatcher.directory, self._ask, generator or random.Random(), count
+        )
 
     @property
     def probes_sent(self) -> int:
@@ -85,20 +101,19 @@
         self._cancel_overdue(now)
         for endpoint in self.directory:
             limit_s = SILENCE_LIMIT_S if endpoint.load.started else PREFILL_SILENCE_LIMIT_S
-            if endpoint.id in self._probes or endpoint.silence_s(now) < limit_s:
+            if endpoint.id in self._checks or endpoint.silence_s(now) < limit_s:
                 continue
             if self._dispatcher.find_engine(endpoint.entry.service) is None:
                 continue
             if not endpoint.notices.permits(Purpose.PROBE, now):
                 self._dispatcher.request_permit(endpoint)
                 continue
-            endpoint.notices.record_probe()
-            task = asyncio.ensure_future(self._probe(endpoint))
-            self._probes[endpoint.id] = task
+            task = asyncio.ensure_future(self._check_endpoint(endpoint))
+            self._checks[endpoint.id] = task
 
     async def close(self) -> None:
         """Cancel running probes."""
-        for task in list(self._probes.values()):
+        for task in [*self._checks.values(), *self._probes.values()]:
             task.cancel()
 
     def _cancel_overdue(self, now: float) -> None:
@@ -117,7 +132,23 @@
             self._first_waits.discard(wait)
             wait.cancel_attempt()
 
-    async def _probe(self, endpoint: Endpoint) -> None:
+    async def _check_endpoint(self, endpoint: Endpoint) -> None:
+        try:
+            if not await self._ask(endpoint):
+                await self._silence_check.resolve(endpoint)
+        finally:
+            self._checks.pop(endpoint.id, None)
+
+    async def _ask(self, endpoint: Endpoint) -> bool:
+        """:return: whether an engine answers a probe; one that is on its way counts."""
+        probe = self._probes.get(endpoint.id)
+        if probe is None:
+            endpoint.notices.record_probe()
+            probe = asyncio.ensure_future(self._probe(endpoint))
+            self._probes[endpoint.id] = probe
+        return await asyncio.shield(probe)
+
+    async def _probe(self, endpoint: Endpoint) -> bool:
         asked_at = time.monotonic()
         silence_s = endpoint.silence_s(asked_at)
         try:
@@ -127,7 +158,7 @@
         now = time.monotonic()
         if alive or endpoint.last_received_at > asked_at:
             endpoint.record_received(now)
-            return
+            return True
         _LOGGER.warning(
             "endpoint silent",
             extra={
@@ -137,7 +168,8 @@
                 "probe_ms": round(1000 * (now - asked_at)),
             },
         )
-        endpoint.mark_lost(now)
+        endpoint.record_silent(now)
+        return False
 
 
 __all__ = ["LIVENESS_CHECK_INTERVAL_S", "PROBE_TIMEOUT_S", "SILENCE_LIMIT_S", "Liveness"]
--- a/src/basilroad/gateway/streams/backup.py
+++ b/src/basilroad/gateway/streams/backup.py
@@ -60,7 +60,7 @@
 
         :param last_event: last event forwarded; a backup is usable from the first event on
         """
-        self._holder = self._find_current_holder(last_event)
+        self._holder = self.find_holder(last_event)
 
     def discard(self) -> None:
         """Discard the backup of the attempt that has failed."""
@@ -85,14 +85,19 @@
         :param last_event: last event forwarded
         :return: the reservation; ``None`` without a backup that is usable now
         """
-        holder = self._find_current_holder(last_event)
+        holder = self.find_holder(last_event)
         if holder is None or not self._is_usable(holder):
             return None
         if not holder.notices.limit.has_permit(time.monotonic()):
             return None
         return self._resume_at(holder, last_event)
 
-    def _find_current_holder(self, last_event: int) -> Endpoint | None:
+    def find_holder(self, last_event: int) -> Endpoint | None:
+        """Find the endpoint that keeps the backup of the running attempt.
+
+        :param last_event: last event forwarded; a backup is usable from the first event on
+        :return: the endpoint; ``None`` without a backup
+        """
         return self._current.endpoint if self._current is not None and last_event else None
 
     def _is_usable(self, holder: Endpoint) -> bool:
--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -8,6 +8,7 @@
 import attrs
 
 from basilroad.gateway.registry.endpoint import Reservation
+from basilroad.gateway.registry.pendingcalls import MoveScope
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,11 +96,11 @@
             reservation = await dispatcher.place(self._call, again_until, version=version)
         return None if reservation is None else StreamPlace(reservation)
 
-    def claim(self, last_event: int, *, needs_room: bool) -> bool:
+    def claim(self, last_event: int, scope: MoveScope = MoveScope.FREE_PLACE) -> bool:
         """Claim a retry and a place at another endpoint, so that the running attempt may end.
 
         :param last_event: last event forwarded
-        :param needs_room: whether a place must be free at once
+        :param scope: how the stream may continue there
         :return: whether the stream can resume elsewhere
         """
         attempt = self._tracker.running
@@ -113,16 +114,20 @@
                 self._request_retries(self._call.service)
             return False
         if self._claimed is None:
-            self._claimed = self._reserve_elsewhere(attempt.endpoint, last_event)
-        if self._claimed is None and needs_room:
+            self._claimed = self._reserve_elsewhere(attempt.endpoint, last_event, scope)
+        if self._claimed is None and scope is not MoveScope.QUEUE:
             self._tracker.release_claim()
             return False
         return True
 
-    def _reserve_elsewhere(self, endpoint: Endpoint, last_event: int) -> StreamPlace | None:
+    def _reserve_elsewhere(
+        self, endpoint: Endpoint, last_event: int, scope: MoveScope
+    ) -> StreamPlace | None:
         reservation = self._backup.resume_at_once(last_event)
         if reservation is not None:
             return StreamPlace(reservation, from_backup=True)
+        if scope is MoveScope.COPY:
+            return None
         avoid = self._tracker.tried | {endpoint.id}
         reservation = self._dispatcher.reserve_at_once(self._call, avoid, self._pin.version)
         return None if reservation is None else StreamPlace(reservation)
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -17,6 +17,7 @@
 from basilroad.gateway.crashes.runs import Run
 from basilroad.gateway.exchange.promptexchange import PromptRun
 from basilroad.gateway.metrics import name_rank
+from basilroad.gateway.registry.pendingcalls import MoveScope
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.crashes import StreamCrashes
 from basilroad.gateway.streams.events import EventOrderError, EventSequence
@@ -205,6 +206,7 @@
             self._claim_place,
             self._may_send,
             self._start.confirm if self._start else None,
+            self._find_copy,
         )
         self._pin.begin(endpoint)
         time_left_s = self._call.expires_at - started
@@ -311,7 +313,7 @@
             self._call,
             attempt.endpoint,
             now,
-            self._claim_free_place,
+            self._claim_place,
             lambda: first.reschedule(asyncio.get_running_loop().time()),
         )
         if not self._crashes.has_passed:
@@ -334,16 +336,18 @@
                 return MayHaveRun(REFUSED_MESSAGE if refused else "no first event in time")
             return MayHaveRun("no end in time", timed_out=True)
         except ChannelError as error:
-            attempt.endpoint.record_broken(time.monotonic())
+            if attempt.is_cut_off:
+                attempt.endpoint.record_broken(time.monotonic())
             return MayHaveRun(str(error))
         except EventOrderError as error:
             return MayHaveRun(str(error))
 
-    def _claim_place(self, needs_room: bool) -> bool:
-        return self._placement.claim(self._events.last, needs_room=needs_room)
+    def _claim_place(self, scope: MoveScope = MoveScope.FREE_PLACE) -> bool:
+        return self._placement.claim(self._events.last, scope)
 
-    def _claim_free_place(self) -> bool:
-        return self._claim_place(needs_room=True)
+    def _find_copy(self) -> str | None:
+        holder = self._backup.find_holder(self._events.last)
+        return None if holder is None else holder.id
 
     async def _relay(
         self,
@@ -362,7 +366,7 @@
                 is_timed = self._stall_timer.expires_at is not None
                 if not is_timed or time.monotonic() >= self._call.expires_at:
                     raise
-                if not self._claim_free_place():
+                if not self._claim_place():
                     self._stall_timer.extend()
                     continue
                 self._stall_timer.record_stall()
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -10,9 +10,8 @@
 import pytest
 
 from basilroad.gateway.calls.handler import CallHandler
-from basilroad.gateway.dispatch.sourcecheck import HEARD_S
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.endpoint import HEARD_S, Endpoint
 from basilroad.gateway.registry.limits import NamedLimit
 from basilroad.gateway.registry.notices import Source
 from basilroad.standin.appserver import AppServerStandin, WireFault
