Let half of the engines fall silent at once in the soak

The soak silenced one engine at a time. Each run with releases now has pauses of a second of half of the engines, from random numbers of their own, so that a seed keeps its other faults. The report counts the requests whose prompt was read more than once.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,12 +24,16 @@
     length_s: Annotated[
         float, typer.Option("--length", help="Seconds of faults in each run.")
     ] = RUN_S,
+    has_pauses: Annotated[
+        bool, typer.Option("--pauses/--no-pauses", help="Half of the engines fall silent at once.")
+    ] = True,
 ) -> None:
     """Inject random faults in one or more runs; exits with 1 unless all promises were kept."""
     until = time.monotonic() + for_s
     states: Counter[str] = Counter()
     while True:
-        result = asyncio.run(run_soak(SoakSettings(seed, length_s, processes)))
+        settings = SoakSettings(seed, length_s, processes, has_pauses=has_pauses)
+        result = asyncio.run(run_soak(settings))
         _print(result)
         states[result.state] += 1
         seed += 1
@@ -45,7 +49,8 @@
         f"seed {result.settings.seed}: {result.state}; {served}; "
         f"{take_ups.resumed} of {take_ups.taken_up} streams resumed, "
         f"{take_ups.began} of {take_ups.new} began beside them; "
-        f"{prompts.read_anew} of {prompts.cached} cached prompts read anew at a take-up; "
+        f"{prompts.read_anew} of {prompts.cached} cached prompts read anew at a take-up, "
+        f"{prompts.read_twice} read twice; "
         f"longest stall of the soak {result.longest_stall_s:.2f} s"
         + (f"; logs in {result.folder}" if not result.is_kept else ""),
         flush=True,
--- a/soak/releaseschedule.py
+++ b/soak/releaseschedule.py
@@ -25,6 +25,13 @@
 """Limits of the time for which a sound endpoint may fall silent."""
 
 
+PAUSE_GAP_S = 5.0
+"""Mean seconds between pauses of half of the engines."""
+
+PAUSE_S = 1.0
+"""Time for which these fall silent together."""
+
+
 @attrs.frozen
 class KillAllGateways(KillGateway):
     """SIGKILL to all gateways at once, whatever else happens to them."""
@@ -77,6 +84,7 @@
         self._random = random.Random(f"releases {settings.seed}")
         self._kill_random = random.Random(f"kills {settings.seed}")
         self._silence_random = random.Random(f"silences {settings.seed}")
+        self._pause_random = random.Random(f"pauses {settings.seed}")
         self._versions = dict.fromkeys(settings.list_engines(), FIRST_VERSION)
         self._newest = FIRST_VERSION
 
@@ -85,6 +93,8 @@
         if not self._settings.has_releases:
             return []
         faults = [*self._draw_releases(), *self._draw_kills(), *self._draw_silences()]
+        if self._settings.has_pauses:
+            faults += self._draw_pauses()
         return sorted(faults, key=lambda fault: fault.at_s)
 
     def _draw_releases(self) -> list[Fault]:
@@ -142,6 +152,17 @@
             at_s += generator.expovariate(1 / SILENCE_GAP_S)
         return faults
 
+    def _draw_pauses(self) -> list[Fault]:
+        """:return: silences of half of the engines at once, one at least."""
+        generator, engines = self._pause_random, self._settings.list_engines()
+        faults: list[Fault] = []
+        at_s = generator.uniform(0.5, PAUSE_GAP_S)
+        while not faults or at_s < self._settings.length_s:
+            targets = generator.sample(engines, len(engines) // 2)
+            faults += [SilenceEndpoint(at_s, target, PAUSE_S) for target in targets]
+            at_s += generator.expovariate(1 / PAUSE_GAP_S)
+        return faults
+
 
 def draw_faults(settings: SoakSettings) -> list[Fault]:
     """Draw all faults of a run.
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -56,6 +56,7 @@
     :param fault_gap_s: mean seconds between faults
     :param has_releases: whether engines are released, all gateways killed at once, and streams that
         broke off taken up by their callers
+    :param has_pauses: whether, beside releases, half of the engines fall silent at once
     """
 
     seed: int = 1
@@ -65,6 +66,7 @@
     callers: int = 12
     fault_gap_s: float = 0.6
     has_releases: bool = True
+    has_pauses: bool = True
 
     @property
     def stream_callers(self) -> int:
--- a/tests/soak/test_promptreads.py
+++ b/tests/soak/test_promptreads.py
@@ -22,4 +22,4 @@
         PromptLoad("again-2", 800, ("i-1", "i-2")),
         PromptLoad("again-3", 800),
     ]
-    assert PromptReads.measure(record) == PromptReads(cached=3, read_anew=2)
+    assert PromptReads.measure(record) == PromptReads(cached=3, read_anew=2, read_twice=1)
--- a/tests/soak/test_releaseschedule.py
+++ b/tests/soak/test_releaseschedule.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
+import attrs
 import pytest
 
 from soak.releaseschedule import (
@@ -54,3 +57,14 @@
     without = SoakSettings(seed=7, has_releases=False)
     assert draw_faults(without) == Schedule(settings).draw()
     assert set(draw_faults(without)) < set(draw_faults(settings))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_each_run_has_a_pause_of_half_of_the_engines(seed: int) -> None:
+    settings = SoakSettings(seed, length_s=10.0)
+    without = set(draw_faults(attrs.evolve(settings, has_pauses=False)))
+    pauses = set(draw_faults(settings)) - without
+    assert without < set(draw_faults(settings))
+    half = len(settings.list_engines()) // 2
+    assert pauses
+    assert set(Counter(fault.at_s for fault in pauses).values()) == {half}
--- a/tests/soak/test_short_run.py
+++ b/tests/soak/test_short_run.py
@@ -39,6 +39,7 @@
         length_s=float(str(case["length_s"])),
         gateways=int(str(case.get("gateways", SoakSettings().gateways))),
         has_releases=bool(case.get("has_releases", True)),
+        has_pauses=bool(case.get("has_pauses", True)),
     )
     result = await run_soak(settings)
     check_kept(result, str(case["cause"]))
