Judge a silence as soon as the answers of other engines decide it

Calls without a copy at an engine that fell silent alone waited 0.15 s and more for probes of other engines that did not answer. Cause: all answers were awaited, and those of engines that have copies of other calls too. Change: an engine that was asked counts as silent until it answers, and the wait ends once the silence can't be widespread any more; calls whose copy is still asked for are moved after it. A call that moves leaves the pending ones at once, so that it is counted once.

--- a/src/basilroad/gateway/registry/pendingcalls.py
+++ b/src/basilroad/gateway/registry/pendingcalls.py
@@ -4,7 +4,6 @@
 
 import enum
 import time
-from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
@@ -92,24 +91,21 @@
         """
         self._calls.pop(channel, None)
 
-    def move(self, choose_scope: Callable[[PendingCall], MoveScope | None]) -> Counter[str]:
+    def move(self, choose_scope: Callable[[PendingCall], MoveScope | None]) -> int:
         """Move calls to other endpoints, the most urgent ones first.
 
         Those that can't continue elsewhere stay: the endpoint may only be late.
 
         :param choose_scope: returns how a call may continue elsewhere; ``None`` if it stays
-        :return: number of calls that moved, by whether they have a copy ("copy", "restart"), and
-            that stay ("wait")
+        :return: number of calls that moved
         """
-        counts: Counter[str] = Counter()
+        before = len(self._calls)
         for channel, call in sorted(self._calls.items(), key=lambda item: item[1].rank):
             scope = choose_scope(call)
-            if scope is None or not call.claim_move(scope):
-                counts["wait"] += 1
-                continue
-            counts["restart" if call.find_copy() is None else "copy"] += 1
-            channel.close()
-        return counts
+            if scope is not None and call.claim_move(scope):
+                del self._calls[channel]
+                channel.close()
+        return before - len(self._calls)
 
     def drop(self) -> None:
         """Close all connections."""
--- a/src/basilroad/gateway/registry/silence.py
+++ b/src/basilroad/gateway/registry/silence.py
@@ -9,7 +9,7 @@
 
 import enum
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import TYPE_CHECKING
 
 import attrs
@@ -65,17 +65,25 @@
         return self.kind in (SilenceKind.WIDESPREAD, SilenceKind.CUT_OFF)
 
 
-def find_silence(endpoint: Endpoint, others: Iterable[Endpoint], now: float) -> Silence:
+def find_silence(
+    endpoint: Endpoint,
+    engines: Iterable[Endpoint],
+    now: float,
+    unanswered: Collection[Endpoint] = (),
+) -> Silence:
     """Find how far the silence of an engine reaches.
 
     :param endpoint: the engine
-    :param others: the other engines of its service
+    :param engines: all engines of its service
     :param now: monotonic seconds
+    :param unanswered: engines that were asked and count as silent until they answer
     :return: the silence
     """
     silent, heard = [], []
-    for other in others:
-        if other.is_silent(now):
+    for other in engines:
+        if other is endpoint:
+            continue
+        if other in unanswered or other.is_silent(now):
             silent.append(other)
         elif other.is_heard(now):
             heard.append(other)
--- a/src/basilroad/gateway/registry/silencecheck.py
+++ b/src/basilroad/gateway/registry/silencecheck.py
@@ -6,8 +6,7 @@
 import logging
 import random
 import time
-from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import TYPE_CHECKING
 
 import attrs
@@ -55,43 +54,74 @@
     async def resolve(self, endpoint: Endpoint) -> None:
         """Move the calls of a silent engine as far as that is better than waiting.
 
-        Those with a copy leave once the engine that has it answers; the others after enough other
-        engines were asked.
+        Those with a copy leave once the engine that has it answers; the others once enough other
+        engines have answered.
 
         :param endpoint: the engine, which did not answer a probe
         """
         since = endpoint.lost_at
-        copied = Counter[str]()
-        asked = [self._move_to_copies(endpoint, name, copied) for name in _list_copies(endpoint)]
-        await asyncio.gather(*asked, self._ask_witnesses(endpoint))
-        now = time.monotonic()
-        if endpoint.removed or endpoint.last_received_at > since:
-            return
+        began_at = since - endpoint.silence_s(since)
+        names = _list_copies(endpoint)
+        copies = asyncio.gather(*(self._move_to_copy(endpoint, name) for name in names))
+        try:
+            await self._ask_witnesses(endpoint)
+            if endpoint.removed or endpoint.last_received_at > since:
+                return
+            silence, now = self._judge(endpoint), time.monotonic()
+            if silence.kind is not SilenceKind.CUT_OFF:
+                # this gateway would report engines that all others hear
+                endpoint.record_unreachable(now)
+            restarted = self._move(endpoint, silence, now - began_at, skipped=names)
+            to_copies = sum(await copies)
+            restarted += self._move(endpoint, silence, time.monotonic() - began_at)
+        finally:
+            copies.cancel()
+        self.count(silence.kind)
+        _LOGGER.info(
+            "silence judged",
+            extra={
+                "endpoint": endpoint.id,
+                "data_centre": endpoint.entry.data_centre,
+                "kind": silence.kind.value,
+                "silence_ms": round(1000 * (now - began_at)),
+                "others_silent": silence.silent,
+                "others_heard": silence.heard,
+                "to_copies": to_copies,
+                "restarted": restarted,
+                "waiting": len(endpoint.pending),
+            },
+        )
+
+    def _judge(self, endpoint: Endpoint, unanswered: Collection[Endpoint] = ()) -> Silence:
+        engines = self.directory.list_by_service(endpoint.entry.service)
+        return find_silence(endpoint, engines, time.monotonic(), unanswered)
+
+    def _move(
+        self,
+        endpoint: Endpoint,
+        silence: Silence,
+        silence_s: float,
+        skipped: Collection[str] = (),
+    ) -> int:
+        """Move the calls of a silent engine, except those whose copies are still asked for."""
         engines = self.directory.list_by_service(endpoint.entry.service)
-        others = [engine for engine in engines if engine is not endpoint]
-        silence, silence_s = find_silence(endpoint, others, now), endpoint.silence_s(now)
-        if silence.kind is not SilenceKind.CUT_OFF:
-            # this gateway would report engines that all others hear
-            endpoint.record_unreachable(now)
 
-        def choose(call: PendingCall) -> MoveScope:
+        def choose(call: PendingCall) -> MoveScope | None:
+            if call.find_copy() in skipped:
+                return None
             restart_s = estimate_restart(call.prompt_tokens, engines, silence)
             return choose_scope(silence, silence_s, restart_s)
 
-        moved = endpoint.pending.move(choose) + copied
-        self.count(silence.kind)
-        _log_silence(endpoint, silence, silence_s, moved)
+        return endpoint.pending.move(choose)
 
-    async def _move_to_copies(
-        self, endpoint: Endpoint, holder_id: str, counts: Counter[str]
-    ) -> None:
+    async def _move_to_copy(self, endpoint: Endpoint, holder_id: str) -> int:
+        """:return: number of calls that continue at an engine that has copies of them."""
         holder = self.directory.get(holder_id)
         if holder is None or not await self._confirm(holder):
-            return
-        moved = endpoint.pending.move(
+            return 0
+        return endpoint.pending.move(
             lambda call: MoveScope.COPY if call.find_copy() == holder_id else None
         )
-        counts["copy"] += moved["copy"]
 
     async def _confirm(self, holder: Endpoint) -> bool:
         now = time.monotonic()
@@ -101,7 +131,9 @@
 
     async def _ask_witnesses(self, endpoint: Endpoint) -> None:
         now = time.monotonic()
-        known, used, unused = 0, [], []
+        known = 0
+        used: list[Endpoint] = []
+        unused: list[Endpoint] = []
         for other in self.directory.list_by_service(endpoint.entry.service):
             if other is endpoint:
                 continue
@@ -112,7 +144,19 @@
         # those with calls are about to be probed
         missing = max(0, WITNESSES - known - len(used))
         asked = used + self.generator.sample(unused, min(missing, len(unused)))
-        await asyncio.gather(*map(self.ask, asked))
+        await self._wait_for_answers(endpoint, asked)
+
+    async def _wait_for_answers(self, endpoint: Endpoint, asked: Collection[Endpoint]) -> None:
+        """Wait for engines that were asked, until the silence can't be widespread."""
+        waiting = {asyncio.ensure_future(self.ask(other)): other for other in asked}
+        try:
+            while waiting and self._judge(endpoint, list(waiting.values())).may_end:
+                done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+                for probe in done:
+                    del waiting[probe]
+        finally:
+            for probe in waiting:
+                probe.cancel()
 
 
 def _list_copies(endpoint: Endpoint) -> set[str]:
@@ -127,23 +171,4 @@
     return not endpoint.is_leaving and endpoint.notices.permits(Purpose.PROBE, now)
 
 
-def _log_silence(
-    endpoint: Endpoint, silence: Silence, silence_s: float, moved: Counter[str]
-) -> None:
-    _LOGGER.info(
-        "silence judged",
-        extra={
-            "endpoint": endpoint.id,
-            "data_centre": endpoint.entry.data_centre,
-            "kind": silence.kind.value,
-            "silence_ms": round(1000 * silence_s),
-            "others_silent": silence.silent,
-            "others_heard": silence.heard,
-            "to_copies": moved["copy"],
-            "restarted": moved["restart"],
-            "waiting": moved["wait"],
-        },
-    )
-
-
 __all__ = ["WITNESSES", "SilenceCheck"]
--- a/tests/gateway/registry/test_silence.py
+++ b/tests/gateway/registry/test_silence.py
@@ -96,3 +96,9 @@
 
 def test_nothing_can_be_run_again_while_no_engine_is_heard() -> None:
     assert estimate_restart(PROMPT_TOKENS, [], Silence(SilenceKind.CUT_OFF, 3, 0)) == math.inf
+
+
+def test_an_engine_that_was_asked_counts_as_silent_until_it_answers() -> None:
+    engine, *others = build_engines("a", "abcab")
+    assert find_silence(engine, others, NOW, others[:1]).kind is SilenceKind.ALONE
+    assert find_silence(engine, others, NOW, others[:2]).kind is SilenceKind.WIDESPREAD
