Log what was planned for each prompt beside what happened

Cause: "prompt planned" says how an engine is to get a prompt, but nothing said whether it had to read the prompt after all. Change: at the first event of each attempt, or at its end without one, "prompt read" names the plan, its expected time, the time taken and the load of the engine when the attempt was placed; `basilroad_prompt_seconds` counts the time by access. Attempts at an engine that holds a copy of the stream are `copied`.

Failed before: pytest tests/gateway/streams/test_repeated_prompts.py -k "is_shown" (2).

--- a/src/basilroad/gateway/calls/log.py
+++ b/src/basilroad/gateway/calls/log.py
@@ -19,6 +19,7 @@
     from basilroad.gateway.calls.call import Call
     from basilroad.gateway.dispatch.promptplan import PromptPlan
     from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.streams.promptreading import PromptReading
 
 _LOGGER = logging.getLogger(__name__)
 _MS_PER_S = 1000
@@ -120,6 +121,31 @@
     )
 
 
+def log_prompt_reading(reading: PromptReading, *, has_begun: bool, took_s: float) -> None:
+    """Log what was planned for the prompt of an attempt, and what happened.
+
+    :param reading: the plan
+    :param has_begun: whether there was a first event
+    :param took_s: seconds until then, or until the attempt ended
+    """
+    plan, endpoint = reading.plan, reading.endpoint
+    _LOGGER.info(
+        "prompt read",
+        extra={
+            "request": reading.call.id,
+            "endpoint": endpoint.id,
+            "access": plan.access.value,
+            "source": plan.source.id if plan.source else None,
+            "has_begun": has_begun,
+            "tokens": reading.call.size.prompt_tokens,
+            "planned_ms": _to_ms(plan.duration_s),
+            "took_ms": _to_ms(took_s),
+            "calls_there": reading.calls_there,
+            "memory_share": round(reading.memory_share, 2),
+        },
+    )
+
+
 def log_refusal(request_id: str, refusal: Refusal, waited_s: float, **inputs: object) -> None:
     """Log that a call ends without an endpoint's response.
 
@@ -174,6 +200,8 @@
     "AttemptRecord",
     "describe_outcome",
     "log_attempt",
+    "log_prompt_plan",
+    "log_prompt_reading",
     "log_refusal",
     "log_resume_from_backup",
     "log_service_pause",
--- a/src/basilroad/gateway/dispatch/promptplan.py
+++ b/src/basilroad/gateway/dispatch/promptplan.py
@@ -1,4 +1,4 @@
-"""How an engine gets the prompt of a call: from its cache, from another engine, or by prefill."""
+"""How an engine gets the prompt of a call: from its memory, from another engine, or by prefill."""
 
 from __future__ import annotations
 
@@ -22,9 +22,10 @@
 
 
 class PromptAccess(enum.Enum):
-    """How an engine gets a prompt."""
+    """How an engine gets a prompt: ``COPIED`` means that it holds a backup of the stream."""
 
     CACHED = "cached"
+    COPIED = "copied"
     FETCHED = "fetched"
     COMPUTED = "computed"
 
@@ -61,6 +62,10 @@
         return PromptPlan(PromptAccess.COMPUTED, self.duration_s, reason=reason)
 
 
+COPIED = PromptPlan(PromptAccess.COPIED, 0.0)
+"""Plan at an engine that holds a backup of the stream."""
+
+
 def find_holder(call: Call, locations: PromptLocations, directory: Directory) -> PromptHolder:
     """Find the engine that has the prompt of a call.
 
@@ -111,6 +116,7 @@
 
 
 __all__ = [
+    "COPIED",
     "PREFILL_TOKENS_PER_S",
     "PromptAccess",
     "PromptHolder",
--- a/src/basilroad/gateway/metrics.py
+++ b/src/basilroad/gateway/metrics.py
@@ -59,6 +59,12 @@
             ["access"],
             registry=self.registry,
         )
+        self.prompt_s = self._build_histogram(
+            "basilroad_prompt_seconds",
+            "From the start of an attempt to its first event, by how its engine was to get the"
+            " prompt.",
+            "access",
+        )
         self.resumes = Counter(
             "basilroad_resumes",
             "Streams that resumed at another endpoint.",
--- a/src/basilroad/gateway/streams/firstevent.py
+++ b/src/basilroad/gateway/streams/firstevent.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call
     from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.streams.promptreading import PromptReading
 
 FIRST_EVENT_MARGIN_S = 1.0
 """Allowance for the first event beyond prefill: one more prompt of mean size, sent by a gateway
@@ -38,6 +39,7 @@
     :param claim_move: claims what the stream needs to run at another endpoint; if it returns true,
         the attempt must be cancelled
     :param cancel_attempt: cancels the attempt
+    :param reading: how its endpoint gets the prompt
     """
 
     call: Call
@@ -45,6 +47,7 @@
     sent_at: float
     claim_move: Callable[[], bool]
     cancel_attempt: Callable[[], None]
+    reading: PromptReading
 
     @property
     def limit_s(self) -> float:
--- /dev/null
+++ b/src/basilroad/gateway/streams/promptreading.py
@@ -0,0 +1,69 @@
+"""What was planned for the prompt of one attempt, and what happened."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from basilroad.gateway.calls.log import log_prompt_reading
+
+if TYPE_CHECKING:
+    from basilroad.gateway.calls.call import Call
+    from basilroad.gateway.dispatch.promptplan import PromptPlan
+    from basilroad.gateway.metrics import GatewayMetrics
+    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.route import EngineLimits
+
+
+@attrs.define(eq=False)
+class PromptReading:
+    """Compares the plan for the prompt of one attempt with its first event.
+
+    :param call: the call
+    :param endpoint: its engine
+    :param plan: how the engine is to get the prompt
+    :param engine: limits of the engine; ``None`` if unknown
+    :param metrics: metrics of this gateway
+    """
+
+    call: Call
+    endpoint: Endpoint
+    plan: PromptPlan
+    engine: EngineLimits | None
+    metrics: GatewayMetrics
+    calls_there: int = attrs.field(init=False)
+    memory_share: float = attrs.field(init=False)
+    _sent_at: float = attrs.field(init=False, factory=time.monotonic)
+    _is_over: bool = attrs.field(init=False, default=False)
+
+    def __attrs_post_init__(self) -> None:
+        load = self.endpoint.estimate_load(self._sent_at)
+        self.calls_there = load.calls
+        memory_tokens = self.engine.memory_tokens if self.engine else 0
+        self.memory_share = load.memory_tokens / memory_tokens if memory_tokens else 0.0
+
+    def record_event(self) -> None:
+        """Record an event; only the first one counts."""
+        if self._is_over:
+            return
+        took_s = self._finish(has_begun=True)
+        self.metrics.prompt_s.labels(self.plan.access.value).observe(took_s)
+
+    def end(self, *, was_sent: bool) -> None:
+        """Record the end of the attempt.
+
+        :param was_sent: whether its engine may have got the call
+        """
+        if was_sent and not self._is_over:
+            self._finish(has_begun=False)
+
+    def _finish(self, *, has_begun: bool) -> float:
+        self._is_over = True
+        took_s = time.monotonic() - self._sent_at
+        log_prompt_reading(self, has_begun=has_begun, took_s=took_s)
+        return took_s
+
+
+__all__ = ["PromptReading"]
--- a/src/basilroad/gateway/streams/promptsource.py
+++ b/src/basilroad/gateway/streams/promptsource.py
@@ -27,12 +27,12 @@
     gateway: Gateway
     call: Call
 
-    async def find(self, endpoint: Endpoint, *, is_first: bool) -> Endpoint | None:
-        """Find the engine from which a prompt is fetched, and log how the prompt is got.
+    async def plan(self, endpoint: Endpoint, *, is_first: bool) -> PromptPlan:
+        """Plan how an engine gets the prompt, and log it.
 
         :param endpoint: engine of the next attempt
         :param is_first: whether no run of the prompt is known, unless it has a location
-        :return: the engine, which has answered; ``None`` if nothing is fetched
+        :return: the plan; an engine from which the prompt is fetched has answered
         """
         plan = self.gateway.dispatcher.plan_prompt(self.call, endpoint)
         if plan.source is not None:
@@ -40,7 +40,7 @@
         if plan.access is not PromptAccess.COMPUTED or not is_first:
             log_prompt_plan(self.call, endpoint, plan)
             self.gateway.metrics.prompts.labels(plan.access.value).inc()
-        return plan.source
+        return plan
 
     async def _confirm(self, endpoint: Endpoint, plan: PromptPlan, source: Endpoint) -> PromptPlan:
         if not await self.gateway.source_check.confirm(source):
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -15,6 +15,7 @@
 from basilroad.gateway.calls.log import AttemptRecord
 from basilroad.gateway.crashes.containment import REFUSED_MESSAGE
 from basilroad.gateway.crashes.runs import Run
+from basilroad.gateway.dispatch.promptplan import COPIED
 from basilroad.gateway.exchange.promptexchange import PromptRun
 from basilroad.gateway.metrics import name_rank
 from basilroad.gateway.streams.backup import StreamBackup
@@ -23,6 +24,7 @@
 from basilroad.gateway.streams.firstevent import FirstEventWait
 from basilroad.gateway.streams.output import StreamOutput
 from basilroad.gateway.streams.placement import StreamPlace, StreamPlacement
+from basilroad.gateway.streams.promptreading import PromptReading
 from basilroad.gateway.streams.promptsource import PromptSource
 from basilroad.gateway.streams.stalltimer import StallTimer
 from basilroad.gateway.versions.attemptstart import AttemptStart
@@ -31,6 +33,7 @@
 
 if TYPE_CHECKING:
     from basilroad.gateway.calls.call import Call, Responder
+    from basilroad.gateway.dispatch.promptplan import PromptPlan
     from basilroad.gateway.gateway import Gateway
     from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 
@@ -176,7 +179,7 @@
         if place is None:
             return None
         reservation = place.reservation
-        prompt_source = None if place.from_backup else await self._find_prompt_source(reservation)
+        plan = COPIED if place.from_backup else await self._plan_prompt(reservation)
         if not self._pin.admits(reservation.endpoint):
             # its entry changed while the reservation was handed over or the source was asked
             self._gateway.dispatcher.release(reservation)
@@ -200,22 +203,25 @@
                 resume_after=str(self._events.last) if self._events.last else "",
                 copy_at=backup.endpoint.entry.address if backup else None,
                 kv_cache_source=endpoint.entry.address if place.from_backup else None,
-                prompt_source=prompt_source.entry.address if prompt_source else None,
+                prompt_source=plan.source.entry.address if plan.source else None,
             ),
             self._claim_place,
             self._may_send,
             self._start.confirm if self._start else None,
         )
+        engine = self._gateway.dispatcher.find_engine(self._call.service)
+        reading = PromptReading(self._call, endpoint, plan, engine, self._gateway.metrics)
         self._pin.begin(endpoint)
         time_left_s = self._call.expires_at - started
         try:
             with self._gateway.prompts.record(
                 self._call.cache_key, endpoint, time_left_s
             ) as self._prompt_run:
-                outcome = await self._run_watched(attempt, reservation)
+                outcome = await self._run_watched(attempt, reservation, reading)
                 self._prompt_run.was_rejected = isinstance(outcome, NotRun)
         finally:
             attempt.close()
+            reading.end(was_sent=attempt.sent)
             if self._start is not None:
                 self._start.close()
             self._gateway.dispatcher.release(reservation)
@@ -239,10 +245,10 @@
         )
         return outcome
 
-    async def _find_prompt_source(self, reservation: Reservation) -> Endpoint | None:
+    async def _plan_prompt(self, reservation: Reservation) -> PromptPlan:
         is_first = not (self._call.events_received or self._tracker.sent)
         try:
-            return await self._prompt_source.find(reservation.endpoint, is_first=is_first)
+            return await self._prompt_source.plan(reservation.endpoint, is_first=is_first)
         except BaseException:
             self._gateway.dispatcher.release(reservation)
             raise
@@ -292,10 +298,12 @@
             # refused while it waited
             return None
 
-    async def _run_watched(self, attempt: Attempt, reservation: Reservation) -> Outcome:
+    async def _run_watched(
+        self, attempt: Attempt, reservation: Reservation, reading: PromptReading
+    ) -> Outcome:
         run = Run(self._call, attempt.endpoint, resumed_after=self._events.last)
         with self._gateway.containment.watch(run):
-            outcome = await self._exchange(attempt, reservation, run)
+            outcome = await self._exchange(attempt, reservation, run, reading)
         if isinstance(outcome, Ended):
             self._crashes.record_whole(run)
         elif isinstance(outcome, MayHaveRun):
@@ -304,7 +312,9 @@
             )
         return outcome
 
-    async def _exchange(self, attempt: Attempt, reservation: Reservation, run: Run) -> Outcome:
+    async def _exchange(
+        self, attempt: Attempt, reservation: Reservation, run: Run, reading: PromptReading
+    ) -> Outcome:
         now = time.monotonic()
         first = asyncio.timeout(None)
         wait = FirstEventWait(
@@ -313,6 +323,7 @@
             now,
             self._claim_free_place,
             lambda: first.reschedule(asyncio.get_running_loop().time()),
+            reading,
         )
         if not self._crashes.has_passed:
             run.cancel = wait.cancel_attempt
@@ -375,6 +386,7 @@
                 return MayHaveRun("the software version of the stream could not be recorded")
             if self._events.received > received:
                 reservation.record_started()
+                wait.reading.record_event()
                 self._prompt_run.record_location()
                 self._gateway.liveness.mark_started(wait)
                 self._gateway.containment.record_event(run)
--- a/tests/gateway/streams/test_firstevent.py
+++ b/tests/gateway/streams/test_firstevent.py
@@ -5,7 +5,8 @@
 import pytest
 
 from basilroad.gateway.calls.call import PromptSize
-from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S, PromptAccess, PromptPlan
+from basilroad.gateway.metrics import GatewayMetrics
 from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 from basilroad.gateway.streams.firstevent import (
     CONCURRENT_CALL_DELAY_S,
@@ -13,14 +14,17 @@
     PREFILL_FACTOR,
     FirstEventWait,
 )
-from builders import build_call, build_entry, build_stream_route
+from basilroad.gateway.streams.promptreading import PromptReading
+from builders import ENGINE, build_call, build_entry, build_stream_route
 
 PROMPT = PromptSize(8000, 1000)
+PLAN = PromptPlan(PromptAccess.COMPUTED, 1.0)
 
 
 def build_wait(endpoint: Endpoint) -> FirstEventWait:
     call = build_call(build_stream_route(), size=PROMPT)
-    return FirstEventWait(call, endpoint, 0.0, lambda: True, lambda: None)
+    reading = PromptReading(call, endpoint, PLAN, ENGINE, GatewayMetrics())
+    return FirstEventWait(call, endpoint, 0.0, lambda: True, lambda: None, reading)
 
 
 def test_an_idle_engine_gets_time_for_prefill_and_a_margin() -> None:
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -214,3 +214,29 @@
     first.notices.record_limit(NamedLimit(5.0, time.monotonic()), Source.ANSWER, time.monotonic())
     assert not await gateway.source_check.probe(first)
     assert engines[0].reports == 0
+
+
+# fault: nothing said whether a fetched prompt was read anew after all
+@pytest.mark.usefixtures("engines")
+async def test_what_happened_to_a_fetched_prompt_is_shown(gateway, caplog) -> None:
+    caplog.set_level(logging.INFO)
+    await run(gateway)
+    gateway.directory.get("i-1").full_until = float("inf")
+    await run(gateway, id="c2", resume_after="3", resumes="c1")
+    first, second = [r for r in caplog.records if r.message == "prompt read"]
+    assert (first.request, first.access, first.source) == ("c1", "computed", None)
+    assert (second.request, second.access, second.source) == ("c2", "fetched", "i-1")
+    assert first.planned_ms > second.planned_ms > 0
+    assert second.calls_there == 1
+    assert second.memory_share == round(9000 / ENGINE.memory_tokens, 2)
+    rendered = gateway.metrics.render({}).decode()
+    assert 'basilroad_prompt_seconds_count{access="fetched"} 1.0' in rendered
+
+
+# fault: an attempt that never read its prompt left no line about the plan
+async def test_a_prompt_that_is_not_read_is_shown(gateway, engines, caplog) -> None:
+    caplog.set_level(logging.INFO)
+    engines[0].schedule_faults([WireFault.RESET])
+    await run(gateway)
+    unread = next(r for r in caplog.records if r.message == "prompt read" and not r.has_begun)
+    assert (unread.request, unread.endpoint, unread.access) == ("c1", "i-1", "computed")
