Count a call's own prompt in the limit for its first event

Callers of streams that were taken up got their next event seconds late, or never. Cause: a call that was planned as cached or fetched counted no prefill, so an engine that had to compute the prompt after all was given up after 1.4 s, while it computed, and the next one likewise. Change: the limit includes the part of the prompt that the work of the engine does not; at an engine that holds a copy of the stream nothing is added, as it rejects the call without the copy.

Failed before: pytest tests/gateway/streams/test_repeated_prompts.py -k after_all.

--- a/src/basilroad/gateway/registry/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -378,6 +378,11 @@
         endpoint.load.pending_prefill_tokens += self._pending_prefill_tokens
         endpoint.add_reserved(self._memory_tokens, self._pending_prefill_tokens)
 
+    @property
+    def pending_prefill_tokens(self) -> int:
+        """:return: tokens of its prompt that it counts as work of the endpoint."""
+        return self._pending_prefill_tokens
+
     def record_prefill_done(self) -> None:
         """Record that the first event arrived, so the prompt has been processed."""
         self.endpoint.load.pending_prefill_tokens -= self._pending_prefill_tokens
--- a/src/basilroad/gateway/streams/firstevent.py
+++ b/src/basilroad/gateway/streams/firstevent.py
@@ -7,11 +7,12 @@
 
 import attrs
 
-from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S, PromptAccess
 
 if TYPE_CHECKING:
-    from basilroad.gateway.calls.call import Call
-    from basilroad.gateway.registry.endpoint import Endpoint
+    from basilroad.gateway.calls.call import Call, PromptSize
+    from basilroad.gateway.dispatch.promptplan import PromptPlan
+    from basilroad.gateway.registry.endpoint import Endpoint, Reservation
     from basilroad.gateway.streams.promptreading import PromptReading
 
 FIRST_EVENT_MARGIN_S = 1.0
@@ -27,6 +28,20 @@
 3 s."""
 
 
+def count_unplanned_tokens(reservation: Reservation, plan: PromptPlan, size: PromptSize) -> int:
+    """Count the tokens that an endpoint computes though its work doesn't include them.
+
+    :param reservation: capacity of the endpoint for the call
+    :param plan: how the endpoint is to get the prompt
+    :param size: tokens of the call
+    :return: the prompt, if its cache or source may lack it; none where a copy of the stream is,
+        without which the endpoint rejects the call
+    """
+    if plan.access is PromptAccess.COPIED:
+        return 0
+    return size.prompt_tokens - reservation.pending_prefill_tokens
+
+
 @attrs.define(eq=False)
 class FirstEventWait:
     """A stream that was sent and has not produced an event.
@@ -40,6 +55,7 @@
         the attempt must be cancelled
     :param cancel_attempt: cancels the attempt
     :param reading: how its endpoint gets the prompt
+    :param unplanned_tokens: tokens of its prompt that the endpoint has to process if the plan fails
     """
 
     call: Call
@@ -48,14 +64,14 @@
     claim_move: Callable[[], bool]
     cancel_attempt: Callable[[], None]
     reading: PromptReading
+    unplanned_tokens: int = 0
 
     @property
     def limit_s(self) -> float:
         """:return: time limit in seconds under the current load of the endpoint."""
         load, remote = self.endpoint.load, self.endpoint.remote
-        prefill_s = (
-            load.pending_prefill_tokens + remote.pending_prefill_tokens
-        ) / PREFILL_TOKENS_PER_S
+        pending = load.pending_prefill_tokens + remote.pending_prefill_tokens
+        prefill_s = (pending + self.unplanned_tokens) / PREFILL_TOKENS_PER_S
         return (
             FIRST_EVENT_MARGIN_S
             + PREFILL_FACTOR * prefill_s
@@ -67,4 +83,10 @@
         return now - self.sent_at > self.limit_s
 
 
-__all__ = ["CONCURRENT_CALL_DELAY_S", "FIRST_EVENT_MARGIN_S", "PREFILL_FACTOR", "FirstEventWait"]
+__all__ = [
+    "CONCURRENT_CALL_DELAY_S",
+    "FIRST_EVENT_MARGIN_S",
+    "PREFILL_FACTOR",
+    "FirstEventWait",
+    "count_unplanned_tokens",
+]
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -21,7 +21,7 @@
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.crashes import StreamCrashes
 from basilroad.gateway.streams.events import EventOrderError, EventSequence
-from basilroad.gateway.streams.firstevent import FirstEventWait
+from basilroad.gateway.streams.firstevent import FirstEventWait, count_unplanned_tokens
 from basilroad.gateway.streams.output import StreamOutput
 from basilroad.gateway.streams.placement import StreamPlace, StreamPlacement
 from basilroad.gateway.streams.promptreading import PromptReading
@@ -324,6 +324,7 @@
             self._claim_free_place,
             lambda: first.reschedule(asyncio.get_running_loop().time()),
             reading,
+            count_unplanned_tokens(reservation, reading.plan, self._call.size),
         )
         if not self._crashes.has_passed:
             run.cancel = wait.cancel_attempt
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -240,3 +240,18 @@
     await run(gateway)
     unread = next(r for r in caplog.records if r.message == "prompt read" and not r.has_begun)
     assert (unread.request, unread.endpoint, unread.access) == ("c1", "i-1", "computed")
+
+
+# fault: an engine was given up while it computed a prompt that it could not fetch
+@pytest.mark.by_turns
+async def test_an_engine_that_computes_a_prompt_after_all_is_not_given_up(
+    gateway, engines, start_server
+) -> None:
+    await run(gateway)
+    gateway.directory.get("i-1").full_until = float("inf")
+    engines[1].response_delay_s = 2.0
+    third = await start_server("i-3", service="llm", events=EVENTS, data_centre="kurzeme-a")
+    third.response_delay_s = 2.0
+    responder = await run(gateway, id="c2", resume_after="3", resumes="c1")
+    assert responder.numbers == list(range(4, EVENTS + 1))
+    assert len(engines[1].seen) + len(third.seen) == 1
