Don't resume from the copy of an attempt that has not begun

Streams that had been resumed once left an engine that was computing their prompt for the copy of that attempt, were refused and read the prompt again elsewhere. Cause: a copy counted as usable once the stream had any event, also of an earlier attempt. Change: a copy is usable once the attempt that made it has forwarded an event.

Failed before: pytest tests/gateway/streams/test_placement.py -k attempt_without_events, with the former condition.

--- a/src/basilroad/gateway/streams/backup.py
+++ b/src/basilroad/gateway/streams/backup.py
@@ -28,15 +28,18 @@
         self._dispatcher = dispatcher
         self._pin = pin
         self._current: Reservation | None = None
+        self._resumed_after = 0
         self._holder: Endpoint | None = None
 
-    def reserve(self, endpoint: Endpoint) -> Reservation | None:
+    def reserve(self, endpoint: Endpoint, last_event: int = 0) -> Reservation | None:
         """Reserve memory for the backup of a new attempt.
 
         :param endpoint: endpoint of the attempt
+        :param last_event: last event forwarded before it
         :return: the reservation; ``None`` without a backup
         """
         self._current = self._reserve(endpoint)
+        self._resumed_after = last_event
         return self._current
 
     def _reserve(self, endpoint: Endpoint) -> Reservation | None:
@@ -58,7 +61,8 @@
     def keep(self, last_event: int) -> None:
         """Keep the backup of the attempt that has failed, for the next one.
 
-        :param last_event: last event forwarded; a backup is usable from the first event on
+        :param last_event: last event forwarded; a backup is usable from the first event of its
+            attempt on
         """
         self._holder = self._find_current_holder(last_event)
 
@@ -93,7 +97,8 @@
         return self._resume_at(holder, last_event)
 
     def _find_current_holder(self, last_event: int) -> Endpoint | None:
-        return self._current.endpoint if self._current is not None and last_event else None
+        has_begun = last_event > self._resumed_after
+        return self._current.endpoint if self._current is not None and has_begun else None
 
     def _is_usable(self, holder: Endpoint) -> bool:
         now = time.monotonic()
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -190,7 +190,7 @@
         if self._tracker.sent:
             self._gateway.metrics.resumes.labels("copy" if place.from_backup else "none").inc()
         endpoint = reservation.endpoint
-        backup = self._backup.reserve(endpoint)
+        backup = self._backup.reserve(endpoint, self._events.last)
         started = time.monotonic()
         self._start = self._find_start(endpoint)
         attempt = self._tracker.running = Attempt(
--- a/tests/gateway/streams/test_placement.py
+++ b/tests/gateway/streams/test_placement.py
@@ -52,11 +52,11 @@
         """:return: a listed endpoint."""
         return next(endpoint for endpoint in self.directory if endpoint.id == name)
 
-    def run_at(self, name: str) -> None:
-        """Run the stream at an endpoint, with a backup elsewhere."""
+    def run_at(self, name: str, last_event: int = 0) -> None:
+        """Run the stream at an endpoint, with a backup elsewhere, after an event."""
         endpoint = self.find(name)
         self.tracker.running = SentAttempt(endpoint)
-        self.backup.reserve(endpoint)
+        self.backup.reserve(endpoint, last_event)
 
 
 NEAR = build_entry("near", service="llm", slots=48)
@@ -84,6 +84,23 @@
     assert await rig.placement.find_known(last_event=0) is None
 
 
+# fault: a resumed stream left an engine that had not begun yet for a copy that did not exist
+async def test_a_backup_of_an_attempt_without_events_is_not_used() -> None:
+    rig = Rig(NEAR, BESIDE, FAR)
+    rig.run_at("near", last_event=3)
+    assert rig.placement.claim(last_event=3, needs_room=True)
+    place = await rig.placement.find_known(last_event=3)
+    assert place is not None
+    assert not place.from_backup
+    rig.run_at("near", last_event=3)
+    rig.backup.keep(last_event=3)
+    assert await rig.placement.find_known(last_event=3) is None
+    rig.backup.keep(last_event=4)
+    place = await rig.placement.find_known(last_event=4)
+    assert place is not None
+    assert place.from_backup
+
+
 @pytest.mark.parametrize("reason", ["draining", "other version"])
 async def test_a_backup_at_an_endpoint_that_may_not_take_the_stream_is_not_used(reason) -> None:
     rig = Rig(NEAR, FAR)
