Leave a late engine only for one that would begin sooner

Under load, streams left engines that were computing their prompts for others with as many prompts to compute, and each move threw away what was done. Cause: an overdue stream moved wherever there was room. Change: the stream stays until it is late by as long as the best other engine would take to begin, prompt included; the decision is in one function, logged with its reason. An engine that never begins is left as before where another one is idle.

Failed before: pytest tests/gateway/streams/test_streaming.py -k would_begin_later.

--- a/src/basilroad/gateway/dispatch/dispatcher.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -15,7 +15,7 @@
 from basilroad.gateway.dispatch.availability import find_service_pause
 from basilroad.gateway.dispatch.candidates import Candidates, EndpointCriteria
 from basilroad.gateway.dispatch.promptlocations import PromptLocations
-from basilroad.gateway.dispatch.promptplan import PromptAccess
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S, PromptAccess
 from basilroad.gateway.dispatch.selection import estimate_wait
 from basilroad.gateway.registry.endpoint import Reservation
 
@@ -222,6 +222,22 @@
         """:return: whether another endpoint could take the call at once."""
         return self._choose_unblocked(call, avoid, version) is not None
 
+    def estimate_first_event(
+        self, call: Call, avoid: Collection[str], version: str | None = None
+    ) -> float | None:
+        """Estimate when another endpoint that could take a call at once would begin to answer.
+
+        :param call: the call
+        :param avoid: excluded endpoints
+        :param version: the only version that may run it; ``None`` for any
+        :return: seconds if it computes the prompt; ``None`` without such an endpoint
+        """
+        endpoint = self._choose_unblocked(call, avoid, version)
+        if endpoint is None:
+            return None
+        prefill_s = call.size.prompt_tokens / PREFILL_TOKENS_PER_S
+        return estimate_wait(endpoint, call.size, self._clock()) + prefill_s
+
     def reserve_at_once(
         self, call: Call, avoid: Collection[str], version: str | None = None
     ) -> Reservation | None:
--- a/src/basilroad/gateway/registry/liveness.py
+++ b/src/basilroad/gateway/registry/liveness.py
@@ -103,19 +103,8 @@
 
     def _cancel_overdue(self, now: float) -> None:
         for wait in list(self._first_waits):
-            if not wait.is_overdue(now) or not wait.claim_move():
-                continue
-            _LOGGER.warning(
-                "stream overdue",
-                extra={
-                    "request": wait.call.id,
-                    "endpoint": wait.endpoint.id,
-                    "waited_ms": round(1000 * (now - wait.sent_at)),
-                    "limit_ms": round(1000 * wait.limit_s),
-                },
-            )
-            self._first_waits.discard(wait)
-            wait.cancel_attempt()
+            if wait.try_move(now):
+                self._first_waits.discard(wait)
 
     async def _probe(self, endpoint: Endpoint) -> None:
         asked_at = time.monotonic()
--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -95,6 +95,17 @@
             reservation = await dispatcher.place(self._call, again_until, version=version)
         return None if reservation is None else StreamPlace(reservation)
 
+    def estimate_elsewhere(self) -> float | None:
+        """Estimate when an attempt that has no event yet would have one at another endpoint.
+
+        :return: seconds; ``None`` if no other endpoint can take the stream now
+        """
+        attempt = self._tracker.running
+        if attempt is None:
+            return None
+        avoid = self._tracker.tried | {attempt.endpoint.id}
+        return self._dispatcher.estimate_first_event(self._call, avoid, self._pin.version)
+
     def claim(self, last_event: int, *, needs_room: bool) -> bool:
         """Claim a retry and a place at another endpoint, so that the running attempt may end.
 
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -321,6 +321,7 @@
             self._call,
             attempt.endpoint,
             now,
+            self._placement.estimate_elsewhere,
             self._claim_free_place,
             lambda: first.reschedule(asyncio.get_running_loop().time()),
             reading,
--- a/tests/gateway/streams/test_firstevent.py
+++ b/tests/gateway/streams/test_firstevent.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import pytest
 
 from basilroad.gateway.calls.call import PromptSize
@@ -19,6 +21,7 @@
     PREFILL_FACTOR,
     FirstEventWait,
     count_unplanned_tokens,
+    decide_move,
 )
 from basilroad.gateway.streams.promptreading import PromptReading
 from builders import ENGINE, build_call, build_entry, build_stream_route
@@ -27,11 +30,22 @@
 PLAN = PromptPlan(PromptAccess.COMPUTED, 1.0)
 
 
-def build_wait(endpoint: Endpoint, unplanned_tokens: int = 0) -> FirstEventWait:
+def build_wait(
+    endpoint: Endpoint,
+    unplanned_tokens: int = 0,
+    estimate_elsewhere: Callable[[], float | None] = lambda: 0.0,
+) -> FirstEventWait:
     call = build_call(build_stream_route(), size=PROMPT)
     reading = PromptReading(call, endpoint, PLAN, ENGINE, GatewayMetrics())
     return FirstEventWait(
-        call, endpoint, 0.0, lambda: True, lambda: None, reading, unplanned_tokens
+        call,
+        endpoint,
+        0.0,
+        estimate_elsewhere,
+        lambda: True,
+        lambda: None,
+        reading,
+        unplanned_tokens,
     )
 
 
@@ -116,3 +130,36 @@
     # the source of a fetched prompt did not answer after the engine was chosen
     reservation = Reservation(endpoint, PROMPT, needs_prefill=False)
     assert count_unplanned_tokens(reservation, PLAN, PROMPT) == PROMPT.prompt_tokens
+
+
+# fault: engines were given up for others that were expected to take longer
+@pytest.mark.parametrize(
+    ("late_s", "elsewhere_s", "moves"),
+    [(2.4, None, False), (2.4, 5.0, False), (2.4, 2.3, True), (5.1, 5.0, True)],
+)
+def test_a_late_stream_moves_to_an_engine_that_begins_sooner_than_it_is_late(
+    late_s: float, elsewhere_s: float | None, moves: bool
+) -> None:
+    assert decide_move(late_s, elsewhere_s).moves is moves
+
+
+def test_an_engine_that_never_begins_is_left_for_a_crowded_one_in_the_end() -> None:
+    endpoint = Endpoint(build_entry(service="llm", slots=48))
+    Reservation(endpoint, PROMPT)
+    wait = build_wait(endpoint, estimate_elsewhere=lambda: 5.0)
+    assert wait.is_overdue(3.5)
+    assert not wait.try_move(3.5)
+    assert wait.try_move(wait.expected_s + 5.1)
+
+
+def test_what_becomes_of_an_overdue_stream_is_logged_once_for_each_reason(caplog) -> None:
+    endpoint = Endpoint(build_entry(service="llm", slots=48))
+    Reservation(endpoint, PROMPT)
+    estimates = [None, 5.0, 5.0, 5.0, 1.0]
+    wait = build_wait(endpoint, estimate_elsewhere=lambda: estimates.pop(0))
+    assert [wait.try_move(3.5 + 0.05 * n) for n in range(5)] == [False] * 4 + [True]
+    assert [(r.moves, r.elsewhere_ms) for r in caplog.records] == [
+        (False, None),
+        (False, 5000),
+        (True, 1000),
+    ]
--- a/tests/gateway/streams/test_streaming.py
+++ b/tests/gateway/streams/test_streaming.py
@@ -8,8 +8,10 @@
 import pytest
 
 from basilroad.errors import ErrorKind, RefusedError
+from basilroad.gateway.calls.call import PromptSize
 from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.gateway import Gateway
+from basilroad.gateway.registry.endpoint import Reservation
 from basilroad.gateway.route import RetrySafety
 from basilroad.gateway.streams.streaming import StreamBrokenError
 from basilroad.standin.appserver import WireFault
@@ -164,3 +166,17 @@
     responder = await run(gateway)
     assert responder.numbers == list(range(1, 21))
     server.close()
+
+
+# fault: a stream left an engine that was reading its prompt for one that had five others to read
+@pytest.mark.by_turns
+async def test_a_late_stream_stays_if_another_engine_would_begin_later(
+    gateway, start_server
+) -> None:
+    first, second = await start_engines(start_server, response_delay_s=4.0)
+    for _ in range(5):
+        Reservation(gateway.directory.get("i-2"), PromptSize(8000, 1000))
+    responder = await run(gateway)
+    assert responder.numbers == list(range(1, 21))
+    assert len(first.seen) == 1
+    assert not second.seen
