Double the limit for a first event with each engine that a stream leaves

Streams whose engines were all slow never began. Cause: each attempt had the same limit, so a stream was moved until its attempts or its time were used up, and each engine computed its prompt for nothing. Change: the limit of a stream doubles with each engine that it leaves, as that for the next event does.

Failed before: pytest tests/gateway/streams/test_streaming.py -k late_everywhere.

--- a/src/basilroad/gateway/streams/firstevent.py
+++ b/src/basilroad/gateway/streams/firstevent.py
@@ -30,6 +30,21 @@
 3 s."""
 
 
+@attrs.define
+class Patience:
+    """How long one stream waits for its first events.
+
+    :param factor: multiple of the limit; it doubles with each engine that the stream leaves, so
+        that a stream which is slow everywhere completes
+    """
+
+    factor: float = 1.0
+
+    def record_move(self) -> None:
+        """Record that the stream left an engine that had not begun it."""
+        self.factor *= 2
+
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -94,6 +109,7 @@
         the attempt must be cancelled
     :param cancel_attempt: cancels the attempt
     :param reading: how its endpoint gets the prompt
+    :param patience: how long the stream waits
     :param unplanned_tokens: tokens of its prompt that the endpoint has to process if the plan fails
     """
 
@@ -104,13 +120,14 @@
     claim_move: Callable[[], bool]
     cancel_attempt: Callable[[], None]
     reading: PromptReading
+    patience: Patience = attrs.field(factory=Patience)
     unplanned_tokens: int = 0
     _reason: str = attrs.field(init=False, default="")
 
     @property
     def limit_s(self) -> float:
         """:return: time limit in seconds under the current load of the endpoint."""
-        return (
+        return self.patience.factor * (
             FIRST_EVENT_MARGIN_S
             + PREFILL_FACTOR * self._prefill_s
             + CONCURRENT_CALL_DELAY_S * self._calls
@@ -151,6 +168,7 @@
             self._reason = decision.reason
             self._log(decision, now)
         if decision.moves:
+            self.patience.record_move()
             self.cancel_attempt()
         return decision.moves
 
@@ -177,6 +195,7 @@
     "PREFILL_FACTOR",
     "FirstEventWait",
     "MoveDecision",
+    "Patience",
     "count_unplanned_tokens",
     "decide_move",
 ]
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -21,7 +21,7 @@
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.crashes import StreamCrashes
 from basilroad.gateway.streams.events import EventOrderError, EventSequence
-from basilroad.gateway.streams.firstevent import FirstEventWait, count_unplanned_tokens
+from basilroad.gateway.streams.firstevent import FirstEventWait, Patience, count_unplanned_tokens
 from basilroad.gateway.streams.output import StreamOutput
 from basilroad.gateway.streams.placement import StreamPlace, StreamPlacement
 from basilroad.gateway.streams.promptreading import PromptReading
@@ -90,6 +90,7 @@
             gateway.metrics.gap_s.labels(name_rank(call.rank)).observe,
         )
         self._stall_timer = StallTimer()
+        self._patience = Patience()
         self._start: AttemptStart | None = None
         self._prompt_source = PromptSource(gateway, call)
         self._prompt_run = PromptRun()
@@ -325,6 +326,7 @@
             self._claim_free_place,
             lambda: first.reschedule(asyncio.get_running_loop().time()),
             reading,
+            self._patience,
             count_unplanned_tokens(reservation, reading.plan, self._call.size),
         )
         if not self._crashes.has_passed:
--- a/tests/gateway/streams/test_firstevent.py
+++ b/tests/gateway/streams/test_firstevent.py
@@ -20,6 +20,7 @@
     FIRST_EVENT_MARGIN_S,
     PREFILL_FACTOR,
     FirstEventWait,
+    Patience,
     count_unplanned_tokens,
     decide_move,
 )
@@ -34,6 +35,7 @@
     endpoint: Endpoint,
     unplanned_tokens: int = 0,
     estimate_elsewhere: Callable[[], float | None] = lambda: 0.0,
+    patience: Patience | None = None,
 ) -> FirstEventWait:
     call = build_call(build_stream_route(), size=PROMPT)
     reading = PromptReading(call, endpoint, PLAN, ENGINE, GatewayMetrics())
@@ -45,6 +47,7 @@
         lambda: True,
         lambda: None,
         reading,
+        patience or Patience(),
         unplanned_tokens,
     )
 
@@ -163,3 +166,26 @@
         (False, 5000),
         (True, 1000),
     ]
+
+
+# fault: a stream that was slow everywhere was moved five times, each after the same limit
+def test_each_engine_that_a_stream_leaves_doubles_its_next_limit() -> None:
+    patience = Patience()
+    endpoint = Endpoint(build_entry(service="llm", slots=48))
+    Reservation(endpoint, PROMPT)
+    limits = []
+    for _ in range(3):
+        wait = build_wait(endpoint, patience=patience)
+        limits.append(wait.limit_s)
+        assert not wait.try_move(wait.limit_s - 0.01)
+        assert wait.try_move(wait.limit_s + 0.01)
+    assert limits == [limits[0], 2 * limits[0], 4 * limits[0]]
+
+
+def test_an_engine_that_is_not_left_changes_no_limit() -> None:
+    patience = Patience()
+    endpoint = Endpoint(build_entry(service="llm", slots=48))
+    Reservation(endpoint, PROMPT)
+    wait = build_wait(endpoint, estimate_elsewhere=lambda: None, patience=patience)
+    assert not wait.try_move(wait.limit_s + 0.01)
+    assert patience.factor == 1.0
--- a/tests/gateway/streams/test_streaming.py
+++ b/tests/gateway/streams/test_streaming.py
@@ -180,3 +180,18 @@
     assert responder.numbers == list(range(1, 21))
     assert len(first.seen) == 1
     assert not second.seen
+
+
+# fault: a stream that was slow everywhere was moved from engine to engine and never began
+@pytest.mark.by_turns
+async def test_a_stream_that_begins_late_everywhere_is_complete(gateway, start_server) -> None:
+    servers = [
+        await start_server(
+            f"i-{number}", service="llm", events=20, data_centre=data_centre, response_delay_s=5.0
+        )
+        for number, data_centre in enumerate(["riga-a", "kurzeme-a", "riga-a"])
+    ]
+    route = build_stream_route(prefix="/s/", timeout_s=12.0)
+    responder = await run(gateway, route)
+    assert responder.numbers == list(range(1, 21))
+    assert sum(len(server.seen) for server in servers) == 2
