Count the transfer of a fetched prompt as work of its engine

One gateway placed six streams within 0.2 s at one engine, and all were preempted. Cause: a prompt that is planned as fetched counted nothing in the choice among engines. Change: it counts the expected time of its transfer, as tokens of prefill.

The test that a fetched prompt counts as no prefill now asks for exactly its transfer, less than 0.02 s, until the first event. Failed before: pytest tests/gateway/dispatch/test_promptplan.py -k "as_its_transfer or at_a_time" (2).

--- a/src/basilroad/gateway/dispatch/dispatcher.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -184,25 +184,38 @@
         self.dispatch_waiting()
 
     def reserve(
-        self, endpoint: Endpoint, size: PromptSize, *, needs_prefill: bool = True
+        self,
+        endpoint: Endpoint,
+        size: PromptSize,
+        *,
+        needs_prefill: bool = True,
+        transfer_tokens: int = 0,
     ) -> Reservation:
         """Reserve capacity of an endpoint for one request, and use a permit if it needs one.
 
         :param endpoint: the endpoint
         :param size: tokens of the call
         :param needs_prefill: whether the endpoint has to process the prompt first
+        :param transfer_tokens: tokens of prefill that take as long as the transfer of its prompt
         :return: the reservation
         """
         endpoint.notices.limit.take_permit(self._clock())
-        return Reservation(endpoint, size, needs_prefill=needs_prefill)
+        return Reservation(
+            endpoint, size, needs_prefill=needs_prefill, transfer_tokens=transfer_tokens
+        )
 
     def plan_prompt(self, call: Call, endpoint: Endpoint) -> PromptPlan:
         """:return: how an engine gets the prompt of a call."""
         return self._candidates.plan_prompt(call, endpoint)
 
     def _reserve_for(self, call: Call, endpoint: Endpoint) -> Reservation:
-        is_computed = self.plan_prompt(call, endpoint).access is PromptAccess.COMPUTED
-        return self.reserve(endpoint, call.size, needs_prefill=is_computed)
+        plan = self.plan_prompt(call, endpoint)
+        return self.reserve(
+            endpoint,
+            call.size,
+            needs_prefill=plan.access is PromptAccess.COMPUTED,
+            transfer_tokens=round(plan.duration_s * PREFILL_TOKENS_PER_S),
+        )
 
     def find_pause(
         self, call: Call, avoid: Collection[str] = (), version: str | None = None
--- a/src/basilroad/gateway/registry/endpoint.py
+++ b/src/basilroad/gateway/registry/endpoint.py
@@ -365,12 +365,20 @@
     :param endpoint: the endpoint
     :param size: tokens of the generation
     :param needs_prefill: whether the endpoint has to process the prompt first
+    :param transfer_tokens: tokens of prefill that take as long as the transfer of its prompt
     """
 
-    def __init__(self, endpoint: Endpoint, size: PromptSize, *, needs_prefill: bool = True) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        size: PromptSize,
+        *,
+        needs_prefill: bool = True,
+        transfer_tokens: int = 0,
+    ) -> None:
         self.endpoint = endpoint
         self._memory_tokens = size.total
-        self._pending_prefill_tokens = size.prompt_tokens if needs_prefill else 0
+        self._pending_prefill_tokens = size.prompt_tokens if needs_prefill else transfer_tokens
         self._active = True
         self._started = False
         endpoint.load.calls += 1
--- a/tests/gateway/dispatch/test_promptplan.py
+++ b/tests/gateway/dispatch/test_promptplan.py
@@ -126,12 +126,31 @@
     assert placed.endpoint is holder
 
 
-# fault: a prompt that needed no prefill kept other calls from its engine
-async def test_a_prompt_that_is_fetched_counts_as_no_pending_prefill() -> None:
+# fault: a prompt that needed no prefill kept other calls from its engine; its transfer counted none
+async def test_a_prompt_that_is_fetched_counts_as_its_transfer() -> None:
     dispatcher = build_dispatcher()
     placed = await dispatcher.place(CALL, 0.0, ["e1"], version="v1")
     assert placed is not None
+    transfer_s = dispatcher.plan_prompt(CALL, placed.endpoint).duration_s
+    assert 0.0 < transfer_s < 0.02
+    transfer_tokens = round(transfer_s * PREFILL_TOKENS_PER_S)
+    assert placed.endpoint.load.pending_prefill_tokens == transfer_tokens
+    placed.record_started()
     assert placed.endpoint.load.pending_prefill_tokens == 0
+    # another call counts its whole prompt
     other = await dispatcher.place(build_call(ROUTE, prompt_key="other"), 0.0)
     assert other is not None
     assert other.endpoint.load.pending_prefill_tokens == CALL.size.prompt_tokens
+
+
+# fault: one engine was given all prompts that were fetched at a time
+async def test_prompts_that_are_fetched_at_a_time_are_spread() -> None:
+    dispatcher = build_dispatcher(attrs.evolve(FETCHING, link_bits_per_s=3e10))
+    holder = dispatcher.directory.get("e1")
+    assert holder is not None
+    Reservation(holder, PromptSize(60_000, 1000))
+    placed = [await dispatcher.place(CALL, 0.0, version="v1") for _ in range(6)]
+    counts = [
+        sum(p is not None and p.endpoint.id == name for p in placed) for name in ("e2", "far")
+    ]
+    assert min(counts) >= 2
