Don't fetch prompts from engines that never began them

Streams that left an engine before their first event were planned to fetch their prompt from it, and the next engine read it anew without counting it as work. Cause: a location is recorded when a prompt is sent, and only a rejection took it back. Change: a location that was recorded for an attempt goes when the attempt is left without an event.

Failed before: pytest tests/gateway/streams/test_repeated_prompts.py -k never_began_it. In the tests of the exchange `was_rejected` is now called `was_unread`; nothing else changed there.

--- a/src/basilroad/gateway/calls/log.py
+++ b/src/basilroad/gateway/calls/log.py
@@ -121,11 +121,10 @@
     )
 
 
-def log_prompt_reading(reading: PromptReading, *, has_begun: bool, took_s: float) -> None:
+def log_prompt_reading(reading: PromptReading, took_s: float) -> None:
     """Log what was planned for the prompt of an attempt, and what happened.
 
-    :param reading: the plan
-    :param has_begun: whether there was a first event
+    :param reading: the plan, and whether there was a first event
     :param took_s: seconds until then, or until the attempt ended
     """
     plan, endpoint = reading.plan, reading.endpoint
@@ -136,7 +135,7 @@
             "endpoint": endpoint.id,
             "access": plan.access.value,
             "source": plan.source.id if plan.source else None,
-            "has_begun": has_begun,
+            "has_begun": reading.has_begun,
             "tokens": reading.call.size.prompt_tokens,
             "planned_ms": _to_ms(plan.duration_s),
             "took_ms": _to_ms(took_s),
--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -67,11 +67,11 @@
 
     :param record_begun: records its endpoint as the location of the prompt, and returns the
         lifetime of the endpoint
-    :param was_rejected: whether the endpoint has not run it
+    :param was_unread: whether the endpoint has not run it, or had not begun it when it was left
     """
 
     record_begun: Callable[[], Lifetime] | None = None
-    was_rejected: bool = False
+    was_unread: bool = False
     _lifetime: Lifetime | None = None
 
     @property
@@ -182,7 +182,7 @@
         try:
             yield run
         finally:
-            if run.lifetime is not None and run.was_rejected:
+            if run.lifetime is not None and run.was_unread:
                 self.locations.withdraw(key, run.lifetime)
             elif run.lifetime is not None:
                 self.locations.end(key, run.lifetime)
--- a/src/basilroad/gateway/streams/promptreading.py
+++ b/src/basilroad/gateway/streams/promptreading.py
@@ -26,6 +26,9 @@
     :param plan: how the engine is to get the prompt
     :param engine: limits of the engine; ``None`` if unknown
     :param metrics: metrics of this gateway
+    :param calls_there: calls at the engine when the attempt began
+    :param memory_share: share of its memory in use then
+    :param has_begun: whether there was a first event
     """
 
     call: Call
@@ -37,6 +40,7 @@
     memory_share: float = attrs.field(init=False)
     _sent_at: float = attrs.field(init=False, factory=time.monotonic)
     _is_over: bool = attrs.field(init=False, default=False)
+    has_begun: bool = attrs.field(init=False, default=False)
 
     def __attrs_post_init__(self) -> None:
         load = self.endpoint.estimate_load(self._sent_at)
@@ -48,7 +52,8 @@
         """Record an event; only the first one counts."""
         if self._is_over:
             return
-        took_s = self._finish(has_begun=True)
+        self.has_begun = True
+        took_s = self._finish()
         self.metrics.prompt_s.labels(self.plan.access.value).observe(took_s)
 
     def end(self, *, was_sent: bool) -> None:
@@ -57,12 +62,12 @@
         :param was_sent: whether its engine may have got the call
         """
         if was_sent and not self._is_over:
-            self._finish(has_begun=False)
+            self._finish()
 
-    def _finish(self, *, has_begun: bool) -> float:
+    def _finish(self) -> float:
         self._is_over = True
         took_s = time.monotonic() - self._sent_at
-        log_prompt_reading(self, has_begun=has_begun, took_s=took_s)
+        log_prompt_reading(self, took_s)
         return took_s
 
 
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -219,7 +219,8 @@
                 self._call.cache_key, endpoint, time_left_s
             ) as self._prompt_run:
                 outcome = await self._run_watched(attempt, reservation, reading)
-                self._prompt_run.was_rejected = isinstance(outcome, NotRun)
+                is_left = isinstance(outcome, NotRun | MayHaveRun)
+                self._prompt_run.was_unread = is_left and not reading.has_begun
         finally:
             attempt.close()
             reading.end(was_sent=attempt.sent)
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -362,11 +362,11 @@
     with fleet.hosts[0].run(endpoint="e1"):
         fleet.tick()
     with fleet.hosts[0].run(endpoint="e2") as run:
-        run.was_rejected = True
+        run.was_unread = True
     fleet.tick()
     assert await is_found(fleet.hosts[3], "e1")
     with fleet.hosts[0].run(OTHER_KEY, "e2") as run:
-        run.was_rejected = True
+        run.was_unread = True
     fleet.tick()
     assert await find(fleet.hosts[3], OTHER_KEY) is None
 
@@ -379,7 +379,7 @@
     with fleet.hosts[0].run(endpoint="e2") as run:
         fleet.tick()
         assert await is_found(fleet.hosts[3], "e1")
-        run.was_rejected = True
+        run.was_unread = True
     fleet.tick()
     for host in fleet.list_keepers():
         assert await is_found(host, "e1")
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -255,3 +255,22 @@
     responder = await run(gateway, id="c2", resume_after="3", resumes="c1")
     assert responder.numbers == list(range(4, EVENTS + 1))
     assert len(engines[1].seen) + len(third.seen) == 1
+
+
+# fault: a prompt was to be fetched from the engine that its stream left before it had read it
+async def test_no_prompt_is_fetched_from_an_engine_that_never_began_it(gateway, engines) -> None:
+    engines[0].schedule_faults([WireFault.RESET])
+    responder = await run(gateway)
+    assert responder.numbers == list(range(1, EVENTS + 1))
+    assert list_sources(engines[1]) == [None]
+
+
+async def test_a_prompt_is_fetched_from_an_engine_that_had_begun_it(gateway, engines) -> None:
+    engines[0].reset_at_event = 4
+    gateway.table.services["llm"] = attrs.evolve(
+        gateway.table.services["llm"],
+        engine=attrs.evolve(gateway.table.services["llm"].engine, supports_kv_backup=False),
+    )
+    responder = await run(gateway)
+    assert responder.numbers == list(range(1, EVENTS + 1))
+    assert list_sources(engines[1]) == [f"127.0.0.1:{engines[0].port}"]
