--- a/src/basilroad/gateway/calls/log.py
+++ b/src/basilroad/gateway/calls/log.py
@@ -174,6 +174,7 @@
     "AttemptRecord",
     "describe_outcome",
     "log_attempt",
+    "log_prompt_plan",
     "log_refusal",
     "log_resume_from_backup",
     "log_service_pause",
--- a/src/basilroad/gateway/registry/silencecheck.py
+++ b/src/basilroad/gateway/registry/silencecheck.py
@@ -101,7 +101,9 @@
 
     async def _ask_witnesses(self, endpoint: Endpoint) -> None:
         now = time.monotonic()
-        known, used, unused = 0, [], []
+        known = 0
+        used: list[Endpoint] = []
+        unused: list[Endpoint] = []
         for other in self.directory.list_by_service(endpoint.entry.service):
             if other is endpoint:
                 continue
