--- a/src/basilroad/gateway/dispatch/dispatcher.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -15,7 +15,7 @@
 from basilroad.gateway.dispatch.availability import find_service_pause
 from basilroad.gateway.dispatch.candidates import Candidates, EndpointCriteria
 from basilroad.gateway.dispatch.promptlocations import PromptLocations
-from basilroad.gateway.dispatch.promptplan import PromptAccess
+from basilroad.gateway.dispatch.promptplan import PREFILL_TOKENS_PER_S, PromptAccess
 from basilroad.gateway.dispatch.selection import estimate_wait
 from basilroad.gateway.registry.endpoint import Reservation
 
@@ -184,25 +184,38 @@
         self.dispatch_waiting()
 
     def reserve(
-        self, endpoint: Endpoint, size: PromptSize, *, needs_prefill: bool = True
+        self,
+        endpoint: Endpoint,
+        size: PromptSize,
+        *,
+        needs_prefill: bool = True,
+        transfer_tokens: int = 0,
     ) -> Reservation:
         """Reserve capacity of an endpoint for one request, and use a permit if it needs one.
 
         :param endpoint: the endpoint
         :param size: tokens of the call
         :param needs_prefill: whether the endpoint has to process the prompt first
+        :param transfer_tokens: tokens of prefill that take as long as the transfer of its prompt
         :return: the reservation
         """
         endpoint.notices.limit.take_permit(self._clock())
-        return Reservation(endpoint, size, needs_prefill=needs_prefill)
+        return Reservation(
+            endpoint, size, needs_prefill=needs_prefill, transfer_tokens=transfer_tokens
+        )
 
     def plan_prompt(self, call: Call, endpoint: Endpoint) -> PromptPlan:
         """:return: how an engine gets the prompt of a call."""
         return self._candidates.plan_prompt(call, endpoint)
 
     def _reserve_for(self, call: Call, endpoint: Endpoint) -> Reservation:
-        is_computed = self.plan_prompt(call, endpoint).access is PromptAccess.COMPUTED
-        return self.reserve(endpoint, call.size, needs_prefill=is_computed)
+        plan = self.plan_prompt(call, endpoint)
+        return self.reserve(
+            endpoint,
+            call.size,
+            needs_prefill=plan.access is PromptAccess.COMPUTED,
+            transfer_tokens=round(plan.duration_s * PREFILL_TOKENS_PER_S),
+        )
 
     def find_pause(
         self, call: Call, avoid: Collection[str] = (), version: str | None = None
@@ -222,6 +235,22 @@
         """:return: whether another endpoint could take the call at once."""
         return self._choose_unblocked(call, avoid, version) is not None
 
+    def estimate_first_event(
+        self, call: Call, avoid: Collection[str], version: str | None = None
+    ) -> float | None:
+        """Estimate when another endpoint that could take a call at once would begin to answer.
+
+        :param call: the call
+        :param avoid: excluded endpoints
+        :param version: the only version that may run it; ``None`` for any
+        :return: seconds if it computes the prompt; ``None`` without such an endpoint
+        """
+        endpoint = self._choose_unblocked(call, avoid, version)
+        if endpoint is None:
+            return None
+        prefill_s = call.size.prompt_tokens / PREFILL_TOKENS_PER_S
+        return estimate_wait(endpoint, call.size, self._clock()) + prefill_s
+
     def reserve_at_once(
         self, call: Call, avoid: Collection[str], version: str | None = None
     ) -> Reservation | None:
