Confirm keys at a start long after a restore of the store

What callers saw: 503 "keys were not confirmed recently" for two seconds from each gateway that starts, and from all hosts when all are started at once, however long ago the store was restored.

Cause: at its first read a gateway can't know when the store's epoch began. It waited RESTORE_SETTLE_S for each epoch but the first, so this holds for good once a store was restored, unless a reader of the same version confirms the keys.

Change: the readers that see a restored store settle write its epoch to it. A gateway that starts reads that record after its first listing and, if it is of the present epoch, confirms the keys by a poll made after that. A copy holds the record of an earlier epoch, so a start soon after a restore waits as before.

Failed before, with the record alone added: python -m pytest tests/platform/test_restorerecord.py test_a_start_long_after_a_restore_confirms_keys_at_once test_the_record_of_an_earlier_epoch_does_not_count (no record was written) test_the_listing_from_before_the_record_confirms_no_key (no record was read) The other two passed before too; they hold that nothing is confirmed too early.

--- a/src/basilroad/platform/configwatch.py
+++ b/src/basilroad/platform/configwatch.py
@@ -10,9 +10,12 @@
 from basilroad.clocks import read_boot_clock
 from basilroad.gateway.exchange.relay import Confirmation
 from basilroad.platform.config import ConfigError, decode_config
+from basilroad.platform.restorerecord import RestoreRecord
 from basilroad.platform.watch import TableWatch
 
 if TYPE_CHECKING:
+    from mode.types import ServiceT
+
     from basilroad.gateway.exchange.configexchange import ConfigExchange, FetchedConfig
     from basilroad.gateway.exchange.relay import Relay, Update
     from basilroad.gateway.gateway import Gateway
@@ -78,6 +81,12 @@
         self._required_epoch = 0
         self._is_clock_suspect = False
         self._clock_checked_at = -math.inf
+        self._restores = RestoreRecord(store)
+        self._has_read = False
+
+    def on_init_dependencies(self) -> list[ServiceT]:
+        """:return: the child services."""
+        return [self._restores]
 
     @property
     def poll_limit_s(self) -> float:
@@ -161,6 +170,24 @@
             await self._read_snapshot()
             self._is_clock_suspect = False
 
+    async def _read_snapshot(self) -> None:
+        await super()._read_snapshot()
+        is_first, self._has_read = not self._has_read, True
+        if is_first and self._restore is not None:
+            await self._check_settled(self._restore.head.epoch)
+
+    async def _check_settled(self, epoch: int) -> None:
+        """Confirm the keys at the start if the store has settled since the last restore.
+
+        :param epoch: epoch of the store
+        """
+        if not await self._restores.has_settled(epoch):
+            return
+        self._restore = None
+        _LOGGER.info("restore settled before", extra={"epoch": epoch})
+        # the listing may be older than the record
+        await self._poll_changes(0.0)
+
     def _confirm_fetched(self, fetched: FetchedConfig) -> None:
         # no clock of the store is involved, so this also holds while its epoch isn't known here
         table = self._gateway.table
@@ -186,6 +213,8 @@
             self._confirmation_due = not self._is_settling(read_boot_clock())
             return
         self._gateway.freshness.confirm(at)
+        if self._restore is not None and not self._relay.follows:
+            self._restores.record_settled(self._restore.head.epoch)
         if store_s is not None:
             self._record_confirmation(Confirmation(table.version, store_s, at))
 
