Let callers of the soak try a refused take-up again

Cause: a caller of the soak tries a stream that broke off up to MAX_TAKE_UPS times, after the time that a refusal names. But the body of a refusal arrives whole too, and a whole response ended the tries. So one refusal lost a stream for good, while each new stream beside it was a request of its own.

Change: statuses that promise "not run" are tried again, as the settings of the callers say. The promise and its bounds are as before.

Failed before: python -m pytest tests/soak/test_callers.py test_a_refused_take_up_is_tried_again[1-True], [3-True] and [4-False]

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -35,6 +35,9 @@
 TAKE_UP_PAUSE_S = 0.4
 """Seconds between two tries without a ``Retry-After``; a gateway takes about 1 s to start."""
 
+NOT_RUN = (408, 421, 429, 503)
+"""Statuses that promise that a request was not run, so that it may be sent again."""
+
 MAX_RETRY_AFTER_SHARE = 1 / 3
 """Share of the time left up to which a ``Retry-After`` is honoured."""
 
@@ -97,7 +100,7 @@
         """Take a stream up where it broke off, at other gateways, within its time."""
         until, last_event, ended = first.sent_at + STREAM_TIME_S, _find_last_event(first), first
         tries = 0
-        while last_event and tries < MAX_TAKE_UPS and not (ended.whole or ended.aborted):
+        while last_event and tries < MAX_TAKE_UPS and not (_is_final(ended) or ended.aborted):
             longest_s = MAX_RETRY_AFTER_SHARE * (until - time.monotonic())
             await asyncio.sleep(min(ended.retry_after_s or TAKE_UP_PAUSE_S, max(0.0, longest_s)))
             now = time.monotonic()
@@ -167,6 +170,11 @@
             request.whole = True
 
 
+def _is_final(request: Request) -> bool:
+    """:return: whether a whole response leaves nothing to try; a refusal may be sent again."""
+    return request.whole and request.status not in NOT_RUN
+
+
 def _find_last_event(request: Request) -> int:
     """:return: number of the last event received up to the end of a request; 0 for none."""
     events = decode_events(request.answer) if request.status == OK else []
