Reply about a prompt to the sender of the question only

Cause: a keeper sent its reply to the address that the request named, so one forged or mistaken datagram made a gateway send to any address.

Change: a reply goes to the sender of the datagram. A keeper that passes a request on writes the sender's address into it in place of the named one. A request that was passed on is answered at that address if its own sender or the address is known, else skipped with a line in the log. Gateways that have just started keep their replies by this, as the keeper that they asked is known. Permits, loans, crashes and probes of engines already reply to the sender, or look up an address by name; messages of state name addresses by design.

Changed tests: those of gossip and of the exchange deliver each datagram with the address of its sender, which was one address for all, or none.

--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -143,6 +143,7 @@
         if prompts is not None:
             prompts.address = address
             prompts.list_states = lambda: self._table.states
+            prompts.knows = lambda address: address in self._table.addresses
             prompts.send = lambda message, peer: self._send_counted(message, [peer])
         self._engine_probes = engine_probes
         if engine_probes is not None:
@@ -243,11 +244,7 @@
         for peer in peers:
             self._send(data, peer)
 
-    def _send_counted(
-        self,
-        message: Datagram,
-        peers: Sequence[Address],
-    ) -> None:
+    def _send_counted(self, message: Datagram, peers: Sequence[Address]) -> None:
         data = msgspec.msgpack.encode(message)
         for peer in peers:
             self._send(data, peer)
@@ -315,9 +312,9 @@
             self._prompts.take_records(message)
 
     @_handle.register
-    def _(self, message: PromptRequest, _: Address) -> None:
+    def _(self, message: PromptRequest, address: Address) -> None:
         if self._prompts is not None:
-            self._prompts.take_request(message)
+            self._prompts.take_request(message, address)
 
     @_handle.register
     def _(self, message: PromptReply, _: Address) -> None:
--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -117,6 +117,7 @@
     :param address: its listening address; ``None`` without other gateways
     :param list_states: returns the state of the other gateways that send gossip, by name
     :param is_stopping: whether the shutdown of this gateway was requested
+    :param knows: whether an address is that of a known gateway
     :param send: sends a message to a gateway
     :param clock: seconds of the boot clock
     """
@@ -127,6 +128,7 @@
     address: Address | None = None
     list_states: Callable[[], Mapping[str, PeerState]] = dict
     is_stopping: Callable[[], bool] = lambda: False
+    knows: Callable[[Address], bool] = lambda _address: False
     send: Callable[[PromptMessage, Address], None] = lambda _message, _peer: None
     clock: Callable[[], float] = read_boot_clock
     _started_at: float = attrs.field()
@@ -300,23 +302,36 @@
         if record is not None:
             self._merge(record)
 
-    def take_request(self, request: PromptRequest) -> None:
+    def take_request(self, request: PromptRequest, sender: Address) -> None:
         """Reply to another gateway, or pass its request on.
 
         :param request: the request
+        :param sender: address from which it came
+        :raises ValueError: the address of the gateway that asks can't be read
         """
-        address = parse_remote_address(request.address)
+        asks = self._find_asking(request, sender)
+        if asks is None:
+            _LOGGER.warning("prompt request skipped", extra={"peer": str(sender)})
+            return
         location = self.locations.find(request.key)
         if location is not None:
             record = self._pack(request.key, location)
-            self.send(PromptReply(self.host, request.number, record), address)
+            self.send(PromptReply(self.host, request.number, record), asks)
             return
         others = self._list_others(request)
-        self.send(PromptReply(self.host, request.number, None, len(others)), address)
-        passed = PromptRequest(request.host, request.address, request.number, request.key)
+        self.send(PromptReply(self.host, request.number, None, len(others)), asks)
+        passed = PromptRequest(request.host, str(asks), request.number, request.key)
         for other in others:
             self.send(passed, other)
 
+    def _find_asking(self, request: PromptRequest, sender: Address) -> Address | None:
+        """:return: address of the gateway that asks; ``None`` if no known one vouches for it."""
+        if request.keepers:
+            return sender
+        # it was passed on; those that ask may have just started, and be known to few
+        named = parse_remote_address(request.address)
+        return named if self.knows(sender) or self.knows(named) else None
+
     def _list_others(self, request: PromptRequest) -> list[Address]:
         if not request.keepers:
             return []
--- a/src/basilroad/gateway/exchange/promptmessages.py
+++ b/src/basilroad/gateway/exchange/promptmessages.py
@@ -51,7 +51,7 @@
     """Request for the location of a prompt.
 
     :param host: name of the gateway that asks
-    :param address: its listening address
+    :param address: its listening address, to which replies go once the request was passed on
     :param number: number of the request in its process
     :param key: key of the prompt
     :param keepers: names of the keepers known to the gateway that asks, to which the request is not
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -51,7 +51,7 @@
 
     def __init__(self, count: int = 2, endpoints: int = 3) -> None:
         self.now = 100.0
-        self.sent: list[tuple[bytes, Address]] = []
+        self.sent: list[tuple[bytes, Address, Address]] = []
         self.stopping: set[int] = set()
         self.gateways = [self._build(number, endpoints) for number in range(count)]
         self.directories: list[Directory]
@@ -82,16 +82,16 @@
         )
         gossip._directory = directory
         gossip._prompts = prompts
-        gossip._send = lambda data, peer: self.sent.append((data, peer))  # type: ignore[method-assign]
+        gossip._send = lambda data, peer: self.sent.append((data, peer, address))  # type: ignore[method-assign]
         gossip.add_peers(Address("127.0.0.1", 9000 + n) for n in range(1000) if n < 2)
         return gossip
 
     def deliver(self, keep: Callable[[int], bool] = lambda _: True) -> None:
         sent, self.sent = self.sent, []
-        for index, (data, peer) in enumerate(sent):
+        for index, (data, peer, sender) in enumerate(sent):
             number = peer.port - 9000
             if keep(index) and number < len(self.gateways):
-                self.gateways[number].datagram_received(data, ("127.0.0.1", 1))
+                self.gateways[number].datagram_received(data, (sender.ip, sender.port))
 
 
 def get(gossip: Gossip, endpoint_id: str):
@@ -301,7 +301,7 @@
         get(gossip, f"e{number}").last_failed_at = net.now
     gossip.tick()
     assert len(net.sent) == FANOUT
-    assert all(len(data) <= MAX_DATAGRAM_BYTES for data, _ in net.sent)
+    assert all(len(data) <= MAX_DATAGRAM_BYTES for data, *_ in net.sent)
 
 
 def test_each_peer_of_a_large_fleet_is_reached() -> None:
@@ -312,7 +312,7 @@
     for _ in range(5):
         gossip.tick()
         net.now += REFRESH_INTERVAL_S
-    assert {peer for _, peer in net.sent} == gossip.peers
+    assert {peer for _, peer, _ in net.sent} == gossip.peers
 
 
 def test_peers_of_a_large_fleet_do_not_expire_between_reports() -> None:
@@ -338,7 +338,7 @@
         gossip.tick()
         net.now += GOSSIP_INTERVAL_S
     seconds = 200 * GOSSIP_INTERVAL_S
-    rate = sum(len(data) for data, _ in net.sent) / seconds
+    rate = sum(len(data) for data, *_ in net.sent) / seconds
     assert rate <= MAX_SENT_BYTES_PER_S + FANOUT * MAX_DATAGRAM_BYTES / seconds
 
 
@@ -430,9 +430,9 @@
     net = Net()
     Reservation(get(net.gateways[0], "e1"), SIZE)
     net.gateways[0].tick()
-    [(data, peer)] = net.sent
+    [(data, peer, sender)] = net.sent
     fields = msgspec.msgpack.decode(data)
-    net.sent = [(msgspec.msgpack.encode(fields[:-2]), peer)]
+    net.sent = [(msgspec.msgpack.encode(fields[:-2]), peer, sender)]
     net.deliver()
     assert get(net.gateways[1], "e1").remote.calls == 1
 
--- a/tests/gateway/exchange/test_promptexchange.py
+++ b/tests/gateway/exchange/test_promptexchange.py
@@ -69,6 +69,7 @@
             self.address,
             list_states=self.list_states,
             is_stopping=lambda: self.stopping,
+            knows=lambda address: address in {s.address for s in self.list_states().values()},
             send=self._send,
             clock=lambda: self.fleet.now,
         )
@@ -90,7 +91,7 @@
     def _send(self, message: PromptMessage, peer: Address) -> None:
         data = msgspec.msgpack.encode(message)
         self.sent.append(data)
-        self.fleet.deliver(data, peer)
+        self.fleet.deliver(data, self.address, peer)
 
 
 class Fleet:
@@ -102,7 +103,7 @@
         self.hosts: list[Host] = []
         self.hosts = [Host(self, number) for number in range(count)]
 
-    def deliver(self, data: bytes, peer: Address) -> None:
+    def deliver(self, data: bytes, sender: Address, peer: Address) -> None:
         host = self.hosts[peer.port - 9000]
         if not host.up or host.name in self.lost:
             return
@@ -110,7 +111,7 @@
         if isinstance(message, PromptRecords):
             host.exchange.take_records(message)
         elif isinstance(message, PromptRequest):
-            host.exchange.take_request(message)
+            host.exchange.take_request(message, sender)
         elif isinstance(message, PromptReply):
             host.exchange.take_reply(message)
 
