Keep what gateways report of a prompt no longer than a run may last

Cause: a keeper kept a location for as long as the report said. One forged or mistaken report stayed until 4,096 others displaced it, and was handed on.

Change: a reported location ends at the longest time limit of streams and RETENTION_S after the begin of its run at the latest. The limit comes from the configuration, counts on when it is shortened, and holds for reports that came before the first configuration. A report that has expired by it replaces nothing. Times are ages on the boot clock, which can't be set back; a suspension ends locations early, as it does those of the host itself.

What a forged report can still do within that time: name a wrong engine for a prompt, whose source is then asked for its start, and the prompt read anew.

--- a/src/basilroad/gateway/dispatch/promptlocations.py
+++ b/src/basilroad/gateway/dispatch/promptlocations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
@@ -66,12 +67,26 @@
 
     def __init__(self, clock: Callable[[], float] = read_boot_clock) -> None:
         self._clock = clock
+        self._longest_s = math.inf
         self._known: OrderedDict[bytes, PromptLocation] = OrderedDict()
         self._running: dict[tuple[bytes, Lifetime], _Running] = {}
 
     def __iter__(self) -> Iterator[bytes]:
         return iter(list(self._known))
 
+    def limit_runs(self, longest_s: float) -> None:
+        """Limit how long reported locations are kept.
+
+        A limit that is shortened counts on, as runs that began before may still go on.
+
+        :param longest_s: longest time limit of streams in seconds
+        """
+        if math.isfinite(self._longest_s):
+            longest_s = max(longest_s, self._longest_s)
+        self._longest_s = longest_s
+        for key, known in self._known.items():
+            self._known[key] = self._bound(known)
+
     def begin(self, key: bytes, endpoint: Endpoint, time_left_s: float) -> Lifetime:
         """Record that this gateway sends a prompt to an endpoint.
 
@@ -117,13 +132,14 @@
             del self._known[key]
 
     def merge(self, key: bytes, reported: PromptLocation) -> None:
-        """Apply the report of another gateway, unless it is of an earlier run.
+        """Apply the report of another gateway, unless it is of an earlier run or has expired.
 
         :param key: key of the prompt
         :param reported: its location
         """
-        known = self.find(key)
-        if known is None or reported.began_at > known.began_at:
+        known, reported = self.find(key), self._bound(reported)
+        is_later = known is None or reported.began_at > known.began_at
+        if is_later and self._clock() <= reported.expires_at:
             self._put(key, reported)
 
     def find(self, key: bytes) -> PromptLocation | None:
@@ -143,6 +159,12 @@
         for key in [key for key, known in self._known.items() if now > known.expires_at]:
             del self._known[key]
 
+    def _bound(self, location: PromptLocation) -> PromptLocation:
+        latest = location.began_at + self._longest_s + RETENTION_S
+        if location.expires_at <= latest:
+            return location
+        return attrs.evolve(location, expires_at=latest)
+
     def _leave(self, key: bytes, lifetime: Lifetime) -> _Running:
         index = key, lifetime
         running = self._running.get(index, _Running(1))
--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -151,6 +151,13 @@
             self.host, self.place, lambda: self.list_states(), lambda: self.is_stopping()
         )
 
+    def apply_limits(self, limits: Mapping[str, float]) -> None:
+        """Apply the time limits of a configuration.
+
+        :param limits: longest time limit of streams in seconds, by service
+        """
+        self.locations.limit_runs(max(limits.values(), default=0.0))
+
     # keeping
 
     def choose_keepers(self, key: bytes) -> list[str]:
--- a/src/basilroad/gateway/gateway.py
+++ b/src/basilroad/gateway/gateway.py
@@ -193,15 +193,14 @@
         """
         known = self.table
         if known is not None and table.version < known.version:
-            _LOGGER.warning(
-                "config version refused",
-                extra={"version": table.version, "in_force": known.version},
-            )
+            versions: dict[str, int] = {"version": table.version, "in_force": known.version}
+            _LOGGER.warning("config version refused", extra=versions)
             return False
         if known is not None and table.version == known.version:
             return True
         self.table = table
-        self.stream_versions.apply_limits(table.find_stream_limits())
+        for part in (self.stream_versions, self.prompts):
+            part.apply_limits(table.find_stream_limits())
         _LOGGER.info(
             "config in force",
             extra={
--- a/tests/gateway/dispatch/test_promptlocations.py
+++ b/tests/gateway/dispatch/test_promptlocations.py
@@ -168,3 +168,86 @@
         locations.merge(number.to_bytes(8), build_report("e1", 90.0))
     assert locations.find((0).to_bytes(8)) is None
     assert len(list(locations)) == MAX_PROMPTS
+
+
+# fault: a forged or mistaken report that named a far expiry stayed until others displaced it
+def test_a_report_is_kept_no_longer_than_a_run_may_last() -> None:
+    clock, locations = build_locations()
+    locations.limit_runs(TIME_LEFT_S)
+    locations.merge(KEY, build_report("e1", clock.now, expires_at=1e12))
+    clock.now += TIME_LEFT_S + RETENTION_S - 0.1
+    assert locations.find(KEY) is not None
+    clock.now += 0.2
+    assert locations.find(KEY) is None
+    locations.expire()
+    assert not list(locations)
+
+
+# fault: a report of a run that began before the longest one could have begun counted
+def test_a_report_counts_from_the_begin_of_its_run() -> None:
+    clock, locations = build_locations()
+    locations.limit_runs(TIME_LEFT_S)
+    began_at = clock.now - TIME_LEFT_S
+    locations.merge(KEY, build_report("e1", began_at, expires_at=1e12))
+    clock.now += RETENTION_S - 0.1
+    assert locations.find(KEY) is not None
+    clock.now += 0.2
+    assert locations.find(KEY) is None
+
+
+def test_a_report_that_no_run_can_have_replaces_nothing() -> None:
+    clock, locations = build_locations()
+    locations.limit_runs(TIME_LEFT_S)
+    clock.now += 1000.0
+    locations.merge(KEY, build_report("e1", clock.now - 1.0, expires_at=clock.now + 1.0))
+    locations.merge(KEY, build_report("e2", clock.now - 100.0, expires_at=1e12))
+    found = locations.find(KEY)
+    assert found is not None
+    assert found.endpoint_id == "e1"
+    clock.now += 2.0
+    locations.merge(KEY, build_report("e2", clock.now - 100.0, expires_at=1e12))
+    assert locations.find(KEY) is None
+
+
+# fault: what a gateway was told before it had a configuration had no limit
+def test_the_limit_holds_for_earlier_reports() -> None:
+    clock, locations = build_locations()
+    locations.merge(KEY, build_report("e1", clock.now, expires_at=1e12))
+    locations.limit_runs(TIME_LEFT_S)
+    clock.now += TIME_LEFT_S + RETENTION_S + 0.1
+    assert locations.find(KEY) is None
+
+
+def test_a_limit_that_is_shortened_counts_on() -> None:
+    clock, locations = build_locations()
+    locations.limit_runs(TIME_LEFT_S)
+    locations.limit_runs(1.0)
+    locations.merge(KEY, build_report("e1", clock.now, expires_at=1e12))
+    clock.now += TIME_LEFT_S
+    assert locations.find(KEY) is not None
+
+
+def test_the_report_of_the_longest_run_keeps_its_time() -> None:
+    clock, locations = build_locations()
+    locations.limit_runs(TIME_LEFT_S)
+    sent = locations.begin(KEY, build_endpoint(), TIME_LEFT_S)
+    clock.now += TIME_LEFT_S
+    locations.end(KEY, sent)
+    known = locations.find(KEY)
+    assert known is not None
+    kept = PromptLocations(clock.read)
+    kept.limit_runs(TIME_LEFT_S)
+    kept.merge(KEY, known)
+    assert kept.find(KEY) == known
+
+
+def test_a_jump_of_the_clock_ends_no_later_report_early() -> None:
+    # the machine was suspended for longer than any run
+    clock, locations = build_locations()
+    locations.limit_runs(TIME_LEFT_S)
+    locations.merge(KEY, build_report("e1", clock.now, expires_at=1e12))
+    clock.now += 10_000.0
+    assert locations.find(KEY) is None
+    locations.merge(KEY, build_report("e2", clock.now, expires_at=clock.now + TIME_LEFT_S))
+    clock.now += TIME_LEFT_S - 0.1
+    assert locations.find(KEY) is not None
--- a/tests/gateway/exchange/test_promptexchange_costs.py
+++ b/tests/gateway/exchange/test_promptexchange_costs.py
@@ -17,11 +17,13 @@
 from basilroad.gateway.exchange.promptkeepers import KEEPERS, PromptKeepers
 from basilroad.gateway.exchange.promptmessages import (
     PromptMessage,
+    PromptRecord,
     PromptRecords,
 )
+from basilroad.gateway.gateway import Gateway
 from basilroad.gateway.registry.endpoint import Endpoint
 from basilroad.peers.address import Address
-from builders import PLACE, build_entry
+from builders import PLACE, build_entry, build_stream_route, build_table
 
 TIME_LEFT_S = 25.0
 HOSTS = 410
@@ -29,7 +31,7 @@
 DATA_CENTRES = ("riga-a", "riga-b", "kurzeme-a")
 
 
-class Gateway:
+class ReportingGateway:
     """A gateway, the other gateways that it knows, and the messages that it sends them."""
 
     def __init__(self, hosts: int = HOSTS) -> None:
@@ -90,7 +92,7 @@
 
 # fault: while no gateway came or went, each run left its prompt in memory for good
 def test_prompts_that_have_left_the_caches_are_dropped_in_a_fleet_at_rest() -> None:
-    gateway = Gateway(hosts=4)
+    gateway = ReportingGateway(hosts=4)
     for key in make_keys(200):
         with gateway.run(key):
             gateway.tick()
@@ -108,7 +110,7 @@
 def test_a_change_of_one_gateway_ranks_few_gateways(
     change: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    gateway, ranked = Gateway(), []
+    gateway, ranked = ReportingGateway(), []
 
     def choose_hosts(key: str, hosts: set[str], count: int) -> list[str]:
         ranked.append(len(hosts))
@@ -139,7 +141,7 @@
 def test_after_any_changes_the_keepers_of_running_prompts_have_them(seed: int) -> None:
     generator = random.Random(seed)
     hosts = generator.choice([2, 3, 5, 12])
-    gateway = Gateway(hosts)
+    gateway = ReportingGateway(hosts)
     keys = make_keys(8)
     with contextlib.ExitStack() as runs:
         for key in keys:
@@ -162,10 +164,20 @@
 
 
 def test_a_location_is_reported_once_to_each_keeper() -> None:
-    gateway = Gateway()
+    gateway = ReportingGateway()
     (key,) = make_keys(1)
     with gateway.run(key):
         for number in range(HOSTS, HOSTS + 100):
             gateway.tick()
             gateway.put(number)
     assert len(gateway.sent) == len(gateway.list_reported(key))
+
+
+# fault: a forged or mistaken report that named a far expiry stayed until others displaced it
+async def test_a_report_is_kept_for_the_longest_time_limit_of_streams(gateway: Gateway) -> None:
+    gateway.apply_table(build_table(2, build_stream_route(timeout_s=300.0)))
+    (key,) = make_keys(1)
+    gateway.prompts.take_records(PromptRecords([PromptRecord(key, "e1", 1, 0, 2**50)]))
+    location = gateway.prompts.locations.find(key)
+    assert location is not None
+    assert location.expires_at - location.began_at == pytest.approx(300.0 + RETENTION_S)
