Give the permit of a call back for which nothing was sent

What callers saw: an engine with a limit wants few requests; where one was used up by a caller that left, the next call waited for the next permit, up to 5 s.

Cause: a reservation uses a permit when it is made. A caller that left while the source of its prompt was asked, a stop, a changed entry, and a claimed place that was not used released the reservation and not the permit.

Change: a limit remembers which reservation took which permit. A call that needed none gives none back. Releases after an attempt keep as they were, as a check of the start may have used the permit. A permit that a grantor sends to a caller that has left meanwhile is still lost; that is a part of the rate.

Failed before: test_a_caller_that_leaves_while_the_source_is_asked_leaves_its_permit (pytest -q -n 2 tests/gateway/streams/test_repeated_prompts.py). The three new tests of test_limits.py show the method.

--- a/src/basilroad/gateway/calls/buffered.py
+++ b/src/basilroad/gateway/calls/buffered.py
@@ -141,7 +141,7 @@
             self._gateway.containment.check(self._call)
             self._gateway.check_time_before_shutdown(self._call.route)
         except RefusedError:
-            self._gateway.dispatcher.release(reservation)
+            self._gateway.dispatcher.release(reservation, is_unused=True)
             raise
 
     def _may_send(self) -> bool:
--- a/src/basilroad/gateway/dispatch/dispatcher.py
+++ b/src/basilroad/gateway/dispatch/dispatcher.py
@@ -137,13 +137,11 @@
         :return: reserved capacity; ``None`` if there was none in time
         """
         if not self._is_blocked(call, version):
-            endpoint = await self._choose_by_reports(
-                call, self._build_criteria(call, avoid, version)
-            )
+            criteria = self._build_criteria(call, avoid, version)
+            endpoint = await self._choose_by_reports(call, criteria)
             if endpoint is None:
-                endpoint = await self._choose_permitted(
-                    call, self._build_criteria(call, avoid, version)
-                )
+                criteria = self._build_criteria(call, avoid, version)
+                endpoint = await self._choose_permitted(call, criteria)
             if endpoint is not None:
                 return self._reserve_for(call, endpoint)
         left_s = wait_until - self._clock()
@@ -193,8 +191,9 @@
         :param needs_prefill: whether the endpoint has to process the prompt first
         :return: the reservation
         """
-        endpoint.notices.limit.take_permit(self._clock())
-        return Reservation(endpoint, size, needs_prefill=needs_prefill)
+        reservation = Reservation(endpoint, size, needs_prefill=needs_prefill)
+        endpoint.notices.limit.take_permit(self._clock(), reservation)
+        return reservation
 
     def plan_prompt(self, call: Call, endpoint: Endpoint) -> PromptPlan:
         """:return: how an engine gets the prompt of a call."""
@@ -229,11 +228,14 @@
         endpoint = self._choose_unblocked(call, avoid, version)
         return None if endpoint is None else self._reserve_for(call, endpoint)
 
-    def release(self, reservation: Reservation) -> None:
+    def release(self, reservation: Reservation, *, is_unused: bool = False) -> None:
         """Release a reservation and dispatch queued calls.
 
         :param reservation: the reservation
+        :param is_unused: whether nothing was sent for it, so that others may use its permit
         """
+        if is_unused:
+            reservation.endpoint.notices.limit.give_back(reservation)
         reservation.release()
         self.dispatch_waiting()
 
@@ -273,7 +275,7 @@
             # a reservation may have been made just before the cancellation
             given = _take_result(placed)
             if given is not None:
-                given.release()
+                self.release(given, is_unused=True)
             raise
         finally:
             queue.remove(ticket)
@@ -391,12 +393,10 @@
             # calls may have queued meanwhile
             criteria = self._build_criteria(call, criteria.avoid, criteria.version)
             # one round trip is enough while others need no permit
-            endpoint = self._choose_at_once(call, criteria) or self._candidates.choose(
-                call, criteria
-            )
-        return self._choose_at_once(
-            call, self._build_criteria(call, criteria.avoid, criteria.version)
-        )
+            endpoint = self._choose_at_once(call, criteria)
+            endpoint = endpoint or self._candidates.choose(call, criteria)
+        criteria = self._build_criteria(call, criteria.avoid, criteria.version)
+        return self._choose_at_once(call, criteria)
 
     def _choose_at_once(self, call: Call, criteria: EndpointCriteria) -> Endpoint | None:
         return self._candidates.choose(call, criteria, at_once=True)
--- a/src/basilroad/gateway/registry/limits.py
+++ b/src/basilroad/gateway/registry/limits.py
@@ -5,6 +5,7 @@
 import math
 import random
 from collections import deque
+from weakref import WeakKeyDictionary
 
 import attrs
 
@@ -49,6 +50,7 @@
     refused_until: float = -math.inf
     interval_s: float = 0.0
     _permits: deque[float] = attrs.field(factory=deque)
+    _used: WeakKeyDictionary[object, float] = attrs.field(factory=WeakKeyDictionary)
 
     def is_in_force(self, now: float) -> bool:
         """:return: whether requests need a permit."""
@@ -66,19 +68,31 @@
         """:return: whether no permit is in hand or to be had now."""
         return now < self.refused_until and not self.has_permit(now)
 
-    def take_permit(self, now: float) -> bool:
+    def take_permit(self, now: float, user: object = None) -> bool:
         """Use a permit.
 
         :param now: monotonic seconds
+        :param user: what may give it back; ``None`` if nothing does
         :return: whether there was one, or none is needed
         """
         if now >= self.ends_at:
             return True
         if not self.has_permit(now):
             return False
-        self._permits.popleft()
+        expires_at = self._permits.popleft()
+        if user is not None:
+            self._used[user] = expires_at
         return True
 
+    def give_back(self, user: object) -> None:
+        """Give a permit back for which no request was sent; it lapses when it would have.
+
+        :param user: what took it; without one, nothing is given back
+        """
+        expires_at = self._used.pop(user, None)
+        if expires_at is not None:
+            self._permits.appendleft(expires_at)
+
     def add_permit(self, now: float) -> None:
         """Add a permit of this gateway.
 
--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -73,7 +73,7 @@
             if endpoint.is_available(time.monotonic()) and self._pin.admits(endpoint):
                 self._backup.discard()
                 return claimed
-            self._dispatcher.release(claimed.reservation)
+            self._dispatcher.release(claimed.reservation, is_unused=True)
         reservation = await self._backup.resume(last_event)
         return None if reservation is None else StreamPlace(reservation, from_backup=True)
 
@@ -134,7 +134,7 @@
 
     def _release_place(self) -> None:
         if self._claimed is not None:
-            self._dispatcher.release(self._claimed.reservation)
+            self._dispatcher.release(self._claimed.reservation, is_unused=True)
             self._claimed = None
 
 
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -179,7 +179,7 @@
         prompt_source = None if place.from_backup else await self._find_prompt_source(reservation)
         if not self._pin.admits(reservation.endpoint):
             # its entry changed while the reservation was handed over or the source was asked
-            self._gateway.dispatcher.release(reservation)
+            self._gateway.dispatcher.release(reservation, is_unused=True)
             self._tracker.record_unsent()
             return NotRun("the endpoint has changed")
         self._gateway.record_placed(self._call, time.monotonic() - queued_at)
@@ -244,7 +244,7 @@
         try:
             return await self._prompt_source.find(reservation.endpoint, is_first=is_first)
         except BaseException:
-            self._gateway.dispatcher.release(reservation)
+            self._gateway.dispatcher.release(reservation, is_unused=True)
             raise
 
     def _check_time_before_shutdown(self, reservation: Reservation) -> None:
@@ -254,7 +254,7 @@
         try:
             self._gateway.check_time_before_shutdown(self._call.route)
         except RefusedError:
-            self._gateway.dispatcher.release(reservation)
+            self._gateway.dispatcher.release(reservation, is_unused=True)
             raise
 
     def _find_start(self, endpoint: Endpoint) -> AttemptStart | None:
--- a/tests/gateway/registry/test_limits.py
+++ b/tests/gateway/registry/test_limits.py
@@ -14,7 +14,7 @@
 from basilroad.gateway.dispatch.availability import find_service_pause
 from basilroad.gateway.dispatch.selection import Chooser
 from basilroad.gateway.registry.directory import Directory
-from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.endpoint import Endpoint, Reservation
 from basilroad.gateway.registry.limits import PERMIT_VALIDITY_S, RETURN_SPREAD_S, NamedLimit
 from basilroad.gateway.registry.notices import (
     LIMIT_REPORT_S,
@@ -244,3 +244,38 @@
     gateway.dispatcher._permits = Granting()
     assert await gateway.dispatcher.place(build_call(), now) is None
     assert endpoint.notices.limit.has_permit(time.monotonic())
+
+
+# fault: a permit was lost if its call ended before anything was sent
+def test_a_permit_that_is_given_back_is_used_by_another_call() -> None:
+    fleet = Fleet()
+    endpoint = fleet.add()
+    fleet.report(endpoint, 2.0, NOW)
+    limit, user = endpoint.notices.limit, Reservation(endpoint, PromptSize(1, 1))
+    limit.add_permit(NOW)
+    assert limit.take_permit(NOW, user)
+    limit.give_back(user)
+    limit.give_back(user)
+    assert limit.take_permit(NOW)
+    assert not limit.has_permit(NOW)
+
+
+def test_a_permit_that_is_given_back_lapses_as_before() -> None:
+    fleet = Fleet()
+    endpoint = fleet.add()
+    fleet.report(endpoint, 2.0, NOW)
+    limit, user = endpoint.notices.limit, Reservation(endpoint, PromptSize(1, 1))
+    limit.add_permit(NOW)
+    assert limit.take_permit(NOW, user)
+    limit.give_back(user)
+    assert not limit.has_permit(NOW + PERMIT_VALIDITY_S)
+
+
+def test_a_call_that_needed_no_permit_gives_none_back() -> None:
+    fleet = Fleet()
+    endpoint = fleet.add()
+    limit, user = endpoint.notices.limit, Reservation(endpoint, PromptSize(1, 1))
+    assert limit.take_permit(NOW, user)
+    fleet.report(endpoint, 2.0, NOW)
+    limit.give_back(user)
+    assert not limit.has_permit(NOW)
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -214,3 +214,31 @@
     first.notices.record_limit(NamedLimit(5.0, time.monotonic()), Source.ANSWER, time.monotonic())
     assert not await gateway.source_check.probe(first)
     assert engines[0].reports == 0
+
+
+# fault: of an engine that wanted few requests, one was used up by a caller that had left before
+# anything was sent
+@pytest.mark.usefixtures("engines")
+async def test_a_caller_that_leaves_while_the_source_is_asked_leaves_its_permit(gateway) -> None:
+    await run(gateway)
+    first, second = gateway.directory.get("i-1"), gateway.directory.get("i-2")
+    first.full_until = float("inf")
+    first.lost_at = time.monotonic()
+    is_asked = asyncio.Event()
+
+    async def ask(_: Endpoint) -> bool:
+        is_asked.set()
+        return await asyncio.get_running_loop().create_future()
+
+    gateway.source_check.ask_others = ask
+    limit, now = second.notices.limit, time.monotonic()
+    second.notices.record_limit(NamedLimit(0.01, now), Source.ANSWER, now)
+    limit.add_permit(now + 10.0)
+    task = asyncio.ensure_future(run(gateway, id="c2", resume_after="3", resumes="c1"))
+    async with limit_time(2):
+        await is_asked.wait()
+    assert not limit.has_permit(now)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert limit.take_permit(now)
+    assert not limit.has_permit(now)
