Check the engine of a stream again after the question for its source

What callers saw: a stream was sent to an engine that the gateway had lost in the tenth of a second in which it asked for the source of the prompt, and stood still until it was given up there.

Cause: after the question only the version of the engine was compared. Whether it is listed, leaves, pauses or has restarted is checked when the request is sent; whether its listing says that it drains, it was lost or is full was not.

Change: StreamPlacement.is_current checks all of these; the stream is placed anew. No loop can follow, as engines are placed by the same conditions.

Failed before: three of five cases of test_a_stream_is_not_sent_to_an_engine_that_was_lost_while_the_source_was_asked (drains, lost, full; removed and leaves passed), with pytest -q -n 2 tests/gateway/streams/test_repeated_prompts.py. After: tests/gateway/streams, versions, tests/docs and test_prompt_takeups: 308 passed.

--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -95,6 +95,16 @@
             reservation = await dispatcher.place(self._call, again_until, version=version)
         return None if reservation is None else StreamPlace(reservation)
 
+    def is_current(self, reservation: Reservation) -> bool:
+        """Check an endpoint again just before the stream is sent to it.
+
+        :param reservation: capacity there, whose permit is in hand
+        :return: whether the stream may be sent to it still
+        """
+        endpoint, now = reservation.endpoint, time.monotonic()
+        is_free = now >= max(endpoint.backoff_until, endpoint.full_until)
+        return is_free and not endpoint.is_leaving and self._pin.admits(endpoint)
+
     def claim(self, last_event: int, *, needs_room: bool) -> bool:
         """Claim a retry and a place at another endpoint, so that the running attempt may end.
 
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -177,8 +177,8 @@
             return None
         reservation = place.reservation
         prompt_source = None if place.from_backup else await self._find_prompt_source(reservation)
-        if not self._pin.admits(reservation.endpoint):
-            # its entry changed while the reservation was handed over or the source was asked
+        if not self._placement.is_current(reservation):
+            # it changed while the reservation was handed over or the source was asked
             self._gateway.dispatcher.release(reservation, is_unused=True)
             self._tracker.record_unsent()
             return NotRun("the endpoint has changed")
--- a/tests/gateway/streams/test_repeated_prompts.py
+++ b/tests/gateway/streams/test_repeated_prompts.py
@@ -12,9 +12,9 @@
 from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.dispatch.sourcecheck import HEARD_S
 from basilroad.gateway.gateway import Gateway
-from basilroad.gateway.registry.endpoint import Endpoint
+from basilroad.gateway.registry.endpoint import Endpoint, EndpointState
 from basilroad.gateway.registry.limits import NamedLimit
-from basilroad.gateway.registry.notices import Source
+from basilroad.gateway.registry.notices import Notice, Source
 from basilroad.standin.appserver import AppServerStandin, WireFault
 from builders import ENGINE, RecordingResponder, build_call, build_stream_route
 from support.timelimit import limit_time
@@ -242,3 +242,44 @@
     await asyncio.gather(task, return_exceptions=True)
     assert limit.take_permit(now)
     assert not limit.has_permit(now)
+
+
+# fault: a stream was sent to an engine that had been lost or had begun to drain while its source
+# was asked
+@pytest.mark.parametrize("change", ["removed", "drains", "leaves", "lost", "full"])
+async def test_a_stream_is_not_sent_to_an_engine_that_was_lost_while_the_source_was_asked(
+    gateway, engines, start_server, change: str
+) -> None:
+    engines.append(await start_server("i-3", service="llm", events=EVENTS, data_centre="riga-b"))
+    await run(gateway)
+    first = gateway.directory.get("i-1")
+    first.full_until = float("inf")
+    first.lost_at = time.monotonic()
+    chosen: list[Endpoint] = []
+
+    async def ask(_: Endpoint) -> bool:
+        if chosen:
+            return True
+        [endpoint] = [e for e in gateway.directory if e.load.calls]
+        chosen.append(endpoint)
+        now = time.monotonic()
+        if change == "removed":
+            gateway.directory.remove(endpoint.id)
+        elif change == "drains":
+            entry = attrs.evolve(endpoint.entry, state=EndpointState.DRAINING)
+            gateway.directory.put(entry)
+        elif change == "leaves":
+            endpoint.notices.record(Notice(leaving=True), Source.ANSWER, now)
+        elif change == "lost":
+            endpoint.mark_lost(now)
+        else:
+            endpoint.full_until = float("inf")
+        return True
+
+    gateway.source_check.ask_others = ask
+    responder = await run(gateway, id="c2", resume_after="3", resumes="c1")
+    assert responder.numbers == list(range(4, EVENTS + 1))
+    by_id = {f"i-{number}": engine for number, engine in enumerate(engines, 1)}
+    assert not by_id.pop(chosen[0].id).seen
+    assert chosen[0].load.calls == 0
+    assert sum(len(engine.seen) for engine in by_id.values()) == 2
