Hand locations of prompts over within the limit of control traffic

What callers saw: nothing at usual loads; a gateway that kept many locations sent the control traffic of up to 17 s at once when it stopped, which may overflow buffers, and then no gossip until it exited: others dropped its loads.

Cause: all locations that it kept were reported in the tick after the signal.

Change: 64 at once, then 100 a second, as a token bucket counts them; the ones that live longest first, which are those of streams that still run, and runs that begin meanwhile before all. When the process closes its socket, what is left is sent at once; the stop waits for nothing.

--- a/src/basilroad/gateway/exchange/gossip.py
+++ b/src/basilroad/gateway/exchange/gossip.py
@@ -201,7 +201,9 @@
         await loop.create_datagram_endpoint(lambda: self, local_addr=local)
 
     def close(self) -> None:
-        """Stop listening."""
+        """Hand over what is left of locations at a stop, and stop listening."""
+        if self._prompts is not None:
+            self._prompts.finish()
         if self._transport is not None:
             self._transport.close()
 
--- a/src/basilroad/gateway/exchange/promptexchange.py
+++ b/src/basilroad/gateway/exchange/promptexchange.py
@@ -15,12 +15,13 @@
 import contextlib
 import logging
 import math
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping
 from typing import TYPE_CHECKING
 
 import attrs
 
 from basilroad.clocks import read_boot_clock
+from basilroad.coordination.budget import TokenBucket
 from basilroad.gateway.dispatch.promptlocations import PromptLocation, PromptLocations
 from basilroad.gateway.exchange.promptkeepers import PromptKeepers
 from basilroad.gateway.exchange.promptmessages import (
@@ -31,6 +32,7 @@
     PromptReply,
     PromptRequest,
 )
+from basilroad.gateway.exchange.promptsearch import PromptSearch
 from basilroad.peers.address import Address, parse_remote_address
 
 if TYPE_CHECKING:
@@ -55,6 +57,13 @@
 EXPIRY_INTERVAL_S = 1.0
 """Interval at which expired locations are removed."""
 
+HAND_OVER_BURST = 64
+"""Locations that a gateway hands over at once when it stops; more than the streams that it runs."""
+
+HAND_OVER_PER_S = 100.0
+"""Locations that it hands over in a second after these: about half of the limit of control traffic,
+as gossip needs the rest."""
+
 _LOGGER = logging.getLogger(__name__)
 
 _Lifetime = tuple[str, int]
@@ -85,28 +94,6 @@
             self._lifetime = self.record_begun()
 
 
-@attrs.define(eq=False)
-class _Search:
-    """A request that waits for replies.
-
-    :param expected: replies that are still to come
-    :param found: the location
-    :param silent: gateways that were asked and have not replied
-    """
-
-    expected: int
-    found: asyncio.Future[PromptRecord | None]
-    silent: set[str]
-
-    def take(self, reply: PromptReply) -> None:
-        self.silent.discard(reply.host)
-        self.expected += reply.passed_on - 1
-        # those that were passed on may be answered first
-        is_over = not self.silent and self.expected <= 0
-        if not self.found.done() and (reply.record is not None or is_over):
-            self.found.set_result(reply.record)
-
-
 @attrs.define(eq=False)
 class PromptExchange:
     """Reports the locations of prompts to their keepers, and asks them.
@@ -133,10 +120,12 @@
     clock: Callable[[], float] = read_boot_clock
     _started_at: float = attrs.field()
     _keepers: PromptKeepers = attrs.field()
+    _hand_over: TokenBucket = attrs.field()
     _number: int = 0
-    _searches: dict[int, _Search] = attrs.field(factory=dict)
+    _searches: dict[int, PromptSearch] = attrs.field(factory=dict)
     _silent_until: dict[str, float] = attrs.field(factory=dict)
     _reported: dict[bytes, frozenset[_Lifetime]] = attrs.field(factory=dict)
+    _waiting: dict[bytes, None] = attrs.field(factory=dict)
     _next_expiry_at: float = -math.inf
     _members: tuple[list[str], list[int], list[bool]] = ([], [], [])
     _hands_over: bool = False
@@ -158,6 +147,10 @@
         """
         self.locations.limit_runs(max(limits.values(), default=0.0))
 
+    @_hand_over.default
+    def _(self) -> TokenBucket:
+        return TokenBucket(HAND_OVER_PER_S, HAND_OVER_BURST, self.clock)
+
     # keeping
 
     def choose_keepers(self, key: bytes) -> list[str]:
@@ -208,15 +201,30 @@
         )
         hands_over = self.is_stopping()
         if (members, hands_over) == (self._members, self._hands_over):
-            self._report([key for key, reported in self._reported.items() if not reported])
-            return
-        self._members, self._hands_over = members, hands_over
-        self._keepers.update()
-        if hands_over:
-            self._reported |= {
-                key: frozenset() for key in self.locations if key not in self._reported
-            }
-        self._report([*self._reported])
+            new = [key for key, reported in self._reported.items() if not reported]
+            self._waiting = {key: None for key in new if key not in self._waiting} | self._waiting
+        else:
+            self._members, self._hands_over = members, hands_over
+            self._keepers.update()
+            if hands_over:
+                self._reported |= {
+                    key: frozenset() for key in self.locations if key not in self._reported
+                }
+            self._waiting = dict.fromkeys(self._reported)
+            if hands_over:
+                self._waiting = dict.fromkeys(sorted(self._waiting, key=self._rank_urgency))
+        self._report(is_paced=hands_over)
+
+    def finish(self) -> None:
+        """Hand over at once what is left when the process exits after a stop."""
+        if self.is_stopping():
+            self.tick()
+            self._report(is_paced=False)
+
+    def _rank_urgency(self, key: bytes) -> float:
+        # runs that go on expire last, and may be cut
+        location = self.locations.find(key)
+        return math.inf if location is None else -location.expires_at
 
     def _expire(self) -> None:
         now = self.clock()
@@ -229,12 +237,13 @@
 
     def _forget(self, key: bytes) -> None:
         del self._reported[key]
+        self._waiting.pop(key, None)
         self._keepers.forget(key)
 
-    def _report(self, keys: Sequence[bytes]) -> None:
+    def _report(self, *, is_paced: bool) -> None:
         states = self.list_states()
         batches: dict[str, list[PromptRecord]] = {}
-        for key in keys:
+        for key in list(self._waiting):
             location = self.locations.find(key)
             if location is None:
                 self._forget(key)
@@ -244,10 +253,13 @@
                 for host in self._keepers.find(key)
             }
             reported = self._reported[key]
-            for host, lifetime in keepers.items():
-                if host != self.host and lifetime not in reported:
-                    batches.setdefault(host, []).append(self._pack(key, location))
+            told = [h for h, life in keepers.items() if h != self.host and life not in reported]
+            if is_paced and told and not self._hand_over.take(len(told)):
+                break
+            for host in told:
+                batches.setdefault(host, []).append(self._pack(key, location))
             self._reported[key] = reported.union(keepers.values())
+            del self._waiting[key]
         for host, records in batches.items():
             for start in range(0, len(records), MAX_RECORDS):
                 message = PromptRecords(records[start : start + MAX_RECORDS])
@@ -292,7 +304,7 @@
         self._number += 1
         number = self._number
         found: asyncio.Future[PromptRecord | None] = asyncio.get_running_loop().create_future()
-        search = self._searches[number] = _Search(len(hosts), found, set(hosts))
+        search = self._searches[number] = PromptSearch(len(hosts), found, set(hosts))
         distance_s = max(self.place.distance_s(states[host].data_centre) for host in hosts)
         request = PromptRequest(self.host, str(address), number, key, keepers)
         for host in hosts:
--- a/tests/gateway/exchange/test_gossip.py
+++ b/tests/gateway/exchange/test_gossip.py
@@ -187,7 +187,7 @@
         net.deliver()
     stops, prompts = net.gateways[0], net.gateways[0]._prompts
     assert prompts is not None
-    for number in range(300):
+    for number in range(3000):
         location = PromptLocation("e1", 1, net.now, net.now + 30.0)
         prompts.locations.merge(number.to_bytes(8), location)
     net.stopping.add(0)
@@ -197,7 +197,18 @@
     assert len(net.gateways[1].list_stops()) == 1
     other = net.gateways[1]._prompts
     assert other is not None
-    assert len(list(other.locations)) == 300
+    assert list(other.locations)
+    # fault: a gateway that handed over more sent no gossip until it exited
+    sequence = net.gateways[1]._table.states["g0"].sequence
+    for _ in range(30):
+        net.now += GOSSIP_INTERVAL_S
+        stops.tick()
+        net.deliver()
+    assert net.gateways[1]._table.states["g0"].sequence > sequence
+    # fault: what had not been handed over was lost at the exit
+    stops.close()
+    net.deliver()
+    assert len(list(other.locations)) == 3000
 
 
 def test_a_gateway_that_does_not_return_is_forgotten() -> None:
--- a/tests/gateway/exchange/test_promptexchange_costs.py
+++ b/tests/gateway/exchange/test_promptexchange_costs.py
@@ -5,11 +5,16 @@
 import contextlib
 import random
 
+import msgspec
 import pytest
 
-from basilroad.gateway.dispatch.promptlocations import RETENTION_S, PromptLocations
+from basilroad.gateway.dispatch.promptlocations import (
+    RETENTION_S,
+    PromptLocation,
+    PromptLocations,
+)
 from basilroad.gateway.exchange import promptkeepers
-from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S
+from basilroad.gateway.exchange.gossip import GOSSIP_INTERVAL_S, MAX_SENT_BYTES_PER_S
 from basilroad.gateway.exchange.peertable import PeerState
 from basilroad.gateway.exchange.promptexchange import (
     PromptExchange,
@@ -39,6 +44,7 @@
         self.is_stopping = False
         self.states: dict[str, PeerState] = {}
         self.sent: list[tuple[str, int, bytes]] = []
+        self.sent_bytes = 0
         for number in range(hosts - 1):
             self.put(number)
         self.exchange = PromptExchange(
@@ -83,6 +89,7 @@
         assert isinstance(message, PromptRecords)
         host = f"g{peer.port - 9000:03}"
         started_ms = self.states[host].started_ms
+        self.sent_bytes += len(msgspec.msgpack.encode(message))
         self.sent += [(host, started_ms, record.key) for record in message.records]
 
 
@@ -181,3 +188,64 @@
     location = gateway.prompts.locations.find(key)
     assert location is not None
     assert location.expires_at - location.began_at == pytest.approx(300.0 + RETENTION_S)
+
+
+def build_stopping(count: int, hosts: int = HOSTS) -> ReportingGateway:
+    """:return: a gateway that stops and keeps locations, each of which lives longer than the one
+    before."""
+    gateway = ReportingGateway(hosts)
+    for number, key in enumerate(make_keys(count)):
+        expires_at = gateway.now + 20.0 + number / 100
+        location = PromptLocation("i-0123456789", 1 << 40, gateway.now, expires_at)
+        gateway.exchange.locations.merge(key, location)
+    gateway.tick()
+    gateway.is_stopping = True
+    return gateway
+
+
+# fault: a gateway that stopped sent the control traffic of many seconds at once, which overflows
+# buffers, and no gossip in these
+@pytest.mark.parametrize("hosts", [3, HOSTS])
+def test_a_hand_over_stays_within_the_limit_of_control_traffic(hosts: int) -> None:
+    gateway = build_stopping(2000, hosts)
+    for second in range(1, 6):
+        for _ in range(20):
+            gateway.tick()
+        assert gateway.sent_bytes <= second * MAX_SENT_BYTES_PER_S
+    assert len(gateway.sent) > 400
+
+
+def test_the_locations_that_live_longest_are_handed_over_first() -> None:
+    gateway = build_stopping(2000)
+    gateway.tick()
+    handed = {key for _, _, key in gateway.sent}
+    assert handed == set(make_keys(2000)[-len(handed) :])
+
+
+def test_a_run_that_begins_in_a_hand_over_is_reported_before_the_rest() -> None:
+    gateway = build_stopping(2000)
+    for _ in range(20):
+        gateway.tick()
+    with gateway.run(b"new-run."):
+        gateway.tick()
+        gateway.tick()
+    assert gateway.list_reported(b"new-run.")
+
+
+# fault: locations were lost with a gateway that exited before it had handed them over
+@pytest.mark.parametrize("ticks", [0, 1, 20])
+def test_all_locations_are_handed_over_once_at_the_exit(ticks: int) -> None:
+    gateway = build_stopping(1000)
+    for _ in range(ticks):
+        gateway.tick()
+    gateway.exchange.finish()
+    for key in make_keys(1000):
+        assert gateway.list_keepers(key) <= gateway.list_reported(key)
+    assert len(set(gateway.sent)) == len(gateway.sent)
+
+
+def test_an_exit_without_a_stop_hands_nothing_over() -> None:
+    gateway = build_stopping(100)
+    gateway.is_stopping = False
+    gateway.exchange.finish()
+    assert not gateway.sent
