--- a/src/basilroad/gateway/streams/placement.py
+++ b/src/basilroad/gateway/streams/placement.py
@@ -74,7 +74,7 @@
             if endpoint.is_available(time.monotonic()) and self._pin.admits(endpoint):
                 self._backup.discard()
                 return claimed
-            self._dispatcher.release(claimed.reservation)
+            self._dispatcher.release(claimed.reservation, is_unused=True)
         reservation = await self._backup.resume(last_event)
         return None if reservation is None else StreamPlace(reservation, from_backup=True)
 
@@ -96,6 +96,16 @@
             reservation = await dispatcher.place(self._call, again_until, version=version)
         return None if reservation is None else StreamPlace(reservation)
 
+    def is_current(self, reservation: Reservation) -> bool:
+        """Check an endpoint again just before the stream is sent to it.
+
+        :param reservation: capacity there, whose permit is in hand
+        :return: whether the stream may be sent to it still
+        """
+        endpoint, now = reservation.endpoint, time.monotonic()
+        is_free = now >= max(endpoint.backoff_until, endpoint.full_until)
+        return is_free and not endpoint.is_leaving and self._pin.admits(endpoint)
+
     def estimate_elsewhere(self) -> float | None:
         """Estimate when an attempt that has no event yet would have one at another endpoint.
 
@@ -150,7 +160,7 @@
 
     def _release_place(self) -> None:
         if self._claimed is not None:
-            self._dispatcher.release(self._claimed.reservation)
+            self._dispatcher.release(self._claimed.reservation, is_unused=True)
             self._claimed = None
 
 
