Log when a planned stop ends listening

What callers saw: tries that end with neither an answer nor a refusal beside a planned stop. Cause of the missing evidence: a host had no line for the moment at which it closes its listening socket, so a record could not place such a try before or after it.

The line `listening ended` tells the port, how many connections waited and were accepted with the close, and whether handshakes that had begun were awaited.

--- a/src/basilroad/http/listener.py
+++ b/src/basilroad/http/listener.py
@@ -69,9 +69,10 @@
 
         :param limit: monotonic seconds until which handshakes that have begun may finish
         """
-        now = time.monotonic()
+        now, port = time.monotonic(), self._sock.getsockname()[1]
         handshakes_until = min(now + HANDSHAKE_LIMIT_S, limit)
-        if handshakes_until > now and await self._refuse_handshakes(handshakes_until):
+        awaits = handshakes_until > now and await self._refuse_handshakes(handshakes_until)
+        if awaits:
             await asyncio.sleep(handshakes_until - time.monotonic())
         asyncio.get_running_loop().remove_reader(self._sock)
         # what the event loop accepted in this turn gets its transport before the close
@@ -79,6 +80,11 @@
         waiting = self._accept_waiting()
         # without a turn of the event loop in between: the kernel resets what waits at the close
         await self._site.stop()
+        # callers lose the handshakes that were unfinished at this moment, and only those
+        _LOGGER.info(
+            "listening ended",
+            extra={"port": port, "waiting": len(waiting), "handshakes_awaited": awaits},
+        )
         server = self._runner.server
         assert server is not None
         # at once: each takes some turns of the event loop, which are long on a busy host
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import socket
@@ -255,6 +256,44 @@
     await listener._runner.cleanup()
 
 
+# fault: a record did not tell when a host closed its listening socket, so that a try without an
+# answer could not be told from one that was lost later
+@pytest.mark.parametrize(
+    ("option", "awaits"),
+    [(listener_module.SO_BINDTOIFINDEX, True), (socket.SO_KEEPALIVE, False)],
+    ids=["awaited", "not-awaited"],
+)
+async def test_the_end_of_listening_is_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, option: int, awaits: bool
+) -> None:
+    caplog.set_level(logging.INFO)
+    monkeypatch.setattr(listener_module, "SO_BINDTOIFINDEX", option)
+    listener, port = await open_listener("127.0.0.1")
+    with socket.create_connection(("127.0.0.1", port), timeout=5):
+        await listener.close(time.monotonic() + 5.0)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", port), timeout=5)
+    [line] = [vars(line) for line in caplog.records if line.message == "listening ended"]
+    assert (line["port"], line["handshakes_awaited"]) == (port, awaits)
+    await listener._runner.cleanup()
+
+
+async def test_the_end_of_listening_counts_the_connections_that_waited(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # fault: a record did not tell whether a connection waited to be accepted at that moment
+    caplog.set_level(logging.INFO)
+    listener, port = await open_listener("127.0.0.1")
+    with contextlib.ExitStack() as callers:
+        for _ in range(3):
+            callers.enter_context(socket.create_connection(("127.0.0.1", port), timeout=5))
+        # no turn of the event loop in between accepts them
+        await listener.close()
+    [line] = [vars(line) for line in caplog.records if line.message == "listening ended"]
+    assert line["waiting"] == 3
+    await listener._runner.cleanup()
+
+
 async def test_a_stop_refuses_the_late_request_of_a_handshake_that_has_begun(
     rig: GatewayRig,
 ) -> None:
