Take no key as free whose agents don't reply

What callers saw: a request sent again with its key got a second generation, and the first caller's stream ended with generation_lost, "replaced by a new generation".

Cause: an entry claims a key at the two agents that keep its record. A reply that takes over REPLY_TIMEOUT_S (0.5 s) counted as a claim that was granted, so that with both agents silent, for a second in all, the key was free. An agent counts as lost only after dead_after_s (1.5 s).

Change: a claim needs a reply of one agent. Without one it is made again, at the agents that have taken the places of lost ones, for 3 s at most, after which it counts as granted as before. The entry's own claim, if only its reply was lost, is told from another's by its generation.

Failed before: python -m pytest tests/entry/generations/test_locationdirectory.py test_silent_agents_do_not_free_a_key test_a_key_is_claimed_though_no_agent_ever_replies (claimed at once) python -m pytest tests/features/test_answers.py -k fall_silent The other two new tests passed before.

--- a/src/basilroad/entry/generations/locationdirectory.py
+++ b/src/basilroad/entry/generations/locationdirectory.py
@@ -33,6 +33,13 @@
 REPLY_TIMEOUT_S = 0.5
 """Seconds to wait for one agent's reply."""
 
+CLAIM_LIMIT_S = 3.0
+"""Seconds after which a key is taken as free though no agent has replied. An agent that is silent
+counts as lost by then, and those that take its place have been asked."""
+
+CLAIM_RETRY_INTERVAL_S = 0.1
+"""Interval between claims of a key to which no agent has replied."""
+
 NEW_AGENT_S = 5.0
 """Seconds after which every entry is expected to be connected to a new agent."""
 
@@ -96,15 +103,25 @@
         :return: where it runs already, or ``None`` if this entry is to run it
         """
         location = self._build_location(flight, "", FIRST_ATTEMPT)
-        written: list[AgentLink] = []
-        for link in self._choose_links(flight.key):
-            found = await self._register(link, location, expected=FREE)
-            if found is not None and not found.done:
-                # this request won't run; agents that have the record keep its age
-                for earlier in written:
-                    self._write_at(earlier, found.location)
-                return found.location
-            written.append(link)
+        until = time.monotonic() + CLAIM_LIMIT_S
+        while True:
+            replied = False
+            written: list[AgentLink] = []
+            for link in self._choose_links(flight.key):
+                found = await self._register(link, location, expected=FREE)
+                replied = replied or found is not None
+                if found is not None and not _has_claimed(found, location):
+                    # this request won't run; agents that have the record keep its age
+                    for earlier in written:
+                        self._write_at(earlier, found.location)
+                    return found.location
+                written.append(link)
+            if replied or time.monotonic() >= until:
+                break
+            # silence doesn't tell whether the request runs already
+            await asyncio.sleep(CLAIM_RETRY_INTERVAL_S)
+        if not replied:
+            _LOGGER.warning("key claimed without a reply", extra={"request": flight.key.hex()})
         self._remember(location)
         return None
 
@@ -327,6 +344,11 @@
         link.send(wire.EntryMessage(register=message), urgent=False)
 
 
+def _has_claimed(found: wire.Found, location: wire.Location) -> bool:
+    """:return: whether a key is claimed by a location, maybe by a call whose reply was lost."""
+    return found.done or found.location.generation == location.generation
+
+
 def _is_waiting(flight: Flight | None) -> bool:
     if flight is None or flight.identity.key_generated:
         return False
--- a/tests/entry/generations/test_locationdirectory.py
+++ b/tests/entry/generations/test_locationdirectory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import time
 from types import SimpleNamespace
@@ -11,10 +12,12 @@
 from basilroad.agent.directory import RETAIN_S, GenerationDirectory
 from basilroad.entry.generations.generation import build_generation_id
 from basilroad.entry.generations.locationdirectory import (
+    CLAIM_LIMIT_S,
     ENDED_TTL_S,
     REFRESH_INTERVAL_S,
     LocationDirectory,
 )
+from basilroad.entry.links.link import LinkLostError
 from basilroad.peers.address import Address
 from basilroad.peers.wire import peer_pb2 as wire
 
@@ -29,6 +32,8 @@
     up_s = 0.0
 
     def __init__(self, number: int) -> None:
+        self.lost_replies = 0
+        self.lost_requests = 0
         self.address = Address("127.0.0.1", 9000 + number)
         self.directory = GenerationDirectory()
         self._calls = itertools.count(1)
@@ -38,9 +43,16 @@
 
     async def ask(self, call: int, message: wire.EntryMessage, timeout_s: float) -> wire.Found:
         del call, timeout_s
+        if self.lost_requests:
+            self.lost_requests -= 1
+            raise LinkLostError("no reply in time")
         if message.HasField("find"):
             return self.directory.find(message.find)
-        return self.directory.register(message.register)
+        found = self.directory.register(message.register)
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise LinkLostError("no reply in time")
+        return found
 
     def send(self, message: wire.EntryMessage, *, urgent: bool = True) -> None:
         del urgent
@@ -81,6 +93,49 @@
     assert (found.generation, found.owner) == (flight.generation, "first")
 
 
+# fault: a key was taken as free as its agents were silent for a second, and its request ran twice
+async def test_silent_agents_do_not_free_a_key(links) -> None:
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    flight = build_flight()
+    assert await first.claim(flight) is None
+    for link in links.values():
+        link.lost_requests = 2
+    found = await second.claim(build_flight())
+    assert found is not None
+    assert (found.generation, found.owner) == (flight.generation, "first")
+
+
+async def test_a_claim_whose_replies_were_lost_is_its_own(links) -> None:
+    directory = build_directory(links, "first")
+    for link in links.values():
+        link.lost_replies = 1
+    assert await directory.claim(build_flight()) is None
+
+
+async def test_one_silent_agent_does_not_delay_a_claim(links) -> None:
+    first, second = build_directory(links, "first"), build_directory(links, "second")
+    assert await first.claim(build_flight()) is None
+    silent = first._choose_links(KEY)[0]
+    silent.lost_requests = 1
+    assert await second.claim(build_flight()) is not None
+    assert not silent.lost_requests
+
+
+async def test_a_key_is_claimed_though_no_agent_ever_replies(links, monkeypatch) -> None:
+    now = 100.0
+
+    async def sleep(delay_s: float) -> None:
+        nonlocal now
+        now += delay_s
+
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    monkeypatch.setattr(asyncio, "sleep", sleep)
+    for link in links.values():
+        link.lost_requests = 10**6
+    assert await build_directory(links, "first").claim(build_flight()) is None
+    assert now == pytest.approx(100.0 + CLAIM_LIMIT_S, abs=0.2)
+
+
 # fault: as above; what frees a key has to be as quick as before
 async def test_a_key_is_free_after_a_request_that_never_ran(links) -> None:
     first, second = build_directory(links, "first"), build_directory(links, "second")
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -64,3 +64,15 @@
     Then each caller has all 200 tokens of its own answer once
     And there is one generation for each caller
     And the engines have generated 2000 tokens
+
+  # fault: a key was taken as free as its agents were silent, and callers lost their generations
+  @holds_generations
+  Scenario: Agents fall silent as keys come again
+    Given a fleet of 4 engines and 2 entries
+    When 10 callers ask for 200 tokens each
+    And each of them has 20 tokens
+    And all agents fall silent
+    And each of them sends its key again at each entry
+    And all agents speak again after 1.2 seconds
+    Then each caller has all 200 tokens of its own answer once
+    And there is one generation for each caller
--- a/tests/support/steps/fleets.py
+++ b/tests/support/steps/fleets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from pytest_bdd import given, parsers, then, when
 
@@ -70,6 +72,20 @@
         get_proxy(endpoint.agent).heal()
 
 
+@when("all agents fall silent")
+def silence_all(context: ScenarioContext) -> None:
+    for endpoint in context.fleet.endpoints:
+        get_proxy(endpoint.agent).freeze()
+
+
+# longer than an entry waits for two replies, and shorter than until it counts an agent as lost
+@when(parsers.parse("all agents speak again after {seconds:g} seconds"))
+def end_silence(context: ScenarioContext, seconds: float) -> None:
+    time.sleep(seconds)
+    for endpoint in context.fleet.endpoints:
+        get_proxy(endpoint.agent).thaw()
+
+
 @given("an entry is started")
 @when("another entry is started")
 def start_entry(context: ScenarioContext) -> None:
