Give each connection a turn, and end responses that are mostly framing

Cause: a connection was read until all that was received was parsed. A body is limited by its bytes, but 256 KiB of one-byte chunks take a third of a second to parse, and more had come by then.

Change: a connection is processed for 1 ms, then the event loop turns to the others; readers of streams get parts of 8 KiB; connections of callers receive 8 KiB in a turn, as the HTTP library parses at once what it got.

Why it works: what one connection costs in a turn is bounded by time, not by bytes, wherever its bytes go (bodies, streams, reports, requests of callers), and reading pauses meanwhile.

--- a/src/basilroad/gateway/calls/attempt.py
+++ b/src/basilroad/gateway/calls/attempt.py
@@ -193,14 +193,14 @@
         """:return: whether the body ends with the connection."""
         return not (self._head.get("content-length") or self._head.get("transfer-encoding"))
 
-    async def read(self) -> bytes | None:
-        """:return: next chunk of the body; ``None`` at its end.
+    async def read(self) -> bytes:
+        """:return: next part of the body as it arrives; empty at its end.
 
         :raises ChannelError: the response was cut off
         """
-        data = await self._channel.read_data()
+        data = await self._channel.read_available()
         self.endpoint.record_received(time.monotonic())
-        if data is None:
+        if not data:
             self._keep()
         return data
 
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -387,7 +387,7 @@
                     continue
                 self._stall_timer.record_stall()
                 return MayHaveRun("the stream stalled")
-            if data is None:
+            if not data:
                 break
             received = self._events.received
             due = self._events.take(data)
--- a/src/basilroad/http/channels.py
+++ b/src/basilroad/http/channels.py
@@ -11,6 +11,7 @@
 import h11
 
 from basilroad.http.delivery import count_unacknowledged, read_error
+from basilroad.http.framing import FramingLimit
 from basilroad.http.messages import (
     ChannelError,
     OutgoingRequest,
@@ -32,6 +33,13 @@
 READ_BUFFER_BYTES = 262144
 """Received bytes buffered for a slow caller before reading from the endpoint is paused."""
 
+TURN_S = 0.001
+"""Time for which the data of one connection is processed before the event loop turns to others."""
+
+PART_BYTES = 8192
+"""Largest part of a body that a reader of a stream gets at once, which bounds the time that it
+takes for it."""
+
 HEAD_BYTES_MAX = 65536
 """Largest response head."""
 
@@ -71,6 +79,8 @@
         self._closed_here = False
         self._buffered = 0
         self._paused = False
+        self._turn_ends_at = 0.0
+        self._framing = FramingLimit()
         self.requests = 0
         self.confirmed_start_ms: int | None = None
         self.previous_id = ""
@@ -97,6 +107,7 @@
         self._http.receive_data(data)
         self._is_parsed = False
         self._buffered += len(data)
+        self._framing.record_received(len(data))
         if self._buffered > READ_BUFFER_BYTES and not self._paused and self._transport:
             self._paused = True
             self._transport.pause_reading()
@@ -163,6 +174,8 @@
         """
         assert self._transport is not None
         self._busy = True
+        self._framing = FramingLimit()
+        self._turn_ends_at = time.monotonic() + TURN_S
         self.requests += 1
         self.previous_id, self._request_id = self._request_id, request.id
         self._carried.add(request.id)
@@ -221,19 +234,27 @@
         raise ChannelError(f"expected body data, got {type(event).__name__}")
 
     async def read_available(self) -> bytes:
-        """:return: all that was received of the body and not read yet; empty at its end.
+        """:return: what was received of the body and not read yet, up to ``PART_BYTES``; empty at
+            its end.
 
         :raises ChannelError: the connection failed or the response is invalid
         """
         part = await self.read_data()
         if part is None:
             return b""
-        parts = [part]
-        while isinstance(event := self._poll_event(), h11.Data):
+        parts, size = [part], len(part)
+        while size < PART_BYTES and not self._has_had_turn():
+            event = self._poll_event()
+            if not isinstance(event, h11.Data):
+                if event is not h11.NEED_DATA:
+                    self._next = event
+                break
             parts.append(bytes(event.data))
-        if event is not h11.NEED_DATA:
-            self._next = event
-        return b"".join(parts)
+            size += len(event.data)
+        body = b"".join(parts)
+        if size > PART_BYTES:
+            self._next = h11.Data(data=body[PART_BYTES:])
+        return body[:PART_BYTES]
 
     async def read_body(self, limit: int, count: Callable[[int], bool] = lambda _: True) -> bytes:
         """Read the whole body.
@@ -266,6 +287,7 @@
         if not isinstance(event, h11.EndOfMessage) or self._http.their_state is not h11.DONE:
             raise ChannelError(f"expected the end of a response, got {type(event).__name__}")
         assert self._request_head is not None
+        self._framing = FramingLimit()
         self._http.start_next_cycle()
         # the request was sent already; only the parser has to expect its response
         self._http.send(self._request_head)
@@ -337,9 +359,23 @@
         except h11.RemoteProtocolError as error:
             return ChannelError(f"invalid HTTP response: {error}")
         self._is_parsed = event is h11.NEED_DATA
+        if isinstance(event, h11.Data):
+            self._framing.record_data(len(event.data), starts_chunk=event.chunk_start)
+            if self._framing.are_chunks_exceeded():
+                return self._fail_framing()
         return event
 
+    def _fail_framing(self) -> ChannelError:
+        self.close()
+        return ChannelError("the response has too many bytes beside its body")
+
+    def _has_had_turn(self) -> bool:
+        return time.monotonic() >= self._turn_ends_at
+
     async def _next_event(self) -> object:
+        if self._has_had_turn():
+            await asyncio.sleep(0)
+            self._turn_ends_at = time.monotonic() + TURN_S
         while True:
             event = self._poll_event()
             if isinstance(event, ChannelError):
@@ -353,11 +389,15 @@
             await self._wait_data()
 
     async def _wait_data(self) -> None:
+        if self._framing.is_exceeded():
+            raise self._fail_framing()
         self._buffered = 0
         if self._paused and self._transport is not None:
             self._paused = False
             self._transport.resume_reading()
-        await self._data_ready.wait()
+        if not self._data_ready.is_set():
+            await self._data_ready.wait()
+            self._turn_ends_at = time.monotonic() + TURN_S
         self._data_ready.clear()
 
 
@@ -367,6 +407,7 @@
 
 __all__ = [
     "MAX_REQUESTS",
+    "PART_BYTES",
     "POOL_IDLE_LIMIT_S",
     "SHORT_BODY_BYTES",
     "Channel",
--- a/src/basilroad/http/connections.py
+++ b/src/basilroad/http/connections.py
@@ -24,6 +24,9 @@
     from aiohttp import StreamReader
     from aiohttp.abc import AbstractStreamWriter
 
+READ_BYTES = 8192
+"""Bytes that are received on one connection before the event loop turns to others."""
+
 _HAS_ENDED = web.RequestKey("has_ended", bool)
 
 _LOGGER = logging.getLogger(__name__)
@@ -48,6 +51,7 @@
     :param settings: settings of this server
     :param build_request: builds the requests that the handler gets; plain ones without it
     :param options: options of the HTTP server
+    :ivar receive_buffer: where each connection receives data, which it processes at once
     :ivar is_exiting: whether handlers are cancelled because the process exits
     :ivar accepted: number of connections that were accepted
     :ivar unread: number of those that ended before anything was received on them
@@ -64,6 +68,7 @@
         super().__init__(handler, request_factory=self._take_request, **options)
         self._settings = settings
         self._build_request = build_request or self._make_request
+        self.receive_buffer = bytearray(READ_BYTES)
         self._taken: dict[web.RequestHandler, tuple[web.BaseRequest, float]] = {}
         self._busy: set[web.RequestHandler] = set()
         self.is_exiting = False
@@ -251,19 +256,25 @@
         self.crossed += 1
 
 
-class _CallerConnection(web.RequestHandler):
+class _CallerConnection(web.RequestHandler, asyncio.BufferedProtocol):
     """A connection that answers what the HTTP library would leave unanswered.
 
+    The size of its buffer limits what is received in a turn of the event loop: the HTTP library
+    parses all of it at once, and a body may come in chunks of a byte.
+
+    :param server: its server
+    :param options: options of the HTTP server
     :ivar has_received: whether anything was received on it
     """
 
-    __slots__ = ("_is_malformed", "_last_body", "has_received")
+    __slots__ = ("_buffer", "_is_malformed", "_last_body", "has_received")
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
+    def __init__(self, server: CallerServer, **options: Any) -> None:
+        super().__init__(server, **options)
         self.has_received = False
         self._is_malformed = False
         self._last_body: StreamReader | None = None
+        self._buffer = server.receive_buffer
 
     def record_taken(self, body: StreamReader) -> None:
         """Record the body of the request that is answered next.
@@ -272,6 +283,21 @@
         """
         self._last_body = body
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """:return: where the event loop puts what it receives next.
+
+        :param sizehint: number of bytes that it suggests
+        """
+        del sizehint
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process received bytes.
+
+        :param nbytes: their number
+        """
+        self.data_received(bytes(memoryview(self._buffer)[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """End a body that is not valid HTTP; the library leaves its handler waiting for the rest.
 
@@ -299,4 +325,4 @@
             super()._process_keepalive()
 
 
-__all__ = ["CallerServer", "CallerServerSettings"]
+__all__ = ["READ_BYTES", "CallerServer", "CallerServerSettings"]
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -71,6 +71,8 @@
     ENDLESS_CHUNKS = "endless chunks"
     ENDLESS_UNFRAMED = "endless body without length"
     ENDLESS_EVENT = "endless event"
+    ENDLESS_SMALL_CHUNKS = "endless chunks of a byte"
+    ENDLESS_EXTENSIONS = "endless chunks of a byte with extensions"
 
 
 class ResponseKind(enum.Enum):
@@ -107,6 +109,14 @@
     ),
     WireFault.ENDLESS_UNFRAMED: (b"\r\n", b"x" * READ_BYTES),
     WireFault.ENDLESS_EVENT: (b"\r\n", b"data: x" * 4096),
+    WireFault.ENDLESS_SMALL_CHUNKS: (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 4096,
+    ),
+    WireFault.ENDLESS_EXTENSIONS: (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1;a=b\r\nx\r\n" * 4096,
+    ),
 }
 """Start and repeated part of the endless responses; a start without a status line follows a
 response head."""
--- a/tests/gateway/calls/test_endless_responses.py
+++ b/tests/gateway/calls/test_endless_responses.py
@@ -24,7 +24,10 @@
     WireFault.ENDLESS_BODY,
     WireFault.ENDLESS_CHUNKS,
     WireFault.ENDLESS_UNFRAMED,
+    WireFault.ENDLESS_SMALL_CHUNKS,
+    WireFault.ENDLESS_EXTENSIONS,
 ]
+ENDLESS_EVENTS = [WireFault.ENDLESS_EVENT]
 ONCE = build_route(retry_safety=RetrySafety.FORBIDDEN, attempts_limit=1, timeout_s=20.0)
 STREAM = build_stream_route(prefix="/s/", timeout_s=9.0)
 SOCKET_BYTES = 8 * 1024 * 1024
@@ -77,7 +80,30 @@
     await asyncio.gather(endless, return_exceptions=True)
 
 
-@pytest.mark.parametrize("fault", [*ENDLESS_HEADS, WireFault.ENDLESS_EVENT])
+@pytest.mark.parametrize(
+    "fault", [*ENDLESS_EVENTS, WireFault.ENDLESS_SMALL_CHUNKS, WireFault.ENDLESS_EXTENSIONS]
+)
+async def test_other_calls_are_served_beside_an_endless_stream(
+    gateway, start_server, fault
+) -> None:
+    """Review case 10: one answer of one server held up the calls of all others."""
+    first = await start_server("i-1", service="llm", events=10)
+    await start_server("i-2")
+    first.schedule_faults([fault] * 3)
+    once = build_stream_route(retry_safety=RetrySafety.FORBIDDEN, prefix="/s/", timeout_s=9.0)
+    streams = [asyncio.ensure_future(run(gateway, once, id=f"s{n}")) for n in range(3)]
+    took_s = []
+    for number in range(20):
+        began = time.monotonic()
+        await CallHandler(gateway).handle(build_call(id=f"c{number}"), RecordingResponder())
+        took_s.append(time.monotonic() - began)
+    assert max(took_s) < 0.5
+    began = time.monotonic()
+    await asyncio.gather(*streams, return_exceptions=True)
+    assert time.monotonic() - began < 5.0, "the stream went on without an event"
+
+
+@pytest.mark.parametrize("fault", [*ENDLESS_HEADS, *ENDLESS_EVENTS, WireFault.ENDLESS_SMALL_CHUNKS])
 async def test_a_stream_resumes_elsewhere_after_an_endless_response(
     gateway, start_server, fault
 ) -> None:
