End streams whose events bring nothing new

A stream of comments now and then ended at its time limit without an event.

Cause: what has no id was passed on without a limit on its number, all that a read buffer holds in one turn of the event loop. The first bytes passed on ended the wait for the first event, and the stall timer starts with an event, so that nothing ended such a stream.

Change: a run may have 1,000 events without a new id and 100 for each second, beside repeats of what was received before; beyond, the attempt is lost. Comments before the first event are sent with it.

The wait for the first event now ends with an event.

--- a/src/basilroad/gateway/streams/events.py
+++ b/src/basilroad/gateway/streams/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import attrs
 
 EVENT_END = b"\n\n"
@@ -11,12 +13,18 @@
 MAX_EVENT_BYTES = 262144
 """Largest event; those of generations have some hundred bytes."""
 
+IDLE_EVENTS = 1000
+"""Events of a run that bring nothing new, beside those that repeat what was received before."""
+
+IDLE_EVENTS_PER_S = 100
+"""Such events that a run may have for each second, such as comments that keep it alive."""
+
 MAX_ID_DIGITS = 18
 """Largest number of digits of an event id, which fits in 64 bits."""
 
 
 class EventOrderError(Exception):
-    """An event is missing or too large, or the id of an event is not a number."""
+    """An event is missing or too large, its id is not a number, or too many bring nothing new."""
 
 
 @attrs.define
@@ -30,10 +38,15 @@
     last: int = 0
     received: int = 0
     _partial: bytes = b""
+    _idle: int = 0
+    _idle_limit: int = IDLE_EVENTS
+    _run_started_at: float = attrs.field(factory=time.monotonic)
 
     def start_run(self) -> None:
         """Start another run and discard an incomplete event of the previous one."""
         self._partial = b""
+        self._idle, self._idle_limit = 0, IDLE_EVENTS + self.last
+        self._run_started_at = time.monotonic()
 
     @property
     def is_whole(self) -> bool:
@@ -45,7 +58,8 @@
 
         :param data: bytes as received
         :return: the complete events that were not forwarded before, and all events without an id
-        :raises EventOrderError: an event is missing or its id is not a number
+        :raises EventOrderError: an event is missing or too large, its id is not a number, or too
+            many bring nothing new
         """
         end = data.rfind(EVENT_END)
         if end < 0 and not self._ends_across(data):
@@ -69,9 +83,11 @@
     def _is_due(self, event: bytes) -> bool:
         number = _read_id(event)
         if number is None:
+            self._record_idle()
             self.received += any(line.startswith(DATA_FIELD) for line in event.split(b"\n"))
             return True
         if number <= self.last:
+            self._record_idle()
             return False
         if number != self.last + 1:
             raise EventOrderError(f"event {number} came after event {self.last}")
@@ -79,6 +95,14 @@
         self.received += 1
         return True
 
+    def _record_idle(self) -> None:
+        self._idle += 1
+        if self._idle <= self._idle_limit:
+            return
+        run_s = time.monotonic() - self._run_started_at
+        if self._idle > self._idle_limit + IDLE_EVENTS_PER_S * run_s:
+            raise EventOrderError(f"{self._idle} events without a new id")
+
 
 def _read_id(event: bytes) -> int | None:
     for line in event.split(b"\n"):
@@ -90,4 +114,10 @@
     return None
 
 
-__all__ = ["EventOrderError", "EventSequence"]
+__all__ = [
+    "IDLE_EVENTS",
+    "IDLE_EVENTS_PER_S",
+    "MAX_EVENT_BYTES",
+    "EventOrderError",
+    "EventSequence",
+]
--- a/src/basilroad/gateway/streams/streaming.py
+++ b/src/basilroad/gateway/streams/streaming.py
@@ -21,7 +21,7 @@
 from basilroad.gateway.registry.pendingcalls import MoveScope
 from basilroad.gateway.streams.backup import StreamBackup
 from basilroad.gateway.streams.crashes import StreamCrashes
-from basilroad.gateway.streams.events import EventOrderError, EventSequence
+from basilroad.gateway.streams.events import MAX_EVENT_BYTES, EventOrderError, EventSequence
 from basilroad.gateway.streams.firstevent import FirstEventWait, Patience, count_unplanned_tokens
 from basilroad.gateway.streams.output import StreamOutput
 from basilroad.gateway.streams.placement import StreamPlace, StreamPlacement
@@ -80,6 +80,7 @@
         self._tracker = AttemptTracker(call, gateway.budget_of(call.service))
         self._pin = VersionPin(call, gateway.stream_versions, gateway.directory)
         self._events = EventSequence(call.events_received)
+        self._withheld = b""  # comments before the first event
         self._backup = StreamBackup(call, gateway.dispatcher, self._pin)
         self._placement = StreamPlacement(
             self._tracker, gateway.dispatcher, self._pin, self._backup, gateway.request_retries
@@ -373,6 +374,7 @@
         run: Run,
     ) -> Outcome:
         self._events.start_run()
+        self._withheld = b""
         self._stall_timer.start_run()
         while True:
             try:
@@ -391,6 +393,7 @@
                 break
             received = self._events.received
             due = self._events.take(data)
+            due = self._withhold(due, has_event=self._events.received > received)
             if due and not await self._pass_on(opened, due, run, wait):
                 return MayHaveRun("the software version of the stream could not be recorded")
             if self._events.received > received:
@@ -404,9 +407,23 @@
         if truncation:
             return MayHaveRun(truncation)
         if not self._output.has_started:
-            await self._output.forward(opened, b"", self._events.last)
+            await self._output.forward(opened, self._withheld, self._events.last)
         return Ended()
 
+    def _withhold(self, due: bytes, *, has_event: bool) -> bytes:
+        """:return: what to send now: nothing before the first event, as a stream that is sent in
+        part is bound to its engine, which may never begin it.
+        """
+        if self._output.has_started:
+            return due
+        self._withheld += due
+        if has_event:
+            due, self._withheld = self._withheld, b""
+            return due
+        if len(self._withheld) > MAX_EVENT_BYTES:
+            raise EventOrderError(f"no event in {MAX_EVENT_BYTES} bytes")
+        return b""
+
     async def _pass_on(self, opened: OpenReply, due: bytes, run: Run, wait: FirstEventWait) -> bool:
         if not self._output.has_started and not await self._confirm_version(run, wait):
             return False
--- a/src/basilroad/standin/appserver.py
+++ b/src/basilroad/standin/appserver.py
@@ -73,6 +73,11 @@
     ENDLESS_EVENT = "endless event"
     ENDLESS_SMALL_CHUNKS = "endless chunks of a byte"
     ENDLESS_EXTENSIONS = "endless chunks of a byte with extensions"
+    ENDLESS_LINES = "endless lines that are no event"
+    ENDLESS_COMMENTS = "endless comments"
+    ENDLESS_BLANKS = "endless empty events"
+    ENDLESS_UNNUMBERED = "endless events without id"
+    ENDLESS_REPEATS = "endless repeats of one event"
 
 
 class ResponseKind(enum.Enum):
@@ -117,6 +122,11 @@
         b"Transfer-Encoding: chunked\r\n\r\n",
         b"1;a=b\r\nx\r\n" * 4096,
     ),
+    WireFault.ENDLESS_LINES: (b"\r\n", b"x\n\n" * 4096),
+    WireFault.ENDLESS_COMMENTS: (b"\r\n", b":\n\n" * 4096),
+    WireFault.ENDLESS_BLANKS: (b"\r\n", b"\n\n" * 4096),
+    WireFault.ENDLESS_UNNUMBERED: (b"\r\n", b"data: x\n\n" * 4096),
+    WireFault.ENDLESS_REPEATS: (b"\r\n", b"id: 1\ndata: x\n\n" * 4096),
 }
 """Start and repeated part of the endless responses; a start without a status line follows a
 response head."""
--- a/tests/gateway/calls/test_endless_responses.py
+++ b/tests/gateway/calls/test_endless_responses.py
@@ -27,7 +27,14 @@
     WireFault.ENDLESS_SMALL_CHUNKS,
     WireFault.ENDLESS_EXTENSIONS,
 ]
-ENDLESS_EVENTS = [WireFault.ENDLESS_EVENT]
+ENDLESS_EVENTS = [
+    WireFault.ENDLESS_EVENT,
+    WireFault.ENDLESS_LINES,
+    WireFault.ENDLESS_COMMENTS,
+    WireFault.ENDLESS_BLANKS,
+    WireFault.ENDLESS_UNNUMBERED,
+    WireFault.ENDLESS_REPEATS,
+]
 ONCE = build_route(retry_safety=RetrySafety.FORBIDDEN, attempts_limit=1, timeout_s=20.0)
 STREAM = build_stream_route(prefix="/s/", timeout_s=9.0)
 SOCKET_BYTES = 8 * 1024 * 1024
@@ -81,12 +88,13 @@
 
 
 @pytest.mark.parametrize(
-    "fault", [*ENDLESS_EVENTS, WireFault.ENDLESS_SMALL_CHUNKS, WireFault.ENDLESS_EXTENSIONS]
+    "fault",
+    [*ENDLESS_EVENTS, WireFault.ENDLESS_SMALL_CHUNKS, WireFault.ENDLESS_EXTENSIONS],
 )
 async def test_other_calls_are_served_beside_an_endless_stream(
     gateway, start_server, fault
 ) -> None:
-    """Review case 10: one answer of one server held up the calls of all others."""
+    """Review cases 6 and 10: one answer of one server held up the calls of all others."""
     first = await start_server("i-1", service="llm", events=10)
     await start_server("i-2")
     first.schedule_faults([fault] * 3)
--- a/tests/gateway/streams/test_events.py
+++ b/tests/gateway/streams/test_events.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from hypothesis import given, strategies as st
 
-from basilroad.gateway.streams.events import EventOrderError, EventSequence
+from basilroad.gateway.streams.events import (
+    IDLE_EVENTS,
+    IDLE_EVENTS_PER_S,
+    EventOrderError,
+    EventSequence,
+)
 
 
 def write_events(first: int, last: int) -> bytes:
@@ -49,3 +56,45 @@
 def test_an_id_that_is_no_number_is_an_error() -> None:
     with pytest.raises(EventOrderError, match="id"):
         EventSequence().take(b"id: 1x\ndata: x\n\n")
+
+
+USELESS = [b"x\n\n", b":\n\n", b"\n\n", b"data: x\n\n", b"id: 3\ndata: x\n\n"]
+
+
+@pytest.mark.parametrize("event", USELESS)
+def test_events_without_a_new_id_end_a_run(event: bytes) -> None:
+    """Review case 6: lines that are no event were passed on until the stream's time limit."""
+    sequence = EventSequence(last=3)
+    sequence.start_run()
+    with pytest.raises(EventOrderError, match="without a new id"):
+        sequence.take(event * (IDLE_EVENTS + 3 + IDLE_EVENTS_PER_S))
+
+
+@pytest.mark.parametrize("event", USELESS)
+def test_a_burst_of_events_without_a_new_id_is_allowed(event: bytes) -> None:
+    sequence = EventSequence(last=3)
+    sequence.start_run()
+    sequence.take(event * IDLE_EVENTS)
+    assert sequence.take(write_events(4, 5)) == write_events(4, 5)
+
+
+def test_a_long_run_may_send_a_comment_now_and_then(monkeypatch: pytest.MonkeyPatch) -> None:
+    seconds = 600
+    sequence = EventSequence()
+    sequence.start_run()
+    now = time.monotonic() + seconds
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    for _ in range(seconds * IDLE_EVENTS_PER_S):
+        assert sequence.take(b":\n\n") == b":\n\n"
+
+
+def test_a_run_may_repeat_all_that_was_received() -> None:
+    last = 3 * IDLE_EVENTS
+    sequence = EventSequence(last=last)
+    sequence.start_run()
+    assert sequence.take(write_events(1, last + 2)) == write_events(last + 1, last + 2)
+
+
+def test_many_numbered_events_at_once_are_allowed() -> None:
+    data = write_events(1, 20 * IDLE_EVENTS)
+    assert EventSequence().take(data) == data
--- a/tests/gateway/streams/test_slow_streams.py
+++ b/tests/gateway/streams/test_slow_streams.py
@@ -64,6 +64,31 @@
     assert first.ran == second.ran == ["c1"]
 
 
+async def test_a_stream_of_comments_that_never_begins_is_moved(gateway, start_server) -> None:
+    """Comments before the first event ended the wait for it, and the stream at its time limit."""
+    first = await start_server(
+        "i-1", service="llm", events=10, trickle_at_event=1, trickle=b": still here\n\n"
+    )
+    second = await start_server("i-2", service="llm", events=10, data_centre="kurzeme-a")
+    began = time.monotonic()
+    responder = await run(gateway)
+    assert responder.numbers == list(range(1, 11))
+    assert time.monotonic() - began < 0.5 * ROUTE.timeout_s
+    assert first.ran == second.ran == ["c1"]
+
+
+async def test_comments_before_the_first_event_are_sent_with_it(gateway, start_server) -> None:
+    server = await start_server(
+        "i-1", service="llm", events=5, trickle_at_event=1, trickle=b": still here\n\n"
+    )
+    task = asyncio.ensure_future(run(gateway))
+    await asyncio.sleep(0.2)
+    server.trickle_at_event = 0
+    responder = await task
+    assert responder.numbers == list(range(1, 6))
+    assert responder.data.startswith(b": still here\n\n")
+
+
 async def test_a_stream_that_may_not_be_resumed_outlives_the_silence_of_its_engine(
     gateway, start_server
 ) -> None:
