Accept no key once a config has no tenants

Cause: a config without `tenants` was decoded to an empty list, and a routing table without workspaces needed no keys. Evidence: decode_config of an empty list gave a table with needs_keys false.

Change: the decoder and the routing table tell an absent list from an empty one. `null` and other types are no absent list; the config is not understood and the one before stays in force.

Why it works: only a document without the field gives a table that needs no keys, whichever way it came (store, another gateway, restart), as all of them decode the operator's document.

--- a/src/basilroad/gateway/route.py
+++ b/src/basilroad/gateway/route.py
@@ -168,7 +168,8 @@
     :param version: increases with each change
     :param routes: all routes
     :param services: all services
-    :param workspaces: all workspaces; none means that calls need no key
+    :param workspaces: all workspaces; with an empty list no key is valid, and calls need none only
+        if this is ``None``
     :param limits: limits on requests
     """
 
@@ -177,15 +178,15 @@
         version: int,
         routes: Sequence[Route],
         services: Sequence[ServiceSpec],
-        workspaces: Sequence[WorkspaceSpec] = (),
+        workspaces: Sequence[WorkspaceSpec] | None = None,
         limits: CallerLimits | None = None,
     ) -> None:
         self.version = version
         self.limits = limits or CallerLimits()
         self.services: Mapping[str, ServiceSpec] = {s.name: s for s in services}
-        self.needs_keys = bool(workspaces)
+        self.needs_keys = workspaces is not None
         self.route_count = len(routes)
-        self._workspaces = {key: w for w in workspaces for key in w.keys}
+        self._workspaces = {key: w for w in workspaces or () for key in w.keys}
         self._routes: dict[str, dict[str, Route]] = {}
         for route in routes:
             self._routes.setdefault(route.host, {})[route.prefix] = route
--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -88,7 +88,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = msgspec.field(default_factory=list)
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET  # an empty list revokes all keys
 
 
 class _Server(msgspec.Struct, rename="camel"):
@@ -125,7 +125,7 @@
         config.version,
         [_build_route(route) for route in config.routes],
         [_build_service(service) for service in config.services],
-        [WorkspaceSpec(t.name, tuple(t.api_keys), t.priority) for t in config.tenants],
+        _build_workspaces(config.tenants),
         CallerLimits(
             header_bytes=limits.max_header_bytes,
             body_bytes=limits.max_body_bytes,
@@ -135,6 +135,12 @@
     )
 
 
+def _build_workspaces(tenants: list[_Tenant] | msgspec.UnsetType) -> list[WorkspaceSpec] | None:
+    if tenants is msgspec.UNSET:
+        return None
+    return [WorkspaceSpec(t.name, tuple(t.api_keys), t.priority) for t in tenants]
+
+
 def decode_server(server_id: str, data: bytes) -> EndpointEntry:
     """Decode a server's entry.
 
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -99,6 +99,26 @@
     assert (workspace.name, workspace.rank) == ("t", 1)
 
 
+def test_a_config_with_an_empty_list_of_tenants_accepts_no_key() -> None:
+    """Review case 7: a config that took the last tenant away freed all calls of a key."""
+    table = decode_config(msgspec.json.encode({**CONFIG, "tenants": []}))
+    assert table.needs_keys
+    assert table.find_workspace("k1") is None
+
+
+def test_a_config_without_tenants_needs_no_keys() -> None:
+    table = decode_config(msgspec.json.encode({**CONFIG, "tenants": CONFIG["tenants"]}))
+    assert table.needs_keys
+    without = {name: value for name, value in CONFIG.items() if name != "tenants"}
+    assert not decode_config(msgspec.json.encode(without)).needs_keys
+
+
+@pytest.mark.parametrize("tenants", [None, {}, "", 0, False])
+def test_a_list_of_tenants_of_another_type_frees_no_calls_of_a_key(tenants: object) -> None:
+    with pytest.raises(ConfigError):
+        decode_config(msgspec.json.encode({**CONFIG, "tenants": tenants}))
+
+
 def test_a_stream_that_may_not_be_resumed_runs_once() -> None:
     routes = [{**CONFIG["routes"][0], "resumable": False}]
     table = decode_config(msgspec.json.encode({**CONFIG, "routes": routes}))
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -20,6 +20,7 @@
     HEADERS,
     GatewayRig,
     block_event_loop,
+    build_config,
     build_order,
     open_kept_connection,
     send_on_kept,
@@ -172,6 +173,24 @@
     assert (await rig.send_request("/o/1", b"x" * 10001)).status == 413
 
 
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_no_key_is_valid_once_the_last_tenant_is_gone(
+    rig: GatewayRig, is_first: bool
+) -> None:
+    """Review case 7: orders ran with keys that were taken away, and with none that ever held."""
+    if not is_first:
+        await rig.configure(2, "key")
+        assert (await rig.send_request("/o/1")).status == 200
+    ran = len(rig.app.ran)
+    rig.store.put("op", "config", {**build_config(3), "tenants": []})
+    async with limit_time(5.0):
+        while rig.version != 3:
+            await asyncio.sleep(0.01)
+    for key in ("key", "stranger", ""):
+        assert (await rig.send_request("/o/1", X_Key=key)).status == 401
+    assert len(rig.app.ran) == ran
+
+
 async def test_calls_are_refused_while_keys_are_unconfirmed(rig: GatewayRig) -> None:
     await rig.configure(1, "key")
     assert (await rig.send_request("/o/1")).status == 200
