Find the version of a stream after its key has changed its workspace

Cause: the key of a stream's record held the name of its workspace, and so did the memory of a gateway's own streams. After the change neither was found, and a stream without a record counts as one of the base version. Evidence: the tests below find v1 in place of v2 in memory and in the store.

Change: the key names the request id, the API key and the workspace by a hash each. A take-up reads the rows of its id in one range, one call as before, and takes the one of its API key or its workspace. A stream begun without workspace may be anyone's; a row of another key and workspace counts as none.

Why it works: a change of the key's workspace leaves the API key, a new key of a workspace leaves the workspace; either finds the record, and whoever has neither learns nothing. The key of one tenant belongs to no other, so the test that another workspace finds nothing now names another key too; before, all callers of the simulated fleet had none.

--- a/src/basilroad/gateway/calls/call.py
+++ b/src/basilroad/gateway/calls/call.py
@@ -18,6 +18,9 @@
 CACHE_KEY_BYTES = 8
 """Size of the hash of a prompt's key; the prompts of a fleet within a minute differ in it."""
 
+API_KEY_HASH_BYTES = 16
+"""Size of the hash of an API key."""
+
 CONTENT_KEY_MARK = "="
 """First character of the keys of contents, which no key of a prompt part has."""
 
@@ -62,6 +65,7 @@
         takes up again; empty if not given
     :param prompt_key: key of the prompt of a generation; empty without one
     :param prompt_parts: keys of the parts of its prompt that other calls may share
+    :param api_key_hash: hash of the caller's API key, for streams; empty without one
     """
 
     id: str
@@ -80,6 +84,7 @@
     resumes: str = ""
     prompt_key: str = ""
     prompt_parts: tuple[str, ...] = ()
+    api_key_hash: bytes = b""
 
     @functools.cached_property
     def content_key(self) -> str:
@@ -144,6 +149,17 @@
     return digest.digest()
 
 
+def hash_api_key(api_key: str) -> bytes:
+    """Hash an API key, so that records can be found by it without holding it.
+
+    :param api_key: the key as the caller sent it
+    :return: its hash; empty without a key
+    """
+    if not api_key:
+        return b""
+    return _hash((api_key.encode(errors="surrogateescape"),), API_KEY_HASH_BYTES)
+
+
 def read_events_received(last_event_id: str) -> int:
     """Read how many events a caller has received.
 
@@ -181,5 +197,6 @@
     "PromptSize",
     "Reply",
     "Responder",
+    "hash_api_key",
     "read_events_received",
 ]
--- a/src/basilroad/gateway/versions/records.py
+++ b/src/basilroad/gateway/versions/records.py
@@ -133,7 +133,7 @@
         :param now: seconds
         :param delay_s: seconds for which the write may wait for others
         """
-        key = build_key(call.workspace, call.id)
+        key = build_key(call)
         record = self._records.get(key)
         if record is None:
             leaves_at = now + (call.expires_at - call.arrived_at) + RESUME_WINDOW_S
@@ -147,8 +147,7 @@
 
     def add(
         self,
-        workspace: str,
-        stream_id: str,
+        key: str,
         version: str,
         now: float,
         leaves_at: float,
@@ -156,14 +155,12 @@
     ) -> None:
         """Request a record of a stream that had none, unless there is one.
 
-        :param workspace: workspace of its call
-        :param stream_id: id of its call
+        :param key: key of the record
         :param version: version that began it
         :param now: seconds
         :param leaves_at: when the record leaves in seconds
         :param lasts_s: longest time from its call to its last take-up in seconds
         """
-        key = build_key(workspace, stream_id)
         if key not in self._records:
             self._insert(key, _Record(version, now, lasts_s), leaves_at)
 
@@ -173,7 +170,7 @@
         :param call: the stream's call
         :return: whether the store holds no record of it, nor will later
         """
-        key = build_key(call.workspace, call.id)
+        key = build_key(call)
         record = self._records.get(key)
         if record is not None and record.sent:
             return False
@@ -195,12 +192,12 @@
 
     def is_settled(self, call: Call) -> bool:
         """:return: whether the store holds the requested version, and will keep it."""
-        record = self._records.get(build_key(call.workspace, call.id))
+        record = self._records.get(build_key(call))
         return record is not None and record.is_settled
 
     def may_differ(self, call: Call, version: str) -> bool:
         """:return: whether the store holds another version for a stream, or may do so later."""
-        record = self._records.get(build_key(call.workspace, call.id))
+        record = self._records.get(build_key(call))
         if record is None:
             return False
         possible = {*record.unconfirmed, record.stored}
@@ -212,7 +209,7 @@
         :param call: the stream's call
         :param until: seconds
         """
-        key = build_key(call.workspace, call.id)
+        key = build_key(call)
         if key in self._records:
             self._leaving.put(key, until)
 
--- a/src/basilroad/gateway/versions/streamrow.py
+++ b/src/basilroad/gateway/versions/streamrow.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+import attrs
 import msgspec
 
 from basilroad.coordination.decoding import DecodeError, JsonDecoder
@@ -21,12 +22,19 @@
 """Age from which a record was left behind by a host that died, unless it names a longer time."""
 
 KEY_BYTES = 16
-"""Size of the hash of a stream's workspace and id; the streams of one hour differ in it."""
+"""Size of the hash of a stream's id; the streams of one hour differ in it."""
+
+CALLER_BYTES = 8
+"""Size of the hashes of a stream's caller; the callers that use one id differ in them."""
 
 KEY_PREFIX = "stream-"
 KEY_END = "stream."
 """Key after those of all records."""
 
+KEY_SEPARATOR = "-"
+KEY_SEPARATOR_END = "."
+KEY_PARTS = 3
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -53,13 +61,75 @@
     return limit_s + max(RESUME_WINDOW_S, limit_s)
 
 
-def build_key(workspace: str, stream_id: str) -> str:
-    """:return: key of the record of a stream, which reveals neither its workspace nor its id."""
-    digest = hashlib.blake2b(digest_size=KEY_BYTES)
-    for field in (workspace.encode(), stream_id.encode()):
+@attrs.frozen
+class StreamKey:
+    """Key of the record of a stream, which reveals neither its id nor its caller.
+
+    The caller is named by its API key and by its workspace: an operator may give the key to another
+    workspace, and the workspace another key, while the stream runs.
+
+    :param stream: hash of the id of the request that began it
+    :param api_key: hash of the API key of that request; empty without one
+    :param workspace: hash of its workspace; empty without one
+    """
+
+    stream: str
+    api_key: str
+    workspace: str
+
+    @classmethod
+    def build(cls, call: Call, stream_id: str) -> StreamKey:
+        """Build the key of a stream of a call's caller.
+
+        :param call: the call
+        :param stream_id: id of the request that began the stream
+        :return: the key
+        """
+        stream = stream_id.encode(errors="surrogateescape")
+        return cls(
+            _hash(KEY_BYTES, stream),
+            _hash(CALLER_BYTES, stream, call.api_key_hash) if call.api_key_hash else "",
+            _hash(CALLER_BYTES, stream, call.workspace.encode()) if call.workspace else "",
+        )
+
+    @classmethod
+    def parse(cls, text: str) -> StreamKey | None:
+        """:return: the key in a row's key; ``None`` for one of another form."""
+        parts = text.removeprefix(KEY_PREFIX).split(KEY_SEPARATOR)
+        return cls(*parts) if len(parts) == KEY_PARTS else None
+
+    def __str__(self) -> str:
+        """:return: the key of its row."""
+        return KEY_PREFIX + KEY_SEPARATOR.join((self.stream, self.api_key, self.workspace))
+
+    @property
+    def range(self) -> tuple[str, str]:
+        """:return: first key of the rows of this id, whoever used it, and the key after them."""
+        start = KEY_PREFIX + self.stream
+        return start + KEY_SEPARATOR, start + KEY_SEPARATOR_END
+
+    def may_take_up(self, begun: StreamKey) -> bool:
+        """Check whether a stream may be this caller's, so that it must not be hidden from it.
+
+        :param begun: key of a stream of the same id
+        :return: whether it was begun with the same API key, in the same workspace, or in none
+        """
+        if not begun.workspace or begun.workspace == self.workspace:
+            return True
+        return bool(begun.api_key) and begun.api_key == self.api_key
+
+
+def build_key(call: Call) -> str:
+    """:return: key of the record of the stream that a call begins."""
+    return str(StreamKey.build(call, call.id))
+
+
+def _hash(size: int, *fields: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=size)
+    for field in fields:
         digest.update(len(field).to_bytes(8, "big"))
         digest.update(field)
-    return KEY_PREFIX + digest.hexdigest()
+    return digest.hexdigest()
 
 
 def decode_version(row: ArchiveRow) -> str | None:
@@ -93,6 +163,7 @@
     "ORPHAN_AGE_S",
     "RESUME_WINDOW_S",
     "StoredVersion",
+    "StreamKey",
     "build_key",
     "decode_version",
     "find_duration",
--- a/src/basilroad/gateway/versions/streamversions.py
+++ b/src/basilroad/gateway/versions/streamversions.py
@@ -18,7 +18,7 @@
 from basilroad.gateway.versions.listing import VersionListing
 from basilroad.gateway.versions.streamrow import (
     RESUME_WINDOW_S,
-    build_key,
+    StreamKey,
     decode_version,
     find_duration,
 )
@@ -102,7 +102,8 @@
         self._metrics = metrics
         self._listing = VersionListing(directory)
         self.keeper = VersionKeeper(self._listing, clock, generator or random.Random(), metrics)
-        self._known: OrderedDict[tuple[str, str, str], _Known] = OrderedDict()
+        # by service and id, as callers of several workspaces may use one id
+        self._known: OrderedDict[tuple[str, str], dict[StreamKey, _Known]] = OrderedDict()
         self._reads = asyncio.Semaphore(MAX_READS)
 
     def apply_limits(self, limits: Mapping[str, float]) -> None:
@@ -148,7 +149,8 @@
             if not await self._record(call, version):
                 return False
             self.keeper.open(call.service).records.keep(call)
-        self._known[call.service, call.workspace, call.id] = _Known(version, find_duration(call))
+        begun = self._known.setdefault((call.service, call.id), {})
+        begun[StreamKey.build(call, call.id)] = _Known(version, find_duration(call))
         while len(self._known) > MAX_REMEMBERED:
             self._known.popitem(last=False)
         return True
@@ -159,7 +161,7 @@
         :param call: the call of the stream, of which events were passed on
         """
         _LOGGER.warning("stream version unknown", extra={"request": call.id})
-        known = self._known.get((call.service, call.workspace, call.id))
+        known = self._find_own(call)
         if known is not None:
             known.version = UNKNOWN_VERSION
         if self.keeper.archive is not None:
@@ -175,7 +177,7 @@
         now = self._clock()
         # tries that follow are made in the time that the first one had
         leaves_at = now + max(RESUME_WINDOW_S, call.expires_at - call.arrived_at)
-        known = self._known.get((call.service, call.workspace, call.id))
+        known = self._find_own(call)
         if known is not None:
             known.leaves_at = leaves_at
         service = self.keeper.find(call.service)
@@ -190,12 +192,11 @@
         so the own streams of that version get records too.
         """
         now = self._clock()
-        for (name, workspace, stream_id), known in self._known.items():
-            if now < known.leaves_at:
-                records = self.keeper.open(name).records
-                records.add(
-                    workspace, stream_id, known.version, now, known.leaves_at, known.lasts_s
-                )
+        for (service, _), begun in self._known.items():
+            for key, known in begun.items():
+                if now < known.leaves_at:
+                    records = self.keeper.open(service).records
+                    records.add(str(key), known.version, now, known.leaves_at, known.lasts_s)
         self.keeper.repeat()
 
     async def find(self, call: Call) -> str | None:
@@ -231,9 +232,9 @@
     # take-ups
 
     async def _search(self, call: Call) -> tuple[str, str | None]:
-        known = self._known.get((call.service, call.workspace, call.resumes))
-        if call.resumes and known is not None and self._clock() < known.leaves_at:
-            return "memory", known.version
+        version = self._find_remembered(call)
+        if version is not None:
+            return "memory", version
         archive = self.keeper.archive
         if archive is None:
             return self._find_sole_listed(call.service)
@@ -249,15 +250,31 @@
         except TimeoutError as error:
             raise ArchiveUnavailableError(f"not read within {FIND_LIMIT_S} s") from error
 
+    def _find_own(self, call: Call) -> _Known | None:
+        begun = self._known.get((call.service, call.id), {})
+        return begun.get(StreamKey.build(call, call.id))
+
+    def _find_remembered(self, call: Call) -> str | None:
+        """:return: version of the stream that a caller takes up, if it was begun here."""
+        begun = self._known.get((call.service, call.resumes), {}) if call.resumes else {}
+        if not begun:
+            return None
+        now = self._clock()
+        versions: dict[StreamKey | None, str | None] = {
+            key: known.version for key, known in begun.items() if now < known.leaves_at
+        }
+        return _select_version(StreamKey.build(call, call.resumes), versions)
+
     async def _search_archive(
         self, service: ServiceVersions, call: Call, archive: VersionArchive
     ) -> tuple[str, str | None]:
-        key = build_key(call.workspace, call.resumes)
+        key = StreamKey.build(call, call.resumes)
         async with self._reads:
-            row = await _read_twice(lambda: archive.read(service.name, key))
-        if row is not None:
-            version = decode_version(row)
-            return ("record" if version is not None else "unknown"), version
+            rows = await _read_twice(lambda: archive.list_rows(service.name, *key.range))
+        versions = {StreamKey.parse(text): decode_version(row) for text, row in rows}
+        version = _select_version(key, versions)
+        if version is not None:
+            return ("record" if version != UNKNOWN_VERSION else "unknown"), version
         if not call.route.repeatable:
             # streams of routes that allow no resume have no record at any version
             return self._find_sole_known(service)
@@ -379,6 +396,26 @@
         return self._listing.count_ready(service)[base.version] > 0
 
 
+def _select_version(
+    caller: StreamKey, versions: Mapping[StreamKey | None, str | None]
+) -> str | None:
+    """Select the stream that a caller takes up among those of one id.
+
+    :param caller: key that the stream would have if the caller had begun it now
+    :param versions: versions by key of the streams of this id; ``None`` for what can't be read
+    :return: the version; ``None`` if no stream is this caller's
+    """
+    if caller in versions:
+        return versions[caller] or UNKNOWN_VERSION
+    found = {
+        version for key, version in versions.items() if key is not None and caller.may_take_up(key)
+    }
+    if len(found) > 1:
+        # a key that has changed its workspace, and both had streams of this id
+        return UNKNOWN_VERSION
+    return (found.pop() or UNKNOWN_VERSION) if found else None
+
+
 async def _read_twice(read: Callable[[], Awaitable[ResultT]]) -> ResultT:
     try:
         return await read()
--- a/src/basilroad/platform/frontend.py
+++ b/src/basilroad/platform/frontend.py
@@ -14,7 +14,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from basilroad.errors import ErrorKind, Refusal, RefusedError, refuse
-from basilroad.gateway.calls.call import Call, read_events_received
+from basilroad.gateway.calls.call import Call, hash_api_key, read_events_received
 from basilroad.gateway.calls.handler import CallHandler
 from basilroad.gateway.calls.log import log_refusal
 from basilroad.gateway.shutdown import Shutdown, ShutdownError, refuse_at_shutdown
@@ -232,7 +232,8 @@
         path = target.partition("?")[0]
         await gateway.wait_until_fresh()
         route = gateway.resolve_route(_strip_port(request.headers.get("Host", "")), path)
-        workspace = gateway.authenticate(route, request.headers.get(HEADER_API_KEY, ""))
+        api_key = request.headers.get(HEADER_API_KEY, "")
+        workspace = gateway.authenticate(route, api_key)
         gateway.check_draining(route)
         if route.streams and request.version < HttpVersion11:
             raise refuse(ErrorKind.BAD_REQUEST, "event streams need HTTP/1.1")
@@ -261,6 +262,7 @@
             resumes=resumes,
             prompt_key=read_prompt_key(request.headers) if route.streams else "",
             prompt_parts=read_prompt_parts(request.headers) if route.streams else (),
+            api_key_hash=hash_api_key(api_key) if route.streams else b"",
         )
 
     async def _read_body_in_time(self, request: web.BaseRequest, expires_at: float) -> bytes:
--- a/tests/gateway/versions/test_streamversions.py
+++ b/tests/gateway/versions/test_streamversions.py
@@ -447,10 +447,75 @@
     stream = await fleet.begin(first, "v2")
     for host in (first, second):
         unknown = await host.versions.find(build_stream_call("a", "never"))
-        other = await host.versions.find(build_stream_call("b", stream.call.id, "x"))
+        other = await host.versions.find(build_stream_call("b", stream.call.id, "x", api_key="x"))
         assert (unknown, other) == ("v1", "v1")
 
 
+# review case 8: streams resumed at another version after their key had changed its workspace
+@pytest.mark.parametrize(
+    ("begun", "taken_up"),
+    [
+        ({"workspace": "a"}, {"workspace": "b"}),
+        ({"workspace": "a"}, {"workspace": ""}),
+        ({"workspace": ""}, {"workspace": "b"}),
+        ({"workspace": "", "api_key": ""}, {"workspace": "b"}),
+        ({"workspace": "a", "api_key": "old"}, {"workspace": "a", "api_key": "new"}),
+    ],
+    ids=["moved", "workspaces gone", "workspaces new", "keys new", "key replaced"],
+)
+def test_a_stream_is_known_after_a_change_of_keys_and_workspaces(
+    begun: dict[str, str], taken_up: dict[str, str]
+) -> None:
+    @virtually
+    async def take_up(fleet: SimFleet) -> None:
+        await start_with_two_versions(fleet)
+        first, second = fleet.hosts
+        call = build_stream_call("s", **begun)
+        first.versions.begin(call, "v2")
+        assert await first.versions.confirm(call, "v2")
+        again = build_stream_call("again", "s", **taken_up)
+        assert [await host.versions.find(again) for host in (first, second)] == ["v2", "v2"]
+        started = await restart_all(fleet)
+        assert await started.versions.find(again) == "v2"
+
+    take_up()
+
+
+# fault: two workspaces may use one id, and a record of the one must not hide that of the other
+@virtually
+async def test_streams_of_one_id_are_told_apart_by_their_workspace(fleet: SimFleet) -> None:
+    await start_with_two_versions(fleet)
+    first, second = fleet.hosts
+    calls = {
+        version: build_stream_call("s", workspace=version, api_key=version)
+        for version in ("v1", "v2")
+    }
+    for version, call in calls.items():
+        first.versions.begin(call, version)
+        assert await first.versions.confirm(call, version)
+    for host in (first, second):
+        for version in calls:
+            again = build_stream_call("again", "s", workspace=version, api_key=version)
+            assert await host.versions.find(again) == version
+
+
+@virtually
+async def test_a_key_with_streams_of_one_id_in_two_workspaces_takes_up_its_own(
+    fleet: SimFleet,
+) -> None:
+    await start_with_two_versions(fleet)
+    first = fleet.hosts[0]
+    moved = build_stream_call("s", workspace="a", api_key="moved")
+    other = build_stream_call("s", workspace="b", api_key="other")
+    for call, version in ((moved, "v2"), (other, "v1")):
+        first.versions.begin(call, version)
+        assert await first.versions.confirm(call, version)
+    # the key of the first has moved to the second workspace: either stream may be meant
+    assert await first.versions.find(build_stream_call("c", "s", "b", api_key="moved")) is None
+    assert await first.versions.find(build_stream_call("d", "s", "a", api_key="moved")) == "v2"
+    assert await first.versions.find(build_stream_call("e", "s", "b", api_key="other")) == "v1"
+
+
 # fault: callers that don't name their stream were refused by each host that had started lately
 @virtually
 async def test_a_take_up_that_names_no_stream_resumes_while_only_the_base_is_known(
@@ -536,7 +601,7 @@
     reads, writes = fleet.store.reads, fleet.store.writes
     await asyncio.sleep(ORPHAN_AGE_S + 100.0)
     # the record of a stream that still runs stays
-    assert {key for _, key in fleet.store.rows} == {BASE_KEY, build_key("w", running.call.id)}
+    assert {key for _, key in fleet.store.rows} == {BASE_KEY, build_key(running.call)}
     # three removals, and pages until none is left
     assert fleet.store.writes - writes <= 5
     assert fleet.store.reads - reads <= 5
--- a/tests/platform/test_streamarchive.py
+++ b/tests/platform/test_streamarchive.py
@@ -22,6 +22,11 @@
 SERVICE = "llm"
 
 
+def find_key(stream: str) -> str:
+    """:return: key of the record of a stream."""
+    return build_key(build_call(build_stream_route(), id=stream))
+
+
 @attrs.define(eq=False)
 class Host:
     """A gateway with its archive."""
@@ -89,8 +94,8 @@
     first.list_versions("v1", "v2")
     assert await first.begin("s1", "v1")
     assert await first.begin("s2", "v2")
-    assert store.get(STREAMS_TABLE, build_key("w", "s2"), SERVICE) is not None
-    assert store.get(STREAMS_TABLE, build_key("w", "s1"), SERVICE) is None
+    assert store.get(STREAMS_TABLE, find_key("s2"), SERVICE) is not None
+    assert store.get(STREAMS_TABLE, find_key("s1"), SERVICE) is None
     await first.stop()
     second = await start_host("h2")
     second.list_versions("v2")
@@ -110,7 +115,7 @@
     store.restore(copy)
     # any response shows the restore
     await host.client.read_table("op")
-    key = build_key("w", "s2")
+    key = find_key("s2")
     await wait_until(lambda: store.get(STREAMS_TABLE, key, SERVICE) is not None)
     assert await host.find("s2") == "v2"
 
@@ -145,5 +150,5 @@
     await asyncio.sleep(0.3)
     store.refusing = 0
     assert await beginning
-    key = build_key("w", "s1")
+    key = find_key("s1")
     await wait_until(lambda: store.get(STREAMS_TABLE, key, SERVICE) is not None)
--- a/tests/support/versionrig.py
+++ b/tests/support/versionrig.py
@@ -9,7 +9,7 @@
 import attrs
 
 from basilroad.errors import RefusedError
-from basilroad.gateway.calls.call import Call
+from basilroad.gateway.calls.call import Call, hash_api_key
 from basilroad.gateway.metrics import GatewayMetrics
 from basilroad.gateway.registry.directory import Directory
 from basilroad.gateway.registry.endpoint import EndpointEntry
@@ -119,6 +119,19 @@
         return asyncio.get_running_loop().time()
 
     async def read(self, service: str, key: str) -> ArchiveRow | None:
+        await self._reach()
+        row = self.store.rows.get((service, key))
+        await self._return()
+        return row
+
+    async def list_rows(self, service: str, start: str, end: str) -> list[tuple[str, ArchiveRow]]:
+        await self._reach()
+        rows = [(key, row) for (name, key), row in self.store.rows.items() if name == service]
+        found = sorted((key, row) for key, row in rows if start <= key < end)[:500]
+        await self._return()
+        return found
+
+    async def _reach(self) -> None:
         self.store.reads += 1
         if self.cut or self.store.mute:
             await asyncio.sleep(TIMEOUT_S)
@@ -126,18 +139,11 @@
         await asyncio.sleep(CALL_S)
         if self.store.down:
             raise ArchiveUnavailableError("refused")
-        row, epoch = self.store.rows.get((service, key)), self.store.epoch
-        await asyncio.sleep(CALL_S)
-        self.observe(epoch)
-        return row
 
-    async def list_rows(self, service: str, start: str, end: str) -> list[tuple[str, ArchiveRow]]:
-        self.store.reads += 1
+    async def _return(self) -> None:
+        epoch = self.store.epoch
         await asyncio.sleep(CALL_S)
-        if self.cut or self.store.mute or self.store.down:
-            raise ArchiveUnavailableError("no response")
-        rows = [(key, row) for (name, key), row in self.store.rows.items() if name == service]
-        return sorted((key, row) for key, row in rows if start <= key < end)[:500]
+        self.observe(epoch)
 
     async def write(self, service: str, changes: Sequence[RowChange]) -> Outcome:
         entries = sum(1 + (change.expected is not None) for change in changes)
@@ -360,13 +366,24 @@
 
 
 def build_stream_call(
-    call_id: str, resumes: str = "", workspace: str = "w", budget_s: float = BUDGET_S
+    call_id: str,
+    resumes: str = "",
+    workspace: str = "w",
+    budget_s: float = BUDGET_S,
+    api_key: str = "key",
 ) -> Call:
     """:return: a call of a stream."""
     now = asyncio.get_running_loop().time()
     route = build_stream_route(timeout_s=budget_s)
     times = {"arrived_at": now, "expires_at": now + budget_s}
-    return build_call(route, id=call_id, resumes=resumes, workspace=workspace, **times)
+    return build_call(
+        route,
+        id=call_id,
+        resumes=resumes,
+        workspace=workspace,
+        api_key_hash=hash_api_key(api_key),
+        **times,
+    )
 
 
 __all__ = [
