Take no entry without its start for a restart

Cause: `born` was optional and became 0, another start than the one before, and calls in flight at a server that has restarted are dropped. A whole number as `version` was taken as text: another version, a restart too.

Change: `born` is required and a whole number from 1 on that fits in 64 bits; `version` is text.

Why it works: what can't be decoded removes the endpoint from the choice and leaves its calls in flight alone.

A test demanded the opposite for `version`: that 12 be taken as "12". Entries in tests that lacked `born` got the start that their server reports. Failed before: test_config.py, 3 cases (`born` missing or 0, `version` 12).

--- a/src/basilroad/platform/config.py
+++ b/src/basilroad/platform/config.py
@@ -97,8 +97,9 @@
     zone: str
     slots: int
     state: str
-    version: str | int  # of the software, not of the weights
-    born: int = 0  # start of this instance; a restarted server may reuse the id
+    version: str  # of the software, not of the weights
+    # start of this instance in Unix milliseconds; a restarted server may reuse the id
+    born: Annotated[int, msgspec.Meta(ge=1, le=2**63 - 1)]
 
 
 _CONFIG_DECODER = JsonDecoder(_Config)
@@ -159,7 +160,7 @@
             max(MIN_SLOTS, server.slots),
             EndpointState(server.state),
             server.born,
-            str(server.version),
+            server.version,
         )
     except Exception as error:
         # whatever is wrong with a row, it must not hold up the others
--- a/tests/gateway/test_malformed_messages.py
+++ b/tests/gateway/test_malformed_messages.py
@@ -114,6 +114,7 @@
         "slots": 4,
         "state": "ready",
         "version": "v1",
+        "born": 1000,
     }
     for raw in (data, msgspec.json.encode(entry)):
         try:
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -141,11 +141,6 @@
     assert entry.version == "v1"
 
 
-def test_a_software_version_that_is_a_whole_number_is_taken_as_its_text() -> None:
-    entry = decode_server("i-1", msgspec.json.encode({**SERVER, "version": 12}))
-    assert entry.version == "12"
-
-
 @pytest.mark.parametrize(
     "change",
     [
@@ -156,9 +151,16 @@
         {"zone": None},
         {"service": 3},
         {"born": 1.5},
+        {"born": None},
+        {"born": "1700000000000"},
+        {"born": True},
+        {"born": 0},
+        {"born": -1},
+        {"born": 2**64},
         {"version": None},
         {"version": True},
         {"version": 1.5},
+        {"version": 12},
         {"version": ["v1"]},
         {"version": "v" * 201},
     ],
@@ -168,9 +170,12 @@
         decode_server("i-1", msgspec.json.encode({**SERVER, **change}))
 
 
-@pytest.mark.parametrize("missing", ["service", "address", "zone", "slots", "state", "version"])
+@pytest.mark.parametrize(
+    "missing", ["service", "address", "zone", "slots", "state", "version", "born"]
+)
 def test_an_entry_without_a_field_names_no_server(missing: str) -> None:
-    # fault: streams resumed at servers of unknown version
+    # fault: streams resumed at servers of unknown version; review case 9: an entry without born was
+    # taken for a restart, which cut the streams of a sound server
     fields = {name: value for name, value in SERVER.items() if name != missing}
     with pytest.raises(ConfigError):
         decode_server("i-1", msgspec.json.encode(fields))
--- a/tests/platform/test_config_changes.py
+++ b/tests/platform/test_config_changes.py
@@ -83,7 +83,11 @@
 
     def _list(self, server: AppServerStandin, service: str, slots: int = 30) -> None:
         entry = {"service": service, "zone": "a", "slots": slots, "state": "ready", "version": "v1"}
-        self.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
+        self.store.put(
+            "servers",
+            server.id,
+            {**entry, "address": f"127.0.0.1:{server.port}", "born": server.born},
+        )
 
     def send_change(self, change: Callable[[Config], None]) -> int:
         """Write a new version of the config.
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -70,7 +70,8 @@
         for server in self.servers:
             await server.start()
             entry = {"service": "llm", "zone": "a", "slots": 4, "state": "ready", "version": "v1"}
-            self.store.put("servers", server.id, {**entry, "address": f"{server.ip}:{server.port}"})
+            entry |= {"address": f"{server.ip}:{server.port}", "born": server.born}
+            self.store.put("servers", server.id, entry)
         for number in range(peers):
             await self.add_gateway(f"h{number}")
         self.session = aiohttp.ClientSession()
--- a/tests/platform/test_frontend.py
+++ b/tests/platform/test_frontend.py
@@ -400,7 +400,9 @@
     background, server = Background(), AppServerStandin("i-own-clock")
     await asyncio.to_thread(background.run, server.start())
     entry = {"service": "app", "zone": "a", "slots": 4, "state": "ready", "version": "v1"}
-    rig.store.put("servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}"})
+    rig.store.put(
+        "servers", server.id, {**entry, "address": f"127.0.0.1:{server.port}", "born": server.born}
+    )
     rig.store.put("servers", rig.app.id, None)
     yield server
     await asyncio.to_thread(background.run, server.stop())
--- a/tests/platform/test_takeups.py
+++ b/tests/platform/test_takeups.py
@@ -18,7 +18,8 @@
 
 def list_server(rig: GatewayRig, server: AppServerStandin, version: str, slots: int = 48) -> None:
     address = f"127.0.0.1:{server.port}"
-    entry = {**ENTRY, "address": address, "version": version, "slots": slots}
+    fields = {"address": address, "version": version, "slots": slots, "born": server.born}
+    entry = {**ENTRY, **fields}
     rig.store.put("servers", server.id, entry)
 
 
@@ -98,7 +99,9 @@
     third = AppServerStandin("i-third", events=10)
     await third.start()
     entry = {**ENTRY, "service": "llm-two", "version": "v1"}
-    rig.store.put("servers", third.id, {**entry, "address": f"127.0.0.1:{third.port}"})
+    rig.store.put(
+        "servers", third.id, {**entry, "address": f"127.0.0.1:{third.port}", "born": third.born}
+    )
     config = build_config(2, "key")
     route = config["routes"][1]
     del route["service"]
--- a/tests/support/watchrig.py
+++ b/tests/support/watchrig.py
@@ -29,9 +29,9 @@
     "slots": 4,
     "state": "ready",
     "version": "v1",
+    "born": 7,
 }
 
-
 BUDGET = StalenessBudget(CONTACT_S, DRAIN_S)
 
 STARTED = {**SERVER, "born": 1000}
