Let another run repeat events that came with an invalid one

Callers would see: a stream that resumes after an invalid event may lack the events that were received together with it. Found by reading the limit of events without a new id, which makes such an error likely in the middle of sound events.

Cause: `take` counts each event as forwarded while it selects them, and an error drops the selection. The next run is asked for what follows the last counted event.

Change: an error takes the count back to where the part began; what the run had sent with it is made again and comes once.

Failed before: test_events.py, 3 of 3 new cases (a missing event, an id that is no number, events without a new id).

--- a/src/basilroad/gateway/streams/events.py
+++ b/src/basilroad/gateway/streams/events.py
@@ -71,7 +71,13 @@
         self._partial = data[end:]
         self._check_size(self._partial)
         events = data[:end].split(EVENT_END)[:-1]
-        return b"".join(event + EVENT_END for event in events if self._is_due(event))
+        last, received = self.last, self.received
+        try:
+            return b"".join(event + EVENT_END for event in events if self._is_due(event))
+        except EventOrderError:
+            # none of these events is forwarded, so another run has to repeat them
+            self.last, self.received = last, received
+            raise
 
     def _check_size(self, partial: bytes) -> None:
         if len(partial) > MAX_EVENT_BYTES:
--- a/tests/gateway/streams/test_events.py
+++ b/tests/gateway/streams/test_events.py
@@ -47,6 +47,17 @@
         sequence.take(write_events(6, 6))
 
 
+@pytest.mark.parametrize("rest", [write_events(9, 9), b"id: x\n\n", b":\n\n" * (IDLE_EVENTS + 1)])
+def test_events_before_an_error_are_repeated_by_the_next_run(rest: bytes) -> None:
+    """Events received together with an invalid one were counted as forwarded, and missing."""
+    sequence = EventSequence(last=2)
+    with pytest.raises(EventOrderError):
+        sequence.take(write_events(3, 5) + rest)
+    assert (sequence.last, sequence.received) == (2, 0)
+    sequence.start_run()
+    assert sequence.take(write_events(3, 6)) == write_events(3, 6)
+
+
 def test_a_run_that_stops_within_an_event_is_not_whole() -> None:
     sequence = EventSequence()
     assert sequence.take(b"id: 1\ndata: x") == b""
