Limit the size of an engine's event at its agent

An engine that sends one event without end filled the memory of its agent, and each part was appended to a copy of all before.

Change: an event over 1 MiB is an invalid response.

Failed before: test_stream.py, 1 of 1 new test (with the name of the limit added to the old sources).

--- a/src/basilroad/endpoints/stream.py
+++ b/src/basilroad/endpoints/stream.py
@@ -17,6 +17,9 @@
 FRAME_END = b"\n\n"
 FRAME_START = b"data: "
 
+MAX_FRAME_BYTES = 1048576
+"""Largest event; those of tokens have some hundred bytes."""
+
 _TOKEN_DECODER = JsonDecoder(EngineToken)
 
 Message = TypeVar("Message")
@@ -47,6 +50,8 @@
         :raises EngineRefusedError: the engine reported an error, or an event is invalid
         """
         *frames, self._incomplete = (self._incomplete + chunk).split(FRAME_END)
+        if len(self._incomplete) > MAX_FRAME_BYTES:
+            raise EngineRefusedError(OK, f"invalid response: event exceeds {MAX_FRAME_BYTES} bytes")
         return map(_decode_frame, frames)
 
 
@@ -80,4 +85,4 @@
         raise EngineRefusedError(OK, f"invalid response: {error}") from error
 
 
-__all__ = ["CONFLICT", "OK", "EventStreamReader", "decode"]
+__all__ = ["CONFLICT", "MAX_FRAME_BYTES", "OK", "EventStreamReader", "decode"]
--- a/tests/endpoints/test_stream.py
+++ b/tests/endpoints/test_stream.py
@@ -9,7 +9,7 @@
 
 from basilroad.endpoints.errors import EngineRefusedError
 from basilroad.endpoints.messages import EngineFinish, EngineToken
-from basilroad.endpoints.stream import EventStreamReader
+from basilroad.endpoints.stream import MAX_FRAME_BYTES, EventStreamReader
 
 STREAM = (
     b'data: {"offset":0,"token":" oak"}\n\n'
@@ -33,3 +33,12 @@
 def test_error_and_invalid_events_raise_an_error(event: bytes) -> None:
     with pytest.raises(EngineRefusedError):
         list(EventStreamReader().read(event + b"\n\n"))
+
+
+def test_an_event_without_end_is_an_error() -> None:
+    """An engine in trouble filled the memory of its agent with one event."""
+    reader, part = EventStreamReader(), b"x" * 65536
+    for _ in range(MAX_FRAME_BYTES // len(part)):
+        assert not list(reader.read(part))
+    with pytest.raises(EngineRefusedError, match="exceeds"):
+        reader.read(part)
